--- a/src/jasminerelay/__init__.py
+++ b/src/jasminerelay/__init__.py
@@ -4,51 +4,60 @@
 docs/EMBEDDING.md for a runnable example of each.
 """
 
-from jasminerelay.broker import Broker, Decision, Permit
-from jasminerelay.burn import Book, Sample, Totals
-from jasminerelay.errors import Problem, RelayError
-from jasminerelay.estimate import Estimator
-from jasminerelay.limits import Borrower, Bucket, Limit
-from jasminerelay.manifest import Cell, Directory
-from jasminerelay.membership import Membership
-from jasminerelay.ordering import Tier, Waiting
-from jasminerelay.outcome import Outcome, State
-from jasminerelay.prefix import PrefixIndex, block_hashes
-from jasminerelay.resume import ResumePoint, Signer
-from jasminerelay.retry import RetryBudget
-from jasminerelay.routing import Candidate, choose
-from jasminerelay.spread import Spread
-from jasminerelay.stragglers import Stragglers
-
-__all__ = [
-    "Book",
-    "Borrower",
-    "Broker",
-    "Bucket",
-    "Candidate",
-    "Cell",
-    "Decision",
-    "Directory",
-    "Estimator",
-    "Limit",
-    "Membership",
-    "Outcome",
-    "Permit",
-    "PrefixIndex",
-    "Problem",
-    "RelayError",
-    "ResumePoint",
-    "RetryBudget",
-    "Sample",
-    "Signer",
-    "Spread",
-    "State",
-    "Stragglers",
-    "Tier",
-    "Totals",
-    "Waiting",
-    "block_hashes",
-    "choose",
-]
+import importlib
+from typing import Any
+
+_HOMES = {
+    "Book": "burn",
+    "Borrower": "limits",
+    "Broker": "broker",
+    "Bucket": "limits",
+    "Candidate": "routing",
+    "Cell": "manifest",
+    "Decision": "broker",
+    "Directory": "manifest",
+    "Dispatcher": "dispatcher",
+    "Estimator": "estimate",
+    "Limit": "limits",
+    "Membership": "membership",
+    "Outcome": "outcome",
+    "Permit": "broker",
+    "PrefixIndex": "prefix",
+    "Problem": "errors",
+    "Registry": "registry",
+    "RelayError": "errors",
+    "ResumePoint": "resume",
+    "RetryBudget": "retry",
+    "Sample": "burn",
+    "SharedBudget": "sharedbudget",
+    "Signer": "resume",
+    "Split": "groups",
+    "Spread": "spread",
+    "State": "outcome",
+    "Stragglers": "stragglers",
+    "Tier": "ordering",
+    "Totals": "burn",
+    "Waiting": "ordering",
+    "Workload": "workload",
+    "block_hashes": "prefix",
+    "choose": "routing",
+}
+"""Module of each public name. They are loaded when first used, since a daemon
+needs few of them and starts in half the time."""
+
+__all__ = list(_HOMES)
 
 __version__ = "0.1.0"
+
+
+def __getattr__(name: str) -> Any:
+    """Loads a public name."""
+    if name not in _HOMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"jasminerelay.{_HOMES[name]}")
+    return getattr(module, name)
+
+
+def __dir__() -> list[str]:
+    """Returns the public names."""
+    return [*globals(), *_HOMES]
--- /dev/null
+++ b/src/jasminerelay/catalog.py
@@ -0,0 +1,302 @@
+"""What the operator has in force: routes, services, organisations, keys.
+
+A catalog is one whole version; nothing of it changes once it is made, so a
+request that holds one sees one truth from its first to its last decision.
+"""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Iterable, Mapping
+
+RANK_FIRST = 0
+
+
+class Repeat(enum.Enum):
+    """What may be sent to a second backend server.
+
+    Attributes:
+        IDEMPOTENT: The request may run any number of times.
+        ONCE: The request runs at most once.
+        RESUMABLE: A stream that may go on at another backend server behind
+            the last event that was delivered.
+    """
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    RESUMABLE = "resumable"
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """A service's part of a route's requests.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its part, relative to the others'.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """How requests of one host and path prefix are served.
+
+    Attributes:
+        name: Its name, which also names the kind of work in load estimates.
+        host: Host that callers name, in lower case.
+        prefix: Leading part of the path, from slash to slash.
+        repeat: What may be repeated.
+        streaming: Whether answers are event streams.
+        timeout_s: Longest time that a request may stay without its end.
+        objective_s: Time to the answer, or to a stream's first event, within
+            which the answer is worth most.
+        pause_s: Longest pause between events of an answer in time; 0 for
+            answers that are not streams.
+        rank: 0 is served first.
+        services: Where its requests go.
+        max_servers: Most backend servers that may run one request.
+        anonymous: Whether callers need no key.
+        model: Whether requests carry a prompt for a model engine.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    streaming: bool
+    timeout_s: float
+    objective_s: float
+    pause_s: float
+    rank: int
+    services: tuple[Share, ...]
+    max_servers: int
+    anonymous: bool
+    model: bool
+
+    def pick_service(self, rng: random.Random) -> str:
+        """Returns the service of one request, by the shares' weights."""
+        if len(self.services) == 1:
+            return self.services[0].service
+        names = [share.service for share in self.services]
+        weights = [share.weight for share in self.services]
+        if not any(weights):
+            return names[0]
+        return rng.choices(names, weights)[0]
+
+
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """What the backend servers of a model service can do.
+
+    Attributes:
+        slots: Requests that one server runs at once.
+        cache_tokens: Tokens that one server's memory holds.
+        token_bytes: Memory of one token.
+        backups: Whether a run's memory can be copied to a second server as
+            it grows.
+        event_tokens: Tokens in one event of a stream.
+    """
+
+    slots: int
+    cache_tokens: int
+    token_bytes: int
+    backups: bool
+    event_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A group of backend servers that do the same work.
+
+    Attributes:
+        name: Its name.
+        max_connections: Connections that one server takes from all instances.
+        engine: Set for a service of model engines.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """What callers may send.
+
+    Attributes:
+        head_bytes: Most bytes of a request's head.
+        body_bytes: Most bytes of a request's body.
+        head_s: Longest time that a head may take.
+        idle_s: Longest time that a connection may rest between requests.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_s: float
+    idle_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Holder:
+    """The organisation that holds a key.
+
+    Attributes:
+        name: Its name.
+        rank: Its rank, which goes before its routes'; None for theirs.
+    """
+
+    name: str
+    rank: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendServer:
+    """One life of a backend server, from its start to its end.
+
+    Attributes:
+        id: Names this life; a restart brings another.
+        service: Its service.
+        address: IP:port.
+        zone: Its availability zone.
+        slots: Requests that it runs at once.
+        draining: Whether it takes no new work.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalog:
+    """One version of the operator's configuration.
+
+    Attributes:
+        version: The operator's number; later versions are higher.
+        routes: All routes.
+        services: Services by name.
+        holders: Organisations by key.
+        keyed: Whether requests need a key at all.
+        bounds: What callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    holders: Mapping[str, Holder]
+    keyed: bool
+    bounds: Bounds
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        object.__setattr__(self, "_by_host", by_host)
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of the path."""
+        by_host: dict[str, list[Route]] = self._by_host  # type: ignore
+        for route in by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptPart:
+    """A leading part of a prompt, shared by all requests with its id.
+
+    Attributes:
+        id: Names its content.
+        tokens: Its size.
+    """
+
+    id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """The prompt of a model request.
+
+    Attributes:
+        parts: Its parts in order; the last is the request's own.
+        tokens: Tokens in.
+        max_output: Most tokens out.
+        expected_output: The caller's estimate of the tokens out; None if it
+            gave none.
+    """
+
+    parts: tuple[PromptPart, ...]
+    tokens: int
+    max_output: int
+    expected_output: int | None
+
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may bring too."""
+        return self.parts[:-1]
+
+    @property
+    def output(self) -> int:
+        """The likeliest number of tokens out."""
+        if self.expected_output is None:
+            return self.max_output
+        return min(self.expected_output, self.max_output)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A request of a caller, whichever interface it came by.
+
+    Attributes:
+        id: The caller's id of this attempt.
+        route: Its route.
+        service: The service that serves it.
+        rank: 0 is served first.
+        organisation: Whose it is; "" without a key.
+        method: HTTP method.
+        host: Host that the caller named.
+        target: Path and query, byte for byte.
+        headers: Header fields to pass on.
+        body: Body, whole.
+        prompt: Set for model requests.
+        last_event: Last event that the caller has of an earlier answer; ""
+            for a new one.
+        arrived: Steady time at which it was read, in seconds.
+        ends: Steady time at which it must have its final answer.
+    """
+
+    id: str
+    route: Route
+    service: str
+    rank: int
+    organisation: str
+    method: str
+    host: str
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    prompt: Prompt | None
+    last_event: str
+    arrived: float
+    ends: float
+
+
+def usable(
+    servers: Iterable[BackendServer], service: str
+) -> list[BackendServer]:
+    """Returns the servers of a service that take new work."""
+    return [
+        server
+        for server in servers
+        if server.service == service and not server.draining
+    ]
--- a/src/jasminerelay/checking.py
+++ b/src/jasminerelay/checking.py
@@ -3,14 +3,16 @@
 import json
 import pathlib
 import tomllib
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
-import jsonschema
 import msgspec
 from result import Err, Ok, Result
 
 from jasminerelay.errors import Problem
 
+if TYPE_CHECKING:
+    import jsonschema
+
 _SCHEMA_DIR = pathlib.Path(__file__).parent / "schema"
 _SHOWN = 60
 
@@ -35,6 +37,10 @@
 
 def check(raw: Any, schema_name: str, source: str) -> list[Problem]:
     """Returns every fault of a parsed file, in the order of its keys."""
+    # Imported here, since it takes a third of a daemon's time to start and the
+    # platform's settings are checked without it.
+    import jsonschema
+
     validator = jsonschema.Draft202012Validator(load_schema(schema_name))
     faults = sorted(
         validator.iter_errors(raw), key=lambda fault: str(fault.json_path)
@@ -54,7 +60,7 @@
         return None
 
 
-def _problem(fault: jsonschema.ValidationError, source: str) -> Problem:
+def _problem(fault: "jsonschema.ValidationError", source: str) -> Problem:
     key = fault.json_path.removeprefix("$").lstrip(".") or "(file)"
     found = json.dumps(fault.instance, default=str)
     if _is_secret(key):
--- /dev/null
+++ b/src/jasminerelay/dispatcher.py
@@ -0,0 +1,198 @@
+"""Chooses servers for requests from all that an instance knows."""
+
+import random
+import time
+from collections.abc import Callable
+
+import xxhash
+
+from jasminerelay import placing
+from jasminerelay.admission import Prospect
+from jasminerelay.catalog import BackendServer, Call, Engine
+from jasminerelay.groups import DemandMeter, DemandView, Split
+from jasminerelay.placing import Option, Placed, Wait
+from jasminerelay.prefix import PrefixIndex
+from jasminerelay.registry import Registry
+from jasminerelay.stragglers import Stragglers
+from jasminerelay.workload import Run, Workload
+
+PACE_WEIGHT = 0.1
+"""Weight of one answer in the running mean of its kind's pace."""
+
+SPLIT_EVERY_S = 0.5
+"""How often the split of a service's servers is looked at."""
+
+
+class Dispatcher:
+    """Places requests; owns what that takes and no socket."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        zone: str,
+        instances: Callable[[], int],
+        rng: random.Random,
+    ):
+        """Makes a dispatcher.
+
+        Args:
+            registry: Configuration and servers.
+            zone: This instance's availability zone.
+            instances: Returns how many instances share the work.
+            rng: Source of random choices.
+        """
+        self._registry = registry
+        self._zone = zone
+        self._instances = instances
+        self._rng = rng
+        self.workload = Workload()
+        self.meter = DemandMeter()
+        self.demand = DemandView()
+        self._splits: dict[str, Split] = {}
+        self._split_at = float("-inf")
+        self._health: dict[str, Stragglers] = {}
+        self._warm = PrefixIndex()
+        self._pace: dict[str, float] = {}
+
+    def health(self, service: str) -> Stragglers:
+        """Returns what is known of the health of a service's servers."""
+        return self._health.setdefault(service, Stragglers())
+
+    def engine_of(self, service: str) -> Engine | None:
+        """Returns what a service's engines can do; None for a plain one."""
+        catalog = self._registry.catalog
+        held = catalog.services.get(service) if catalog else None
+        return held.engine if held else None
+
+    def arrived(self, call: Call) -> None:
+        """Notes a new request."""
+        if call.prompt is None:
+            return
+        shared = sum(part.tokens for part in call.prompt.shared)
+        unread = call.prompt.tokens - shared
+        self.meter.arrived(
+            call.service, call.route.name, placing.busy_s(call, unread), unread
+        )
+
+    def busy_s(self, call: Call) -> float:
+        """Returns how long a request keeps a server busy."""
+        if call.prompt is None:
+            return call.route.objective_s / 4
+        shared = sum(part.tokens for part in call.prompt.shared)
+        return placing.busy_s(call, call.prompt.tokens - shared)
+
+    def place(self, call: Call, avoid: frozenset[str]) -> Placed | Wait:
+        """Finds a place now."""
+        servers = [
+            server
+            for server in self._registry.servers_of(call.service)
+            if server.id not in avoid
+        ]
+        if not servers:
+            return Wait("no server in use")
+        engine = self.engine_of(call.service)
+        if call.prompt is None or engine is None:
+            options = [self._option(call, server) for server in servers]
+            return placing.place_plain(call, _some(options), self._zone)
+        group = self._group(call, servers)
+        options = [self._option(call, server) for server in group]
+        return placing.place_model(call, engine, _some(options))
+
+    def reserve(self, call: Call, placed: Placed) -> Run:
+        """Notes that a request goes to a server."""
+        if call.prompt is not None:
+            parts = [_part_hash(part.id) for part in call.prompt.parts]
+            self._warm.add(placed.server.id, tuple(parts))
+        return self.workload.start(
+            placed.server.id, placed.unread, placed.memory
+        )
+
+    def expect(self, call: Call, ahead_s: float) -> Prospect:
+        """Returns what to expect of a request that waits."""
+        left_s = call.ends - time.monotonic()
+        servers = self._registry.servers_of(call.service)
+        if not servers:
+            # The next word of the store may bring some; a short wait costs
+            # the caller less than coming back.
+            waited = time.monotonic() - call.arrived
+            return Prospect(waited, 0.0, call.route.objective_s)
+        if call.prompt is None:
+            ahead = ahead_s * self._instances() / _slots(servers)
+            return Prospect(ahead, call.route.objective_s / 3, left_s)
+        group = self._group(call, servers)
+        unread = sum(self.workload.load(item.id).unread for item in group)
+        reading = unread / placing.READ_TOKENS_S / len(group)
+        ahead = reading + ahead_s * self._instances() / len(group)
+        pace = self._pace.get(call.route.name, placing.TOKEN_BUSY_S)
+        return Prospect(ahead, call.prompt.output * pace, left_s)
+
+    def answered(self, call: Call, tokens: int, seconds: float) -> None:
+        """Notes how long a stream took from its first to its last event."""
+        if tokens <= 0:
+            return
+        pace = seconds / tokens
+        held = self._pace.get(call.route.name, pace)
+        self._pace[call.route.name] = held + PACE_WEIGHT * (pace - held)
+
+    def gone(self, server: str) -> None:
+        """Forgets a server that has ended."""
+        self._warm.forget(server)
+
+    def tick(self, now: float) -> None:
+        """Moves the running means on and looks at the splits."""
+        self.workload.expire(now)
+        if now - self._split_at < SPLIT_EVERY_S:
+            return
+        self._split_at = now
+        self.meter.tick(now)
+        self.demand.hear("", self.meter.demand(), now)
+        catalog = self._registry.catalog
+        for name in catalog.services if catalog else ():
+            servers = [item.id for item in self._registry.servers_of(name)]
+            demand = self.demand.total(name, now)
+            self._splits.setdefault(name, Split()).update(servers, demand)
+
+    def split_of(self, service: str) -> Split | None:
+        """Returns the present split of a service."""
+        return self._splits.get(service)
+
+    def _group(
+        self, call: Call, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        split = self._splits.get(call.service)
+        names = split.group(call.route.name) if split else ()
+        group = [server for server in servers if server.id in names]
+        return group or servers
+
+    def _option(self, call: Call, server: BackendServer) -> Option:
+        health = self.health(call.service)
+        blocked = health.blocked(server.id, time.monotonic())
+        load = self.workload.load(server.id)
+        if health.probing(server.id) and load.running:
+            blocked = True
+        warm = 0
+        if call.prompt is not None:
+            parts = call.prompt.shared
+            hashes = tuple(_part_hash(part.id) for part in parts)
+            count = self._warm.matched(server.id, hashes)
+            warm = sum(part.tokens for part in parts[:count])
+        return Option(server, load, warm, health.slowness(server.id), blocked)
+
+
+def _some(options: list[Option]) -> list[Option]:
+    # When every server has failed of late, one that may fail is better than
+    # none: refusing everything would turn a short fault into an outage.
+    if options and all(item.blocked for item in options):
+        return [
+            Option(item.server, item.load, item.warm, item.slowness)
+            for item in options
+        ]
+    return options
+
+
+def _slots(servers: list[BackendServer]) -> int:
+    return max(1, sum(server.slots for server in servers))
+
+
+def _part_hash(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
--- a/src/jasminerelay/entrylist.py
+++ b/src/jasminerelay/entrylist.py
@@ -22,12 +22,20 @@
 def entry_list(
     members: list[Member], zone: str, ttl_s: float, rng: random.Random
 ) -> EntryList:
-    """Returns the live instances, those of the caller's zone first.
+    """Returns the live instances, those of the caller's zone first."""
+    ordered = in_order(members, zone, rng)
+    addresses = tuple(f"http://{member.callers}" for member in ordered)
+    return EntryList(addresses, ttl_s)
+
+
+def in_order(
+    members: list[Member], zone: str, rng: random.Random
+) -> list[Member]:
+    """Returns instances, those of a zone first.
 
     Shuffled within each part, so that callers spread without a balancer.
     """
     shuffled = list(members)
     rng.shuffle(shuffled)
     shuffled.sort(key=lambda member: member.zone != zone)
-    addresses = tuple(f"http://{member.callers}" for member in shuffled)
-    return EntryList(addresses, ttl_s)
+    return shuffled
--- /dev/null
+++ b/src/jasminerelay/following.py
@@ -0,0 +1,243 @@
+"""Follows the store's tables and keeps the registry up to date."""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from jasminerelay.errors import StoreError
+from jasminerelay.eventlog import EventLog
+from jasminerelay.metrics import Counters
+from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import ServerRow
+
+WAIT_S = 10.0
+"""How long the store holds a call until there is a change. Longer waits save
+calls; a shorter one would not show a silent connection sooner, since the
+kernel's probes do that."""
+
+RETRY_LEAST_S = 0.2
+RETRY_MOST_S = 0.6
+"""Pause after a call that failed, spread so that the instances do not come
+back at the same moment. A change must be in force within two seconds."""
+
+GATHER_S = 0.15
+"""Pause after a change of the servers before the next call: servers that are
+replaced change in series, and one call then brings several."""
+
+STALE_PAUSE_S = 0.3
+"""Pause before all rows are read again when the store gave older ones."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """Rows as of one moment.
+
+    Attributes:
+        rows: The rows.
+        version: The store's version at that moment.
+    """
+
+    rows: tuple[ServerRow, ...]
+    version: int
+
+
+class HistoryGoneError(StoreError):
+    """Changes since a version are no longer to be had; read all rows."""
+
+
+class Source(Protocol):
+    """A table of the store."""
+
+    async def read(self) -> Page:
+        """Returns all rows."""
+
+    async def changes(self, after: int, wait_s: float) -> Page:
+        """Waits for rows that changed after a version."""
+
+
+class StoreState:
+    """Whether the store answers this instance, over all that ask it."""
+
+    def __init__(self, registry: Registry, log: EventLog):
+        self._registry = registry
+        self._log = log
+        self._lost_by: set[str] = set()
+        self.answered = float("-inf")
+
+    @property
+    def lost(self) -> bool:
+        """Whether the last call of someone failed."""
+        return bool(self._lost_by)
+
+    def failed(self, who: str, why: str) -> None:
+        """Notes a call that failed."""
+        if not self._lost_by:
+            self._log.trouble("dependency_lost", name="store", why=why)
+        self._lost_by.add(who)
+        self._registry.store_lost()
+
+    def worked(self, who: str) -> None:
+        """Notes a call that worked."""
+        now = time.monotonic()
+        self.answered = now
+        if who not in self._lost_by:
+            return
+        self._lost_by.discard(who)
+        if not self._lost_by:
+            self._registry.store_regained(now)
+            self._log.trouble("dependency_regained", name="store")
+
+
+class Follower:
+    """Follows one table until cancelled."""
+
+    def __init__(
+        self,
+        name: str,
+        source: Source,
+        state: StoreState,
+        counters: Counters,
+        rng: random.Random,
+    ):
+        """Makes a follower.
+
+        Args:
+            name: Names it in logs.
+            source: The table.
+            state: Takes notes of lost and regained touch.
+            counters: Counts calls.
+            rng: Spreads the tries.
+        """
+        self._name = name
+        self._source = source
+        self._state = state
+        self._counters = counters
+        self._rng = rng
+
+    async def run(
+        self,
+        take_all: Callable[[Page], bool],
+        take_changes: Callable[[Page], None],
+    ) -> None:
+        """Follows the table.
+
+        Args:
+            take_all: Takes all rows; returns whether they are as new as what
+                was known.
+            take_changes: Takes changed rows.
+        """
+        after: int | None = None
+        while True:
+            try:
+                if after is None:
+                    after = await self._read_all(take_all)
+                    continue
+                page = await self._source.changes(after, WAIT_S)
+            except HistoryGoneError:
+                after = None
+                continue
+            except StoreError as exc:
+                self._counters.incr("store.failed")
+                self._state.failed(self._name, exc.message)
+                await anyio.sleep(
+                    self._rng.uniform(RETRY_LEAST_S, RETRY_MOST_S)
+                )
+                continue
+            self._worked()
+            after = max(after, page.version)
+            if page.rows:
+                take_changes(page)
+                await anyio.sleep(GATHER_S)
+
+    async def _read_all(self, take_all: Callable[[Page], bool]) -> int | None:
+        page = await self._source.read()
+        self._worked()
+        if take_all(page):
+            return page.version
+        await anyio.sleep(STALE_PAUSE_S)
+        return None
+
+    def _worked(self) -> None:
+        self._counters.incr("store.calls")
+        self._state.worked(self._name)
+
+
+class RegistryFeed:
+    """Brings the tables' rows into the registry, with a line for each news."""
+
+    def __init__(self, registry: Registry, key: str, log: EventLog):
+        """Makes the feed.
+
+        Args:
+            registry: Takes the rows.
+            key: Key of the configuration's row.
+            log: Takes events.
+        """
+        self._registry = registry
+        self._key = key
+        self._log = log
+
+    def take_configuration(self, page: Page) -> bool:
+        """Takes rows of the operator's table."""
+        for row in page.rows:
+            if row.id == self._key and row.data is not None:
+                self.adopt_configuration(row.version, row.data, "store")
+        return True
+
+    def adopt_configuration(
+        self, version: int, data: bytes, source: str
+    ) -> None:
+        """Takes a configuration, whoever brought it."""
+        try:
+            news = self._registry.take_configuration(version, data)
+        except ValueError as exc:
+            # The one in force stays: half a configuration is none.
+            self._log.trouble("configuration_unreadable", why=str(exc))
+            return
+        if news:
+            self._log.trouble(
+                "configuration",
+                version=self._registry.catalog.version,
+                row_version=version,
+                source=source,
+            )
+
+    def take_all_servers(self, page: Page) -> bool:
+        """Takes all servers' rows; older ones are passed over."""
+        if page.version < self._registry.servers_version:
+            return False
+        self._take(page, self._registry.take_all)
+        return True
+
+    def take_servers(self, page: Page) -> None:
+        """Takes changed servers' rows."""
+        self._take(page, self._registry.take_changes)
+
+    def _take(self, page: Page, take: Callable) -> None:
+        readable = []
+        for row in page.rows:
+            try:
+                self._registry.check(row)
+            except ValueError as exc:
+                self._log.trouble("server_unreadable", why=str(exc))
+                continue
+            readable.append(row)
+        self.report(take(readable, page.version, time.monotonic()), "store")
+
+    def report(self, news: list[ServerRow], source: str) -> None:
+        """Writes a line for each server with news."""
+        for row in news:
+            server = self._registry.server(row.id)
+            self._log.trouble(
+                "server",
+                server=row.id,
+                state="gone"
+                if server is None
+                else ("draining" if server.draining else "in use"),
+                row_version=row.version,
+                source=source,
+            )
--- /dev/null
+++ b/src/jasminerelay/groups.py
@@ -0,0 +1,209 @@
+"""Which backend servers of a model service serve which kind of work.
+
+Pattern: an engine reads a long prompt in pieces between the tokens of all
+requests that run beside it, so one long prompt stretches the pauses of every
+stream on its server. A kind with long prompts and one with short pauses that
+share a server make the second one late though no server is full. Load counts
+do not show it; keeping the kinds on servers of their own does.
+
+Every instance computes the same split from the same words: kinds in order of
+their prompts' size, servers in order of their ids, each kind a run of servers
+as long as its share of the work. A boundary that moves by one changes the
+group of one server, so the others keep their caches.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping, Sequence
+
+from jasminerelay.schema.messages import KindDemand
+
+SETTLE = 0.35
+"""Part of a server by which a kind's due share must leave its present count
+before a boundary moves; less makes groups flap with each small wave."""
+
+RISE_S = 1.0
+FALL_S = 6.0
+"""Time constants with which measured work rises and falls. A burst must be
+followed while it lasts; a lull of a few seconds is not worth cold caches."""
+
+PEER_DEMAND_LIFE_S = 3.0
+"""How long another instance's word on its demand counts."""
+
+IDLE_WORK = 0.01
+"""Work, in servers, under which a kind needs no server of its own."""
+
+
+@dataclasses.dataclass
+class _Meter:
+    work: float = 0.0
+    size: float = 0.0
+    gathered: float = 0.0
+
+
+class DemandMeter:
+    """Work that callers bring to one instance, by service and kind."""
+
+    def __init__(self) -> None:
+        self._meters: dict[tuple[str, str], _Meter] = {}
+        self._since: float | None = None
+
+    def arrived(
+        self, service: str, kind: str, busy_s: float, tokens: int
+    ) -> None:
+        """Notes a request.
+
+        Args:
+            service: Its service.
+            kind: Its kind.
+            busy_s: Time that it would keep one server busy.
+            tokens: Its prompt, cached parts left out.
+        """
+        meter = self._meters.setdefault((service, kind), _Meter(size=tokens))
+        meter.gathered += busy_s
+        meter.size += 0.1 * (tokens - meter.size)
+
+    def tick(self, now: float) -> None:
+        """Folds what has come since the last tick into the running means."""
+        if self._since is None:
+            self._since = now
+            return
+        span = now - self._since
+        if span <= 0:
+            return
+        self._since = now
+        for meter in self._meters.values():
+            rate = meter.gathered / span
+            meter.gathered = 0.0
+            constant = RISE_S if rate > meter.work else FALL_S
+            meter.work += (rate - meter.work) * (1 - math.exp(-span / constant))
+
+    def demand(self) -> list[KindDemand]:
+        """Returns the demand, for this instance and the others.
+
+        A kind's name carries its service, which keeps the message flat.
+        """
+        return [
+            KindDemand(f"{service}/{kind}", round(meter.work, 4), meter.size)
+            for (service, kind), meter in self._meters.items()
+            if meter.work > IDLE_WORK / 10
+        ]
+
+
+class DemandView:
+    """Demand at all instances, summed."""
+
+    def __init__(self) -> None:
+        self._words: dict[str, tuple[float, list[KindDemand]]] = {}
+
+    def hear(
+        self, instance: str, demand: Iterable[KindDemand], now: float
+    ) -> None:
+        """Takes one instance's word."""
+        self._words[instance] = (now, list(demand))
+
+    def total(self, service: str, now: float) -> list[KindDemand]:
+        """Returns the demand on a service by kind."""
+        work: dict[str, float] = {}
+        sized: dict[str, float] = {}
+        prefix = f"{service}/"
+        for name, (heard, demand) in list(self._words.items()):
+            if now - heard > PEER_DEMAND_LIFE_S:
+                del self._words[name]
+                continue
+            for item in demand:
+                if item.kind.startswith(prefix):
+                    kind = item.kind.removeprefix(prefix)
+                    work[kind] = work.get(kind, 0.0) + item.work
+                    sized[kind] = sized.get(kind, 0.0) + item.work * item.size
+        return [
+            KindDemand(kind, total, sized[kind] / total)
+            for kind, total in sorted(work.items())
+            if total > IDLE_WORK
+        ]
+
+
+class Split:
+    """The present split of one service's servers; moves slowly."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+        self._groups: dict[str, tuple[str, ...]] = {}
+
+    def update(
+        self, servers: Sequence[str], demand: Sequence[KindDemand]
+    ) -> Mapping[str, tuple[str, ...]]:
+        """Returns the servers of each kind.
+
+        Args:
+            servers: Ids of the servers in use.
+            demand: Demand by kind.
+        """
+        kinds = sorted(demand, key=lambda item: (-item.size, item.kind))
+        due = _due(len(servers), kinds)
+        kept = self._counts
+        valid = set(kept) == set(due) and sum(kept.values()) == len(servers)
+        if not valid or _moved(kept, due):
+            self._counts = _rounded(due, len(servers))
+        self._groups = _laid_out(
+            sorted(servers), [item.kind for item in kinds], self._counts
+        )
+        return self._groups
+
+    def group(self, kind: str) -> tuple[str, ...]:
+        """Returns the servers of a kind; none for one not seen yet."""
+        return self._groups.get(kind, ())
+
+
+def _due(count: int, kinds: Sequence[KindDemand]) -> dict[str, float]:
+    total = sum(item.work for item in kinds)
+    if not total:
+        return {}
+    due = {item.kind: count * item.work / total for item in kinds}
+    if count < len(kinds):
+        return due
+    # A kind with little work still needs one whole server: half of one is
+    # shared with a kind that would stretch its pauses.
+    low = {kind for kind, share in due.items() if share < 1}
+    while low:
+        rest = count - len(low)
+        others = {kind: due[kind] for kind in due if kind not in low}
+        scale = rest / sum(others.values()) if others else 0.0
+        due.update({kind: share * scale for kind, share in others.items()})
+        due.update(dict.fromkeys(low, 1.0))
+        below = {kind for kind in others if due[kind] < 1}
+        if not below:
+            break
+        low |= below
+    return due
+
+
+def _moved(kept: Mapping[str, int], due: Mapping[str, float]) -> bool:
+    return any(abs(due[kind] - kept[kind]) > 0.5 + SETTLE for kind in due)
+
+
+def _rounded(due: Mapping[str, float], count: int) -> dict[str, int]:
+    counts = {kind: int(share + 1e-9) for kind, share in due.items()}
+    spare = count - sum(counts.values())
+    order = sorted(due, key=lambda kind: (counts[kind] - due[kind], kind))
+    for kind in order[:spare]:
+        counts[kind] += 1
+    return counts
+
+
+def _laid_out(
+    servers: Sequence[str], kinds: Sequence[str], counts: Mapping[str, int]
+) -> dict[str, tuple[str, ...]]:
+    groups: dict[str, tuple[str, ...]] = {}
+    start = 0
+    for kind in kinds:
+        end = start + counts.get(kind, 0)
+        groups[kind] = tuple(servers[start:end])
+        start = end
+    # With fewer servers than kinds some kinds get none; they join the next
+    # one with shorter prompts, or else the last group there is.
+    following: tuple[str, ...] = tuple(servers[-1:])
+    for kind in reversed(kinds):
+        following = groups[kind] or following
+        groups[kind] = following
+    return groups
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -64,8 +64,14 @@
 class Client:
     """Bounded connection pool; one for all backend servers of an instance."""
 
-    def __init__(self, watchdog: Watchdog) -> None:
-        self._backend = WatchedBackend(watchdog)
+    def __init__(self, watchdog: Watchdog, *, keepalive: bool = False):
+        """Makes the pool.
+
+        Args:
+            watchdog: Limits the reads.
+            keepalive: Whether the kernel looks for a silent other side.
+        """
+        self._backend = WatchedBackend(watchdog, keepalive=keepalive)
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_KEEPALIVE,
--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -110,6 +110,26 @@
         self._speak(LEAVING)
         return self.push()
 
+    def enter(self) -> list[Send]:
+        """Announces that this instance takes work from now on."""
+        self._speak(ALIVE)
+        return self.push()
+
+    def greet(self, addresses: Iterable[str]) -> list[Send]:
+        """Returns datagrams to addresses whose instances are not known.
+
+        Their answers bring the members that they know; so a list of
+        addresses, however stale, is enough to join.
+        """
+        known = {item.member.peers for item in self._known.values()}
+        known.add(self.own.peers)
+        gossip = Gossip(PROBE, self.own, [], [], self.pointer)
+        return [
+            Send(address, gossip)
+            for address in addresses
+            if address not in known
+        ]
+
     def notice(self, notice: Notice) -> bool:
         """Takes a word about a backend server; returns whether it is news."""
         held = self._notices.get(notice.server)
--- a/src/jasminerelay/netstream.py
+++ b/src/jasminerelay/netstream.py
@@ -12,6 +12,12 @@
 
 from jasminerelay.watchdog import Watchdog
 
+PROBE_IDLE_S = 1
+PROBE_EVERY_S = 1
+PROBES = 2
+"""A silent other side is found within three seconds, the time after which
+callers have given up on short answers anyway."""
+
 _BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
@@ -93,8 +99,15 @@
 class WatchedBackend(httpcore.AsyncNetworkBackend):
     """Opens watched connections."""
 
-    def __init__(self, watchdog: Watchdog):
+    def __init__(self, watchdog: Watchdog, *, keepalive: bool = False):
+        """Makes the backend.
+
+        Args:
+            watchdog: Limits the reads.
+            keepalive: Whether the kernel looks for a silent other side.
+        """
         self._watchdog = watchdog
+        self._keepalive = keepalive
 
     async def connect_tcp(
         self,
@@ -113,6 +126,8 @@
             raise httpcore.ConnectTimeout(f"{host}:{port}") from exc
         except OSError as exc:
             raise httpcore.ConnectError(str(exc)) from exc
+        if self._keepalive:
+            _keep_alive(stream.extra(SocketAttribute.raw_socket))
         return WatchedStream(stream, self._watchdog)
 
     async def sleep(self, seconds: float) -> None:
@@ -120,6 +135,17 @@
         await anyio.sleep(seconds)
 
 
+def _keep_alive(raw: socket.socket) -> None:
+    # A connection may fall silent for good without a reset, while new ones
+    # work; nothing but an unanswered probe shows it.
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    limit_ms = 1000 * (PROBE_IDLE_S + PROBE_EVERY_S * PROBES)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
 def _is_readable(raw: Any) -> bool:
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
--- /dev/null
+++ b/src/jasminerelay/peerlink.py
@@ -0,0 +1,316 @@
+"""Words between the instances of a platform: datagrams and snapshots.
+
+Each instance sends what it has under way and how new its knowledge is to a
+few others several times a second, and probes one other for life. One that is
+behind, as when the store turns it away, fetches what it lacks from another.
+"""
+
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.eventlog import EventLog
+from jasminerelay.httpclient import (
+    BrokenError,
+    Client,
+    Exchange,
+    NotSentError,
+)
+from jasminerelay.membership import ALIVE, LEAVING, Membership, Send
+from jasminerelay.metrics import Counters
+from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import Member, PeerWord, Snapshot, Standing
+
+LOAD_EVERY_S = 0.1
+"""How often loads are sent while they change. Choices by loads that are older
+send several instances to the same server at once."""
+
+LOAD_FANOUT = 8
+"""Others that get the loads each time, whatever the number of instances."""
+
+PROBE_EVERY = 2
+"""Probes are sent every so many rounds of loads: the others' death must show
+before callers' entry lists expire."""
+
+SUSPECT_S = 0.8
+"""Silence after a missed probe until an instance counts as failed."""
+
+GREET_EVERY_S = 2.0
+"""How often addresses of unknown instances are tried."""
+
+BEHIND_S = 0.25
+"""How long an instance that is behind waits for the store before it asks
+another instance: the store's own word usually comes within milliseconds."""
+
+FETCH_TIMEOUT_S = 1.0
+ISOLATED_S = 1.5
+"""Silence of all others after which an instance takes itself for cut off."""
+
+FRESH_S = 1.5
+"""Age up to which another instance's word confirms the own knowledge."""
+
+MAX_OUTGOING = 200
+"""Datagrams that wait to be sent; more are dropped, as a full link would."""
+
+SNAPSHOT_PATH = "/snapshot"
+
+_encode = msgspec.msgpack.encode
+_decode_word = msgspec.msgpack.Decoder(PeerWord).decode
+_decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
+
+
+class PeerLink:
+    """Owns the datagram socket and this instance's view of the others."""
+
+    def __init__(
+        self,
+        own: Member,
+        registry: Registry,
+        dispatcher: Dispatcher,
+        client: Client,
+        counters: Counters,
+        log: EventLog,
+        rng: random.Random,
+    ):
+        self.membership = Membership(own, SUSPECT_S, rng)
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._client = client
+        self._counters = counters
+        self._log = log
+        self._rng = rng
+        self._number = 0
+        self._heard: dict[str, tuple[float, Standing]] = {}
+        self._addresses: set[str] = set()
+        self._behind_since: float | None = None
+        self._behind_of = ""
+        self._live: set[str] = set()
+        self._outbox, self._outgoing = anyio.create_memory_object_stream(
+            MAX_OUTGOING
+        )
+        self.on_snapshot: Callable[[Snapshot, str], None] = lambda *_: None
+
+    @property
+    def count(self) -> int:
+        """How many instances share the work, this one included."""
+        return max(1, len(self.membership.live()))
+
+    @property
+    def known(self) -> int:
+        """How many instances are known at all, failed ones included."""
+        return len(self.membership.view)
+
+    def isolated(self, now: float) -> bool:
+        """Returns whether all others have fallen silent."""
+        if not self._heard:
+            return False
+        latest = max(heard for heard, _ in self._heard.values())
+        return now - latest > ISOLATED_S
+
+    def confirmed(self, now: float) -> bool:
+        """Returns whether another instance has just said the same version."""
+        own = self._registry.standing.configuration_version
+        return any(
+            now - heard < FRESH_S and word.configuration_version == own
+            for heard, word in self._heard.values()
+        )
+
+    def meet(self, addresses: set[str]) -> None:
+        """Adds addresses at which instances may be."""
+        self._addresses |= addresses - {self.membership.own.peers}
+
+    def enter(self) -> None:
+        """Tells the others that this instance takes callers."""
+        self._send_all(self.membership.enter())
+
+    def leave(self) -> None:
+        """Tells the others that this instance takes no more callers."""
+        self._send_all(self.membership.leave())
+
+    async def run(self) -> None:
+        """Talks to the others until cancelled."""
+        host, _, port = self.membership.own.peers.rpartition(":")
+        async with (
+            await anyio.create_udp_socket(
+                local_host=host, local_port=int(port)
+            ) as udp,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self._receive, udp)
+            group.start_soon(self._send_queued, udp)
+            group.start_soon(self._catch_up)
+            await self._talk()
+
+    async def _talk(self) -> None:
+        rounds = 0
+        greeted = float("-inf")
+        while True:
+            now = time.monotonic()
+            if now - greeted > GREET_EVERY_S:
+                greeted = now
+                self._send_all(self.membership.greet(self._addresses))
+            if rounds % PROBE_EVERY == 0:
+                self._send_all(self.membership.probe(now))
+                self._note_changes()
+            if self._dispatcher.workload.changed:
+                self._dispatcher.workload.changed = False
+                self._send_loads()
+            rounds += 1
+            await anyio.sleep(LOAD_EVERY_S * self._rng.uniform(0.9, 1.1))
+
+    def _send_loads(self) -> None:
+        peers = [
+            member
+            for member in self.membership.view[1:]
+            if member.state in (ALIVE, LEAVING)
+        ]
+        chosen = self._rng.sample(peers, min(LOAD_FANOUT, len(peers)))
+        data = _encode(self._word(None))
+        for member in chosen:
+            self._send_to(member.peers, data)
+
+    def _send_all(self, sends: list[Send]) -> None:
+        for send in sends:
+            data = _encode(self._word(send.gossip))
+            self._send_to(send.address, data)
+
+    def _word(self, gossip) -> PeerWord:
+        self._number += 1
+        return PeerWord(
+            gossip,
+            self.membership.own.instance,
+            self._number,
+            self._registry.standing,
+            self._dispatcher.workload.own(),
+            self._dispatcher.meter.demand(),
+        )
+
+    def _send_to(self, address: str, data: bytes) -> None:
+        try:
+            self._outbox.send_nowait((address, data))
+        except anyio.WouldBlock:
+            self._counters.incr("peer.outbox_full")
+
+    async def _send_queued(self, udp) -> None:
+        async for address, data in self._outgoing:
+            host, _, port = address.rpartition(":")
+            try:
+                await udp.sendto(data, host, int(port))
+            except (OSError, anyio.BrokenResourceError) as exc:
+                self._counters.incr("peer.send_failed")
+                self._log.info("peer_error", address=address, why=repr(exc))
+
+    async def _receive(self, udp) -> None:
+        while True:
+            try:
+                data, _ = await udp.receive()
+            except OSError as exc:
+                # An unreachable peer's error shows on the next receive.
+                self._counters.incr("peer.receive_failed")
+                self._log.info("peer_error", why=repr(exc))
+                continue
+            try:
+                word = _decode_word(data)
+            except msgspec.MsgspecError:
+                self._counters.incr("peer.unreadable")
+                continue
+            self._hear(word)
+
+    def _hear(self, word: PeerWord) -> None:
+        now = time.monotonic()
+        if word.sender == self.membership.own.instance:
+            return
+        self._heard[word.sender] = (now, word.standing)
+        self._dispatcher.workload.hear(
+            word.sender, word.number, word.loads, now
+        )
+        self._dispatcher.demand.hear(word.sender, word.demand, now)
+        if word.gossip is not None:
+            self._send_all(self.membership.receive(word.gossip, now))
+        if self._behind(word.standing):
+            self._behind_since = self._behind_since or now
+            self._behind_of = word.sender
+
+    def _behind(self, other: Standing) -> bool:
+        own = self._registry.standing
+        if other.configuration_version > own.configuration_version:
+            return True
+        return (
+            other.servers_version > own.servers_version
+            and other.servers_digest != own.servers_digest
+        )
+
+    async def _catch_up(self) -> None:
+        while True:
+            await anyio.sleep(LOAD_EVERY_S)
+            now = time.monotonic()
+            if self._behind_since is None:
+                continue
+            if now - self._behind_since < BEHIND_S:
+                continue
+            self._behind_since = None
+            heard = self._heard.get(self._behind_of)
+            if heard is None or not self._behind(heard[1]):
+                continue
+            await self._fetch(self._behind_of)
+
+    async def _fetch(self, name: str) -> None:
+        address = next(
+            (
+                member.peers
+                for member in self.membership.view
+                if member.instance == name
+            ),
+            None,
+        )
+        if address is None:
+            return
+        exchange = Exchange(
+            "GET", f"http://{address}{SNAPSHOT_PATH}", timeout_s=FETCH_TIMEOUT_S
+        )
+        try:
+            reply = await self._client.call(exchange)
+            snapshot = _decode_snapshot(reply.body)
+        except (NotSentError, BrokenError, msgspec.MsgspecError) as exc:
+            self._counters.incr("peer.fetch_failed")
+            self._log.trouble("snapshot_failed", peer=name, why=str(exc))
+            return
+        self._counters.incr("peer.fetched")
+        self.on_snapshot(snapshot, name)
+
+    def _note_changes(self) -> None:
+        live = {member.instance for member in self.membership.live()}
+        for name in live - self._live:
+            self._log.info("instance_live", peer=name)
+        for name in self._live - live:
+            self._log.trouble("instance_not_live", peer=name)
+        self._live = live
+        names = {member.instance for member in self.membership.view}
+        for name in [name for name in self._heard if name not in names]:
+            del self._heard[name]
+
+
+class SnapshotApp:
+    """Gives this instance's knowledge to others, as an ASGI application."""
+
+    def __init__(self, registry: Registry):
+        self._registry = registry
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answers one request."""
+        if scope["type"] != "http":
+            return
+        found = scope["path"] == SNAPSHOT_PATH
+        body = _encode(self._registry.export()) if found else b""
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200 if found else 404,
+                "headers": [(b"content-length", str(len(body)).encode())],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/jasminerelay/placing.py
@@ -0,0 +1,209 @@
+"""Where a request goes now, whether it waits, or whether it is refused.
+
+Pure. A request goes to the server of its group where its first event comes
+soonest, given what is under way there, with two corrections: parts of its
+prompt that a server has read need no reading, and a server never takes more
+at once than it can end in time. What finds no room waits in the instance,
+where a server's crash does not touch it and a more urgent one passes it.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from jasminerelay import rendezvous
+from jasminerelay.catalog import BackendServer, Call, Engine
+from jasminerelay.workload import Load
+
+READ_TOKENS_S = 80_000.0
+"""Prompt tokens that an engine reads in a second, until measured."""
+
+FIRST_EVENT_S = 0.045
+"""Least time to a first event: one pass through the engine and the links."""
+
+TOKEN_BUSY_S = 0.000_25
+"""Engine time of one token out at a usual batch: a step of about 6 ms makes
+one token for each of some 24 requests."""
+
+STEP_S = 0.004
+STEP_RUN_S = 0.000_08
+"""An engine's step with nothing else to do, and what each running request
+adds to it."""
+
+UNREAD_LIMIT_S = 0.45
+"""Reading that may lie ahead at a server before others wait in the instance.
+It covers the age of the other instances' words; more only takes the choice
+of order away from the instances."""
+
+RUN_SHARE = 0.8
+"""Share of a server's slots that is used. Above it an engine takes so long
+for each token that long answers pass their time limits: in a closed loop of
+6,600-token prompts 64 of 64 slots take 7.6 s an answer, 48 take 6.2 s."""
+
+MEMORY_SHARE = 0.92
+"""Share of a server's memory that is promised; lengths are estimates, and a
+full memory preempts running requests."""
+
+SERVICE_SHARE = 2.0
+"""Requests per slot that a plain service's server gets: one running, one
+queued behind it while its answer travels."""
+
+REREAD_S = 0.000_15
+"""What reading one shared token again is taken to cost, in seconds of delay:
+it takes the engine from everyone, so a request moves away from a warm server
+only for a delay worth more."""
+
+MAX_SLOWNESS = 4.0
+"""Bound on what a measured slowness counts; one stalled answer is no proof
+that a server is useless."""
+
+SLOW_SERVER_S = 0.5
+"""Delay that a request takes to stay away from a server that is much slower
+than its peers."""
+
+FINISH_SHARE = 0.9
+"""Share of the time left that a request may be expected to need."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Option:
+    """A backend server with what is known of it now.
+
+    Attributes:
+        server: The server.
+        load: What all instances have under way there.
+        warm: Leading shared tokens of the prompt that it has read.
+        slowness: Its pace relative to its peers'; 1 is usual.
+        blocked: Whether it rests after a failure.
+    """
+
+    server: BackendServer
+    load: Load
+    warm: int = 0
+    slowness: float = 1.0
+    blocked: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """Go to a server.
+
+    Attributes:
+        server: The server.
+        unread: Prompt tokens that it has to read.
+        memory: Tokens of memory that the request takes there.
+    """
+
+    server: BackendServer
+    unread: int
+    memory: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """Wait in the instance.
+
+    Attributes:
+        why: What there is none of.
+    """
+
+    why: str
+
+
+def busy_s(call: Call, unread: int) -> float:
+    """Returns how long a request keeps an engine busy."""
+    output = call.prompt.output if call.prompt else 0
+    return unread / READ_TOKENS_S + output * TOKEN_BUSY_S
+
+
+def answer_s(output: int, running: int) -> float:
+    """Returns how long an engine needs for the tokens after the first."""
+    return output * (STEP_S + STEP_RUN_S * running)
+
+
+def place_model(
+    call: Call, engine: Engine, options: Sequence[Option]
+) -> Placed | Wait:
+    """Places a model request on one of its group's servers."""
+    open_options = [item for item in options if not item.blocked]
+    if not open_options:
+        return Wait("no server in use")
+    home = _home(call, open_options)
+    best: tuple[float, str, Placed] | None = None
+    for item in open_options:
+        unread = _unread(call, item, item.server.id == home)
+        memory = call.prompt.tokens + call.prompt.output
+        if not _has_room(engine, item, memory):
+            continue
+        delay = _delay_s(call, item, unread)
+        lost = call.prompt.tokens - unread
+        score = delay - REREAD_S * lost
+        if item.slowness >= 2:
+            score += SLOW_SERVER_S
+        ranked = (score, item.server.id, Placed(item.server, unread, memory))
+        if best is None or ranked[:2] < best[:2]:
+            best = ranked
+    return best[2] if best else Wait("no room at the servers of its group")
+
+
+def place_plain(
+    call: Call, options: Sequence[Option], zone: str
+) -> Placed | Wait:
+    """Places a plain request on the server with most room."""
+    usable = [
+        item
+        for item in options
+        if not item.blocked
+        and item.load.running < SERVICE_SHARE * max(1, item.server.slots)
+    ]
+    if not usable:
+        return Wait("no room at the service's servers")
+
+    # Ties are broken by the request's id: by the servers' own order all
+    # instances would send their ties to the same one.
+    ranks = rendezvous.rank(call.id, [item.server.id for item in usable])
+
+    def score(item: Option) -> tuple[float, bool, int]:
+        busy = (item.load.running + 1) / max(1, item.server.slots)
+        slow = busy * min(item.slowness, MAX_SLOWNESS)
+        away = item.server.zone != zone
+        return (round(slow, 2), away, ranks.index(item.server.id))
+
+    return Placed(min(usable, key=score).server, 0, 0)
+
+
+def first_event_s(item: Option, unread: int) -> float:
+    """Returns the time to the first event of a request sent now."""
+    reading = (item.load.unread + unread) / READ_TOKENS_S
+    decoding = 1 + STEP_RUN_S * item.load.running / STEP_S * 0.1
+    return FIRST_EVENT_S + reading * decoding * item.slowness
+
+
+def _delay_s(call: Call, item: Option, unread: int) -> float:
+    tail = answer_s(call.prompt.output, item.load.running)
+    return first_event_s(item, unread) + 0.25 * tail
+
+
+def _has_room(engine: Engine, item: Option, memory: int) -> bool:
+    slots = max(1, int(engine.slots * RUN_SHARE))
+    if item.load.running >= slots:
+        return False
+    if item.load.unread > UNREAD_LIMIT_S * READ_TOKENS_S:
+        return False
+    if not item.load.running:
+        # Even one that is larger than the share must run somewhere.
+        return True
+    return item.load.memory + memory <= engine.cache_tokens * MEMORY_SHARE
+
+
+def _home(call: Call, options: Sequence[Option]) -> str:
+    """Returns the server that all instances pick for the prompt's start."""
+    shared = call.prompt.shared
+    key = shared[-1].id if shared else call.id
+    names = [item.server.id for item in options]
+    return rendezvous.owner(key, names)
+
+
+def _unread(call: Call, item: Option, at_home: bool) -> int:
+    shared = sum(part.tokens for part in call.prompt.shared)
+    warm = max(item.warm, shared if at_home else 0)
+    return max(1, call.prompt.tokens - warm)
--- /dev/null
+++ b/src/jasminerelay/platform/bootfile.py
@@ -0,0 +1,166 @@
+"""Reads the settings file that the platform lays out for each process."""
+
+import dataclasses
+import pathlib
+
+import msgspec
+from result import Err, Ok, Result
+
+from jasminerelay import checking, settings
+from jasminerelay.errors import Problem
+
+MS = 1000.0
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    readiness: str
+    registry: str
+
+
+class _Bounds(msgspec.Struct):
+    # Time that a leaving backend server goes on after the word of it.
+    drain_ms: float = msgspec.field(name="drainMs", default=2000)
+    # Time between SIGTERM and SIGKILL.
+    grace_s: float = msgspec.field(name="graceS", default=8)
+    retry_ratio: float = msgspec.field(name="retryBudgetRatio", default=0.2)
+    retry_window_s: float = msgspec.field(name="budgetWindowS", default=10)
+    retry_allowance: float = msgspec.field(name="retryAllowance", default=10)
+    # Longest time that callers may keep an entry list.
+    ttl_max_s: float = 5
+
+
+class _Platform(msgspec.Struct):
+    address: str
+    writes_per_s: float = msgspec.field(name="writesPerS", default=400)
+    reads_per_s: float = msgspec.field(name="readsPerS", default=2000)
+
+
+class _BootFile(msgspec.Struct):
+    name: str = msgspec.field(name="nodeName")
+    ip: str
+    zone: str
+    region: str
+    # First and last port that are free for traffic between instances.
+    ports: tuple[int, int] = msgspec.field(name="internalPortRange")
+    listen: _Listen = msgspec.field(name="listenAddrs")
+    platform: _Platform
+    # Addresses of a few instances, which may be stale.
+    seeds: list[str] = msgspec.field(name="seedNodes", default_factory=list)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+@dataclasses.dataclass(frozen=True)
+class Boot:
+    """What a process learns at its start.
+
+    Attributes:
+        name: Name of the instance.
+        ip: Its address.
+        zone: Its availability zone.
+        region: Its region.
+        callers: IP:port for callers.
+        readiness: IP:port where the platform asks for readiness.
+        entries: IP:port where callers ask which address to use.
+        peers: IP:port for traffic between instances.
+        seeds: Peers' addresses that may be stale.
+        store: IP:port of the platform's store.
+        store_writes_s: Writes a second that all instances may make together.
+        store_reads_s: Reads a second that all instances may make together.
+        grace_s: Time from SIGTERM to SIGKILL.
+        drain_s: Time after the word of a server's leaving in which it still
+            takes requests.
+        entry_ttl_s: Longest time that callers keep an entry list.
+        retry_ratio: Repeats allowed per request, over all instances.
+        retry_allowance: Repeats allowed beside that.
+        retry_window_s: Span over which both are counted.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    callers: str
+    readiness: str
+    entries: str
+    peers: str
+    seeds: tuple[str, ...]
+    store: str
+    store_writes_s: float
+    store_reads_s: float
+    grace_s: float
+    drain_s: float
+    entry_ttl_s: float
+    retry_ratio: float
+    retry_allowance: float
+    retry_window_s: float
+
+
+def parse(text: str, source: str) -> Result[Boot, list[Problem]]:
+    """Returns the settings, or the faults of the text.
+
+    Fields that are not known here are ignored: the platform adds new ones.
+    """
+    parsed = checking.parse_toml(text, source)
+    if isinstance(parsed, Err):
+        return parsed
+    try:
+        raw = msgspec.convert(parsed.ok_value, _BootFile)
+    except msgspec.ValidationError as exc:
+        return Err([_problem(source, str(exc))])
+    for address in (
+        raw.listen.front,
+        raw.listen.readiness,
+        raw.listen.registry,
+        raw.platform.address,
+    ):
+        try:
+            settings.split_address(address)
+        except ValueError as exc:
+            return Err([_problem(source, f"{address}: {exc}")])
+    return Ok(_boot(raw))
+
+
+def load(path: pathlib.Path) -> Result[Boot, list[Problem]]:
+    """Reads and checks the settings file."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        return Err([_problem(str(path), str(exc))])
+    return parse(text, str(path))
+
+
+def _problem(source: str, found: str) -> Problem:
+    return Problem(
+        source,
+        "(platform settings)",
+        found,
+        "the fields that docs/PLATFORM.md lists",
+        "mend the file, or the path in JASMINERELAY_BOOT",
+    )
+
+
+def _boot(raw: _BootFile) -> Boot:
+    port = raw.ports[0]
+    seeds = [f"{seed.rpartition(':')[0]}:{port}" for seed in raw.seeds]
+    own = f"{raw.ip}:{port}"
+    return Boot(
+        raw.name,
+        raw.ip,
+        raw.zone,
+        raw.region,
+        raw.listen.front,
+        raw.listen.readiness,
+        raw.listen.registry,
+        own,
+        tuple(seed for seed in seeds if seed != own),
+        raw.platform.address,
+        raw.platform.writes_per_s,
+        raw.platform.reads_per_s,
+        raw.bounds.grace_s,
+        raw.bounds.drain_ms / MS,
+        raw.bounds.ttl_max_s,
+        raw.bounds.retry_ratio,
+        raw.bounds.retry_allowance,
+        raw.bounds.retry_window_s,
+    )
--- /dev/null
+++ b/src/jasminerelay/platform/root.py
@@ -0,0 +1,386 @@
+"""The composition root of an instance on the platform."""
+
+import dataclasses
+import gc
+import logging
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import anyio
+
+from jasminerelay import entrylist, headbound, ports
+from jasminerelay.catalog import Catalog
+from jasminerelay.channels import Channels
+from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.errors import StoreError
+from jasminerelay.eventlog import Bridge, EventLog
+from jasminerelay.following import Follower, RegistryFeed, StoreState
+from jasminerelay.forwarding import Kit
+from jasminerelay.httpclient import Client
+from jasminerelay.membership import LEAVING
+from jasminerelay.metrics import Counters
+from jasminerelay.peerlink import PeerLink, SnapshotApp
+from jasminerelay.platform import bootfile, documents
+from jasminerelay.platform.bootfile import Boot
+from jasminerelay.platform.doors import Doors
+from jasminerelay.platform.headers import PlatformDialect
+from jasminerelay.platform.ingress import Front, Ingress
+from jasminerelay.platform.storeclient import Store
+from jasminerelay.platform.tables import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    SERVERS_TABLE,
+    InstanceTable,
+    TableSource,
+)
+from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import Member, Snapshot
+from jasminerelay.schema.settings import Statsd
+from jasminerelay.sharedbudget import SharedBudget
+from jasminerelay.stopping import Stop
+from jasminerelay.waitingroom import WaitingRoom
+from jasminerelay.watchdog import Watchdog
+
+BOOT_VARIABLE = "JASMINERELAY_BOOT"
+EXIT_USAGE = 2
+
+ENTRY_TTL_S = 2.0
+"""How long callers keep an entry list: within it a dead instance is found."""
+
+TICK_S = 0.1
+TIDY_EVERY = 10
+SETTINGS_EVERY_S = 2.0
+REGISTER_PAUSE_S = 0.4
+"""Between writing the own row and reading the others': instances that start
+together then find each other with one read."""
+
+RENEW_INSTANCES_S = 30.0
+"""How often the instances' rows are read again, in case the others could
+neither be reached nor reach this one at the start."""
+
+CURRENT_S = 1.5
+"""Age up to which the store's word confirms the configuration."""
+
+GC_YOUNG_OBJECTS = 100_000
+
+
+class Instance:
+    """One instance on the platform."""
+
+    def __init__(self, boot: Boot, path: pathlib.Path):
+        """Wires the parts; nothing runs yet.
+
+        Args:
+            boot: Checked settings.
+            path: Their file, which is read again when it changes.
+        """
+        self._boot = boot
+        self._path = path
+        self._rng = random.Random()
+        self._stop: Stop | None = None
+        self._ready = False
+        self.log = EventLog(boot.name)
+        self.counters = Counters(Statsd())
+        self._watchdog = Watchdog()
+        self._wire_knowledge()
+        self._wire_requests()
+        self._wire_ports()
+
+    async def run(self) -> None:
+        """Runs the instance until its planned stop is done."""
+        self.log.trouble("start", settings=dataclasses.asdict(self._boot))
+        async with anyio.create_task_group() as group:
+            for port in self._ports:
+                group.start_soon(port.serve)
+            group.start_soon(self._signals)
+            for part in (
+                self._watchdog.run,
+                self._peers.run,
+                self._room.run,
+                self._tick,
+                self._join,
+                self._watch_settings,
+            ):
+                group.start_soon(part)
+            group.start_soon(
+                self._configuration.run,
+                self._feed.take_configuration,
+                lambda page: self._feed.take_configuration(page),
+            )
+            group.start_soon(
+                self._servers.run,
+                self._feed.take_all_servers,
+                self._feed.take_servers,
+            )
+            await self._until_stopped()
+            group.cancel_scope.cancel()
+        self.log.trouble("stop", under_way=self._under_way())
+
+    def _wire_knowledge(self) -> None:
+        boot = self._boot
+        self.registry = Registry(documents.catalog, documents.server)
+        self._client = Client(self._watchdog, keepalive=True)
+        store = Store(self._client, boot.store)
+        self._store_state = StoreState(self.registry, self.log)
+        self._feed = RegistryFeed(self.registry, CONFIGURATION_KEY, self.log)
+        self._instances = InstanceTable(store, boot.ip)
+        self._configuration = self._follower(store, OPERATOR_TABLE)
+        self._servers = self._follower(store, SERVERS_TABLE)
+
+    def _follower(self, store: Store, table: str) -> Follower:
+        return Follower(
+            table,
+            TableSource(store, table),
+            self._store_state,
+            self.counters,
+            self._rng,
+        )
+
+    def _wire_requests(self) -> None:
+        boot = self._boot
+        self.dispatcher = Dispatcher(
+            self.registry, boot.zone, lambda: self._peers.count, self._rng
+        )
+        # Each life of a process is a member of its own: a restarted one must
+        # not be taken for the one that fell silent.
+        life = f"{boot.name}/{self._rng.getrandbits(48):012x}"
+        member = Member(
+            life, "", boot.zone, boot.callers, "", boot.peers, LEAVING, 0
+        )
+        self._peers = PeerLink(
+            member,
+            self.registry,
+            self.dispatcher,
+            self._client,
+            self.counters,
+            self.log,
+            self._rng,
+        )
+        self._peers.meet(set(boot.seeds))
+        self._peers.on_snapshot = self._adopt
+        self._room = WaitingRoom(
+            self.dispatcher.place,
+            self.dispatcher.expect,
+            self.dispatcher.busy_s,
+            self.dispatcher.reserve,
+        )
+        self._channels = Channels(self._watchdog)
+        self._budget = SharedBudget(
+            boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
+        )
+
+    def _wire_ports(self) -> None:
+        boot = self._boot
+        kit = Kit(
+            self.dispatcher,
+            self._room,
+            self._channels,
+            PlatformDialect(),
+            self._budget,
+            self.counters,
+            self.log,
+            self._rng,
+            self._versions,
+        )
+        front = Front(
+            kit,
+            lambda: self.registry.catalog if self.registry.complete else None,
+            self._current,
+            lambda: self._stop is not None,
+            self._takes,
+            self.log,
+        )
+        doors = Doors(
+            lambda: self._ready and self._stop is None,
+            self._entries,
+            lambda: min(ENTRY_TTL_S, self._boot.entry_ttl_s),
+            self._metrics,
+        )
+        options = {
+            "server_header": False,
+            "date_header": False,
+            "http": headbound.bounded(1 << 16),
+        }
+        self._callers_port = ports.port(
+            Ingress(front), boot.callers, timeout_keep_alive=60, **options
+        )
+        self._ports = [
+            self._callers_port,
+            ports.port(doors, boot.readiness, **options),
+            ports.port(doors, boot.entries, **options),
+            ports.port(SnapshotApp(self.registry), boot.peers, **options),
+        ]
+
+    def _adopt(self, snapshot: Snapshot, peer: str) -> None:
+        try:
+            news = self.registry.adopt(snapshot, time.monotonic())
+        except ValueError as exc:
+            self.log.trouble("snapshot_unreadable", peer=peer, why=str(exc))
+            return
+        self._feed.report(news, peer)
+        self.log.trouble(
+            "snapshot",
+            peer=peer,
+            version=snapshot.configuration_version,
+            servers_version=snapshot.servers_version,
+        )
+
+    def _versions(self) -> dict[str, float]:
+        catalog: Catalog | None = self.registry.catalog
+        return {
+            "configuration": catalog.version if catalog else 0,
+            "servers_version": self.registry.servers_version,
+            "store_age_s": round(
+                time.monotonic() - self._store_state.answered, 2
+            ),
+            "instances": self._peers.count,
+        }
+
+    def _current(self) -> bool:
+        now = time.monotonic()
+        if now - self._store_state.answered < CURRENT_S:
+            return not self._store_state.lost
+        return self._peers.confirmed(now)
+
+    def _takes(self, limit_s: float) -> bool:
+        if self._stop is None:
+            return True
+        return self._stop.takes(limit_s, time.monotonic())
+
+    def _entries(self, zone: str) -> list[Member]:
+        membership = self._peers.membership
+        members = membership.live()
+        if not self._ready or self._stop is not None:
+            members = [item for item in members if item is not membership.own]
+        if self._store_state.lost and self._peers.isolated(time.monotonic()):
+            # Neither the store nor any other instance answers: it is more
+            # likely this one that is cut off than all others that are dead,
+            # and a list of this one alone would bring it every caller.
+            members = membership.view
+        return entrylist.in_order(members, zone, self._rng)
+
+    def _metrics(self) -> bytes:
+        lines = [
+            f"jasminerelay_{name.replace('.', '_')} {count}"
+            for name, count in self.counters.snapshot().items()
+        ]
+        return ("\n".join(lines) + "\n").encode()
+
+    def _under_way(self) -> int:
+        return len(self._callers_port.server_state.tasks)
+
+    async def _tick(self) -> None:
+        rounds = 0
+        while True:
+            await anyio.sleep(TICK_S)
+            now = time.monotonic()
+            for name in self.registry.expire(now):
+                self.log.trouble(
+                    "server",
+                    server=name,
+                    state="gone",
+                    why="did not come back after the store's outage",
+                )
+            self.dispatcher.tick(now)
+            self._budget.saw_instances(self._peers.known, now)
+            rounds += 1
+            if rounds % TIDY_EVERY == 0:
+                await self._channels.tidy()
+            if (
+                self._stop is None
+                and not self._ready
+                and self.registry.complete
+            ):
+                self._ready = True
+                self.log.trouble("ready", **self._versions())
+                self._peers.enter()
+
+    async def _join(self) -> None:
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._instances.register(self._boot.peers)
+                    registered = True
+                    await anyio.sleep(REGISTER_PAUSE_S)
+                self._peers.meet(await self._instances.addresses())
+                self._store_state.worked("instances")
+                await anyio.sleep(RENEW_INSTANCES_S)
+            except StoreError as exc:
+                self._store_state.failed("instances", exc.message)
+                await anyio.sleep(self._rng.uniform(0.5, 1.5))
+
+    async def _signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload("signal")
+                elif self._stop is None:
+                    self._begin_stop()
+
+    def _begin_stop(self) -> None:
+        self._stop = Stop(time.monotonic(), self._boot.grace_s)
+        self.log.trouble("stopping", under_way=self._under_way())
+        self._peers.leave()
+
+    async def _until_stopped(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            if self._stop is None:
+                continue
+            if self._stop.over(self._under_way(), time.monotonic()):
+                break
+        with anyio.move_on_after(END_PAUSE_S):
+            try:
+                await self._instances.unregister()
+            except StoreError as exc:
+                self.log.trouble("unregister_failed", why=exc.message)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await anyio.sleep(SETTINGS_EVERY_S)
+            self._reload("file")
+
+    def _reload(self, source: str) -> None:
+        loaded = bootfile.load(self._path)
+        if loaded.is_err():
+            problems = [str(item) for item in loaded.unwrap_err()]
+            self.log.trouble("settings_faulty", source=source, why=problems)
+            return
+        boot = loaded.unwrap()
+        if boot == self._boot:
+            return
+        self._boot = boot
+        self._peers.meet(set(boot.seeds))
+        self.log.trouble(
+            "reload", source=source, settings=dataclasses.asdict(boot)
+        )
+
+
+END_PAUSE_S = 0.15
+"""Longest time that a planned stop waits for the store to drop its row."""
+
+
+def main() -> int:
+    """Runs the instance that the settings file describes."""
+    path = pathlib.Path(os.environ.get(BOOT_VARIABLE, ""))
+    loaded = bootfile.load(path)
+    if loaded.is_err():
+        for problem in loaded.unwrap_err():
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    instance = Instance(loaded.unwrap(), path)
+    logging.basicConfig(level=logging.WARNING, handlers=[Bridge(instance.log)])
+    # The server's own lines on answers that are left unfinished on purpose;
+    # the request's line tells of them.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    # Requests leave no cycles worth a search after every few hundred objects.
+    gc.set_threshold(GC_YOUNG_OBJECTS)
+    anyio.run(instance.run)
+    return 0
--- /dev/null
+++ b/src/jasminerelay/platform/storeclient.py
@@ -0,0 +1,210 @@
+"""The one client of the platform's store."""
+
+import base64
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from jasminerelay.errors import StoreError
+from jasminerelay.httpclient import (
+    BrokenError,
+    Client,
+    Exchange,
+    NotSentError,
+    Reply,
+)
+
+RETRY_S = 0.5
+"""When a call that the store did not take is worth another try."""
+
+CALL_TIMEOUT_S = 2.0
+"""Silence after which a call is given up. The store answers in milliseconds;
+one that takes seconds serves no caller, and a connection that died without a
+reset shows in no other way."""
+
+FEED_SLACK_S = 1.5
+"""Silence beyond a feed call's own wait after which it is given up."""
+
+PAGE = 500
+"""Rows of one answer, the most that the store gives."""
+
+ABSENT = 0
+"""The version that a row which does not exist is expected to have."""
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes asked for; read all rows."""
+
+
+class ConflictError(StoreError):
+    """A row had another version than expected; nothing was written."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """A row of the store.
+
+    Attributes:
+        key: Its key.
+        version: The store's version of it.
+        data: Its content; None if it is gone.
+    """
+
+    key: str
+    version: int
+    data: bytes | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Rows:
+    """Rows as of one moment.
+
+    Attributes:
+        rows: The rows.
+        version: The store's version at that moment.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+class _Row(msgspec.Struct):
+    key: str = ""
+    version: int = msgspec.field(name="schemaVersion", default=0)
+    data: str = ""
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    rows: list[_Row] = msgspec.field(default_factory=list)
+    # Of the whole store, not of a schema or a row.
+    version: int = msgspec.field(name="schemaVersion", default=0)
+    more: bool = msgspec.field(name="hasMore", default=False)
+
+
+class Store:
+    """Tables of the platform's store.
+
+    Every method raises StoreError if there is no answer; a write may then
+    have taken effect, or may still do so.
+    """
+
+    def __init__(self, client: Client, address: str):
+        """Makes the client.
+
+        Args:
+            client: Opens and keeps the connections.
+            address: IP:port of the store.
+        """
+        self._client = client
+        self._base = f"http://{address}"
+
+    async def read(self, table: str) -> Rows:
+        """Returns all rows of a table's unnamed part.
+
+        Pages are read one after another; the version is the first one's, so
+        that following the changes from it misses none.
+        """
+        rows: list[Row] = []
+        version = None
+        source = ""
+        while True:
+            query = {"table": table, "part": "", "limit": PAGE}
+            if source:
+                query["source"] = source
+            answer = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
+            rows += [_row(item) for item in answer.rows]
+            version = answer.version if version is None else version
+            if not answer.more or not answer.rows:
+                return Rows(tuple(rows), version)
+            source = answer.rows[-1].key + "\x00"
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Rows:
+        """Waits for rows of a table that changed after a version.
+
+        Raises:
+            HistoryLostError: if the changes since then are no longer kept.
+        """
+        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
+        answer = await self._get("/-/rows-feed", query, wait_s + FEED_SLACK_S)
+        return Rows(tuple(_row(item) for item in answer.rows), answer.version)
+
+    async def write(
+        self, table: str, key: str, data: bytes, expect: int | None = None
+    ) -> None:
+        """Writes a row.
+
+        Args:
+            table: Its table.
+            key: Its key.
+            data: Its content.
+            expect: Version that it must have; None for any.
+
+        Raises:
+            ConflictError: if it has another version.
+        """
+        row = {"table": table, "part": "", "key": key}
+        expected = [] if expect is None else [{**row, "schemaVersion": expect}]
+        encoded = base64.b64encode(data).decode()
+        await self._transact(expected, [{**row, "data": encoded}], [])
+
+    async def remove(self, table: str, key: str) -> None:
+        """Removes a row, if it is there."""
+        await self._transact([], [], [{"table": table, "part": "", "key": key}])
+
+    async def _transact(
+        self,
+        expect: Iterable[dict[str, Any]],
+        write: Iterable[dict[str, Any]],
+        remove: Iterable[dict[str, Any]],
+    ) -> None:
+        body = msgspec.json.encode(
+            {"expect": expect, "write": write, "remove": remove}
+        )
+        exchange = Exchange(
+            "POST",
+            f"{self._base}/-/rows-tx",
+            {"content-type": "application/json"},
+            body,
+            CALL_TIMEOUT_S,
+        )
+        reply = await self._call(exchange)
+        if reply.status == 412:
+            raise ConflictError("the row was changed by another writer")
+        _check(reply)
+
+    async def _get(
+        self, path: str, query: dict[str, Any], timeout_s: float
+    ) -> _Answer:
+        url = f"{self._base}{path}?{urlencode(query)}"
+        reply = await self._call(Exchange("GET", url, timeout_s=timeout_s))
+        if reply.status == 410:
+            raise HistoryLostError("the changes asked for are gone")
+        _check(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=_Answer)
+        except msgspec.MsgspecError as exc:
+            raise StoreError(
+                f"unreadable answer of the store: {exc}", retry_s=RETRY_S
+            ) from exc
+
+    async def _call(self, exchange: Exchange) -> Reply:
+        try:
+            return await self._client.call(exchange)
+        except (NotSentError, BrokenError) as exc:
+            raise StoreError(
+                f"the store did not answer: {exc}", retry_s=RETRY_S
+            ) from exc
+
+
+def _check(reply: Reply) -> None:
+    if reply.status != 200:
+        raise StoreError(f"the store answered {reply.status}", retry_s=RETRY_S)
+
+
+def _row(raw: _Row) -> Row:
+    data = None if raw.deleted else base64.b64decode(raw.data)
+    return Row(raw.key, raw.version, data)
--- /dev/null
+++ b/src/jasminerelay/platform/tables.py
@@ -0,0 +1,79 @@
+"""The platform's tables as sources of rows."""
+
+import msgspec
+
+from jasminerelay.errors import StoreError
+from jasminerelay.following import HistoryGoneError, Page
+from jasminerelay.platform.storeclient import HistoryLostError, Rows, Store
+from jasminerelay.schema.messages import ServerRow
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+SERVERS_TABLE = "servers"
+INSTANCES_TABLE = "jasminerelay_instances"
+
+
+class TableSource:
+    """Follows one table of the store."""
+
+    def __init__(self, store: Store, table: str):
+        self._store = store
+        self._table = table
+
+    async def read(self) -> Page:
+        """Returns all rows."""
+        return _page(await self._store.read(self._table))
+
+    async def changes(self, after: int, wait_s: float) -> Page:
+        """Waits for rows that changed after a version."""
+        try:
+            rows = await self._store.changes(self._table, after, wait_s)
+        except HistoryLostError as exc:
+            raise HistoryGoneError(exc.message) from exc
+        return _page(rows)
+
+
+class _Instance(msgspec.Struct):
+    peers: str
+
+
+class InstanceTable:
+    """Addresses of instances, a row each, by which a new one finds others.
+
+    Rows are written at the start and removed at a planned stop only. That an
+    instance lives is told between the instances; rows renewed by a timer and
+    read by everyone would cost the store the square of their number.
+    """
+
+    def __init__(self, store: Store, name: str):
+        self._store = store
+        self._name = name
+
+    async def register(self, peers: str) -> None:
+        """Writes this instance's row; raises StoreError without answer."""
+        body = msgspec.json.encode(_Instance(peers))
+        await self._store.write(INSTANCES_TABLE, self._name, body)
+
+    async def unregister(self) -> None:
+        """Removes this instance's row; raises StoreError without answer."""
+        await self._store.remove(INSTANCES_TABLE, self._name)
+
+    async def addresses(self) -> set[str]:
+        """Returns the addresses of all; raises StoreError without answer."""
+        found = set()
+        for row in (await self._store.read(INSTANCES_TABLE)).rows:
+            if row.data is None:
+                continue
+            try:
+                instance = msgspec.json.decode(row.data, type=_Instance)
+            except msgspec.MsgspecError as exc:
+                raise StoreError(f"row {row.key}: {exc}") from exc
+            found.add(instance.peers)
+        return found
+
+
+def _page(rows: Rows) -> Page:
+    return Page(
+        tuple(ServerRow(row.key, row.version, row.data) for row in rows.rows),
+        rows.version,
+    )
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -38,15 +38,13 @@
         options: More options of the library.
     """
     host, port = settings.split_address(address)
-    config = uvicorn.Config(
-        app,
-        host=host,
-        port=port,
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        ws="none",
-        timeout_keep_alive=KEEPALIVE_S,
-        **options,
-    )
-    return Port(config)
+    defaults = {
+        "host": host,
+        "port": port,
+        "log_config": None,
+        "access_log": False,
+        "lifespan": "off",
+        "ws": "none",
+        "timeout_keep_alive": KEEPALIVE_S,
+    }
+    return Port(uvicorn.Config(app, **{**defaults, **options}))
--- /dev/null
+++ b/src/jasminerelay/registry.py
@@ -0,0 +1,241 @@
+"""What an instance believes of configuration and backend servers.
+
+Pure: it takes rows, snapshots and the time, and keeps the newest of each. The
+words come from the platform's store or, while that is out of reach, from
+other instances; both carry the store's version, so the newer one wins
+whichever way it came.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from jasminerelay.catalog import BackendServer, Catalog
+from jasminerelay.schema.messages import ServerRow, Snapshot, Standing
+
+RETURN_GRACE_S = 2.2
+"""How long a server whose row lapsed in an outage of the store stays in use
+after the store's return: a living one is back within two seconds, and one
+that is gone must not get work for long."""
+
+Decode = Callable[[str, bytes], BackendServer]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Held:
+    row: ServerRow
+    server: BackendServer
+
+
+class Registry:
+    """The newest catalog and backend servers that this instance has heard of.
+
+    Example:
+        >>> registry = Registry(decode_catalog, decode_server)  # doctest: +SKIP
+        >>> registry.take_configuration(3, body)                # doctest: +SKIP
+    """
+
+    def __init__(
+        self,
+        decode_catalog: Callable[[bytes], Catalog],
+        decode_server: Decode,
+    ):
+        """Makes an empty registry.
+
+        Args:
+            decode_catalog: Reads a configuration; ValueError if it cannot.
+            decode_server: Reads a server's row; ValueError if it cannot.
+        """
+        self._decode_catalog = decode_catalog
+        self._decode_server = decode_server
+        self.catalog: Catalog | None = None
+        self._configuration = (0, b"")
+        self._held: dict[str, _Held] = {}
+        self._servers_version = 0
+        self._servers_known = False
+        self._lapsed: dict[str, float | None] = {}
+        self._store_away = False
+        self._returned = float("-inf")
+        self._digest = 0
+        self._by_service: dict[str, list[BackendServer]] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether configuration and servers are known."""
+        return self.catalog is not None and self._servers_known
+
+    @property
+    def servers_version(self) -> int:
+        """The store's version as of which the servers hold."""
+        return self._servers_version
+
+    @property
+    def standing(self) -> Standing:
+        """How new this knowledge is."""
+        return Standing(
+            self._configuration[0], self._servers_version, self._digest
+        )
+
+    def servers_of(self, service: str) -> list[BackendServer]:
+        """Returns the servers of a service that take new work."""
+        return self._by_service.get(service, [])
+
+    def server(self, name: str) -> BackendServer | None:
+        """Returns a server by its id, also a draining one."""
+        held = self._held.get(name)
+        return held.server if held else None
+
+    def servers(self) -> list[BackendServer]:
+        """Returns all servers, also draining ones."""
+        return [held.server for held in self._held.values()]
+
+    def take_configuration(self, version: int, data: bytes) -> bool:
+        """Takes a configuration; returns whether it is news.
+
+        An older one is passed over: within the life of a process the
+        configuration never goes back.
+
+        Raises:
+            ValueError: if it cannot be read.
+        """
+        if version <= self._configuration[0]:
+            return False
+        catalog = self._decode_catalog(data)
+        if self.catalog is not None and catalog.version < self.catalog.version:
+            return False
+        self._configuration = (version, data)
+        self.catalog = catalog
+        return True
+
+    def check(self, row: ServerRow) -> None:
+        """Raises ValueError if a row cannot be read."""
+        if row.data is not None:
+            self._decode_server(row.id, row.data)
+
+    def take_changes(
+        self, rows: Iterable[ServerRow], version: int, now: float
+    ) -> list[ServerRow]:
+        """Takes changed rows in the store's order; returns those with news.
+
+        Raises:
+            ValueError: if a row cannot be read.
+        """
+        news = [row for row in rows if self._take_row(row, now)]
+        self._servers_known = True
+        self._servers_version = max(self._servers_version, version)
+        self._rebuild()
+        return news
+
+    def take_all(
+        self, rows: Iterable[ServerRow], version: int, now: float
+    ) -> list[ServerRow]:
+        """Takes all rows as of one moment; returns those with news.
+
+        Rows that are missing are gone.
+
+        Raises:
+            ValueError: if a row cannot be read.
+        """
+        if version < self._servers_version:
+            return []
+        rows = list(rows)
+        present = {row.id for row in rows}
+        gone = [
+            ServerRow(name, version, None)
+            for name in self._held
+            if name not in present and name not in self._lapsed
+        ]
+        return self.take_changes([*rows, *gone], version, now)
+
+    def store_lost(self) -> None:
+        """Notes that the store does not answer."""
+        self._store_away = True
+
+    def store_regained(self, now: float) -> None:
+        """Notes that the store answers again."""
+        if not self._store_away:
+            return
+        self._store_away = False
+        self._returned = now
+        for name in self._lapsed:
+            self._lapsed[name] = now + RETURN_GRACE_S
+
+    def expire(self, now: float) -> list[str]:
+        """Drops servers that stayed away too long after an outage."""
+        over = [
+            name
+            for name, until in self._lapsed.items()
+            if until is not None and until <= now
+        ]
+        for name in over:
+            del self._lapsed[name]
+            self._held.pop(name, None)
+        if over:
+            self._rebuild()
+        return over
+
+    def export(self) -> Snapshot:
+        """Returns all that this instance knows, for another one."""
+        return Snapshot(
+            *self._configuration,
+            self._servers_version,
+            [
+                held.row
+                for name, held in self._held.items()
+                if name not in self._lapsed
+            ],
+        )
+
+    def adopt(self, snapshot: Snapshot, now: float) -> list[ServerRow]:
+        """Takes another instance's knowledge where it is newer.
+
+        Raises:
+            ValueError: if it cannot be read.
+        """
+        if snapshot.configuration:
+            self.take_configuration(
+                snapshot.configuration_version, snapshot.configuration
+            )
+        if snapshot.servers_version <= self._servers_version:
+            return []
+        return self.take_all(snapshot.servers, snapshot.servers_version, now)
+
+    def _take_row(self, row: ServerRow, now: float) -> bool:
+        held = self._held.get(row.id)
+        if held is not None and held.row.version > row.version:
+            return False
+        if row.data is None:
+            return self._take_gone(row, now)
+        server = self._decode_server(row.id, row.data)
+        self._held[row.id] = _Held(row, server)
+        self._lapsed.pop(row.id, None)
+        return held is None or held.server != server
+
+    def _take_gone(self, row: ServerRow, now: float) -> bool:
+        held = self._held.get(row.id)
+        if held is None:
+            return False
+        # A server cannot renew its row while the store is away, so its row
+        # may lapse though it lives and serves. Dropping it would empty the
+        # pool in an outage; it stays until it had the time to come back.
+        in_outage = self._store_away or now < self._returned + RETURN_GRACE_S
+        if in_outage and not held.server.draining:
+            since = now if self._store_away else self._returned
+            until = None if self._store_away else since + RETURN_GRACE_S
+            self._lapsed.setdefault(row.id, until)
+            return False
+        del self._held[row.id]
+        self._lapsed.pop(row.id, None)
+        return True
+
+    def _rebuild(self) -> None:
+        self._by_service = {}
+        digest = xxhash.xxh64()
+        for name in sorted(self._held):
+            held = self._held[name]
+            digest.update(f"{name}:{held.row.version};".encode())
+            if not held.server.draining:
+                service = held.server.service
+                self._by_service.setdefault(service, []).append(held.server)
+        self._digest = digest.intdigest()
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -219,6 +219,77 @@
     age_s: float
 
 
+@dataclass(frozen=True)
+class ServerRow:
+    """
+    A backend server's row in the platform's store.
+    """
+
+    id: str
+    version: int
+    data: bytes | None
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """
+    All that one instance knows of the platform's store.
+    """
+
+    configuration_version: int
+    configuration: bytes
+    servers_version: int
+    servers: list[ServerRow]
+
+
+@dataclass(frozen=True)
+class Standing:
+    """
+    How new an instance's knowledge is.
+    """
+
+    configuration_version: int
+    servers_version: int
+    servers_digest: int
+
+
+@dataclass(frozen=True)
+class ServerLoad:
+    """
+    What one instance has under way at a backend server.
+    """
+
+    server: str
+    unread: int
+    running: int
+    memory: int
+
+
+@dataclass(frozen=True)
+class KindDemand:
+    """
+    Work that callers bring to one instance.
+    """
+
+    kind: str
+    work: float
+    size: float
+
+
+@dataclass(frozen=True)
+class PeerWord:
+    """
+    One datagram between instances of a platform.
+    """
+
+    gossip: Gossip | None
+    sender: str
+    number: int
+    standing: Standing
+    loads: list[ServerLoad]
+    demand: list[KindDemand]
+
+
 @dataclass(frozen=True)
 class Messages:
     """
@@ -231,3 +302,5 @@
     manifest_reply: ManifestReply | None = None
     cache_event: CacheEvent | None = None
     load_report: LoadReport | None = None
+    peer_word: PeerWord | None = None
+    snapshot: Snapshot | None = None
--- a/src/jasminerelay/sse.py
+++ b/src/jasminerelay/sse.py
@@ -61,3 +61,51 @@
         fields.get(b"id", [b""])[-1],
         fields.get(b"event", [b""])[-1],
     )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawEvent:
+    """One event as it came.
+
+    Attributes:
+        data: Its bytes, with the empty line that ends it.
+        id: Its id line, or empty.
+    """
+
+    data: bytes
+    id: bytes
+
+
+class EventCutter:
+    """Cuts a byte stream into whole events and leaves their bytes alone.
+
+    A backend server that crashes may stop in the middle of an event. Passing
+    on whole events only means that another server can go on behind the last
+    one without a torn piece between.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def torn(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._buffer)
+
+    def feed(self, chunk: bytes) -> list[RawEvent]:
+        """Returns the events that are whole now.
+
+        Raises:
+            ValueError: if an event is larger than MAX_EVENT_BYTES.
+        """
+        *blocks, self._buffer = (self._buffer + chunk).split(b"\n\n")
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError("event is too large")
+        return [RawEvent(block + b"\n\n", _id_of(block)) for block in blocks]
+
+
+def _id_of(block: bytes) -> bytes:
+    for line in block.split(b"\n"):
+        if line.startswith(b"id:"):
+            return line[3:].strip()
+    return b""
