Ask the store for what there is now after a failed call

An instance that the store had turned away learned of the store's return only with the answer of its next waiting call, and that answer was the removal of a server's row, which it took for one lapsed in the outage and kept 2.2 s.

Change: the first call after a failure does not wait. tests/test_following.py plays the order of events; it fails without the change.

Ruled out: a shorter grace (a living server needs two seconds to come back).

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -131,16 +131,23 @@
             take_changes: Takes changed rows.
         """
         after: int | None = None
+        # The first call after a failure asks for what there is now. A call
+        # that waits for a change would tell of the store's return only with
+        # the next change, and that change, a row that went, would be taken
+        # for one that lapsed in the outage.
+        wait_s = 0.0
         while True:
             try:
                 if after is None:
                     after = await self._read_all(take_all)
                     continue
-                page = await self._source.changes(after, WAIT_S)
+                page = await self._source.changes(after, wait_s)
+                wait_s = WAIT_S
             except HistoryGoneError:
                 after = None
                 continue
             except StoreError as exc:
+                wait_s = 0.0
                 self._counters.incr("store.failed")
                 self._state.failed(self._name, exc.message)
                 await anyio.sleep(
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,235 @@
+"""Following the store's tables through outages and lost history."""
+
+import random
+import types
+import unittest
+
+import anyio
+
+from jasminerelay import following
+from jasminerelay.catalog import BackendServer
+from jasminerelay.errors import StoreError
+from jasminerelay.eventlog import EventLog
+from jasminerelay.following import (
+    Follower,
+    HistoryGoneError,
+    Page,
+    RegistryFeed,
+    StoreState,
+)
+from jasminerelay.metrics import Counters
+from jasminerelay.registry import RETURN_GRACE_S, Registry
+from jasminerelay.schema.messages import ServerRow
+from jasminerelay.schema.settings import Statsd
+
+
+def decode(name: str, data: bytes) -> BackendServer:
+    """Reads a row of the form service:phase."""
+    service, _, phase = data.decode().partition(":")
+    if not service:
+        raise ValueError(f"row {name} is empty")
+    return BackendServer(name, service, "1.2.3.4:5", "z", 1, phase == "leaving")
+
+
+def silent_log() -> EventLog:
+    """Returns a log that writes nothing."""
+    log = types.SimpleNamespace()
+    log.info = log.trouble = lambda event, **fields: None
+    return log
+
+
+class Script:
+    """A table that answers as told, one answer a call."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.waits: list[float | None] = []
+
+    async def read(self) -> Page:
+        return await self._next(None)
+
+    async def changes(self, after: int, wait_s: float) -> Page:
+        return await self._next(wait_s)
+
+    async def _next(self, wait_s: float | None) -> Page:
+        self.waits.append(wait_s)
+        if not self.answers:
+            await anyio.sleep_forever()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    """One table."""
+
+    async def follow(self, script: Script) -> Registry:
+        registry = Registry(lambda data: None, decode)
+        log = silent_log()
+        state = StoreState(registry, log)
+        feed = RegistryFeed(registry, "configuration", log)
+        follower = Follower(
+            "servers", script, state, Counters(Statsd()), random.Random(1)
+        )
+        self.state = state
+        following_s = (
+            following.RETRY_LEAST_S,
+            following.RETRY_MOST_S,
+            following.STALE_PAUSE_S,
+            following.GATHER_S,
+        )
+        following.RETRY_LEAST_S = following.RETRY_MOST_S = 0.0
+        following.STALE_PAUSE_S = following.GATHER_S = 0.0
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    follower.run, feed.take_all_servers, feed.take_servers
+                )
+                while script.answers:
+                    await anyio.sleep(0)
+                for _ in range(10):
+                    await anyio.sleep(0)
+                group.cancel_scope.cancel()
+        finally:
+            (
+                following.RETRY_LEAST_S,
+                following.RETRY_MOST_S,
+                following.STALE_PAUSE_S,
+                following.GATHER_S,
+            ) = following_s
+        return registry
+
+    async def test_removal_after_outage(self) -> None:
+        # Callers' requests reach a server later than it may be used. The
+        # store is away and comes back; nothing changes for some seconds, then
+        # a server leaves without a word and its row goes. An instance whose
+        # first call after the outage waits for a change learns of the return
+        # with that very change, and keeps the server as if it had lapsed.
+        row = ServerRow("s", 1, b"pool:ready")
+        script = Script(
+            Page((row,), 1),
+            StoreError("away"),
+            Page((), 1),
+            Page((ServerRow("s", 2, None),), 2),
+        )
+        registry = await self.follow(script)
+        self.assertEqual(script.waits[:3], [None, 0.0, 0.0])
+        self.assertEqual(script.waits[3], following.WAIT_S)
+        self.assertFalse(self.state.lost)
+        registry.expire(float("inf"))
+        self.assertEqual(registry.servers(), [])
+
+    async def test_lost_history(self) -> None:
+        # A server leaves while the store forgets its history. The follower is
+        # told so, reads all rows and must notice that one is missing.
+        rows = [ServerRow(name, 1, b"pool:ready") for name in "ab"]
+        script = Script(
+            Page(tuple(rows), 1),
+            HistoryGoneError("gone"),
+            Page((rows[0],), 5),
+        )
+        registry = await self.follow(script)
+        self.assertEqual([s.id for s in registry.servers()], ["a"])
+
+    async def test_stale_read(self) -> None:
+        # After lost history the store may answer from an older moment. Taking
+        # that would bring back a server that has left; it is read again.
+        ready = ServerRow("a", 1, b"pool:ready")
+        leaving = ServerRow("a", 4, b"pool:leaving")
+        script = Script(
+            Page((ready,), 1),
+            Page((leaving,), 4),
+            HistoryGoneError("gone"),
+            Page((ready,), 2),
+            Page((leaving,), 4),
+        )
+        registry = await self.follow(script)
+        self.assertTrue(registry.server("a").draining)
+        self.assertEqual(registry.servers_of("pool"), [])
+
+    async def test_unreadable_row(self) -> None:
+        # One row that cannot be read must not cost the others.
+        script = Script(
+            Page(
+                (ServerRow("a", 1, b""), ServerRow("b", 2, b"pool:ready")), 2
+            ),
+        )
+        registry = await self.follow(script)
+        self.assertEqual([s.id for s in registry.servers()], ["b"])
+
+
+class RegistryTest(unittest.TestCase):
+    """Knowledge from the store and from other instances."""
+
+    def setUp(self) -> None:
+        self.registry = Registry(self._catalog, decode)
+
+    @staticmethod
+    def _catalog(data: bytes):
+        return types.SimpleNamespace(version=int(data))
+
+    def test_configuration_never_goes_back(self) -> None:
+        self.assertTrue(self.registry.take_configuration(5, b"7"))
+        self.assertFalse(self.registry.take_configuration(4, b"6"))
+        self.assertFalse(self.registry.take_configuration(6, b"6"))
+        self.assertEqual(self.registry.catalog.version, 7)
+
+    def test_unreadable_configuration_changes_nothing(self) -> None:
+        self.registry.take_configuration(1, b"1")
+        with self.assertRaises(ValueError):
+            self.registry.take_configuration(2, b"?")
+        self.assertTrue(self.registry.take_configuration(3, b"3"))
+
+    def test_lapsed_in_outage(self) -> None:
+        # The pool must not look empty since the store was away: servers could
+        # not renew their rows, which lapsed, but they serve all the same.
+        # Those that are back in time stay without a gap; the others go.
+        for name in "ab":
+            self.registry.take_changes(
+                [ServerRow(name, 1, b"pool:ready")], 1, 0.0
+            )
+        self.registry.store_lost()
+        gone = [ServerRow(name, 2, None) for name in "ab"]
+        self.registry.take_changes(gone, 2, 5.0)
+        self.assertEqual(len(self.registry.servers_of("pool")), 2)
+        self.registry.store_regained(10.0)
+        self.assertEqual(self.registry.expire(10.0 + RETURN_GRACE_S / 2), [])
+        self.registry.take_changes(
+            [ServerRow("a", 3, b"pool:ready")], 3, 11.0
+        )
+        self.assertEqual(self.registry.expire(10.1 + RETURN_GRACE_S), ["b"])
+        left = [server.id for server in self.registry.servers_of("pool")]
+        self.assertEqual(left, ["a"])
+
+    def test_gone_in_calm(self) -> None:
+        # With the store at hand a row that goes means a server that leaves.
+        self.registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1, 0.0)
+        self.registry.take_changes([ServerRow("a", 2, None)], 2, 50.0)
+        self.assertEqual(self.registry.servers(), [])
+
+    def test_adopts_newer_only(self) -> None:
+        # An instance that the store turns away learns from another one that a
+        # server leaves; an older word must not bring the server back.
+        other = Registry(self._catalog, decode)
+        for registry in (self.registry, other):
+            registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1, 0.0)
+        before = other.export()
+        other.take_changes([ServerRow("a", 2, b"pool:leaving")], 2, 1.0)
+        other.take_configuration(3, b"3")
+        self.registry.adopt(other.export(), 1.0)
+        self.assertTrue(self.registry.server("a").draining)
+        self.assertEqual(self.registry.catalog.version, 3)
+        self.registry.adopt(before, 2.0)
+        self.assertTrue(self.registry.server("a").draining)
+
+    def test_standing_tells_difference(self) -> None:
+        empty = self.registry.standing
+        self.registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1, 0.0)
+        self.assertNotEqual(
+            empty.servers_digest, self.registry.standing.servers_digest
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
