Play the platform's whole path against stand-ins; bound engines by their pace

Change: stand-ins for the platform's store and servers, and 18 tests of the whole path. An engine is full when an answer would take 0.45 of its limit at the pace seen in the streams that pass through; new kinds get servers by a guess before their rate is known.

Ruled out: copies of the engine's memory for run sheets: at the site's price a copy costs a sixth of what the answer is worth, so it pays only where more than one in six would be cut.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -1,8 +1,9 @@
 """Chooses servers for requests from all that an instance knows."""
 
+import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import xxhash
 
@@ -10,6 +11,7 @@
 from jasminerelay.admission import Prospect
 from jasminerelay.catalog import BackendServer, Call, Engine
 from jasminerelay.groups import DemandMeter, DemandView, Split
+from jasminerelay.pace import PaceBook
 from jasminerelay.placing import Option, Placed, Wait
 from jasminerelay.prefix import PrefixIndex
 from jasminerelay.registry import Registry
@@ -53,6 +55,7 @@
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
         self._pace: dict[str, float] = {}
+        self.paces = PaceBook()
 
     def health(self, service: str) -> Stragglers:
         """Returns what is known of the health of a service's servers."""
@@ -70,9 +73,12 @@
             return
         shared = sum(part.tokens for part in call.prompt.shared)
         unread = call.prompt.tokens - shared
-        self.meter.arrived(
-            call.service, call.route.name, placing.busy_s(call, unread), unread
-        )
+        kind = call.route.name
+        busy_s = placing.busy_s(call, unread)
+        self.meter.arrived(call.service, kind, busy_s, unread)
+        split = self._splits.get(call.service)
+        if split is None or not split.group(kind):
+            self._split(time.monotonic())
 
     def busy_s(self, call: Call) -> float:
         """Returns how long a request keeps a server busy."""
@@ -92,10 +98,11 @@
             return Wait("no server in use")
         engine = self.engine_of(call.service)
         if call.prompt is None or engine is None:
-            options = [self._option(call, server) for server in servers]
+            options = [self._option(call, server, ()) for server in servers]
             return placing.place_plain(call, _some(options), self._zone)
         group = self._group(call, servers)
-        options = [self._option(call, server) for server in group]
+        names = [server.id for server in group]
+        options = [self._option(call, server, names) for server in group]
         return placing.place_model(call, engine, _some(options))
 
     def reserve(self, call: Call, placed: Placed) -> Run:
@@ -137,6 +144,7 @@
     def gone(self, server: str) -> None:
         """Forgets a server that has ended."""
         self._warm.forget(server)
+        self.paces.forget(server)
 
     def tick(self, now: float) -> None:
         """Moves the running means on and looks at the splits."""
@@ -145,6 +153,13 @@
             return
         self._split_at = now
         self.meter.tick(now)
+        self._split(now)
+
+    def split_of(self, service: str) -> Split | None:
+        """Returns the present split of a service."""
+        return self._splits.get(service)
+
+    def _split(self, now: float) -> None:
         self.demand.hear("", self.meter.demand(), now)
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
@@ -152,10 +167,6 @@
             demand = self.demand.total(name, now)
             self._splits.setdefault(name, Split()).update(servers, demand)
 
-    def split_of(self, service: str) -> Split | None:
-        """Returns the present split of a service."""
-        return self._splits.get(service)
-
     def _group(
         self, call: Call, servers: list[BackendServer]
     ) -> list[BackendServer]:
@@ -164,9 +175,12 @@
         group = [server for server in servers if server.id in names]
         return group or servers
 
-    def _option(self, call: Call, server: BackendServer) -> Option:
+    def _option(
+        self, call: Call, server: BackendServer, alike: Sequence[str]
+    ) -> Option:
         health = self.health(call.service)
-        blocked = health.blocked(server.id, time.monotonic())
+        now = time.monotonic()
+        blocked = health.blocked(server.id, now)
         load = self.workload.load(server.id)
         if health.probing(server.id) and load.running:
             blocked = True
@@ -176,17 +190,21 @@
             hashes = tuple(_part_hash(part.id) for part in parts)
             count = self._warm.matched(server.id, hashes)
             warm = sum(part.tokens for part in parts[:count])
-        return Option(server, load, warm, health.slowness(server.id), blocked)
+        return Option(
+            server,
+            load,
+            warm,
+            self.paces.slowness(server.id, alike, now),
+            self.paces.token_s(server.id, now),
+            blocked,
+        )
 
 
 def _some(options: list[Option]) -> list[Option]:
     # When every server has failed of late, one that may fail is better than
     # none: refusing everything would turn a short fault into an outage.
     if options and all(item.blocked for item in options):
-        return [
-            Option(item.server, item.load, item.warm, item.slowness)
-            for item in options
-        ]
+        return [dataclasses.replace(item, blocked=False) for item in options]
     return options
 
 
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -225,16 +225,28 @@
         done: "_Done",
     ) -> Outcome:
         cutter = sse.EventCutter()
+        engine = self._kit.dispatcher.engine_of(self._call.service)
+        event_tokens = engine.event_tokens if engine else 1
         started = 0.0
+        latest = 0.0
         count = 0
         try:
             async for chunk in body_chunks(response):
                 events = cutter.feed(chunk)
+                now = time.monotonic()
                 if events and not started:
-                    started = time.monotonic()
+                    started = now
                     self._first_at = self._first_at or started
                     seat.run.read()
                     self._kit.room.freed(self._call.service)
+                elif events:
+                    self._kit.dispatcher.paces.observe(
+                        channel.server.id,
+                        len(events) * event_tokens,
+                        now - latest,
+                        now,
+                    )
+                latest = now if events else latest
                 count += len(events)
                 await self._pass_events(head, events)
         except (BrokenError, ValueError) as exc:
@@ -247,7 +259,10 @@
             await self._sink.start(head.status, head.headers)
         await self._sink.finish()
         self._status = head.status
-        self._measure(count, started)
+        tokens = (count - 1) * event_tokens
+        self._kit.dispatcher.answered(
+            self._call, tokens, time.monotonic() - started
+        )
         return Delivered(head.status)
 
     async def _pass_events(
@@ -265,16 +280,6 @@
                 break
         await self._sink.send(b"".join(event.data for event in events))
 
-    def _measure(self, events: int, started: float) -> None:
-        prompt = self._call.prompt
-        if prompt is None or events < 2:
-            return
-        service = self._kit.dispatcher.engine_of(self._call.service)
-        tokens = (events - 1) * (service.event_tokens if service else 1)
-        self._kit.dispatcher.answered(
-            self._call, tokens, time.monotonic() - started
-        )
-
     def _silence_s(self) -> float:
         route = self._call.route
         if route.repeat is Repeat.IDEMPOTENT and self._may_repeat():
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -27,6 +27,13 @@
 """Time constants with which measured work rises and falls. A burst must be
 followed while it lasts; a lull of a few seconds is not worth cold caches."""
 
+FIRST_RATE = 2.0
+"""Requests a second that a kind is taken to bring until its rate is measured:
+without a guess the first seconds' requests share all servers."""
+
+SIZE_WEIGHT = 0.1
+"""Weight of one prompt in the running mean of its kind's size."""
+
 PEER_DEMAND_LIFE_S = 3.0
 """How long another instance's word on its demand counts."""
 
@@ -59,9 +66,13 @@
             busy_s: Time that it would keep one server busy.
             tokens: Its prompt, cached parts left out.
         """
-        meter = self._meters.setdefault((service, kind), _Meter(size=tokens))
+        key = (service, kind)
+        if key not in self._meters:
+            first = busy_s * FIRST_RATE
+            self._meters[key] = _Meter(work=first, size=tokens)
+        meter = self._meters[key]
         meter.gathered += busy_s
-        meter.size += 0.1 * (tokens - meter.size)
+        meter.size += SIZE_WEIGHT * (tokens - meter.size)
 
     def tick(self, now: float) -> None:
         """Folds what has come since the last tick into the running means."""
--- /dev/null
+++ b/src/jasminerelay/pace.py
@@ -0,0 +1,63 @@
+"""How fast each engine makes tokens for each of its streams, as seen here.
+
+Pure. Reading long prompts slows an engine's tokens far more than the number
+of its requests tells, and reports of it come late. The time between events
+that pass through this instance shows it at once.
+"""
+
+import math
+import statistics
+from collections.abc import Iterable
+
+MEMORY_S = 1.0
+"""Time over which gaps are averaged: long against one prompt's reading, short
+against an answer."""
+
+FORGET_S = 5.0
+"""Age at which a pace counts no more; an idle server is fast again."""
+
+
+class PaceBook:
+    """Seconds per token of a stream, by server."""
+
+    def __init__(self) -> None:
+        self._paces: dict[str, tuple[float, float]] = {}
+
+    def observe(
+        self, server: str, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Takes the time that a stream's next tokens took."""
+        if tokens <= 0 or seconds < 0:
+            return
+        sample = seconds / tokens
+        held = self._paces.get(server)
+        if held is None or now - held[1] > FORGET_S:
+            self._paces[server] = (sample, now)
+            return
+        # Weighted by the time it covers: many short gaps after one long one
+        # must not hide it.
+        weight = 1 - math.exp(-seconds / MEMORY_S)
+        self._paces[server] = (held[0] + weight * (sample - held[0]), now)
+
+    def token_s(self, server: str, now: float) -> float | None:
+        """Returns seconds per token; None if nothing was seen of late."""
+        held = self._paces.get(server)
+        if held is None or now - held[1] > FORGET_S:
+            return None
+        return held[0]
+
+    def slowness(self, server: str, peers: Iterable[str], now: float) -> float:
+        """Returns the pace relative to the median of servers alike."""
+        own = self.token_s(server, now)
+        others = [
+            pace
+            for pace in (self.token_s(name, now) for name in peers)
+            if pace is not None
+        ]
+        if own is None or len(others) < 2:
+            return 1.0
+        return own / max(statistics.median(others), 1e-6)
+
+    def forget(self, server: str) -> None:
+        """Drops a server that has ended."""
+        self._paces.pop(server, None)
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -60,8 +60,11 @@
 """Delay that a request takes to stay away from a server that is much slower
 than its peers."""
 
-FINISH_SHARE = 0.9
-"""Share of the time left that a request may be expected to need."""
+ANSWER_SHARE = 0.45
+"""Part of a request's whole time limit that its answer may be expected to
+take at a server. Each request that joins slows all others there; without the
+bound, engines under a burst of long prompts ended 130 of 820 answers at their
+time limit and had made most of their tokens by then."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +76,7 @@
         load: What all instances have under way there.
         warm: Leading shared tokens of the prompt that it has read.
         slowness: Its pace relative to its peers'; 1 is usual.
+        token_s: Seconds per token that its streams take now; None if unknown.
         blocked: Whether it rests after a failure.
     """
 
@@ -80,6 +84,7 @@
     load: Load
     warm: int = 0
     slowness: float = 1.0
+    token_s: float | None = None
     blocked: bool = False
 
 
@@ -132,7 +137,7 @@
     for item in open_options:
         unread = _unread(call, item, item.server.id == home)
         memory = call.prompt.tokens + call.prompt.output
-        if not _has_room(engine, item, memory):
+        if not _has_room(engine, item, memory) or _too_slow(call, item):
             continue
         delay = _delay_s(call, item, unread)
         lost = call.prompt.tokens - unread
@@ -195,6 +200,13 @@
     return item.load.memory + memory <= engine.cache_tokens * MEMORY_SHARE
 
 
+def _too_slow(call: Call, item: Option) -> bool:
+    if item.token_s is None or not item.load.running:
+        return False
+    limit_s = (call.ends - call.arrived) * ANSWER_SHARE
+    return call.prompt.output * item.token_s > limit_s
+
+
 def _home(call: Call, options: Sequence[Option]) -> str:
     """Returns the server that all instances pick for the prompt's start."""
     shared = call.prompt.shared
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -78,7 +78,7 @@
             boot: Checked settings.
             path: Their file, which is read again when it changes.
         """
-        self._boot = boot
+        self.boot = boot
         self._path = path
         self._rng = random.Random()
         self._stop: Stop | None = None
@@ -90,13 +90,58 @@
         self._wire_requests()
         self._wire_ports()
 
-    async def run(self) -> None:
-        """Runs the instance until its planned stop is done."""
-        self.log.trouble("start", settings=dataclasses.asdict(self._boot))
+    @property
+    def callers(self) -> str:
+        """IP:port for callers."""
+        return self.boot.callers
+
+    @property
+    def entries(self) -> str:
+        """IP:port where callers ask which address to use."""
+        return self.boot.entries
+
+    @property
+    def readiness(self) -> str:
+        """IP:port where the platform asks for readiness."""
+        return self.boot.readiness
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._ready and self._stop is None
+
+    @property
+    def serving(self) -> bool:
+        """Whether the callers' port is open."""
+        return self._callers_port.started
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        catalog = self.registry.catalog
+        return catalog.version if catalog else 0
+
+    @property
+    def peers_live(self) -> int:
+        """How many instances take callers, this one included."""
+        return len(self._peers.membership.live())
+
+    def meet(self, address: str) -> None:
+        """Tells of an address at which an instance may be."""
+        self._peers.meet({address})
+
+    async def run(self, *, signals: bool = True) -> None:
+        """Runs the instance until its planned stop is done.
+
+        Args:
+            signals: Whether SIGTERM and SIGHUP are for this instance.
+        """
+        self.log.trouble("start", settings=dataclasses.asdict(self.boot))
         async with anyio.create_task_group() as group:
             for port in self._ports:
                 group.start_soon(port.serve)
-            group.start_soon(self._signals)
+            if signals:
+                group.start_soon(self._signals)
             for part in (
                 self._watchdog.run,
                 self._peers.run,
@@ -121,10 +166,10 @@
         self.log.trouble("stop", under_way=self._under_way())
 
     def _wire_knowledge(self) -> None:
-        boot = self._boot
+        boot = self.boot
         self.registry = Registry(documents.catalog, documents.server)
-        self._client = Client(self._watchdog, keepalive=True)
-        store = Store(self._client, boot.store)
+        self.client = Client(self._watchdog, keepalive=True)
+        store = Store(self.client, boot.store)
         self._store_state = StoreState(self.registry, self.log)
         self._feed = RegistryFeed(self.registry, CONFIGURATION_KEY, self.log)
         self._instances = InstanceTable(store, boot.ip)
@@ -141,7 +186,7 @@
         )
 
     def _wire_requests(self) -> None:
-        boot = self._boot
+        boot = self.boot
         self.dispatcher = Dispatcher(
             self.registry, boot.zone, lambda: self._peers.count, self._rng
         )
@@ -155,7 +200,7 @@
             member,
             self.registry,
             self.dispatcher,
-            self._client,
+            self.client,
             self.counters,
             self.log,
             self._rng,
@@ -174,7 +219,7 @@
         )
 
     def _wire_ports(self) -> None:
-        boot = self._boot
+        boot = self.boot
         kit = Kit(
             self.dispatcher,
             self._room,
@@ -195,9 +240,9 @@
             self.log,
         )
         doors = Doors(
-            lambda: self._ready and self._stop is None,
+            lambda: self.ready,
             self._entries,
-            lambda: min(ENTRY_TTL_S, self._boot.entry_ttl_s),
+            lambda: min(ENTRY_TTL_S, self.boot.entry_ttl_s),
             self._metrics,
         )
         options = {
@@ -304,7 +349,7 @@
         while True:
             try:
                 if not registered:
-                    await self._instances.register(self._boot.peers)
+                    await self._instances.register(self.boot.peers)
                     registered = True
                     await anyio.sleep(REGISTER_PAUSE_S)
                 self._peers.meet(await self._instances.addresses())
@@ -322,10 +367,11 @@
                 if number == signal.SIGHUP:
                     self._reload("signal")
                 elif self._stop is None:
-                    self._begin_stop()
+                    self.stop()
 
-    def _begin_stop(self) -> None:
-        self._stop = Stop(time.monotonic(), self._boot.grace_s)
+    def stop(self) -> None:
+        """Begins the planned stop."""
+        self._stop = Stop(time.monotonic(), self.boot.grace_s)
         self.log.trouble("stopping", under_way=self._under_way())
         self._peers.leave()
 
@@ -354,9 +400,9 @@
             self.log.trouble("settings_faulty", source=source, why=problems)
             return
         boot = loaded.unwrap()
-        if boot == self._boot:
+        if boot == self.boot:
             return
-        self._boot = boot
+        self.boot = boot
         self._peers.meet(set(boot.seeds))
         self.log.trouble(
             "reload", source=source, settings=dataclasses.asdict(boot)
--- /dev/null
+++ b/standins/platformsite.py
@@ -0,0 +1,209 @@
+"""A small site of the users' platform: store, servers, configuration.
+
+Everything runs in the caller's event loop, on ports from the kernel, so that
+a test or a demo needs no process but the instances it looks at.
+"""
+
+import contextlib
+import dataclasses
+import json
+import pathlib
+from collections.abc import AsyncIterator
+
+import anyio
+
+from jasminerelay import ports
+from standins.launcher import free_address
+from standins.platformserver import PlatformServer
+from standins.platformstore import PlatformStore
+
+KEY = "key-of-elm"
+HOST = "relay.example"
+MODEL = "engines"
+PLAIN = "bookings"
+
+
+@dataclasses.dataclass(frozen=True)
+class SiteOptions:
+    """What a site is made of.
+
+    Attributes:
+        engines: Model servers.
+        plain: Servers of the plain service.
+        grace_s: Time from SIGTERM to the end of a process.
+        routes: Changes to the routes' fields, by route name.
+    """
+
+    engines: int = 2
+    plain: int = 2
+    grace_s: float = 4.0
+    routes: dict[str, dict] = dataclasses.field(default_factory=dict)
+
+
+class PlatformSite:
+    """The running site."""
+
+    def __init__(self, options: SiteOptions, folder: pathlib.Path):
+        self.options = options
+        self.store = PlatformStore()
+        self.servers: dict[str, PlatformServer] = {}
+        self.addresses: dict[str, str] = {}
+        self.version = 0
+        self._folder = folder
+        self._store_address = free_address()
+        self._group: anyio.abc.TaskGroup | None = None
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._seeds: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["PlatformSite"]:
+        """Runs the store and the servers while the context is open."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await self._listen("store", self.store.app(), self._store_address)
+            for index in range(self.options.engines):
+                await self.add_server(f"engine-{index + 1}", MODEL)
+            for index in range(self.options.plain):
+                await self.add_server(f"plain-{index + 1}", PLAIN)
+            self.configure()
+            yield self
+            group.cancel_scope.cancel()
+
+    async def add_server(self, name: str, service: str) -> PlatformServer:
+        """Starts a server and writes its row."""
+        server = PlatformServer(name)
+        address = free_address()
+        self.servers[name] = server
+        self.addresses[name] = address
+        await self._listen(name, server, address)
+        self.register(name, service)
+        return server
+
+    def register(self, name: str, service: str, phase: str = "ready") -> None:
+        """Writes a server's row."""
+        self.store.put(
+            "servers",
+            name,
+            {
+                "backend": service,
+                "address": self.addresses[name],
+                "zone": "north",
+                "version": "v1",
+                "slotCount": 8,
+                "phase": phase,
+                "coldRemainingMs": 0,
+                "callSeq": 0,
+            },
+        )
+
+    def kill_server(self, name: str) -> None:
+        """Ends a server at once; its row stays for a while."""
+        self._scopes.pop(name).cancel()
+
+    def configure(self, **changes) -> None:
+        """Writes the next version of the configuration."""
+        self.version += 3
+        routes = [
+            _route("chat", "/chat/", MODEL, routeType="streaming",
+                   streamResume=True, maxAttempts=2, priorityClass=0,
+                   sessionAffinity=True, gapTargetMs=250),
+            _route("sheet", "/sheet/", MODEL, routeType="streaming",
+                   priorityClass=2, sessionAffinity=True, gapTargetMs=1000,
+                   timeoutMs=8000, targetLatencyMs=2000),
+            _route("lookup", "/lookup/", PLAIN, routeType="idempotent",
+                   maxAttempts=2),
+            _route("confirm", "/confirm/", PLAIN,
+                   routeType="non_idempotent"),
+        ]  # fmt: skip
+        for route in routes:
+            route.update(self.options.routes.get(route["name"], {}))
+        value = {
+            "version": self.version,
+            "routes": routes,
+            "backends": [
+                {
+                    "name": MODEL,
+                    "healthPath": "/healthz",
+                    "maxConnections": 64,
+                    "runtime": {
+                        "slotCount": 8,
+                        "kvCapacity": 100_000,
+                        "kvTokenBytes": 1000,
+                        "stride": 5,
+                    },
+                },
+                {
+                    "name": PLAIN,
+                    "healthPath": "/healthz",
+                    "maxConnections": 64,
+                },
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1 << 20,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+            "tenants": [{"name": "elm", "apiKeys": [KEY]}],
+            **changes,
+        }
+        self.store.put("op", "config", value)
+
+    def settings(self, name: str, zone: str = "north") -> pathlib.Path:
+        """Writes the settings file of an instance; returns its path."""
+        listen = {
+            key: free_address() for key in ("front", "readiness", "registry")
+        }
+        peers = free_address()
+        port = int(peers.rpartition(":")[2])
+        lines = [
+            f'nodeName = "{name}"',
+            'ip = "127.0.0.1"',
+            f'zone = "{zone}"',
+            'region = "r"',
+            f"internalPortRange = [{port}, {port}]",
+            f"seedNodes = {json.dumps(self._seeds)}",
+            "[listenAddrs]",
+            *(f'{key} = "{value}"' for key, value in listen.items()),
+            "[bounds]",
+            f"graceS = {self.options.grace_s}",
+            "[platform]",
+            f'address = "{self._store_address}"',
+        ]
+        path = self._folder / f"{name}.toml"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    async def _listen(self, name: str, app, address: str) -> None:
+        port = ports.port(app, address, date_header=False)
+        scope = anyio.CancelScope()
+        self._scopes[name] = scope
+
+        async def serve() -> None:
+            with scope:
+                try:
+                    await port.serve()
+                finally:
+                    for server in getattr(port, "servers", []):
+                        server.close()
+                    for conn in list(port.server_state.connections):
+                        conn.transport.abort()
+
+        self._group.start_soon(serve)
+        while not port.started:
+            await anyio.sleep(0.005)
+
+
+def _route(name: str, prefix: str, service: str, **fields) -> dict:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "prefix": prefix,
+        "backend": service,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 300,
+        "priorityClass": 1,
+        "maxAttempts": 1,
+        "anonymous": False,
+        **fields,
+    }
--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,168 @@
+"""Stand-in for the users' platform's store, by its published interface."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import time
+from urllib.parse import parse_qs
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from standins.common import Faults, FaultyApp
+
+PAGE = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredRow:
+    """A row, or the mark of one that was dropped."""
+
+    table: str
+    part: str
+    key: str
+    data: str
+    version: int
+    deleted: bool = False
+
+    def shown(self) -> dict:
+        """Returns the row as an answer shows it."""
+        row = {
+            "table": self.table,
+            "part": self.part,
+            "key": self.key,
+            "schemaVersion": self.version,
+        }
+        return (
+            {**row, "deleted": True}
+            if self.deleted
+            else {
+                **row,
+                "data": self.data,
+            }
+        )
+
+
+class PlatformStore:
+    """Rows in tables, transactions under conditions, and a feed of changes."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls = 0
+        self._rows: dict[tuple[str, str, str], StoredRow] = {}
+        self._history: list[StoredRow] = []
+        self._forgotten = 0
+        self._version = 0
+        self._changed = asyncio.Event()
+
+    def app(self) -> FaultyApp:
+        """Returns the ASGI application."""
+        routes = [
+            Route("/-/rows-tx", self.transact, methods=["POST"]),
+            Route("/-/rows-get", self.read, methods=["GET"]),
+            Route("/-/rows-feed", self.feed, methods=["GET"]),
+        ]
+        return FaultyApp(Starlette(routes=routes), self.faults)
+
+    def put(self, table: str, key: str, value: dict) -> None:
+        """Writes a row, as the operator or a server does."""
+        data = base64.b64encode(json.dumps(value).encode()).decode()
+        self._version += 1
+        self._store(StoredRow(table, "", key, data, self._version))
+
+    def drop(self, table: str, key: str) -> None:
+        """Drops a row, as when a server leaves."""
+        if (table, "", key) in self._rows:
+            self._version += 1
+            self._store(StoredRow(table, "", key, "", self._version, True))
+
+    def forget(self) -> None:
+        """Discards the history of changes."""
+        self._history.clear()
+        self._forgotten = self._version
+
+    def keys(self, table: str) -> list[str]:
+        """Returns the keys of a table's rows."""
+        return sorted(key for name, _, key in self._rows if name == table)
+
+    async def transact(self, request: Request) -> JSONResponse:
+        """Applies a transaction if its conditions hold."""
+        self.calls += 1
+        body = await request.json()
+        for item in body["expect"]:
+            row = self._rows.get(_place(item))
+            if (row.version if row else 0) != item["schemaVersion"]:
+                rows = [row.shown()] if row else []
+                return JSONResponse({"rows": rows}, 412)
+        self._version += 1
+        for item in body["write"]:
+            self._store(StoredRow(*_place(item), item["data"], self._version))
+        for item in body["remove"]:
+            if _place(item) in self._rows:
+                self._store(StoredRow(*_place(item), "", self._version, True))
+        return self._answer({})
+
+    async def read(self, request: Request) -> JSONResponse:
+        """Returns rows of a table as of one moment."""
+        self.calls += 1
+        query = request.query_params
+        rows = sorted(
+            (
+                row
+                for (table, part, key), row in self._rows.items()
+                if table == query["table"]
+                and part == query.get("part", "")
+                and key >= query.get("source", "")
+            ),
+            key=lambda row: row.key.encode(),
+        )
+        limit = min(int(query.get("limit", PAGE)), PAGE)
+        page = [row.shown() for row in rows[:limit]]
+        return self._answer({"rows": page, "hasMore": len(rows) > limit})
+
+    async def feed(self, request: Request) -> JSONResponse:
+        """Waits for rows that changed after a version."""
+        self.calls += 1
+        query = parse_qs(request.url.query)
+        table = query["table"][0]
+        after = int(query["after"][0])
+        until = time.monotonic() + int(query["waitMs"][0]) / 1000
+        while True:
+            if after < self._forgotten:
+                return JSONResponse({}, 410)
+            rows = [
+                row.shown()
+                for row in self._history
+                if row.table == table and row.version > after
+            ]
+            left = until - time.monotonic()
+            if rows or left <= 0:
+                return self._answer({"rows": rows})
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _store(self, row: StoredRow) -> None:
+        place = (row.table, row.part, row.key)
+        if row.deleted:
+            self._rows.pop(place, None)
+        else:
+            self._rows[place] = row
+        self._history.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _answer(self, body: dict) -> JSONResponse:
+        now_ms = int(time.monotonic() * 1000)
+        return JSONResponse(
+            {**body, "schemaVersion": self._version, "nowMs": now_ms}
+        )
+
+
+def _place(item: dict) -> tuple[str, str, str]:
+    return (item["table"], item.get("part", ""), item["key"])
--- /dev/null
+++ b/tests/platformcase.py
@@ -0,0 +1,131 @@
+"""What the tests on the platform's interface share."""
+
+import contextlib
+import dataclasses
+import logging
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+import httpcore
+
+from jasminerelay.platform import bootfile
+from jasminerelay.platform.root import Instance
+from standins.platformsite import HOST, KEY, PlatformSite, SiteOptions
+
+WAIT_S = 10.0
+POLL_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole answer as a caller sees it.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields, names in lower case.
+        body: Body.
+        whole: Whether it came to its proper end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool = True
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with a small site and instances in one event loop."""
+
+    options = SiteOptions()
+
+    def setUp(self) -> None:
+        # The stand-ins end in the middle of answers, which the server would
+        # report at length.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
+
+    @contextlib.asynccontextmanager
+    async def site(self, count: int = 1):
+        """Runs a site; gives it and its instances once they are ready."""
+        with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
+            site = PlatformSite(self.options, pathlib.Path(folder))
+            async with site.running(), anyio.create_task_group() as group:
+                instances = []
+                for index in range(count):
+                    instances.append(
+                        await self.start(group, site, f"edge-{index + 1}")
+                    )
+                for instance in instances:
+                    await self.until(lambda i=instance: i.ready)
+                yield site, instances
+                group.cancel_scope.cancel()
+
+    async def start(self, group, site: PlatformSite, name: str) -> Instance:
+        """Starts an instance."""
+        path = site.settings(name)
+        instance = Instance(bootfile.load(path).unwrap(), path)
+        instance.log.info = instance.log.trouble = lambda *a, **k: None
+        group.start_soon(lambda: instance.run(signals=False))
+        return instance
+
+    async def until(self, condition) -> None:
+        """Waits for a condition."""
+        with anyio.fail_after(WAIT_S):
+            while not condition():
+                await anyio.sleep(POLL_S)
+
+    async def ask(
+        self,
+        instance: Instance,
+        path: str,
+        method: str = "POST",
+        attempt: str = "a1",
+        key: str = KEY,
+        body: bytes = b"",
+        host: str = HOST,
+        **headers: str,
+    ) -> Answer:
+        """Sends a request and reads the whole answer."""
+        fields = {
+            "Host": host,
+            "Attempt-Id": attempt,
+            "Authorization": f"Bearer {key}",
+            "Content-Length": str(len(body)),
+        }
+        fields.update({k.replace("_", "-"): v for k, v in headers.items()})
+        return await fetch(
+            f"http://{instance.callers}{path}", method, fields, body
+        )
+
+
+async def fetch(
+    url: str, method: str = "GET", fields: dict | None = None, body: bytes = b""
+) -> Answer:
+    """Sends a request on a connection of its own."""
+    async with (
+        httpcore.AsyncConnectionPool() as pool,
+        pool.stream(
+            method, url, headers=list((fields or {}).items()), content=body
+        ) as response,
+    ):
+        parts = []
+        whole = True
+        try:
+            async for part in response.aiter_stream():
+                parts.append(part)
+        except httpcore.RemoteProtocolError:
+            whole = False
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in response.headers
+        }
+        return Answer(response.status, headers, b"".join(parts), whole)
+
+
+def events(last: int, first: int = 1) -> bytes:
+    """Returns the events of a stand-in's stream."""
+    return b"".join(
+        b"id: %d\ndata: t%d\n\n" % (number, number)
+        for number in range(first, last + 1)
+    )
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -151,9 +151,7 @@
     async def test_unreadable_row(self) -> None:
         # One row that cannot be read must not cost the others.
         script = Script(
-            Page(
-                (ServerRow("a", 1, b""), ServerRow("b", 2, b"pool:ready")), 2
-            ),
+            Page((ServerRow("a", 1, b""), ServerRow("b", 2, b"pool:ready")), 2),
         )
         registry = await self.follow(script)
         self.assertEqual([s.id for s in registry.servers()], ["b"])
@@ -195,9 +193,7 @@
         self.assertEqual(len(self.registry.servers_of("pool")), 2)
         self.registry.store_regained(10.0)
         self.assertEqual(self.registry.expire(10.0 + RETURN_GRACE_S / 2), [])
-        self.registry.take_changes(
-            [ServerRow("a", 3, b"pool:ready")], 3, 11.0
-        )
+        self.registry.take_changes([ServerRow("a", 3, b"pool:ready")], 3, 11.0)
         self.assertEqual(self.registry.expire(10.1 + RETURN_GRACE_S), ["b"])
         left = [server.id for server in self.registry.servers_of("pool")]
         self.assertEqual(left, ["a"])
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,311 @@
+"""The whole path on the platform's interface, against its stand-ins."""
+
+import json
+import unittest
+
+import anyio
+
+from jasminerelay.httpclient import NotSentError
+from standins.platformsite import HOST, KEY, MODEL, PLAIN
+from tests.platformcase import PlatformCase, events, fetch
+
+PROMPT = {"Token_Usage": "1200,20", "Prefix_Hash": "aa:1000,bb:200"}
+
+
+class RequestsTest(PlatformCase):
+    """Requests of every kind from end to end."""
+
+    async def test_plain_request(self) -> None:
+        async with self.site() as (site, (instance,)):
+            answer = await self.ask(
+                instance,
+                "/confirm/slot?x=%20y",
+                body=b"a couch",
+                Deadline_Ms="2000",
+                Tenant="another",
+                Hold="x",
+                Kv_From="x",
+                Request_Urgency="0",
+                Connection="x-mine",
+                X_Mine="1",
+                X_Other="2",
+            )
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            (server,) = [s for s in site.servers.values() if s.journal]
+            (ran,) = server.journal
+            # The signature is the server's; the bytes are passed unchanged.
+            self.assertEqual(
+                answer.headers["server-signature"], f"{server.name}.a1"
+            )
+            self.assertEqual(answer.body, b"answer to a1")
+            self.assertEqual(ran.target, "/confirm/slot?x=%20y")
+            self.assertEqual(ran.body, b"a couch")
+            self.assertEqual(ran.headers["tenant"], "elm")
+            self.assertEqual(ran.headers["expect-instance"], server.name)
+            self.assertEqual(ran.headers["x-other"], "2")
+            self.assertEqual(ran.headers["host"], HOST)
+            left_ms = int(ran.headers["deadline-ms"])
+            self.assertTrue(1500 < left_ms <= 2000, left_ms)
+            for name in ("hold", "kv-from", "authorization", "x-mine"):
+                self.assertNotIn(name, ran.headers)
+
+    async def test_stream(self) -> None:
+        async with self.site() as (site, (instance,)):
+            answer = await self.ask(instance, "/sheet/1/stream", **PROMPT)
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(answer.body, events(20))
+            (ran,) = [r for s in site.servers.values() for r in s.journal]
+            self.assertEqual(ran.headers["prefix-hash"], "aa:1000,bb:200")
+            self.assertEqual(ran.headers["request-urgency"], "2")
+
+    async def test_refusals(self) -> None:
+        async with self.site() as (site, (instance,)):
+            wrong_key = await self.ask(instance, "/confirm/x", key="no")
+            no_route = await self.ask(instance, "/other/x")
+            bad = await self.ask(
+                instance, "/sheet/1/stream", Token_Usage="many,3"
+            )
+            self.assertEqual(wrong_key.status, 401)
+            self.assertEqual(no_route.status, 404)
+            self.assertEqual(bad.status, 400)
+            ran = [r for s in site.servers.values() for r in s.journal]
+            self.assertEqual(ran, [])
+
+    async def test_entries_and_readiness(self) -> None:
+        async with self.site(2) as (site, instances):
+            first = instances[0]
+            await self.until(lambda: first.peers_live == 2)
+            url = f"http://{first.entries}/-/resolve?name={HOST}&zone=north"
+            answer = await fetch(url)
+            found = json.loads(answer.body)
+            self.assertEqual(
+                set(found["addresses"]), {i.callers for i in instances}
+            )
+            ready = await fetch(f"http://{first.readiness}/-/readyz")
+            self.assertEqual(ready.status, 200)
+            self.assertEqual(len(site.store.keys("jasminerelay_instances")), 1)
+
+    async def test_new_configuration_in_force(self) -> None:
+        async with self.site() as (site, (instance,)):
+            site.configure(tenants=[{"name": "elm", "apiKeys": ["new"]}])
+            await self.until(lambda: instance.version == site.version)
+            old = await self.ask(instance, "/confirm/x")
+            new = await self.ask(instance, "/confirm/x", key="new")
+            self.assertEqual((old.status, new.status), (401, 200))
+
+
+class FailuresTest(PlatformCase):
+    """Servers that fail in the ways that the platform's pages name."""
+
+    def arm(self, site, service: str, **faults) -> None:
+        prefix = "engine" if service == MODEL else "plain"
+        for name, server in site.servers.items():
+            if name.startswith(prefix):
+                for fault, value in faults.items():
+                    setattr(server.faults, fault, value)
+
+    def runs(self, site) -> int:
+        return sum(len(server.journal) for server in site.servers.values())
+
+    async def test_rejected_goes_elsewhere(self) -> None:
+        # A server rejects a request that may run once. It has not run, so
+        # another server gets it and the caller sees one good answer.
+        async with self.site() as (site, (instance,)):
+            site.servers["plain-1"].faults.refuse = 1
+            site.servers["plain-2"].faults.refuse = 1
+            answer = await self.ask(instance, "/confirm/x")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+            self.assertEqual(self.runs(site), 0)
+
+    async def test_once_is_not_repeated(self) -> None:
+        # The server takes a request that may run once and closes without an
+        # answer. It may have run, so the caller is told 502 and no other
+        # server gets it.
+        async with self.site() as (site, (instance,)):
+            self.arm(site, PLAIN, mute=1)
+            async with anyio.create_task_group() as group:
+                answers = []
+
+                async def ask() -> None:
+                    answers.append(await self.ask(instance, "/confirm/x"))
+
+                group.start_soon(ask)
+                await self.until(lambda: self.runs(site) == 1)
+                (name,) = [n for n, s in site.servers.items() if s.journal]
+                site.kill_server(name)
+            self.assertEqual(answers[0].status, 502)
+            self.assertEqual(self.runs(site), 1)
+
+    async def test_idempotent_goes_to_second_server(self) -> None:
+        async with self.site() as (site, (instance,)):
+            self.arm(site, PLAIN, fail=1)
+            site.servers["plain-2"].faults.fail = 0
+            answers = [
+                await self.ask(instance, "/lookup/x", "GET", f"a{number}")
+                for number in range(8)
+            ]
+            self.assertEqual([a.status for a in answers], [200] * 8)
+            self.assertEqual(self.runs(site), 9)
+
+    async def test_stream_goes_on_at_second_server(self) -> None:
+        # A server stops inside an event of a stream that may be resumed. The
+        # caller sees every event once and the first server's signature.
+        async with self.site() as (site, (instance,)):
+            site.servers["engine-1"].faults.break_after = 7
+            site.servers["engine-1"].faults.torn = True
+            site.servers["engine-2"].faults.break_after = 0
+            for number in range(3):
+                answer = await self.ask(
+                    instance,
+                    f"/chat/{number}/stream",
+                    attempt=f"a{number}",
+                    **PROMPT,
+                )
+                self.assertEqual(answer.body, events(20))
+                self.assertTrue(answer.whole)
+
+    async def test_broken_stream_never_looks_complete(self) -> None:
+        # The same with a stream that may not be repeated: what came is passed
+        # on, and its end is not a proper one.
+        async with self.site() as (site, (instance,)):
+            self.arm(site, MODEL, break_after=7, torn=True)
+            answer = await self.ask(instance, "/sheet/1/stream", **PROMPT)
+            self.assertFalse(answer.whole)
+            self.assertEqual(answer.body, events(7))
+            self.assertEqual(self.runs(site), 1)
+
+    async def test_crossed_answer_is_dropped(self) -> None:
+        # A server answers with the id of another request. The caller must not
+        # get it; a request that may be repeated goes to the other server.
+        async with self.site() as (site, (instance,)):
+            site.servers["plain-1"].faults.cross = 1
+            site.servers["plain-2"].faults.cross = 0
+            for number in range(3):
+                answer = await self.ask(
+                    instance, "/lookup/x", "GET", f"a{number}"
+                )
+                self.assertEqual(answer.body, b"answer to a%d" % number)
+
+    async def test_caller_leaves(self) -> None:
+        # A caller closes its connection in the middle of a stream; the server
+        # must stop within half a second.
+        async with self.site() as (site, (instance,)):
+            host, _, port = instance.callers.rpartition(":")
+            head = (
+                f"POST /sheet/1/stream HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"Attempt-Id: a1\r\nAuthorization: Bearer {KEY}\r\n"
+                "Token-Usage: 100,400\r\nContent-Length: 0\r\n\r\n"
+            )
+            async with await anyio.connect_tcp(host, int(port)) as conn:
+                await conn.send(head.encode())
+                await conn.receive()
+            (ran,) = [r for s in site.servers.values() for r in s.journal]
+            engines = [s for s in site.servers.values() if s.journal]
+            await self.until(lambda: engines[0].running == 0)
+            self.assertFalse(ran.ended)
+
+    async def test_dead_server_costs_no_request(self) -> None:
+        # A server dies and its row is still there. Its port refuses
+        # connections, so nothing has run and another server serves.
+        async with self.site() as (site, (instance,)):
+            site.kill_server("plain-1")
+            for number in range(4):
+                answer = await self.ask(
+                    instance, "/confirm/x", attempt=f"a{number}"
+                )
+                self.assertEqual(answer.status, 200)
+
+    async def test_draining_server_gets_nothing(self) -> None:
+        async with self.site() as (site, (instance,)):
+            site.register("plain-1", PLAIN, "draining")
+            await self.until(
+                lambda: len(instance.registry.servers_of(PLAIN)) == 1
+            )
+            for number in range(6):
+                await self.ask(instance, "/confirm/x", attempt=f"a{number}")
+            self.assertEqual(site.servers["plain-1"].journal, [])
+
+
+class StoreOutageTest(PlatformCase):
+    """Instances that the store does not serve."""
+
+    def cut_from_store(self, instance) -> None:
+        async def refuse(exchange) -> None:
+            if "/-/" in exchange.url:
+                raise NotSentError("cut off")
+            return await call(exchange)
+
+        call = instance.client.call
+        instance.client.call = refuse
+
+    async def test_learns_from_another_instance(self) -> None:
+        # The store turns one instance away. A key is taken and a server
+        # leaves; the instance learns both from the other one within seconds.
+        async with self.site(2) as (site, (first, second)):
+            await self.until(lambda: first.peers_live == 2)
+            await self.until(lambda: second.peers_live == 2)
+            self.cut_from_store(first)
+            site.configure(tenants=[{"name": "elm", "apiKeys": ["new"]}])
+            site.register("plain-1", PLAIN, "draining")
+            await self.until(lambda: first.version == site.version)
+            await self.until(lambda: len(first.registry.servers_of(PLAIN)) == 1)
+
+    async def test_serves_without_store(self) -> None:
+        async with self.site() as (site, (instance,)):
+            site.store.faults.down = True
+            answer = await self.ask(instance, "/confirm/x")
+            self.assertEqual(answer.status, 200)
+
+    async def test_start_without_store(self) -> None:
+        # An instance that starts while the store is away knows nothing: it
+        # says "not yet", not "no such route", and takes what it needs from
+        # another instance.
+        async with self.site() as (site, (first,)):
+            site.store.faults.down = True
+            async with anyio.create_task_group() as group:
+                second = await self.start(group, site, "edge-2")
+                await self.until(lambda: second.serving)
+                answer = await self.ask(second, "/confirm/x")
+                self.assertEqual(answer.status, 503)
+                self.assertIn("retry-after", answer.headers)
+                second.meet(first.boot.peers)
+                await self.until(lambda: second.ready)
+                answer = await self.ask(second, "/confirm/x")
+                self.assertEqual(answer.status, 200)
+                group.cancel_scope.cancel()
+
+
+class StopTest(PlatformCase):
+    """A planned stop of one of two instances."""
+
+    async def test_stream_under_way_is_finished(self) -> None:
+        # SIGTERM comes in the middle of a stream. The instance leaves the
+        # entry lists at once, finishes the stream and ends.
+        async with self.site(2) as (site, (first, second)):
+            await self.until(lambda: second.peers_live == 2)
+            answers = []
+
+            async def ask() -> None:
+                answers.append(
+                    await self.ask(first, "/sheet/1/stream", **PROMPT)
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(
+                    lambda: any(s.journal for s in site.servers.values())
+                )
+                first.stop()
+            self.assertEqual(answers[0].body, events(20))
+            self.assertTrue(answers[0].whole)
+            ready = await fetch(f"http://{first.readiness}/-/readyz")
+            self.assertEqual(ready.status, 503)
+            await self.until(lambda: second.peers_live == 1)
+            late = await self.ask(first, "/confirm/x")
+            self.assertEqual(late.status, 200)
+            self.assertEqual(late.headers["connection"], "close")
+
+
+if __name__ == "__main__":
+    unittest.main()
