--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -245,13 +245,6 @@
         """The parts that other requests may bring too."""
         return self.parts[:-1]
 
-    @property
-    def output(self) -> int:
-        """The likeliest number of tokens out."""
-        if self.expected_output is None:
-            return self.max_output
-        return min(self.expected_output, self.max_output)
-
 
 @dataclasses.dataclass(frozen=True)
 class Call:
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import xxhash
 
@@ -11,20 +11,24 @@
 from jasminerelay.admission import Prospect
 from jasminerelay.catalog import BackendServer, Call, Engine
 from jasminerelay.groups import DemandMeter, DemandView, Split
+from jasminerelay.lengths import Lengths
 from jasminerelay.pace import PaceBook
-from jasminerelay.placing import Option, Placed, Wait
+from jasminerelay.placing import Guess, Option, Placed, Wait
 from jasminerelay.prefix import PrefixIndex
 from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import KindDemand
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.workload import Run, Workload
 
-PACE_WEIGHT = 0.1
-"""Weight of one answer in the running mean of its kind's pace."""
-
 SPLIT_EVERY_S = 0.5
 """How often the split of a service's servers is looked at."""
 
 
+OnSplit = Callable[
+    [str, Mapping[str, tuple[str, ...]], Sequence[KindDemand]], None
+]
+
+
 class Dispatcher:
     """Places requests; owns what that takes and no socket."""
 
@@ -54,8 +58,9 @@
         self._split_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
-        self._pace: dict[str, float] = {}
+        self.lengths = Lengths()
         self.paces = PaceBook()
+        self.on_split: OnSplit = lambda service, groups, demand: None
 
     def health(self, service: str) -> Stragglers:
         """Returns what is known of the health of a service's servers."""
@@ -74,7 +79,7 @@
         shared = sum(part.tokens for part in call.prompt.shared)
         unread = call.prompt.tokens - shared
         kind = call.route.name
-        busy_s = placing.busy_s(call, unread)
+        busy_s = placing.busy_s(unread, self._guess(call).output)
         self.meter.arrived(call.service, kind, busy_s, unread)
         split = self._splits.get(call.service)
         if split is None or not split.group(kind):
@@ -85,7 +90,8 @@
         if call.prompt is None:
             return call.route.objective_s / 4
         shared = sum(part.tokens for part in call.prompt.shared)
-        return placing.busy_s(call, call.prompt.tokens - shared)
+        unread = call.prompt.tokens - shared
+        return placing.busy_s(unread, self._guess(call).output)
 
     def place(self, call: Call, avoid: frozenset[str]) -> Placed | Wait:
         """Finds a place now."""
@@ -103,7 +109,9 @@
         group = self._group(call, servers)
         names = [server.id for server in group]
         options = [self._option(call, server, names) for server in group]
-        return placing.place_model(call, engine, _some(options))
+        return placing.place_model(
+            call, engine, _some(options), self._guess(call), time.monotonic()
+        )
 
     def reserve(self, call: Call, placed: Placed) -> Run:
         """Notes that a request goes to a server."""
@@ -130,16 +138,13 @@
         unread = sum(self.workload.load(item.id).unread for item in group)
         reading = unread / placing.READ_TOKENS_S / len(group)
         ahead = reading + ahead_s * self._instances() / len(group)
-        pace = self._pace.get(call.route.name, placing.TOKEN_BUSY_S)
-        return Prospect(ahead, call.prompt.output * pace, left_s)
-
-    def answered(self, call: Call, tokens: int, seconds: float) -> None:
-        """Notes how long a stream took from its first to its last event."""
-        if tokens <= 0:
-            return
-        pace = seconds / tokens
-        held = self._pace.get(call.route.name, pace)
-        self._pace[call.route.name] = held + PACE_WEIGHT * (pace - held)
+        now = time.monotonic()
+        pace = min(
+            self.paces.token_s(item.id, now) or placing.STEP_S
+            for item in group
+        )
+        own_s = self._guess(call).output * pace
+        return Prospect(ahead, own_s, left_s)
 
     def gone(self, server: str) -> None:
         """Forgets a server that has ended."""
@@ -159,13 +164,24 @@
         """Returns the present split of a service."""
         return self._splits.get(service)
 
+    def _guess(self, call: Call) -> Guess:
+        kind = call.route.name
+        prompt = call.prompt
+        most = prompt.max_output
+        return Guess(
+            self.lengths.expect(kind, prompt.expected_output, most),
+            self.lengths.typical(kind, most),
+        )
+
     def _split(self, now: float) -> None:
         self.demand.hear("", self.meter.demand(), now)
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
             servers = [item.id for item in self._registry.servers_of(name)]
             demand = self.demand.total(name, now)
-            self._splits.setdefault(name, Split()).update(servers, demand)
+            split = self._splits.setdefault(name, Split())
+            if split.update(servers, demand):
+                self.on_split(name, split.groups, demand)
 
     def _group(
         self, call: Call, servers: list[BackendServer]
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -229,7 +229,6 @@
         event_tokens = engine.event_tokens if engine else 1
         started = 0.0
         latest = 0.0
-        count = 0
         try:
             async for chunk in body_chunks(response):
                 events = cutter.feed(chunk)
@@ -247,7 +246,6 @@
                         now,
                     )
                 latest = now if events else latest
-                count += len(events)
                 await self._pass_events(head, events)
         except (BrokenError, ValueError) as exc:
             return Interrupted(str(exc))
@@ -259,9 +257,8 @@
             await self._sink.start(head.status, head.headers)
         await self._sink.finish()
         self._status = head.status
-        tokens = (count - 1) * event_tokens
-        self._kit.dispatcher.answered(
-            self._call, tokens, time.monotonic() - started
+        self._kit.dispatcher.lengths.observe(
+            self._call.route.name, self._events * event_tokens
         )
         return Delivered(head.status)
 
@@ -408,10 +405,24 @@
             else None,
             total_s=round(now - call.arrived, 3),
             limit_s=round(call.ends - call.arrived, 3),
+            tokens=_tokens_of(call),
             **self._kit.versions(),
         )
 
 
+def _tokens_of(call: Call) -> list[int | None]:
+    if call.prompt is None:
+        return []
+    prompt = call.prompt
+    shared = sum(part.tokens for part in prompt.shared)
+    return [
+        prompt.tokens,
+        shared,
+        prompt.max_output,
+        prompt.expected_output,
+    ]
+
+
 @dataclasses.dataclass
 class _Done:
     """Set when an exchange is complete and its connection may be kept."""
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -141,10 +141,15 @@
         self._counts: dict[str, int] = {}
         self._groups: dict[str, tuple[str, ...]] = {}
 
+    @property
+    def groups(self) -> Mapping[str, tuple[str, ...]]:
+        """Servers of each kind."""
+        return self._groups
+
     def update(
         self, servers: Sequence[str], demand: Sequence[KindDemand]
-    ) -> Mapping[str, tuple[str, ...]]:
-        """Returns the servers of each kind.
+    ) -> bool:
+        """Looks at the split; returns whether it has changed.
 
         Args:
             servers: Ids of the servers in use.
@@ -156,10 +161,11 @@
         valid = set(kept) == set(due) and sum(kept.values()) == len(servers)
         if not valid or _moved(kept, due):
             self._counts = _rounded(due, len(servers))
+        before = self._groups
         self._groups = _laid_out(
             sorted(servers), [item.kind for item in kinds], self._counts
         )
-        return self._groups
+        return self._groups != before
 
     def group(self, kind: str) -> tuple[str, ...]:
         """Returns the servers of a kind; none for one not seen yet."""
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -60,11 +60,27 @@
 """Delay that a request takes to stay away from a server that is much slower
 than its peers."""
 
-ANSWER_SHARE = 0.45
-"""Part of a request's whole time limit that its answer may be expected to
-take at a server. Each request that joins slows all others there; without the
-bound, engines under a burst of long prompts ended 130 of 820 answers at their
-time limit and had made most of their tokens by then."""
+FULL_WAIT_S = 0.15
+"""Wait that a server without room is taken to cost: about the time in which
+one of its requests ends or has its prompt read."""
+
+PATIENCE_SHARE = 0.6
+"""Part of the time left to a request's objective that it may wait for the
+server that has the start of its prompt, while others have room. Reading the
+start again takes more of the engines than the wait takes from the caller."""
+
+TAIL_WEIGHT = 0.25
+"""Weight of the time after the first event: the objective is for the first
+event, but a loaded engine makes all its streams slower."""
+
+SLOW_FACTOR = 2.0
+"""Pace relative to its peers from which on a server counts as slow."""
+
+ANSWER_SHARE = 0.75
+"""Part of its time limit that a usual answer may take at a server. Each request
+that joins an engine slows all others there; without the bound, engines under a
+burst of long prompts ended 130 of 820 answers at their time limit and had made
+most of their tokens by then."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,9 +130,21 @@
     why: str
 
 
-def busy_s(call: Call, unread: int) -> float:
+@dataclasses.dataclass(frozen=True)
+class Guess:
+    """What is expected of a model request.
+
+    Attributes:
+        output: Tokens out.
+        typical: Tokens out of a usual request of its kind.
+    """
+
+    output: int
+    typical: int
+
+
+def busy_s(unread: int, output: int) -> float:
     """Returns how long a request keeps an engine busy."""
-    output = call.prompt.output if call.prompt else 0
     return unread / READ_TOKENS_S + output * TOKEN_BUSY_S
 
 
@@ -126,28 +154,81 @@
 
 
 def place_model(
-    call: Call, engine: Engine, options: Sequence[Option]
+    call: Call,
+    engine: Engine,
+    options: Sequence[Option],
+    guess: Guess,
+    now: float,
 ) -> Placed | Wait:
-    """Places a model request on one of its group's servers."""
+    """Places a model request on one of its group's servers.
+
+    Args:
+        call: The request.
+        engine: What the servers can do.
+        options: The servers.
+        guess: What is expected of the request.
+        now: Steady time.
+    """
     open_options = [item for item in options if not item.blocked]
     if not open_options:
         return Wait("no server in use")
     home = _home(call, open_options)
-    best: tuple[float, str, Placed] | None = None
-    for item in open_options:
-        unread = _unread(call, item, item.server.id == home)
-        memory = call.prompt.tokens + call.prompt.output
-        if not _has_room(engine, item, memory) or _too_slow(call, item):
-            continue
-        delay = _delay_s(call, item, unread)
-        lost = call.prompt.tokens - unread
-        score = delay - REREAD_S * lost
-        if item.slowness >= 2:
-            score += SLOW_SERVER_S
-        ranked = (score, item.server.id, Placed(item.server, unread, memory))
-        if best is None or ranked[:2] < best[:2]:
-            best = ranked
-    return best[2] if best else Wait("no room at the servers of its group")
+    scored = sorted(
+        (
+            _score(call, engine, item, item.server.id == home, guess)
+            for item in open_options
+        ),
+        key=lambda item: (item.seconds, item.placed.server.id),
+    )
+    best = scored[0]
+    if best.room:
+        return best.placed
+    left_s = call.arrived + call.route.objective_s - now
+    if best.first_s < left_s * PATIENCE_SHARE:
+        return Wait("the server that has its prompt's start is full")
+    for item in scored:
+        if item.room:
+            return item.placed
+    return Wait("no room at the servers of its group")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Scored:
+    """One server for one request.
+
+    Attributes:
+        placed: The server, with what the request takes there.
+        room: Whether it has room now.
+        first_s: Time to the first event there, waiting for room included.
+        seconds: What going there costs, in seconds; less is better.
+    """
+
+    placed: Placed
+    room: bool
+    first_s: float
+    seconds: float
+
+
+def _score(
+    call: Call,
+    engine: Engine,
+    item: Option,
+    at_home: bool,
+    guess: Guess,
+) -> _Scored:
+    unread = _unread(call, item, at_home)
+    memory = call.prompt.tokens + guess.output
+    room = _has_room(engine, item, memory)
+    room = room and not _too_slow(call, item, guess.typical)
+    first_s = first_event_s(item, unread)
+    if not room:
+        first_s += FULL_WAIT_S
+    tail_s = answer_s(guess.output, item.load.running)
+    seconds = first_s + TAIL_WEIGHT * tail_s
+    seconds += REREAD_S * (unread - 1)
+    if item.slowness >= SLOW_FACTOR:
+        seconds += SLOW_SERVER_S
+    return _Scored(Placed(item.server, unread, memory), room, first_s, seconds)
 
 
 def place_plain(
@@ -183,11 +264,6 @@
     return FIRST_EVENT_S + reading * decoding * item.slowness
 
 
-def _delay_s(call: Call, item: Option, unread: int) -> float:
-    tail = answer_s(call.prompt.output, item.load.running)
-    return first_event_s(item, unread) + 0.25 * tail
-
-
 def _has_room(engine: Engine, item: Option, memory: int) -> bool:
     slots = max(1, int(engine.slots * RUN_SHARE))
     if item.load.running >= slots:
@@ -200,11 +276,13 @@
     return item.load.memory + memory <= engine.cache_tokens * MEMORY_SHARE
 
 
-def _too_slow(call: Call, item: Option) -> bool:
+def _too_slow(call: Call, item: Option, typical_output: int) -> bool:
+    # By the usual answer of the kind, not by this one: a long one would find
+    # every server too slow, however idle.
     if item.token_s is None or not item.load.running:
         return False
-    limit_s = (call.ends - call.arrived) * ANSWER_SHARE
-    return call.prompt.output * item.token_s > limit_s
+    limit_s = call.route.timeout_s * ANSWER_SHARE
+    return typical_output * item.token_s > limit_s
 
 
 def _home(call: Call, options: Sequence[Option]) -> str:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -190,6 +190,7 @@
         self.dispatcher = Dispatcher(
             self.registry, boot.zone, lambda: self._peers.count, self._rng
         )
+        self.dispatcher.on_split = self._log_split
         # Each life of a process is a member of its own: a restarted one must
         # not be taken for the one that fell silent.
         life = f"{boot.name}/{self._rng.getrandbits(48):012x}"
@@ -274,6 +275,16 @@
             servers_version=snapshot.servers_version,
         )
 
+    def _log_split(self, service, groups, demand) -> None:
+        self.log.info(
+            "split",
+            service=service,
+            groups={kind: list(names) for kind, names in groups.items()},
+            work={item.kind: round(item.work, 2) for item in demand},
+            size={item.kind: round(item.size) for item in demand},
+            **self._versions(),
+        )
+
     def _versions(self) -> dict[str, float]:
         catalog: Catalog | None = self.registry.catalog
         return {
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -1,5 +1,6 @@
 """Requests of one instance that wait for a place at a backend server."""
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable
@@ -13,6 +14,12 @@
 from jasminerelay.placing import Placed, Wait
 from jasminerelay.workload import Run
 
+TRIES = 8
+"""Requests of a kind for which a place is looked for in vain before the rest
+is left for the next time. One may wait for a server that is full while the
+next one's has room; but a look takes processor time, and with a long queue
+most looks are in vain."""
+
 TICK_S = 0.03
 """How often those who wait are looked at without any event: the other
 instances' words, which make room too, come about as often."""
@@ -142,18 +149,17 @@
         now = time.monotonic()
         waiting = [x for x in self._waiting if x.call.service == service]
         waiting.sort(key=lambda item: item.order(now))
-        full: set[tuple[str, frozenset[str]]] = set()
+        tries: collections.Counter[str] = collections.Counter()
         ahead_s: dict[str, float] = {}
         for item in waiting:
             kind = item.call.route.name
-            key = (kind, item.avoid)
-            if key not in full:
+            if tries[kind] < TRIES:
                 placed = self._place(item.call, item.avoid)
                 if isinstance(placed, Placed):
                     seat = Seat(placed, self._reserve(item.call, placed))
                     self._settle(item, seat=seat)
                     continue
-                full.add(key)
+                tries[kind] += 1
             before = ahead_s.get(kind, 0.0)
             prospect = self._expect(item.call, before)
             if prospect.hopeless:
