Move streams away from servers that leave; keep connections after streams

Change: evacuation stops such a run, has its memory copied and goes on at another server behind the last event. The connection is given back before the answer's end is sent. Groups follow rank: work per kind is measured in an idle engine's steps.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -3,7 +3,8 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
+_ROOT = pathlib.Path(__file__).parent.parent
+sys.path[:0] = [str(_ROOT / "src"), str(_ROOT / "target" / "deps")]
 
 from jasminerelay.platform.root import main  # noqa: E402
 
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -12,12 +12,13 @@
 from jasminerelay.catalog import BackendServer, Call, Engine
 from jasminerelay.groups import DemandMeter, DemandView, Split
 from jasminerelay.lengths import Lengths
-from jasminerelay.pace import PaceBook
+from jasminerelay.pace import FastestPace, PaceBook
 from jasminerelay.placing import Guess, Option, Placed, Wait
 from jasminerelay.prefix import PrefixIndex
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import KindDemand
 from jasminerelay.stragglers import Stragglers
+from jasminerelay.waitingroom import Seat
 from jasminerelay.workload import Run, Workload
 
 SPLIT_EVERY_S = 0.5
@@ -60,6 +61,7 @@
         self._warm = PrefixIndex()
         self.lengths = Lengths()
         self.paces = PaceBook()
+        self._fastest: dict[str, FastestPace] = {}
         self.on_split: OnSplit = lambda service, groups, demand: None
 
     def health(self, service: str) -> Stragglers:
@@ -79,8 +81,8 @@
         shared = sum(part.tokens for part in call.prompt.shared)
         unread = call.prompt.tokens - shared
         kind = call.route.name
-        busy_s = placing.busy_s(unread, self._guess(call).output)
-        self.meter.arrived(call.service, kind, busy_s, unread)
+        busy_s = self._engine_busy_s(call, unread)
+        self.meter.arrived(call.service, kind, call.route.rank, busy_s, unread)
         split = self._splits.get(call.service)
         if split is None or not split.group(kind):
             self._split(time.monotonic())
@@ -91,7 +93,7 @@
             return call.route.objective_s / 4
         shared = sum(part.tokens for part in call.prompt.shared)
         unread = call.prompt.tokens - shared
-        return placing.busy_s(unread, self._guess(call).output)
+        return self._engine_busy_s(call, unread)
 
     def place(self, call: Call, avoid: frozenset[str]) -> Placed | Wait:
         """Finds a place now."""
@@ -107,11 +109,31 @@
             options = [self._option(call, server, ()) for server in servers]
             return placing.place_plain(call, _some(options), self._zone)
         group = self._group(call, servers)
-        names = [server.id for server in group]
-        options = [self._option(call, server, names) for server in group]
-        return placing.place_model(
-            call, engine, _some(options), self._guess(call), time.monotonic()
-        )
+        now = time.monotonic()
+        guess = self._guess(call)
+        options = self._options(call, group)
+        placed = placing.place_model(call, engine, _some(options), guess, now)
+        if isinstance(placed, Placed) or not self._may_spill(call, now):
+            return placed
+        others = [server for server in servers if server not in group]
+        options = placing.calm(self._options(call, others))
+        return placing.place_model(call, engine, options, guess, now)
+
+    def _options(
+        self, call: Call, servers: list[BackendServer]
+    ) -> list[Option]:
+        names = [server.id for server in servers]
+        return [self._option(call, server, names) for server in servers]
+
+    def _may_spill(self, call: Call, now: float) -> bool:
+        """Whether a request may go to other kinds' servers.
+
+        Only what is late already and has short prompts: a late one loses
+        little by the longer pauses there, and reads too little to stretch
+        those of others.
+        """
+        late = now - call.arrived > call.route.objective_s
+        return late and call.prompt.tokens <= placing.CHUNK_TOKENS
 
     def reserve(self, call: Call, placed: Placed) -> Run:
         """Notes that a request goes to a server."""
@@ -122,6 +144,36 @@
             placed.server.id, placed.unread, placed.memory
         )
 
+    def seat_at(self, call: Call, server: BackendServer) -> Seat:
+        """Returns a seat at a server that has the run's memory already."""
+        memory = call.prompt.tokens + self._guess(call).output
+        run = self.workload.start(server.id, 0, memory)
+        return Seat(Placed(server, 0, memory), run)
+
+    def refuge(self, call: Call, avoid: frozenset[str]) -> BackendServer | None:
+        """Returns where a run from a leaving server should go on."""
+        placed = self.place(call, avoid)
+        if isinstance(placed, Placed):
+            return placed.server
+        # Full ones are better than none: the run is cut where it is.
+        servers = self._registry.servers_of(call.service)
+        return min(
+            (server for server in servers if server.id not in avoid),
+            key=lambda server: self.workload.load(server.id).running,
+            default=None,
+        )
+
+    def left_s(self, call: Call, server: BackendServer, events: int) -> float:
+        """Returns how long a stream will go on at its server."""
+        engine = self.engine_of(call.service)
+        if engine is None:
+            return 0.0
+        left = self._guess(call).output - events * engine.event_tokens
+        # A stream that is past its guess is as likely to go on for long.
+        left = max(left, self._guess(call).typical / 2)
+        pace = self.paces.token_s(server.id, time.monotonic())
+        return left * (pace or placing.STEP_S)
+
     def expect(self, call: Call, ahead_s: float) -> Prospect:
         """Returns what to expect of a request that waits."""
         left_s = call.ends - time.monotonic()
@@ -140,8 +192,7 @@
         ahead = reading + ahead_s * self._instances() / len(group)
         now = time.monotonic()
         pace = min(
-            self.paces.token_s(item.id, now) or placing.STEP_S
-            for item in group
+            self.paces.token_s(item.id, now) or placing.STEP_S for item in group
         )
         own_s = self._guess(call).output * pace
         return Prospect(ahead, own_s, left_s)
@@ -164,6 +215,14 @@
         """Returns the present split of a service."""
         return self._splits.get(service)
 
+    def _engine_busy_s(self, call: Call, unread: int) -> float:
+        output = self._guess(call).output
+        step_s = self._fastest_of(call.service).token_s
+        return placing.busy_s(unread, output, step_s)
+
+    def _fastest_of(self, service: str) -> FastestPace:
+        return self._fastest.setdefault(service, FastestPace(placing.STEP_S))
+
     def _guess(self, call: Call) -> Guess:
         kind = call.route.name
         prompt = call.prompt
@@ -178,6 +237,9 @@
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
             servers = [item.id for item in self._registry.servers_of(name)]
+            paces = (self.paces.token_s(item, now) for item in servers)
+            seen = [pace for pace in paces if pace is not None]
+            self._fastest_of(name).look(seen)
             demand = self.demand.total(name, now)
             split = self._splits.setdefault(name, Split())
             if split.update(servers, demand):
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from jasminerelay.catalog import BackendServer, Call
+from jasminerelay.evacuation import Copy
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,16 +19,14 @@
         server: The server.
         left_s: Time that the server has for it.
         after: Event behind which a stream goes on; "" from its start.
-        backup: Server that gets a copy of the run's memory as it grows.
-        copy_at: Address of a server that holds such a copy of this run.
+        copy: Memory that this run goes on from.
     """
 
     call: Call
     server: BackendServer
     left_s: float
     after: str = ""
-    backup: BackendServer | None = None
-    copy_at: str = ""
+    copy: Copy | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -187,6 +187,7 @@
         self._registry = registry
         self._key = key
         self._log = log
+        self.on_leaving: Callable[[str], None] = lambda server: None
 
     def take_configuration(self, page: Page) -> bool:
         """Takes rows of the operator's table."""
@@ -239,6 +240,8 @@
         """Writes a line for each server with news."""
         for row in news:
             server = self._registry.server(row.id)
+            if server is None or server.draining:
+                self.on_leaving(row.id)
             self._log.trouble(
                 "server",
                 server=row.id,
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -14,6 +14,7 @@
 from jasminerelay.channels import Channel, Channels, SilentError
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.errors import NoRoomError
+from jasminerelay.evacuation import STAY_S, Copy, Evacuator
 from jasminerelay.eventlog import EventLog
 from jasminerelay.exchange import (
     Delivered,
@@ -67,6 +68,7 @@
         room: Where requests wait.
         channels: Connections to servers.
         dialect: Words of the interface.
+        evacuator: Moves streams away from servers that leave.
         budget: Repeats that may be sent.
         counters: Counts events.
         log: Takes events.
@@ -78,6 +80,7 @@
     room: WaitingRoom
     channels: Channels
     dialect: Dialect
+    evacuator: Evacuator
     budget: SharedBudget
     counters: Counters
     log: EventLog
@@ -102,8 +105,11 @@
         self._kept: Failed | None = None
         self._placed_at = 0.0
         self._first_at = 0.0
+        self._pause_s = 0.0
         self._why = ""
         self._status = 0
+        self._copy: Copy | None = None
+        self._moving: anyio.Event | None = None
 
     async def run(self) -> None:
         """Serves the request; its caller's leaving cancels this."""
@@ -123,9 +129,7 @@
     async def _serve(self) -> None:
         while True:
             try:
-                seat = await self._kit.room.enter(
-                    self._call, frozenset(self._tried)
-                )
+                seat = await self._seat()
             except NoRoomError as exc:
                 await self._no_room(exc)
                 return
@@ -134,6 +138,12 @@
             if not await next_step(outcome, self):
                 return
 
+    async def _seat(self) -> Seat:
+        if self._copy is not None:
+            return self._kit.dispatcher.seat_at(self._call, self._copy.at)
+        avoid = frozenset(self._tried)
+        return await self._kit.room.enter(self._call, avoid)
+
     async def _attempt(self, seat: Seat) -> Outcome:
         self._placed_at = self._placed_at or time.monotonic()
         self._tried.append(seat.placed.server.id)
@@ -167,7 +177,10 @@
     ) -> Outcome:
         server = channel.server
         left_s = self._call.ends - time.monotonic()
-        sending = Sending(self._call, server, left_s, after=self._last_event)
+        copy, self._copy = self._copy, None
+        sending = Sending(
+            self._call, server, left_s, after=self._last_event, copy=copy
+        )
         request = httpcore.Request(
             self._call.method,
             channel.url(self._call.target),
@@ -223,45 +236,71 @@
         response: httpcore.Response,
         head: Head,
         done: "_Done",
+    ) -> Outcome:
+        server = channel.server
+        told = self._kit.evacuator.attach(server.id)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._move_when_told, server, told)
+                outcome = await self._pass_stream(seat, response, head)
+                moving = self._moving
+                if moving is not None:
+                    # The stream may end before the answer to the order comes.
+                    await moving.wait()
+                group.cancel_scope.cancel()
+        finally:
+            self._kit.evacuator.detach(server.id, told)
+        if isinstance(outcome, Delivered):
+            await response.aclose()
+            done.head = head
+            if not self._sink.started:
+                await self._sink.start(head.status, head.headers)
+            await self._sink.finish()
+        return outcome
+
+    async def _pass_stream(
+        self, seat: Seat, response: httpcore.Response, head: Head
     ) -> Outcome:
         cutter = sse.EventCutter()
-        engine = self._kit.dispatcher.engine_of(self._call.service)
-        event_tokens = engine.event_tokens if engine else 1
-        started = 0.0
-        latest = 0.0
+        timer = _StreamTimer(self._kit, self._call, seat)
         try:
             async for chunk in body_chunks(response):
                 events = cutter.feed(chunk)
-                now = time.monotonic()
-                if events and not started:
-                    started = now
-                    self._first_at = self._first_at or started
-                    seat.run.read()
-                    self._kit.room.freed(self._call.service)
-                elif events:
-                    self._kit.dispatcher.paces.observe(
-                        channel.server.id,
-                        len(events) * event_tokens,
-                        now - latest,
-                        now,
-                    )
-                latest = now if events else latest
-                await self._pass_events(head, events)
+                if events:
+                    timer.events(len(events))
+                    self._pause_s = max(self._pause_s, timer.pause_s)
+                    self._first_at = self._first_at or timer.first_at
+                    await self._pass_events(head, events)
         except (BrokenError, ValueError) as exc:
             return Interrupted(str(exc))
         if cutter.torn:
             return Interrupted("the stream ended inside an event")
-        await response.aclose()
-        done.head = head
-        if not self._sink.started:
-            await self._sink.start(head.status, head.headers)
-        await self._sink.finish()
         self._status = head.status
         self._kit.dispatcher.lengths.observe(
-            self._call.route.name, self._events * event_tokens
+            self._call.route.name, self._events * timer.event_tokens
         )
         return Delivered(head.status)
 
+    async def _move_when_told(
+        self, server: BackendServer, told: anyio.Event
+    ) -> None:
+        await told.wait()
+        dispatcher = self._kit.dispatcher
+        left_s = dispatcher.left_s(self._call, server, self._events)
+        if not self._sink.started or left_s < STAY_S:
+            return
+        target = dispatcher.refuge(self._call, frozenset(self._tried))
+        if target is None:
+            return
+        self._moving = anyio.Event()
+        try:
+            self._copy = await self._kit.evacuator.move(
+                self._call, server, target
+            )
+        finally:
+            self._moving.set()
+            self._moving = None
+
     async def _pass_events(
         self, head: Head, events: list[sse.RawEvent]
     ) -> None:
@@ -297,6 +336,8 @@
         health = self._kit.dispatcher.health(self._call.service)
         if isinstance(outcome, Delivered | Failed):
             health.succeeded(server.id)
+        elif isinstance(outcome, Interrupted) and self.moved:
+            return
         elif isinstance(outcome, NotSent | Unknown | Interrupted):
             health.failed(server.id, time.monotonic())
 
@@ -307,6 +348,11 @@
         await self._sink.send(body)
         await self._sink.finish()
 
+    @property
+    def moved(self) -> bool:
+        """Whether the run was stopped on purpose and goes on elsewhere."""
+        return self._copy is not None
+
     def again(self) -> bool:
         """Returns whether one more server may run the request."""
         self._ran += 1
@@ -403,6 +449,7 @@
             first_s=round(self._first_at - call.arrived, 3)
             if self._first_at
             else None,
+            pause_s=round(self._pause_s, 3),
             total_s=round(now - call.arrived, 3),
             limit_s=round(call.ends - call.arrived, 3),
             tokens=_tokens_of(call),
@@ -423,6 +470,37 @@
     ]
 
 
+class _StreamTimer:
+    """Measures one stream as its events pass."""
+
+    def __init__(self, kit: Kit, call: Call, seat: Seat):
+        self._kit = kit
+        self._call = call
+        self._seat = seat
+        self._latest = 0.0
+        engine = kit.dispatcher.engine_of(call.service)
+        self.event_tokens = engine.event_tokens if engine else 1
+        self.first_at = 0.0
+        self.pause_s = 0.0
+
+    def events(self, count: int) -> None:
+        """Notes events that have just come."""
+        now = time.monotonic()
+        if not self.first_at:
+            self.first_at = now
+            self._seat.run.read()
+            self._kit.room.freed(self._call.service)
+        else:
+            self._kit.dispatcher.paces.observe(
+                self._seat.placed.server.id,
+                count * self.event_tokens,
+                now - self._latest,
+                now,
+            )
+            self.pause_s = max(self.pause_s, now - self._latest)
+        self._latest = now
+
+
 @dataclasses.dataclass
 class _Done:
     """Set when an exchange is complete and its connection may be kept."""
@@ -478,6 +556,8 @@
 
 @next_step.register
 async def _(outcome: Interrupted, delivery: Delivery) -> bool:
+    if delivery.moved:
+        return True
     delivery.note(outcome.why)
     if delivery.again():
         return True
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -18,9 +18,15 @@
 
 from jasminerelay.schema.messages import KindDemand
 
-SETTLE = 0.35
-"""Part of a server by which a kind's due share must leave its present count
-before a boundary moves; less makes groups flap with each small wave."""
+FLOOR = 0.6
+"""Part of its share by work that each kind has before the ranks are served in
+order. Without it a burst of the highest rank left the lowest one server of
+six, on which nine in ten of its requests were refused."""
+
+SETTLE = 0.2
+"""Part of a server beyond one half by which a kind's due share must leave its
+present count before a boundary moves; less makes groups flap with each small
+wave."""
 
 RISE_S = 1.0
 FALL_S = 6.0
@@ -37,12 +43,17 @@
 PEER_DEMAND_LIFE_S = 3.0
 """How long another instance's word on its demand counts."""
 
+USE = 0.85
+"""Part of a server that its kind's work may take before it needs another;
+above it waits grow faster than the work."""
+
 IDLE_WORK = 0.01
 """Work, in servers, under which a kind needs no server of its own."""
 
 
 @dataclasses.dataclass
 class _Meter:
+    rank: int
     work: float = 0.0
     size: float = 0.0
     gathered: float = 0.0
@@ -56,20 +67,21 @@
         self._since: float | None = None
 
     def arrived(
-        self, service: str, kind: str, busy_s: float, tokens: int
+        self, service: str, kind: str, rank: int, busy_s: float, tokens: int
     ) -> None:
         """Notes a request.
 
         Args:
             service: Its service.
             kind: Its kind.
+            rank: Rank of the kind.
             busy_s: Time that it would keep one server busy.
             tokens: Its prompt, cached parts left out.
         """
         key = (service, kind)
         if key not in self._meters:
             first = busy_s * FIRST_RATE
-            self._meters[key] = _Meter(work=first, size=tokens)
+            self._meters[key] = _Meter(rank, first, tokens)
         meter = self._meters[key]
         meter.gathered += busy_s
         meter.size += SIZE_WEIGHT * (tokens - meter.size)
@@ -95,7 +107,12 @@
         A kind's name carries its service, which keeps the message flat.
         """
         return [
-            KindDemand(f"{service}/{kind}", round(meter.work, 4), meter.size)
+            KindDemand(
+                f"{service}/{kind}",
+                round(meter.work, 4),
+                round(meter.size),
+                meter.rank,
+            )
             for (service, kind), meter in self._meters.items()
             if meter.work > IDLE_WORK / 10
         ]
@@ -117,6 +134,7 @@
         """Returns the demand on a service by kind."""
         work: dict[str, float] = {}
         sized: dict[str, float] = {}
+        rank: dict[str, int] = {}
         prefix = f"{service}/"
         for name, (heard, demand) in list(self._words.items()):
             if now - heard > PEER_DEMAND_LIFE_S:
@@ -127,8 +145,9 @@
                     kind = item.kind.removeprefix(prefix)
                     work[kind] = work.get(kind, 0.0) + item.work
                     sized[kind] = sized.get(kind, 0.0) + item.work * item.size
+                    rank[kind] = item.rank
         return [
-            KindDemand(kind, total, sized[kind] / total)
+            KindDemand(kind, total, sized[kind] / total, rank[kind])
             for kind, total in sorted(work.items())
             if total > IDLE_WORK
         ]
@@ -173,25 +192,31 @@
 
 
 def _due(count: int, kinds: Sequence[KindDemand]) -> dict[str, float]:
-    total = sum(item.work for item in kinds)
-    if not total:
+    """Returns each kind's due part of the servers.
+
+    While there is enough for all, spare servers are shared by work. When
+    there is not, the higher ranks get what they need first, but never so
+    much that a kind is left with less than its least part.
+    """
+    if not kinds:
         return {}
-    due = {item.kind: count * item.work / total for item in kinds}
-    if count < len(kinds):
-        return due
-    # A kind with little work still needs one whole server: half of one is
-    # shared with a kind that would stretch its pauses.
-    low = {kind for kind, share in due.items() if share < 1}
-    while low:
-        rest = count - len(low)
-        others = {kind: due[kind] for kind in due if kind not in low}
-        scale = rest / sum(others.values()) if others else 0.0
-        due.update({kind: share * scale for kind, share in others.items()})
-        due.update(dict.fromkeys(low, 1.0))
-        below = {kind for kind in others if due[kind] < 1}
-        if not below:
-            break
-        low |= below
+    total = sum(item.work for item in kinds)
+    least = min(1.0, count / len(kinds))
+    due = {
+        item.kind: max(least, FLOOR * count * item.work / total)
+        for item in kinds
+    }
+    over = sum(due.values()) / count
+    if over > 1:
+        due = {kind: share / over for kind, share in due.items()}
+    rest = count - sum(due.values())
+    for item in sorted(kinds, key=lambda item: item.rank):
+        wanted = max(0.0, item.work / USE - due[item.kind])
+        given = min(wanted, rest)
+        due[item.kind] += given
+        rest -= given
+    for item in kinds:
+        due[item.kind] += rest * item.work / total
     return due
 
 
--- a/src/jasminerelay/pace.py
+++ b/src/jasminerelay/pace.py
@@ -17,6 +17,35 @@
 """Age at which a pace counts no more; an idle server is fast again."""
 
 
+RISE = 1.002
+"""Factor by which the fastest pace seen is let rise with each look, so that
+one lucky sample does not stand for good."""
+
+
+class FastestPace:
+    """The pace of an idle engine, as the fastest that was seen."""
+
+    def __init__(self, first_s: float):
+        """Makes it.
+
+        Args:
+            first_s: What it is taken to be until something was seen.
+        """
+        self.token_s = first_s
+        self._seen = False
+
+    def look(self, paces: Iterable[float]) -> None:
+        """Takes the present paces of engines alike."""
+        fastest = min(paces, default=None)
+        if fastest is None or fastest <= 0:
+            return
+        if not self._seen:
+            self._seen = True
+            self.token_s = fastest
+            return
+        self.token_s = min(self.token_s * RISE, fastest)
+
+
 class PaceBook:
     """Seconds per token of a stream, by server."""
 
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -17,12 +17,17 @@
 READ_TOKENS_S = 80_000.0
 """Prompt tokens that an engine reads in a second, until measured."""
 
+CHUNK_TOKENS = 4096
+"""Prompt tokens that an engine reads between two tokens of its streams; a
+prompt up to this size stretches one pause only."""
+
 FIRST_EVENT_S = 0.045
 """Least time to a first event: one pass through the engine and the links."""
 
-TOKEN_BUSY_S = 0.000_25
-"""Engine time of one token out at a usual batch: a step of about 6 ms makes
-one token for each of some 24 requests."""
+BATCH_SHARE = 0.045
+"""Engine time of one token out at a full batch, in steps of an idle engine. A
+full batch's step takes about twice as long as an idle engine's and makes a
+token for each of some 45 requests."""
 
 STEP_S = 0.004
 STEP_RUN_S = 0.000_08
@@ -143,9 +148,15 @@
     typical: int
 
 
-def busy_s(unread: int, output: int) -> float:
-    """Returns how long a request keeps an engine busy."""
-    return unread / READ_TOKENS_S + output * TOKEN_BUSY_S
+def busy_s(unread: int, output: int, step_s: float) -> float:
+    """Returns how long a request keeps an engine busy.
+
+    Args:
+        unread: Prompt tokens to read.
+        output: Tokens out.
+        step_s: Time of an idle engine's step.
+    """
+    return unread / READ_TOKENS_S + output * step_s * BATCH_SHARE
 
 
 def answer_s(output: int, running: int) -> float:
@@ -231,6 +242,11 @@
     return _Scored(Placed(item.server, unread, memory), room, first_s, seconds)
 
 
+def calm(options: Sequence[Option]) -> list[Option]:
+    """Returns the servers that read no long prompt now."""
+    return [item for item in options if item.load.unread <= CHUNK_TOKENS]
+
+
 def place_plain(
     call: Call, options: Sequence[Option], zone: str
 ) -> Placed | Wait:
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -1,7 +1,11 @@
 """Header fields of callers' requests and of backend servers' answers."""
 
-from jasminerelay.catalog import Prompt, PromptPart
+import msgspec
+
+from jasminerelay.catalog import BackendServer, Call, Prompt, PromptPart
+from jasminerelay.evacuation import MOVE_TIMEOUT_S, Copy
 from jasminerelay.exchange import Head, Sending
+from jasminerelay.httpclient import Exchange, Reply
 
 MS = 1000.0
 URGENCY_LAST = 9
@@ -124,10 +128,8 @@
             fields.append((_URGENCY, str(urgency).encode()))
         if sending.after:
             fields.append((LAST_EVENT, sending.after.encode("latin-1")))
-        if sending.backup is not None:
-            fields.append((_COPY_TO, sending.backup.address.encode()))
-        if sending.copy_at:
-            copy = f"{sending.copy_at}/{call.id}"
+        if sending.copy is not None:
+            copy = f"{sending.copy.source}/{sending.copy.handle}"
             fields.append((_COPY_FROM, copy.encode()))
         if call.body or call.method not in ("GET", "HEAD", "DELETE"):
             size = str(len(call.body)).encode()
@@ -152,6 +154,49 @@
             _idle_s(fields.get(b"keep-alive", b"")),
         )
 
+    def move(
+        self, call: Call, source: BackendServer, target: BackendServer
+    ) -> Exchange:
+        """Returns the order to stop a run and to copy its memory."""
+        body = _Move(call.id, target.address, True)
+        return Exchange(
+            "POST",
+            f"http://{source.address}/-/kv-move",
+            {"content-type": "application/json"},
+            msgspec.json.encode(body),
+            MOVE_TIMEOUT_S,
+        )
+
+    def moved(
+        self, reply: Reply, source: BackendServer, target: BackendServer
+    ) -> Copy | None:
+        """Reads the answer; None if the run goes on where it is."""
+        if reply.status not in (200, 503):
+            return None
+        try:
+            moved = msgspec.json.decode(reply.body, type=_Moved)
+        except msgspec.MsgspecError:
+            return None
+        if not moved.handle:
+            return None
+        # Refused with a name: the run has stopped, the other server has no
+        # room, and the memory is where it was.
+        at = target if reply.status == 200 else source
+        return Copy(source.address, moved.handle, at)
+
+
+class _Move(msgspec.Struct):
+    # Id of the caller's attempt whose run is meant.
+    id: str
+    # Address of the server that gets the copy.
+    to: str
+    # Whether the run stops first; else it goes on during the copy.
+    final: bool
+
+
+class _Moved(msgspec.Struct):
+    handle: str = ""
+
 
 def _idle_s(value: bytes) -> float | None:
     for part in value.split(b","):
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -93,7 +93,9 @@
             raise NotReadyError("this instance is being stopped", retry_s=0.05)
         delivery = Delivery(self._front.kit, call, sink)
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_when_gone, receive, group.cancel_scope)
+            group.start_soon(
+                _cancel_when_gone, receive, sink, group.cancel_scope
+            )
             await delivery.run()
             group.cancel_scope.cancel()
 
@@ -170,6 +172,7 @@
     Attributes:
         attempt: The caller's id of the attempt.
         started: Whether the head of the answer is on its way.
+        finished: Whether the whole answer is.
     """
 
     def __init__(self, send, attempt: bytes, stopping: Callable[[], bool]):
@@ -177,6 +180,7 @@
         self._stopping = stopping
         self.attempt = attempt
         self.started = False
+        self.finished = False
 
     async def start(
         self, status: int, fields: tuple[tuple[bytes, bytes], ...]
@@ -202,6 +206,7 @@
 
     async def finish(self) -> None:
         """Ends the answer as complete."""
+        self.finished = True
         await self._send({"type": "http.response.body", "body": b""})
 
     async def abort(self) -> None:
@@ -259,7 +264,12 @@
     return min(given, route.timeout_s)
 
 
-async def _cancel_when_gone(receive, scope: anyio.CancelScope) -> None:
+async def _cancel_when_gone(
+    receive, sink: AsgiSink, scope: anyio.CancelScope
+) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
-    scope.cancel()
+    # The server says "disconnect" after a whole answer, too; what is left
+    # then, as giving back the connection to the backend server, must be done.
+    if not sink.finished:
+        scope.cancel()
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -17,6 +17,7 @@
 from jasminerelay.channels import Channels
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.errors import StoreError
+from jasminerelay.evacuation import Evacuator
 from jasminerelay.eventlog import Bridge, EventLog
 from jasminerelay.following import Follower, RegistryFeed, StoreState
 from jasminerelay.forwarding import Kit
@@ -221,11 +222,15 @@
 
     def _wire_ports(self) -> None:
         boot = self.boot
+        dialect = PlatformDialect()
+        evacuator = Evacuator(self.client, dialect, self.counters, self.log)
+        self._feed.on_leaving = evacuator.leaving
         kit = Kit(
             self.dispatcher,
             self._room,
             self._channels,
-            PlatformDialect(),
+            dialect,
+            evacuator,
             self._budget,
             self.counters,
             self.log,
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -274,6 +274,7 @@
     kind: str
     work: float
     size: float
+    rank: int
 
 
 @dataclass(frozen=True)
