Keep most of a kind's share by work before the ranks are served in order

Cause: with ranks served first the lowest kind was left one server of six in a burst of the highest; nine in ten of its requests were refused.

Change: each kind keeps 0.7 of its share by work. A service without servers no longer breaks the split (found by tests/test_groups.py).

--- a/src/jasminerelay/admission.py
+++ b/src/jasminerelay/admission.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 MARGIN_SHARE = 0.9
 """Part of the time left that the expected time may take. Expected times are
@@ -50,4 +51,5 @@
     """
     missing = prospect.ahead_s + prospect.own_s - prospect.left_s * MARGIN_SHARE
     wanted = max(RETRY_LEAST_S, missing) + spread * SPREAD_S
-    return round(min(wanted, max(0.05, prospect.left_s * RETRY_SHARE)), 2)
+    kept_to = max(0.05, prospect.left_s * RETRY_SHARE)
+    return math.floor(100 * min(wanted, kept_to)) / 100
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -18,7 +18,7 @@
 
 from jasminerelay.schema.messages import KindDemand
 
-FLOOR = 0.6
+FLOOR = 0.7
 """Part of its share by work that each kind has before the ranks are served in
 order. Without it a burst of the highest rank left the lowest one server of
 six, on which nine in ten of its requests were refused."""
@@ -198,7 +198,7 @@
     there is not, the higher ranks get what they need first, but never so
     much that a kind is left with less than its least part.
     """
-    if not kinds:
+    if not kinds or not count:
         return {}
     total = sum(item.work for item in kinds)
     least = min(1.0, count / len(kinds))
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,114 @@
+"""Which servers serve which kind of work."""
+
+import unittest
+
+from jasminerelay.groups import DemandMeter, DemandView, Split
+from jasminerelay.schema.messages import KindDemand
+
+SERVERS = tuple(f"s{number}" for number in range(6))
+
+
+def kinds(long: float, mid: float, short: float) -> list[KindDemand]:
+    """Returns demand of three kinds: the longer the prompt, the lower rank."""
+    return [
+        KindDemand("long", long, 6600.0, 2),
+        KindDemand("mid", mid, 1800.0, 1),
+        KindDemand("short", short, 630.0, 0),
+    ]
+
+
+class SplitTest(unittest.TestCase):
+    """The split of one service's servers."""
+
+    def sizes(self, split: Split) -> tuple[int, ...]:
+        return tuple(len(split.group(k)) for k in ("long", "mid", "short"))
+
+    def test_kinds_are_apart(self) -> None:
+        # A long prompt's reading would stretch the pauses of short streams.
+        split = Split()
+        split.update(SERVERS, kinds(2.0, 0.4, 0.6))
+        groups = [set(split.group(k)) for k in ("long", "mid", "short")]
+        self.assertEqual(set.union(*groups), set(SERVERS))
+        self.assertEqual(sum(map(len, groups)), len(SERVERS))
+        self.assertEqual(self.sizes(split), (4, 1, 1))
+
+    def test_burst_of_the_first_rank(self) -> None:
+        # More work than servers: the first rank gets more than by work alone,
+        # and the lowest keeps most of its part.
+        split = Split()
+        split.update(SERVERS, kinds(6.0, 0.6, 3.4))
+        long, mid, short = self.sizes(split)
+        self.assertGreaterEqual(short, 2)
+        self.assertGreaterEqual(long, 2)
+        self.assertEqual(mid, 1)
+
+    def test_small_waves_move_nothing(self) -> None:
+        split = Split()
+        split.update(SERVERS, kinds(2.0, 0.4, 0.6))
+        before = dict(split.groups)
+        for wave in (0.9, 1.1, 0.95, 1.05):
+            self.assertFalse(
+                split.update(SERVERS, kinds(2.0 * wave, 0.4, 0.6 / wave))
+            )
+        self.assertEqual(split.groups, before)
+
+    def test_one_server_more_keeps_most_caches(self) -> None:
+        split = Split()
+        split.update(SERVERS, kinds(2.0, 0.4, 0.6))
+        before = set(split.group("long"))
+        split.update((*SERVERS, "s9"), kinds(2.0, 0.4, 0.6))
+        kept = before & set(split.group("long"))
+        self.assertGreaterEqual(len(kept), len(before) - 1)
+
+    def test_fewer_servers_than_kinds(self) -> None:
+        for count in (1, 2):
+            split = Split()
+            split.update(SERVERS[:count], kinds(2.0, 0.4, 0.6))
+            for kind in ("long", "mid", "short"):
+                self.assertTrue(split.group(kind), (count, kind))
+
+    def test_no_servers_and_no_work(self) -> None:
+        split = Split()
+        split.update((), kinds(1.0, 1.0, 1.0))
+        self.assertEqual(split.group("long"), ())
+        split.update(SERVERS, [])
+        self.assertEqual(split.group("long"), ())
+
+    def test_same_words_same_split(self) -> None:
+        # Instances do not ask each other; the same words must give the same
+        # split, in whatever order they came.
+        one, other = Split(), Split()
+        one.update(SERVERS, kinds(3.0, 0.5, 1.5))
+        other.update(SERVERS[::-1], kinds(3.0, 0.5, 1.5)[::-1])
+        self.assertEqual(one.groups, other.groups)
+
+
+class DemandTest(unittest.TestCase):
+    """Measured work."""
+
+    def test_rises_faster_than_it_falls(self) -> None:
+        meter = DemandMeter()
+        meter.tick(0.0)
+        for step in range(1, 21):
+            for _ in range(5):
+                meter.arrived("pool", "long", 2, 0.1, 1000)
+            meter.tick(step / 10)
+        (high,) = meter.demand()
+        self.assertGreater(high.work, 4.0)
+        for step in range(21, 31):
+            meter.tick(step / 10)
+        (later,) = meter.demand()
+        self.assertGreater(later.work, high.work * 0.8)
+
+    def test_sums_instances_and_forgets_silent_ones(self) -> None:
+        view = DemandView()
+        word = [KindDemand("pool/long", 1.0, 1000.0, 2)]
+        view.hear("a", word, 0.0)
+        view.hear("b", word, 2.5)
+        self.assertEqual(view.total("pool", 2.6)[0].work, 2.0)
+        self.assertEqual(view.total("pool", 4.0)[0].work, 1.0)
+        self.assertEqual(view.total("other", 4.0), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
