Explain a request from its id; metrics and pages for operators

Change: jasminerelay explain reads the lines of any instances and prints the walk from a request's id to its cause; platform check reads a settings file; counters and histograms are served by a library on the metrics port. docs/PLATFORM.md and docs/OPERATIONS.md.

--- a/src/jasminerelay/cli.py
+++ b/src/jasminerelay/cli.py
@@ -13,8 +13,9 @@
 import msgspec
 import tabulate
 
-from jasminerelay import burn, burnpage, manifest
+from jasminerelay import burn, burnpage, explain, manifest
 from jasminerelay.burn import Row, Totals
+from jasminerelay.platform import bootfile
 
 USAGE = """Operates a running relay.
 
@@ -26,6 +27,8 @@
   jasminerelay entry [options]
   jasminerelay drain INSTANCE [options]
   jasminerelay burn [--html=FILE] [options]
+  jasminerelay explain ID [LOG...]
+  jasminerelay platform check SETTINGS
   jasminerelay -h | --help
 
 Options:
@@ -37,6 +40,10 @@
   --json          Print JSON in place of a table.
   -h --help       Show this text.
 
+explain reads the logs of any number of instances on the users' platform, from
+files or standard input, and shows how a request came to its end; platform
+check reads a settings file of that platform.
+
 Exit status: 0 done, 1 no answer or refused, 2 faulty command or file,
 3 another manifest was accepted first, 4 some instances did not answer.
 """
@@ -146,6 +153,10 @@
 
 
 def _command(arguments: dict[str, Any]) -> int:
+    if arguments["platform"]:
+        return _check_platform(arguments)
+    if arguments["explain"]:
+        return _explain(arguments)
     if arguments["check"]:
         return _check(arguments)
     operator = _operator(arguments)
@@ -194,6 +205,43 @@
     return EXIT_USAGE if problems else 0
 
 
+def _check_platform(arguments: dict[str, Any]) -> int:
+    loaded = bootfile.load(pathlib.Path(arguments["SETTINGS"]))
+    if loaded.is_err():
+        for problem in loaded.unwrap_err():
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    for name, value in dataclasses.asdict(loaded.unwrap()).items():
+        print(f"{name}: {value}")
+    return 0
+
+
+def _explain(arguments: dict[str, Any]) -> int:
+    lines = []
+    for path in arguments["LOG"]:
+        lines += _read(path).splitlines()
+    if not arguments["LOG"]:
+        lines = sys.stdin.read().splitlines()
+    events, left_out = explain.read(lines)
+    found = explain.explain(arguments["ID"], events, left_out)
+    if found is None:
+        raise CommandError(
+            f"no line names {arguments['ID']}; give the logs of all instances,"
+            " also of those that have ended"
+        )
+    for title, part in (
+        ("Request", found.own),
+        ("Surroundings", found.surroundings),
+        ("In words", found.causes),
+    ):
+        print(f"{title}:")
+        for item in part:
+            print(f"  {item}")
+    if found.left_out:
+        print(f"{found.left_out} lines were left out by the instances.")
+    return 0
+
+
 def _apply(operator: Operator, arguments: dict[str, Any]) -> int:
     over = arguments["--over"]
     if over is not None and not over.isdigit():
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -32,6 +32,7 @@
 from jasminerelay.httpclient import BrokenError, NotSentError, body_chunks
 from jasminerelay.metrics import Counters
 from jasminerelay.sharedbudget import SharedBudget
+from jasminerelay.telemetry import Telemetry
 from jasminerelay.waitingroom import Seat, WaitingRoom
 
 MAX_NOT_SENT = 3
@@ -71,6 +72,7 @@
         evacuator: Moves streams away from servers that leave.
         budget: Repeats that may be sent.
         counters: Counts events.
+        telemetry: Takes times.
         log: Takes events.
         rng: Source of random choices.
         versions: Returns what the decisions rest on, for the log.
@@ -83,6 +85,7 @@
     evacuator: Evacuator
     budget: SharedBudget
     counters: Counters
+    telemetry: Telemetry
     log: EventLog
     rng: random.Random
     versions: Callable[[], dict[str, float]]
@@ -434,7 +437,10 @@
         call = self._call
         good = ended == "done" and self._status == OK and not self._why
         write = self._kit.log.info if good else self._kit.log.trouble
+        first_s = self._first_at - call.arrived if self._first_at else None
+        total_s = now - call.arrived
         self._kit.counters.incr(f"answer.{self._status or 'none'}")
+        self._kit.telemetry.answered(call.rank, first_s, total_s)
         write(
             "request",
             id=call.id,
@@ -447,11 +453,9 @@
             servers=self._tried,
             events=self._events,
             waited_s=round((self._placed_at or now) - call.arrived, 3),
-            first_s=round(self._first_at - call.arrived, 3)
-            if self._first_at
-            else None,
+            first_s=None if first_s is None else round(first_s, 3),
             pause_s=round(self._pause_s, 3),
-            total_s=round(now - call.arrived, 3),
+            total_s=round(total_s, 3),
             limit_s=round(call.ends - call.arrived, 3),
             tokens=_tokens_of(call),
             **self._kit.versions(),
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -43,10 +43,12 @@
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.sharedbudget import SharedBudget
 from jasminerelay.stopping import Stop
+from jasminerelay.telemetry import Telemetry
 from jasminerelay.waitingroom import WaitingRoom
 from jasminerelay.watchdog import Watchdog
 
 BOOT_VARIABLE = "JASMINERELAY_BOOT"
+METRICS_VARIABLE = "JASMINERELAY_METRICS_PORT"
 EXIT_USAGE = 2
 
 ENTRY_TTL_S = 2.0
@@ -86,6 +88,7 @@
         self._ready = False
         self.log = EventLog(boot.name)
         self.counters = Counters(Statsd())
+        self.telemetry = Telemetry(self.counters)
         self._watchdog = Watchdog()
         self._wire_knowledge()
         self._wire_requests()
@@ -233,6 +236,7 @@
             evacuator,
             self._budget,
             self.counters,
+            self.telemetry,
             self.log,
             self._rng,
             self._versions,
@@ -249,7 +253,7 @@
             lambda: self.ready,
             self._entries,
             lambda: min(ENTRY_TTL_S, self.boot.entry_ttl_s),
-            self._metrics,
+            self.telemetry.text,
         )
         options = {
             "server_header": False,
@@ -265,6 +269,10 @@
             ports.port(doors, boot.entries, **options),
             ports.port(SnapshotApp(self.registry), boot.peers, **options),
         ]
+        metrics_port = os.environ.get(METRICS_VARIABLE)
+        if metrics_port:
+            address = f"{boot.ip}:{metrics_port}"
+            self._ports.append(ports.port(doors, address, **options))
 
     def _adopt(self, snapshot: Snapshot, peer: str) -> None:
         try:
@@ -324,13 +332,6 @@
             members = membership.view
         return entrylist.in_order(members, zone, self._rng)
 
-    def _metrics(self) -> bytes:
-        lines = [
-            f"jasminerelay_{name.replace('.', '_')} {count}"
-            for name, count in self.counters.snapshot().items()
-        ]
-        return ("\n".join(lines) + "\n").encode()
-
     def _under_way(self) -> int:
         return len(self._callers_port.server_state.tasks)
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -215,6 +215,9 @@
     def test_core_imports_no_adapter(self) -> None:
         package = ROOT / "src/jasminerelay"
         for path in package.glob("*.py"):
+            if path.name == "cli.py":
+                # The tool, which wires commands of both interfaces.
+                continue
             self.assertNotIn(
                 "jasminerelay.platform", path.read_text(), path.name
             )
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,122 @@
+"""From a request's id to its cause."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from jasminerelay import cli, explain
+
+
+def line(at: float, instance: str, event: str, **fields) -> str:
+    """Returns a line as an instance writes it, with a collector's prefix."""
+    body = {"at": at, "instance": instance, "event": event, **fields}
+    return f"2026 {instance} {json.dumps(body)}"
+
+
+LOG = [
+    line(9.0, "edge-2", "request", id="other", servers=["s1"], total_s=1.0),
+    line(10.0, "edge-1", "server", server="s1", state="draining"),
+    line(10.1, "edge-1", "server", server="s2", state="gone"),
+    line(10.2, "edge-1", "dependency_lost", name="store", why="reset"),
+    line(
+        12.0,
+        "edge-1",
+        "request",
+        id="a1",
+        ended="done",
+        status=200,
+        why="broke off",
+        servers=["s1"],
+        events=7,
+        waited_s=0.5,
+        first_s=0.7,
+        pause_s=0.2,
+        total_s=2.5,
+        configuration=4,
+        store_age_s=1.8,
+        instances=6,
+        left_out=3,
+    ),
+    "not a line of ours",
+    "{broken",
+    '{"no": "event"}',
+]
+
+
+class ExplainTest(unittest.TestCase):
+    """The walk that an on-call engineer reads."""
+
+    def test_walk(self) -> None:
+        events, left_out = explain.read(LOG)
+        found = explain.explain("a1", events, left_out)
+        self.assertEqual(len(found.own), 1)
+        shown = [str(event) for event in found.surroundings]
+        self.assertEqual(len(shown), 2)
+        self.assertIn("draining", shown[0])
+        self.assertIn("dependency_lost", shown[1])
+        words = " ".join(found.causes)
+        self.assertIn("waited 0.5 s", words)
+        self.assertIn("broke off", words)
+        self.assertIn("1.8 s old", words)
+        self.assertEqual(found.left_out, 3)
+
+    def test_unknown_request(self) -> None:
+        events, _ = explain.read(LOG)
+        self.assertIsNone(explain.explain("nobody", events))
+
+    def test_refusal_and_repeat(self) -> None:
+        log = [
+            line(1.0, "e", "refused", id="x", status=401, why="no such key"),
+            line(
+                2.0,
+                "e",
+                "request",
+                id="y",
+                ended="caller left",
+                status=0,
+                servers=["s1", "s2"],
+                total_s=1.0,
+            ),
+        ]
+        events, _ = explain.read(log)
+        (cause,) = explain.explain("x", events).causes
+        self.assertIn("401", cause)
+        words = " ".join(explain.explain("y", events).causes)
+        self.assertIn("sent to 2 servers", words)
+        self.assertIn("the caller left", words)
+
+
+class ToolTest(unittest.TestCase):
+    """The commands."""
+
+    def run_tool(self, *arguments: str) -> tuple[int, str]:
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+            status = cli.main(list(arguments))
+        return status, out.getvalue()
+
+    def test_explain(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "log"
+            path.write_text("\n".join(LOG))
+            status, text = self.run_tool("explain", "a1", str(path))
+            self.assertEqual(status, 0)
+            self.assertIn("In words:", text)
+            status, text = self.run_tool("explain", "none", str(path))
+            self.assertEqual(status, 1)
+            self.assertIn("all instances", text)
+
+    def test_platform_check(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "node.toml"
+            path.write_text("nodeName = 3")
+            status, text = self.run_tool("platform", "check", str(path))
+            self.assertEqual(status, 2)
+            self.assertIn("docs/PLATFORM.md", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
