--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -244,7 +244,7 @@
         front = Front(
             kit,
             lambda: self.registry.catalog if self.registry.complete else None,
-            self._current,
+            lambda: self.current,
             lambda: self._stop is not None,
             self._takes,
             self.log,
@@ -309,7 +309,9 @@
             "instances": self._peers.count,
         }
 
-    def _current(self) -> bool:
+    @property
+    def current(self) -> bool:
+        """Whether the configuration was confirmed of late."""
         now = time.monotonic()
         if now - self._store_state.answered < CURRENT_S:
             return not self._store_state.lost
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 TICK_S = 0.01
 
@@ -21,6 +22,8 @@
         break_after: Events after which the coming streams break off; 0 for
             never.
         cross: Coming requests whose answer names another request.
+        tear_after: Events after which the coming streams end in order, but
+            inside an event; 0 for never.
         torn: Whether a stream that breaks off ends inside an event.
     """
 
@@ -29,6 +32,7 @@
     mute: int = 0
     break_after: int = 0
     cross: int = 0
+    tear_after: int = 0
     torn: bool = False
 
 
@@ -42,6 +46,7 @@
         target: Path and query.
         body: Its body.
         ended: Whether it came to its end.
+        moved: Whether it was stopped to go on elsewhere.
     """
 
     attempt: str
@@ -49,6 +54,7 @@
     target: str
     body: bytes
     ended: bool = False
+    moved: bool = False
 
 
 class PlatformServer:
@@ -64,6 +70,7 @@
         self.journal: list[Ran] = []
         self.most = 0
         self.running = 0
+        self.moves = 0
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -74,7 +81,9 @@
         }
         body = await _body(receive)
         attempt = headers.get("attempt-id", "")
-        if headers.get("expect-instance", self.name) != self.name:
+        if scope["path"] == "/-/kv-move":
+            await self._move(send, json.loads(body))
+        elif headers.get("expect-instance", self.name) != self.name:
             await self._reject(send, 421, attempt)
         elif self.faults.refuse:
             self.faults.refuse -= 1
@@ -87,6 +96,15 @@
             self.journal.append(ran)
             await self._run(scope, receive, send, ran)
 
+    async def _move(self, send, order: dict) -> None:
+        for ran in self.journal:
+            if ran.attempt == order["id"] and not ran.ended:
+                ran.moved = True
+                self.moves += 1
+                await _json(send, 200, {"handle": "h1", "created": 0})
+                return
+        await _json(send, 404, {})
+
     async def _run(self, scope, receive, send, ran: Ran) -> None:
         self.running += 1
         self.most = max(self.most, self.running)
@@ -131,6 +149,11 @@
         first = int(ran.headers.get("last-event-id", "0")) + 1
         for number in range(first, events + 1):
             await asyncio.sleep(TICK_S)
+            if ran.moved:
+                return
+            if self.faults.tear_after and number > self.faults.tear_after:
+                await _piece(send, b"id: %d\ndata: to" % number)
+                break
             if self.faults.break_after and number > self.faults.break_after:
                 if self.faults.torn:
                     await _piece(send, b"id: %d\ndata: to" % number)
@@ -178,6 +201,18 @@
         ]
 
 
+async def _json(send, status: int, value: dict) -> None:
+    body = json.dumps(value).encode()
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [(b"content-length", str(len(body)).encode())],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
 async def _piece(send, data: bytes) -> None:
     await send({"type": "http.response.body", "body": data, "more_body": True})
 
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -113,7 +113,7 @@
             _route("lookup", "/lookup/", PLAIN, routeType="idempotent",
                    maxAttempts=2),
             _route("confirm", "/confirm/", PLAIN,
-                   routeType="non_idempotent"),
+                   routeType="non_idempotent", maxAttempts=2),
         ]  # fmt: skip
         for route in routes:
             route.update(self.options.routes.get(route["name"], {}))
@@ -129,7 +129,7 @@
                         "slotCount": 8,
                         "kvCapacity": 100_000,
                         "kvTokenBytes": 1000,
-                        "stride": 5,
+                        "stride": 1,
                     },
                 },
                 {
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -56,26 +56,38 @@
     """Decisions own no socket: they import no module that does."""
 
     PURE = (
+        "admission",
         "broker",
         "burn",
+        "catalog",
         "claims",
         "entrylist",
         "estimate",
+        "explain",
         "fencing",
+        "groups",
+        "lengths",
         "limits",
         "manifest",
         "membership",
         "naive",
         "ordering",
         "outcome",
+        "pace",
+        "placing",
         "prefix",
+        "registry",
         "rendezvous",
         "resume",
         "retry",
         "routing",
+        "sharedbudget",
+        "silences",
         "spread",
         "sse",
+        "stopping",
         "stragglers",
+        "workload",
     )
     OWNERS = ("anyio", "grpc", "httpcore", "uvicorn", "starlette", "socket")
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -175,6 +175,15 @@
             self.assertEqual(answer.body, events(7))
             self.assertEqual(self.runs(site), 1)
 
+    async def test_torn_event_is_no_end(self) -> None:
+        # A server ends its answer in order, but inside an event. That is not
+        # an answer's end, and the caller must not take it for one.
+        async with self.site() as (site, (instance,)):
+            self.arm(site, MODEL, tear_after=7)
+            answer = await self.ask(instance, "/sheet/1/stream", **PROMPT)
+            self.assertFalse(answer.whole)
+            self.assertEqual(answer.body, events(7))
+
     async def test_crossed_answer_is_dropped(self) -> None:
         # A server answers with the id of another request. The caller must not
         # get it; a request that may be repeated goes to the other server.
@@ -216,6 +225,42 @@
                 )
                 self.assertEqual(answer.status, 200)
 
+    async def test_stream_is_moved_from_leaving_server(self) -> None:
+        # A server says that it leaves, in the middle of a stream that may run
+        # once and would go on for longer than the server. Its run is stopped,
+        # the other server goes on from its memory, and the caller sees every
+        # event once.
+        async with self.site() as (site, (instance,)):
+            answers = []
+
+            async def ask() -> None:
+                answers.append(
+                    await self.ask(
+                        instance,
+                        "/sheet/1/stream",
+                        Token_Usage="1200,250",
+                        Length_Hint="250",
+                        Prefix_Hash="aa:1000,bb:200",
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(lambda: self.runs(site) == 1)
+                (name,) = [n for n, s in site.servers.items() if s.journal]
+                await anyio.sleep(0.2)
+                site.register(name, MODEL, "draining")
+            self.assertEqual(answers[0].body, events(250))
+            self.assertTrue(answers[0].whole)
+            self.assertEqual(site.servers[name].moves, 1)
+            (other,) = [
+                server
+                for key, server in site.servers.items()
+                if server.journal and key != name
+            ]
+            came_from = other.journal[0].headers["kv-from"]
+            self.assertEqual(came_from, f"{site.addresses[name]}/h1")
+
     async def test_draining_server_gets_nothing(self) -> None:
         async with self.site() as (site, (instance,)):
             site.register("plain-1", PLAIN, "draining")
@@ -251,6 +296,18 @@
             await self.until(lambda: first.version == site.version)
             await self.until(lambda: len(first.registry.servers_of(PLAIN)) == 1)
 
+    async def test_unknown_route_without_touch(self) -> None:
+        # An instance has lost the store and knows no other. A route that it
+        # does not know may have been added since: "not found" would be final
+        # for the caller, so it says "not yet".
+        async with self.site() as (site, (instance,)):
+            site.store.faults.down = True
+            await self.until(lambda: not instance.current)
+            answer = await self.ask(instance, "/new/x")
+            self.assertEqual(answer.status, 503)
+            wrong = await self.ask(instance, "/confirm/x", key="new")
+            self.assertEqual(wrong.status, 503)
+
     async def test_serves_without_store(self) -> None:
         async with self.site() as (site, (instance,)):
             site.store.faults.down = True
