Take no answer without an id on a connection that was used before

A faulty server sent a second answer to an old request on a kept connection, just where the next one's answer was expected, and it named no request; it was passed on as the next one's.

Change: on a used connection an answer must name its request. The raw server of tests/test_platform.py plays it; the test failed before.

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -191,6 +191,7 @@
             content=self._call.body or None,
         )
         self._maybe_ran = True
+        kept = not channel.fresh
         try:
             response = await channel.send(request, self._silence_s())
         except SilentError as exc:
@@ -199,7 +200,11 @@
             return Unknown(str(exc))
         self._kit.dispatcher.heard(server.id, time.monotonic())
         head = self._kit.dialect.head(response.status, response.headers)
-        if head.request and head.request != self._call.id:
+        # A faulty server's second answer to an old request may come just where
+        # this one's is expected. On a connection that was used before, only
+        # the id tells; one without an id may be anybody's.
+        named = head.request or ("" if kept else self._call.id)
+        if named != self._call.id:
             self._kit.channels.distrust(server)
             self._kit.counters.incr("backend.crossed")
             return Unknown("an answer to another request came")
--- a/tests/safeguards.py
+++ b/tests/safeguards.py
@@ -312,10 +312,17 @@
     Safeguard(
         "an answer to another request is dropped",
         "forwarding",
-        "if head.request and head.request != self._call.id:",
+        "if named != self._call.id:",
         "if False:",
         "test_platform.FailuresTest.test_crossed_answer_is_dropped",
     ),
+    Safeguard(
+        "an answer without an id is dropped on a used connection",
+        "forwarding",
+        'named = head.request or ("" if kept else self._call.id)',
+        "named = head.request or self._call.id",
+        "test_platform.FailuresTest.test_stale_answer_without_id",
+    ),
     Safeguard(
         "what may run once is not repeated",
         "forwarding",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,9 @@
 """The whole path on the platform's interface, against its stand-ins."""
 
+import asyncio
+import contextlib
 import json
+import re
 import unittest
 
 import anyio
@@ -196,6 +199,29 @@
                 )
                 self.assertEqual(answer.body, b"answer to a%d" % number)
 
+    async def test_stale_answer_without_id(self) -> None:
+        # A faulty server sends a second answer to an old request, just where
+        # the answer to the next one on that connection is expected, and it
+        # names no request. Played in a hunt (Teixeira scale-2, seed
+        # 412546946666): the caller got another request's answer as its own.
+        async with self.site() as (site, (instance,)):
+            for name in ("plain-1", "plain-2"):
+                site.kill_server(name)
+                site.store.drop("servers", name)
+            async with raw_server(stale_second_answer) as address:
+                site.addresses["raw"] = address
+                site.register("raw", PLAIN)
+                await self.until(
+                    lambda: len(instance.registry.servers_of(PLAIN)) == 1
+                )
+                for number in range(4):
+                    answer = await self.ask(
+                        instance, "/lookup/x", "GET", f"a{number}"
+                    )
+                    if answer.status == 200:
+                        self.assertEqual(answer.body, b"a%d" % number)
+                    await anyio.sleep(0.05)
+
     async def test_caller_leaves(self) -> None:
         # A caller closes its connection in the middle of a stream; the server
         # must stop within half a second.
@@ -272,6 +298,38 @@
             self.assertEqual(site.servers["plain-1"].journal, [])
 
 
+@contextlib.asynccontextmanager
+async def raw_server(serve):
+    """Runs a server that writes bytes as told; gives its address."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}"
+
+
+async def stale_second_answer(reader, writer) -> None:
+    """Answers the second request on a connection with a stale answer first."""
+    served = 0
+    while True:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            writer.close()
+            return
+        attempt = re.search(rb"(?i)attempt-id: (\S+)", head).group(1)
+        if served:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nServer-Signature: x\r\n"
+                b"Content-Length: 5\r\n\r\nstale"
+            )
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nServer-Signature: x\r\nAttempt-Id: %s\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (attempt, len(attempt), attempt)
+        )
+        await writer.drain()
+        served += 1
+
+
 class StoreOutageTest(PlatformCase):
     """Instances that the store does not serve."""
 
