Never begin a moved run anew

Cause: found by reading. A run that may run once is stopped and moved; the server that it goes to rejects it as not run. The next server then got the request without the memory, which runs it a second time.

Change: a moved run counts as one; without its memory no server gets it. tests/test_platform.py plays it with three engines and failed before. An answer of a second server that is no stream does not follow a begun one.

Ruled out: sending the copy's name again: it can be used once.

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -233,6 +233,9 @@
         done.head = head
         if head.not_run:
             return NotRun(f"status {head.status}")
+        if self._sink.started:
+            # A second server does not go on with a stream that has begun.
+            return Unknown(f"status {head.status}")
         if head.status >= SERVER_ERROR:
             return Failed(head, body)
         await self._pass_on(head, body)
@@ -362,6 +365,10 @@
         """Whether the run was stopped on purpose and goes on elsewhere."""
         return self._copy is not None
 
+    def go_on(self) -> None:
+        """Notes that a run was moved: it counts as one, wherever it ends."""
+        self._ran = max(self._ran, 1)
+
     def again(self) -> bool:
         """Returns whether one more server may run the request."""
         self._ran += 1
@@ -376,15 +383,26 @@
         self._not_sent += 1
         if not self._ran and not self._not_run:
             self._maybe_ran = False
-        return self._not_sent <= MAX_NOT_SENT
+        return self._not_sent <= MAX_NOT_SENT and not self._ran_its_once
 
     def again_not_run(self, why: str) -> bool:
         """Returns whether one more may be tried after one that did not run."""
         self._why = why
         self._not_run += 1
         self._maybe_ran = self._ran > 0
+        if self._ran_its_once:
+            return False
         return self._not_run <= MAX_NOT_RUN and self._repeat_allowed()
 
+    @property
+    def _ran_its_once(self) -> bool:
+        """Whether it may run once and has.
+
+        So it is with a run that was moved: without its memory no server may
+        begin it anew, even if the one that it was moved to has rejected it.
+        """
+        return self._ran > 0 and self._call.route.repeat is Repeat.ONCE
+
     def keep(self, failed: Failed) -> None:
         """Keeps a server's failure, to pass on if nothing better comes."""
         self._kept = failed
@@ -568,6 +586,7 @@
 @next_step.register
 async def _(outcome: Interrupted, delivery: Delivery) -> bool:
     if delivery.moved:
+        delivery.go_on()
         return True
     delivery.note(outcome.why)
     if delivery.again():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 import anyio
 
 from jasminerelay.httpclient import NotSentError
+from standins.platformserver import ServerFaults
 from standins.platformsite import HOST, KEY, MODEL, PLAIN
 from tests.platformcase import PlatformCase, events, fetch
 
@@ -251,33 +252,39 @@
                 )
                 self.assertEqual(answer.status, 200)
 
+    async def move_away(self, site, instance, before_leaving) -> tuple:
+        """Lets a server leave in mid-stream; gives its name and the answer."""
+        answers = []
+
+        async def ask() -> None:
+            answers.append(
+                await self.ask(
+                    instance,
+                    "/sheet/1/stream",
+                    Token_Usage="1200,250",
+                    Length_Hint="250",
+                    Prefix_Hash="aa:1000,bb:200",
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await self.until(lambda: self.runs(site) == 1)
+            (name,) = [n for n, s in site.servers.items() if s.journal]
+            await anyio.sleep(0.2)
+            before_leaving()
+            site.register(name, MODEL, "draining")
+        return name, answers[0]
+
     async def test_stream_is_moved_from_leaving_server(self) -> None:
         # A server says that it leaves, in the middle of a stream that may run
         # once and would go on for longer than the server. Its run is stopped,
         # the other server goes on from its memory, and the caller sees every
         # event once.
         async with self.site() as (site, (instance,)):
-            answers = []
-
-            async def ask() -> None:
-                answers.append(
-                    await self.ask(
-                        instance,
-                        "/sheet/1/stream",
-                        Token_Usage="1200,250",
-                        Length_Hint="250",
-                        Prefix_Hash="aa:1000,bb:200",
-                    )
-                )
-
-            async with anyio.create_task_group() as group:
-                group.start_soon(ask)
-                await self.until(lambda: self.runs(site) == 1)
-                (name,) = [n for n, s in site.servers.items() if s.journal]
-                await anyio.sleep(0.2)
-                site.register(name, MODEL, "draining")
-            self.assertEqual(answers[0].body, events(250))
-            self.assertTrue(answers[0].whole)
+            name, answer = await self.move_away(site, instance, lambda: None)
+            self.assertEqual(answer.body, events(250))
+            self.assertTrue(answer.whole)
             self.assertEqual(site.servers[name].moves, 1)
             (other,) = [
                 server
@@ -287,6 +294,27 @@
             came_from = other.journal[0].headers["kv-from"]
             self.assertEqual(came_from, f"{site.addresses[name]}/h1")
 
+    async def test_refused_move_is_no_second_run(self) -> None:
+        # The same, but the other server rejects the moved run. The request
+        # has run once; sending it without the memory would run it again, so
+        # the caller gets an answer without an end.
+        async with self.site() as (site, (instance,)):
+            await site.add_server("engine-3", MODEL)
+            await self.until(
+                lambda: len(instance.registry.servers_of(MODEL)) == 3
+            )
+
+            def refuse() -> None:
+                # Whichever is chosen rejects it; the one after that would not.
+                once = ServerFaults(refuse=1)
+                for server in site.servers.values():
+                    if not server.journal:
+                        server.faults = once
+
+            _, answer = await self.move_away(site, instance, refuse)
+            self.assertFalse(answer.whole)
+            self.assertEqual(self.runs(site), 1)
+
     async def test_draining_server_gets_nothing(self) -> None:
         async with self.site() as (site, (instance,)):
             site.register("plain-1", PLAIN, "draining")
