Split one try at one server from the way to the final answer

attempt sends to one server and passes its answer on; forwarding decides what follows. Behaviour is as it was: the tests of the whole path and the safeguards' list pass.

--- /dev/null
+++ b/src/jasminerelay/attempt.py
@@ -0,0 +1,365 @@
+"""One request at one backend server, and its answer on the way back."""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+import httpcore
+
+from jasminerelay import sse
+from jasminerelay.catalog import BackendServer, Call, Repeat, Route
+from jasminerelay.channels import Channel, Channels, SilentError
+from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.evacuation import STAY_S, Copy, Evacuator
+from jasminerelay.eventlog import EventLog
+from jasminerelay.exchange import (
+    Delivered,
+    Dialect,
+    Failed,
+    Head,
+    Interrupted,
+    NotRun,
+    NotSent,
+    Outcome,
+    Sending,
+    Sink,
+    Unknown,
+)
+from jasminerelay.httpclient import BrokenError, NotSentError, body_chunks
+from jasminerelay.metrics import Counters
+from jasminerelay.sharedbudget import SharedBudget
+from jasminerelay.telemetry import Telemetry
+from jasminerelay.waitingroom import Seat, WaitingRoom
+
+SHORT_SILENCE = 2.5
+SHORT_SILENCE_LEAST_S = 0.5
+"""Objectives' worth of silence, and the least of it, after which an idempotent
+call goes to a second server. Answers that take longer than twice the objective
+are rarer than servers that take requests and never answer."""
+
+STREAM_SILENCE_S = 1.0
+PAUSES = 4
+"""Silence after which a resumable stream goes on elsewhere: this long, or
+four of its longest pauses, whichever is longer. Callers leave after two
+seconds or eight pauses."""
+
+NO_LIMIT_S = 3600.0
+
+OK = 200
+SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class Kit:
+    """What forwarding works with.
+
+    Attributes:
+        dispatcher: Chooses servers.
+        room: Where requests wait.
+        channels: Connections to servers.
+        dialect: Words of the interface.
+        evacuator: Moves streams away from servers that leave.
+        budget: Repeats that may be sent.
+        counters: Counts events.
+        telemetry: Takes times.
+        log: Takes events.
+        rng: Source of random choices.
+        versions: Returns what the decisions rest on, for the log.
+    """
+
+    dispatcher: Dispatcher
+    room: WaitingRoom
+    channels: Channels
+    dialect: Dialect
+    evacuator: Evacuator
+    budget: SharedBudget
+    counters: Counters
+    telemetry: Telemetry
+    log: EventLog
+    rng: random.Random
+    versions: Callable[[], dict[str, float]]
+
+
+@dataclasses.dataclass
+class Progress:
+    """How far a request has come, over all its attempts.
+
+    Attributes:
+        last_event: Id of the last event that its caller has.
+        events: Events passed on.
+        first_at: Steady time of the first one; 0 before it.
+        pause_s: Longest pause between two of them.
+        status: Status of the answer; 0 before it.
+        tried: Servers that it was sent to, in turn.
+        ran: Servers that have run it, or may have.
+        maybe_ran: Whether it can no longer be said that it has not run.
+        copy: Memory that it goes on from, if it was moved.
+    """
+
+    last_event: str
+    events: int = 0
+    first_at: float = 0.0
+    pause_s: float = 0.0
+    status: int = 0
+    tried: list[str] = dataclasses.field(default_factory=list)
+    ran: int = 0
+    maybe_ran: bool = False
+    copy: Copy | None = None
+
+    def may_repeat(self, route: Route) -> bool:
+        """Returns whether one more server may run it after the present."""
+        if route.repeat is Repeat.ONCE:
+            return False
+        return self.ran + 1 < route.max_servers
+
+
+class Attempt:
+    """One request at one server."""
+
+    def __init__(self, kit: Kit, call: Call, sink: Sink, progress: Progress):
+        self._kit = kit
+        self._call = call
+        self._sink = sink
+        self._progress = progress
+        self._moving: anyio.Event | None = None
+
+    async def run(self, seat: Seat) -> Outcome:
+        """Sends the request to the seat's server and passes on the answer."""
+        server = seat.placed.server
+        try:
+            channel = await self._kit.channels.take(server)
+        except NotSentError as exc:
+            return NotSent(str(exc))
+        done = _Done()
+        try:
+            return await self._speak(seat, channel, done)
+        finally:
+            if done.head is None:
+                with anyio.CancelScope(shield=True):
+                    await channel.aclose()
+            else:
+                head = done.head
+                await self._kit.channels.give_back(
+                    channel, head.idle_s, head.closing
+                )
+
+    async def _speak(
+        self, seat: Seat, channel: Channel, done: "_Done"
+    ) -> Outcome:
+        server = channel.server
+        left_s = self._call.ends - time.monotonic()
+        copy, self._progress.copy = self._progress.copy, None
+        sending = Sending(
+            self._call,
+            server,
+            left_s,
+            after=self._progress.last_event,
+            copy=copy,
+        )
+        request = httpcore.Request(
+            self._call.method,
+            channel.url(self._call.target),
+            headers=self._kit.dialect.request_headers(sending),
+            content=self._call.body or None,
+        )
+        self._progress.maybe_ran = True
+        kept = not channel.fresh
+        try:
+            response = await channel.send(request, self._silence_s())
+        except SilentError as exc:
+            return Unknown(f"silent: {exc}")
+        except BrokenError as exc:
+            return Unknown(str(exc))
+        self._kit.dispatcher.heard(server.id, time.monotonic())
+        head = self._kit.dialect.head(response.status, response.headers)
+        # A faulty server's second answer to an old request may come just where
+        # this one's is expected. On a connection that was used before, only
+        # the id tells; one without an id may be anybody's.
+        named = head.request or ("" if kept else self._call.id)
+        if named != self._call.id:
+            self._kit.channels.distrust(server)
+            self._kit.counters.incr("backend.crossed")
+            return Unknown("an answer to another request came")
+        if self._call.route.streaming and head.status == OK:
+            return await self._stream(seat, channel, response, head, done)
+        return await self._whole(channel, response, head, done)
+
+    async def _whole(
+        self,
+        channel: Channel,
+        response: httpcore.Response,
+        head: Head,
+        done: "_Done",
+    ) -> Outcome:
+        try:
+            body = await response.aread()
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            if head.not_run:
+                return NotRun(f"status {head.status}")
+            return Unknown(f"broke off: {exc!r}")
+        except httpcore.TimeoutException as exc:
+            return Unknown(f"silent: {exc!r}")
+        await response.aclose()
+        if not channel.reusable and not head.closing:
+            self._kit.channels.distrust(channel.server)
+        done.head = head
+        if head.not_run:
+            return NotRun(f"status {head.status}")
+        if self._sink.started:
+            # A second server does not go on with a stream that has begun.
+            return Unknown(f"status {head.status}")
+        if head.status >= SERVER_ERROR:
+            return Failed(head, body)
+        await self.pass_on(head, body)
+        return Delivered(head.status)
+
+    async def _stream(
+        self,
+        seat: Seat,
+        channel: Channel,
+        response: httpcore.Response,
+        head: Head,
+        done: "_Done",
+    ) -> Outcome:
+        server = channel.server
+        told = self._kit.evacuator.attach(server.id)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._move_when_told, server, told)
+                outcome = await self._pass_stream(seat, response, head)
+                moving = self._moving
+                if moving is not None:
+                    # The stream may end before the answer to the order comes.
+                    await moving.wait()
+                group.cancel_scope.cancel()
+        finally:
+            self._kit.evacuator.detach(server.id, told)
+        if isinstance(outcome, Delivered):
+            await response.aclose()
+            done.head = head
+            if not self._sink.started:
+                await self._sink.start(head.status, head.headers)
+            await self._sink.finish()
+        return outcome
+
+    async def _pass_stream(
+        self, seat: Seat, response: httpcore.Response, head: Head
+    ) -> Outcome:
+        cutter = sse.EventCutter()
+        timer = _StreamTimer(self._kit, self._call, seat)
+        progress = self._progress
+        try:
+            async for chunk in body_chunks(response):
+                events = cutter.feed(chunk)
+                if events:
+                    timer.events(len(events))
+                    progress.pause_s = max(progress.pause_s, timer.pause_s)
+                    progress.first_at = progress.first_at or timer.first_at
+                    await self._pass_events(head, events)
+        except (BrokenError, ValueError) as exc:
+            return Interrupted(str(exc))
+        if cutter.torn:
+            return Interrupted("the stream ended inside an event")
+        self._progress.status = head.status
+        self._kit.dispatcher.lengths.observe(
+            self._call.route.name, self._progress.events * timer.event_tokens
+        )
+        return Delivered(head.status)
+
+    async def _move_when_told(
+        self, server: BackendServer, told: anyio.Event
+    ) -> None:
+        await told.wait()
+        dispatcher = self._kit.dispatcher
+        left_s = dispatcher.left_s(self._call, server, self._progress.events)
+        if not self._sink.started or left_s < STAY_S:
+            return
+        target = dispatcher.refuge(self._call, frozenset(self._progress.tried))
+        if target is None:
+            return
+        self._moving = anyio.Event()
+        try:
+            self._progress.copy = await self._kit.evacuator.move(
+                self._call, server, target
+            )
+        finally:
+            self._moving.set()
+            self._moving = None
+
+    async def _pass_events(
+        self, head: Head, events: list[sse.RawEvent]
+    ) -> None:
+        if not events:
+            return
+        if not self._sink.started:
+            await self._sink.start(head.status, head.headers)
+            self._progress.status = head.status
+        self._progress.events += len(events)
+        for event in reversed(events):
+            if event.id:
+                self._progress.last_event = event.id.decode("latin-1")
+                break
+        await self._sink.send(b"".join(event.data for event in events))
+
+    def _silence_s(self) -> float:
+        route = self._call.route
+        if route.repeat is Repeat.IDEMPOTENT and self._progress.may_repeat(
+            route
+        ):
+            return max(SHORT_SILENCE_LEAST_S, SHORT_SILENCE * route.objective_s)
+        if route.repeat is Repeat.RESUMABLE and self._progress.may_repeat(
+            route
+        ):
+            return max(STREAM_SILENCE_S, PAUSES * route.pause_s)
+        # A server's silence is no reason to give up on what cannot be sent
+        # again: the request's own time limit ends it.
+        return NO_LIMIT_S
+
+    async def pass_on(self, head: Head, body: bytes) -> None:
+        """Passes on a whole answer."""
+        self._progress.status = head.status
+        length = (b"content-length", str(len(body)).encode())
+        await self._sink.start(head.status, (*head.headers, length))
+        await self._sink.send(body)
+        await self._sink.finish()
+
+
+class _StreamTimer:
+    """Measures one stream as its events pass."""
+
+    def __init__(self, kit: Kit, call: Call, seat: Seat):
+        self._kit = kit
+        self._call = call
+        self._seat = seat
+        self._latest = 0.0
+        engine = kit.dispatcher.engine_of(call.service)
+        self.event_tokens = engine.event_tokens if engine else 1
+        self.first_at = 0.0
+        self.pause_s = 0.0
+
+    def events(self, count: int) -> None:
+        """Notes events that have just come."""
+        now = time.monotonic()
+        self._kit.dispatcher.heard(self._seat.placed.server.id, now)
+        if not self.first_at:
+            self.first_at = now
+            self._seat.run.read()
+            self._kit.room.freed(self._call.service)
+        else:
+            self._kit.dispatcher.paces.observe(
+                self._seat.placed.server.id,
+                count * self.event_tokens,
+                now - self._latest,
+                now,
+            )
+            self.pause_s = max(self.pause_s, now - self._latest)
+        self._latest = now
+
+
+@dataclasses.dataclass
+class _Done:
+    """Set when an exchange is complete and its connection may be kept."""
+
+    head: Head | None = None
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from jasminerelay.attempt import Kit
 from jasminerelay.catalog import Call, Catalog, Route
 from jasminerelay.errors import (
     BadRequestError,
@@ -17,7 +18,7 @@
     UnknownKeyError,
 )
 from jasminerelay.eventlog import EventLog
-from jasminerelay.forwarding import Delivery, Kit
+from jasminerelay.forwarding import Delivery
 from jasminerelay.platform import headers
 
 RETRY_S = 0.5
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -13,6 +13,7 @@
 import anyio
 
 from jasminerelay import entrylist, headbound, ports
+from jasminerelay.attempt import Kit
 from jasminerelay.catalog import Catalog
 from jasminerelay.channels import Channels
 from jasminerelay.dispatcher import Dispatcher
@@ -20,7 +21,6 @@
 from jasminerelay.evacuation import Evacuator
 from jasminerelay.eventlog import Bridge, EventLog
 from jasminerelay.following import Follower, RegistryFeed, StoreState
-from jasminerelay.forwarding import Kit
 from jasminerelay.httpclient import Client
 from jasminerelay.membership import LEAVING
 from jasminerelay.metrics import Counters
