--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -7,9 +7,7 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Iterable, Mapping
-
-RANK_FIRST = 0
+from collections.abc import Mapping
 
 
 class Repeat(enum.Enum):
@@ -127,16 +125,10 @@
     """What callers may send.
 
     Attributes:
-        head_bytes: Most bytes of a request's head.
         body_bytes: Most bytes of a request's body.
-        head_s: Longest time that a head may take.
-        idle_s: Longest time that a connection may rest between requests.
     """
 
-    head_bytes: int
     body_bytes: int
-    head_s: float
-    idle_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -282,14 +274,3 @@
     last_event: str
     arrived: float
     ends: float
-
-
-def usable(
-    servers: Iterable[BackendServer], service: str
-) -> list[BackendServer]:
-    """Returns the servers of a service that take new work."""
-    return [
-        server
-        for server in servers
-        if server.service == service and not server.draining
-    ]
--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -86,10 +86,6 @@
         except httpcore.TimeoutException as exc:
             raise SilentError(repr(exc)) from exc
 
-    def limit_silence(self, silence_s: float) -> None:
-        """Sets the longest silence of the server from now on."""
-        self._stream.read_limit_s = silence_s
-
     @property
     def reusable(self) -> bool:
         """Whether a further request may be sent on it."""
@@ -111,7 +107,6 @@
         self._backend = WatchedBackend(watchdog, keepalive=True)
         self._kept: dict[str, collections.deque[_Kept]] = {}
         self._distrusted: dict[str, float] = {}
-        self.opened = 0
 
     async def take(self, server: BackendServer) -> Channel:
         """Returns a kept connection, or a new one.
@@ -172,6 +167,5 @@
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise NotSentError(repr(exc)) from exc
-        self.opened += 1
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         return Channel(server, stream, origin)
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -219,10 +219,6 @@
         self.meter.tick(now)
         self._split(now)
 
-    def split_of(self, service: str) -> Split | None:
-        """Returns the present split of a service."""
-        return self._splits.get(service)
-
     def _engine_busy_s(self, call: Call, unread: int) -> float:
         output = self._guess(call).output
         step_s = self._fastest_of(call.service).token_s
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -37,7 +37,6 @@
         status: HTTP status.
         headers: Header fields to pass on.
         not_run: Whether the server says that it did not run the request.
-        elsewhere: Whether another server has the address now.
         request: Id of the request that it answers; "" if it names none.
         closing: Whether the server ends the connection after the answer.
         idle_s: How long the server keeps an idle connection; None if it does
@@ -47,7 +46,6 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     not_run: bool
-    elsewhere: bool
     request: str
     closing: bool
     idle_s: float | None
--- a/src/jasminerelay/platform/bootfile.py
+++ b/src/jasminerelay/platform/bootfile.py
@@ -9,8 +9,6 @@
 from jasminerelay import checking, settings
 from jasminerelay.errors import Problem
 
-MS = 1000.0
-
 
 class _Listen(msgspec.Struct):
     front: str
@@ -19,8 +17,6 @@
 
 
 class _Bounds(msgspec.Struct):
-    # Time that a leaving backend server goes on after the word of it.
-    drain_ms: float = msgspec.field(name="drainMs", default=2000)
     # Time between SIGTERM and SIGKILL.
     grace_s: float = msgspec.field(name="graceS", default=8)
     retry_ratio: float = msgspec.field(name="retryBudgetRatio", default=0.2)
@@ -32,8 +28,6 @@
 
 class _Platform(msgspec.Struct):
     address: str
-    writes_per_s: float = msgspec.field(name="writesPerS", default=400)
-    reads_per_s: float = msgspec.field(name="readsPerS", default=2000)
 
 
 class _BootFile(msgspec.Struct):
@@ -65,11 +59,7 @@
         peers: IP:port for traffic between instances.
         seeds: Peers' addresses that may be stale.
         store: IP:port of the platform's store.
-        store_writes_s: Writes a second that all instances may make together.
-        store_reads_s: Reads a second that all instances may make together.
         grace_s: Time from SIGTERM to SIGKILL.
-        drain_s: Time after the word of a server's leaving in which it still
-            takes requests.
         entry_ttl_s: Longest time that callers keep an entry list.
         retry_ratio: Repeats allowed per request, over all instances.
         retry_allowance: Repeats allowed beside that.
@@ -86,10 +76,7 @@
     peers: str
     seeds: tuple[str, ...]
     store: str
-    store_writes_s: float
-    store_reads_s: float
     grace_s: float
-    drain_s: float
     entry_ttl_s: float
     retry_ratio: float
     retry_allowance: float
@@ -155,10 +142,7 @@
         own,
         tuple(seed for seed in seeds if seed != own),
         raw.platform.address,
-        raw.platform.writes_per_s,
-        raw.platform.reads_per_s,
         raw.bounds.grace_s,
-        raw.bounds.drain_ms / MS,
         raw.bounds.ttl_max_s,
         raw.bounds.retry_ratio,
         raw.bounds.retry_allowance,
--- a/src/jasminerelay/platform/documents.py
+++ b/src/jasminerelay/platform/documents.py
@@ -71,10 +71,7 @@
 
 
 class _Limits(msgspec.Struct):
-    head_bytes: int = msgspec.field(name="maxHeaderBytes", default=16384)
     body_bytes: int = msgspec.field(name="maxBodyBytes", default=4194304)
-    head_ms: float = msgspec.field(name="headerTimeoutMs", default=3000)
-    idle_ms: float = msgspec.field(name="idleTimeoutMs", default=15000)
 
 
 class _Organisation(msgspec.Struct):
@@ -125,12 +122,7 @@
         {item.name: _service(item) for item in raw.services},
         holders,
         raw.organisations is not None,
-        Bounds(
-            raw.limits.head_bytes,
-            raw.limits.body_bytes,
-            raw.limits.head_ms / MS,
-            raw.limits.idle_ms / MS,
-        ),
+        Bounds(raw.limits.body_bytes),
     )
 
 
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -11,6 +11,9 @@
 URGENCY_LAST = 9
 """The platform's urgencies go from 0, the first, to 9."""
 
+MISDIRECTED = 421
+"""Another server has the address now; the request has not run."""
+
 ATTEMPT = b"attempt-id"
 DEADLINE = b"deadline-ms"
 AUTHORIZATION = b"authorization"
@@ -147,8 +150,7 @@
                 for item in headers
                 if item[0].lower() not in _NOT_PASSED_BACK
             ),
-            _NOT_RUN in fields or status == 421,
-            status == 421,
+            _NOT_RUN in fields or status == MISDIRECTED,
             fields.get(ATTEMPT, b"").decode("latin-1"),
             b"close" in connection,
             _idle_s(fields.get(b"keep-alive", b"")),
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -24,8 +24,6 @@
 RETRY_S = 0.5
 """When to come back to an instance that cannot judge the request yet."""
 
-DEFAULT_HOST = ""
-
 
 @dataclasses.dataclass(frozen=True)
 class Front:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -65,6 +65,9 @@
 """How often the instances' rows are read again, in case the others could
 neither be reached nor reach this one at the start."""
 
+END_PAUSE_S = 0.15
+"""Longest time that a planned stop waits for the store to drop its row."""
+
 CURRENT_S = 1.5
 """Age up to which the store's word confirms the configuration."""
 
@@ -158,7 +161,7 @@
             group.start_soon(
                 self._configuration.run,
                 self._feed.take_configuration,
-                lambda page: self._feed.take_configuration(page),
+                self._feed.take_configuration,
             )
             group.start_soon(
                 self._servers.run,
@@ -428,10 +431,6 @@
         )
 
 
-END_PAUSE_S = 0.15
-"""Longest time that a planned stop waits for the store to drop its row."""
-
-
 def main() -> int:
     """Runs the instance that the settings file describes."""
     path = pathlib.Path(os.environ.get(BOOT_VARIABLE, ""))
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -2,7 +2,6 @@
 
 import base64
 import dataclasses
-from collections.abc import Iterable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -31,18 +30,11 @@
 PAGE = 500
 """Rows of one answer, the most that the store gives."""
 
-ABSENT = 0
-"""The version that a row which does not exist is expected to have."""
-
 
 class HistoryLostError(StoreError):
     """The store no longer has the changes asked for; read all rows."""
 
 
-class ConflictError(StoreError):
-    """A row had another version than expected; nothing was written."""
-
-
 @dataclasses.dataclass(frozen=True)
 class Row:
     """A row of the store.
@@ -132,37 +124,21 @@
         answer = await self._get("/-/rows-feed", query, wait_s + FEED_SLACK_S)
         return Rows(tuple(_row(item) for item in answer.rows), answer.version)
 
-    async def write(
-        self, table: str, key: str, data: bytes, expect: int | None = None
-    ) -> None:
-        """Writes a row.
-
-        Args:
-            table: Its table.
-            key: Its key.
-            data: Its content.
-            expect: Version that it must have; None for any.
-
-        Raises:
-            ConflictError: if it has another version.
-        """
-        row = {"table": table, "part": "", "key": key}
-        expected = [] if expect is None else [{**row, "schemaVersion": expect}]
+    async def write(self, table: str, key: str, data: bytes) -> None:
+        """Writes a row, whatever stands there."""
         encoded = base64.b64encode(data).decode()
-        await self._transact(expected, [{**row, "data": encoded}], [])
+        row = {"table": table, "part": "", "key": key, "data": encoded}
+        await self._transact([row], [])
 
     async def remove(self, table: str, key: str) -> None:
         """Removes a row, if it is there."""
         await self._transact([], [], [{"table": table, "part": "", "key": key}])
 
     async def _transact(
-        self,
-        expect: Iterable[dict[str, Any]],
-        write: Iterable[dict[str, Any]],
-        remove: Iterable[dict[str, Any]],
+        self, write: list[dict[str, Any]], remove: list[dict[str, Any]]
     ) -> None:
         body = msgspec.json.encode(
-            {"expect": expect, "write": write, "remove": remove}
+            {"expect": [], "write": write, "remove": remove}
         )
         exchange = Exchange(
             "POST",
@@ -171,10 +147,7 @@
             body,
             CALL_TIMEOUT_S,
         )
-        reply = await self._call(exchange)
-        if reply.status == 412:
-            raise ConflictError("the row was changed by another writer")
-        _check(reply)
+        _check(await self._call(exchange))
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_s: float
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -45,7 +45,6 @@
     Attributes:
         call: The request.
         avoid: Servers that it must not go to.
-        since: Steady time at which it began to wait.
         busy_s: Engine time that it needs.
         seat: Where it goes, once known.
         refused: Why it was refused, if it was.
@@ -53,7 +52,6 @@
 
     call: Call
     avoid: frozenset[str]
-    since: float
     busy_s: float
     seat: Seat | None = None
     refused: NoRoomError | None = None
@@ -107,8 +105,7 @@
         Raises:
             NoRoomError: if there will be none in time.
         """
-        now = time.monotonic()
-        waiter = Waiter(call, avoid, now, self._busy(call))
+        waiter = Waiter(call, avoid, self._busy(call))
         self._waiting.append(waiter)
         self._pump(call.service)
         if not waiter.done.is_set():
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -69,7 +69,7 @@
         boot = bootfile.parse(BOOT, "x").unwrap()
         self.assertEqual(boot.peers, "10.0.0.1:7000")
         self.assertEqual(boot.seeds, ("10.0.0.2:7000",))
-        self.assertEqual((boot.grace_s, boot.drain_s), (6.0, 2.0))
+        self.assertEqual((boot.grace_s, boot.entry_ttl_s), (6.0, 5.0))
 
     def test_faults_name_the_remedy(self) -> None:
         faults = (
