Take stale connections out before closing any

Stale connections were closed one after another, each close gives way to requests, and one of these took the next one meanwhile.

Ruled out: catching errors of the background task: it would hide others.

--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -117,9 +117,11 @@
         kept = self._kept.get(server.id)
         now = time.monotonic()
         while kept:
-            item = kept.pop()
+            # The one that has rested longest: if it has not rested enough,
+            # none has.
+            item = kept.popleft()
             if now - item.since < SETTLE_S:
-                kept.append(item)
+                kept.appendleft(item)
                 break
             if now < item.until and item.channel.reusable:
                 return item.channel
@@ -142,7 +144,7 @@
             await channel.aclose()
             return
         life = IDLE_S if idle_s is None else idle_s * IDLE_SHARE
-        kept.appendleft(_Kept(channel, now, now + life))
+        kept.append(_Kept(channel, now, now + life))
 
     def distrust(self, server: BackendServer) -> None:
         """Notes that a server sent bytes which belong to no request."""
@@ -151,13 +153,15 @@
     async def tidy(self) -> None:
         """Closes connections that will not be used again."""
         now = time.monotonic()
+        stale: list[Channel] = []
         for name, kept in list(self._kept.items()):
-            stale = [item for item in kept if item.until <= now]
-            for item in stale:
-                kept.remove(item)
-                await item.channel.aclose()
+            while kept and kept[0].until <= now:
+                stale.append(kept.popleft().channel)
             if not kept:
                 del self._kept[name]
+        # Taken out first: each close gives way to requests that take others.
+        for channel in stale:
+            await channel.aclose()
 
     async def _open(self, server: BackendServer) -> Channel:
         host, _, port = server.address.rpartition(":")
