Keep the sum of all instances' loads up by differences

Each word of another instance added up the loads of all: the work of one word grew with the instances, and that of all words with their square.

Change: the sum is kept up by differences; tests/test_placing.py compares it with the plain sum over 400 words of 12 instances that come and go.

Ruled out: fewer words: their age is what keeps instances from going to the same server.

--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -38,6 +38,13 @@
             self.memory + other.memory,
         )
 
+    def __sub__(self, other: "Load") -> "Load":
+        return Load(
+            self.unread - other.unread,
+            self.running - other.running,
+            self.memory - other.memory,
+        )
+
 
 NOTHING = Load()
 
@@ -137,7 +144,7 @@
             for item in loads
         }
         self._peers[instance] = _PeerLoads(number, now, by_server)
-        self._sum()
+        self._replace(held.loads if held else {}, by_server)
 
     def expire(self, now: float) -> None:
         """Forgets the words of instances that have been silent."""
@@ -147,9 +154,7 @@
             if now - held.heard > PEER_WORD_LIFE_S
         ]
         for name in old:
-            del self._peers[name]
-        if old:
-            self._sum()
+            self._replace(self._peers.pop(name).loads, {})
 
     def load(self, server: str) -> Load:
         """Returns what all instances have under way at a server."""
@@ -157,9 +162,13 @@
         others = self._others.get(server)
         return own if others is None else own + others
 
-    def _sum(self) -> None:
-        total: dict[str, Load] = {}
-        for held in self._peers.values():
-            for name, load in held.loads.items():
-                total[name] = total.get(name, NOTHING) + load
-        self._others = total
+    def _replace(self, old: dict[str, Load], new: dict[str, Load]) -> None:
+        # The sum is kept up by differences: to add up all instances for each
+        # word would make the work of a word grow with their number.
+        for name in old.keys() | new.keys():
+            total = self._others.get(name, NOTHING)
+            total = total + new.get(name, NOTHING) - old.get(name, NOTHING)
+            if total == NOTHING:
+                self._others.pop(name, None)
+            else:
+                self._others[name] = total
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -23,6 +23,7 @@
 from jasminerelay.lengths import Lengths
 from jasminerelay.pace import FastestPace, PaceBook
 from jasminerelay.placing import Guess, Option, Placed, Wait
+from jasminerelay.schema.messages import ServerLoad
 from jasminerelay.sharedbudget import SharedBudget
 from jasminerelay.silences import Silences
 from jasminerelay.stopping import Stop
@@ -280,6 +281,32 @@
         own.hear("other", 1, first, 0.0)
         self.assertEqual(own.load("a").running, 1)
 
+    def test_sum_stays_right(self) -> None:
+        # The sum is kept up by differences over many words of many
+        # instances, some of which fall silent.
+        rng = random.Random(9)
+        workload = Workload()
+        words: dict[str, tuple[float, dict[str, int]]] = {}
+        for number in range(1, 400):
+            now = number / 20
+            name = f"peer-{rng.randrange(12)}"
+            loads = {f"s{rng.randrange(5)}": rng.randrange(1, 9)}
+            words[name] = (now, loads)
+            workload.hear(
+                name,
+                number,
+                [ServerLoad(s, n, n, n) for s, n in loads.items()],
+                now,
+            )
+            workload.expire(now)
+            for server in ("s0", "s1", "s2", "s3", "s4"):
+                wanted = sum(
+                    held.get(server, 0)
+                    for heard, held in words.values()
+                    if now - heard <= PEER_WORD_LIFE_S
+                )
+                self.assertEqual(workload.load(server).running, wanted)
+
     def test_dead_instance_is_forgotten(self) -> None:
         own, other = Workload(), Workload()
         other.start("a", 50, 60)
