Play the platform's interface as processes; mend the end of a planned stop

Cause: the clean-up before left one call with an argument too many, so an instance ended with an error when it took its row out of the store.

Ruled out: nothing else called it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo serve test lint format generate bench capacity soak safeguards clean
+.PHONY: demo demo-platform serve test lint format generate bench capacity soak safeguards clean
 
 $(READY): pyproject.toml requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: $(READY)
 	$(BIN)/python -m demo.run
 
+demo-platform: $(READY)
+	$(BIN)/python -m demo.platform
+
 serve: $(READY)
 	$(BIN)/python -m demo.run --serve
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -75,7 +75,12 @@
 
 
 class Instance:
-    """One instance on the platform."""
+    """One instance on the platform.
+
+    Attributes:
+        boot: Its settings, as last read.
+        running: Whether it runs; False again after its planned stop.
+    """
 
     def __init__(self, boot: Boot, path: pathlib.Path):
         """Wires the parts; nothing runs yet.
@@ -89,6 +94,7 @@
         self._rng = random.Random()
         self._stop: Stop | None = None
         self._ready = False
+        self.running = False
         self.log = EventLog(boot.name)
         self.counters = Counters(Statsd())
         self.telemetry = Telemetry(self.counters)
@@ -143,6 +149,7 @@
         Args:
             signals: Whether SIGTERM and SIGHUP are for this instance.
         """
+        self.running = True
         self.log.trouble("start", settings=dataclasses.asdict(self.boot))
         async with anyio.create_task_group() as group:
             for port in self._ports:
@@ -171,6 +178,7 @@
             await self._until_stopped()
             group.cancel_scope.cancel()
         self.log.trouble("stop", under_way=self._under_way())
+        self.running = False
 
     def _wire_knowledge(self) -> None:
         boot = self.boot
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -132,7 +132,7 @@
 
     async def remove(self, table: str, key: str) -> None:
         """Removes a row, if it is there."""
-        await self._transact([], [], [{"table": table, "part": "", "key": key}])
+        await self._transact([], [{"table": table, "part": "", "key": key}])
 
     async def _transact(
         self, write: list[dict[str, Any]], remove: list[dict[str, Any]]
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -26,6 +26,19 @@
         for name in ("confirmation", "run-sheet", "filing-check", "study"):
             self.assertIn(name, done.stdout)
 
+    def test_platform(self) -> None:
+        # Instances as processes, from their start to a planned stop.
+        done = subprocess.run(
+            [sys.executable, "-m", "demo.platform"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.assertIn("150 of 150 events", done.stdout)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 
 from jasminerelay.httpclient import NotSentError
 from standins.platformserver import ServerFaults
-from standins.platformsite import HOST, KEY, MODEL, PLAIN
+from standins.platformsite import HOST, KEY, MODEL, PLAIN, SiteOptions
 from tests.platformcase import PlatformCase, events, fetch
 
 PROMPT = {"Token_Usage": "1200,20", "Prefix_Hash": "aa:1000,bb:200"}
@@ -419,6 +419,28 @@
                 group.cancel_scope.cancel()
 
 
+class StopToTheEndTest(PlatformCase):
+    """A planned stop until the process is done."""
+
+    options = SiteOptions(grace_s=1.5)
+
+    async def test_row_is_removed(self) -> None:
+        # An instance that has nothing under way ends before its grace time,
+        # in order, and takes its row out of the store: a new one would greet
+        # a dead address for good.
+        async with self.site() as (site, (instance,)):
+            await self.until(lambda: site.store.keys("jasminerelay_instances"))
+            instance.stop()
+            await self.until(lambda: not instance.running)
+            self.assertEqual(site.store.keys("jasminerelay_instances"), [])
+
+    async def test_store_away_at_the_end(self) -> None:
+        async with self.site() as (site, (instance,)):
+            site.store.faults.hang = True
+            instance.stop()
+            await self.until(lambda: not instance.running)
+
+
 class StopTest(PlatformCase):
     """A planned stop of one of two instances."""
 
