Forget what is over: requests of past windows, servers that are gone

Cause: found by reading. Requests were kept for the budget of repeats until a repeat was asked for, servers' health, paces and warm prompts for ever.

Change: requests are trimmed as they come, a server that is gone is forgotten everywhere. A test notes 100,000 requests and finds one window's.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -206,6 +206,8 @@
 
     def gone(self, server: str) -> None:
         """Forgets a server that has ended."""
+        for health in self._health.values():
+            health.forget(server)
         self._warm.forget(server)
         self.paces.forget(server)
         self._silences.forget(server)
--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -188,6 +188,7 @@
         self._key = key
         self._log = log
         self.on_leaving: Callable[[str], None] = lambda server: None
+        self.on_gone: Callable[[str], None] = lambda server: None
 
     def take_configuration(self, page: Page) -> bool:
         """Takes rows of the operator's table."""
@@ -242,6 +243,8 @@
             server = self._registry.server(row.id)
             if server is None or server.draining:
                 self.on_leaving(row.id)
+            if server is None:
+                self.on_gone(row.id)
             self._log.trouble(
                 "server",
                 server=row.id,
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -239,6 +239,7 @@
         dialect = PlatformDialect()
         evacuator = Evacuator(self.client, dialect, self.counters, self.log)
         self._feed.on_leaving = evacuator.leaving
+        self._feed.on_gone = self.dispatcher.gone
         kit = Kit(
             self.dispatcher,
             self._room,
@@ -354,6 +355,7 @@
             await anyio.sleep(TICK_S)
             now = time.monotonic()
             for name in self.registry.expire(now):
+                self.dispatcher.gone(name)
                 self.log.trouble(
                     "server",
                     server=name,
--- a/src/jasminerelay/sharedbudget.py
+++ b/src/jasminerelay/sharedbudget.py
@@ -46,7 +46,9 @@
 
     def requested(self, service: str, now: float) -> None:
         """Notes a request for a service."""
-        self._requests.setdefault(service, collections.deque()).append(now)
+        requests = self._requests.setdefault(service, collections.deque())
+        _trim(requests, now - self._window_s)
+        requests.append(now)
 
     def spend(self, service: str, now: float) -> bool:
         """Takes one repeat; returns whether there was one left."""
--- a/src/jasminerelay/stragglers.py
+++ b/src/jasminerelay/stragglers.py
@@ -37,6 +37,10 @@
         else:
             health.step_s += SMOOTHING * (step_s - health.step_s)
 
+    def forget(self, server: str) -> None:
+        """Drops a server that has ended."""
+        self._health.pop(server, None)
+
     def succeeded(self, server: str) -> None:
         """Notes a request that the server finished."""
         health = self._of(server)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -342,6 +342,13 @@
             self.assertLessEqual(len(span), ratio * count + allowance)
         self.assertGreater(len(repeats), 60)
 
+    def test_remembers_one_window(self) -> None:
+        # Requests of a whole day are not kept where no repeat is ever asked.
+        budget = SharedBudget(0.2, 52.0, 10.0)
+        for number in range(100_000):
+            budget.requested("s", number / 100)
+        self.assertLessEqual(len(budget._requests["s"]), 1001)
+
     def test_partition_does_not_double_it(self) -> None:
         # Half of the instances lose sight of the others. The allowance was
         # dealt by the number known before and is not dealt anew at once.
