--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -17,6 +17,7 @@
 from jasminerelay.prefix import PrefixIndex
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import KindDemand
+from jasminerelay.silences import Silences
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.waitingroom import Seat
 from jasminerelay.workload import Run, Workload
@@ -60,10 +61,15 @@
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
         self.lengths = Lengths()
+        self._silences = Silences()
         self.paces = PaceBook()
         self._fastest: dict[str, FastestPace] = {}
         self.on_split: OnSplit = lambda service, groups, demand: None
 
+    def heard(self, server: str, now: float) -> None:
+        """Notes that a server said something, whatever it was."""
+        self._silences.heard(server, now)
+
     def health(self, service: str) -> Stragglers:
         """Returns what is known of the health of a service's servers."""
         return self._health.setdefault(service, Stragglers())
@@ -137,12 +143,13 @@
 
     def reserve(self, call: Call, placed: Placed) -> Run:
         """Notes that a request goes to a server."""
+        name = placed.server.id
+        idle = not self.workload.own_running(name)
+        self._silences.sent(name, idle, time.monotonic())
         if call.prompt is not None:
             parts = [_part_hash(part.id) for part in call.prompt.parts]
-            self._warm.add(placed.server.id, tuple(parts))
-        return self.workload.start(
-            placed.server.id, placed.unread, placed.memory
-        )
+            self._warm.add(name, tuple(parts))
+        return self.workload.start(name, placed.unread, placed.memory)
 
     def seat_at(self, call: Call, server: BackendServer) -> Seat:
         """Returns a seat at a server that has the run's memory already."""
@@ -201,6 +208,7 @@
         """Forgets a server that has ended."""
         self._warm.forget(server)
         self.paces.forget(server)
+        self._silences.forget(server)
 
     def tick(self, now: float) -> None:
         """Moves the running means on and looks at the splits."""
@@ -259,6 +267,8 @@
         health = self.health(call.service)
         now = time.monotonic()
         blocked = health.blocked(server.id, now)
+        own = self.workload.own_running(server.id)
+        blocked = blocked or self._silences.silent(server.id, own, now)
         load = self.workload.load(server.id)
         if health.probing(server.id) and load.running:
             blocked = True
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -194,6 +194,7 @@
             return Unknown(f"silent: {exc}")
         except BrokenError as exc:
             return Unknown(str(exc))
+        self._kit.dispatcher.heard(server.id, time.monotonic())
         head = self._kit.dialect.head(response.status, response.headers)
         if head.request and head.request != self._call.id:
             self._kit.channels.distrust(server)
@@ -486,6 +487,7 @@
     def events(self, count: int) -> None:
         """Notes events that have just come."""
         now = time.monotonic()
+        self._kit.dispatcher.heard(self._seat.placed.server.id, now)
         if not self.first_at:
             self.first_at = now
             self._seat.run.read()
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -62,7 +62,7 @@
 sends one could reserve, move or preempt what is not its own, or pose as
 another organisation."""
 
-_NOT_PASSED_BACK = _HOP | {b"content-length", b"instance-load"}
+_NOT_PASSED_BACK = _HOP | {b"content-length", b"instance-load", _NOT_RUN}
 
 Fields = list[tuple[bytes, bytes]]
 
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -117,9 +117,9 @@
             for name, load in self._own.items()
         ]
 
-    def own_running(self) -> int:
-        """Returns how many requests this instance has under way."""
-        return sum(load.running for load in self._own.values())
+    def own_running(self, server: str) -> int:
+        """Returns how many requests this instance has under way there."""
+        return self._own.get(server, NOTHING).running
 
     def hear(
         self,
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,259 @@
+"""The platform's words, decoded once, and nothing of them elsewhere."""
+
+import os
+import pathlib
+import re
+import unittest
+
+import msgspec
+
+from jasminerelay.catalog import BackendServer, Repeat
+from jasminerelay.eventlog import EventLog
+from jasminerelay.httpclient import Reply
+from jasminerelay.platform import bootfile, documents, headers
+from standins.launcher import ROOT
+from tests.test_placing import call
+
+BOOT = """
+nodeName = "edge-1"
+ip = "10.0.0.1"
+zone = "north"
+region = "r"
+internalPortRange = [7000, 7010]
+seedNodes = ["10.0.0.2:9", "10.0.0.1:9"]
+newField = 3
+[listenAddrs]
+front = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+registry = "10.0.0.1:3"
+[platform]
+address = "10.9.0.1:4"
+[bounds]
+graceS = 6
+"""
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "a",
+            "hostname": "H.example",
+            "prefix": "/a/",
+            "routeType": "streaming",
+            "timeoutMs": 1500,
+            "trafficSplit": [
+                {"backend": "one", "weight": 1},
+                {"backend": "two", "weight": 0},
+            ],
+            "streamResume": True,
+        },
+        {
+            "name": "b",
+            "hostname": "h.example",
+            "prefix": "/a/b/",
+            "routeType": "non_idempotent",
+            "timeoutMs": 1000,
+            "backend": "two",
+        },
+    ],
+    "backends": [{"name": "one", "runtime": {"slotCount": 8}}],
+    "limits": {"maxBodyBytes": 10},
+    "tenants": [{"name": "elm", "apiKeys": ["k1", "k2"], "priorityClass": 1}],
+}
+
+
+class BootFileTest(unittest.TestCase):
+    """The settings file."""
+
+    def test_read(self) -> None:
+        boot = bootfile.parse(BOOT, "x").unwrap()
+        self.assertEqual(boot.peers, "10.0.0.1:7000")
+        self.assertEqual(boot.seeds, ("10.0.0.2:7000",))
+        self.assertEqual((boot.grace_s, boot.drain_s), (6.0, 2.0))
+
+    def test_faults_name_the_remedy(self) -> None:
+        faults = (
+            "not toml [",
+            BOOT.replace('ip = "10.0.0.1"', ""),
+            BOOT.replace('front = "10.0.0.1:1"', 'front = "somewhere"'),
+            BOOT.replace("[7000, 7010]", '"many"'),
+        )
+        for text in faults:
+            problems = bootfile.parse(text, "x").unwrap_err()
+            self.assertTrue(problems[0].remedy)
+
+    def test_missing_file(self) -> None:
+        missing = bootfile.load(pathlib.Path("/nowhere/settings.toml"))
+        self.assertIn("JASMINERELAY_BOOT", str(missing.unwrap_err()[0]))
+
+
+class DocumentsTest(unittest.TestCase):
+    """Configuration and servers' rows."""
+
+    def setUp(self) -> None:
+        data = msgspec.json.encode(CONFIGURATION)
+        self.catalog = documents.catalog(data)
+
+    def test_longest_prefix(self) -> None:
+        for path, name in (("/a/x", "a"), ("/a/b/x", "b"), ("/a/b", "a")):
+            route = self.catalog.route_of("H.EXAMPLE", path)
+            self.assertEqual(route.name, name)
+        self.assertIsNone(self.catalog.route_of("h.example", "/c/"))
+        self.assertIsNone(self.catalog.route_of("other", "/a/"))
+
+    def test_decoded(self) -> None:
+        route = self.catalog.route_of("h.example", "/a/")
+        self.assertEqual(route.repeat, Repeat.RESUMABLE)
+        self.assertEqual(route.timeout_s, 1.5)
+        holder = self.catalog.holders["k2"]
+        self.assertEqual((holder.name, holder.rank), ("elm", 1))
+        self.assertEqual(self.catalog.services["one"].engine.slots, 8)
+
+    def test_unreadable(self) -> None:
+        for data in (b"", b"[]", b'{"version": "x"}'):
+            with self.assertRaises(documents.DocumentError):
+                documents.catalog(data)
+            with self.assertRaises(documents.DocumentError):
+                documents.server("s", data)
+
+
+class HeadersTest(unittest.TestCase):
+    """Header fields."""
+
+    def test_prompt(self) -> None:
+        prompt = headers.prompt_of(
+            {b"token-usage": b"1460,80", b"prefix-hash": b"5c:800, 91:410"}
+        )
+        self.assertEqual([part.tokens for part in prompt.parts], [800, 410])
+        self.assertIsNone(headers.prompt_of({}))
+        with self.assertRaises(ValueError):
+            headers.prompt_of({b"token-usage": b"x"})
+
+    def test_connection_fields_stay(self) -> None:
+        passed = headers.passed_on(
+            [
+                (b"connection", b"close, X-Mine"),
+                (b"x-mine", b"1"),
+                (b"te", b"trailers"),
+                (b"kv-backup", b"x"),
+                (b"accept", b"*/*"),
+            ]
+        )
+        self.assertEqual(passed, ((b"accept", b"*/*"),))
+
+    def test_answer_head(self) -> None:
+        dialect = headers.PlatformDialect()
+        head = dialect.head(
+            503,
+            [
+                (b"Not-Executed", b"1"),
+                (b"Keep-Alive", b"timeout=5, max=3"),
+                (b"Connection", b"Close"),
+                (b"Server-Signature", b"s"),
+            ],
+        )
+        self.assertTrue(head.not_run and head.closing)
+        self.assertEqual(head.idle_s, 5.0)
+        self.assertEqual(head.headers, ((b"Server-Signature", b"s"),))
+
+    def test_move(self) -> None:
+        # Refused with a handle: the run has stopped and its memory is still
+        # at the first server, so the request goes on there.
+        dialect = headers.PlatformDialect()
+        source = BackendServer("a", "pool", "1.1.1.1:1", "z", 1, True)
+        target = BackendServer("b", "pool", "2.2.2.2:2", "z", 1, False)
+        order = dialect.move(call(), source, target)
+        self.assertIn(b"2.2.2.2:2", order.body)
+        for status, body, at in (
+            (200, b'{"handle":"h","created":4}', target),
+            (503, b'{"handle":"h"}', source),
+            (503, b"{}", None),
+            (404, b"", None),
+            (200, b"?", None),
+        ):
+            copy = dialect.moved(Reply(status, {}, body), source, target)
+            self.assertEqual(copy and copy.at, at)
+
+
+class BoundaryTest(unittest.TestCase):
+    """Nothing outside the adapter knows a name of the platform's wire."""
+
+    NAMES = (
+        "attempt-id",
+        "expect-instance",
+        "not-executed",
+        "kv-from",
+        "kv-move",
+        "token-usage",
+        "prefix-hash",
+        "server-signature",
+        "request-urgency",
+        "deadline-ms",
+        "rows-tx",
+        "rows-get",
+        "rows-feed",
+        "schemaversion",
+        "trafficsplit",
+        "streamresume",
+        "gaptargetms",
+        "apikeys",
+        "listenaddrs",
+        "seednodes",
+        "drainms",
+        "graces",
+        "fleetbench",
+    )
+
+    def test_names_stay_in_the_adapter(self) -> None:
+        package = ROOT / "src/jasminerelay"
+        for path in package.rglob("*.py"):
+            if "platform" in path.relative_to(package).parts:
+                continue
+            words = set(re.findall(r"[a-z][a-z-]*", path.read_text().lower()))
+            self.assertEqual(words & set(self.NAMES), set(), path.name)
+
+    def test_core_imports_no_adapter(self) -> None:
+        package = ROOT / "src/jasminerelay"
+        for path in package.glob("*.py"):
+            self.assertNotIn(
+                "jasminerelay.platform", path.read_text(), path.name
+            )
+
+
+class EventLogTest(unittest.TestCase):
+    """Structured log lines."""
+
+    def test_reader_that_does_not_read(self) -> None:
+        # The process that collects the logs stands still. Lines are dropped
+        # and counted; the instance goes on at once.
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        log = EventLog("edge-1", writer)
+        for number in range(400):
+            log.trouble("request", id=str(number), why="x" * 4000)
+        self.assertGreater(log.left_out, 0)
+        self.assertLess(log.written, 100)
+        while os.read(reader, 1 << 16).endswith(b"x"):
+            pass
+
+    def test_bounded_and_trouble_kept(self) -> None:
+        # A flood of ordinary lines does not displace those on trouble, and
+        # the next line tells how many were left out.
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        log = EventLog("edge-1", writer)
+        for number in range(500):
+            log.info("request", id=str(number))
+        log.trouble("refused", id="x")
+        os.close(writer)
+        with os.fdopen(os.dup(reader), "rb") as stream:
+            lines = stream.read().splitlines()
+        last = msgspec.json.decode(lines[-1])
+        self.assertLess(len(lines), 300)
+        self.assertEqual(last["event"], "refused")
+        self.assertEqual(last["left_out"], 500 - (len(lines) - 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -24,6 +24,7 @@
 from jasminerelay.pace import FastestPace, PaceBook
 from jasminerelay.placing import Guess, Option, Placed, Wait
 from jasminerelay.sharedbudget import SharedBudget
+from jasminerelay.silences import Silences
 from jasminerelay.stopping import Stop
 from jasminerelay.waitingroom import WaitingRoom
 from jasminerelay.workload import (
@@ -389,6 +390,35 @@
         self.assertGreaterEqual(lengths.expect("k", None, 1), 1)
 
 
+class SilencesTest(unittest.TestCase):
+    """Servers that fall silent without a reset."""
+
+    def test_dark_server(self) -> None:
+        # A server loses power in the middle of three streams. Requests that
+        # were sent there wait in vain; those that come later go elsewhere
+        # but for one in a while, and after a word all go there again.
+        silences = Silences()
+        silences.sent("s", idle=True, now=0.0)
+        for at in (0.2, 0.4):
+            silences.heard("s", at)
+            silences.sent("s", idle=False, now=at)
+        self.assertFalse(silences.silent("s", 3, 1.1))
+        self.assertTrue(silences.silent("s", 3, 1.3))
+        self.assertFalse(silences.silent("s", 3, 2.5))
+        silences.sent("s", idle=False, now=2.5)
+        self.assertTrue(silences.silent("s", 4, 2.6))
+        silences.heard("s", 2.7)
+        self.assertFalse(silences.silent("s", 4, 2.8))
+
+    def test_idle_server_is_not_silent(self) -> None:
+        silences = Silences()
+        silences.sent("s", idle=True, now=0.0)
+        silences.heard("s", 0.1)
+        self.assertFalse(silences.silent("s", 0, 100.0))
+        silences.sent("s", idle=True, now=100.0)
+        self.assertFalse(silences.silent("s", 1, 100.5))
+
+
 class CallTest(unittest.TestCase):
     """The request type."""
 
