Learn an idle engine's pace from calm engines only

A token's cost was the fastest pace seen, and at the start of a burst every engine reads long prompts, so the fastest one was several times too slow; chats, which are nearly all tokens out, looked dear.

Change: only engines with no long prompt before them show the idle pace.

Ruled out: too few servers in all (the run sheets' group was four of eight while chats came at 2 to 4 a second).

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -243,14 +243,23 @@
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
             servers = [item.id for item in self._registry.servers_of(name)]
-            paces = (self.paces.token_s(item, now) for item in servers)
-            seen = [pace for pace in paces if pace is not None]
-            self._fastest_of(name).look(seen)
+            self._fastest_of(name).look(self._calm_paces(servers, now))
             demand = self.demand.total(name, now)
             split = self._splits.setdefault(name, Split())
             if split.update(servers, demand):
                 self.on_split(name, split.groups, demand)
 
+    def _calm_paces(self, servers: list[str], now: float) -> list[float]:
+        # Not of engines that read a long prompt: their streams show the
+        # reading, which is counted by itself. At the start of a burst all
+        # engines read, and chats were taken to need three servers of eight.
+        paces = (
+            self.paces.token_s(item, now)
+            for item in servers
+            if self.workload.load(item).unread <= placing.CHUNK_TOKENS
+        )
+        return [pace for pace in paces if pace is not None]
+
     def _group(
         self, call: Call, servers: list[BackendServer]
     ) -> list[BackendServer]:
