Tell the other instances the engines' paces

Cause: an engine that is too slow to end a usual answer in time takes no more requests, and that shows in the streams that pass through an instance.

Change: words on loads carry the pace that their sender has seen within a second; what was told is not told on.

Ruled out: servers' own reports (priced, and as old).

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -16,7 +16,7 @@
 from jasminerelay.placing import Guess, Option, Placed, Wait
 from jasminerelay.prefix import PrefixIndex
 from jasminerelay.registry import Registry
-from jasminerelay.schema.messages import KindDemand
+from jasminerelay.schema.messages import KindDemand, ServerLoad
 from jasminerelay.silences import Silences
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.waitingroom import Seat
@@ -26,6 +26,8 @@
 """How often the split of a service's servers is looked at."""
 
 
+US = 1e6
+
 OnSplit = Callable[
     [str, Mapping[str, tuple[str, ...]], Sequence[KindDemand]], None
 ]
@@ -66,6 +68,31 @@
         self._fastest: dict[str, FastestPace] = {}
         self.on_split: OnSplit = lambda service, groups, demand: None
 
+    def own_loads(self, now: float) -> list[ServerLoad]:
+        """Returns what this instance has and sees at servers."""
+        return [
+            dataclasses.replace(
+                item,
+                token_us=round(US * (self.paces.own_s(item.server, now) or 0)),
+            )
+            for item in self.workload.own()
+        ]
+
+    def hear_loads(
+        self,
+        instance: str,
+        number: int,
+        loads: Iterable[ServerLoad],
+        now: float,
+    ) -> None:
+        """Takes what another instance has and sees at servers."""
+        loads = list(loads)
+        if not self.workload.hear(instance, number, loads, now):
+            return
+        for item in loads:
+            if item.token_us:
+                self.paces.hear(item.server, item.token_us / US, now)
+
     def heard(self, server: str, now: float) -> None:
         """Notes that a server said something, whatever it was."""
         self._silences.heard(server, now)
--- a/src/jasminerelay/pace.py
+++ b/src/jasminerelay/pace.py
@@ -16,6 +16,13 @@
 FORGET_S = 5.0
 """Age at which a pace counts no more; an idle server is fast again."""
 
+OWN_FIRST_S = 1.0
+"""Age up to which what passed through this instance goes before what others
+tell, and up to which it is told to them."""
+
+TOLD_WEIGHT = 0.3
+"""Weight of one other instance's word in the running mean of what is told."""
+
 
 RISE = 1.002
 """Factor by which the fastest pace seen is let rise with each look, so that
@@ -47,10 +54,16 @@
 
 
 class PaceBook:
-    """Seconds per token of a stream, by server."""
+    """Seconds per token of a stream, by server.
+
+    With many instances each has streams at a few of the engines only. Without
+    the others' words it would take an engine that it has not seen of late for
+    an idle one, and add long answers to one that is too slow to end them.
+    """
 
     def __init__(self) -> None:
         self._paces: dict[str, tuple[float, float]] = {}
+        self._told: dict[str, tuple[float, float]] = {}
 
     def observe(
         self, server: str, tokens: int, seconds: float, now: float
@@ -68,13 +81,32 @@
         weight = 1 - math.exp(-seconds / MEMORY_S)
         self._paces[server] = (held[0] + weight * (sample - held[0]), now)
 
-    def token_s(self, server: str, now: float) -> float | None:
-        """Returns seconds per token; None if nothing was seen of late."""
+    def hear(self, server: str, token_s: float, now: float) -> None:
+        """Takes what another instance has just seen."""
+        held = self._told.get(server)
+        if held is None or now - held[1] > OWN_FIRST_S:
+            self._told[server] = (token_s, now)
+            return
+        mean = held[0] + TOLD_WEIGHT * (token_s - held[0])
+        self._told[server] = (mean, now)
+
+    def own_s(self, server: str, now: float) -> float | None:
+        """Returns what passed here of late, to tell the others."""
         held = self._paces.get(server)
-        if held is None or now - held[1] > FORGET_S:
+        if held is None or now - held[1] > OWN_FIRST_S:
             return None
         return held[0]
 
+    def token_s(self, server: str, now: float) -> float | None:
+        """Returns seconds per token; None if nothing was seen of late."""
+        own = self.own_s(server, now)
+        if own is not None:
+            return own
+        known = (self._paces.get(server), self._told.get(server))
+        seen = [item for item in known if item is not None]
+        pace, at = max(seen, key=lambda item: item[1], default=(0.0, -math.inf))
+        return pace if now - at <= FORGET_S else None
+
     def slowness(self, server: str, peers: Iterable[str], now: float) -> float:
         """Returns the pace relative to the median of servers alike."""
         own = self.token_s(server, now)
@@ -90,3 +122,4 @@
     def forget(self, server: str) -> None:
         """Drops a server that has ended."""
         self._paces.pop(server, None)
+        self._told.pop(server, None)
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -185,7 +185,7 @@
             self.membership.own.instance,
             self._number,
             self._registry.standing,
-            self._dispatcher.workload.own(),
+            self._dispatcher.own_loads(time.monotonic()),
             self._dispatcher.meter.demand(),
         )
 
@@ -225,9 +225,7 @@
         if word.sender == self.membership.own.instance:
             return
         self._heard[word.sender] = (now, word.standing)
-        self._dispatcher.workload.hear(
-            word.sender, word.number, word.loads, now
-        )
+        self._dispatcher.hear_loads(word.sender, word.number, word.loads, now)
         self._dispatcher.demand.hear(word.sender, word.demand, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -263,6 +263,7 @@
     unread: int
     running: int
     memory: int
+    token_us: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -134,17 +134,18 @@
         number: int,
         loads: Iterable[ServerLoad],
         now: float,
-    ) -> None:
-        """Takes another instance's loads; older words are passed over."""
+    ) -> bool:
+        """Takes another instance's loads; returns whether they are news."""
         held = self._peers.get(instance)
         if held is not None and held.number >= number:
-            return
+            return False
         by_server = {
             item.server: Load(item.unread, item.running, item.memory)
             for item in loads
         }
         self._peers[instance] = _PeerLoads(number, now, by_server)
         self._replace(held.loads if held else {}, by_server)
+        return True
 
     def expire(self, now: float) -> None:
         """Forgets the words of instances that have been silent."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -71,5 +71,39 @@
         self.assertGreater(desk.busy_s(chat), before_s * 2)
 
 
+class ToldPaceTest(unittest.TestCase):
+    """Paces that other instances have seen."""
+
+    def test_engine_seen_by_others_only(self) -> None:
+        # Sixty instances share thirty engines, so most engines have no
+        # stream of a given instance. One that the others see crawl under a
+        # burst must not look idle to it: answers sent there would end at
+        # their time limit with most of their tokens made.
+        here, there = dispatcher(2), dispatcher(2)
+        now = time.monotonic()
+        there.workload.start("i-000", unread=100, memory=10_000)
+        there.workload.start("i-001", unread=100, memory=10_000)
+        there.paces.observe("i-000", 5, 5 * 0.06, now)
+        there.paces.observe("i-001", 5, 5 * 0.004, now)
+        here.hear_loads("there", 1, there.own_loads(now), now)
+        asked = call(arrived=now, ends=now + 15.0)
+        for _ in range(4):
+            placed = here.place(asked, frozenset())
+            self.assertEqual(placed.server.id, "i-001")
+
+    def test_words_are_not_passed_on(self) -> None:
+        # What an instance was told is no sight of its own: passed on among
+        # instances it would never grow old.
+        here = dispatcher(1)
+        here.workload.start("i-000", unread=100, memory=10_000)
+        here.paces.hear("i-000", 0.06, 0.0)
+        self.assertEqual(here.own_loads(0.1)[0].token_us, 0)
+
+    def test_old_words_count_no_more(self) -> None:
+        here = dispatcher(1)
+        here.paces.hear("i-000", 0.06, 0.0)
+        self.assertIsNone(here.paces.token_s("i-000", 10.0))
+
+
 if __name__ == "__main__":
     unittest.main()
