Give overflow of a warm server an order

Cause: a prompt's shared start is read once at the server that all instances pick for it.

Change: what overflows goes to the next servers of the same hashing order, unless another one is so much freer that reading again costs less.

Tried first: counting the second server as half warm in every choice. It took requests away from the first one although a short wait was cheaper (test_waits_for_the_warm_server), so the order counts for overflow only.

--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -58,6 +58,12 @@
 it takes the engine from everyone, so a request moves away from a warm server
 only for a delay worth more."""
 
+OVERFLOW_SHARES = (0.5, 0.25)
+"""Part of a prompt's shared start that is taken to be read already at the
+servers that all instances pick next when the first one is full. Without an
+order for what overflows, each instance picked another server, and each of
+those read the start anew."""
+
 MAX_SLOWNESS = 4.0
 """Bound on what a measured slowness counts; one stalled answer is no proof
 that a server is useless."""
@@ -184,24 +190,25 @@
     open_options = [item for item in options if not item.blocked]
     if not open_options:
         return Wait("no server in use")
-    home = _home(call, open_options)
-    scored = sorted(
-        (
-            _score(call, engine, item, item.server.id == home, guess)
-            for item in open_options
-        ),
-        key=lambda item: (item.seconds, item.placed.server.id),
-    )
-    best = scored[0]
-    if best.room:
+    home, *following = _homes(call, open_options)
+    scored = [
+        _score(call, engine, item, item.server.id == home, guess)
+        for item in open_options
+    ]
+    best = min(scored, key=_seconds)
+    if best.room and best.placed.server.id == home:
         return best.placed
     left_s = call.arrived + call.route.objective_s - now
-    if best.first_s < left_s * PATIENCE_SHARE:
+    if not best.room and best.first_s < left_s * PATIENCE_SHARE:
         return Wait("the server that has its prompt's start is full")
-    for item in scored:
-        if item.room:
-            return item.placed
-    return Wait("no room at the servers of its group")
+    roomy = [item for item in scored if item.room]
+    if not roomy:
+        return Wait("no room at the servers of its group")
+    worth_s = _overflow_worth_s(call, following)
+    return min(
+        roomy,
+        key=lambda item: item.seconds - worth_s.get(item.placed.server.id, 0.0),
+    ).placed
 
 
 @dataclasses.dataclass(frozen=True)
@@ -302,12 +309,22 @@
     return typical_output * item.token_s > limit_s
 
 
-def _home(call: Call, options: Sequence[Option]) -> str:
-    """Returns the server that all instances pick for the prompt's start."""
+def _seconds(item: _Scored) -> tuple[float, str]:
+    return (item.seconds, item.placed.server.id)
+
+
+def _homes(call: Call, options: Sequence[Option]) -> list[str]:
+    """Returns the order in which all instances pick servers for a start."""
     shared = call.prompt.shared
     key = shared[-1].id if shared else call.id
-    names = [item.server.id for item in options]
-    return rendezvous.owner(key, names)
+    return rendezvous.rank(key, [item.server.id for item in options])
+
+
+def _overflow_worth_s(call: Call, following: Sequence[str]) -> dict[str, float]:
+    """Returns what the order of overflow is worth, by server."""
+    shared = sum(part.tokens for part in call.prompt.shared)
+    pairs = zip(following, OVERFLOW_SHARES, strict=False)
+    return {name: REREAD_S * part * shared for name, part in pairs}
 
 
 def _unread(call: Call, item: Option, at_home: bool) -> int:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -119,6 +119,28 @@
         self.assertNotEqual(late.server.id, home)
         self.assertEqual(late.unread, 11_000)
 
+    def test_overflow_has_an_order(self) -> None:
+        # A burst about one thing fills its server at many instances at once.
+        # What overflows reads the start anew at one further server, not at as
+        # many as there are instances, though each sees other loads.
+        names = [f"s{number}" for number in range(20)]
+        home = place([option(name) for name in names]).server.id
+        full = Load(unread=45_000, running=5, memory=50_000)
+        rng = random.Random(4)
+        chosen = set()
+        for _ in range(60):
+            options = [
+                option(
+                    name,
+                    full
+                    if name == home
+                    else Load(rng.randrange(9000), rng.randrange(9), 50_000),
+                )
+                for name in names
+            ]
+            chosen.add(place(options, now=1.9).server.id)
+        self.assertEqual(len(chosen), 1)
+
     def test_slots_and_memory_bound_a_server(self) -> None:
         crowded = Load(running=60, memory=10_000)
         stuffed = Load(running=10, memory=690_000)
