Hold callers to the configuration's times

Cause: the configuration's bounds on the time of a head, on pauses and on the size of a head were read by nobody: a connection on which nothing came, half a head or half a body held a descriptor for good, and idle ones were kept for a minute whatever the operator said.

Change: a head that is late is answered 408, a body that pauses too long too (both have not run), idle connections are closed at the operator's time, and connections on which nothing was ever sent are closed like them. The own interface has the same bounds with their defaults.

Test: SlowCallerTest, which failed before.

--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -122,13 +122,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
-    """What callers may send.
+    """What callers may send, and how long they may take.
+
+    The defaults hold until the first configuration is there.
 
     Attributes:
         body_bytes: Most bytes of a request's body.
+        head_bytes: Most bytes of a request's head.
+        head_s: Longest time from a head's first byte to its last.
+        idle_s: Longest pause inside a body, and longest time that a
+            connection may stay without a request.
     """
 
-    body_bytes: int
+    body_bytes: int = 1 << 22
+    head_bytes: int = 1 << 16
+    head_s: float = 10.0
+    idle_s: float = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -452,7 +452,9 @@
         self._callers_port = ports.port(
             callers.Application(self._front),
             self.cfg.listen.callers,
-            http=headbound.bounded(bounds.max_header_bytes),
+            http=headbound.bounded(
+                lambda: headbound.HeadBounds(bounds.max_header_bytes)
+            ),
         )
         tls = self.cfg.tls
         self._operators_port = ports.port(
--- a/src/jasminerelay/errors.py
+++ b/src/jasminerelay/errors.py
@@ -145,6 +145,15 @@
     remedy = "Send a smaller body."
 
 
+class TooSlowError(RelayError):
+    """The caller paused for too long inside its request."""
+
+    status = 408
+    code = "request_too_slow"
+    kind = "invalid_request_error"
+    remedy = "Send the request again without pauses."
+
+
 class KeyReusedError(RelayError):
     """An idempotency key came back with another request."""
 
--- a/src/jasminerelay/platform/documents.py
+++ b/src/jasminerelay/platform/documents.py
@@ -71,7 +71,11 @@
 
 
 class _Limits(msgspec.Struct):
-    body_bytes: int = msgspec.field(name="maxBodyBytes", default=4194304)
+    body_bytes: int = msgspec.field(name="maxBodyBytes", default=1 << 22)
+    head_bytes: int = msgspec.field(name="maxHeaderBytes", default=1 << 16)
+    head_ms: float = msgspec.field(name="headerTimeoutMs", default=10_000)
+    # Between requests of a connection, and inside a body.
+    idle_ms: float = msgspec.field(name="idleTimeoutMs", default=60_000)
 
 
 class _Organisation(msgspec.Struct):
@@ -122,7 +126,12 @@
         {item.name: _service(item) for item in raw.services},
         holders,
         raw.organisations is not None,
-        Bounds(raw.limits.body_bytes),
+        Bounds(
+            raw.limits.body_bytes,
+            raw.limits.head_bytes,
+            raw.limits.head_ms / MS,
+            raw.limits.idle_ms / MS,
+        ),
     )
 
 
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -8,13 +8,14 @@
 import anyio
 
 from jasminerelay.attempt import Kit
-from jasminerelay.catalog import Call, Catalog, Route
+from jasminerelay.catalog import Bounds, Call, Catalog, Route
 from jasminerelay.errors import (
     BadRequestError,
     NotFoundError,
     NotReadyError,
     RelayError,
     TooLargeError,
+    TooSlowError,
     UnknownKeyError,
 )
 from jasminerelay.eventlog import EventLog
@@ -101,17 +102,22 @@
 
     async def _body(self, receive) -> bytes:
         catalog = self._front.catalog()
-        limit = catalog.bounds.body_bytes if catalog else 1 << 22
+        bounds = catalog.bounds if catalog else Bounds()
         parts: list[bytes] = []
         size = 0
         while True:
-            message = await receive()
+            with anyio.move_on_after(bounds.idle_s) as scope:
+                message = await receive()
+            if scope.cancelled_caught:
+                raise TooSlowError(f"nothing came for {bounds.idle_s:g} s")
             if message["type"] == "http.disconnect":
                 raise CallerGoneError
             parts.append(message.get("body", b""))
             size += len(parts[-1])
-            if size > limit:
-                raise TooLargeError(f"the body is larger than {limit} bytes")
+            if size > bounds.body_bytes:
+                raise TooLargeError(
+                    f"the body is larger than {bounds.body_bytes} bytes"
+                )
             if not message.get("more_body"):
                 return b"".join(parts)
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -14,13 +14,14 @@
 
 from jasminerelay import entrylist, headbound, ports
 from jasminerelay.attempt import Kit
-from jasminerelay.catalog import Catalog
+from jasminerelay.catalog import Bounds, Catalog
 from jasminerelay.channels import Channels
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.errors import StoreError
 from jasminerelay.evacuation import Evacuator
 from jasminerelay.eventlog import Bridge, EventLog
 from jasminerelay.following import Follower, RegistryFeed, StoreState
+from jasminerelay.headbound import HeadBounds
 from jasminerelay.httpclient import Client
 from jasminerelay.membership import LEAVING
 from jasminerelay.metrics import Counters
@@ -270,11 +271,9 @@
         options = {
             "server_header": False,
             "date_header": False,
-            "http": headbound.bounded(1 << 16),
+            "http": headbound.bounded(self._head_bounds),
         }
-        self._callers_port = ports.port(
-            Ingress(front), boot.callers, timeout_keep_alive=60, **options
-        )
+        self._callers_port = ports.port(Ingress(front), boot.callers, **options)
         self._ports = [
             self._callers_port,
             ports.port(doors, boot.readiness, **options),
@@ -286,6 +285,11 @@
             address = f"{boot.ip}:{metrics_port}"
             self._ports.append(ports.port(doors, address, **options))
 
+    def _head_bounds(self) -> HeadBounds:
+        catalog = self.registry.catalog
+        bounds = catalog.bounds if catalog else Bounds()
+        return HeadBounds(bounds.head_bytes, bounds.head_s, bounds.idle_s)
+
     def _adopt(self, snapshot: Snapshot, peer: str) -> None:
         try:
             news = self.registry.adopt(snapshot, time.monotonic())
--- a/tests/safeguards.py
+++ b/tests/safeguards.py
@@ -277,7 +277,7 @@
     Safeguard(
         "the request head is bounded",
         "headbound",
-        "if self._fields > max_head_bytes:",
+        "if self._fields > self._bounds.head_bytes:",
         "if False:",
         "test_callers.BadInputTest.test_large_head",
     ),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -423,6 +423,55 @@
                 group.cancel_scope.cancel()
 
 
+class SlowCallerTest(PlatformCase):
+    """Callers that hold connections without use."""
+
+    LIMITS = {
+        "maxHeaderBytes": 2000,
+        "maxBodyBytes": 1000,
+        "headerTimeoutMs": 300,
+        "idleTimeoutMs": 300,
+    }
+
+    async def talk(self, instance, sent: bytes) -> bytes:
+        """Sends bytes and reads until the instance hangs up."""
+        host, _, port = instance.callers.rpartition(":")
+        stream = await anyio.connect_tcp(host, int(port))
+        read = b""
+        async with stream:
+            if sent:
+                await stream.send(sent)
+            with anyio.fail_after(5.0):
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        read += await stream.receive()
+        return read
+
+    async def test_times_of_the_configuration(self) -> None:
+        # Callers open connections and send nothing, half a head, or half a
+        # body, or rest after a request. Each would hold a descriptor for
+        # good; the operator's limits end them, and those that have not been
+        # read are told truthfully that they did not run.
+        async with self.site() as (site, (instance,)):
+            site.configure(limits=self.LIMITS)
+            await self.until(lambda: instance.version == site.version)
+            head = f"POST /confirm/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+            key = f"Authorization: Bearer {KEY}\r\n".encode()
+            whole = head + key + b"Attempt-Id: a1\r\nContent-Length: "
+            for sent, status in (
+                (b"", b""),
+                (head, b"HTTP/1.1 408"),
+                (head + b"X: " + b"x" * 3000, b"HTTP/1.1 400"),
+                (whole + b"9\r\n\r\nhalf", b"HTTP/1.1 408"),
+                (whole + b"0\r\n\r\n", b"HTTP/1.1 200"),
+            ):
+                with self.subTest(sent=sent[-20:]):
+                    read = await self.talk(instance, sent)
+                    self.assertEqual(read[:12], status)
+            ran = [r for s in site.servers.values() for r in s.journal]
+            self.assertEqual(len(ran), 1)
+
+
 class StopToTheEndTest(PlatformCase):
     """A planned stop until the process is done."""
 
