Spread runs that leave a server over the servers of their kind

Instances learn of the leaving at the same moment, see the same loads and each asked for the emptiest server; when the group of its kind was full, for the emptiest of all, where a run of long prompts that goes on is admitted before the more urgent short ones.

Change: refuges are chosen by the request's id among the servers of its kind that have room, or among all of its kind if none has, and a move under way counts as load.

Tests: RefugeTest (instances that see the same loads; a full group beside an idle one of a more urgent kind; room taken by a move).

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -276,15 +276,16 @@
         left_s = dispatcher.left_s(self._call, server, self._progress.events)
         if not self._sink.started or left_s < STAY_S:
             return
-        target = dispatcher.refuge(self._call, frozenset(self._progress.tried))
-        if target is None:
+        seat = dispatcher.refuge(self._call, frozenset(self._progress.tried))
+        if seat is None:
             return
         self._moving = anyio.Event()
         try:
             self._progress.copy = await self._kit.evacuator.move(
-                self._call, server, target
+                self._call, server, seat.placed.server
             )
         finally:
+            seat.run.end()
             self._moving.set()
             self._moving = None
 
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from jasminerelay import placing
+from jasminerelay import placing, rendezvous
 from jasminerelay.admission import Prospect
 from jasminerelay.catalog import BackendServer, Call, Engine
 from jasminerelay.groups import DemandMeter, DemandView, Split
@@ -184,18 +184,33 @@
         run = self.workload.start(server.id, 0, memory)
         return Seat(Placed(server, 0, memory), run)
 
-    def refuge(self, call: Call, avoid: frozenset[str]) -> BackendServer | None:
-        """Returns where a run from a leaving server should go on."""
-        placed = self.place(call, avoid)
-        if isinstance(placed, Placed):
-            return placed.server
-        # Full ones are better than none: the run is cut where it is.
-        servers = self._registry.servers_of(call.service)
-        return min(
-            (server for server in servers if server.id not in avoid),
-            key=lambda server: self.workload.load(server.id).running,
-            default=None,
-        )
+    def refuge(self, call: Call, avoid: frozenset[str]) -> Seat | None:
+        """Returns a seat where a run from a leaving server should go on.
+
+        All instances learn of a leaving server at the same moment and see the
+        same loads, so the emptiest server would get all its runs at once.
+        They go by the requests' ids, to the servers of their kind: on those
+        of a more urgent kind a run that goes on preempts what it finds.
+        """
+        engine = self.engine_of(call.service)
+        servers = [
+            server
+            for server in self._registry.servers_of(call.service)
+            if server.id not in avoid
+        ]
+        if engine is None or not servers:
+            return None
+        memory = call.prompt.tokens + self._guess(call).output
+        group = self._group(call, servers)
+        options = _some([self._option(call, item, ()) for item in group])
+        roomy = [
+            item.server
+            for item in options
+            if not item.blocked and placing.has_room(engine, item, memory)
+        ]
+        # A full one is better than none: the run is cut where it is.
+        by_id = {item.id: item for item in roomy or group}
+        return self.seat_at(call, by_id[rendezvous.owner(call.id, by_id)])
 
     def left_s(self, call: Call, server: BackendServer, events: int) -> float:
         """Returns how long a stream will go on at its server."""
@@ -210,13 +225,13 @@
 
     def expect(self, call: Call, ahead_s: float) -> Prospect:
         """Returns what to expect of a request that waits."""
-        left_s = call.ends - time.monotonic()
+        now = time.monotonic()
+        left_s = call.ends - now
         servers = self._registry.servers_of(call.service)
         if not servers:
             # The next word of the store may bring some; a short wait costs
             # the caller less than coming back.
-            waited = time.monotonic() - call.arrived
-            return Prospect(waited, 0.0, call.route.objective_s)
+            return Prospect(now - call.arrived, 0.0, call.route.objective_s)
         if call.prompt is None:
             ahead = ahead_s * self._instances() / _slots(servers)
             return Prospect(ahead, call.route.objective_s / 3, left_s)
@@ -224,7 +239,6 @@
         unread = sum(self.workload.load(item.id).unread for item in group)
         reading = unread / placing.READ_TOKENS_S / len(group)
         ahead = reading + ahead_s * self._instances() / len(group)
-        now = time.monotonic()
         pace = min(
             self.paces.token_s(item.id, now) or placing.STEP_S for item in group
         )
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -237,7 +237,7 @@
 ) -> _Scored:
     unread = _unread(call, item, at_home)
     memory = call.prompt.tokens + guess.output
-    room = _has_room(engine, item, memory)
+    room = has_room(engine, item, memory)
     room = room and not _too_slow(call, item, guess.typical)
     first_s = first_event_s(item, unread)
     if not room:
@@ -250,6 +250,19 @@
     return _Scored(Placed(item.server, unread, memory), room, first_s, seconds)
 
 
+def has_room(engine: Engine, item: Option, memory: int) -> bool:
+    """Returns whether a server can run a request of some memory now."""
+    slots = max(1, int(engine.slots * RUN_SHARE))
+    if item.load.running >= slots:
+        return False
+    if item.load.unread > UNREAD_LIMIT_S * READ_TOKENS_S:
+        return False
+    if not item.load.running:
+        # Even one that is larger than the share must run somewhere.
+        return True
+    return item.load.memory + memory <= engine.cache_tokens * MEMORY_SHARE
+
+
 def calm(options: Sequence[Option]) -> list[Option]:
     """Returns the servers that read no long prompt now."""
     return [item for item in options if item.load.unread <= CHUNK_TOKENS]
@@ -288,18 +301,6 @@
     return FIRST_EVENT_S + reading * decoding * item.slowness
 
 
-def _has_room(engine: Engine, item: Option, memory: int) -> bool:
-    slots = max(1, int(engine.slots * RUN_SHARE))
-    if item.load.running >= slots:
-        return False
-    if item.load.unread > UNREAD_LIMIT_S * READ_TOKENS_S:
-        return False
-    if not item.load.running:
-        # Even one that is larger than the share must run somewhere.
-        return True
-    return item.load.memory + memory <= engine.cache_tokens * MEMORY_SHARE
-
-
 def _too_slow(call: Call, item: Option, typical_output: int) -> bool:
     # By the usual answer of the kind, not by this one: a long one would find
     # every server too slow, however idle.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Choices of one instance from all that it knows, without a network."""
 
+import collections
 import random
 import time
 import unittest
@@ -9,7 +10,7 @@
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.platform import documents
 from jasminerelay.registry import Registry
-from jasminerelay.schema.messages import ServerRow
+from jasminerelay.schema.messages import KindDemand, ServerRow
 from tests.test_placing import call, route
 
 SERVICE = "pool"
@@ -105,5 +106,53 @@
         self.assertIsNone(here.paces.token_s("i-000", 10.0))
 
 
+class RefugeTest(unittest.TestCase):
+    """Where runs go from a leaving server."""
+
+    def crowd(self, count: int, servers: int = 12) -> list[Dispatcher]:
+        """Returns instances that share a split: six servers for long ones."""
+        desks = [dispatcher(servers) for _ in range(count)]
+        demand = [
+            KindDemand(f"{SERVICE}/long", 4.0, 6600.0, 2),
+            KindDemand(f"{SERVICE}/short", 4.0, 600.0, 0),
+        ]
+        now = time.monotonic()
+        for desk in desks:
+            desk.demand.hear("other", demand, now)
+            desk.tick(now)
+        return desks
+
+    def test_instances_do_not_meet_at_one_server(self) -> None:
+        # Fourteen streams of long prompts run at a server that leaves, each
+        # carried by another instance. All learn of it at the same moment and
+        # see the same idle servers. Sent to one, they would hold most of its
+        # slots and preempt what runs there.
+        taken: collections.Counter[str] = collections.Counter()
+        for number, desk in enumerate(self.crowd(14)):
+            seat = desk.refuge(call(f"c{number}"), frozenset({"i-000"}))
+            taken[seat.placed.server.id] += 1
+        self.assertGreaterEqual(len(taken), 4)
+        self.assertLessEqual(max(taken.values()), 5)
+
+    def test_not_among_more_urgent_ones(self) -> None:
+        # The servers of long prompts are full, those of short and more urgent
+        # ones nearly idle. A long run that went on there would preempt them.
+        for number, desk in enumerate(self.crowd(8)):
+            group = desk._splits[SERVICE].group("long")
+            for name in group:
+                for _ in range(40):
+                    desk.workload.start(name, unread=0, memory=100)
+            seat = desk.refuge(call(f"c{number}"), frozenset({group[0]}))
+            self.assertIn(seat.placed.server.id, group[1:])
+
+    def test_a_move_under_way_takes_room(self) -> None:
+        desk = dispatcher(1)
+        seat = desk.refuge(call(), frozenset())
+        self.assertEqual(desk.workload.load("i-000").running, 1)
+        seat.run.end()
+        self.assertEqual(desk.workload.load("i-000").running, 0)
+        self.assertIsNone(desk.refuge(call(), frozenset({"i-000"})))
+
+
 if __name__ == "__main__":
     unittest.main()
