--- a/src/jasminerelay/admission.py
+++ b/src/jasminerelay/admission.py
@@ -13,13 +13,6 @@
 """Part of the time left that the expected time may take. Expected times are
 off by their nature; a tenth keeps most of those that are admitted in time."""
 
-HOLD_SHARE = 0.3
-"""Part of its time for which a request waits in vain before it is refused.
-Under a long burst the more urgent and the newer ones go first again and again,
-which no estimate of the work ahead shows, and some waited until their time was
-over. A caller told at this point comes back with half of its time left, enough
-for an answer."""
-
 RETRY_LEAST_S = 0.25
 RETRY_SHARE = 0.33
 """Callers wait as told up to a third of the time that they have left; a
@@ -37,19 +30,15 @@
         ahead_s: Time until the work before it has found its place.
         own_s: Time from its place to its end.
         left_s: Time until it must have ended.
-        waited_s: Time for which it has waited.
     """
 
     ahead_s: float
     own_s: float
     left_s: float
-    waited_s: float = 0.0
 
     @property
     def hopeless(self) -> bool:
         """Whether it cannot be expected to end in time."""
-        if self.waited_s > HOLD_SHARE * (self.waited_s + self.left_s):
-            return True
         return self.ahead_s + self.own_s > self.left_s * MARGIN_SHARE
 
 
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -46,8 +46,6 @@
         call: The request.
         avoid: Servers that it must not go to.
         busy_s: Engine time that it needs.
-        since: Steady time since which it has waited here. A stream that goes
-            on after its server's end begins anew: its caller has a part.
         seat: Where it goes, once known.
         refused: Why it was refused, if it was.
     """
@@ -55,7 +53,6 @@
     call: Call
     avoid: frozenset[str]
     busy_s: float
-    since: float
     seat: Seat | None = None
     refused: NoRoomError | None = None
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -108,7 +105,7 @@
         Raises:
             NoRoomError: if there will be none in time.
         """
-        waiter = Waiter(call, avoid, self._busy(call), time.monotonic())
+        waiter = Waiter(call, avoid, self._busy(call))
         self._waiting.append(waiter)
         self._pump(call.service)
         if not waiter.done.is_set():
@@ -161,9 +158,7 @@
                     continue
                 tries[kind] += 1
             before = ahead_s.get(kind, 0.0)
-            prospect = dataclasses.replace(
-                self._expect(item.call, before), waited_s=now - item.since
-            )
+            prospect = self._expect(item.call, before)
             if prospect.hopeless:
                 self._settle(item, refused=_no_room(item.call, prospect))
                 continue
@@ -185,7 +180,6 @@
     spread = (hash(call.id) % 1000) / 1000
     return NoRoomError(
         f"no room in time: {prospect.ahead_s:.2f} s of work ahead,"
-        f" {prospect.own_s:.2f} s of its own, {prospect.left_s:.2f} s left,"
-        f" {prospect.waited_s:.2f} s waited",
+        f" {prospect.own_s:.2f} s of its own, {prospect.left_s:.2f} s left",
         retry_s=admission.retry_after_s(prospect, spread),
     )
