Disturb the deployed programs from outside in a randomised run

What was missing: the randomised run covers the own interface only.

Change: tests/platformsoak.py runs instances as deployed, as processes of their own, before stand-ins whose store and servers stand behind links that are delayed, silenced, cut one way and reset; processes are killed, frozen, stopped and started, settings and configuration change, the store fails, forgets and loses answers, servers fail, leave and die, up to three at once. What callers were told is compared with what the servers ran: whole answers of the right request, streams without gaps, nothing unasked, at most one run of what may run once, no run behind a refusal, planned stops that end in order, no process that ends by itself, service after all is healed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo demo-platform serve test lint format generate bench capacity soak safeguards clean
+.PHONY: demo demo-platform serve test lint format generate bench capacity soak soak-platform safeguards clean
 
 $(READY): pyproject.toml requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -53,5 +53,8 @@
 soak: $(READY)
 	$(BIN)/python -m tests.soak --seconds $$(( $(or $(MINUTES),5) * 60 )) --seed $(or $(SEED),1)
 
+soak-platform: $(READY)
+	$(BIN)/python -m tests.platformsoak --seconds $(or $(SECONDS),20) --seed $(or $(SEED),1) --runs $(or $(RUNS),1)
+
 safeguards: $(READY)
 	$(BIN)/python -m tests.safeguards
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -14,6 +14,7 @@
 
 from jasminerelay import ports
 from standins.launcher import free_address
+from standins.link import Link
 from standins.platformserver import PlatformServer
 from standins.platformstore import PlatformStore
 
@@ -32,12 +33,15 @@
         plain: Servers of the plain service.
         grace_s: Time from SIGTERM to the end of a process.
         routes: Changes to the routes' fields, by route name.
+        links: Whether servers and store are reached through links that can
+            be disturbed.
     """
 
     engines: int = 2
     plain: int = 2
     grace_s: float = 4.0
     routes: dict[str, dict] = dataclasses.field(default_factory=dict)
+    links: bool = False
 
 
 class PlatformSite:
@@ -48,12 +52,14 @@
         self.store = PlatformStore()
         self.servers: dict[str, PlatformServer] = {}
         self.addresses: dict[str, str] = {}
+        self.links: dict[str, Link] = {}
         self.version = 0
         self._folder = folder
         self._store_address = free_address()
         self._group: anyio.abc.TaskGroup | None = None
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._seeds: list[str] = []
+        self._leaving: set[str] = set()
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["PlatformSite"]:
@@ -74,13 +80,19 @@
         server = PlatformServer(name)
         address = free_address()
         self.servers[name] = server
-        self.addresses[name] = address
         await self._listen(name, server, address)
+        self.addresses[name] = self._linked(name, address)
         self.register(name, service)
         return server
 
+    def leaving(self, name: str) -> bool:
+        """Returns whether a server has been ended or told to leave."""
+        return name not in self._scopes or name in self._leaving
+
     def register(self, name: str, service: str, phase: str = "ready") -> None:
         """Writes a server's row."""
+        if phase != "ready":
+            self._leaving.add(name)
         self.store.put(
             "servers",
             name,
@@ -168,12 +180,23 @@
             "[bounds]",
             f"graceS = {self.options.grace_s}",
             "[platform]",
-            f'address = "{self._store_address}"',
+            f'address = "{self._linked(name, self._store_address)}"',
         ]
         path = self._folder / f"{name}.toml"
+        if self.options.links:
+            self._seeds.append(f"127.0.0.1:{port}")
         path.write_text("\n".join(lines) + "\n")
         return path
 
+    def _linked(self, name: str, address: str) -> str:
+        """Returns an address at which another one is reached by a link."""
+        if not self.options.links:
+            return address
+        near = free_address()
+        self.links[name] = Link(near, address)
+        self._group.start_soon(self.links[name].serve)
+        return near
+
     async def _listen(self, name: str, app, address: str) -> None:
         port = ports.port(app, address, date_header=False)
         scope = anyio.CancelScope()
