Keep the routes' ranks behind the organisations'

Change: an organisation's rank goes first, its routes' ranks order what ranks alike. The engines get the place among the pairs that the configuration has; where organisations have no ranks the routes' numbers go out as before.

--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -201,6 +201,35 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
         object.__setattr__(self, "_by_host", by_host)
+        object.__setattr__(self, "_levels", self._dense_levels())
+
+    def level_of(self, rank: int, route: Route) -> int:
+        """Returns the place of a model request among all that may come.
+
+        An organisation's rank goes before its routes' ranks, and does not
+        replace them: among requests of organisations that rank alike, a
+        short-lived answer must not wait behind a long one. Levels are dense,
+        since engines know few of them.
+
+        Args:
+            rank: The organisation's rank, or the route's.
+            route: The route.
+        """
+        levels: dict[tuple[int, int], int] = self._levels  # type: ignore
+        return levels.get((rank, route.rank), rank)
+
+    def _dense_levels(self) -> dict[tuple[int, int], int]:
+        own = {holder.rank for holder in self.holders.values()}
+        if own <= {None}:
+            # The routes' ranks are all there is, and go as they are.
+            return {}
+        pairs = {
+            (route.rank if rank is None else rank, route.rank)
+            for route in self.routes
+            if route.model
+            for rank in own
+        }
+        return {pair: level for level, pair in enumerate(sorted(pairs))}
 
     def route_of(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path."""
@@ -246,6 +275,16 @@
         """The parts that other requests may bring too."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may bring too."""
+        return sum(part.tokens for part in self.shared)
+
+    @property
+    def own_tokens(self) -> int:
+        """Tokens in that no other request brings."""
+        return self.tokens - self.shared_tokens
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -256,6 +295,7 @@
         route: Its route.
         service: The service that serves it.
         rank: 0 is served first.
+        level: Its place by rank and route's rank; 0 is served first.
         organisation: Whose it is; "" without a key.
         method: HTTP method.
         host: Host that the caller named.
@@ -273,6 +313,7 @@
     route: Route
     service: str
     rank: int
+    level: int
     organisation: str
     method: str
     host: str
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -127,7 +127,7 @@
         if call.organisation:
             fields.append((_ORGANISATION, call.organisation.encode()))
         if call.prompt is not None:
-            urgency = min(max(call.rank, 0), URGENCY_LAST)
+            urgency = min(max(call.level, 0), URGENCY_LAST)
             fields.append((_URGENCY, str(urgency).encode()))
         if sending.after:
             fields.append((LAST_EVENT, sending.after.encode("latin-1")))
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -149,6 +149,7 @@
             route,
             route.pick_service(self._front.kit.rng),
             rank,
+            catalog.level_of(rank, route),
             holder.name if holder else "",
             scope["method"],
             host,
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -57,14 +57,16 @@
     refused: NoRoomError | None = None
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
-    def order(self, now: float) -> tuple[int, bool, float]:
+    def order(self, now: float) -> tuple[int, int, bool, float]:
         """Returns its place in the order in which places are given.
 
-        Rank first; then those who can still be in time, since an answer that
-        is late anyway loses little by waiting longer; then who came first.
+        Rank first, and its route's among requests that rank alike; then those
+        who can still be in time, since an answer that is late anyway loses
+        little by waiting longer; then who came first.
         """
         late = now - self.call.arrived > self.call.route.objective_s
-        return (self.call.rank, late, self.call.arrived)
+        call = self.call
+        return (call.rank, call.route.rank, late, call.arrived)
 
 
 Place = Callable[[Call, frozenset[str]], Placed | Wait]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -109,6 +109,37 @@
         self.assertEqual((holder.name, holder.rank), ("elm", 1))
         self.assertEqual(self.catalog.services["one"].engine.slots, 8)
 
+    def test_levels_keep_the_routes_order(self) -> None:
+        # Every organisation has a rank of its own. Where that replaced the
+        # routes' ranks, summaries and long studies of an organisation were
+        # alike to the engines, and a full engine preempted summaries while
+        # studies ran on.
+        routes = [
+            {**CONFIGURATION["routes"][0], "name": name, "prefix": f"/{name}/"}
+            | {"priorityClass": rank, "sessionAffinity": True}
+            for name, rank in (("summary", 0), ("check", 1), ("study", 2))
+        ]
+        for ranks in ((0, 1), (None, 1), (None, None)):
+            tenants = [
+                {"name": f"t{n}", "apiKeys": [f"k{n}"]}
+                | ({} if rank is None else {"priorityClass": rank})
+                for n, rank in enumerate(ranks)
+            ]
+            data = {**CONFIGURATION, "routes": routes, "tenants": tenants}
+            catalog = documents.catalog(msgspec.json.encode(data))
+            seen = []
+            for holder in catalog.holders.values():
+                for route in catalog.routes:
+                    own = holder.rank
+                    rank = route.rank if own is None else own
+                    level = catalog.level_of(rank, route)
+                    seen.append(((rank, route.rank), level))
+            seen.sort()
+            levels = [level for _, level in seen]
+            self.assertEqual(levels, sorted(levels))
+            self.assertEqual(len(set(seen)), len(set(levels)))
+            self.assertLess(max(levels), 6)
+
     def test_unreadable(self) -> None:
         for data in (b"", b"[]", b'{"version": "x"}'):
             with self.assertRaises(documents.DocumentError):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -27,7 +27,7 @@
 from jasminerelay.sharedbudget import SharedBudget
 from jasminerelay.silences import Silences
 from jasminerelay.stopping import Stop
-from jasminerelay.waitingroom import WaitingRoom
+from jasminerelay.waitingroom import Waiter, WaitingRoom
 from jasminerelay.workload import (
     NOTHING,
     PEER_WORD_LIFE_S,
@@ -66,6 +66,7 @@
         "route": route(),
         "service": "pool",
         "rank": 2,
+        "level": 2,
         "organisation": "o",
         "method": "POST",
         "host": "h",
@@ -243,6 +244,20 @@
                 await anyio.sleep(0)
         self.assertEqual(order, ["high", "low", "late"])
 
+    def test_alike_organisations_go_by_route(self) -> None:
+        room = [
+            Waiter(call("study", 0.0, rank=1), frozenset(), 0.1),
+            Waiter(
+                call("chat", 1.0, rank=1, route=route(rank=0)),
+                frozenset(),
+                0.1,
+            ),
+            Waiter(call("first", 2.0, rank=0), frozenset(), 0.1),
+        ]
+        room.sort(key=lambda item: item.order(2.0))
+        order = [item.call.id for item in room]
+        self.assertEqual(order, ["first", "chat", "study"])
+
     async def test_hopeless_is_refused_at_once(self) -> None:
         room = self.room([], hopeless=True)
         with self.assertRaises(NoRoomError) as caught:
