Say twice-said things once: shared tokens, rows of the store, lost history

The shared tokens of a prompt were summed in five places, the store's client and the followers had a type each for a row, a page of rows and a lost history, and the dispatcher held a source of random choices that it did not use.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -1,7 +1,6 @@
 """Chooses servers for requests from all that an instance knows."""
 
 import dataclasses
-import random
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -41,7 +40,6 @@
         registry: Registry,
         zone: str,
         instances: Callable[[], int],
-        rng: random.Random,
     ):
         """Makes a dispatcher.
 
@@ -49,12 +47,10 @@
             registry: Configuration and servers.
             zone: This instance's availability zone.
             instances: Returns how many instances share the work.
-            rng: Source of random choices.
         """
         self._registry = registry
         self._zone = zone
         self._instances = instances
-        self._rng = rng
         self.workload = Workload()
         self.meter = DemandMeter()
         self.demand = DemandView()
@@ -111,8 +107,7 @@
         """Notes a new request."""
         if call.prompt is None:
             return
-        shared = sum(part.tokens for part in call.prompt.shared)
-        unread = call.prompt.tokens - shared
+        unread = call.prompt.own_tokens
         kind = call.route.name
         busy_s = self._engine_busy_s(call, unread)
         self.meter.arrived(call.service, kind, call.route.rank, busy_s, unread)
@@ -124,8 +119,7 @@
         """Returns how long a request keeps a server busy."""
         if call.prompt is None:
             return call.route.objective_s / 4
-        shared = sum(part.tokens for part in call.prompt.shared)
-        unread = call.prompt.tokens - shared
+        unread = call.prompt.own_tokens
         return self._engine_busy_s(call, unread)
 
     def place(self, call: Call, avoid: frozenset[str]) -> Placed | Wait:
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -225,10 +225,9 @@
     if call.prompt is None:
         return []
     prompt = call.prompt
-    shared = sum(part.tokens for part in prompt.shared)
     return [
         prompt.tokens,
-        shared,
+        prompt.shared_tokens,
         prompt.max_output,
         prompt.expected_output,
     ]
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -323,12 +323,11 @@
 
 def _overflow_worth_s(call: Call, following: Sequence[str]) -> dict[str, float]:
     """Returns what the order of overflow is worth, by server."""
-    shared = sum(part.tokens for part in call.prompt.shared)
+    shared = call.prompt.shared_tokens
     pairs = zip(following, OVERFLOW_SHARES, strict=False)
     return {name: REREAD_S * part * shared for name, part in pairs}
 
 
 def _unread(call: Call, item: Option, at_home: bool) -> int:
-    shared = sum(part.tokens for part in call.prompt.shared)
-    warm = max(item.warm, shared if at_home else 0)
+    warm = max(item.warm, call.prompt.shared_tokens if at_home else 0)
     return max(1, call.prompt.tokens - warm)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -211,7 +211,7 @@
     def _wire_requests(self) -> None:
         boot = self.boot
         self.dispatcher = Dispatcher(
-            self.registry, boot.zone, lambda: self._peers.count, self._rng
+            self.registry, boot.zone, lambda: self._peers.count
         )
         self.dispatcher.on_split = self._log_split
         # Each life of a process is a member of its own: a restarted one must
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -1,13 +1,13 @@
 """The one client of the platform's store."""
 
 import base64
-import dataclasses
 from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
 
 from jasminerelay.errors import StoreError
+from jasminerelay.following import HistoryGoneError, Page
 from jasminerelay.httpclient import (
     BrokenError,
     Client,
@@ -15,6 +15,7 @@
     NotSentError,
     Reply,
 )
+from jasminerelay.schema.messages import ServerRow
 
 RETRY_S = 0.5
 """When a call that the store did not take is worth another try."""
@@ -27,42 +28,10 @@
 FEED_SLACK_S = 1.5
 """Silence beyond a feed call's own wait after which it is given up."""
 
-PAGE = 500
+PAGE_ROWS = 500
 """Rows of one answer, the most that the store gives."""
 
 
-class HistoryLostError(StoreError):
-    """The store no longer has the changes asked for; read all rows."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Row:
-    """A row of the store.
-
-    Attributes:
-        key: Its key.
-        version: The store's version of it.
-        data: Its content; None if it is gone.
-    """
-
-    key: str
-    version: int
-    data: bytes | None
-
-
-@dataclasses.dataclass(frozen=True)
-class Rows:
-    """Rows as of one moment.
-
-    Attributes:
-        rows: The rows.
-        version: The store's version at that moment.
-    """
-
-    rows: tuple[Row, ...]
-    version: int
-
-
 class _Row(msgspec.Struct):
     key: str = ""
     version: int = msgspec.field(name="schemaVersion", default=0)
@@ -94,35 +63,35 @@
         self._client = client
         self._base = f"http://{address}"
 
-    async def read(self, table: str) -> Rows:
+    async def read(self, table: str) -> Page:
         """Returns all rows of a table's unnamed part.
 
         Pages are read one after another; the version is the first one's, so
         that following the changes from it misses none.
         """
-        rows: list[Row] = []
+        rows: list[ServerRow] = []
         version = None
         source = ""
         while True:
-            query = {"table": table, "part": "", "limit": PAGE}
+            query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if source:
                 query["source"] = source
             answer = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
             rows += [_row(item) for item in answer.rows]
             version = answer.version if version is None else version
             if not answer.more or not answer.rows:
-                return Rows(tuple(rows), version)
+                return Page(tuple(rows), version)
             source = answer.rows[-1].key + "\x00"
 
-    async def changes(self, table: str, after: int, wait_s: float) -> Rows:
+    async def changes(self, table: str, after: int, wait_s: float) -> Page:
         """Waits for rows of a table that changed after a version.
 
         Raises:
-            HistoryLostError: if the changes since then are no longer kept.
+            HistoryGoneError: if the changes since then are no longer kept.
         """
         query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
         answer = await self._get("/-/rows-feed", query, wait_s + FEED_SLACK_S)
-        return Rows(tuple(_row(item) for item in answer.rows), answer.version)
+        return Page(tuple(_row(item) for item in answer.rows), answer.version)
 
     async def write(self, table: str, key: str, data: bytes) -> None:
         """Writes a row, whatever stands there."""
@@ -155,7 +124,7 @@
         url = f"{self._base}{path}?{urlencode(query)}"
         reply = await self._call(Exchange("GET", url, timeout_s=timeout_s))
         if reply.status == 410:
-            raise HistoryLostError("the changes asked for are gone")
+            raise HistoryGoneError("the changes asked for are gone")
         _check(reply)
         try:
             return msgspec.json.decode(reply.body, type=_Answer)
@@ -178,6 +147,6 @@
         raise StoreError(f"the store answered {reply.status}", retry_s=RETRY_S)
 
 
-def _row(raw: _Row) -> Row:
+def _row(raw: _Row) -> ServerRow:
     data = None if raw.deleted else base64.b64decode(raw.data)
-    return Row(raw.key, raw.version, data)
+    return ServerRow(raw.key, raw.version, data)
--- a/src/jasminerelay/platform/tables.py
+++ b/src/jasminerelay/platform/tables.py
@@ -3,9 +3,8 @@
 import msgspec
 
 from jasminerelay.errors import StoreError
-from jasminerelay.following import HistoryGoneError, Page
-from jasminerelay.platform.storeclient import HistoryLostError, Rows, Store
-from jasminerelay.schema.messages import ServerRow
+from jasminerelay.following import Page
+from jasminerelay.platform.storeclient import Store
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -22,15 +21,11 @@
 
     async def read(self) -> Page:
         """Returns all rows."""
-        return _page(await self._store.read(self._table))
+        return await self._store.read(self._table)
 
     async def changes(self, after: int, wait_s: float) -> Page:
         """Waits for rows that changed after a version."""
-        try:
-            rows = await self._store.changes(self._table, after, wait_s)
-        except HistoryLostError as exc:
-            raise HistoryGoneError(exc.message) from exc
-        return _page(rows)
+        return await self._store.changes(self._table, after, wait_s)
 
 
 class _Instance(msgspec.Struct):
@@ -67,13 +62,6 @@
             try:
                 instance = msgspec.json.decode(row.data, type=_Instance)
             except msgspec.MsgspecError as exc:
-                raise StoreError(f"row {row.key}: {exc}") from exc
+                raise StoreError(f"row {row.id}: {exc}") from exc
             found.add(instance.peers)
         return found
-
-
-def _page(rows: Rows) -> Page:
-    return Page(
-        tuple(ServerRow(row.key, row.version, row.data) for row in rows.rows),
-        rows.version,
-    )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,7 +1,6 @@
 """Choices of one instance from all that it knows, without a network."""
 
 import collections
-import random
 import time
 import unittest
 
@@ -47,7 +46,7 @@
         name = f"i-{number:03}"
         rows.append(ServerRow(name, 2, msgspec.json.encode(data)))
     registry.take_all(rows, 2, 0.0)
-    return Dispatcher(registry, "z", lambda: 1, random.Random(1))
+    return Dispatcher(registry, "z", lambda: 1)
 
 
 class IdlePaceTest(unittest.TestCase):
