Use nine tenths of the slots, and hold overflow to four servers

Change: nine tenths of an engine's slots in place of eight; the next four servers of the order count for an overflowing start in place of two, and for more.

--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -39,11 +39,10 @@
 It covers the age of the other instances' words; more only takes the choice
 of order away from the instances."""
 
-RUN_SHARE = 0.8
-"""Share of a server's slots that is used. Above it an engine takes so long
-for each token that long answers pass their time limits. Worked out, not
-measured: in a closed loop of 6,600-token prompts 64 of 64 slots would take
-7.6 s an answer, 48 would take 6.2 s."""
+RUN_SHARE = 0.9
+"""Share of a server's slots that is used. The rest takes what other instances
+send before their words arrive; what finds no slot preempts or queues there. An
+engine that turns too slow for long answers is found by its pace."""
 
 MEMORY_SHARE = 0.92
 """Share of a server's memory that is promised; lengths are estimates, and a
@@ -58,11 +57,11 @@
 it takes the engine from everyone, so a request moves away from a warm server
 only for a delay worth more."""
 
-OVERFLOW_SHARES = (0.5, 0.25)
+OVERFLOW_SHARES = (1.0, 0.7, 0.45, 0.25)
 """Part of a prompt's shared start that is taken to be read already at the
 servers that all instances pick next when the first one is full. Without an
 order for what overflows, each instance picked another server, and each of
-those read the start anew."""
+those read the start anew; with a weak one a third of the overflow still did."""
 
 MAX_SLOWNESS = 4.0
 """Bound on what a measured slowness counts; one stalled answer is no proof
