--- a/src/jasminerelay/cli.py
+++ b/src/jasminerelay/cli.py
@@ -15,7 +15,7 @@
 
 from jasminerelay import burn, burnpage, explain, manifest
 from jasminerelay.burn import Row, Totals
-from jasminerelay.platform import bootfile
+from jasminerelay.platform import bootfile, deployfile
 
 USAGE = """Operates a running relay.
 
@@ -29,6 +29,7 @@
   jasminerelay burn [--html=FILE] [options]
   jasminerelay explain ID [LOG...]
   jasminerelay platform check SETTINGS
+  jasminerelay platform check-deploy FILE
   jasminerelay -h | --help
 
 Options:
@@ -42,7 +43,8 @@
 
 explain reads the logs of any number of instances on the users' platform, from
 files or standard input, and shows how a request came to its end; platform
-check reads a settings file of that platform.
+check reads a settings file of that platform, check-deploy the file by which it
+builds and starts the instances.
 
 Exit status: 0 done, 1 no answer or refused, 2 faulty command or file,
 3 another manifest was accepted first, 4 some instances did not answer.
@@ -153,6 +155,8 @@
 
 
 def _command(arguments: dict[str, Any]) -> int:
+    if arguments["check-deploy"]:
+        return _check_deploy(arguments)
     if arguments["platform"]:
         return _check_platform(arguments)
     if arguments["explain"]:
@@ -216,6 +220,16 @@
     return 0
 
 
+def _check_deploy(arguments: dict[str, Any]) -> int:
+    loaded = deployfile.load(pathlib.Path(arguments["FILE"]))
+    if loaded.is_err():
+        for problem in loaded.unwrap_err():
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    print(f"{arguments['FILE']}: no faults; roles {loaded.unwrap()}")
+    return 0
+
+
 def _explain(arguments: dict[str, Any]) -> int:
     lines = []
     for path in arguments["LOG"]:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import re
+import tempfile
 import unittest
 
 import msgspec
@@ -10,7 +11,7 @@
 from jasminerelay.catalog import BackendServer, Repeat
 from jasminerelay.eventlog import EventLog
 from jasminerelay.httpclient import Reply
-from jasminerelay.platform import bootfile, documents, headers
+from jasminerelay.platform import bootfile, deployfile, documents, headers
 from standins.launcher import ROOT
 from tests.test_placing import call
 
@@ -87,6 +88,43 @@
         self.assertIn("JASMINERELAY_BOOT", str(missing.unwrap_err()[0]))
 
 
+class DeployFileTest(unittest.TestCase):
+    """The file by which the platform builds and starts instances."""
+
+    def test_own(self) -> None:
+        loaded = deployfile.load(ROOT / "deploy/system.toml")
+        self.assertEqual(loaded.unwrap(), ["relay"])
+
+    def test_faults_name_the_remedy(self) -> None:
+        text = (ROOT / "deploy/system.toml").read_text()
+        for old, new in (
+            ('"registry"', '"other"'),
+            ("share = 1.0", "share = 1.5"),
+            ("share = 1.0", ""),
+            ("share = 1.0", "share = 1.0\ncount = 2"),
+            ("deploy/instance.py", "deploy/none.py"),
+            ("9464/metrics", "metrics"),
+            ("JASMINERELAY_METRICS_PORT", "LD_PRELOAD"),
+            ("[roles.relay]", "["),
+            ("build =", "built ="),
+        ):
+            with self.subTest(old=old, new=new):
+                self.assertIn(old, text)
+                with tempfile.TemporaryDirectory() as folder:
+                    deploy = pathlib.Path(folder) / "deploy"
+                    deploy.mkdir()
+                    (deploy / "instance.py").write_text("")
+                    path = deploy / "system.toml"
+                    path.write_text(text.replace(old, new))
+                    problems = deployfile.load(path).unwrap_err()
+                self.assertTrue(problems[0].remedy)
+                self.assertIn("system.toml", str(problems[0]))
+
+    def test_missing(self) -> None:
+        missing = deployfile.load(pathlib.Path("/nowhere/system.toml"))
+        self.assertIn("/nowhere", str(missing.unwrap_err()[0]))
+
+
 class DocumentsTest(unittest.TestCase):
     """Configuration and servers' rows."""
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jasminerelay import peerwords
+from jasminerelay.catalog import Prompt, PromptPart
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.platform import documents
 from jasminerelay.registry import Registry
@@ -93,8 +94,11 @@
         there.paces.observe("i-000", 5, 5 * 0.06, now)
         there.paces.observe("i-001", 5, 5 * 0.004, now)
         here.hear_loads("there", 1, there.own_loads(now), now)
-        asked = call(arrived=now, ends=now + 15.0)
-        for _ in range(4):
+        for number in range(8):
+            # Some of these starts belong to the first engine by hashing.
+            parts = (PromptPart(f"start-{number}", 5000), PromptPart("x", 600))
+            prompt = Prompt(parts, 5600, 1000, 400)
+            asked = call(arrived=now - 1.9, ends=now + 13.1, prompt=prompt)
             placed = here.place(asked, frozenset())
             self.assertEqual(placed.server.id, "i-001")
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -8,6 +8,7 @@
 import unittest
 
 from jasminerelay import cli, explain
+from standins.launcher import ROOT
 
 
 def line(at: float, instance: str, event: str, **fields) -> str:
@@ -109,6 +110,13 @@
             self.assertEqual(status, 1)
             self.assertIn("all instances", text)
 
+    def test_platform_check_deploy(self) -> None:
+        path = str(ROOT / "deploy/system.toml")
+        status, text = self.run_tool("platform", "check-deploy", path)
+        self.assertEqual(status, 0)
+        self.assertIn("relay", text)
+        self.assertEqual(self.run_tool("platform", "check-deploy", "/x")[0], 2)
+
     def test_platform_check(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "node.toml"
