--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -25,7 +25,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import anyio
 import httpcore
@@ -184,59 +184,63 @@
 
     # Faults of instances.
 
-    def _free_instance(self, rng: random.Random) -> InstanceProcess | None:
+    @contextlib.contextmanager
+    def _taken(self, rng: random.Random) -> Iterator[InstanceProcess | None]:
+        """Gives an instance that no other fault has; None keeps the last."""
         free = [item for item in self.instances if not item.busy]
-        return rng.choice(free) if len(free) > 1 else None
-
-    async def _kill(self, rng: random.Random) -> None:
-        instance = self._free_instance(rng)
-        if instance is None:
+        if len(free) < 2:
+            yield None
             return
+        instance = rng.choice(free)
         instance.busy = True
-        instance.signal(signal.SIGKILL)
-        await instance.ended(READY_S)
-        await anyio.sleep(rng.uniform(0.0, 2.0))
-        instance.start()
-        await self._until_ready(instance)
-        instance.busy = False
+        try:
+            yield instance
+        finally:
+            instance.busy = False
+
+    async def _kill(self, rng: random.Random) -> None:
+        with self._taken(rng) as instance:
+            if instance is None:
+                return
+            instance.signal(signal.SIGKILL)
+            await instance.ended(READY_S)
+            await anyio.sleep(rng.uniform(0.0, 2.0))
+            instance.start()
+            await self._until_ready(instance)
 
     async def _freeze(self, rng: random.Random) -> None:
-        instance = self._free_instance(rng)
-        if instance is None:
-            return
-        instance.busy = True
-        instance.signal(signal.SIGSTOP)
-        await anyio.sleep(rng.uniform(0.3, 4.0))
-        instance.signal(signal.SIGCONT)
-        instance.busy = False
+        with self._taken(rng) as instance:
+            if instance is None:
+                return
+            instance.signal(signal.SIGSTOP)
+            await anyio.sleep(rng.uniform(0.3, 4.0))
+            instance.signal(signal.SIGCONT)
 
     async def _stop(self, rng: random.Random) -> None:
-        instance = self._free_instance(rng)
-        if instance is None:
-            return
-        instance.busy = True
-        instance.signal(signal.SIGTERM)
-        if rng.random() < 0.3:
-            await anyio.sleep(0.2)
+        with self._taken(rng) as instance:
+            if instance is None:
+                return
             instance.signal(signal.SIGTERM)
-        status = await instance.ended(GRACE_S + 2.0)
-        if status != EXIT_IN_ORDER:
-            self._violate(f"a planned stop ended with {status}")
-            instance.signal(signal.SIGKILL)
-            await instance.ended(READY_S)
-        instance.start()
-        await self._until_ready(instance)
-        instance.busy = False
+            if rng.random() < 0.3:
+                await anyio.sleep(0.2)
+                instance.signal(signal.SIGTERM)
+            status = await instance.ended(GRACE_S + 2.0)
+            if status != EXIT_IN_ORDER:
+                self._violate(f"a planned stop ended with {status}")
+                instance.signal(signal.SIGKILL)
+                await instance.ended(READY_S)
+            instance.start()
+            await self._until_ready(instance)
 
     async def _reload(self, rng: random.Random) -> None:
-        instance = self._free_instance(rng)
-        if instance is None:
-            return
-        text = instance.path.read_text()
-        text = text.replace("[bounds]", f"[bounds]\nttl_max_s = {2}", 1)
-        if "ttl_max_s" not in instance.path.read_text():
-            instance.path.write_text(text)
-        instance.signal(signal.SIGHUP)
+        with self._taken(rng) as instance:
+            if instance is None:
+                return
+            text = instance.path.read_text()
+            if "ttl_max_s" not in text:
+                changed = text.replace("[bounds]", "[bounds]\nttl_max_s = 2", 1)
+                instance.path.write_text(changed)
+            instance.signal(signal.SIGHUP)
 
     # Faults of the store, the servers and the links.
 
