--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -1,10 +1,9 @@
 """The answer to one model request, from the permit to the last token."""
 
-import dataclasses
 import secrets
 import time
 import uuid
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing
 from typing import Any
 
@@ -12,11 +11,11 @@
 import msgspec
 
 from jasminerelay import burn
+from jasminerelay.answerkit import Kit, Piece, Placement
 from jasminerelay.backends import (
     Attempt,
     AttemptError,
     Chunk,
-    Engines,
     Proof,
 )
 from jasminerelay.errors import (
@@ -28,25 +27,15 @@
     LimitError,
     NoRoomError,
     RelayError,
-    ResumeGoneError,
 )
-from jasminerelay.estimate import Estimator
-from jasminerelay.metrics import Counters, Invariants
 from jasminerelay.modelrequests import CHAT_PATH, TEXT_PATH, ModelRequest
 from jasminerelay.outcome import Outcome, State
-from jasminerelay.permits import PermitDesk
 from jasminerelay.prefix import block_hashes
-from jasminerelay.resume import ResumePoint, Signer
-from jasminerelay.retry import RetryBudget
+from jasminerelay.resume import ResumePoint
 from jasminerelay.schema.manifest import (
-    Organisation,
-    Pool,
-    RequestType,
     Server,
-    ServiceClass,
 )
-from jasminerelay.schema.messages import Ask, Grant, Held, Refusal, Release
-from jasminerelay.schema.settings import Timing
+from jasminerelay.schema.messages import Ask, Grant, Refusal, Release
 
 MAX_RESUMES = 3
 MAX_ATTEMPTS = 5
@@ -62,71 +51,6 @@
 WASTE_CANCELLED = "cancelled"
 
 
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    """What the manifest says about a request.
-
-    Attributes:
-        organisation: Who sent it.
-        kind: Its request type.
-        service_class: Its service class.
-        pool: Pool that serves its model.
-        waited_s: Seconds since the first try, by a return ticket.
-    """
-
-    organisation: Organisation
-    kind: RequestType
-    service_class: ServiceClass
-    pool: Pool
-    waited_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Piece:
-    """One frame of the answer as the caller gets it.
-
-    Attributes:
-        data: JSON object, under the request's own identity.
-        point: Resume point after this frame, or empty.
-        usage_only: Whether it holds nothing but usage counts.
-    """
-
-    data: dict[str, Any]
-    point: str
-    usage_only: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class Kit:
-    """The parts of an instance that answers are made with.
-
-    Attributes:
-        desk: Gets permits.
-        engines: Streams from model engines.
-        signer: Signs resume points and return tickets.
-        book: What the burn report is made of.
-        counters: Counters of the instance.
-        invariants: Takes violations.
-        timing: Time limits.
-        estimator: Lengths of finished answers.
-        retries: Budget of all retries.
-        on_leaving: Takes the name of a backend server that is leaving.
-        spawn: Runs something beside the request.
-    """
-
-    desk: PermitDesk
-    engines: Engines
-    signer: Signer
-    book: burn.Book
-    counters: Counters
-    invariants: Invariants
-    timing: Timing
-    estimator: Estimator
-    retries: RetryBudget
-    on_leaving: Callable[[str], None]
-    spawn: Callable[..., None]
-
-
 class Answer:
     """The answer to one model request.
 
@@ -571,82 +495,6 @@
         }
 
 
-class ResumedAnswer(Answer):
-    """The rest of a stream whose instance died."""
-
-    def __init__(
-        self,
-        kit: Kit,
-        request: ModelRequest,
-        placement: Placement,
-        point: ResumePoint,
-        server: Server,
-    ):
-        super().__init__(kit, request, placement)
-        self._point = point
-        self._held_by = server
-        self._id = point.request_id
-        self._delivered = point.offset
-
-    async def _admit(self) -> None:
-        """The tokens were taken from the limit when the stream began."""
-
-    async def _attempts(self) -> AsyncIterator[Piece]:
-        point = self._point
-        cell = self._cell()
-        held = Held(
-            uuid.uuid4().hex,
-            cell,
-            point.server,
-            self._placement.service_class.rank,
-            False,
-        )
-        attempt = Attempt(
-            point.attempt,
-            self._held_by,
-            self._request.path,
-            b"",
-            self._kit.timing.first_byte_timeout_s,
-            self._kit.timing.token_timeout_s,
-        )
-        self._kit.desk.adopt(held)
-        self.outcome.waiting()
-        self.outcome.dispatched()
-        try:
-            chunks = self._kit.engines.resume(
-                attempt, point.offset - point.base
-            )
-            pieces = self._with_resumes(attempt, chunks, point.base)
-            async with aclosing(pieces):
-                async for piece in pieces:
-                    yield piece
-        except AttemptError as exc:
-            if self._delivered > point.offset:
-                raise BackendError(
-                    f"the stream broke again: {exc}", ran=RAN_YES
-                ) from exc
-            raise ResumeGoneError(
-                f"the stream cannot be resumed: {exc}", ran=RAN_YES
-            ) from exc
-        finally:
-            self._kit.desk.release(
-                Release(
-                    held.ask_id,
-                    cell,
-                    self._delivered - point.offset,
-                    False,
-                    0.0,
-                )
-            )
-
-    def _cell(self) -> str:
-        directory_cells = self._kit.desk.cells_of(self._placement.pool)
-        for cell in directory_cells:
-            if any(item.name == self._point.server for item in cell.servers):
-                return cell.name
-        return directory_cells[0].name
-
-
 def _new_id() -> str:
     """Returns a short random identity; resume points carry two of them."""
     return secrets.token_urlsafe(ID_BYTES)
--- a/src/jasminerelay/completions.py
+++ b/src/jasminerelay/completions.py
@@ -1,10 +1,12 @@
 """Starts and resumes the answers to model requests."""
 
-from jasminerelay.answers import Answer, Kit, Placement, ResumedAnswer
+from jasminerelay.answerkit import Kit, Placement
+from jasminerelay.answers import Answer
 from jasminerelay.errors import ResumeGoneError
 from jasminerelay.manifest import Directory
 from jasminerelay.modelrequests import ModelRequest
 from jasminerelay.resume import ResumePoint
+from jasminerelay.resumedanswers import ResumedAnswer
 
 
 class Completions:
--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -30,7 +30,7 @@
     replies,
     settings,
 )
-from jasminerelay.answers import Kit
+from jasminerelay.answerkit import Kit
 from jasminerelay.brokers import BrokerHost
 from jasminerelay.claimdesk import ClaimDesk
 from jasminerelay.completions import Completions
