Give each instance of the stand-in site an address of its own

Instances write a row under their address, by which others find them. On the platform every instance has its own address, and its program is unchanged.

Change: instances of the stand-in have 127.0.0.11 and on. MeetingTest starts one long after the other; it failed before and passes now.

--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -22,6 +22,8 @@
 HOST = "relay.example"
 MODEL = "engines"
 PLAIN = "bookings"
+FIRST_IP = 10
+"""Last part of the loopback address before the first instance's."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +61,7 @@
         self._group: anyio.abc.TaskGroup | None = None
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._seeds: list[str] = []
+        self._instances = 0
         self._leaving: set[str] = set()
 
     @contextlib.asynccontextmanager
@@ -170,7 +173,7 @@
         port = int(peers.rpartition(":")[2])
         lines = [
             f'nodeName = "{name}"',
-            'ip = "127.0.0.1"',
+            f'ip = "{self._next_ip()}"',
             f'zone = "{zone}"',
             'region = "r"',
             f"internalPortRange = [{port}, {port}]",
@@ -184,10 +187,20 @@
         ]
         path = self._folder / f"{name}.toml"
         if self.options.links:
-            self._seeds.append(f"127.0.0.1:{port}")
+            self._seeds.append(f"127.0.0.{FIRST_IP + self._instances}:{port}")
         path.write_text("\n".join(lines) + "\n")
         return path
 
+    def _next_ip(self) -> str:
+        """Returns an address of its own for an instance, as it has there.
+
+        Instances write a row under their address. With one address for all
+        they overwrote each other's rows, and two that started apart by more
+        than the pause before reading never met.
+        """
+        self._instances += 1
+        return f"127.0.0.{FIRST_IP + self._instances}"
+
     def _linked(self, name: str, address: str) -> str:
         """Returns an address at which another one is reached by a link."""
         if not self.options.links:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 import anyio
 
 from jasminerelay.httpclient import NotSentError
+from jasminerelay.platform.root import REGISTER_PAUSE_S
 from standins.platformserver import ServerFaults
 from standins.platformsite import HOST, KEY, MODEL, PLAIN, SiteOptions
 from tests.platformcase import PlatformCase, events, fetch
@@ -423,6 +424,24 @@
                 group.cancel_scope.cancel()
 
 
+class MeetingTest(PlatformCase):
+    """Instances that know no address of each other."""
+
+    async def test_started_apart(self) -> None:
+        # One instance has long read the others' rows when a second one
+        # starts, as after a loss. Callers of either must be told of both
+        # within seconds, not when the rows are next read.
+        async with (
+            self.site() as (site, (first,)),
+            anyio.create_task_group() as group,
+        ):
+            await anyio.sleep(3 * REGISTER_PAUSE_S)
+            second = await self.start(group, site, "edge-2")
+            await self.until(lambda: first.peers_live == 2)
+            await self.until(lambda: second.peers_live == 2)
+            group.cancel_scope.cancel()
+
+
 class SlowCallerTest(PlatformCase):
     """Callers that hold connections without use."""
 
