--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -88,7 +88,8 @@
             )
             ready = await fetch(f"http://{first.readiness}/-/readyz")
             self.assertEqual(ready.status, 200)
-            self.assertEqual(len(site.store.keys("jasminerelay_instances")), 1)
+            # A row for each, under its own address.
+            self.assertEqual(len(site.store.keys("jasminerelay_instances")), 2)
 
     async def test_new_configuration_in_force(self) -> None:
         async with self.site() as (site, (instance,)):
