Copy the start of a prompt from another server in place of reading it again

Change: a request that goes to a server which may lack its prompt's start names the likeliest other holder (seen to have read it, else first or second in the instances' common order) as the source of a copy, where copying is quicker than reading. A holder that has nothing costs one question between two servers. Overflow prices the copy and not the reading. Readings are sampled over half a minute once there are 48; a sample with much ahead of it does not count; spill to other kinds' servers is bounded by half of the shortest pause together with what is read there already.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -165,6 +165,7 @@
             left_s,
             after=self._progress.last_event,
             copy=copy,
+            source=seat.placed.source,
         )
         request = httpcore.Request(
             self._call.method,
--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -10,6 +10,8 @@
 import random
 from collections.abc import Mapping
 
+BYTE_BITS = 8
+
 
 class Repeat(enum.Enum):
     """What may be sent to a second backend server.
@@ -101,6 +103,8 @@
             it grows.
         event_tokens: Tokens in one event of a stream.
         moves: Whether a run can be moved to another server.
+        link_bits_s: What one server's link to the others carries, in bits a
+            second; 0 if unknown.
     """
 
     slots: int
@@ -109,6 +113,13 @@
     backups: bool
     event_tokens: int
     moves: bool = False
+    link_bits_s: float = 0.0
+
+    def transfer_s(self, tokens: float) -> float:
+        """Returns how long the memory of some tokens takes to be copied."""
+        if not self.link_bits_s:
+            return math.inf
+        return tokens * self.token_bytes * BYTE_BITS / self.link_bits_s
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -53,12 +53,17 @@
 """Pace, relative to that of its engine, of one that a run is moved to. A move
 costs a pause and the transfer of its memory."""
 
+AHEAD_SHARE = 0.25
+"""Tokens ahead, as a part of a request's own, up to which the time to its
+first event is a measure of the engine. What lies ahead is known late and
+inexactly."""
+
 CALM_S = 0.1
 """Reading ahead at an engine up to which its streams show its own step; the
 tokens that come between two short prompts outnumber those that a prompt holds
 up."""
 
-PAUSE_SHARE = 0.8
+PAUSE_SHARE = 0.5
 """Part of the longest pause allowed that an engine's own work may fill; the
 rest is for the links."""
 
@@ -200,7 +205,8 @@
             return placed
         others = [server for server in servers if server not in group]
         harmless = self._harmless_tokens(call.service)
-        options = placing.calm(self._options(call, others), harmless)
+        left = harmless - call.prompt.tokens
+        options = placing.calm(self._options(call, others), left)
         return placing.place_model(call, engine, speeds, options, guess, now)
 
     def _options(
@@ -289,9 +295,10 @@
         """
         # What lay ahead was partly read and is known from others' words, so
         # it must not be most of what is measured.
-        if not placed.sure or ahead > placed.unread:
+        if not placed.sure or ahead > placed.unread * AHEAD_SHARE:
             return
-        self.engines.read(Reading(call.service, ahead + placed.unread, seconds))
+        reading = Reading(call.service, ahead + placed.unread, seconds)
+        self.engines.read(reading, time.monotonic())
 
     def reserve(self, call: Call, placed: Placed) -> Run:
         """Notes that a request goes to a server."""
--- a/src/jasminerelay/enginemodel.py
+++ b/src/jasminerelay/enginemodel.py
@@ -18,9 +18,14 @@
 from jasminerelay.catalog import Engine, Route
 from jasminerelay.schema.messages import Reading
 
-KEPT_SAMPLES = 40
+KEPT_SAMPLES = 48
 """Samples that a line is drawn through. Pairs of them, whose number goes with
-the square, take half a millisecond of the processor."""
+the square, take a millisecond of the processor."""
+
+SAMPLE_EVERY_S = 0.5
+"""Least time between two samples once there are enough, so that they cover
+half a minute. Taken as they come, sixty requests a second would leave the last
+second only, and with it the waits of one overfilled server."""
 
 REDRAW_SHARE = 0.25
 """Part of the samples that must be new before the lines are drawn again."""
@@ -121,7 +126,7 @@
     Example:
         >>> model = EngineModel()
         >>> for tokens in (500, 1000, 4000, 8000) * 3:
-        ...     model.read(tokens, 0.05 + tokens / 20_000)
+        ...     model.read(tokens, 0.05 + tokens / 20_000, now=0.0)
         >>> round(1 / model.speeds().read_token_s)
         20000
     """
@@ -138,6 +143,7 @@
             maxlen=KEPT_SAMPLES
         )
         self._new = 0
+        self._read_at = float("-inf")
         self._speeds: Speeds | None = None
 
     def assume(self, engine: Engine, route: Route, tokens: int) -> None:
@@ -162,14 +168,19 @@
         self._step_guess_s = min(self._step_guess_s or step_s, step_s)
         self._speeds = None
 
-    def read(self, tokens: int, seconds: float) -> None:
+    def read(self, tokens: int, seconds: float, now: float) -> None:
         """Takes the time in which a first event came.
 
         Args:
             tokens: Prompt tokens that were unread at the server when the
                 request was sent, its own included.
             seconds: Time from the sending to the first event.
+            now: Steady time.
         """
+        full = len(self._readings) == KEPT_SAMPLES
+        if full and now - self._read_at < SAMPLE_EVERY_S:
+            return
+        self._read_at = now
         self._readings.append((tokens, seconds))
         self._note_sample(len(self._readings))
 
@@ -268,15 +279,15 @@
         """Returns a service's model."""
         return self._models.setdefault(service, EngineModel())
 
-    def read(self, reading: Reading) -> None:
+    def read(self, reading: Reading, now: float) -> None:
         """Takes a reading seen here."""
-        self.hear([reading])
+        self.hear([reading], now)
         self._untold.append(reading)
 
-    def hear(self, readings: Iterable[Reading]) -> None:
+    def hear(self, readings: Iterable[Reading], now: float) -> None:
         """Takes readings that another instance has seen."""
         for item in readings:
-            self.of(item.service).read(item.tokens, item.seconds)
+            self.of(item.service).read(item.tokens, item.seconds, now)
 
     def untold(self) -> list[Reading]:
         """Returns what was seen since the last call, for the others."""
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -27,6 +27,7 @@
     left_s: float
     after: str = ""
     copy: Copy | None = None
+    source: BackendServer | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/pace.py
+++ b/src/jasminerelay/pace.py
@@ -46,7 +46,7 @@
         return own / max(self.median_s, 1e-6)
 
 
-UNDISTURBED_SHARE = 0.25
+UNDISTURBED_SHARE = 0.4
 """Place among the latest times per token, from the shortest, of the one that
 shows an engine's own step. Prompts that are read meanwhile stretch a part of
 them; the very shortest are events that were held up and came together."""
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -236,7 +236,7 @@
         self._dispatcher.hear_loads(word.sender, word.number, loads, now)
         demand = peerwords.demand_rows(word.demand)
         self._dispatcher.demand.hear(word.sender, demand, now)
-        self._dispatcher.engines.hear(word.readings)
+        self._dispatcher.engines.hear(word.readings, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
         if self._behind(word.standing):
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -100,12 +100,15 @@
         unread: Prompt tokens that it has to read.
         memory: Tokens of memory that the request takes there.
         sure: Whether most of `unread` is known and not assumed.
+        source: Server from which it copies the start of the prompt that it
+            lacks, if that server has it.
     """
 
     server: BackendServer
     unread: int
     memory: int
     sure: bool = False
+    source: BackendServer | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,8 +157,9 @@
     if not open_options:
         return Wait("no server in use")
     home, *following = _homes(call, open_options)
+    holders = _holders(open_options, [home, *following])
     scored = [
-        _score(call, engine, speeds, item, item.server.id == home, guess)
+        _score(call, engine, speeds, item, home, holders, guess)
         for item in open_options
     ]
     best = min(scored, key=_seconds)
@@ -167,7 +171,7 @@
     roomy = [item for item in scored if item.room]
     if not roomy:
         return Wait("no room at the servers of its group")
-    worth_s = _overflow_worth_s(call, speeds, following)
+    worth_s = _overflow_worth_s(call, engine, speeds, following)
     return min(
         roomy,
         key=lambda item: item.seconds - worth_s.get(item.placed.server.id, 0.0),
@@ -196,10 +200,15 @@
     engine: Engine,
     speeds: Speeds,
     item: Option,
-    at_home: bool,
+    home: str,
+    holders: Sequence[Option],
     guess: Guess,
 ) -> _Scored:
-    unread = _unread(call, item, at_home)
+    source = next((held for held in holders if held is not item), None)
+    lacked = _lacked(call, item, item.server.id == home)
+    copy_s = engine.transfer_s(lacked)
+    fetched = source is not None and copy_s < speeds.reading_s(lacked)
+    unread = max(1, call.prompt.own_tokens + (0 if fetched else lacked))
     memory = call.prompt.tokens + guess.output
     room = has_room(engine, speeds, item, memory)
     room = room and not _too_slow(call, item, guess.typical)
@@ -209,10 +218,14 @@
     tail_s = guess.output * speeds.token_s(item.load.running)
     seconds = first_s + TAIL_WEIGHT * tail_s
     seconds += REREAD_WEIGHT * speeds.reading_s(unread - 1)
+    if fetched:
+        seconds += REREAD_WEIGHT * copy_s
     if item.slowness >= SLOW_FACTOR:
         seconds += SLOW_SERVER_S
     sure = call.prompt.shared_tokens - item.warm <= SURE_SHARE * unread
-    placed = Placed(item.server, unread, memory, sure)
+    placed = Placed(
+        item.server, unread, memory, sure, source.server if source else None
+    )
     return _Scored(placed, room, first_s, seconds)
 
 
@@ -287,14 +300,30 @@
 
 
 def _overflow_worth_s(
-    call: Call, speeds: Speeds, following: Sequence[str]
+    call: Call, engine: Engine, speeds: Speeds, following: Sequence[str]
 ) -> dict[str, float]:
     """Returns what the order of overflow is worth, by server."""
-    shared_s = REREAD_WEIGHT * speeds.reading_s(call.prompt.shared_tokens)
+    shared = call.prompt.shared_tokens
+    lacking_s = min(speeds.reading_s(shared), engine.transfer_s(shared))
+    shared_s = REREAD_WEIGHT * lacking_s
     pairs = zip(following, OVERFLOW_SHARES, strict=False)
     return {name: part * shared_s for name, part in pairs}
 
 
-def _unread(call: Call, item: Option, at_home: bool) -> int:
-    warm = max(item.warm, call.prompt.shared_tokens if at_home else 0)
-    return max(1, call.prompt.tokens - warm)
+def _holders(options: Sequence[Option], ranked: Sequence[str]) -> list[Option]:
+    """Returns the two likeliest to have the start, the first one first.
+
+    Who was seen to read it goes before who is picked first for it. One that
+    has not got it after all costs a question between two servers.
+    """
+    places = {name: place for place, name in enumerate(ranked)}
+    return sorted(
+        options, key=lambda item: (-item.warm, places[item.server.id])
+    )[:2]
+
+
+def _lacked(call: Call, item: Option, at_home: bool) -> int:
+    """Returns the shared tokens that a server is taken to lack."""
+    if at_home:
+        return 0
+    return max(0, call.prompt.shared_tokens - item.warm)
--- a/src/jasminerelay/platform/documents.py
+++ b/src/jasminerelay/platform/documents.py
@@ -20,6 +20,7 @@
 )
 
 MS = 1000.0
+MBPS = 1e6
 DRAINING = "draining"
 PATIENCE_LEAST_S = 2.0
 PATIENCE_OBJECTIVES = 4
@@ -71,6 +72,8 @@
     token_bytes: float = msgspec.field(name="kvTokenBytes", default=0)
     backups: bool = False
     moves: bool = msgspec.field(name="migrations", default=False)
+    # Of the link between two servers of the service.
+    link_mbps: float = msgspec.field(name="bandwidthMbps", default=0.0)
     # Tokens in one event.
     event_tokens: int = msgspec.field(name="stride", default=1)
 
@@ -237,5 +240,6 @@
             raw.runtime.backups,
             raw.runtime.event_tokens,
             raw.runtime.moves,
+            raw.runtime.link_mbps * MBPS,
         )
     return Service(raw.name, raw.max_connections, engine)
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -24,6 +24,8 @@
 _NOT_RUN = b"not-executed"
 # Address and run of a memory copy that the request goes on from.
 _COPY_FROM = b"kv-from"
+# Server from which the start of the prompt is copied, if it has it.
+_FETCH_FROM = b"kv-fetch"
 # Server that gets a copy of the run's memory as it grows.
 _COPY_TO = b"kv-backup"
 
@@ -49,6 +51,7 @@
         _URGENCY,
         _COPY_FROM,
         _COPY_TO,
+        _FETCH_FROM,
         DEADLINE,
         AUTHORIZATION,
         b"content-length",
@@ -56,7 +59,6 @@
         b"expect-version",
         b"host",
         b"hold",
-        b"kv-fetch",
         b"pin-ms",
         LAST_EVENT,
     }
@@ -134,6 +136,8 @@
         if sending.copy is not None:
             copy = f"{sending.copy.source}/{sending.copy.handle}"
             fields.append((_COPY_FROM, copy.encode()))
+        if sending.source is not None:
+            fields.append((_FETCH_FROM, sending.source.address.encode()))
         if call.body or call.method not in ("GET", "HEAD", "DELETE"):
             size = str(len(call.body)).encode()
             fields.append((b"content-length", size))
--- a/tests/test_enginemodel.py
+++ b/tests/test_enginemodel.py
@@ -33,7 +33,7 @@
         seconds = speeds.first_s(tokens) * rng.uniform(0.95, 1.1)
         if number % 10 == 9:
             seconds *= 3
-        model.read(tokens, seconds)
+        model.read(tokens, seconds, number)
         running = rng.randrange(1, max(2, slots // 2))
         model.stepped(running, speeds.token_s(running) * rng.uniform(1, 1.05))
     return model
@@ -79,7 +79,7 @@
         for number in range(KEPT_SAMPLES):
             tokens = rng.choice((600, 3000, 9000))
             slow = 5.0 if number % 5 == 0 else 1.0
-            model.read(tokens, USUAL.first_s(tokens) * slow)
+            model.read(tokens, USUAL.first_s(tokens) * slow, number)
         self.assert_near(
             model.speeds().read_token_s, USUAL.read_token_s, part=0.2
         )
@@ -98,7 +98,7 @@
         slower = dataclasses.replace(USUAL, read_token_s=1 / 20_000)
         for number in range(KEPT_SAMPLES):
             tokens = 1000 + number * 100
-            model.read(tokens, slower.first_s(tokens))
+            model.read(tokens, slower.first_s(tokens), 100.0 + number)
         self.assert_near(model.speeds().read_token_s, 1 / 20_000, 0.1)
 
     def test_prompts_alike(self) -> None:
@@ -107,7 +107,7 @@
         model = EngineModel()
         model.assume(ENGINE, route(), 1000)
         for _ in range(20):
-            model.read(1000, 0.08)
+            model.read(1000, 0.08, 0.0)
         self.assertGreaterEqual(model.speeds().first_s(1000), 0.079)
 
     def test_share_of_a_full_batch(self) -> None:
@@ -124,7 +124,7 @@
     def test_told_once(self) -> None:
         models = EngineModels()
         reading = Reading("pool", 900, 0.1)
-        models.read(reading)
+        models.read(reading, 0.0)
         self.assertEqual(models.untold(), [reading])
         self.assertEqual(models.untold(), [])
 
@@ -132,8 +132,8 @@
         # One of ninety instances has few requests of its own.
         here, there = EngineModels(), EngineModels()
         for tokens in (500, 1000, 4000, 8000) * 3:
-            there.read(Reading("pool", tokens, USUAL.first_s(tokens)))
-            here.hear(there.untold())
+            there.read(Reading("pool", tokens, USUAL.first_s(tokens)), 0.0)
+            here.hear(there.untold(), 0.0)
         found = here.of("pool").speeds()
         self.assertAlmostEqual(found.read_token_s, USUAL.read_token_s)
 
