--- a/src/jasminerelay/cli.py
+++ b/src/jasminerelay/cli.py
@@ -28,6 +28,7 @@
   jasminerelay drain INSTANCE [options]
   jasminerelay burn [--html=FILE] [options]
   jasminerelay explain ID [LOG...]
+  jasminerelay losses [LOG...]
   jasminerelay platform check SETTINGS
   jasminerelay platform check-deploy FILE
   jasminerelay -h | --help
@@ -42,7 +43,8 @@
   -h --help       Show this text.
 
 explain reads the logs of any number of instances on the users' platform, from
-files or standard input, and shows how a request came to its end; platform
+files or standard input, and shows how a request came to its end; losses counts
+the requests in them that were not served, by kind and cause; platform
 check reads a settings file of that platform, check-deploy the file by which it
 builds and starts the instances.
 
@@ -161,6 +163,8 @@
         return _check_platform(arguments)
     if arguments["explain"]:
         return _explain(arguments)
+    if arguments["losses"]:
+        return _losses(arguments)
     if arguments["check"]:
         return _check(arguments)
     operator = _operator(arguments)
@@ -230,13 +234,31 @@
     return 0
 
 
-def _explain(arguments: dict[str, Any]) -> int:
+def _events(arguments: dict[str, Any]) -> tuple[list[explain.Event], int]:
     lines = []
     for path in arguments["LOG"]:
         lines += _read(path).splitlines()
     if not arguments["LOG"]:
         lines = sys.stdin.read().splitlines()
-    events, left_out = explain.read(lines)
+    return explain.read(lines)
+
+
+def _losses(arguments: dict[str, Any]) -> int:
+    events, left_out = _events(arguments)
+    asked, losses = explain.summarize(events)
+    rows = [
+        [item.route, item.cause, item.count, asked[item.route], item.example]
+        for item in losses
+    ]
+    headers = ["route", "cause", "requests", "of", "example"]
+    print(tabulate.tabulate(rows, headers))
+    if left_out:
+        print(f"{left_out} lines were left out by the instances.")
+    return 0
+
+
+def _explain(arguments: dict[str, Any]) -> int:
+    events, left_out = _events(arguments)
     found = explain.explain(arguments["ID"], events, left_out)
     if found is None:
         raise CommandError(
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -44,7 +44,7 @@
 """Part of the time left that the rest of an answer may be expected to take
 before it is moved to an engine that makes tokens faster."""
 
-LATEST_SHARE = 0.4
+LATEST_SHARE = 0.25
 """Part of the time left that the rest of an answer may take at a quick engine
 before it is moved there. Most that look too slow for a moment end where they
 are; a move of each cost more than all that it saved."""
@@ -373,8 +373,8 @@
         """Returns a seat where a run goes on that cannot end at its server.
 
         Its prompt is read, so it does not stretch the pauses of the streams
-        there, whatever their kind. Requests spread by their ids over the
-        engines that read next to nothing.
+        there, whatever their kind. Requests spread by their ids over all
+        that are quicker.
         """
         engine = self.engine_of(call.service)
         now = time.monotonic()
@@ -386,15 +386,12 @@
             for item in self._registry.servers_of(call.service)
             if item.id not in avoid
         ]
-        calm = placing.calm(
-            self._options(call, others), self._harmless_tokens(call.service)
-        )
         by_id = {
             item.server.id: item.server
-            for item in calm
+            for item in self._options(call, others)
             if not item.blocked
             and placing.has_room(engine, speeds, item, memory)
-            and (item.token_s or speeds.step_s) < here_s * QUICKER_SHARE
+            and (item.token_s or 0.0) < here_s * QUICKER_SHARE
         }
         if not by_id:
             return None
@@ -412,8 +409,9 @@
     def _left_tokens(self, call: Call, events: int) -> float:
         guess = self._guess(call)
         done = events * self.engine_of(call.service).event_tokens
-        # A stream that is past its guess is as likely to go on for long.
-        return max(guess.output - done, guess.typical / 2)
+        # A stream that is past its guess is as likely to go on for long, and
+        # the longer it has gone on the longer.
+        return max(guess.output - done, guess.typical / 2, done / 2)
 
     def expect(self, call: Call, ahead_s: float) -> Prospect:
         """Returns what to expect of a request that waits."""
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -3,6 +3,7 @@
 Pure: it takes lines and returns what is worth reading, in the order of time.
 """
 
+import collections
 import dataclasses
 from collections.abc import Iterable
 from typing import Any
@@ -139,6 +140,67 @@
     return Explanation(tuple(own), tuple(surroundings), tuple(causes), left_out)
 
 
+@dataclasses.dataclass(frozen=True)
+class Loss:
+    """Requests of one kind that were not served, for one cause.
+
+    Attributes:
+        route: Their route.
+        cause: The cause, in words.
+        count: How many.
+        example: The id of one of them.
+    """
+
+    route: str
+    cause: str
+    count: int
+    example: str
+
+
+def summarize(events: Iterable[Event]) -> tuple[dict[str, int], list[Loss]]:
+    """Returns requests by route, and those not served, the most first.
+
+    A caller may come back under another id after a refusal, so what is
+    counted are requests as callers sent them.
+    """
+    asked: collections.Counter[str] = collections.Counter()
+    lost: dict[tuple[str, str], list[str]] = {}
+    for event in events:
+        if event.name != "request":
+            continue
+        route = str(event.fields.get("route", "?"))
+        asked[route] += 1
+        if not event.fields.get("whole"):
+            ids = lost.setdefault((route, _loss(event.fields)), [])
+            ids.append(str(event.fields.get("id", "?")))
+    losses = [
+        Loss(route, cause, len(ids), ids[0])
+        for (route, cause), ids in lost.items()
+    ]
+    losses.sort(key=lambda loss: (-loss.count, loss.route, loss.cause))
+    return dict(asked), losses
+
+
+def _loss(fields: dict[str, Any]) -> str:
+    """Returns in words why a request was not served."""
+    status, begun = fields.get("status"), bool(fields.get("events"))
+    sent = bool(fields.get("servers"))
+    why = str(fields.get("why", ""))
+    if fields.get("ended") != "done":
+        if begun:
+            return "caller left during the answer"
+        return "caller left before the answer" + ("" if sent else ", unplaced")
+    if "time was over" in why:
+        return "time limit" + (" during the answer" if begun else "")
+    if status == 503:
+        return "refused: " + ("servers did not run it" if sent else "no room")
+    if begun:
+        return "answer broke off at the server"
+    if status in (502, 504):
+        return "server broke off before the answer"
+    return f"server answered {status}"
+
+
 def _concerns(event: Event, instances: set[str], servers: set[str]) -> bool:
     if event.name in _ABOUT_SERVERS:
         named = {event.fields.get("server"), event.fields.get("source")}
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -43,6 +43,7 @@
         self._kept: Failed | None = None
         self._placed_at = 0.0
         self._why = ""
+        self._whole = False
 
     async def run(self) -> None:
         """Serves the request; its caller's leaving cancels this."""
@@ -140,6 +141,10 @@
         """Keeps a server's failure, to pass on if nothing better comes."""
         self._kept = failed
 
+    def finished(self, delivered: Delivered) -> None:
+        """Notes that its caller has the whole answer of a server."""
+        self._whole = delivered.status == OK
+
     def note(self, why: str) -> None:
         """Notes why the last server did not do."""
         self._why = why
@@ -192,7 +197,7 @@
         now = time.monotonic()
         call = self._call
         progress = self._progress
-        good = ended == "done" and progress.status == OK and not self._why
+        good = self._whole and not self._why
         write = self._kit.log.info if good else self._kit.log.trouble
         first_s = None
         if progress.first_at:
@@ -208,6 +213,7 @@
             service=call.service,
             ended=ended,
             status=progress.status,
+            whole=self._whole,
             why=self._why,
             servers=progress.tried,
             events=progress.events,
@@ -241,6 +247,7 @@
 
 @next_step.register
 async def _(outcome: Delivered, delivery: Delivery) -> bool:
+    delivery.finished(outcome)
     return False
 
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -196,7 +196,7 @@
         self._feed = RegistryFeed(
             self.registry, CONFIGURATION_KEY, self.counters, self.log
         )
-        self._instances = InstanceTable(store, boot.ip)
+        self._instances = InstanceTable(store, boot.ip, self.log)
         self._configuration = self._follower(store, OPERATOR_TABLE, WATCH_S)
         self._servers = self._follower(store, SERVERS_TABLE, WAIT_S)
 
--- a/src/jasminerelay/platform/tables.py
+++ b/src/jasminerelay/platform/tables.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from jasminerelay.errors import StoreError
+from jasminerelay.eventlog import EventLog
 from jasminerelay.following import Page
 from jasminerelay.platform.storeclient import Store
 
@@ -40,9 +40,10 @@
     read by everyone would cost the store the square of their number.
     """
 
-    def __init__(self, store: Store, name: str):
+    def __init__(self, store: Store, name: str, log: EventLog):
         self._store = store
         self._name = name
+        self._log = log
 
     async def register(self, peers: str) -> None:
         """Writes this instance's row; raises StoreError without answer."""
@@ -62,6 +63,10 @@
             try:
                 instance = msgspec.json.decode(row.data, type=_Instance)
             except msgspec.MsgspecError as exc:
-                raise StoreError(f"row {row.id}: {exc}") from exc
+                # One bad row must not keep an instance from all others.
+                self._log.trouble(
+                    "instance_unreadable", row=row.id, why=str(exc)
+                )
+                continue
             found.add(instance.peers)
         return found
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -93,6 +93,7 @@
         self._past: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._unreadable: dict[str, int] = {}
         self._store_away = False
         self._returned = float("-inf")
         self._digest = 0
@@ -258,12 +259,12 @@
         # The name may be that of a living server whose row someone else has
         # overwritten. It gets no new requests until it renews its row, but it
         # is not taken as gone: its streams go on, and so does its cache.
-        if held is None:
-            return ServerNews(row, None, None, why)
-        if held.row == row:
+        if held is not None:
+            self._held[row.id] = _Held(row, held.server, usable=False)
+        if self._unreadable.get(row.id) == row.version:
             return None
-        self._held[row.id] = _Held(row, held.server, usable=False)
-        return ServerNews(row, held.server, None, why)
+        self._unreadable[row.id] = row.version
+        return ServerNews(row, held.server if held else None, None, why)
 
     def _note_past(self, server: BackendServer) -> None:
         # A row that the former incarnation sent before its end may take
@@ -275,6 +276,7 @@
             self._past.popitem(last=False)
 
     def _take_gone(self, row: ServerRow, now: float) -> ServerNews | None:
+        self._unreadable.pop(row.id, None)
         held = self._held.get(row.id)
         if held is None:
             return None
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -25,6 +25,7 @@
         tear_after: Events after which the coming streams end in order, but
             inside an event; 0 for never.
         torn: Whether a stream that breaks off ends inside an event.
+        tick_s: Time between two events.
     """
 
     refuse: int = 0
@@ -34,6 +35,7 @@
     cross: int = 0
     tear_after: int = 0
     torn: bool = False
+    tick_s: float = TICK_S
 
 
 @dataclasses.dataclass
@@ -148,7 +150,7 @@
         events = int(ran.headers.get("token-usage", "1,5").split(",")[1])
         first = int(ran.headers.get("last-event-id", "0")) + 1
         for number in range(first, events + 1):
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(self.faults.tick_s)
             if ran.moved:
                 return
             if self.faults.tear_after and number > self.faults.tear_after:
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -144,6 +144,8 @@
                         "slotCount": 8,
                         "kvCapacity": 100_000,
                         "kvTokenBytes": 1000,
+                        "bandwidthMbps": 10_000,
+                        "migrations": True,
                         "stride": 1,
                     },
                 },
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,6 +10,7 @@
 
 from jasminerelay.catalog import BackendServer, Repeat
 from jasminerelay.eventlog import EventLog
+from jasminerelay.exchange import Sending
 from jasminerelay.httpclient import Reply
 from jasminerelay.platform import bootfile, deployfile, documents, headers
 from standins.launcher import ROOT
@@ -147,6 +148,19 @@
         self.assertEqual((holder.name, holder.rank), ("elm", 1))
         self.assertEqual(self.catalog.services["one"].engine.slots, 8)
 
+    def test_patience_of_callers(self) -> None:
+        # Two seconds, four objectives or eight pauses, whichever is longest.
+        base = {**CONFIGURATION["routes"][0], "routeType": "streaming"}
+        for objective, pause, patience_s in (
+            (300, 120, 2.0),
+            (800, 200, 3.2),
+            (300, 1000, 8.0),
+        ):
+            changed = {"targetLatencyMs": objective, "gapTargetMs": pause}
+            data = {**CONFIGURATION, "routes": [{**base, **changed}]}
+            catalog = documents.catalog(msgspec.json.encode(data))
+            self.assertEqual(catalog.routes[0].patience_s, patience_s)
+
     def test_levels_keep_the_routes_order(self) -> None:
         # Every organisation has a rank of its own. Where that replaced the
         # routes' ranks, summaries and long studies of an organisation were
@@ -225,6 +239,21 @@
         self.assertEqual(head.idle_s, 5.0)
         self.assertEqual(head.headers, ((b"Server-Signature", b"s"),))
 
+    def test_source_of_the_start(self) -> None:
+        # Which server a prompt's start is copied from is this side's to say:
+        # a caller could make servers copy what it likes.
+        dialect = headers.PlatformDialect()
+        sent = headers.passed_on([(b"kv-fetch", b"9.9.9.9:9"), (b"a", b"b")])
+        self.assertEqual(sent, ((b"a", b"b"),))
+        here = BackendServer("a", "pool", "1.1.1.1:1", "z", 1, False)
+        there = BackendServer("b", "pool", "2.2.2.2:2", "z", 1, False)
+        fields = dict(
+            dialect.request_headers(Sending(call(), here, 1.0, source=there))
+        )
+        self.assertEqual(fields[b"kv-fetch"], b"2.2.2.2:2")
+        fields = dict(dialect.request_headers(Sending(call(), here, 1.0)))
+        self.assertNotIn(b"kv-fetch", fields)
+
     def test_move(self) -> None:
         # Refused with a handle: the run has stopped and its memory is still
         # at the first server, so the request goes on there.
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -90,6 +90,41 @@
         self.assertIn("the caller left", words)
 
 
+class LossesTest(unittest.TestCase):
+    """Requests not served, by kind and cause."""
+
+    def test_by_cause(self) -> None:
+        served = {"ended": "done", "status": 200, "whole": True}
+        lost = (
+            {"ended": "done", "status": 503, "why": "no room in time"},
+            {"ended": "done", "status": 503, "why": "full", "servers": ["s"]},
+            {"ended": "caller left", "status": 0, "servers": ["s"]},
+            {"ended": "caller left", "status": 200, "events": 4},
+            {"ended": "done", "status": 200, "events": 9, "why": "reset"},
+            {"ended": "done", "status": 502, "why": "reset"},
+            {"ended": "done", "status": 200, "events": 2, "why": "its time was"
+             " over"},
+            {"ended": "done", "status": 500},
+        )  # fmt: skip
+        log = [line(1.0, "e", "request", id="ok", route="r", **served)]
+        log += [
+            line(2.0, "e", "request", id=f"x{number}", route="r", **fields)
+            for number, fields in enumerate(lost)
+        ]
+        asked, losses = explain.summarize(explain.read(log)[0])
+        self.assertEqual(asked, {"r": 9})
+        self.assertEqual({item.count for item in losses}, {1})
+        self.assertEqual(len(losses), len(lost))
+
+    def test_most_first(self) -> None:
+        log = [
+            line(1.0, "e", "request", id=f"{n}", route="r", status=status)
+            for n, status in enumerate((500, 502, 502))
+        ]
+        _, losses = explain.summarize(explain.read(log)[0])
+        self.assertEqual(losses[0].count, 3)
+
+
 class ToolTest(unittest.TestCase):
     """The commands."""
 
@@ -110,6 +145,14 @@
             self.assertEqual(status, 1)
             self.assertIn("all instances", text)
 
+    def test_losses(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "log"
+            path.write_text("\n".join(LOG))
+            status, text = self.run_tool("losses", str(path))
+        self.assertEqual(status, 0)
+        self.assertIn("caller left before the answer", text)
+
     def test_platform_check_deploy(self) -> None:
         path = str(ROOT / "deploy/system.toml")
         status, text = self.run_tool("platform", "check-deploy", path)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -146,6 +146,50 @@
             chosen.add(place(options, now=1.9).server.id)
         self.assertEqual(len(chosen), 1)
 
+    def overflowing(self, engine: Engine) -> Placed:
+        """Places a late request whose start's server is full."""
+        full = Load(unread=45_000, running=5, memory=50_000)
+        home = self.home()
+        options = [
+            option(name, full if name == home else Load()) for name in "abc"
+        ]
+        return placing.place_model(
+            call(), engine, SPEEDS, options, GUESS, now=1.9
+        )
+
+    def test_start_is_copied_where_that_is_quicker(self) -> None:
+        # A burst about one thing overflows from the server that has read its
+        # start. A copy of it between two servers takes 4 ms, reading it again
+        # 60 ms of an engine that others wait for.
+        linked = dataclasses.replace(ENGINE, link_bits_s=200e9)
+        placed = self.overflowing(linked)
+        self.assertEqual(placed.source.id, self.home())
+        self.assertEqual(placed.unread, 6000)
+
+    def test_start_is_read_where_copies_are_slow(self) -> None:
+        for bits_s in (0.0, 1e9):
+            linked = dataclasses.replace(ENGINE, link_bits_s=bits_s)
+            self.assertEqual(self.overflowing(linked).unread, 11_000)
+
+    def test_source_is_another_server(self) -> None:
+        # The server of a start may have lost it since: memory is limited. It
+        # asks the next one in the order, and never itself.
+        placed = place([option("a"), option("b"), option("c")])
+        self.assertNotEqual(placed.source.id, placed.server.id)
+        self.assertIsNone(place([option("a")]).source)
+
+    def test_who_was_seen_to_read_it_is_asked_first(self) -> None:
+        home = self.home()
+        (seen, other) = sorted(set("abc") - {home})
+        full = Load(unread=45_000, running=5, memory=50_000)
+        options = [
+            option(home, full),
+            option(seen, full, warm=5000),
+            option(other),
+        ]
+        placed = place(options, now=1.9)
+        self.assertEqual((placed.server.id, placed.source.id), (other, seen))
+
     def test_slots_and_memory_bound_a_server(self) -> None:
         crowded = Load(running=60, memory=10_000)
         stuffed = Load(running=10, memory=690_000)
@@ -291,6 +335,15 @@
         self.assertEqual(self.workload.load("a").running, 0)
         self.assertEqual(len(room), 0)
 
+    def test_caller_that_will_have_left(self) -> None:
+        # There is time for the whole answer, but its caller leaves a stream
+        # that stays silent for three seconds: read for it, the prompt would
+        # be read in vain.
+        prospect = Prospect(2.9, 1.0, 15.0, first_s=0.3, patience_s=3.0)
+        self.assertTrue(prospect.hopeless)
+        patient = dataclasses.replace(prospect, patience_s=4.0)
+        self.assertFalse(patient.hopeless)
+
     def test_retry_after_is_kept_to(self) -> None:
         # Callers wait as told up to a third of the time they have left.
         for left_s in (0.3, 3.0, 15.0):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -296,6 +296,38 @@
             came_from = other.journal[0].headers["kv-from"]
             self.assertEqual(came_from, f"{site.addresses[name]}/h1")
 
+    async def test_answer_that_cannot_end_goes_on_elsewhere(self) -> None:
+        # An engine reads prompts without a break and makes a token in a tenth
+        # of a second; at that pace the answer would end at its time limit
+        # with two thirds of it made in vain. The other engine is quick. The
+        # run is stopped in time and goes on there.
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.tick_s = 0.1
+            answers = []
+
+            async def ask() -> None:
+                answers.append(
+                    await self.ask(
+                        instance,
+                        "/sheet/1/stream",
+                        Token_Usage="1200,250",
+                        Length_Hint="250",
+                        Prefix_Hash="aa:1000,bb:200",
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(lambda: self.runs(site) == 1)
+                for server in site.servers.values():
+                    if not server.journal:
+                        server.faults.tick_s = 0.01
+            self.assertEqual(answers[0].body, events(250))
+            self.assertTrue(answers[0].whole)
+            moves = sum(server.moves for server in site.servers.values())
+            self.assertEqual(moves, 1)
+
     async def test_refused_move_is_no_second_run(self) -> None:
         # The same, but the other server rejects the moved run. The request
         # has run once; sending it without the memory would run it again, so
--- /dev/null
+++ b/tests/test_serverrows.py
@@ -0,0 +1,342 @@
+"""Servers' rows: incarnations under one name, and rows of other writers."""
+
+import base64
+import time
+import unittest
+
+import msgspec
+from hypothesis import given, settings, strategies
+
+from jasminerelay import peerwords
+from jasminerelay.eventlog import EventLog
+from jasminerelay.following import Page, RegistryFeed
+from jasminerelay.metrics import Counters
+from jasminerelay.platform import documents, headers, storeclient
+from jasminerelay.platform.documents import DocumentError
+from jasminerelay.registry import Registry, ServerNews
+from jasminerelay.schema.messages import ServerLoad, ServerRow, Snapshot
+from jasminerelay.schema.settings import Statsd
+from tests.test_dispatcher import dispatcher
+
+FUZZ = settings(max_examples=200, derandomize=True, deadline=None)
+START = 1_790_000_000_000
+POOL = "pool"
+ENTRY = {
+    "backend": POOL,
+    "address": "10.0.0.1:8080",
+    "zone": "z",
+    "version": "v1",
+    "slotCount": 8,
+    "phase": "ready",
+    "coldRemainingMs": 0,
+    "callSeq": 4,
+    "born": START,
+}
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def row(version: int, name: str = "a", **fields) -> ServerRow:
+    """Returns a server's row; unnamed fields are as usual."""
+    data = msgspec.json.encode({**ENTRY, **fields})
+    return ServerRow(name, version, data)
+
+
+def registry() -> Registry:
+    """Returns an empty registry that reads the platform's rows."""
+    return Registry(documents.catalog, documents.server)
+
+
+class Notes(EventLog):
+    """A log that keeps what it is given."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict]] = []
+
+    def info(self, event: str, **fields) -> None:
+        self.lines.append((event, fields))
+
+    trouble = info
+
+
+class Followed:
+    """A registry with its feed, and what the feed told."""
+
+    def __init__(self) -> None:
+        self.registry = registry()
+        self.log = Notes()
+        self.counters = Counters(Statsd())
+        self.feed = RegistryFeed(
+            self.registry, "config", self.counters, self.log
+        )
+        self.left: list[str] = []
+        self.gone: list[str] = []
+        self.feed.on_leaving = self.left.append
+        self.feed.on_gone = self.gone.append
+
+    def take(self, *rows: ServerRow) -> None:
+        """Takes a page of changes."""
+        self.feed.take_servers(Page(rows, max(item.version for item in rows)))
+
+    def ids(self) -> list[str]:
+        """Returns the servers in use."""
+        return [item.id for item in self.registry.servers_of(POOL)]
+
+
+class IncarnationTest(unittest.TestCase):
+    """A server that starts again under the name that it had."""
+
+    def setUp(self) -> None:
+        self.followed = Followed()
+
+    def test_knows_nothing_of_before(self) -> None:
+        # A server crashes with work under way, failures counted and a prompt
+        # cached, and is back under its name within a second. Taken for the
+        # one before, it would rest for its failures, look full, and be sent
+        # prompts for a cache that is gone.
+        desk = dispatcher(1)
+        desk._registry = self.followed.registry
+        self.followed.feed.on_gone = desk.gone
+        self.followed.take(row(1))
+        (before,) = self.followed.registry.servers_of(POOL)
+        desk.workload.start(before.id, unread=9000, memory=9000)
+        desk.health(POOL).failed(before.id, time.monotonic())
+        desk.paces.observe(before.id, 5, 1.0, time.monotonic())
+        self.followed.take(row(2, born=START + 900))
+        (after,) = self.followed.registry.servers_of(POOL)
+        now = time.monotonic()
+        self.assertNotEqual(before.id, after.id)
+        self.assertEqual(desk.workload.load(after.id).running, 0)
+        self.assertFalse(desk.health(POOL).blocked(after.id, now))
+        self.assertIsNone(desk.paces.token_s(after.id, now))
+        self.assertEqual(self.followed.gone, [])
+        self.assertEqual(self.followed.left, [before.id])
+
+    def test_words_on_the_former_one_count_no_more(self) -> None:
+        # Another instance has not heard of the restart yet and tells of its
+        # runs at the former incarnation.
+        desk = dispatcher(1)
+        self.followed.take(row(1), row(2, born=START + 900))
+        (server,) = self.followed.registry.servers_of(POOL)
+        load = ServerLoad(f"a@{START}", 9000, 30, 90_000)
+        desk.hear_loads("other", 1, [load], time.monotonic())
+        self.assertEqual(desk.workload.load(server.id).running, 0)
+
+    def test_late_word_of_the_former_one(self) -> None:
+        # The former incarnation's last write, that it drains, takes effect
+        # after the new one's first. The new one stays in use.
+        self.followed.take(row(1))
+        self.followed.take(row(2, born=START + 900))
+        self.followed.take(row(3, phase="draining"))
+        self.assertEqual(self.followed.ids(), [f"a@{START + 900}"])
+
+    def test_clock_that_stepped_back(self) -> None:
+        # The server's clock was set back between two starts, so the later
+        # one has the smaller time. The store's order tells which is later.
+        self.followed.take(row(1))
+        self.followed.take(row(2, born=START - 60_000))
+        self.assertEqual(self.followed.ids(), [f"a@{START - 60_000}"])
+        self.followed.take(row(3))
+        self.assertEqual(self.followed.ids(), [f"a@{START - 60_000}"])
+
+    def test_twice_in_a_second(self) -> None:
+        self.followed.take(
+            row(1), row(2, born=START + 300), row(3, born=START + 600)
+        )
+        self.assertEqual(self.followed.ids(), [f"a@{START + 600}"])
+        self.assertEqual(self.followed.left, [f"a@{START}", f"a@{START + 300}"])
+
+    def test_restart_in_an_outage(self) -> None:
+        # The store is away; the row of a server that crashes lapses, and the
+        # server stays in use as one that may live. After the store's return
+        # its new incarnation's row comes: nothing of the former one is left.
+        known = self.followed.registry
+        self.followed.take(row(1))
+        known.store_lost()
+        self.followed.take(ServerRow("a", 2, None))
+        self.assertEqual(self.followed.ids(), [f"a@{START}"])
+        known.store_regained(10.0)
+        self.followed.take(row(3, born=START + 4000))
+        self.assertEqual(known.expire(100.0), [])
+        self.assertEqual(self.followed.ids(), [f"a@{START + 4000}"])
+
+    def test_other_instances_word(self) -> None:
+        # An instance that the store turns away hears of the restart from
+        # another one; an older snapshot does not bring the former one back.
+        here, there = registry(), registry()
+        for known in (here, there):
+            known.take_changes([row(1)], 1, 0.0)
+        old = there.export()
+        there.take_changes([row(2, born=START + 900)], 2, 1.0)
+        here.adopt(there.export(), 1.0)
+        here.adopt(old, 2.0)
+        (server,) = here.servers_of(POOL)
+        self.assertEqual(server.id, f"a@{START + 900}")
+
+    def test_back_with_the_same_start(self) -> None:
+        # The row lapsed though the server lived on, and it is back.
+        self.followed.take(row(1))
+        self.followed.take(ServerRow("a", 2, None))
+        self.assertEqual(self.followed.ids(), [])
+        self.followed.take(row(3))
+        self.assertEqual(self.followed.ids(), [f"a@{START}"])
+
+    def test_name_on_the_wire(self) -> None:
+        server = documents.server("a", msgspec.json.encode(ENTRY))
+        self.assertEqual((server.name, server.id), ("a", f"a@{START}"))
+
+
+class ForeignRowTest(unittest.TestCase):
+    """Rows that another writer has put where the servers' rows are."""
+
+    def setUp(self) -> None:
+        self.followed = Followed()
+        self.followed.take(row(1))
+
+    def unreadable(self) -> int:
+        return sum(
+            event == "server_unreadable" for event, _ in self.followed.log.lines
+        )
+
+    def test_each_field_missing_or_of_another_type(self) -> None:
+        others = ("", [], {}, None, True, 1.5, "7", -1)
+        for number, name in enumerate(ENTRY):
+            lacking = {k: v for k, v in ENTRY.items() if k != name}
+            rows = [msgspec.json.encode(lacking)]
+            rows += [
+                msgspec.json.encode({**ENTRY, name: value})
+                for value in others
+                if type(value) is not type(ENTRY[name])
+                and not (name == "coldRemainingMs" and value == 1.5)
+            ]
+            for data in rows:
+                if name == "born" and data == rows[0]:
+                    continue
+                with (
+                    self.subTest(field=name, data=data),
+                    self.assertRaises(DocumentError),
+                ):
+                    documents.server(f"f{number}", data)
+
+    def test_names_no_server(self) -> None:
+        # A state that is not known, bytes that are no document, an address
+        # that is none. Each is noted once, and the others hold.
+        self.followed.take(
+            row(2, "b", phase="resting"),
+            row(3, "c", address="somewhere"),
+            row(4, "d", slotCount=0),
+            ServerRow("e", 5, b"\xff\xfe{"),
+            ServerRow("f", 6, b"[" * 100_000),
+            row(7, "line\nbreak"),
+        )
+        self.assertEqual(self.followed.ids(), [f"a@{START}"])
+        self.assertEqual(self.unreadable(), 6)
+
+    def test_overwritten_row_of_a_living_server(self) -> None:
+        # Someone overwrites a living server's row. It gets no new requests,
+        # but its streams are not moved away and its cache is not forgotten;
+        # with its next row it is back as the one it was.
+        self.followed.take(ServerRow("a", 2, b"nonsense"))
+        self.assertEqual(self.followed.ids(), [])
+        self.assertEqual((self.followed.left, self.followed.gone), ([], []))
+        self.followed.take(row(3))
+        self.assertEqual(self.followed.ids(), [f"a@{START}"])
+        self.assertEqual(self.followed.gone, [])
+
+    def test_same_row_read_again_is_noted_once(self) -> None:
+        bad = [ServerRow(name, 2, b"nonsense") for name in "ab"]
+        for _ in range(3):
+            self.followed.feed.take_all_servers(Page(tuple(bad), 2))
+        self.assertEqual(self.unreadable(), 2)
+        self.followed.take(ServerRow("b", 3, b"other nonsense"))
+        self.assertEqual(self.unreadable(), 3)
+
+    def test_data_that_is_no_base64(self) -> None:
+        # One bad row must not hide the others of its page.
+        raw = storeclient._Row(key="b", version=2, data="***")
+        good = base64.b64encode(msgspec.json.encode(ENTRY)).decode()
+        fine = storeclient._Row(key="c", version=3, data=good)
+        self.followed.take(storeclient._row(raw), storeclient._row(fine))
+        self.assertEqual(len(self.followed.ids()), 2)
+        self.assertEqual(self.unreadable(), 1)
+
+    @FUZZ
+    @given(key=strategies.text(max_size=30), data=strategies.binary())
+    def test_any_bytes(self, key: str, data: bytes) -> None:
+        followed = Followed()
+        followed.take(row(1))
+        followed.take(ServerRow(key + "x", 2, data))
+        self.assertIn(f"a@{START}", followed.ids())
+
+    @FUZZ
+    @given(JSON)
+    def test_any_document(self, value: object) -> None:
+        data = msgspec.json.encode(value)
+        for decode in (documents.catalog, lambda d: documents.server("a", d)):
+            try:
+                decode(data)
+            except DocumentError as exc:
+                self.assertTrue(str(exc))
+
+    @FUZZ
+    @given(strategies.dictionaries(strategies.sampled_from(list(ENTRY)), JSON))
+    def test_any_field(self, fields: dict) -> None:
+        data = msgspec.json.encode({**ENTRY, **fields})
+        try:
+            server = documents.server("a", data)
+        except DocumentError:
+            return
+        self.assertGreater(server.slots, 0)
+
+    @FUZZ
+    @given(strategies.binary())
+    def test_words_of_instances(self, data: bytes) -> None:
+        try:
+            peerwords.decode(data)
+        except ValueError as exc:
+            self.assertTrue(str(exc))
+
+    @FUZZ
+    @given(strategies.dictionaries(strategies.sampled_from(
+        [b"token-usage", b"prefix-hash", b"length-hint"]),
+        strategies.binary(max_size=30)))  # fmt: skip
+    def test_prompt_fields(self, fields: dict[bytes, bytes]) -> None:
+        try:
+            headers.prompt_of(fields)
+        except ValueError as exc:
+            self.assertTrue(str(exc))
+
+    def test_snapshot_with_rows_that_cannot_be_read(self) -> None:
+        known = registry()
+        bad = ServerRow("b", 2, b"nonsense")
+        known.adopt(Snapshot(0, b"", 2, [row(1), bad]), 0.0)
+        self.assertEqual(len(known.servers_of(POOL)), 1)
+
+
+class NewsTest(unittest.TestCase):
+    """What is told of a changed row."""
+
+    def test_ended(self) -> None:
+        known = registry()
+        (first,) = known.take_changes([row(1)], 1, 0.0)
+        self.assertIsNone(first.ended)
+        (again,) = known.take_changes([row(2, born=START + 1)], 2, 0.0)
+        self.assertEqual(again.ended.id, f"a@{START}")
+        self.assertIsInstance(again, ServerNews)
+        self.assertEqual(known.take_changes([row(3, born=START + 1)], 3, 0), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
