Take others' prompts for read once there was time; meet at once after a start

Among ninety instances words on prompts are half a second old while an engine reads most prompts in a tenth of one.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -197,6 +197,7 @@
             return placing.place_plain(call, _some(options), self._zone)
         group = self._group(call, servers)
         now = time.monotonic()
+        self.workload.age(now)
         guess = self._guess(call)
         speeds = self._speeds(call.service)
         options = _some(self._options(call, group))
@@ -460,6 +461,7 @@
         for health in self._health.values():
             health.forget(server)
         self._warm.forget(server)
+        self.workload.forget(server)
         self.paces.forget(server)
         self._silences.forget(server)
 
@@ -516,6 +518,7 @@
         model = self.engines.of(service)
         read_token_s = model.speeds().read_token_s
         for name in servers:
+            self.workload.reads(name, read_token_s)
             load = self.workload.load(name)
             if not load.running or load.unread * read_token_s > CALM_S:
                 continue
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -45,6 +45,16 @@
 GREET_EVERY_S = 2.0
 """How often addresses of unknown instances are tried."""
 
+GREET_SOON_S = 0.2
+GREET_SOON_FOR_S = 5.0
+"""How often they are tried at first, and for how long. Where all instances are
+started at once the first tries come before the others listen; with the usual
+pace each took itself for the only one for two seconds, and filled the engines
+as if nobody else sent to them."""
+
+GREET_AT_ONCE = 8
+"""Addresses tried at once; gossip brings the rest."""
+
 BEHIND_S = 0.25
 """How long an instance that is behind waits for the store before it asks
 another instance: the store's own word usually comes within milliseconds."""
@@ -150,11 +160,13 @@
     async def _talk(self) -> None:
         rounds = 0
         greeted = float("-inf")
+        began = time.monotonic()
         while True:
             now = time.monotonic()
-            if now - greeted > GREET_EVERY_S:
+            soon = now - began < GREET_SOON_FOR_S
+            if now - greeted > (GREET_SOON_S if soon else GREET_EVERY_S):
                 greeted = now
-                self._send_all(self.membership.greet(self._addresses))
+                self._greet()
             if rounds % PROBE_EVERY == 0:
                 self._send_all(self.membership.probe(now))
                 self._note_changes()
@@ -164,6 +176,11 @@
             rounds += 1
             await anyio.sleep(LOAD_EVERY_S * self._rng.uniform(0.9, 1.1))
 
+    def _greet(self) -> None:
+        sends = self.membership.greet(self._addresses)
+        count = min(GREET_AT_ONCE, len(sends))
+        self._send_all(self._rng.sample(sends, count))
+
     def _send_loads(self) -> None:
         peers = [
             member
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,14 +5,17 @@
 import json
 import re
 import unittest
+import unittest.mock
 
 import anyio
+from anyio.abc import SocketAttribute
 
+from jasminerelay import peerlink
 from jasminerelay.httpclient import NotSentError
 from jasminerelay.platform.root import REGISTER_PAUSE_S
 from standins.platformserver import ServerFaults
 from standins.platformsite import HOST, KEY, MODEL, PLAIN, SiteOptions
-from tests.platformcase import PlatformCase, events, fetch
+from tests.platformcase import WAIT_S, PlatformCase, events, fetch
 
 PROMPT = {"Token_Usage": "1200,20", "Prefix_Hash": "aa:1000,bb:200"}
 
@@ -474,6 +477,22 @@
             await self.until(lambda: second.peers_live == 2)
             group.cancel_scope.cancel()
 
+    async def test_started_together(self) -> None:
+        # All instances are killed and start again at once. The first words
+        # that each sends come before the others listen, and are lost. Until
+        # the next ones each takes itself for the only instance, names only
+        # itself to callers and fills the engines as if it were alone.
+        with unittest.mock.patch.object(peerlink, "GREET_EVERY_S", 1e9):
+            async with (
+                self.site() as (site, (first,)),
+                await anyio.create_udp_socket(local_host="127.0.0.1") as other,
+            ):
+                host, port = other.extra(SocketAttribute.local_address)
+                first.meet(f"{host}:{port}")
+                with anyio.fail_after(WAIT_S):
+                    for _ in range(3):
+                        await other.receive()
+
 
 class SlowCallerTest(PlatformCase):
     """Callers that hold connections without use."""
