--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -22,7 +22,7 @@
 from jasminerelay.placing import Guess, Option, Placed, Wait
 from jasminerelay.prefix import PrefixIndex
 from jasminerelay.registry import Registry
-from jasminerelay.schema.messages import KindDemand, Reading, ServerLoad
+from jasminerelay.schema.messages import EngineSample, KindDemand, ServerLoad
 from jasminerelay.silences import Silences
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.waitingroom import Seat
@@ -197,7 +197,6 @@
             return placing.place_plain(call, _some(options), self._zone)
         group = self._group(call, servers)
         now = time.monotonic()
-        self.workload.age(now)
         guess = self._guess(call)
         speeds = self._speeds(call.service)
         options = _some(self._options(call, group))
@@ -298,8 +297,9 @@
         # it must not be most of what is measured.
         if not placed.sure or ahead > placed.unread * AHEAD_SHARE:
             return
-        reading = Reading(call.service, ahead + placed.unread, seconds)
-        self.engines.read(reading, time.monotonic())
+        tokens = ahead + placed.unread
+        sample = EngineSample(call.service, True, tokens, seconds)
+        self.engines.see(sample, time.monotonic())
 
     def reserve(self, call: Call, placed: Placed) -> Run:
         """Notes that a request goes to a server."""
@@ -461,7 +461,6 @@
         for health in self._health.values():
             health.forget(server)
         self._warm.forget(server)
-        self.workload.forget(server)
         self.paces.forget(server)
         self._silences.forget(server)
 
@@ -505,26 +504,25 @@
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
             servers = [item.id for item in self._registry.servers_of(name)]
-            self._note_steps(name, servers)
+            self._note_steps(name, servers, now)
             demand = self.demand.total(name, now)
             split = self._splits.setdefault(name, Split())
             if split.update(servers, demand):
                 self.on_split(name, split.groups, demand)
 
-    def _note_steps(self, service: str, servers: list[str]) -> None:
+    def _note_steps(self, service: str, servers: list[str], now: float) -> None:
         # Not of engines that read a long prompt: their streams show the
         # reading, which is counted by itself. At the start of a burst all
         # engines read, and chats were taken to need three servers of eight.
-        model = self.engines.of(service)
-        read_token_s = model.speeds().read_token_s
+        read_token_s = self._speeds(service).read_token_s
         for name in servers:
-            self.workload.reads(name, read_token_s)
             load = self.workload.load(name)
             if not load.running or load.unread * read_token_s > CALM_S:
                 continue
             token_s = self.paces.undisturbed_s(name)
             if token_s is not None:
-                model.stepped(load.running, token_s)
+                sample = EngineSample(service, False, load.running, token_s)
+                self.engines.see(sample, now)
 
     def _group(
         self, call: Call, servers: list[BackendServer]
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -189,7 +189,7 @@
         ]
         chosen = self._rng.sample(peers, min(LOAD_FANOUT, len(peers)))
         word = dataclasses.replace(
-            self._word(None), readings=self._dispatcher.engines.untold()
+            self._word(None), samples=self._dispatcher.engines.untold()
         )
         data = peerwords.encode(word)
         for member in chosen:
@@ -253,7 +253,7 @@
         self._dispatcher.hear_loads(word.sender, word.number, loads, now)
         demand = peerwords.demand_rows(word.demand)
         self._dispatcher.demand.hear(word.sender, demand, now)
-        self._dispatcher.engines.hear(word.readings, now)
+        self._dispatcher.engines.hear(word.samples, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
         if self._behind(word.standing):
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -304,13 +304,14 @@
 
 
 @dataclass(frozen=True)
-class Reading:
+class EngineSample:
     """
-    A first event, as a measure of a service's engines.
+    A measure of a service's engines.
     """
 
     service: str
-    tokens: int
+    reading: bool
+    count: int
     seconds: float
 
 
@@ -326,7 +327,7 @@
     standing: Standing
     loads: LoadColumns
     demand: DemandColumns
-    readings: list[Reading] = field(default_factory=list)
+    samples: list[EngineSample] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -49,13 +49,6 @@
 
 NOTHING = Load()
 
-LEAST_READING_S = 0.1
-"""Time in which nothing that was told is taken for read: the first event, by
-which the teller knows, takes about as long to come back."""
-
-AGE_EVERY_S = 0.02
-"""How often the others' words are looked through for what is read by now."""
-
 
 class Run:
     """One request at one server, from its dispatch to its end.
@@ -116,9 +109,6 @@
         self._own: dict[str, Load] = {}
         self._peers: dict[str, _PeerLoads] = {}
         self._others: dict[str, Load] = {}
-        self._read_token_s: dict[str, float] = {}
-        self._read_by_now: dict[str, int] = {}
-        self._aged_at = float("-inf")
         self.changed = False
 
     def start(self, server: str, unread: int, memory: int) -> Run:
@@ -166,11 +156,6 @@
         self._replace(held.loads if held else {}, by_server)
         return True
 
-    def forget(self, server: str) -> None:
-        """Drops a server that has ended."""
-        self._read_token_s.pop(server, None)
-        self._read_by_now.pop(server, None)
-
     def expire(self, now: float) -> None:
         """Forgets the words of instances that have been silent."""
         old = [
@@ -185,45 +170,7 @@
         """Returns what all instances have under way at a server."""
         own = self._own.get(server, NOTHING)
         others = self._others.get(server)
-        if others is None:
-            return own
-        read = min(others.unread, self._read_by_now.get(server, 0))
-        return own + Load(others.unread - read, others.running, others.memory)
-
-    def reads(self, server: str, read_token_s: float) -> None:
-        """Notes how long a server takes to read one prompt token."""
-        self._read_token_s[server] = read_token_s
-
-    def age(self, now: float) -> None:
-        """Takes what the others told for read once there was time for it.
-
-        Among ninety instances a word is half a second old on the mean, and
-        most prompts are read in a tenth of one. Counted until the next word,
-        they made engines look full that were idle for two thirds of the time.
-        """
-        if now - self._aged_at < AGE_EVERY_S:
-            return
-        self._aged_at = now
-        unread: dict[str, float] = {}
-        for held in self._peers.values():
-            age_s = now - held.heard
-            for server, load in held.loads.items():
-                if load.unread:
-                    left = self._unread_share(server, age_s) * load.unread
-                    unread[server] = unread.get(server, 0.0) + left
-        self._read_by_now = {
-            server: self._others[server].unread - round(left)
-            for server, left in unread.items()
-        }
-
-    def _unread_share(self, server: str, age_s: float) -> float:
-        """Returns what part of what was unread at a server is so still."""
-        read_token_s = self._read_token_s.get(server)
-        if read_token_s is None:
-            return 1.0
-        own = self._own.get(server, NOTHING).unread
-        ahead_s = (own + self._others[server].unread) * read_token_s
-        return max(0.0, 1.0 - age_s / max(ahead_s, LEAST_READING_S))
+        return own if others is None else own + others
 
     def _replace(self, old: dict[str, Load], new: dict[str, Load]) -> None:
         # The sum is kept up by differences: to add up all instances for each
