--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -132,6 +132,7 @@
         self._sink = sink
         self._progress = progress
         self._moving: anyio.Event | None = None
+        self._sent_at = 0.0
 
     async def run(self, seat: Seat) -> Outcome:
         """Sends the request to the seat's server and passes on the answer."""
@@ -175,6 +176,7 @@
         )
         self._progress.maybe_ran = True
         kept = not channel.fresh
+        self._sent_at = time.monotonic()
         try:
             response = await channel.send(request, self._silence_s())
         except SilentError as exc:
@@ -258,7 +260,7 @@
         self, seat: Seat, response: httpcore.Response, head: Head
     ) -> Outcome:
         cutter = sse.EventCutter()
-        timer = _StreamTimer(self._kit, self._call, seat)
+        timer = _StreamTimer(self._kit, self._call, seat, self._sent_at)
         progress = self._progress
         try:
             async for chunk in body_chunks(response):
@@ -367,10 +369,11 @@
 class _StreamTimer:
     """Measures one stream as its events pass."""
 
-    def __init__(self, kit: Kit, call: Call, seat: Seat):
+    def __init__(self, kit: Kit, call: Call, seat: Seat, sent_at: float):
         self._kit = kit
         self._call = call
         self._seat = seat
+        self._sent_at = sent_at
         self._latest = 0.0
         engine = kit.dispatcher.engine_of(call.service)
         self.event_tokens = engine.event_tokens if engine else 1
@@ -398,8 +401,8 @@
 
     def _note_reading(self, now: float) -> None:
         seat = self._seat
-        self._kit.dispatcher.read(
-            self._call, seat.placed, seat.run.ahead, now - seat.run.sent
+        self._kit.dispatcher.note_reading(
+            self._call, seat.placed, seat.run.ahead, now - self._sent_at
         )
 
 
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -284,7 +284,9 @@
     def _speeds(self, service: str) -> Speeds:
         return self.engines.of(service).speeds()
 
-    def read(self, call: Call, placed: Placed, ahead: int, seconds: float):
+    def note_reading(
+        self, call: Call, placed: Placed, ahead: int, seconds: float
+    ) -> None:
         """Takes the time in which a request's first event came.
 
         Args:
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import time
 from collections.abc import Iterable
 
 from jasminerelay.schema.messages import ServerLoad
@@ -56,7 +55,6 @@
     Attributes:
         server: The server.
         ahead: Prompt tokens that were unread there before it.
-        sent: Steady time of the dispatch.
 
     Example:
         >>> workload = Workload()
@@ -74,7 +72,6 @@
     ):
         self.server = server
         self.ahead = workload.load(server).unread
-        self.sent = time.monotonic()
         self._workload = workload
         self._unread = unread
         self._memory = memory
