--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -44,7 +44,7 @@
 """Part of the time left that the rest of an answer may be expected to take
 before it is moved to an engine that makes tokens faster."""
 
-LATEST_SHARE = 0.25
+LATEST_SHARE = 0.4
 """Part of the time left that the rest of an answer may take at a quick engine
 before it is moved there. Most that look too slow for a moment end where they
 are; a move of each cost more than all that it saved."""
--- /dev/null
+++ b/tests/safeguardlist.py
@@ -0,0 +1,532 @@
+"""The safeguards whose proofs are run without them."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Safeguard:
+    """A safeguard and its proof.
+
+    Attributes:
+        name: What it does.
+        module: Module that holds it.
+        old: Its text.
+        new: Text without it.
+        proof: Test that must fail without it.
+    """
+
+    name: str
+    module: str
+    old: str
+    new: str
+    proof: str
+
+
+SAFEGUARDS = (
+    Safeguard(
+        "frames carry their attempt",
+        "backends",
+        'if not str(data.get("id", "")).endswith(attempt_id):',
+        "if False:",
+        "test_streams.BrokenStreamTest.test_late_and_crossed_frames",
+    ),
+    Safeguard(
+        "late frames are dropped by offset",
+        "answers",
+        "if text and offset <= self._delivered:",
+        "if False:",
+        "test_streams.BrokenStreamTest.test_late_and_crossed_frames",
+    ),
+    Safeguard(
+        "another engine goes on from what was delivered",
+        "answers",
+        "            _continue_from(body, self._request.path, self._text)\n",
+        "            pass\n",
+        "test_streams.BrokenStreamTest"
+        ".test_goes_on_elsewhere_if_the_engine_forgot",
+    ),
+    Safeguard(
+        "a failed resume is no proof of not run",
+        "backends",
+        "raise AttemptError(str(exc), Proof.MAY_HAVE_RUN) from exc\n\n\n"
+        "async def read_cache_events",
+        "raise\n\n\nasync def read_cache_events",
+        "test_streams.BrokenStreamTest"
+        ".test_goes_on_elsewhere_if_the_engine_forgot",
+    ),
+    Safeguard(
+        "a resume point belongs to its organisation",
+        "callers",
+        "if point.organisation != organisation.name:",
+        "if False:",
+        "test_callers.OrganisationsTest"
+        ".test_resume_point_of_another_organisation",
+    ),
+    Safeguard(
+        "a lost answer is not proof of not run",
+        "backends",
+        "except BrokenError as exc:\n"
+        "            raise AttemptError(str(exc), Proof.MAY_HAVE_RUN)",
+        "except BrokenError as exc:\n"
+        "            raise AttemptError(str(exc), Proof.NOT_RUN)",
+        "test_atmostonce.AtMostOnceTest.test_answer_lost",
+    ),
+    Safeguard(
+        "a keyed call is claimed before its dispatch",
+        "servicecalls",
+        "if won is None and _is_claimed(request):",
+        "if False:",
+        "test_atmostonce.AtMostOnceTest.test_two_instances_at_once",
+    ),
+    Safeguard(
+        "a claim knows its own token",
+        "claimdesk",
+        "if held.token == claim.token:\n                return Won",
+        "if False:\n                return Won",
+        "test_atmostonce.AtMostOnceTest.test_claim_acknowledgement_lost",
+    ),
+    Safeguard(
+        "an abandoned claim is reopened",
+        "claimdesk",
+        "            self._later(self._abandon, key, claim)\n",
+        "",
+        "test_atmostonce.AtMostOnceTest.test_abandoned_claim_is_reopened",
+    ),
+    Safeguard(
+        "an open claim is never taken over",
+        "claims",
+        "if row.state == OPEN and now - row.at <= longest_s:",
+        "if row.state == OPEN:\n        return\n    if False:",
+        "test_atmostonce.KilledOwnerTest.test_killed_mid_call",
+    ),
+    Safeguard(
+        "the claim's key holds the organisation",
+        "claims",
+        "msgspec.json.encode([organisation, service, idempotency_key])",
+        "msgspec.json.encode([service, idempotency_key])",
+        "test_atmostonce.AtMostOnceTest.test_other_body_and_other_organisation",
+    ),
+    Safeguard(
+        "an accepting write knows its own token",
+        "manifests",
+        "if row is not None and token in _value(row).tokens:",
+        "if False:",
+        "test_manifest_force.InForceTest.test_acknowledgement_lost",
+    ),
+    Safeguard(
+        "a manifest only goes forward",
+        "spread",
+        "return pointer.version > self.pointer.version",
+        "return pointer.version != self.pointer.version",
+        "test_parsers.SpreadTest.test_only_forward_and_only_whole",
+    ),
+    Safeguard(
+        "a manifest is the text that its digest names",
+        "spread",
+        "if manifest.digest_of(body) != pointer.digest:",
+        "if False:",
+        "test_parsers.SpreadTest.test_only_forward_and_only_whole",
+    ),
+    Safeguard(
+        "a fresh instance asks its peers",
+        "manifests",
+        "        await self._adopt(offered, reply.body)\n",
+        "",
+        "test_manifest_force.InForceTest.test_fresh_instance_during_an_outage",
+    ),
+    Safeguard(
+        "one broker orders the pool (without: the naive version)",
+        "permits",
+        "        self._coordination = coordination\n",
+        '        self._coordination = "naive"\n',
+        "test_coordination.OverloadTest.test_protected_is_never_shed",
+    ),
+    Safeguard(
+        "the queue sheds from the lowest tier",
+        "broker",
+        "for rank in sorted(self._tiers, reverse=True):",
+        "for rank in sorted(self._tiers):",
+        "test_broker.RefusalTest.test_sheds_the_lowest_tier",
+    ),
+    Safeguard(
+        "a full queue makes room for a higher rank",
+        "broker",
+        "        victim = self._victim()\n",
+        "        victim = None\n",
+        "test_coordination.OverloadTest.test_protected_is_never_shed",
+    ),
+    Safeguard(
+        "the lowest tier has guaranteed room in the queue",
+        "broker",
+        "return math.ceil(waiting.floor_share * self._cell.max_waiting)",
+        "return 0",
+        "test_coordination.OverloadTest.test_lowest_class_is_served",
+    ),
+    Safeguard(
+        "each tier has a guaranteed share of grants",
+        "broker",
+        "due = [rank for rank in ranks if self._credit.get(rank, 0.0) >= 1.0]",
+        "due = []",
+        "test_broker.OrderTest.test_floor_bounds_the_lowest_tier",
+    ),
+    Safeguard(
+        "the word of a leaving server goes round",
+        "daemon",
+        "            self._note_server(server, leaving=True)\n",
+        "            pass\n",
+        "test_stopping.LeavingServerTest.test_its_refusal_is_enough",
+    ),
+    Safeguard(
+        "a planned stop waits for requests in progress",
+        "daemon",
+        "return self.progress.count == 0 and self._claims.unrecorded == 0",
+        "return True",
+        "test_stopping.PlannedStopTest.test_cuts_nothing",
+    ),
+    Safeguard(
+        "a second SIGTERM does not cut",
+        "daemon",
+        "                self.drain()\n\n    async def _follow_list",
+        "                if self._draining:\n"
+        "                    os._exit(1)\n"
+        "                self.drain()\n\n    async def _follow_list",
+        "test_stopping.PlannedStopTest.test_cuts_nothing",
+    ),
+    Safeguard(
+        "the death of one instance does not end the others",
+        "peers",
+        "except* grpc.aio.AioRpcError:",
+        "except* KeyError:",
+        "test_coordination.BrokerLostTest.test_frozen_then_killed",
+    ),
+    Safeguard(
+        "a thawed instance refutes its death",
+        "membership",
+        "self.own, state=state, beat=self.own.beat + 1",
+        "self.own, state=state",
+        "test_membership.MembershipTest.test_thawed_instance_refutes",
+    ),
+    Safeguard(
+        "failed instances are revisited",
+        "membership",
+        "if failed and self._rng.random() < REVISIT_SHARE:",
+        "if False:",
+        "test_membership.MembershipTest.test_parted_halves_heal",
+    ),
+    Safeguard(
+        "the lease counts from before its write",
+        "fencing",
+        "self._holds_until = started + self._lease_s * (1 - MARGIN)",
+        "self._holds_until = started + 20 + self._lease_s * (1 - MARGIN)",
+        "test_placements.LeaseTest.test_no_two_order_at_once",
+    ),
+    Safeguard(
+        "a server rests after a failure and is probed",
+        "broker",
+        "        if self.stragglers.blocked(server, now):\n"
+        "            return True\n",
+        "",
+        "test_broker.SoftStateTest.test_failed_server_rests_and_is_probed",
+    ),
+    Safeguard(
+        "a former broker keeps no permit",
+        "permits",
+        "                self._send(holding.owner,"
+        " self._frame(releases=[gone]))\n                holding.owner",
+        "                holding.owner",
+        "test_permits.PermitsTest.test_former_broker_keeps_nothing",
+    ),
+    Safeguard(
+        "a new session forgets what the former one held",
+        "brokers",
+        "            hosted.broker.forget_entry(entry, permits=True)\n"
+        "        self._sessions[entry] = send",
+        "            pass\n        self._sessions[entry] = send",
+        "test_permits.PermitsTest.test_new_session_forgets_lost_releases",
+    ),
+    Safeguard(
+        "a late grant goes back to its cell",
+        "permits",
+        "gone = Release(grant.ask_id, grant.cell, 0.0, False, 0.0)",
+        'gone = Release(grant.ask_id, "", 0.0, False, 0.0)',
+        "test_permits.PermitsTest.test_silent_broker_and_its_late_grant",
+    ),
+    Safeguard(
+        "the broker of a cell that is gone refuses",
+        "brokers",
+        "hosted.broker.update(directory.cells.get(name, gone))",
+        "hosted.broker.update(directory.cells[name]) if name in"
+        " directory.cells else gone",
+        "test_permits.PermitsTest.test_cell_that_is_gone",
+    ),
+    Safeguard(
+        "the request head is bounded",
+        "headbound",
+        "if self._fields > self._bounds.head_bytes:",
+        "if False:",
+        "test_callers.BadInputTest.test_large_head",
+    ),
+    Safeguard(
+        "the first call after a failure does not wait",
+        "following",
+        "                wait_s = 0.0\n                self._counters",
+        "                self._counters",
+        "test_following.FollowerTest.test_removal_after_outage",
+    ),
+    Safeguard(
+        "servers that lapse in an outage stay for a while",
+        "registry",
+        "if in_outage and not held.server.draining:",
+        "if False:",
+        "test_following.RegistryTest.test_lapsed_in_outage",
+    ),
+    Safeguard(
+        "the configuration never goes back",
+        "registry",
+        "if self.catalog is not None"
+        " and catalog.version < self.catalog.version:",
+        "if False:",
+        "test_following.RegistryTest.test_configuration_never_goes_back",
+    ),
+    Safeguard(
+        "a row that is missing in a whole reading is gone",
+        "registry",
+        "[*rows, *gone]",
+        "rows",
+        "test_following.FollowerTest.test_lost_history",
+    ),
+    Safeguard(
+        "an answer to another request is dropped",
+        "attempt",
+        "if named != self._call.id:",
+        "if False:",
+        "test_platform.FailuresTest.test_crossed_answer_is_dropped",
+    ),
+    Safeguard(
+        "an answer without an id is dropped on a used connection",
+        "attempt",
+        'named = head.request or ("" if kept else self._call.id)',
+        "named = head.request or self._call.id",
+        "test_platform.FailuresTest.test_stale_answer_without_id",
+    ),
+    Safeguard(
+        "what may run once is not repeated",
+        "attempt",
+        "if route.repeat is Repeat.ONCE:",
+        "if False:",
+        "test_platform.FailuresTest.test_once_is_not_repeated",
+    ),
+    Safeguard(
+        "a torn event is no end",
+        "attempt",
+        "        if cutter.torn:\n",
+        "        if False:\n",
+        "test_platform.FailuresTest.test_torn_event_is_no_end",
+    ),
+    Safeguard(
+        "streams are moved from leaving servers",
+        "following",
+        "self.on_leaving(item.after.id)",
+        "pass",
+        "test_platform.FailuresTest.test_stream_is_moved_from_leaving_server",
+    ),
+    Safeguard(
+        "a moved run is never begun anew",
+        "forwarding",
+        "        if self._ran_its_once:\n            return False\n",
+        "",
+        "test_platform.FailuresTest.test_refused_move_is_no_second_run",
+    ),
+    Safeguard(
+        "callers do not set the system's fields",
+        "platform/headers",
+        "left = _HOP | _OURS | named",
+        "left = _HOP | named",
+        "test_platform.RequestsTest.test_plain_request",
+    ),
+    Safeguard(
+        "not found only while in touch",
+        "platform/ingress",
+        "if not self._front.current():",
+        "if False:",
+        "test_platforminstances.StoreOutageTest.test_unknown_route_without_touch",
+    ),
+    Safeguard(
+        "an instance that is behind asks another",
+        "peerlink",
+        "if self._behind(word.standing):",
+        "if False:",
+        "test_platforminstances.StoreOutageTest.test_learns_from_another_instance",
+    ),
+    Safeguard(
+        "a silent server gets no more",
+        "silences",
+        "        if now - words.heard < QUIET_S:\n            return False\n",
+        "        return False\n",
+        "test_workload.SilencesTest.test_dark_server",
+    ),
+    Safeguard(
+        "a stopping instance refuses what cannot end",
+        "stopping",
+        "return now + limit_s < self.ends",
+        "return True",
+        "test_workload.StopTest.test_takes_what_can_end",
+    ),
+    Safeguard(
+        "the allowance is dealt by the most instances of late",
+        "sharedbudget",
+        "most = max((size for _, size in self._sizes), default=1)",
+        "most = self._sizes[-1][1]",
+        "test_workload.SharedBudgetTest.test_partition_does_not_double_it",
+    ),
+    Safeguard(
+        "logs never block",
+        "eventlog",
+        "except (BlockingIOError, BrokenPipeError):",
+        "except BrokenPipeError:",
+        "test_adapter.EventLogTest.test_reader_that_does_not_read",
+    ),
+    Safeguard(
+        "a head that is late is refused",
+        "headbound",
+        "                self.transport.write(_LATE_ANSWER)\n"
+        "                self.transport.close()\n",
+        "                pass\n",
+        "test_platforminstances.SlowCallerTest.test_times_of_the_configuration",
+    ),
+    Safeguard(
+        "a connection without a request is closed",
+        "headbound",
+        "self._bounds.idle_s, self.timeout_keep_alive_handler",
+        "1e6, self.timeout_keep_alive_handler",
+        "test_platforminstances.SlowCallerTest.test_times_of_the_configuration",
+    ),
+    Safeguard(
+        "a body that pauses too long is refused",
+        "platform/ingress",
+        "with anyio.move_on_after(bounds.idle_s) as scope:",
+        "with anyio.move_on_after(1e6) as scope:",
+        "test_platforminstances.SlowCallerTest.test_times_of_the_configuration",
+    ),
+    Safeguard(
+        "runs from a leaving server are spread",
+        "dispatcher",
+        "owner(call.id, by_id)])\n\n    def cannot_end",
+        'owner("", by_id)])\n\n    def cannot_end',
+        "test_dispatcher.RefugeTest.test_instances_do_not_meet_at_one_server",
+    ),
+    Safeguard(
+        "runs go on among their kind",
+        "dispatcher",
+        "for item in roomy or group}",
+        "for item in roomy or servers}",
+        "test_dispatcher.RefugeTest.test_not_among_more_urgent_ones",
+    ),
+    Safeguard(
+        "paces that were told are not told on",
+        "dispatcher",
+        "self.paces.own_s(item.server, now) or 0",
+        "self.paces.token_s(item.server, now) or 0",
+        "test_dispatcher.ToldPaceTest.test_words_are_not_passed_on",
+    ),
+    Safeguard(
+        "paces are told",
+        "dispatcher",
+        "            if item.token_us:\n",
+        "            if False:\n",
+        "test_dispatcher.ToldPaceTest.test_engine_seen_by_others_only",
+    ),
+    Safeguard(
+        "only calm engines show the idle pace",
+        "dispatcher",
+        "load.unread * read_token_s > CALM_S",
+        "False",
+        "test_dispatcher.IdlePaceTest.test_burst_at_the_start",
+    ),
+    Safeguard(
+        "a late word of a former incarnation is passed over",
+        "registry",
+        "if server.id in self._past:",
+        "if False:",
+        "test_serverrows.IncarnationTest.test_late_word_of_the_former_one",
+    ),
+    Safeguard(
+        "a server's start tells incarnations apart",
+        "catalog",
+        'return f"{self.name}@{self.born}" if self.born else self.name',
+        "return self.name",
+        "test_serverrows.IncarnationTest.test_knows_nothing_of_before",
+    ),
+    Safeguard(
+        "an unreadable row is noted once",
+        "registry",
+        "if self._unreadable.get(row.id) == row.version:",
+        "if False:",
+        "test_serverrows.ForeignRowTest.test_same_row_read_again_is_noted_once",
+    ),
+    Safeguard(
+        "one bad row does not hide its page",
+        "platform/storeclient",
+        '        data = b""\n',
+        "        raise\n",
+        "test_serverrows.ForeignRowTest.test_data_that_is_no_base64",
+    ),
+    Safeguard(
+        "callers' patience bounds a wait",
+        "admission",
+        "self.ahead_s + self.first_s - self.patience_s * MARGIN_SHARE,",
+        "0.0,",
+        "test_waitingroom.WaitingRoomTest.test_caller_that_will_have_left",
+    ),
+    Safeguard(
+        "a run that cannot end moves on",
+        "attempt",
+        "group.start_soon(self._move_when_slow, server)",
+        "pass",
+        "test_platform.FailuresTest"
+        ".test_answer_that_cannot_end_goes_on_elsewhere",
+    ),
+    Safeguard(
+        "engines' lines go through the quicker half",
+        "enginemodel",
+        "quick = ranked[: max(LEAST_SAMPLES, len(ranked) // 2)]",
+        "quick = ranked",
+        "test_enginemodel.EngineModelTest"
+        ".test_most_waited_behind_what_was_not_told",
+    ),
+    Safeguard(
+        "instances greet soon after a start",
+        "peerlink",
+        "soon = now - began < GREET_SOON_FOR_S",
+        "soon = False",
+        "test_platforminstances.MeetingTest.test_started_together",
+    ),
+    Safeguard(
+        "callers do not name the source of a start",
+        "platform/headers",
+        "        _FETCH_FROM,\n        DEADLINE,",
+        "        DEADLINE,",
+        "test_adapter.HeadersTest.test_source_of_the_start",
+    ),
+    Safeguard(
+        "overflow has an order",
+        "placing",
+        "worth_s.get(item.placed.server.id, 0.0)",
+        "0.0",
+        "test_placing.ModelPlacingTest.test_overflow_has_an_order",
+    ),
+    Safeguard(
+        "routes' ranks stay behind organisations'",
+        "catalog",
+        "return levels.get((rank, route.rank), rank)",
+        "return rank",
+        "test_adapter.DocumentsTest.test_levels_keep_the_routes_order",
+    ),
+    Safeguard(
+        "lists of a datagram are of one length",
+        "peerwords",
+        "if len({len(item) for item in lists}) != 1:",
+        "if False:",
+        "test_dispatcher.PeerWordTest.test_unreadable",
+    ),
+)
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.safeguards import ROOT, SAFEGUARDS
+from tests.safeguardlist import SAFEGUARDS
+from tests.safeguards import ROOT
 
 
 class SafeguardsTest(unittest.TestCase):
