Renew waiting calls of the store once another call has failed

Cause: the store was silent for some seconds; the call that waited for changes of servers, sent at 16.1 s, stayed without an answer until its own time was over at 42.8 s, at all six instances, while the one for the configuration had failed and worked again. Ruled out: rows taken for unreadable or for those of a former incarnation (no such line), a stale page (the follower had asked after version 27 and got nothing).

Change: whoever first finds the store lost has the other waiting call given up and asked anew without a wait. The test fails without.

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
 from jasminerelay.catalog import BackendServer
 from jasminerelay.errors import StoreError
@@ -72,6 +73,7 @@
         self._registry = registry
         self._log = log
         self._lost_by: set[str] = set()
+        self._doubt = anyio.Event()
         self.answered = float("-inf")
 
     @property
@@ -79,10 +81,17 @@
         """Whether the last call of someone failed."""
         return bool(self._lost_by)
 
+    @property
+    def doubt(self) -> anyio.Event:
+        """Is set once the store is lost to anyone who asks it."""
+        return self._doubt
+
     def failed(self, who: str, why: str) -> None:
         """Notes a call that failed."""
         if not self._lost_by:
             self._log.trouble("dependency_lost", name="store", why=why)
+            self._doubt.set()
+            self._doubt = anyio.Event()
         self._lost_by.add(who)
         self._registry.store_lost()
 
@@ -150,7 +159,10 @@
                 if after is None:
                     after = await self._read_all(take_all)
                     continue
-                page = await self._source.changes(after, wait_s)
+                page = await self._changes(after, wait_s)
+                if page is None:
+                    wait_s = 0.0
+                    continue
                 wait_s = self._wait_s
             except HistoryGoneError:
                 after = None
@@ -169,6 +181,28 @@
                 take_changes(page)
                 await anyio.sleep(GATHER_S)
 
+    async def _changes(self, after: int, wait_s: float) -> Page | None:
+        """Waits for changes; None once another's call has failed.
+
+        An outage may leave a waiting call without an answer for good, on a
+        connection that looks alive. Until its own time is over it hears of
+        no change: six instances sent to a server two seconds after it had
+        said that it leaves. Who fails first therefore has all ask anew.
+        """
+        if not wait_s:
+            return await self._source.changes(after, wait_s)
+        page = failure = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when, self._state.doubt, group)
+            try:
+                page = await self._source.changes(after, wait_s)
+            except StoreError as exc:
+                failure = exc
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return page
+
     async def _read_all(self, take_all: Callable[[Page], bool]) -> int | None:
         page = await self._source.read()
         self._worked()
@@ -182,6 +216,11 @@
         self._state.worked(self._name)
 
 
+async def _cancel_when(event: anyio.Event, group: TaskGroup) -> None:
+    await event.wait()
+    group.cancel_scope.cancel()
+
+
 class RegistryFeed:
     """Brings the tables' rows into the registry, with a line for each news."""
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -443,6 +443,14 @@
         "False",
         "test_dispatcher.IdlePaceTest.test_burst_at_the_start",
     ),
+    Safeguard(
+        "a waiting call is renewed once another has failed",
+        "following",
+        "            self._doubt.set()\n",
+        "",
+        "test_following.FollowerTest"
+        ".test_call_that_an_outage_left_without_answer",
+    ),
     Safeguard(
         "a late word of a former incarnation is passed over",
         "registry",
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -38,11 +38,16 @@
     return log
 
 
+SILENT = object()
+"""Stands for a call that is never answered."""
+
+
 class Script:
     """A table that answers as told, one answer a call."""
 
     def __init__(self, *answers):
         self.answers = list(answers)
+        self.on_silent = lambda: None
         self.waits: list[float | None] = []
 
     async def read(self) -> Page:
@@ -56,6 +61,9 @@
         if not self.answers:
             await anyio.sleep_forever()
         answer = self.answers.pop(0)
+        if answer is SILENT:
+            self.on_silent()
+            await anyio.sleep_forever()
         if isinstance(answer, Exception):
             raise answer
         return answer
@@ -121,6 +129,25 @@
         registry.expire(float("inf"))
         self.assertEqual(registry.servers(), [])
 
+    async def test_call_that_an_outage_left_without_answer(self) -> None:
+        # A server says that it leaves, and two seconds later a caller's
+        # request reaches it. The store was silent for some seconds; the call
+        # that waited for changes of servers then stayed without an answer for
+        # good, on a connection that looked alive, while the call for the
+        # configuration had failed and worked again long ago.
+        row = ServerRow("s", 1, b"pool:ready")
+        script = Script(
+            Page((row,), 1),
+            Page((), 1),
+            SILENT,
+            Page((ServerRow("s", 2, b"pool:leaving"),), 2),
+        )
+        script.on_silent = lambda: self.state.failed("op", "silent")
+        with anyio.fail_after(10):
+            registry = await self.follow(script)
+        self.assertTrue(registry.server("s").draining)
+        self.assertEqual(script.waits[3], 0.0)
+
     async def test_lost_history(self) -> None:
         # A server leaves while the store forgets its history. The follower is
         # told so, reads all rows and must notice that one is missing.
