--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -20,6 +20,7 @@
         left_s: Time that the server has for it.
         after: Event behind which a stream goes on; "" from its start.
         copy: Memory that this run goes on from.
+        source: Server from which the start of its prompt is copied.
     """
 
     call: Call
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -253,23 +253,23 @@
                 )
                 self.assertEqual(answer.status, 200)
 
+    async def ask_long(self, instance, answers: list) -> None:
+        """Asks for a stream of 250 events that may run once."""
+        answers.append(
+            await self.ask(
+                instance,
+                "/sheet/1/stream",
+                Token_Usage="1200,250",
+                Length_Hint="250",
+                Prefix_Hash="aa:1000,bb:200",
+            )
+        )
+
     async def move_away(self, site, instance, before_leaving) -> tuple:
         """Lets a server leave in mid-stream; gives its name and the answer."""
         answers = []
-
-        async def ask() -> None:
-            answers.append(
-                await self.ask(
-                    instance,
-                    "/sheet/1/stream",
-                    Token_Usage="1200,250",
-                    Length_Hint="250",
-                    Prefix_Hash="aa:1000,bb:200",
-                )
-            )
-
         async with anyio.create_task_group() as group:
-            group.start_soon(ask)
+            group.start_soon(self.ask_long, instance, answers)
             await self.until(lambda: self.runs(site) == 1)
             (name,) = [n for n, s in site.servers.items() if s.journal]
             await anyio.sleep(0.2)
@@ -304,20 +304,8 @@
             for server in site.servers.values():
                 server.faults.tick_s = 0.1
             answers = []
-
-            async def ask() -> None:
-                answers.append(
-                    await self.ask(
-                        instance,
-                        "/sheet/1/stream",
-                        Token_Usage="1200,250",
-                        Length_Hint="250",
-                        Prefix_Hash="aa:1000,bb:200",
-                    )
-                )
-
             async with anyio.create_task_group() as group:
-                group.start_soon(ask)
+                group.start_soon(self.ask_long, instance, answers)
                 await self.until(lambda: self.runs(site) == 1)
                 for server in site.servers.values():
                     if not server.journal:
