Tell when a server whose row is gone stays in use

An instance that has lost the store keeps a server whose row is gone and wrote nothing of it, so the lines of an incident could not tell a removal that was never heard from one that was heard and judged a lapse. A line (state 'kept without a row', row version, source) and a counter say so now.

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -9,7 +9,6 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from jasminerelay.catalog import BackendServer
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
@@ -295,11 +294,13 @@
                     source=source,
                 )
                 continue
+            if item.kept:
+                self._counters.incr("server.kept")
             self._tell(item)
             self._log.trouble(
                 "server",
                 server=(item.after or item.before).id,
-                state=_state(item.after),
+                state=_state(item),
                 row_version=item.row.version,
                 source=source,
             )
@@ -312,7 +313,9 @@
             self.on_leaving(item.after.id)
 
 
-def _state(server: BackendServer | None) -> str:
-    if server is None:
+def _state(item: ServerNews) -> str:
+    if item.after is None:
         return "gone"
-    return "draining" if server.draining else "in use"
+    if item.kept:
+        return "kept without a row"
+    return "draining" if item.after.draining else "in use"
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -37,12 +37,14 @@
         before: The server that its name stood for; None for none.
         after: The server that it stands for now; None for none.
         why: Why the row names no server to use, if it cannot be read.
+        kept: Whether the row is gone and its server stays in use for a while.
     """
 
     row: ServerRow
     before: BackendServer | None
     after: BackendServer | None
     why: str = ""
+    kept: bool = False
 
     @property
     def ended(self) -> BackendServer | None:
@@ -287,8 +289,10 @@
         if in_outage and not held.server.draining:
             since = now if self._store_away else self._returned
             until = None if self._store_away else since + RETURN_GRACE_S
-            self._lapsed.setdefault(row.id, until)
-            return None
+            if row.id in self._lapsed:
+                return None
+            self._lapsed[row.id] = until
+            return ServerNews(row, held.server, held.server, kept=True)
         del self._held[row.id]
         self._lapsed.pop(row.id, None)
         return ServerNews(row, held.server, None)
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -337,6 +337,26 @@
         self.assertIsInstance(again, ServerNews)
         self.assertEqual(known.take_changes([row(3, born=START + 1)], 3, 0), [])
 
+    def test_kept_without_a_row(self) -> None:
+        # A request reaches a server whose row is gone. On-call engineers must
+        # see from the lines when the instance knew of it, by whom, and that
+        # it kept the server; without a line that looked like never heard.
+        followed = Followed()
+        followed.take(row(1))
+        followed.registry.store_lost()
+        for version in (2, 3):
+            followed.take(ServerRow("a", version, None))
+        lines = [
+            (fields["state"], fields["row_version"], fields["source"])
+            for event, fields in followed.log.lines
+            if event == "server"
+        ]
+        self.assertEqual(
+            lines,
+            [("in use", 1, "store"), ("kept without a row", 2, "store")],
+        )
+        self.assertEqual((followed.left, followed.gone), ([], []))
+
 
 if __name__ == "__main__":
     unittest.main()
