--- a/tests/test_platforminstances.py
+++ b/tests/test_platforminstances.py
@@ -44,6 +44,34 @@
             await self.until(lambda: first.version == site.version)
             await self.until(lambda: len(first.registry.servers_of(PLAIN)) == 1)
 
+    async def test_removed_server_while_cut_off(self) -> None:
+        # Callers' requests reach a server twelve seconds after it left. One
+        # instance is cut off from the store, all others and the servers are
+        # not. A server's row is removed without a word of draining; the cut
+        # off instance hears of it from another one within half a second.
+        # Having lost the store itself, it takes the removal for the lapse of
+        # a living server in an outage, and goes on sending there until two
+        # seconds after the store serves it again. Lines of the instances
+        # proved it: the others wrote "gone" at once, this one "kept without
+        # a row".
+        async with self.site(2) as (site, (first, second)):
+            await self.until(lambda: first.peers_live == 2)
+            await self.until(lambda: second.peers_live == 2)
+            self.cut_from_store(first)
+            # The calls that wait already still bring one change each.
+            site.configure()
+            site.register("plain-2", PLAIN)
+            await self.until(lambda: first.version == site.version)
+            site.store.drop("servers", "plain-1")
+            await self.until(
+                lambda: len(second.registry.servers_of(PLAIN)) == 1
+            )
+            await self.until(lambda: len(first.registry.servers_of(PLAIN)) == 1)
+            for number in range(4):
+                attempt = f"a{number}"
+                await self.ask(first, "/confirm/x", attempt=attempt)
+            self.assertEqual(site.servers["plain-1"].journal, [])
+
     async def test_unknown_route_without_touch(self) -> None:
         # An instance has lost the store and knows no other. A route that it
         # does not know may have been added since: "not found" would be final
