Let lists of instances that had the store throughout decide on missing servers

Cause: 'the store is away' meant 'this instance has lost the store'. The class: one's own loss of touch taken for everyone's.

Change: an instance says how it stands with the store (lost, there, there for 2.2 s and more: settled). A list of a settled instance decides: what it lacks is gone, also for one that has lost the store. Who keeps a server without a row asks for such a list once, and again when it is newer. Removals heard from anyone else stay doubtful, as all do in an outage that all share. Servers kept without a row are no longer part of the digest, so the return of one instance makes the others fetch nothing.

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -98,11 +98,12 @@
         """Notes a call that worked."""
         now = time.monotonic()
         self.answered = now
-        if who not in self._lost_by:
-            return
+        was_lost = bool(self._lost_by)
         self._lost_by.discard(who)
-        if not self._lost_by:
-            self._registry.store_regained(now)
+        if self._lost_by:
+            return
+        self._registry.store_regained(now)
+        if was_lost:
             self._log.trouble("dependency_regained", name="store")
 
 
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -256,19 +256,10 @@
         self._dispatcher.engines.hear(word.samples, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
-        if self._behind(word.standing):
+        if self._registry.behind(word.standing):
             self._behind_since = self._behind_since or now
             self._behind_of = word.sender
 
-    def _behind(self, other: Standing) -> bool:
-        own = self._registry.standing
-        if other.configuration_version > own.configuration_version:
-            return True
-        return (
-            other.servers_version > own.servers_version
-            and other.servers_digest != own.servers_digest
-        )
-
     async def _catch_up(self) -> None:
         while True:
             await anyio.sleep(LOAD_EVERY_S)
@@ -279,7 +270,7 @@
                 continue
             self._behind_since = None
             heard = self._heard.get(self._behind_of)
-            if heard is None or not self._behind(heard[1]):
+            if heard is None or not self._registry.behind(heard[1]):
                 continue
             await self._fetch(self._behind_of)
 
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -4,10 +4,17 @@
 words come from the platform's store or, while that is out of reach, from
 other instances; both carry the store's version, so the newer one wins
 whichever way it came.
+
+A row that is gone means a server that leaves, or a living one that could not
+renew its row since the store was away. Whoever has had the store all the while
+can tell: its list is settled, and what is missing there is gone. Whoever has
+lost the store keeps such a server until a settled list lacks it, or until it
+has had the store back for long enough itself.
 """
 
 import collections
 import dataclasses
+import enum
 from collections.abc import Callable, Iterable
 
 import xxhash
@@ -28,6 +35,15 @@
 Decode = Callable[[str, bytes], BackendServer]
 
 
+class Touch(enum.IntEnum):
+    """Touch of an instance with the store, as instances tell each other."""
+
+    LOST = 0
+    THERE = 1
+    SETTLED = 2
+    """There for long enough that a server without a row is gone."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ServerNews:
     """What a row has changed.
@@ -91,13 +107,15 @@
         self._held: dict[str, _Held] = {}
         self._servers_version = 0
         self._servers_known = False
-        self._lapsed: dict[str, float | None] = {}
+        self._lapsed: set[str] = set()
         self._past: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
         self._unreadable: dict[str, int] = {}
-        self._store_away = False
-        self._returned = float("-inf")
+        self._touch = Touch.THERE
+        self._touch_since: float | None = None
+        self._was_lost = False
+        self._consulted = 0
         self._digest = 0
         self._by_service: dict[str, list[BackendServer]] = {}
 
@@ -115,7 +133,10 @@
     def standing(self) -> Standing:
         """How new this knowledge is."""
         return Standing(
-            self._configuration[0], self._servers_version, self._digest
+            self._configuration[0],
+            self._servers_version,
+            self._digest,
+            self._touch,
         )
 
     def servers_of(self, service: str) -> list[BackendServer]:
@@ -183,30 +204,41 @@
 
     def store_lost(self) -> None:
         """Notes that the store does not answer."""
-        self._store_away = True
+        self._touch = Touch.LOST
+        self._touch_since = None
+        self._was_lost = True
 
     def store_regained(self, now: float) -> None:
-        """Notes that the store answers again."""
-        if not self._store_away:
+        """Notes that the store answers, for the first time or again."""
+        if self._touch_since is not None:
             return
-        self._store_away = False
-        self._returned = now
-        for name in self._lapsed:
-            self._lapsed[name] = now + RETURN_GRACE_S
+        self._touch = Touch.THERE
+        self._touch_since = now
 
     def expire(self, now: float) -> list[BackendServer]:
         """Drops servers that stayed away too long after an outage."""
-        over = [
-            name
-            for name, until in self._lapsed.items()
-            if until is not None and until <= now
-        ]
-        for name in over:
-            del self._lapsed[name]
-        dropped = [self._held.pop(name, None) for name in over]
+        since = self._touch_since
+        if since is None or now < since + RETURN_GRACE_S:
+            return []
+        self._touch = Touch.SETTLED
+        over = [self._held.pop(name) for name in self._lapsed]
+        self._lapsed.clear()
         if over:
             self._rebuild()
-        return [held.server for held in dropped if held is not None]
+        return [held.server for held in over]
+
+    def behind(self, other: Standing) -> bool:
+        """Returns whether an instance of this standing knows more."""
+        if other.configuration_version > self._configuration[0]:
+            return True
+        if (
+            other.servers_version > self._servers_version
+            and other.servers_digest != self._digest
+        ):
+            return True
+        return other.touch == Touch.SETTLED and self._asks(
+            other.servers_version
+        )
 
     def export(self) -> Snapshot:
         """Returns all that this instance knows, for another one."""
@@ -218,6 +250,7 @@
                 for name, held in self._held.items()
                 if name not in self._lapsed
             ],
+            self._touch is Touch.SETTLED,
         )
 
     def adopt(self, snapshot: Snapshot, now: float) -> list[ServerNews]:
@@ -230,9 +263,39 @@
             self.take_configuration(
                 snapshot.configuration_version, snapshot.configuration
             )
-        if snapshot.servers_version <= self._servers_version:
-            return []
-        return self.take_all(snapshot.servers, snapshot.servers_version, now)
+        news = self._settle(snapshot) if snapshot.settled else []
+        if snapshot.servers_version > self._servers_version:
+            news += self.take_all(
+                snapshot.servers, snapshot.servers_version, now
+            )
+        return news
+
+    def _asks(self, version: int) -> bool:
+        """Returns whether a settled list as of a version may help."""
+        return version > self._consulted and any(
+            self._held[name].row.version <= version for name in self._lapsed
+        )
+
+    def _settle(self, snapshot: Snapshot) -> list[ServerNews]:
+        # An instance that is cut off from the store alone cannot tell a
+        # server that left from one whose row lapsed, and kept the former for
+        # up to 12 s, until the store served it again. The sender has had the
+        # store throughout: what its list lacks has left. Rows newer than the
+        # list are not its to judge.
+        version = snapshot.servers_version
+        self._consulted = max(self._consulted, version)
+        present = {row.id for row in snapshot.servers}
+        newer = version > self._servers_version
+        doubtful = self._held if newer else self._lapsed
+        gone = [
+            name
+            for name in doubtful
+            if name not in present and self._held[name].row.version <= version
+        ]
+        news = [self._drop(ServerRow(name, version, None)) for name in gone]
+        if news:
+            self._rebuild()
+        return news
 
     def _take_row(self, row: ServerRow, now: float) -> ServerNews | None:
         held = self._held.get(row.id)
@@ -250,7 +313,7 @@
         if before is not None and before.id != server.id:
             self._note_past(before)
         self._held[row.id] = _Held(row, server)
-        self._lapsed.pop(row.id, None)
+        self._lapsed.discard(row.id)
         if held is not None and held.usable and before == server:
             return None
         return ServerNews(row, before, server)
@@ -284,25 +347,27 @@
             return None
         # A server cannot renew its row while the store is away, so its row
         # may lapse though it lives and serves. Dropping it would empty the
-        # pool in an outage; it stays until it had the time to come back.
-        in_outage = self._store_away or now < self._returned + RETURN_GRACE_S
+        # pool in an outage; it stays until it had the time to come back, or
+        # until another instance knows better.
+        in_outage = self._was_lost and self._touch is not Touch.SETTLED
         if in_outage and not held.server.draining:
-            since = now if self._store_away else self._returned
-            until = None if self._store_away else since + RETURN_GRACE_S
             if row.id in self._lapsed:
                 return None
-            self._lapsed[row.id] = until
+            self._lapsed.add(row.id)
             return ServerNews(row, held.server, held.server, kept=True)
-        del self._held[row.id]
-        self._lapsed.pop(row.id, None)
-        return ServerNews(row, held.server, None)
+        return self._drop(row)
+
+    def _drop(self, row: ServerRow) -> ServerNews:
+        self._lapsed.discard(row.id)
+        return ServerNews(row, self._held.pop(row.id).server, None)
 
     def _rebuild(self) -> None:
         self._by_service = {}
         digest = xxhash.xxh64()
         for name in sorted(self._held):
             held = self._held[name]
-            digest.update(f"{name}:{held.row.version};".encode())
+            if name not in self._lapsed:
+                digest.update(f"{name}:{held.row.version};".encode())
             if held.usable and not held.server.draining:
                 service = held.server.service
                 self._by_service.setdefault(service, []).append(held.server)
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -240,6 +240,7 @@
     configuration: bytes
     servers_version: int
     servers: list[ServerRow]
+    settled: bool = False
 
 
 @dataclass(frozen=True)
@@ -251,6 +252,7 @@
     configuration_version: int
     servers_version: int
     servers_digest: int
+    touch: int = 1
 
 
 @dataclass(frozen=True)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -280,6 +280,21 @@
         "if False:",
         "test_following.RegistryTest.test_lapsed_in_outage",
     ),
+    Safeguard(
+        "a settled list decides on servers without a row",
+        "registry",
+        "news = self._settle(snapshot) if snapshot.settled else []",
+        "news = []",
+        "test_platforminstances.StoreOutageTest"
+        ".test_removed_server_while_cut_off",
+    ),
+    Safeguard(
+        "a list is settled only after the store was there for long enough",
+        "registry",
+        "if since is None or now < since + RETURN_GRACE_S:",
+        "if since is None:",
+        "test_following.SettledTest.test_fresh_instance_cannot_tell",
+    ),
     Safeguard(
         "the configuration never goes back",
         "registry",
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -256,5 +256,113 @@
         )
 
 
+class SettledTest(unittest.TestCase):
+    """Who may judge that a server without a row is gone.
+
+    Callers' requests reach a server long after it left: its row was removed,
+    and an instance that had lost the store took the removal for the lapse of
+    a living server. An instance that has had the store throughout can tell
+    the two apart, so its list decides; nobody else's does.
+    """
+
+    def setUp(self) -> None:
+        self.there = self.instance()
+        self.cut = self.instance()
+        self.there.expire(RETURN_GRACE_S)
+        self.cut.store_lost()
+
+    @staticmethod
+    def instance() -> Registry:
+        """Returns an instance that the store answers first at 0 s."""
+        registry = Registry(lambda data: None, decode)
+        registry.store_regained(0.0)
+        rows = [ServerRow(name, 1, b"pool:ready") for name in "ab"]
+        registry.take_all(rows, 2, 0.0)
+        return registry
+
+    @staticmethod
+    def ids(registry: Registry) -> list[str]:
+        return [server.id for server in registry.servers_of("pool")]
+
+    def hear(self, other: Registry) -> None:
+        """Lets the cut off instance take another one's list, if it asks."""
+        if self.cut.behind(other.standing):
+            self.cut.adopt(other.export(), 0.0)
+
+    def test_removed_before_the_others_eyes(self) -> None:
+        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.hear(self.there)
+        self.assertEqual(self.ids(self.cut), ["b"])
+
+    def test_heard_from_one_that_cannot_tell(self) -> None:
+        # All have lost the store; one has it back and finds a row missing. It
+        # may be that of a living server, so nobody drops it yet. After the
+        # grace time that one's list is settled, though nothing in it changed.
+        self.there.store_lost()
+        self.there.store_regained(20.0)
+        self.there.take_changes([ServerRow("a", 5, None)], 5, 20.0)
+        self.hear(self.there)
+        self.assertEqual(self.ids(self.cut), ["a", "b"])
+        self.assertFalse(self.cut.behind(self.there.standing))
+        self.there.expire(20.0 + RETURN_GRACE_S)
+        self.hear(self.there)
+        self.assertEqual(self.ids(self.cut), ["b"])
+
+    def test_found_missing_at_its_own_return(self) -> None:
+        # The cut off instance hears of nobody until its return, and reads all
+        # rows as of a newer moment than the others have had news of.
+        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.cut.store_regained(20.0)
+        rows = [ServerRow("b", 1, b"pool:ready")]
+        self.cut.take_all(rows, 9, 20.0)
+        self.assertEqual(self.ids(self.cut), ["a", "b"])
+        self.hear(self.there)
+        self.assertEqual(self.ids(self.cut), ["b"])
+
+    def test_list_from_before_the_removal(self) -> None:
+        # The other one has not heard of the removal yet. Its list decides
+        # nothing, and is not asked for again until it is newer.
+        self.cut.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.hear(self.there)
+        self.assertEqual(self.ids(self.cut), ["a", "b"])
+        self.assertFalse(self.cut.behind(self.there.standing))
+        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.4)
+        self.hear(self.there)
+        self.assertEqual(self.ids(self.cut), ["b"])
+
+    def test_row_newer_than_the_list(self) -> None:
+        # A server came after the list was made, and its row lapsed: the list
+        # cannot know it.
+        self.cut.take_changes([ServerRow("c", 7, b"pool:ready")], 7, 10.0)
+        self.cut.take_changes([ServerRow("c", 8, None)], 8, 11.0)
+        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.assertFalse(self.cut.behind(self.there.standing))
+        self.cut.adopt(self.there.export(), 11.0)
+        self.assertEqual(self.ids(self.cut), ["a", "b", "c"])
+
+    def test_fresh_instance_cannot_tell(self) -> None:
+        # An instance starts just after an outage and reads a table in which
+        # the row of a living server is missing. Others keep that server.
+        fresh = Registry(lambda data: None, decode)
+        fresh.store_regained(20.0)
+        fresh.take_all([ServerRow("b", 1, b"pool:ready")], 9, 20.0)
+        fresh.expire(20.1)
+        self.hear(fresh)
+        self.assertEqual(self.ids(self.cut), ["a", "b"])
+        fresh.expire(20.0 + RETURN_GRACE_S)
+        self.hear(fresh)
+        self.assertEqual(self.ids(self.cut), ["b"])
+
+    def test_return_of_one_moves_nobody(self) -> None:
+        # The returned instance has read as of a newer moment and still keeps
+        # a server that the others dropped. That is no news to them, and not
+        # worth a fetch by each of them.
+        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.cut.store_regained(20.0)
+        rows = [ServerRow("b", 1, b"pool:ready")]
+        self.cut.take_all(rows, 9, 20.0)
+        self.assertFalse(self.there.behind(self.cut.standing))
+
+
 if __name__ == "__main__":
     unittest.main()
