--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -279,7 +279,7 @@
         self._take(page, self._registry.take_changes)
 
     def _take(self, page: Page, take: Callable) -> None:
-        news = take(page.rows, page.version, time.monotonic())
+        news = take(page.rows, page.version)
         self.report(news, "store")
 
     def report(self, news: list[ServerNews], source: str) -> None:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -301,7 +301,7 @@
 
     def _adopt(self, snapshot: Snapshot, peer: str) -> None:
         try:
-            news = self.registry.adopt(snapshot, time.monotonic())
+            news = self.registry.adopt(snapshot)
         except ValueError as exc:
             self.log.trouble("snapshot_unreadable", peer=peer, why=str(exc))
             return
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -171,13 +171,13 @@
         return True
 
     def take_changes(
-        self, rows: Iterable[ServerRow], version: int, now: float
+        self, rows: Iterable[ServerRow], version: int
     ) -> list[ServerNews]:
         """Takes changed rows in the store's order; returns what is news.
 
         A row that cannot be read names no server to use; the others hold.
         """
-        taken = (self._take_row(row, now) for row in rows)
+        taken = (self._take_row(row) for row in rows)
         news = [item for item in taken if item is not None]
         self._servers_known = True
         self._servers_version = max(self._servers_version, version)
@@ -185,7 +185,7 @@
         return news
 
     def take_all(
-        self, rows: Iterable[ServerRow], version: int, now: float
+        self, rows: Iterable[ServerRow], version: int
     ) -> list[ServerNews]:
         """Takes all rows as of one moment; returns what is news.
 
@@ -200,7 +200,7 @@
             for name in self._held
             if name not in present and name not in self._lapsed
         ]
-        return self.take_changes([*rows, *gone], version, now)
+        return self.take_changes([*rows, *gone], version)
 
     def store_lost(self) -> None:
         """Notes that the store does not answer."""
@@ -253,7 +253,7 @@
             self._touch is Touch.SETTLED,
         )
 
-    def adopt(self, snapshot: Snapshot, now: float) -> list[ServerNews]:
+    def adopt(self, snapshot: Snapshot) -> list[ServerNews]:
         """Takes another instance's knowledge where it is newer.
 
         Raises:
@@ -265,9 +265,7 @@
             )
         news = self._settle(snapshot) if snapshot.settled else []
         if snapshot.servers_version > self._servers_version:
-            news += self.take_all(
-                snapshot.servers, snapshot.servers_version, now
-            )
+            news += self.take_all(snapshot.servers, snapshot.servers_version)
         return news
 
     def _asks(self, version: int) -> bool:
@@ -297,12 +295,12 @@
             self._rebuild()
         return news
 
-    def _take_row(self, row: ServerRow, now: float) -> ServerNews | None:
+    def _take_row(self, row: ServerRow) -> ServerNews | None:
         held = self._held.get(row.id)
         if held is not None and held.row.version > row.version:
             return None
         if row.data is None:
-            return self._take_gone(row, now)
+            return self._take_gone(row)
         before = held.server if held else None
         try:
             server = self._decode_server(row.id, row.data)
@@ -340,7 +338,7 @@
         if len(self._past) > MAX_PAST:
             self._past.popitem(last=False)
 
-    def _take_gone(self, row: ServerRow, now: float) -> ServerNews | None:
+    def _take_gone(self, row: ServerRow) -> ServerNews | None:
         self._unreadable.pop(row.id, None)
         held = self._held.get(row.id)
         if held is None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -59,7 +59,7 @@
         }
         name = f"i-{number:03}"
         rows.append(ServerRow(name, 2, msgspec.json.encode(data)))
-    registry.take_all(rows, 2, 0.0)
+    registry.take_all(rows, 2)
     return Dispatcher(registry, "z", lambda: 1)
 
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -212,16 +212,14 @@
         # not renew their rows, which lapsed, but they serve all the same.
         # Those that are back in time stay without a gap; the others go.
         for name in "ab":
-            self.registry.take_changes(
-                [ServerRow(name, 1, b"pool:ready")], 1, 0.0
-            )
+            self.registry.take_changes([ServerRow(name, 1, b"pool:ready")], 1)
         self.registry.store_lost()
         gone = [ServerRow(name, 2, None) for name in "ab"]
-        self.registry.take_changes(gone, 2, 5.0)
+        self.registry.take_changes(gone, 2)
         self.assertEqual(len(self.registry.servers_of("pool")), 2)
         self.registry.store_regained(10.0)
         self.assertEqual(self.registry.expire(10.0 + RETURN_GRACE_S / 2), [])
-        self.registry.take_changes([ServerRow("a", 3, b"pool:ready")], 3, 11.0)
+        self.registry.take_changes([ServerRow("a", 3, b"pool:ready")], 3)
         gone = self.registry.expire(10.1 + RETURN_GRACE_S)
         self.assertEqual([server.id for server in gone], ["b"])
         left = [server.id for server in self.registry.servers_of("pool")]
@@ -229,8 +227,8 @@
 
     def test_gone_in_calm(self) -> None:
         # With the store at hand a row that goes means a server that leaves.
-        self.registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1, 0.0)
-        self.registry.take_changes([ServerRow("a", 2, None)], 2, 50.0)
+        self.registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1)
+        self.registry.take_changes([ServerRow("a", 2, None)], 2)
         self.assertEqual(self.registry.servers(), [])
 
     def test_adopts_newer_only(self) -> None:
@@ -238,19 +236,19 @@
         # server leaves; an older word must not bring the server back.
         other = Registry(self._catalog, decode)
         for registry in (self.registry, other):
-            registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1, 0.0)
+            registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1)
         before = other.export()
-        other.take_changes([ServerRow("a", 2, b"pool:leaving")], 2, 1.0)
+        other.take_changes([ServerRow("a", 2, b"pool:leaving")], 2)
         other.take_configuration(3, b"3")
-        self.registry.adopt(other.export(), 1.0)
+        self.registry.adopt(other.export())
         self.assertTrue(self.registry.server("a").draining)
         self.assertEqual(self.registry.catalog.version, 3)
-        self.registry.adopt(before, 2.0)
+        self.registry.adopt(before)
         self.assertTrue(self.registry.server("a").draining)
 
     def test_standing_tells_difference(self) -> None:
         empty = self.registry.standing
-        self.registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1, 0.0)
+        self.registry.take_changes([ServerRow("a", 1, b"pool:ready")], 1)
         self.assertNotEqual(
             empty.servers_digest, self.registry.standing.servers_digest
         )
@@ -277,7 +275,7 @@
         registry = Registry(lambda data: None, decode)
         registry.store_regained(0.0)
         rows = [ServerRow(name, 1, b"pool:ready") for name in "ab"]
-        registry.take_all(rows, 2, 0.0)
+        registry.take_all(rows, 2)
         return registry
 
     @staticmethod
@@ -287,10 +285,10 @@
     def hear(self, other: Registry) -> None:
         """Lets the cut off instance take another one's list, if it asks."""
         if self.cut.behind(other.standing):
-            self.cut.adopt(other.export(), 0.0)
+            self.cut.adopt(other.export())
 
     def test_removed_before_the_others_eyes(self) -> None:
-        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
         self.hear(self.there)
         self.assertEqual(self.ids(self.cut), ["b"])
 
@@ -300,7 +298,7 @@
         # grace time that one's list is settled, though nothing in it changed.
         self.there.store_lost()
         self.there.store_regained(20.0)
-        self.there.take_changes([ServerRow("a", 5, None)], 5, 20.0)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
         self.hear(self.there)
         self.assertEqual(self.ids(self.cut), ["a", "b"])
         self.assertFalse(self.cut.behind(self.there.standing))
@@ -311,10 +309,10 @@
     def test_found_missing_at_its_own_return(self) -> None:
         # The cut off instance hears of nobody until its return, and reads all
         # rows as of a newer moment than the others have had news of.
-        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
         self.cut.store_regained(20.0)
         rows = [ServerRow("b", 1, b"pool:ready")]
-        self.cut.take_all(rows, 9, 20.0)
+        self.cut.take_all(rows, 9)
         self.assertEqual(self.ids(self.cut), ["a", "b"])
         self.hear(self.there)
         self.assertEqual(self.ids(self.cut), ["b"])
@@ -322,22 +320,22 @@
     def test_list_from_before_the_removal(self) -> None:
         # The other one has not heard of the removal yet. Its list decides
         # nothing, and is not asked for again until it is newer.
-        self.cut.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.cut.take_changes([ServerRow("a", 5, None)], 5)
         self.hear(self.there)
         self.assertEqual(self.ids(self.cut), ["a", "b"])
         self.assertFalse(self.cut.behind(self.there.standing))
-        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.4)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
         self.hear(self.there)
         self.assertEqual(self.ids(self.cut), ["b"])
 
     def test_row_newer_than_the_list(self) -> None:
         # A server came after the list was made, and its row lapsed: the list
         # cannot know it.
-        self.cut.take_changes([ServerRow("c", 7, b"pool:ready")], 7, 10.0)
-        self.cut.take_changes([ServerRow("c", 8, None)], 8, 11.0)
-        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.cut.take_changes([ServerRow("c", 7, b"pool:ready")], 7)
+        self.cut.take_changes([ServerRow("c", 8, None)], 8)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
         self.assertFalse(self.cut.behind(self.there.standing))
-        self.cut.adopt(self.there.export(), 11.0)
+        self.cut.adopt(self.there.export())
         self.assertEqual(self.ids(self.cut), ["a", "b", "c"])
 
     def test_fresh_instance_cannot_tell(self) -> None:
@@ -345,7 +343,7 @@
         # the row of a living server is missing. Others keep that server.
         fresh = Registry(lambda data: None, decode)
         fresh.store_regained(20.0)
-        fresh.take_all([ServerRow("b", 1, b"pool:ready")], 9, 20.0)
+        fresh.take_all([ServerRow("b", 1, b"pool:ready")], 9)
         fresh.expire(20.1)
         self.hear(fresh)
         self.assertEqual(self.ids(self.cut), ["a", "b"])
@@ -357,10 +355,10 @@
         # The returned instance has read as of a newer moment and still keeps
         # a server that the others dropped. That is no news to them, and not
         # worth a fetch by each of them.
-        self.there.take_changes([ServerRow("a", 5, None)], 5, 10.0)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
         self.cut.store_regained(20.0)
         rows = [ServerRow("b", 1, b"pool:ready")]
-        self.cut.take_all(rows, 9, 20.0)
+        self.cut.take_all(rows, 9)
         self.assertFalse(self.there.behind(self.cut.standing))
 
 
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -177,11 +177,11 @@
         # another one; an older snapshot does not bring the former one back.
         here, there = registry(), registry()
         for known in (here, there):
-            known.take_changes([row(1)], 1, 0.0)
+            known.take_changes([row(1)], 1)
         old = there.export()
-        there.take_changes([row(2, born=START + 900)], 2, 1.0)
-        here.adopt(there.export(), 1.0)
-        here.adopt(old, 2.0)
+        there.take_changes([row(2, born=START + 900)], 2)
+        here.adopt(there.export())
+        here.adopt(old)
         (server,) = here.servers_of(POOL)
         self.assertEqual(server.id, f"a@{START + 900}")
 
@@ -321,7 +321,7 @@
     def test_snapshot_with_rows_that_cannot_be_read(self) -> None:
         known = registry()
         bad = ServerRow("b", 2, b"nonsense")
-        known.adopt(Snapshot(0, b"", 2, [row(1), bad]), 0.0)
+        known.adopt(Snapshot(0, b"", 2, [row(1), bad]))
         self.assertEqual(len(known.servers_of(POOL)), 1)
 
 
@@ -330,12 +330,12 @@
 
     def test_ended(self) -> None:
         known = registry()
-        (first,) = known.take_changes([row(1)], 1, 0.0)
+        (first,) = known.take_changes([row(1)], 1)
         self.assertIsNone(first.ended)
-        (again,) = known.take_changes([row(2, born=START + 1)], 2, 0.0)
+        (again,) = known.take_changes([row(2, born=START + 1)], 2)
         self.assertEqual(again.ended.id, f"a@{START}")
         self.assertIsInstance(again, ServerNews)
-        self.assertEqual(known.take_changes([row(3, born=START + 1)], 3, 0), [])
+        self.assertEqual(known.take_changes([row(3, born=START + 1)], 3), [])
 
     def test_kept_without_a_row(self) -> None:
         # A request reaches a server whose row is gone. On-call engineers must
