Add a failing test: an outage that waiting calls do not show

Found by looking for the same cause elsewhere: an instance's list decides for others while it has had the store throughout, but a store that refuses new calls and holds waiting ones is noticed only when a wait ends, after up to 10 s. Rows of living servers that lapse meanwhile are then taken for removals.

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -34,6 +34,10 @@
 are replaced change in series, and one call then brings several. It delays word
 of a leaving server, which must be known within two seconds."""
 
+CHECK_AGE_S = 1.0
+"""Age of the store's last answer from which on it is asked again once another
+instance has lost it. Many may lose it within a second; one call serves all."""
+
 STALE_PAUSE_S = 0.3
 """Pause before all rows are read again when the store gave older ones."""
 
--- a/tests/test_platforminstances.py
+++ b/tests/test_platforminstances.py
@@ -8,8 +8,11 @@
 from anyio.abc import SocketAttribute
 
 from jasminerelay import peerlink
+from jasminerelay.following import CHECK_AGE_S
 from jasminerelay.httpclient import NotSentError
+from jasminerelay.platform import root
 from jasminerelay.platform.root import REGISTER_PAUSE_S
+from jasminerelay.registry import Touch
 from standins.platformsite import HOST, KEY, PLAIN, SiteOptions
 from tests.platformcase import WAIT_S, PlatformCase, events, fetch
 
@@ -109,6 +112,41 @@
                 group.cancel_scope.cancel()
 
 
+class UnnoticedOutageTest(PlatformCase):
+    """An outage of the store that an instance's waiting calls do not show."""
+
+    options = SiteOptions(links=True)
+
+    @unittest.mock.patch.object(root, "WATCH_S", root.WAIT_S)
+    async def test_another_instance_has_lost_the_store(self) -> None:
+        # Callers are refused, since the pool is empty though its servers
+        # live. The store refuses new calls and lets the waiting ones wait, so
+        # only one instance notices. Rows of living servers lapse; the other
+        # instance hears of that by its waiting call as if nothing else were
+        # wrong, takes them for gone, and tells the first one so. Told that
+        # the store is lost to another one, it must ask at once itself.
+        async with self.site(2) as (site, (first, second)):
+            await self.until(lambda: first.peers_live == 2)
+            await self.until(lambda: second.peers_live == 2)
+            await anyio.sleep(CHECK_AGE_S)
+            site.store.faults.down = True
+            site.links["edge-1"].reset()
+            for instance in (first, second):
+                await self.until(
+                    lambda i=instance: i.registry.standing.touch == Touch.LOST
+                )
+            for name in ("plain-1", "plain-2"):
+                site.store.drop("servers", name)
+            site.store.faults.down = False
+            for instance in (first, second):
+                await self.until(
+                    lambda i=instance: i.registry.standing.touch != Touch.LOST
+                )
+                self.assertEqual(len(instance.registry.servers_of(PLAIN)), 2)
+                answer = await self.ask(instance, "/confirm/x")
+                self.assertEqual(answer.status, 200)
+
+
 class MeetingTest(PlatformCase):
     """Instances that know no address of each other."""
 
