--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -86,15 +86,14 @@
 
     @property
     def doubt(self) -> anyio.Event:
-        """Is set once the store is lost to anyone who asks it."""
+        """Is set once waiting calls may be without an answer for good."""
         return self._doubt
 
     def failed(self, who: str, why: str) -> None:
         """Notes a call that failed."""
         if not self._lost_by:
             self._log.trouble("dependency_lost", name="store", why=why)
-            self._doubt.set()
-            self._doubt = anyio.Event()
+            self._renew()
         self._lost_by.add(who)
         self._registry.store_lost()
 
@@ -110,6 +109,22 @@
         if was_lost:
             self._log.trouble("dependency_regained", name="store")
 
+    def check(self) -> None:
+        """Has the store asked at once, since another instance has lost it.
+
+        Calls that wait may show an outage only after seconds. Rows of living
+        servers that lapse in it would pass for removals here, and by this
+        instance's list at the others: the pool would be empty until the
+        servers are back, up to two seconds after the store.
+        """
+        if self._lost_by or time.monotonic() - self.answered < CHECK_AGE_S:
+            return
+        self._renew()
+
+    def _renew(self) -> None:
+        self._doubt.set()
+        self._doubt = anyio.Event()
+
 
 class Follower:
     """Follows one table until cancelled."""
@@ -186,12 +201,13 @@
                 await anyio.sleep(GATHER_S)
 
     async def _changes(self, after: int, wait_s: float) -> Page | None:
-        """Waits for changes; None once another's call has failed.
+        """Waits for changes; None once the store is in doubt.
 
         An outage may leave a waiting call without an answer for good, on a
         connection that looks alive. Until its own time is over it hears of
         no change: six instances sent to a server two seconds after it had
-        said that it leaves. Who fails first therefore has all ask anew.
+        said that it leaves. Who fails first therefore has all ask anew, here
+        and at the other instances.
         """
         if not wait_s:
             return await self._source.changes(after, wait_s)
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -24,7 +24,7 @@
 )
 from jasminerelay.membership import ALIVE, LEAVING, Membership, Send
 from jasminerelay.metrics import Counters
-from jasminerelay.registry import Registry
+from jasminerelay.registry import Registry, Touch
 from jasminerelay.schema.messages import Member, PeerWord, Snapshot, Standing
 
 LOAD_EVERY_S = 0.1
@@ -105,6 +105,7 @@
             MAX_OUTGOING
         )
         self.on_snapshot: Callable[[Snapshot, str], None] = lambda *_: None
+        self.on_store_lost: Callable[[], None] = lambda: None
 
     @property
     def count(self) -> int:
@@ -248,6 +249,8 @@
         now = time.monotonic()
         if word.sender == self.membership.own.instance:
             return
+        if self._loses_store(word):
+            self.on_store_lost()
         self._heard[word.sender] = (now, word.standing)
         loads = peerwords.load_rows(word.loads)
         self._dispatcher.hear_loads(word.sender, word.number, loads, now)
@@ -260,6 +263,13 @@
             self._behind_since = self._behind_since or now
             self._behind_of = word.sender
 
+    def _loses_store(self, word: PeerWord) -> bool:
+        """Returns whether a word is the first to say that the store is lost."""
+        if word.standing.touch != Touch.LOST:
+            return False
+        heard = self._heard.get(word.sender)
+        return heard is None or heard[1].touch != Touch.LOST
+
     async def _catch_up(self) -> None:
         while True:
             await anyio.sleep(LOAD_EVERY_S)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -233,6 +233,7 @@
         )
         self._peers.meet(set(boot.seeds))
         self._peers.on_snapshot = self._adopt
+        self._peers.on_store_lost = self._store_state.check
         self._room = WaitingRoom(
             self.dispatcher.place,
             self.dispatcher.expect,
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -461,11 +461,19 @@
     Safeguard(
         "a waiting call is renewed once another has failed",
         "following",
-        "            self._doubt.set()\n",
+        "            self._renew()\n",
         "",
         "test_following.FollowerTest"
         ".test_call_that_an_outage_left_without_answer",
     ),
+    Safeguard(
+        "the store is asked once another instance has lost it",
+        "peerlink",
+        "            self.on_store_lost()\n",
+        "            pass\n",
+        "test_platforminstances.UnnoticedOutageTest"
+        ".test_another_instance_has_lost_the_store",
+    ),
     Safeguard(
         "a late word of a former incarnation is passed over",
         "registry",
