Move the streams of a server that is dropped after an outage

Same class, found by reading: a server that left without a word during an outage was dropped by another way than all others, which forgot to tell its streams. Both ways are one now; the test fails without (no such way in the feed).

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from jasminerelay.catalog import BackendServer
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
@@ -302,6 +303,21 @@
         news = take(page.rows, page.version)
         self.report(news, "store")
 
+    def expire(self, now: float) -> None:
+        """Ends the use of servers that stayed away after an outage.
+
+        One that left without a word may still serve what it has under way,
+        so its streams are moved like those of any other that is gone.
+        """
+        for server in self._registry.expire(now):
+            self._end(server)
+            self._log.trouble(
+                "server",
+                server=server.id,
+                state="gone",
+                why="did not come back after the store's outage",
+            )
+
     def report(self, news: list[ServerNews], source: str) -> None:
         """Writes a line for each server with news."""
         for item in news:
@@ -328,11 +344,14 @@
 
     def _tell(self, item: ServerNews) -> None:
         if item.ended is not None:
-            self.on_leaving(item.ended.id)
-            self.on_gone(item.ended.id)
+            self._end(item.ended)
         if item.after is not None and item.after.draining:
             self.on_leaving(item.after.id)
 
+    def _end(self, server: BackendServer) -> None:
+        self.on_leaving(server.id)
+        self.on_gone(server.id)
+
 
 def _state(item: ServerNews) -> str:
     if item.after is None:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -371,14 +371,7 @@
         while True:
             await anyio.sleep(TICK_S)
             now = time.monotonic()
-            for server in self.registry.expire(now):
-                self.dispatcher.gone(server.id)
-                self.log.trouble(
-                    "server",
-                    server=server.id,
-                    state="gone",
-                    why="did not come back after the store's outage",
-                )
+            self._feed.expire(now)
             self.dispatcher.tick(now)
             self._budget.saw_instances(self._peers.known, now)
             rounds += 1
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -13,7 +13,7 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.platform import documents, headers, storeclient
 from jasminerelay.platform.documents import DocumentError
-from jasminerelay.registry import Registry, ServerNews
+from jasminerelay.registry import RETURN_GRACE_S, Registry, ServerNews
 from jasminerelay.schema.messages import ServerLoad, ServerRow, Snapshot
 from jasminerelay.schema.settings import Statsd
 from tests.test_dispatcher import dispatcher
@@ -337,6 +337,19 @@
         self.assertIsInstance(again, ServerNews)
         self.assertEqual(known.take_changes([row(3, born=START + 1)], 3), [])
 
+    def test_dropped_after_an_outage(self) -> None:
+        # A caller's stream is cut when its server ends, though it could have
+        # gone on elsewhere. The server left without a word during an outage;
+        # its instance dropped it afterwards and forgot to move the stream.
+        followed = Followed()
+        followed.take(row(1))
+        followed.registry.store_lost()
+        followed.take(ServerRow("a", 2, None))
+        followed.registry.store_regained(10.0)
+        followed.feed.expire(10.0 + RETURN_GRACE_S)
+        self.assertEqual(followed.left, [f"a@{START}"])
+        self.assertEqual(followed.gone, [f"a@{START}"])
+
     def test_kept_without_a_row(self) -> None:
         # A request reaches a server whose row is gone. On-call engineers must
         # see from the lines when the instance knew of it, by whom, and that
