Add a failing test: two instances without the store confirm each other

Found by looking for the same cause elsewhere: the word of an instance that has lost the store counts like the store's own, so a caller of a route just added may be told 'not found' for good (404, where 503 is right).

--- a/tests/test_platforminstances.py
+++ b/tests/test_platforminstances.py
@@ -87,6 +87,24 @@
             wrong = await self.ask(instance, "/confirm/x", key="new")
             self.assertEqual(wrong.status, 503)
 
+    async def test_unknown_route_among_instances_without_touch(self) -> None:
+        # The same with two instances that have both lost the store. Each says
+        # the version that the other has; neither can know that it is the
+        # newest, and a caller of a route just added was told "not found".
+        async with self.site(2) as (site, (first, second)):
+            await self.until(lambda: first.peers_live == 2)
+            site.store.faults.down = True
+            # The calls that wait already still bring one change each.
+            site.configure()
+            for instance in (first, second):
+                await self.until(
+                    lambda i=instance: i.registry.standing.touch == Touch.LOST
+                )
+            # So long the store's own last word counts.
+            await anyio.sleep(root.CURRENT_S)
+            answer = await self.ask(first, "/new/x")
+            self.assertEqual(answer.status, 503)
+
     async def test_serves_without_store(self) -> None:
         async with self.site() as (site, (instance,)):
             site.store.faults.down = True
