Let only instances that have the store confirm a configuration

Instances that had all lost the store confirmed each other, so their callers got a final 404 or 401 by a configuration that nobody could know to be the newest.

--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -125,10 +125,16 @@
         return now - latest > ISOLATED_S
 
     def confirmed(self, now: float) -> bool:
-        """Returns whether another instance has just said the same version."""
+        """Returns whether one with the store has just said the same version.
+
+        Instances that have all lost the store would only confirm each other:
+        a caller of a route just added was told "not found", which is final.
+        """
         own = self._registry.standing.configuration_version
         return any(
-            now - heard < FRESH_S and word.configuration_version == own
+            now - heard < FRESH_S
+            and word.configuration_version == own
+            and word.touch != Touch.LOST
             for heard, word in self._heard.values()
         )
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -466,6 +466,14 @@
         "test_following.FollowerTest"
         ".test_call_that_an_outage_left_without_answer",
     ),
+    Safeguard(
+        "instances without the store confirm no configuration",
+        "peerlink",
+        "            and word.touch != Touch.LOST\n",
+        "",
+        "test_platforminstances.StoreOutageTest"
+        ".test_unknown_route_among_instances_without_touch",
+    ),
     Safeguard(
         "the store is asked once another instance has lost it",
         "peerlink",
