--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -351,6 +351,25 @@
         self.hear(fresh)
         self.assertEqual(self.ids(self.cut), ["b"])
 
+    def test_history_heard_of_already(self) -> None:
+        # A request reaches a server that left while its instance was cut off,
+        # though the others had told it so. At its return the store gives the
+        # changes since its last call, one after another: the old row brought
+        # the server back, and its removal then passed for a lapse.
+        self.there.take_changes([ServerRow("a", 4, b"pool:ready")], 4)
+        self.there.take_changes([ServerRow("a", 5, None)], 5)
+        self.hear(self.there)
+        self.cut.store_regained(20.0)
+        history = [
+            ServerRow("a", 4, b"pool:ready"),
+            ServerRow("a", 5, None),
+            ServerRow("c", 6, b"pool:ready"),
+            ServerRow("c", 7, None),
+        ]
+        news = self.cut.take_changes(history, 8)
+        self.assertEqual(self.ids(self.cut), ["b"])
+        self.assertEqual(news, [])
+
     def test_return_of_one_moves_nobody(self) -> None:
         # The returned instance has read as of a newer moment and still keeps
         # a server that the others dropped. That is no news to them, and not
--- /dev/null
+++ b/tests/test_missingservers.py
@@ -0,0 +1,258 @@
+"""Servers without a row, judged by several instances that hear of each other.
+
+A small model, without network or clock: a store, servers that leave or whose
+rows lapse while the store is away, instances that are cut off from it, and
+words between the instances. Times and faults are drawn from a seed.
+"""
+
+import dataclasses
+import random
+import unittest
+
+from jasminerelay.registry import Registry, Touch
+from jasminerelay.schema.messages import ServerRow
+from tests.test_following import decode
+
+SEEDS = range(1, 41)
+LENGTH_S = 80.0
+STEP_S = 0.1
+
+INSTANCES = 5
+SERVERS = 6
+
+LAPSE_S = 3.6
+"""Silence of a server after which its row goes."""
+
+BACK_S = 2.0
+"""Time in which a living server is back after the store's return."""
+
+NOTICE_S = 1.5
+"""Time in which an instance notices that its calls are not answered."""
+
+RETRY_S = 1.0
+"""Time in which an instance that lost the store tries again."""
+
+FETCH_S = 0.3
+"""How long an instance is behind before it takes another one's list."""
+
+TOLD_S = 1.5
+"""Time in which a removal that one instance saw must hold for all."""
+
+ALONE_S = 3.5
+"""Time in which an instance that has the store knows by itself."""
+
+
+class Store:
+    """Rows with a history; out of reach for all while it is down."""
+
+    def __init__(self) -> None:
+        self.up = True
+        self.version = 0
+        self.history: list[ServerRow] = []
+
+    def put(self, name: str, data: bytes | None) -> None:
+        """Writes a row, or drops it."""
+        self.version += 1
+        self.history.append(ServerRow(name, self.version, data))
+
+    def after(self, version: int) -> list[ServerRow]:
+        """Returns the changes after a version."""
+        return [row for row in self.history if row.version > version]
+
+
+class Instance:
+    """One instance: what it knows, and how it stands with the store."""
+
+    def __init__(self, store: Store, rng: random.Random):
+        self.registry = Registry(lambda data: None, decode)
+        self.linked = True
+        self.reach_since: float | None = None
+        self._store = store
+        self._rng = rng
+        self._after = 0
+        self._lost = False
+        self._due = 0.0
+        self._reached = False
+        self._behind_since: float | None = None
+
+    def step(self, now: float) -> None:
+        """Follows the store as far as it answers."""
+        reach = self._store.up and self.linked
+        if reach != self._reached:
+            self._reached = reach
+            self.reach_since = now if reach else None
+            delay = RETRY_S if reach else NOTICE_S
+            self._due = now + self._rng.uniform(0.0, delay)
+        if reach and (not self._lost or now >= self._due):
+            self._follow(now)
+        elif not reach and not self._lost and now >= self._due:
+            self._lost = True
+            self.registry.store_lost()
+        self.registry.expire(now)
+
+    def hear(self, other: "Instance", now: float) -> None:
+        """Takes a word of another instance."""
+        standing = other.registry.standing
+        if standing.touch == Touch.LOST and not self._reached:
+            self._due = now
+        if not self.registry.behind(standing):
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since >= FETCH_S:
+            self._behind_since = None
+            self.registry.adopt(other.registry.export())
+
+    def uses(self, name: str) -> bool:
+        """Returns whether a server gets new work."""
+        servers = self.registry.servers_of("pool")
+        return any(server.id == name for server in servers)
+
+    def _follow(self, now: float) -> None:
+        self._lost = False
+        self.registry.store_regained(now)
+        rows = self._store.after(self._after)
+        if rows:
+            self.registry.take_changes(rows, self._store.version)
+        self._after = self._store.version
+
+
+@dataclasses.dataclass
+class Removal:
+    """A server that left, and how long one instance has seen to it."""
+
+    name: str
+    at: float
+    settled_s: float = 0.0
+
+
+class World:
+    """Plays one seed and checks every step."""
+
+    def __init__(self, test: unittest.TestCase, seed: int):
+        self._test = test
+        self._rng = random.Random(seed)
+        self._store = Store()
+        self._instances = [
+            Instance(self._store, self._rng) for _ in range(INSTANCES)
+        ]
+        self._living = [f"s{number}" for number in range(SERVERS)]
+        self._removals: list[Removal] = []
+        self._returns: dict[str, float] = {}
+        self._down_since = 0.0
+        self._up_at = 0.0
+        self._next_outage = self._rng.uniform(8.0, 20.0)
+        self._next_leave = self._rng.uniform(6.0, 15.0)
+        self._next_cut = self._rng.uniform(5.0, 15.0)
+        self._heal_at = 0.0
+        self._lapsed = True
+        for name in self._living:
+            self._store.put(name, b"pool:ready")
+
+    def run(self) -> None:
+        """Plays the whole time."""
+        now = 0.0
+        while now < LENGTH_S:
+            self._break(now)
+            for instance in self._instances:
+                instance.step(now)
+            self._talk(now)
+            self._check_living(now)
+            self._check_removed(now)
+            now += STEP_S
+
+    def _break(self, now: float) -> None:
+        if self._store.up and now >= self._next_outage:
+            self._store.up, self._lapsed = False, False
+            self._down_since = now
+            self._up_at = now + self._rng.uniform(1.0, 8.0)
+        if not self._store.up:
+            self._outage(now)
+        for name, due in list(self._returns.items()):
+            if now >= due:
+                del self._returns[name]
+                self._store.put(name, b"pool:ready")
+        if now >= self._next_cut:
+            for instance in self._rng.sample(self._instances, 2):
+                instance.linked = False
+            self._heal_at = now + self._rng.uniform(3.0, 15.0)
+            self._next_cut = self._heal_at + self._rng.uniform(4.0, 10.0)
+        if now >= self._heal_at:
+            for instance in self._instances:
+                instance.linked = True
+        if self._store.up and now >= self._next_leave and not self._returns:
+            self._next_leave = now + self._rng.uniform(5.0, 15.0)
+            if len(self._living) > 1:
+                name = self._living.pop()
+                self._removals.append(Removal(name, now))
+                self._store.put(name, None)
+
+    def _outage(self, now: float) -> None:
+        if not self._lapsed and now - self._down_since >= LAPSE_S:
+            self._lapsed = True
+            for name in self._living:
+                if self._rng.random() < 0.6:
+                    self._store.put(name, None)
+                    back = self._rng.uniform(0.0, BACK_S - STEP_S)
+                    self._returns[name] = self._up_at + back
+        if now >= self._up_at:
+            self._store.up = True
+            self._next_outage = now + self._rng.uniform(10.0, 30.0)
+
+    def _talk(self, now: float) -> None:
+        for instance in self._instances:
+            for other in self._instances:
+                if other is not instance and self._rng.random() < 0.5:
+                    instance.hear(other, now)
+
+    def _check_living(self, now: float) -> None:
+        for number, instance in enumerate(self._instances):
+            if not instance.registry.servers():
+                continue
+            for name in self._living:
+                self._test.assertTrue(
+                    instance.uses(name),
+                    f"at {now:.1f} s instance {number} has dropped {name},"
+                    " which lives",
+                )
+
+    def _check_removed(self, now: float) -> None:
+        settled = any(
+            instance.registry.standing.touch == Touch.SETTLED
+            and not instance.uses(removal.name)
+            for removal in self._removals[-1:]
+            for instance in self._instances
+        )
+        for removal in self._removals[-1:]:
+            removal.settled_s = removal.settled_s + STEP_S if settled else 0.0
+        for removal in self._removals:
+            for number, instance in enumerate(self._instances):
+                since = instance.reach_since
+                alone = since is not None and now - max(
+                    since, removal.at
+                ) > max(ALONE_S, TOLD_S)
+                if alone or removal.settled_s > TOLD_S:
+                    self._test.assertFalse(
+                        instance.uses(removal.name),
+                        f"at {now:.1f} s instance {number} still uses"
+                        f" {removal.name}, which left at {removal.at:.1f} s",
+                    )
+
+
+class MissingServersTest(unittest.TestCase):
+    """What all instances make of a server whose row is gone."""
+
+    def test_living_stay_and_leaving_go(self) -> None:
+        # Callers' requests reach a server long after it left, or are refused
+        # since living servers were dropped. Both come of a missing row: it was
+        # removed, or it lapsed while the store was away from its server.
+        # Instances are cut off from the store in between and hear of missing
+        # rows from each other, so whoever cannot tell must not decide, and
+        # whoever can must be believed by all.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                World(self, seed).run()
+
+
+if __name__ == "__main__":
+    unittest.main()
