Pass over old rows of servers whose removal is known

An instance that was cut off hears of removals from others, and at its return gets the changes since its last call one after another: the old row took the server up again and its removal, now in the grace time, passed for a lapse. It was sent requests for 2.2 s more. Rows older than what is known, or dropped later in the same page, now bring no server back.

Safeguard: the proof fails without it.

--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -175,8 +175,26 @@
     ) -> list[ServerNews]:
         """Takes changed rows in the store's order; returns what is news.
 
-        A row that cannot be read names no server to use; the others hold.
+        An instance that was cut off gets the changes since its last call, and
+        has heard of many from others. A row of theirs that has been dropped
+        since would bring its server back into use for the grace time.
         """
+        rows = list(rows)
+        dropped = {row.id: row.version for row in rows if row.data is None}
+        since = self._servers_version
+        current = [
+            row
+            for row in rows
+            if row.data is None
+            or row.id in self._held
+            or row.version >= max(since, dropped.get(row.id, 0))
+        ]
+        return self._take(current, version)
+
+    def _take(
+        self, rows: Iterable[ServerRow], version: int
+    ) -> list[ServerNews]:
+        # A row that cannot be read names no server to use; the others hold.
         taken = (self._take_row(row) for row in rows)
         news = [item for item in taken if item is not None]
         self._servers_known = True
@@ -200,7 +218,7 @@
             for name in self._held
             if name not in present and name not in self._lapsed
         ]
-        return self.take_changes([*rows, *gone], version)
+        return self._take([*rows, *gone], version)
 
     def store_lost(self) -> None:
         """Notes that the store does not answer."""
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -466,6 +466,13 @@
         "test_following.FollowerTest"
         ".test_call_that_an_outage_left_without_answer",
     ),
+    Safeguard(
+        "old rows bring no server back",
+        "registry",
+        "or row.version >= max(since, dropped.get(row.id, 0))",
+        "or True",
+        "test_following.SettledTest.test_history_heard_of_already",
+    ),
     Safeguard(
         "instances without the store confirm no configuration",
         "peerlink",
--- a/tests/test_missingservers.py
+++ b/tests/test_missingservers.py
@@ -63,9 +63,10 @@
 class Instance:
     """One instance: what it knows, and how it stands with the store."""
 
-    def __init__(self, store: Store, rng: random.Random):
+    def __init__(self, store: Store, rng: random.Random, now: float):
         self.registry = Registry(lambda data: None, decode)
         self.linked = True
+        self.started = now
         self.reach_since: float | None = None
         self._store = store
         self._rng = rng
@@ -134,7 +135,7 @@
         self._rng = random.Random(seed)
         self._store = Store()
         self._instances = [
-            Instance(self._store, self._rng) for _ in range(INSTANCES)
+            Instance(self._store, self._rng, 0.0) for _ in range(INSTANCES)
         ]
         self._living = [f"s{number}" for number in range(SERVERS)]
         self._removals: list[Removal] = []
@@ -145,6 +146,7 @@
         self._next_leave = self._rng.uniform(6.0, 15.0)
         self._next_cut = self._rng.uniform(5.0, 15.0)
         self._heal_at = 0.0
+        self._next_restart = self._rng.uniform(5.0, 25.0)
         self._lapsed = True
         for name in self._living:
             self._store.put(name, b"pool:ready")
@@ -180,6 +182,10 @@
         if now >= self._heal_at:
             for instance in self._instances:
                 instance.linked = True
+        if now >= self._next_restart:
+            self._next_restart = now + self._rng.uniform(5.0, 25.0)
+            number = self._rng.randrange(INSTANCES)
+            self._instances[number] = Instance(self._store, self._rng, now)
         if self._store.up and now >= self._next_leave and not self._returns:
             self._next_leave = now + self._rng.uniform(5.0, 15.0)
             if len(self._living) > 1:
@@ -207,7 +213,8 @@
 
     def _check_living(self, now: float) -> None:
         for number, instance in enumerate(self._instances):
-            if not instance.registry.servers():
+            # A fresh one may not have heard of all yet.
+            if now - instance.started < RETRY_S + BACK_S:
                 continue
             for name in self._living:
                 self._test.assertTrue(
