--- a/bench/background.py
+++ b/bench/background.py
@@ -8,14 +8,11 @@
 background streams when a foreground request finds no slot.
 """
 
-import argparse
 import dataclasses
-import json
-import pathlib
 import random
 import statistics
 
-import tabulate
+from bench import figures
 
 SLOTS = 16
 STEP_S = 0.020
@@ -143,10 +140,9 @@
 
 def main() -> None:
     """Prints mean and spread over seeds."""
-    args = argparse.ArgumentParser(description=__doc__)
+    args = figures.parser(__doc__)
     args.add_argument("--seeds", type=int, default=5)
     args.add_argument("--seconds", type=float, default=200.0)
-    args.add_argument("--out", type=pathlib.Path)
     options = args.parse_args()
     ways = {
         "no background": (lambda: Window(0), False),
@@ -173,9 +169,8 @@
                 f"{mean:.3f} ({min(values):.3f}-{max(values):.3f})"
             )
         rows.append(row)
-    print(tabulate.tabulate(rows, headers="keys"))
-    if options.out:
-        options.out.write_text(json.dumps(rows, indent=1) + "\n")
+    figures.show(rows)
+    figures.keep(rows, options.out)
 
 
 if __name__ == "__main__":
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,11 +5,8 @@
 this process's own, so other load on the machine matters little.
 """
 
-import argparse
 import dataclasses
 import gc
-import json
-import pathlib
 import random
 import time
 import tracemalloc
@@ -19,6 +16,7 @@
 import numpy
 import tabulate
 
+from bench import figures
 from bench.fakes import MODELS, cell_of, manifest_text, waiting_for
 from jasminerelay import burn, manifest
 from jasminerelay.broker import Broker
@@ -479,8 +477,7 @@
 
 def main() -> None:
     """Prints the slopes and, with --out, writes them as JSON."""
-    args = argparse.ArgumentParser(description=__doc__)
-    args.add_argument("--out", type=pathlib.Path)
+    args = figures.parser(__doc__)
     options = args.parse_args()
     slopes = measure_all()
     rows = [
@@ -496,9 +493,8 @@
         for item in slopes
     ]
     print(tabulate.tabulate(rows, headers="keys", disable_numparse=True))
-    if options.out:
-        encoded = [dataclasses.asdict(item) for item in slopes]
-        options.out.write_text(json.dumps(encoded, indent=1) + "\n")
+    encoded = [dataclasses.asdict(item) for item in slopes]
+    figures.keep(encoded, options.out)
 
 
 if __name__ == "__main__":
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -4,15 +4,12 @@
 each row counts. Both are measured, with all claims through one instance.
 """
 
-import argparse
-import json
-import pathlib
 import time
 import types
 
 import anyio
-import tabulate
 
+from bench import figures
 from jasminerelay.claimdesk import ClaimDesk, Won
 from jasminerelay.errors import StoreError
 from jasminerelay.httpclient import Client
@@ -29,17 +26,15 @@
 
 def main() -> None:
     """Prints claims a second and their latency."""
-    args = argparse.ArgumentParser(description=__doc__)
+    args = figures.parser(__doc__)
     args.add_argument("--seconds", type=float, default=5.0)
-    args.add_argument("--out", type=pathlib.Path)
     options = args.parse_args()
     rows = []
     for counted in ("commits", "rows"):
         for callers in (10, 50, 200):
             rows.append(_run(counted, callers, options.seconds))
-    print(tabulate.tabulate(rows, headers="keys"))
-    if options.out:
-        options.out.write_text(json.dumps(rows, indent=1) + "\n")
+    figures.show(rows)
+    figures.keep(rows, options.out)
 
 
 def _run(counted: str, callers: int, seconds: float) -> dict:
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -3,27 +3,21 @@
 Prints a table and, with --out, writes the summary as JSON.
 """
 
-import argparse
 import dataclasses
-import json
-import pathlib
 import statistics
 
-import tabulate
-
-from bench import experiment
+from bench import experiment, figures
 from bench.experiment import SCENARIOS, VERSIONS
 
 
 def main() -> None:
     """Runs what the arguments name."""
-    args = argparse.ArgumentParser(description=__doc__)
+    args = figures.parser(__doc__)
     args.add_argument("--users", default="moreton,teixeira")
     args.add_argument("--scenarios", default="calm,burst,overload")
     args.add_argument("--versions", default=",".join(VERSIONS))
     args.add_argument("--seeds", type=int, default=5)
     args.add_argument("--seconds", type=float, default=20.0)
-    args.add_argument("--out", type=pathlib.Path)
     options = args.parse_args()
     summary = []
     for user in options.users.split(","):
@@ -49,9 +43,8 @@
                 )
                 rows.append(_row(version, fields))
             print(f"\n{user}, {name}")
-            print(tabulate.tabulate(rows, headers="keys"), flush=True)
-            if options.out:
-                options.out.write_text(json.dumps(summary, indent=1) + "\n")
+            figures.show(rows)
+            figures.keep(summary, options.out)
 
 
 def summarise(outcomes: list[experiment.Outcome]) -> dict:
--- a/bench/control.py
+++ b/bench/control.py
@@ -5,17 +5,14 @@
 control. The daemon that brokers is shown apart from those that only ask.
 """
 
-import argparse
 import asyncio
-import json
-import pathlib
 import random
 import threading
 import time
 
 import numpy
-import tabulate
 
+from bench import figures
 from bench.load import Caller
 from bench.mix import MORETON, Kind, Planned
 from standins.launcher import Options, System, cpu_seconds
@@ -28,8 +25,7 @@
 
 def main() -> None:
     """Prints processor time by rate, and the fitted cost of a request."""
-    args = argparse.ArgumentParser(description=__doc__)
-    args.add_argument("--out", type=pathlib.Path)
+    args = figures.parser(__doc__)
     options = args.parse_args()
     rows = []
     for rate in RATES:
@@ -45,13 +41,12 @@
                 "gossip B/s": round(broker["gossip"], 0),
             }
         )
-    print(tabulate.tabulate(rows, headers="keys"))
+    figures.show(rows)
     for name in ("asking %", "brokering %"):
         extra = [row[name] - row["naive %"] for row in rows]
         slope, start = numpy.polyfit(RATES, extra, 1)
         print(f"{name}: {slope * 1e4:.0f} us a request, {start:.2f} % at 0")
-    if options.out:
-        options.out.write_text(json.dumps(rows, indent=1) + "\n")
+    figures.keep(rows, options.out)
 
 
 def _run(version: str, rate: float) -> dict[str, float]:
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -5,17 +5,14 @@
 the engines' work went above their slots, and what callers saw.
 """
 
-import argparse
 import asyncio
-import json
-import pathlib
 import random
 import threading
 import time
 
 import httpcore
-import tabulate
 
+from bench import figures
 from bench.load import Caller
 from bench.mix import MORETON, Kind, Planned
 from jasminerelay import rendezvous
@@ -33,18 +30,16 @@
 
 def main() -> None:
     """Prints the figures of each way to lose the broker."""
-    args = argparse.ArgumentParser(description=__doc__)
+    args = figures.parser(__doc__)
     args.add_argument("--seeds", type=int, default=3)
-    args.add_argument("--out", type=pathlib.Path)
     options = args.parse_args()
     rows = [
         _run(way, seed)
         for way in ("none", "killed", "frozen", "drained")
         for seed in range(options.seeds)
     ]
-    print(tabulate.tabulate(rows, headers="keys"))
-    if options.out:
-        options.out.write_text(json.dumps(rows, indent=1) + "\n")
+    figures.show(rows)
+    figures.keep(rows, options.out)
 
 
 def _run(way: str, seed: int) -> dict:
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -6,17 +6,13 @@
 Direct and relayed runs take turns.
 """
 
-import argparse
 import asyncio
-import json
-import pathlib
 import random
 import statistics
 import threading
 import time
 
-import tabulate
-
+from bench import figures
 from bench.load import Caller, Seen
 from bench.mix import MORETON, Kind, Planned
 from standins.launcher import Daemon, Options, System, cpu_seconds
@@ -26,16 +22,13 @@
 STEP_MS = 32.0
 WARM_UP_S = 12.0
 """Time after which as many streams end as begin."""
-WARM_UP_S = 12.0
-"""Time after which as many streams end as begin."""
 
 
 def main() -> None:
     """Runs the comparison and prints the figures."""
-    args = argparse.ArgumentParser(description=__doc__)
+    args = figures.parser(__doc__)
     args.add_argument("--rounds", type=int, default=3)
     args.add_argument("--seconds", type=float, default=30.0)
-    args.add_argument("--out", type=pathlib.Path)
     options = args.parse_args()
     results: dict[str, list[dict]] = {"direct": [], "relayed": []}
     for seed in range(options.rounds):
@@ -47,9 +40,8 @@
         for name in runs[0]:
             row[name] = round(statistics.median(r[name] for r in runs), 4)
         rows.append(row)
-    print(tabulate.tabulate(rows, headers="keys"))
-    if options.out:
-        options.out.write_text(json.dumps(results, indent=1) + "\n")
+    figures.show(rows)
+    figures.keep(results, options.out)
 
 
 def _run(way: str, seed: int, seconds: float) -> dict[str, float]:
