--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -369,7 +369,7 @@
     Safeguard(
         "an instance that is behind asks another",
         "peerlink",
-        "if self._behind(word.standing):",
+        "if self._registry.behind(word.standing):",
         "if False:",
         "test_platforminstances.StoreOutageTest.test_learns_from_another_instance",
     ),
