End a permit stream whose asking side goes while it is answered

The same place held a second fault: a full queue called a cancel that the library's context does not have, which raised inside the broker that was answering. Change: the errors of an ended stream are named once, with what each means, and end the stream; a full queue ends it too; telling a stranger that has left no longer fails. Asks and permits go on as after any lost link: the asks are dropped at once, permits lapse after ABSENT_S unless told anew.

Ruled out: catching all exceptions, which would hide faults of the broker.

--- a/src/jasminerelay/peers.py
+++ b/src/jasminerelay/peers.py
@@ -91,6 +91,15 @@
         return ca, key, cert
 
 
+ENDED_ERRORS = (
+    grpc.aio.InternalError,
+    grpc.aio.UsageError,
+    asyncio.InvalidStateError,
+)
+"""What the library raises for a stream that the other side has ended: the first
+while something is being sent, the others once it knows."""
+
+
 @dataclasses.dataclass
 class _Link:
     frames: Any
@@ -199,13 +208,8 @@
                 merged = _merge([frame, *_drain(link.source)])
                 self._counters.incr("link.frames_out")
                 await call.write(merged)
-        except (
-            grpc.aio.AioRpcError,
-            grpc.aio.UsageError,
-            asyncio.InvalidStateError,
-        ):
-            # The last is how the library says that the other side has ended
-            # the stream already; uncaught, it ended this instance, too.
+        except (grpc.aio.AioRpcError, *ENDED_ERRORS):
+            # Uncaught, the other side's end ended this instance, too.
             call.cancel()
 
 
@@ -251,20 +255,26 @@
         await self._check(context)
         frames, source = anyio.create_memory_object_stream(MAX_QUEUED_FRAMES)
         entry = ""
+        async with frames, source, anyio.create_task_group() as group:
 
-        def send(frame: BrokerFrame) -> None:
-            try:
-                frames.send_nowait(frame)
-            except (anyio.WouldBlock, anyio.BrokenResourceError):
-                # A peer that does not read is gone or frozen; it tells
-                # everything anew when it is back.
-                context.cancel()
+            def send(frame: BrokerFrame) -> None:
+                try:
+                    frames.send_nowait(frame)
+                except (anyio.WouldBlock, anyio.BrokenResourceError):
+                    # A peer that does not read is gone or frozen; it tells
+                    # everything anew when it is back.
+                    group.cancel_scope.cancel()
 
-        async def write() -> None:
-            async for frame in source:
-                await context.write(frame)
+            async def write() -> None:
+                try:
+                    async for frame in source:
+                        await context.write(frame)
+                except ENDED_ERRORS:
+                    # The asking side went between two frames. Its permits
+                    # are kept for a while, as after any lost link; left
+                    # uncaught, the error ended in a traceback a frame.
+                    group.cancel_scope.cancel()
 
-        async with anyio.create_task_group() as group:
             group.start_soon(write)
             try:
                 async for frame in requests:
@@ -283,11 +293,16 @@
         return self._manifest()
 
     async def _check(self, context) -> None:
-        if not self._security.admits(context.invocation_metadata()):
+        if self._security.admits(context.invocation_metadata()):
+            return
+        try:
             await context.abort(
                 grpc.StatusCode.UNAUTHENTICATED,
                 "send the peer secret of the settings",
             )
+        except ENDED_ERRORS as exc:
+            # Nobody is left to be told, and the call must still not go on.
+            raise asyncio.CancelledError from exc
 
 
 async def fetch_manifest(
