--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,7 +7,6 @@
 
 import anyio
 import grpc
-
 from grpc._cython import cygrpc
 
 from jasminerelay.peers import MAX_QUEUED_FRAMES, Links, PeerServer, _Link
