--- /dev/null
+++ b/src/jasminerelay/asking.py
@@ -0,0 +1,442 @@
+"""An instance's side of a cell: asks the cell's owner for places.
+
+Where few instances share the work each decides by what all tell each other.
+Where there are many it asks the owner of the cell to which the start of the
+request's prompt belongs. An owner that is dead, frozen or cut off costs one
+short silence; after it the instance decides by its own view for a while.
+"""
+
+import dataclasses
+import time
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from jasminerelay import cells
+from jasminerelay.catalog import Call
+from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.errors import NoRoomError
+from jasminerelay.metrics import Counters
+from jasminerelay.owning import PLACED, REFUSED, WAITING
+from jasminerelay.placing import Placed
+from jasminerelay.prefix import part_hash
+from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import (
+    EndWord,
+    Member,
+    OwnerWord,
+    PlaceAnswer,
+    PlaceAsk,
+    PlaceWord,
+    RunWord,
+    TokenWord,
+)
+from jasminerelay.waitingroom import Seat, WaitingRoom
+from jasminerelay.workload import End, Run, Verdict
+
+OWNERS_FROM = 24
+"""Instances from which on owners decide. Up to here each hears all loads
+every 0.15 s, and cells would only add a message to each request; at 88 the
+others' placings of the last half second are unknown, three to a server."""
+
+ANSWER_S = 0.03
+"""Silence after an ask from which on the own view decides. An owner in another
+availability zone answers within 5 ms, a busy one within 15 ms."""
+
+OWNER_SILENCE_S = 0.35
+"""Silence of an owner at which requests wait. It is asked each TICK_S; three
+lost datagrams in a row are rarer than an owner that has died."""
+
+SPARE_S = 0.5
+"""How long a silent owner is not asked again, so that one that stands still for
+a second costs an instance two timeouts and not one for each request."""
+
+GATHER_S = 0.02
+"""How long first events and ends are gathered before the owner is told: the
+reading that it takes for under way is too much by that time at most."""
+
+TICK_S = 0.1
+RENEW_S = 1.0
+"""How often an owner is told of runs at which nothing changes."""
+
+MS = 1e3
+US = 1e6
+
+Cell = tuple[str, int]
+"""Service and number of a cell."""
+
+
+@dataclasses.dataclass(eq=False)
+class _Ask:
+    """A request that asks for a place.
+
+    Attributes:
+        number: Its number; its run gets the same.
+        call: The request.
+        avoid: Servers that it must not go to.
+        cell: Where it asks.
+        owner: The instance that it asks.
+        answer: The owner's last word.
+        news: Is set with each word, and once the owner is given up.
+        lost: Whether the owner was given up.
+    """
+
+    number: int
+    call: Call
+    avoid: frozenset[str]
+    cell: Cell
+    owner: Member
+    answer: PlaceAnswer | None = None
+    news: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    lost: bool = False
+
+
+@dataclasses.dataclass
+class _Told:
+    """What an instance keeps of a cell that it has told something.
+
+    Attributes:
+        at: Steady time of the last datagram; minus infinity if a new one is
+            due.
+        owner: Who got it.
+    """
+
+    at: float = float("-inf")
+    owner: str = ""
+
+
+class AskingRoom:
+    """Gives places as a waiting room does, from the cells' owners."""
+
+    def __init__(
+        self,
+        own: str,
+        peers: str,
+        registry: Registry,
+        dispatcher: Dispatcher,
+        local: WaitingRoom,
+        counters: Counters,
+    ):
+        """Makes the room of an instance that knows no other yet.
+
+        Args:
+            own: This instance.
+            peers: Its address for datagrams.
+            registry: Configuration and servers.
+            dispatcher: Decides where no owner does.
+            local: Where requests wait that no owner places.
+            counters: Counts events.
+        """
+        self._own = own
+        self._peers = peers
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._local = local
+        self._counters = counters
+        self._asks: dict[int, _Ask] = {}
+        self._told: dict[Cell, _Told] = {}
+        self._ended: dict[Cell, list[EndWord]] = {}
+        self._dirty = anyio.Event()
+        self._live: dict[str, Member] = {}
+        self._owners: dict[Cell, Member | None] = {}
+        self._heard: dict[str, float] = {}
+        self._spared: dict[str, float] = {}
+        self.active = False
+        self.send: Callable[[Member, PlaceWord], None] = lambda to, word: None
+
+    def __len__(self) -> int:
+        return len(self._asks) + len(self._local)
+
+    def saw_instances(self, known: int, live: Iterable[Member]) -> None:
+        """Notes the instances there are.
+
+        Args:
+            known: How many are known, failed ones included: a site that loses
+                half of its instances goes on in the same way.
+            live: Those that take callers.
+        """
+        self.active = known >= OWNERS_FROM
+        members = {member.instance: member for member in live}
+        if members.keys() != self._live.keys():
+            self._owners.clear()
+        self._live = members
+
+    async def enter(self, call: Call, avoid: frozenset[str]) -> Seat:
+        """Waits for a place.
+
+        Raises:
+            NoRoomError: if there will be none in time.
+        """
+        ask = self._new_ask(call, avoid)
+        if ask is None:
+            return await self._local.enter(call, avoid)
+        self._asks[ask.number] = ask
+        self._tell(ask.cell)
+        seat = None
+        try:
+            seat = await self._answered(ask)
+        finally:
+            del self._asks[ask.number]
+            if seat is None:
+                self._touch(ask.cell)
+        return seat or await self._local.enter(call, avoid)
+
+    def freed(self, service: str) -> None:
+        """Notes that a server of a service has room again."""
+        self._local.freed(service)
+        if self.active:
+            self._dirty.set()
+
+    def hear(self, word: OwnerWord) -> None:
+        """Takes an owner's answers."""
+        self._heard[word.sender] = time.monotonic()
+        self._spared.pop(word.sender, None)
+        for answer in word.answers:
+            ask = self._asks.get(answer.number)
+            if ask is not None and ask.owner.instance == word.sender:
+                ask.answer = answer
+                ask.news.set()
+
+    async def run(self) -> None:
+        """Tells owners what changes until cancelled."""
+        ticked = 0.0
+        while True:
+            with anyio.move_on_after(TICK_S):
+                await self._dirty.wait()
+            await anyio.sleep(GATHER_S)
+            self._dirty = anyio.Event()
+            now = time.monotonic()
+            due = self._changed()
+            if now - ticked >= TICK_S:
+                ticked = now
+                due |= self._due(now)
+            for cell in due:
+                self._tell(cell)
+
+    def _new_ask(self, call: Call, avoid: frozenset[str]) -> _Ask | None:
+        if not self.active:
+            return None
+        servers = self._registry.servers_of(call.service)
+        count = len(cells.cells_of(item.id for item in servers))
+        if not count:
+            return None
+        shared = call.prompt.shared if call.prompt is not None else ()
+        key = shared[-1].id if shared else call.id
+        cell = (call.service, cells.home(key, count))
+        owner = self._owner(cell)
+        if owner is None:
+            return None
+        if time.monotonic() < self._spared.get(owner.instance, 0.0):
+            self._counters.incr("place.owner_spared")
+            return None
+        number = self._dispatcher.workload.new_number()
+        return _Ask(number, call, avoid, cell, owner)
+
+    def _owner(self, cell: Cell) -> Member | None:
+        if cell not in self._owners:
+            name = cells.owner(*cell, list(self._live))
+            self._owners[cell] = self._live.get(name) if name else None
+        return self._owners[cell]
+
+    async def _answered(self, ask: _Ask) -> Seat | None:
+        """Waits for an ask's end; None if the own view must decide."""
+        with anyio.move_on_after(ANSWER_S):
+            await ask.news.wait()
+        if ask.answer is None:
+            self._give_up(ask.owner, ask)
+            return None
+        while True:
+            if ask.lost:
+                return None
+            answer = ask.answer
+            if answer.state == REFUSED:
+                self._counters.incr("place.refused")
+                raise NoRoomError(answer.why, retry_s=answer.retry_ms / MS)
+            if answer.state == PLACED:
+                return self._seat(ask, answer)
+            if answer.state != WAITING:
+                self._counters.incr("place.foreign_cell")
+                return None
+            ask.news = anyio.Event()
+            await ask.news.wait()
+
+    def _seat(self, ask: _Ask, answer: PlaceAnswer) -> Seat | None:
+        server = self._registry.server(answer.server)
+        if server is None or server.draining or server.id in ask.avoid:
+            # The owner's list of servers is older than this instance's.
+            self._counters.incr("place.stale_server")
+            return None
+        source = self._registry.server(answer.source)
+        placed = Placed(server, answer.unread, answer.memory, False, source)
+        run = self._dispatcher.reserve(ask.call, placed, ask.number)
+        self._counters.incr("place.placed")
+        return Seat(placed, run)
+
+    def _give_up(self, owner: Member, *asks: _Ask) -> None:
+        self._counters.incr("place.owner_silent")
+        self._spared[owner.instance] = time.monotonic() + SPARE_S
+        for ask in asks:
+            ask.lost = True
+            ask.news.set()
+
+    def _touch(self, cell: Cell) -> None:
+        self._told.setdefault(cell, _Told()).at = float("-inf")
+        self._dirty.set()
+
+    def _changed(self) -> set[Cell]:
+        """Returns the cells at whose servers something began or ended."""
+        workload = self._dispatcher.workload
+        if not self.active:
+            workload.touched.clear()
+            workload.ended.clear()
+            return set()
+        found = set()
+        for end in workload.ended:
+            cell = self._cell_of(end.server)
+            if cell is not None:
+                self._ended.setdefault(cell, []).append(_end_word(end))
+                found.add(cell)
+        workload.ended.clear()
+        for server in workload.touched:
+            cell = self._cell_of(server)
+            if cell is not None:
+                found.add(cell)
+        workload.touched.clear()
+        found.update(
+            cell
+            for cell, told in self._told.items()
+            if told.at == float("-inf")
+        )
+        return found
+
+    def _due(self, now: float) -> set[Cell]:
+        """Judges owners, and returns the cells of which to tell again."""
+        self._judge(now)
+        found = {ask.cell for ask in self._asks.values()}
+        for cell, told in list(self._told.items()):
+            owner = self._owner(cell)
+            moved = owner is not None and owner.instance != told.owner
+            if moved or now - told.at > RENEW_S:
+                found.add(cell)
+        silent = (
+            self._cell_of(run.server)
+            for run in self._dispatcher.workload.runs.values()
+            if self._dispatcher.silent(run.server, now)
+        )
+        found.update(cell for cell in silent if cell is not None)
+        return found if self.active else set()
+
+    def _judge(self, now: float) -> None:
+        for ask in list(self._asks.values()):
+            owner = self._owner(ask.cell)
+            if owner is not None and owner.instance != ask.owner.instance:
+                # Another instance owns the cell now; it is told of the ask.
+                ask.owner = owner
+                self._heard[owner.instance] = now
+                continue
+            heard = self._heard.get(ask.owner.instance, now)
+            if ask.answer is not None and now - heard > OWNER_SILENCE_S:
+                self._give_up(ask.owner, ask)
+
+    def _tell(self, cell: Cell) -> None:
+        owner = self._owner(cell)
+        if owner is None:
+            return
+        now = time.monotonic()
+        runs = self._runs_of(cell)
+        asks = [ask for ask in self._asks.values() if ask.cell == cell]
+        if runs or asks:
+            self._told[cell] = _Told(now, owner.instance)
+        else:
+            # Told once that nothing is left. Should that datagram be lost,
+            # the owner drops the rest by its age.
+            self._told.pop(cell, None)
+        word = PlaceWord(
+            self._own,
+            self._peers,
+            *cell,
+            self._next_number(),
+            [_ask_word(ask, now) for ask in asks],
+            [_run_word(run) for run in runs],
+            self._ended.pop(cell, []),
+            self._token_words({run.server for run in runs}, now),
+        )
+        self._counters.incr("place.told")
+        self.send(owner, word)
+
+    def _next_number(self) -> int:
+        # One sequence for all cells, so that a cell which was forgotten
+        # here goes on where it was.
+        return self._dispatcher.workload.new_number()
+
+    def _runs_of(self, cell: Cell) -> list[Run]:
+        return [
+            run
+            for run in self._dispatcher.workload.runs.values()
+            if self._cell_of(run.server) == cell
+        ]
+
+    def _cell_of(self, name: str) -> Cell | None:
+        server = self._registry.server(name)
+        if server is None:
+            return None
+        servers = self._registry.servers_of(server.service)
+        split = cells.cells_of(item.id for item in servers)
+        for number, names in enumerate(split):
+            if name in names:
+                return (server.service, number)
+        return None
+
+    def _token_words(
+        self, servers: Iterable[str], now: float
+    ) -> list[TokenWord]:
+        words = []
+        paces = self._dispatcher.paces
+        for name in servers:
+            token_s = paces.own_s(name, now) or 0.0
+            step_s = paces.undisturbed_s(name) or 0.0
+            silent = self._dispatcher.silent(name, now)
+            if token_s or step_s or silent:
+                words.append(
+                    TokenWord(
+                        name, round(US * token_s), round(US * step_s), silent
+                    )
+                )
+        return words
+
+
+def _ask_word(ask: _Ask, now: float) -> PlaceAsk:
+    call = ask.call
+    prompt = call.prompt
+    shared = prompt.shared if prompt is not None else ()
+    hint = prompt.expected_output if prompt is not None else None
+    return PlaceAsk(
+        number=ask.number,
+        call=call.id,
+        route=call.route.name,
+        rank=call.rank,
+        first=not ask.avoid,
+        age_ms=round(MS * (now - call.arrived)),
+        left_ms=round(MS * (call.ends - now)),
+        avoid=sorted(ask.avoid),
+        own_tokens=prompt.own_tokens if prompt is not None else -1,
+        max_output=prompt.max_output if prompt is not None else 0,
+        expected_output=-1 if hint is None else hint,
+        parts=[part_hash(part.id) for part in shared],
+        part_tokens=[part.tokens for part in shared],
+    )
+
+
+def _run_word(run: Run) -> RunWord:
+    first_ms = -1 if run.first_s is None else round(MS * run.first_s)
+    return RunWord(run.number, run.server, run.unread, run.memory, first_ms)
+
+
+def _end_word(end: End) -> EndWord:
+    return EndWord(
+        end.number,
+        end.server,
+        end.verdict is Verdict.GOOD,
+        end.verdict is Verdict.BAD,
+        end.output,
+    )
--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -31,7 +31,7 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.sharedbudget import SharedBudget
 from jasminerelay.telemetry import Telemetry
-from jasminerelay.waitingroom import Seat, WaitingRoom
+from jasminerelay.waitingroom import Room, Seat
 
 SHORT_SILENCE = 2.5
 SHORT_SILENCE_LEAST_S = 0.5
@@ -63,7 +63,7 @@
 
     Attributes:
         dispatcher: Chooses servers.
-        room: Where requests wait.
+        room: Where requests get places.
         channels: Connections to servers.
         dialect: Words of the interface.
         evacuator: Moves streams away from servers that leave.
@@ -76,7 +76,7 @@
     """
 
     dispatcher: Dispatcher
-    room: WaitingRoom
+    room: Room
     channels: Channels
     dialect: Dialect
     evacuator: Evacuator
@@ -103,6 +103,7 @@
         maybe_ran: Whether it can no longer be said that it has not run.
         copy: Memory that it goes on from, if it was moved.
         moves: How often a move was tried.
+        output: Tokens of a whole stream; 0 before its end.
     """
 
     last_event: str
@@ -115,6 +116,7 @@
     maybe_ran: bool = False
     copy: Copy | None = None
     moves: int = 0
+    output: int = 0
 
     def may_repeat(self, route: Route) -> bool:
         """Returns whether one more server may run it after the present."""
@@ -275,8 +277,9 @@
         if cutter.torn:
             return Interrupted("the stream ended inside an event")
         self._progress.status = head.status
+        self._progress.output = self._progress.events * timer.event_tokens
         self._kit.dispatcher.lengths.observe(
-            self._call.route.name, self._progress.events * timer.event_tokens
+            self._call.route.name, self._progress.output
         )
         return Delivered(head.status)
 
@@ -387,7 +390,7 @@
         if not self.first_at:
             self.first_at = now
             self._note_reading(now)
-            self._seat.run.read()
+            self._seat.run.read(now - self._sent_at)
             self._kit.room.freed(self._call.service)
         else:
             self._kit.dispatcher.paces.observe(
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -4,8 +4,6 @@
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-import xxhash
-
 from jasminerelay import placing, rendezvous
 from jasminerelay.admission import Prospect
 from jasminerelay.catalog import (
@@ -20,7 +18,7 @@
 from jasminerelay.lengths import Lengths
 from jasminerelay.pace import PaceBook
 from jasminerelay.placing import Guess, Option, Placed, Wait
-from jasminerelay.prefix import PrefixIndex
+from jasminerelay.prefix import PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import EngineSample, KindDemand, ServerLoad
 from jasminerelay.silences import Silences
@@ -90,13 +88,21 @@
 
 
 class Dispatcher:
-    """Places requests; owns what that takes and no socket."""
+    """Places requests; owns what that takes and no socket.
+
+    Attributes:
+        sees_steps: Whether engines' steps are measured by the streams here;
+            else owners of cells are told of them.
+    """
 
     def __init__(
         self,
         registry: Registry,
         zone: str,
         instances: Callable[[], int],
+        engines: EngineModels | None = None,
+        lengths: Lengths | None = None,
+        silences: Silences | None = None,
     ):
         """Makes a dispatcher.
 
@@ -104,6 +110,9 @@
             registry: Configuration and servers.
             zone: This instance's availability zone.
             instances: Returns how many instances share the work.
+            engines: What is known of engines; new if None.
+            lengths: What is known of answers' lengths; new if None.
+            silences: Judges servers that say nothing; new if None.
         """
         self._registry = registry
         self._zone = zone
@@ -115,11 +124,12 @@
         self._split_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
-        self.lengths = Lengths()
-        self._silences = Silences()
+        self.lengths = lengths or Lengths()
+        self._silences = silences or Silences()
         self.paces = PaceBook()
-        self.engines = EngineModels()
+        self.engines = engines or EngineModels()
         self._outlooks: dict[tuple[str, str], _Outlook] = {}
+        self.sees_steps = True
         self.on_split: OnSplit = lambda service, groups, demand: None
 
     def own_loads(self, now: float) -> list[ServerLoad]:
@@ -151,6 +161,11 @@
         """Notes that a server said something, whatever it was."""
         self._silences.heard(server, now)
 
+    def silent(self, server: str, now: float) -> bool:
+        """Returns whether a server owes this instance a word for too long."""
+        own = self.workload.own_running(server)
+        return self._silences.silent(server, own, now)
+
     def health(self, service: str) -> Stragglers:
         """Returns what is known of the health of a service's servers."""
         return self._health.setdefault(service, Stragglers())
@@ -215,7 +230,7 @@
         now = time.monotonic()
         paces = self.paces.of_alike((item.id for item in servers), now)
         shared = call.prompt.shared if call.prompt is not None else ()
-        hashes = tuple(_part_hash(part.id) for part in shared)
+        hashes = tuple(part_hash(part.id) for part in shared)
         return [
             Option(
                 server,
@@ -240,8 +255,7 @@
         health = self.health(service)
         if health.blocked(server, now):
             return True
-        own = self.workload.own_running(server)
-        if self._silences.silent(server, own, now):
+        if self.silent(server, now):
             return True
         # After a rest it gets one request at a time.
         busy = self.workload.load(server).running > 0
@@ -303,15 +317,23 @@
         sample = EngineSample(call.service, True, tokens, seconds)
         self.engines.see(sample, time.monotonic())
 
-    def reserve(self, call: Call, placed: Placed) -> Run:
-        """Notes that a request goes to a server."""
+    def reserve(
+        self, call: Call, placed: Placed, number: int | None = None
+    ) -> Run:
+        """Notes that a request goes to a server.
+
+        Args:
+            call: The request.
+            placed: Where it goes.
+            number: The run's number; None for a new one.
+        """
         name = placed.server.id
         idle = not self.workload.own_running(name)
         self._silences.sent(name, idle, time.monotonic())
         if call.prompt is not None:
-            parts = [_part_hash(part.id) for part in call.prompt.parts]
+            parts = [part_hash(part.id) for part in call.prompt.parts]
             self._warm.add(name, tuple(parts))
-        return self.workload.start(name, placed.unread, placed.memory)
+        return self.workload.start(name, placed.unread, placed.memory, number)
 
     def seat_at(self, call: Call, server: BackendServer) -> Seat:
         """Returns a seat at a server that has the run's memory already."""
@@ -506,7 +528,8 @@
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
             servers = [item.id for item in self._registry.servers_of(name)]
-            self._note_steps(name, servers, now)
+            if self.sees_steps:
+                self._note_steps(name, servers, now)
             demand = self.demand.total(name, now)
             split = self._splits.setdefault(name, Split())
             if split.update(servers, demand):
@@ -549,7 +572,3 @@
 
 def _slots(servers: list[BackendServer]) -> int:
     return max(1, sum(server.slots for server in servers))
-
-
-def _part_hash(name: str) -> int:
-    return xxhash.xxh64_intdigest(name.encode())
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -19,6 +19,7 @@
     Unknown,
 )
 from jasminerelay.waitingroom import Seat
+from jasminerelay.workload import Verdict
 
 MAX_NOT_SENT = 3
 MAX_NOT_RUN = 2
@@ -82,19 +83,30 @@
     async def _try(self, seat: Seat) -> Outcome:
         self._placed_at = self._placed_at or time.monotonic()
         self._progress.tried.append(seat.placed.server.id)
+        verdict = None
         try:
-            return await self._attempt.run(seat)
+            outcome = await self._attempt.run(seat)
+            verdict = self._verdict(outcome)
+            return outcome
         finally:
-            seat.run.end()
+            seat.run.end(verdict, self._progress.output)
             self._kit.room.freed(self._call.service)
 
+    def _verdict(self, outcome: Outcome) -> Verdict | None:
+        if isinstance(outcome, Delivered | Failed):
+            return Verdict.GOOD
+        if isinstance(outcome, Interrupted) and self.moved:
+            return None
+        if isinstance(outcome, NotSent | Unknown | Interrupted):
+            return Verdict.BAD
+        return None
+
     def _note_health(self, server: BackendServer, outcome: Outcome) -> None:
         health = self._kit.dispatcher.health(self._call.service)
-        if isinstance(outcome, Delivered | Failed):
+        verdict = self._verdict(outcome)
+        if verdict is Verdict.GOOD:
             health.succeeded(server.id)
-        elif isinstance(outcome, Interrupted) and self.moved:
-            return
-        elif isinstance(outcome, NotSent | Unknown | Interrupted):
+        elif verdict is Verdict.BAD:
             health.failed(server.id, time.monotonic())
 
     @property
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import random
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 import msgspec
 
 from jasminerelay import peerwords
+from jasminerelay.asking import AskingRoom
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.eventlog import EventLog
 from jasminerelay.httpclient import (
@@ -24,8 +26,16 @@
 )
 from jasminerelay.membership import ALIVE, LEAVING, Membership, Send
 from jasminerelay.metrics import Counters
+from jasminerelay.owning import OwnedCells
 from jasminerelay.registry import Registry, Touch
-from jasminerelay.schema.messages import Member, PeerWord, Snapshot, Standing
+from jasminerelay.schema.messages import (
+    Member,
+    OwnerWord,
+    PeerWord,
+    PlaceWord,
+    Snapshot,
+    Standing,
+)
 
 LOAD_EVERY_S = 0.1
 """How often loads are sent while they change. Choices by loads that are older
@@ -104,6 +114,8 @@
         self._outbox, self._outgoing = anyio.create_memory_object_stream(
             MAX_OUTGOING
         )
+        self._owned: OwnedCells | None = None
+        self._asking: AskingRoom | None = None
         self.on_snapshot: Callable[[Snapshot, str], None] = lambda *_: None
         self.on_store_lost: Callable[[], None] = lambda: None
 
@@ -150,6 +162,29 @@
         """Tells the others that this instance takes no more callers."""
         self._send_all(self.membership.leave())
 
+    def wire_cells(self, owned: OwnedCells, asking: AskingRoom) -> None:
+        """Sets who decides for cells here, and who asks others."""
+        self._owned = owned
+        self._asking = asking
+        owned.answer = self._answer
+        asking.send = self._ask
+
+    def _ask(self, owner: Member, word: PlaceWord) -> None:
+        if owner.instance == self.membership.own.instance:
+            self._owned.hear(word)
+        else:
+            self._send_to(owner.peers, peerwords.encode(word))
+
+    def _answer(self, address: str, word: OwnerWord) -> None:
+        if address == self.membership.own.peers:
+            self._asking.hear(word)
+        else:
+            self._send_to(address, peerwords.encode(word))
+
+    @property
+    def _by_owners(self) -> bool:
+        return self._asking is not None and self._asking.active
+
     async def run(self) -> None:
         """Talks to the others until cancelled."""
         host, _, port = self.membership.own.peers.rpartition(":")
@@ -177,8 +212,9 @@
             if rounds % PROBE_EVERY == 0:
                 self._send_all(self.membership.probe(now))
                 self._note_changes()
-            if self._dispatcher.workload.changed:
-                self._dispatcher.workload.changed = False
+            changed = self._dispatcher.workload.changed
+            self._dispatcher.workload.changed = False
+            if len(self._owned) if self._by_owners else changed:
                 self._send_loads()
             rounds += 1
             await anyio.sleep(LOAD_EVERY_S * self._rng.uniform(0.9, 1.1))
@@ -209,15 +245,19 @@
 
     def _word(self, gossip) -> PeerWord:
         self._number += 1
+        now = time.monotonic()
+        if self._by_owners:
+            loads, demand = self._owned.loads(now), self._owned.demand()
+        else:
+            loads = self._dispatcher.own_loads(now)
+            demand = self._dispatcher.own_demand()
         return PeerWord(
             gossip,
             self.membership.own.instance,
             self._number,
             self._registry.standing,
-            peerwords.load_columns(
-                self._dispatcher.own_loads(time.monotonic())
-            ),
-            peerwords.demand_columns(self._dispatcher.own_demand()),
+            peerwords.load_columns(loads),
+            peerwords.demand_columns(demand),
         )
 
     def _send_to(self, address: str, data: bytes) -> None:
@@ -249,7 +289,19 @@
             except ValueError:
                 self._counters.incr("peer.unreadable")
                 continue
-            self._hear(word)
+            self._take(word)
+
+    @functools.singledispatchmethod
+    def _take(self, word: PlaceWord) -> None:
+        self._owned.hear(word)
+
+    @_take.register
+    def _(self, word: OwnerWord) -> None:
+        self._asking.hear(word)
+
+    @_take.register
+    def _(self, word: PeerWord) -> None:
+        self._hear(word)
 
     def _hear(self, word: PeerWord) -> None:
         now = time.monotonic()
--- a/src/jasminerelay/peerwords.py
+++ b/src/jasminerelay/peerwords.py
@@ -5,6 +5,7 @@
 what instances send across availability zones.
 """
 
+import functools
 from collections.abc import Iterable
 
 import msgspec
@@ -13,21 +14,62 @@
     DemandColumns,
     KindDemand,
     LoadColumns,
+    OwnerWord,
     PeerWord,
+    PlaceWord,
     ServerLoad,
 )
 
-encode = msgspec.msgpack.encode
-_decode = msgspec.msgpack.Decoder(PeerWord).decode
+PLACE_MARK = b"\x01"
+OWNER_MARK = b"\x02"
+"""First bytes that tell the kinds of datagrams apart; one without is a
+`PeerWord`, whose first byte is that of a map."""
 
+Word = PeerWord | PlaceWord | OwnerWord
 
-def decode(data: bytes) -> PeerWord:
+_encode = msgspec.msgpack.encode
+_decode_peer = msgspec.msgpack.Decoder(PeerWord).decode
+_decode_place = msgspec.msgpack.Decoder(PlaceWord).decode
+_decode_owner = msgspec.msgpack.Decoder(OwnerWord).decode
+
+
+@functools.singledispatch
+def encode(word: Word) -> bytes:
+    """Writes a datagram."""
+    return _encode(word)
+
+
+@encode.register
+def _(word: PlaceWord) -> bytes:
+    return PLACE_MARK + _encode(word)
+
+
+@encode.register
+def _(word: OwnerWord) -> bytes:
+    return OWNER_MARK + _encode(word)
+
+
+def decode(data: bytes) -> Word:
     """Reads a datagram.
 
     Raises:
         ValueError: if it cannot be read, or its lists differ in length.
     """
-    word = _decode(data)
+    mark = data[:1]
+    if mark == PLACE_MARK:
+        return _checked_place(_decode_place(data[1:]))
+    if mark == OWNER_MARK:
+        return _decode_owner(data[1:])
+    return _checked_peer(_decode_peer(data))
+
+
+def _checked_place(word: PlaceWord) -> PlaceWord:
+    for ask in word.asks:
+        _check_even(ask.parts, ask.part_tokens)
+    return word
+
+
+def _checked_peer(word: PeerWord) -> PeerWord:
     loads, demand = word.loads, word.demand
     _check_even(
         loads.servers, loads.unread, loads.running, loads.memory, loads.token_us
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -13,6 +13,7 @@
 import anyio
 
 from jasminerelay import entrylist, headbound, ports
+from jasminerelay.asking import AskingRoom
 from jasminerelay.attempt import Kit
 from jasminerelay.catalog import Bounds, Catalog
 from jasminerelay.channels import Channels
@@ -31,6 +32,7 @@
 from jasminerelay.httpclient import Client
 from jasminerelay.membership import LEAVING
 from jasminerelay.metrics import Counters
+from jasminerelay.owning import OwnedCells
 from jasminerelay.peerlink import PeerLink, SnapshotApp
 from jasminerelay.platform import bootfile, documents
 from jasminerelay.platform.bootfile import Boot
@@ -167,6 +169,8 @@
                 self._watchdog.run,
                 self._peers.run,
                 self._room.run,
+                self._asking.run,
+                self._owned.run,
                 self._tick,
                 self._join,
                 self._watch_settings,
@@ -240,20 +244,41 @@
             self.dispatcher.busy_s,
             self.dispatcher.reserve,
         )
+        self._wire_cells(life)
         self._channels = Channels(self._watchdog)
         self._budget = SharedBudget(
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
         )
 
+    def _wire_cells(self, life: str) -> None:
+        boot = self.boot
+        self._owned = OwnedCells(
+            life,
+            boot.zone,
+            self.registry,
+            self.dispatcher.engines,
+            self.dispatcher.lengths,
+            self.counters,
+        )
+        self._asking = AskingRoom(
+            life,
+            boot.peers,
+            self.registry,
+            self.dispatcher,
+            self._room,
+            self.counters,
+        )
+        self._peers.wire_cells(self._owned, self._asking)
+
     def _wire_ports(self) -> None:
         boot = self.boot
         dialect = PlatformDialect()
         evacuator = Evacuator(self.client, dialect, self.counters, self.log)
         self._feed.on_leaving = evacuator.leaving
-        self._feed.on_gone = self.dispatcher.gone
+        self._feed.on_gone = self._gone
         kit = Kit(
             self.dispatcher,
-            self._room,
+            self._asking,
             self._channels,
             dialect,
             evacuator,
@@ -300,6 +325,10 @@
         bounds = catalog.bounds if catalog else Bounds()
         return HeadBounds(bounds.head_bytes, bounds.head_s, bounds.idle_s)
 
+    def _gone(self, server: str) -> None:
+        self.dispatcher.gone(server)
+        self._owned.gone(server)
+
     def _adopt(self, snapshot: Snapshot, peer: str) -> None:
         try:
             news = self.registry.adopt(snapshot)
@@ -373,6 +402,8 @@
             now = time.monotonic()
             self._feed.expire(now)
             self.dispatcher.tick(now)
+            self._owned.tick(now)
+            self._see_instances()
             self._budget.saw_instances(self._peers.known, now)
             rounds += 1
             if rounds % TIDY_EVERY == 0:
@@ -386,6 +417,11 @@
                 self.log.trouble("ready", **self._versions())
                 self._peers.enter()
 
+    def _see_instances(self) -> None:
+        live = self._peers.membership.live()
+        self._asking.saw_instances(self._peers.known, live)
+        self.dispatcher.sees_steps = not self._asking.active
+
     async def _join(self) -> None:
         registered = False
         while True:
--- a/src/jasminerelay/prefix.py
+++ b/src/jasminerelay/prefix.py
@@ -30,6 +30,11 @@
     return tuple(hashes)
 
 
+def part_hash(name: str) -> int:
+    """Returns the hash by which a prompt's part is known."""
+    return xxhash.xxh64_intdigest(name.encode())
+
+
 class PrefixIndex:
     """Which blocks each backend server probably holds; least recent go."""
 
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -332,6 +332,110 @@
     samples: list[EngineSample] = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class PlaceAsk:
+    """
+    A request for which an instance asks a cell's owner for a place.
+    """
+
+    number: int
+    call: str
+    route: str
+    rank: int
+    first: bool
+    age_ms: int
+    left_ms: int
+    avoid: list[str]
+    own_tokens: int
+    max_output: int
+    expected_output: int
+    parts: list[int]
+    part_tokens: list[int]
+
+
+@dataclass(frozen=True)
+class RunWord:
+    """
+    A request under way at a server of a cell.
+    """
+
+    number: int
+    server: str
+    unread: int
+    memory: int
+    first_ms: int
+
+
+@dataclass(frozen=True)
+class EndWord:
+    """
+    The end of a request at a server.
+    """
+
+    number: int
+    server: str
+    good: bool
+    bad: bool
+    output: int
+
+
+@dataclass(frozen=True)
+class TokenWord:
+    """
+    What one instance has seen of a server of late.
+    """
+
+    server: str
+    token_us: int
+    step_us: int
+    silent: bool
+
+
+@dataclass(frozen=True)
+class PlaceWord:
+    """
+    All that one instance asks a cell's owner and has under way there; what it leaves out has ended.
+    """
+
+    sender: str
+    peers: str
+    service: str
+    cell: int
+    number: int
+    asks: list[PlaceAsk]
+    runs: list[RunWord]
+    ended: list[EndWord]
+    tokens: list[TokenWord]
+
+
+@dataclass(frozen=True)
+class PlaceAnswer:
+    """
+    What an owner says to an ask.
+    """
+
+    number: int
+    state: str
+    server: str = ''
+    unread: int = 0
+    memory: int = 0
+    source: str = ''
+    why: str = ''
+    retry_ms: int = 0
+
+
+@dataclass(frozen=True)
+class OwnerWord:
+    """
+    Answers of an owner to one instance.
+    """
+
+    sender: str
+    service: str
+    cell: int
+    answers: list[PlaceAnswer]
+
+
 @dataclass(frozen=True)
 class Messages:
     """
@@ -346,3 +450,5 @@
     load_report: LoadReport | None = None
     peer_word: PeerWord | None = None
     snapshot: Snapshot | None = None
+    place_word: PlaceWord | None = None
+    owner_word: OwnerWord | None = None
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 
@@ -46,6 +47,7 @@
         call: The request.
         avoid: Servers that it must not go to.
         busy_s: Engine time that it needs.
+        settled: Is told once there is a seat or a refusal.
         seat: Where it goes, once known.
         refused: Why it was refused, if it was.
     """
@@ -53,9 +55,9 @@
     call: Call
     avoid: frozenset[str]
     busy_s: float
+    settled: Callable[["Waiter"], None] = lambda waiter: None
     seat: Seat | None = None
     refused: NoRoomError | None = None
-    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def order(self, now: float) -> tuple[int, int, bool, float]:
         """Returns its place in the order in which places are given.
@@ -69,6 +71,16 @@
         return (call.rank, call.route.rank, late, call.arrived)
 
 
+class Room(Protocol):
+    """Where requests get places, whoever decides."""
+
+    async def enter(self, call: Call, avoid: frozenset[str]) -> Seat:
+        """Waits for a place; raises NoRoomError if there is none in time."""
+
+    def freed(self, service: str) -> None:
+        """Notes that a server of a service has room again."""
+
+
 Place = Callable[[Call, frozenset[str]], Placed | Wait]
 Expect = Callable[[Call, float], Prospect]
 
@@ -107,16 +119,49 @@
         Raises:
             NoRoomError: if there will be none in time.
         """
-        waiter = Waiter(call, avoid, self._busy(call))
-        self._waiting.append(waiter)
-        self._pump(call.service)
-        if not waiter.done.is_set():
-            self._wake.set()
-            await self._wait(waiter)
+        done = anyio.Event()
+        waiter = self.admit(call, avoid, lambda waiter: done.set())
+        try:
+            await done.wait()
+        except BaseException:
+            self.withdraw(waiter)
+            raise
         if waiter.refused is not None:
             raise waiter.refused
         return waiter.seat
 
+    def admit(
+        self,
+        call: Call,
+        avoid: frozenset[str],
+        settled: Callable[[Waiter], None],
+    ) -> Waiter:
+        """Takes a request that needs a place.
+
+        Args:
+            call: The request.
+            avoid: Servers that it must not go to.
+            settled: Is told once, perhaps at once, when there is a seat or
+                a refusal.
+        """
+        waiter = Waiter(call, avoid, self._busy(call), settled)
+        self._waiting.append(waiter)
+        self._pump(call.service)
+        if waiter in self._waiting:
+            self._wake.set()
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Forgets a request whose caller left or asked elsewhere.
+
+        Its place may just have been found. A run that nobody ends would hold
+        room at the server for good.
+        """
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        if waiter.seat is not None:
+            waiter.seat.run.end()
+
     def freed(self, service: str) -> None:
         """Notes that a server of a service has room again."""
         if self._waiting:
@@ -129,20 +174,12 @@
                 self._wake = anyio.Event()
                 await self._wake.wait()
             await anyio.sleep(TICK_S)
-            for service in {item.call.service for item in self._waiting}:
-                self._pump(service)
+            self.look()
 
-    async def _wait(self, waiter: Waiter) -> None:
-        try:
-            await waiter.done.wait()
-        except BaseException:
-            # The caller left, perhaps just as its place was found. A run that
-            # nobody ends would hold room at the server for good.
-            if waiter in self._waiting:
-                self._waiting.remove(waiter)
-            if waiter.seat is not None:
-                waiter.seat.run.end()
-            raise
+    def look(self) -> None:
+        """Looks for places for all who wait."""
+        for service in {item.call.service for item in self._waiting}:
+            self._pump(service)
 
     def _pump(self, service: str) -> None:
         now = time.monotonic()
@@ -175,7 +212,7 @@
         item.seat = seat
         item.refused = refused
         self._waiting.remove(item)
-        item.done.set()
+        item.settled(item)
 
 
 def _no_room(call: Call, prospect: Prospect) -> NoRoomError:
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -6,7 +6,10 @@
 server.
 """
 
+import collections
 import dataclasses
+import enum
+import itertools
 from collections.abc import Iterable
 
 from jasminerelay.schema.messages import ServerLoad
@@ -16,6 +19,10 @@
 this time, since its connections close; a shorter life would empty the view
 whenever a few datagrams are lost."""
 
+MOST_ENDED = 256
+"""Ends that are kept until they are told. What is left out is seen by its
+absence among the runs; only the verdict on the server is lost."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Load:
@@ -53,8 +60,12 @@
     """One request at one server, from its dispatch to its end.
 
     Attributes:
+        number: Names it among all runs of its instance.
         server: The server.
         ahead: Prompt tokens that were unread there before it.
+        unread: Its prompt tokens that are not known to be read.
+        memory: Tokens of memory that it holds or will hold.
+        first_s: Time from its sending to its first event; None before it.
 
     Example:
         >>> workload = Workload()
@@ -68,28 +79,73 @@
     """
 
     def __init__(
-        self, workload: "Workload", server: str, unread: int, memory: int
+        self,
+        workload: "Workload",
+        number: int,
+        server: str,
+        unread: int,
+        memory: int,
     ):
+        self.number = number
         self.server = server
         self.ahead = workload.load(server).unread
+        self.unread = unread
+        self.memory = memory
+        self.first_s: float | None = None
         self._workload = workload
-        self._unread = unread
-        self._memory = memory
         self._ended = False
 
-    def read(self) -> None:
-        """Notes that its prompt is read: its first event is there."""
-        self._workload.change(self.server, Load(-self._unread, 0, 0))
-        self._unread = 0
+    def read(self, first_s: float = 0.0) -> None:
+        """Notes that its prompt is read: its first event is there.
+
+        Args:
+            first_s: Time from its sending to that event.
+        """
+        self.first_s = first_s
+        self._workload.change(self.server, Load(-self.unread, 0, 0))
+        self.unread = 0
 
-    def end(self) -> None:
-        """Notes that it has ended; a second call does nothing."""
+    def end(self, verdict: "Verdict | None" = None, output: int = 0) -> None:
+        """Notes that it has ended; a second call does nothing.
+
+        Args:
+            verdict: What its end says of the server; None for nothing.
+            output: Tokens of a whole stream; 0 otherwise.
+        """
         if self._ended:
             return
         self._ended = True
-        self._workload.change(
-            self.server, Load(-self._unread, -1, -self._memory)
-        )
+        self._workload.change(self.server, Load(-self.unread, -1, -self.memory))
+        self._workload.close(End(self.number, self.server, verdict, output))
+
+
+class Verdict(enum.Enum):
+    """What the end of a request says of its server.
+
+    Attributes:
+        GOOD: It gave a whole answer.
+        BAD: It could not be reached, fell silent or broke off.
+    """
+
+    GOOD = "good"
+    BAD = "bad"
+
+
+@dataclasses.dataclass(frozen=True)
+class End:
+    """The end of a request at a server.
+
+    Attributes:
+        number: The run's number.
+        server: The server.
+        verdict: What it says of the server; None for nothing.
+        output: Tokens of a whole stream; 0 otherwise.
+    """
+
+    number: int
+    server: str
+    verdict: Verdict | None
+    output: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,24 +156,63 @@
 
 
 class Workload:
-    """The ledger of one instance: its own requests and the others' words."""
+    """The ledger of one instance: its own requests and the others' words.
+
+    Attributes:
+        changed: Whether own loads changed since this was last cleared.
+        runs: Own requests under way, by number.
+        ended: Own requests that ended and were not taken from here yet.
+        touched: Servers whose own loads changed and were not taken yet.
+    """
 
     def __init__(self) -> None:
         self._own: dict[str, Load] = {}
         self._peers: dict[str, _PeerLoads] = {}
         self._others: dict[str, Load] = {}
+        self._numbers = itertools.count(1)
         self.changed = False
-
-    def start(self, server: str, unread: int, memory: int) -> Run:
-        """Notes that a request is being sent to a server."""
-        run = Run(self, server, unread, memory)
+        self.runs: dict[int, Run] = {}
+        self.ended: collections.deque[End] = collections.deque(
+            maxlen=MOST_ENDED
+        )
+        self.touched: set[str] = set()
+
+    def new_number(self) -> int:
+        """Returns a number that no run has had."""
+        return next(self._numbers)
+
+    def start(
+        self, server: str, unread: int, memory: int, number: int | None = None
+    ) -> Run:
+        """Notes that a request is being sent to a server.
+
+        Args:
+            server: The server.
+            unread: Prompt tokens that it has to read.
+            memory: Tokens of memory that the request takes there.
+            number: Its number, from `new_number`, if another instance has
+                given it its place and so knows of it; None for a new one.
+        """
+        known = number is not None
+        number = number if known else self.new_number()
+        run = Run(self, number, server, unread, memory)
+        self.runs[number] = run
+        news = not known or server in self.touched
         self.change(server, Load(unread, 1, memory))
+        if not news:
+            self.touched.remove(server)
         return run
 
+    def close(self, end: End) -> None:
+        """Takes the end of a run."""
+        self.runs.pop(end.number, None)
+        self.ended.append(end)
+
     def change(self, server: str, difference: Load) -> None:
         """Adds to what this instance has under way at a server."""
         load = self._own.get(server, NOTHING) + difference
         self.changed = True
+        self.touched.add(server)
         if load == NOTHING:
             self._own.pop(server, None)
         else:
--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,388 @@
+"""Cells of servers, their owners among the instances, and who asks them."""
+
+import time
+import unittest
+from collections.abc import Iterator
+
+import anyio
+import msgspec
+
+from jasminerelay import cells, peerwords
+from jasminerelay.asking import ANSWER_S, GATHER_S, TICK_S, AskingRoom
+from jasminerelay.catalog import Call, Prompt, PromptPart
+from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.errors import NoRoomError
+from jasminerelay.membership import ALIVE
+from jasminerelay.metrics import Counters
+from jasminerelay.owning import ASKER_LIFE_S, OwnedCells
+from jasminerelay.placing import UNREAD_LIMIT_S
+from jasminerelay.platform import documents
+from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import Member, ServerRow
+from jasminerelay.schema.settings import Statsd
+from jasminerelay.waitingroom import Seat, WaitingRoom
+from tests.test_placing import call
+
+SERVICE = "pool"
+SLOTS = 32
+READ_TOKEN_S = 1 / 20_000
+FIRST_EVENT_S = 0.02
+TOKEN_S = 0.005
+
+
+def registry(servers: int) -> Registry:
+    """Returns what an instance knows of a service with idle engines."""
+    found = Registry(documents.catalog, documents.server)
+    configuration = {
+        "version": 1,
+        "routes": [
+            {
+                "name": "long",
+                "hostname": "h",
+                "prefix": "/",
+                "routeType": "streaming",
+                "timeoutMs": 15_000,
+                "targetLatencyMs": 2_000,
+                "gapTargetMs": 1_000,
+                "priorityClass": 2,
+                "backend": SERVICE,
+                "sessionAffinity": True,
+            }
+        ],
+        "backends": [
+            {
+                "name": SERVICE,
+                "runtime": {
+                    "slotCount": SLOTS,
+                    "kvCapacity": 700_000,
+                    "stride": 5,
+                },
+            }
+        ],
+    }
+    found.take_configuration(1, msgspec.json.encode(configuration))
+    rows = []
+    for number in range(servers):
+        data = {
+            "backend": SERVICE,
+            "address": f"10.0.0.{number}:1",
+            "zone": "z",
+            "version": "v1",
+            "slotCount": SLOTS,
+            "phase": "ready",
+            "coldRemainingMs": 0,
+            "callSeq": 0,
+        }
+        name = f"i-{number:03}"
+        rows.append(ServerRow(name, 2, msgspec.json.encode(data)))
+    found.take_all(rows, 2)
+    return found
+
+
+class Site:
+    """Instances that hear each other at once, but for what a test cuts."""
+
+    def __init__(self, instances: int, servers: int):
+        self.names = [f"n{number:02}" for number in range(instances)]
+        self.dead: set[str] = set()
+        self.deaf: set[str] = set()
+        self.nodes = {name: Node(self, name, servers) for name in self.names}
+        self.see()
+
+    def see(self) -> None:
+        """Lets all instances see who lives."""
+        live = [
+            node.member for node in self.nodes.values() if node.counted_live
+        ]
+        for node in self.nodes.values():
+            node.asking.saw_instances(100, live)
+
+    def running(self, server: str) -> int:
+        """Returns what truly runs at a server."""
+        return sum(
+            node.dispatcher.workload.own_running(server)
+            for node in self.nodes.values()
+        )
+
+    def unread(self, server: str) -> int:
+        """Returns what is truly unread at a server."""
+        return sum(
+            item.unread
+            for node in self.nodes.values()
+            for item in node.dispatcher.workload.own()
+            if item.server == server
+        )
+
+    def owner_of(self, cell: int) -> "Node":
+        """Returns the instance that decides for a cell."""
+        live = [node.name for node in self.nodes.values() if node.counted_live]
+        return self.nodes[cells.owner(SERVICE, cell, live)]
+
+
+class Node:
+    """One instance of a site, without sockets."""
+
+    def __init__(self, site: Site, name: str, servers: int):
+        self.site = site
+        self.name = name
+        self.counted_live = True
+        self.member = Member(name, "", "z", "", "", f"{name}:1", ALIVE, 1)
+        known = registry(servers)
+        self.registry = known
+        self.dispatcher = Dispatcher(known, "z", lambda: len(site.names))
+        self.counters = Counters(Statsd())
+        self.local = WaitingRoom(
+            self.dispatcher.place,
+            self.dispatcher.expect,
+            self.dispatcher.busy_s,
+            self.dispatcher.reserve,
+        )
+        self.owned = OwnedCells(
+            name,
+            "z",
+            known,
+            self.dispatcher.engines,
+            self.dispatcher.lengths,
+            self.counters,
+        )
+        self.asking = AskingRoom(
+            name,
+            self.member.peers,
+            known,
+            self.dispatcher,
+            self.local,
+            self.counters,
+        )
+        self.owned.answer = self._answer
+        self.asking.send = self._ask
+        model = self.dispatcher.engines.of(SERVICE)
+        for tokens in (1_000, 4_000, 8_000, 16_000) * 3:
+            model.read(tokens, FIRST_EVENT_S + tokens * READ_TOKEN_S, 0.0)
+            model.stepped(tokens // 1_000, TOKEN_S, 0.0)
+
+    def _ask(self, owner: Member, word) -> None:
+        if {self.name, owner.instance} & self.site.dead:
+            return
+        data = peerwords.encode(word)
+        self.site.nodes[owner.instance].owned.hear(peerwords.decode(data))
+
+    def _answer(self, address: str, word) -> None:
+        to = address.removesuffix(":1")
+        if to in self.site.deaf or {self.name, to} & self.site.dead:
+            return
+        data = peerwords.encode(word)
+        self.site.nodes[to].asking.hear(peerwords.decode(data))
+
+
+def prompts(count: int, starts: int = 1000) -> Iterator[Call]:
+    """Returns long prompts that have just come, some with the same start."""
+    now = time.monotonic()
+    for number in range(count):
+        parts = (
+            PromptPart(f"start-{number % starts}", 3_000),
+            PromptPart(f"own-{number}", 3_000),
+        )
+        yield call(
+            f"c{number}",
+            arrived=now,
+            ends=now + 15.0,
+            prompt=Prompt(parts, 6_000, 400, 200),
+        )
+
+
+class CellsTest(unittest.TestCase):
+    """Which servers form a cell, and who decides for it."""
+
+    def test_even_and_small(self) -> None:
+        for count in (1, 6, 8, 9, 30, 39, 300):
+            split = cells.cells_of(f"s{number}" for number in range(count))
+            sizes = [len(cell) for cell in split]
+            self.assertEqual(sum(sizes), count)
+            self.assertLessEqual(max(sizes), cells.CELL_SERVERS)
+            self.assertGreaterEqual(min(sizes) * 2, max(sizes) - 2)
+
+    def test_few_change_when_one_goes(self) -> None:
+        names = [f"s{number}" for number in range(300)]
+        before = _by_server(names)
+        after = _by_server(names[1:])
+        moved = [name for name in after if after[name] != before[name]]
+        self.assertLess(len(moved), 30)
+
+    def test_one_owner_goes(self) -> None:
+        # Only the cells of the instance that went get another owner.
+        names = [f"n{number}" for number in range(60)]
+        for cell in range(40):
+            before = cells.owner(SERVICE, cell, names)
+            after = cells.owner(SERVICE, cell, names[1:])
+            if before != names[0]:
+                self.assertEqual(before, after)
+
+
+class HerdTest(unittest.IsolatedAsyncioTestCase):
+    """Many instances that place at the same servers in one moment."""
+
+    async def test_placings_of_one_moment(self) -> None:
+        # Sixty instances get a long prompt each within a millisecond, before
+        # any of them could tell another of its own. By its own view each
+        # finds all servers idle; by the owners' no server is given more
+        # reading than may lie ahead, and one prompt.
+        site = Site(60, servers=8)
+        async with anyio.create_task_group() as group:
+            calls = zip(site.nodes.values(), prompts(120, 3), strict=False)
+            for node, item in calls:
+                group.start_soon(_enter, node, item)
+            await anyio.sleep(ANSWER_S / 2)
+            most = max(site.unread(f"i-{number:03}") for number in range(8))
+            group.cancel_scope.cancel()
+        self.assertLessEqual(
+            most * READ_TOKEN_S, UNREAD_LIMIT_S + 6_000 * READ_TOKEN_S
+        )
+
+    async def test_room_that_comes_free_goes_to_one(self) -> None:
+        # All slots are taken and twenty instances wait. One run ends at one
+        # instance; exactly one of those who wait gets the place.
+        site = Site(30, servers=1)
+        seats: list[Seat] = []
+        waiting: list[Seat] = []
+        nodes = list(site.nodes.values())
+        async with anyio.create_task_group() as group:
+            for node in nodes:
+                group.start_soon(node.asking.run)
+            for item in prompts(28, 1):
+                with anyio.move_on_after(0.01):
+                    seat = await nodes[0].asking.enter(item, frozenset())
+                    seat.run.read(0.1)
+                    nodes[0].asking.freed(SERVICE)
+                    seats.append(seat)
+                await anyio.sleep(GATHER_S * 2)
+            for node, item in zip(nodes[1:21], prompts(20, 1), strict=True):
+                group.start_soon(_enter, node, item, waiting)
+            await anyio.sleep(TICK_S)
+            before = len(waiting)
+            seats[0].run.end()
+            nodes[0].asking.freed(SERVICE)
+            await anyio.sleep(TICK_S)
+            after = len(waiting)
+            group.cancel_scope.cancel()
+        self.assertEqual(after - before, 1)
+
+
+class LossTest(unittest.IsolatedAsyncioTestCase):
+    """Owners and askers that die, stand still or lose datagrams."""
+
+    async def test_dead_owner_costs_one_silence(self) -> None:
+        # The owner of the cell has died and nobody knows it yet. The first
+        # request of an instance goes by the instance's own view after a short
+        # silence, and the next ones at once.
+        site = Site(30, servers=6)
+        site.dead.add(site.owner_of(0).name)
+        node = next(x for x in site.nodes.values() if x.name not in site.dead)
+        items = list(prompts(3))
+        took = []
+        for item in items:
+            since = time.monotonic()
+            await node.asking.enter(item, frozenset())
+            took.append(time.monotonic() - since)
+        self.assertGreaterEqual(took[0], ANSWER_S)
+        self.assertEqual(node.counters.snapshot()["place.owner_silent"], 1)
+        self.assertEqual(node.counters.snapshot()["place.owner_spared"], 2)
+
+    async def test_new_owner_knows_what_runs(self) -> None:
+        # The owner dies, and the others learn of it. Its successor hears of
+        # all that runs from those who have it, before it has placed much.
+        site = Site(30, servers=4)
+        nodes = list(site.nodes.values())
+        async with anyio.create_task_group() as group:
+            for node in nodes:
+                group.start_soon(node.asking.run)
+            for node, item in zip(nodes, prompts(10), strict=False):
+                await node.asking.enter(item, frozenset())
+            owner = site.owner_of(0)
+            site.dead.add(owner.name)
+            owner.counted_live = False
+            site.see()
+            await anyio.sleep(3 * TICK_S)
+            loads = site.owner_of(0).owned.loads(time.monotonic())
+            group.cancel_scope.cancel()
+        told = sum(item.running for item in loads)
+        own = sum(len(owner.dispatcher.workload.runs) for _ in (0,))
+        truth = sum(site.running(item.server) for item in loads)
+        self.assertEqual(told, truth - own)
+
+    async def test_lost_answer_is_given_again(self) -> None:
+        # The datagram with a place is lost. The caller waits for one silence,
+        # then goes by the instance's own view; what the owner had reserved
+        # is free again with the next datagram, and nothing is placed twice.
+        site = Site(30, servers=4)
+        node = site.nodes["n00"]
+        site.deaf.add("n00")
+        async with anyio.create_task_group() as group:
+            group.start_soon(node.asking.run)
+            await node.asking.enter(next(prompts(1)), frozenset())
+            await anyio.sleep(2 * TICK_S)
+            loads = site.owner_of(0).owned.loads(time.monotonic())
+            group.cancel_scope.cancel()
+        self.assertEqual(sum(item.running for item in loads), 1)
+
+    async def test_asker_that_dies(self) -> None:
+        # An instance dies with runs under way; its connections close. The
+        # owner gives their room to others after the time that this takes.
+        site = Site(30, servers=4)
+        node = site.nodes["n01"]
+        await node.asking.enter(next(prompts(1)), frozenset())
+        owned = site.owner_of(0).owned
+        owned.tick(time.monotonic())
+        self.assertEqual(_running(owned), 1)
+        owned.tick(time.monotonic() + ASKER_LIFE_S + 0.1)
+        self.assertEqual(len(owned), 0)
+
+    async def test_caller_that_leaves(self) -> None:
+        # A caller leaves while its request waits at the owner. The place that
+        # comes free goes to another.
+        site = Site(30, servers=1)
+        node = site.nodes["n02"]
+        async with anyio.create_task_group() as group:
+            group.start_soon(node.asking.run)
+            for item in prompts(6):
+                with anyio.move_on_after(0.01):
+                    await node.asking.enter(item, frozenset())
+            await anyio.sleep(2 * TICK_S)
+            waiting = site.owner_of(0).owned.waiting
+            group.cancel_scope.cancel()
+        self.assertEqual(waiting, 0)
+
+    async def test_refusal_comes_at_once(self) -> None:
+        # The owner sees that a request cannot end in time. Its caller hears
+        # so at once and when to come back, since the request has not run.
+        site = Site(30, servers=1)
+        node = site.nodes["n03"]
+        for item in prompts(4):
+            await node.asking.enter(item, frozenset())
+        now = time.monotonic()
+        hasty = next(prompts(1))
+        hasty = call("h", arrived=now, ends=now + 0.1, prompt=hasty.prompt)
+        with self.assertRaises(NoRoomError) as caught:
+            await node.asking.enter(hasty, frozenset())
+        self.assertIsNotNone(caught.exception.retry_s)
+
+
+async def _enter(node: Node, item: Call, seats: list | None = None) -> None:
+    seat = await node.asking.enter(item, frozenset())
+    if seats is not None:
+        seats.append(seat)
+
+
+def _running(owned: OwnedCells) -> int:
+    return sum(item.running for item in owned.loads(time.monotonic()))
+
+
+def _by_server(names: list[str]) -> dict[str, int]:
+    return {
+        name: number
+        for number, cell in enumerate(cells.cells_of(names))
+        for name in cell
+    }
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -60,6 +60,7 @@
         "broker",
         "burn",
         "catalog",
+        "cells",
         "claims",
         "enginemodel",
         "entrylist",
