--- a/src/jasminerelay/asking.py
+++ b/src/jasminerelay/asking.py
@@ -8,16 +8,17 @@
 
 import dataclasses
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 
-from jasminerelay import cells
+from jasminerelay import cells, rendezvous
 from jasminerelay.catalog import Call
+from jasminerelay.cells import Cell
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.errors import NoRoomError
 from jasminerelay.metrics import Counters
-from jasminerelay.owning import PLACED, REFUSED, WAITING
+from jasminerelay.owning import ELSEWHERE, PLACED, REFUSED, WAITING
 from jasminerelay.placing import Placed
 from jasminerelay.prefix import part_hash
 from jasminerelay.registry import Registry
@@ -59,12 +60,14 @@
 RENEW_S = 1.0
 """How often an owner is told of runs at which nothing changes."""
 
+LED_S = 1.2
+"""Silence of those who follow the store for an instance after which it follows
+closely itself. They speak each 0.4 s; a server that leaves must be known within
+two seconds."""
+
 MS = 1e3
 US = 1e6
 
-Cell = tuple[str, int]
-"""Service and number of a cell."""
-
 
 @dataclasses.dataclass(eq=False)
 class _Ask:
@@ -79,6 +82,7 @@
         answer: The owner's last word.
         news: Is set with each word, and once the owner is given up.
         lost: Whether the owner was given up.
+        passed: Whether it was passed on from another cell.
     """
 
     number: int
@@ -89,6 +93,7 @@
     answer: PlaceAnswer | None = None
     news: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     lost: bool = False
+    passed: bool = False
 
 
 @dataclasses.dataclass
@@ -111,6 +116,7 @@
     def __init__(
         self,
         own: str,
+        zone: str,
         peers: str,
         registry: Registry,
         dispatcher: Dispatcher,
@@ -121,6 +127,7 @@
 
         Args:
             own: This instance.
+            zone: Its availability zone.
             peers: Its address for datagrams.
             registry: Configuration and servers.
             dispatcher: Decides where no owner does.
@@ -128,6 +135,7 @@
             counters: Counts events.
         """
         self._own = own
+        self._zone = zone
         self._peers = peers
         self._registry = registry
         self._dispatcher = dispatcher
@@ -139,15 +147,17 @@
         self._dirty = anyio.Event()
         self._live: dict[str, Member] = {}
         self._owners: dict[Cell, Member | None] = {}
+        self._followers: list[str] = []
         self._heard: dict[str, float] = {}
         self._spared: dict[str, float] = {}
+        self._led_at = float("-inf")
         self.active = False
         self.send: Callable[[Member, PlaceWord], None] = lambda to, word: None
 
     def __len__(self) -> int:
         return len(self._asks) + len(self._local)
 
-    def saw_instances(self, known: int, live: Iterable[Member]) -> None:
+    def saw_instances(self, known: int, live: Sequence[Member]) -> None:
         """Notes the instances there are.
 
         Args:
@@ -157,9 +167,36 @@
         """
         self.active = known >= OWNERS_FROM
         members = {member.instance: member for member in live}
-        if members.keys() != self._live.keys():
-            self._owners.clear()
+        if members.keys() == self._live.keys():
+            return
+        self._owners.clear()
         self._live = members
+        zone = [x.instance for x in live if x.zone == self._zone]
+        self._followers = cells.followers(self._zone, zone)
+
+    def follows_closely(self) -> bool:
+        """Returns whether this instance follows the store for others."""
+        if not self.active or time.monotonic() - self._led_at > LED_S:
+            return True
+        return self._own in self._followers
+
+    def note_leader(self, instance: str, now: float) -> None:
+        """Notes a word of an instance that has the store."""
+        if instance in self._followers:
+            self._led_at = now
+
+    def led(self) -> list[Member]:
+        """Returns the instances that this one tells of the store's changes."""
+        names = self._followers
+        if not self.active or self._own not in names:
+            return []
+        return [
+            member
+            for member in self._live.values()
+            if member.zone == self._zone
+            and member.instance not in names
+            and rendezvous.owner(member.instance, names) == self._own
+        ]
 
     async def enter(self, call: Call, avoid: frozenset[str]) -> Seat:
         """Waits for a place.
@@ -181,6 +218,15 @@
                 self._touch(ask.cell)
         return seat or await self._local.enter(call, avoid)
 
+    def owners(self) -> list[Member]:
+        """Returns the other instances that decide for cells."""
+        found = {}
+        for cell in list(self._owners):
+            owner = self._owner(cell)
+            if owner is not None and owner.instance != self._own:
+                found[owner.instance] = owner
+        return list(found.values())
+
     def freed(self, service: str) -> None:
         """Notes that a server of a service has room again."""
         self._local.freed(service)
@@ -240,25 +286,47 @@
 
     async def _answered(self, ask: _Ask) -> Seat | None:
         """Waits for an ask's end; None if the own view must decide."""
-        with anyio.move_on_after(ANSWER_S):
-            await ask.news.wait()
-        if ask.answer is None:
-            self._give_up(ask.owner, ask)
-            return None
-        while True:
-            if ask.lost:
-                return None
+        while await self._heard_of(ask):
             answer = ask.answer
             if answer.state == REFUSED:
                 self._counters.incr("place.refused")
                 raise NoRoomError(answer.why, retry_s=answer.retry_ms / MS)
             if answer.state == PLACED:
                 return self._seat(ask, answer)
+            if answer.state == ELSEWHERE and self._pass_on(ask, answer.cell):
+                continue
             if answer.state != WAITING:
                 self._counters.incr("place.foreign_cell")
                 return None
             ask.news = anyio.Event()
+        return None
+
+    async def _heard_of(self, ask: _Ask) -> bool:
+        """Waits for an owner's word; returns whether there is one."""
+        if ask.answer is None:
+            with anyio.move_on_after(ANSWER_S):
+                await ask.news.wait()
+            if ask.answer is None and not ask.lost:
+                self._give_up(ask.owner, ask)
+        else:
             await ask.news.wait()
+        return not ask.lost
+
+    def _pass_on(self, ask: _Ask, number: int) -> bool:
+        """Asks another cell; returns whether it has an owner."""
+        cell = (ask.call.service, number)
+        owner = self._owner(cell)
+        if ask.passed or owner is None:
+            return False
+        self._counters.incr("place.passed")
+        self._touch(ask.cell)
+        ask.cell = cell
+        ask.owner = owner
+        ask.passed = True
+        ask.answer = None
+        ask.news = anyio.Event()
+        self._tell(cell)
+        return True
 
     def _seat(self, ask: _Ask, answer: PlaceAnswer) -> Seat | None:
         server = self._registry.server(answer.server)
@@ -424,6 +492,7 @@
         expected_output=-1 if hint is None else hint,
         parts=[part_hash(part.id) for part in shared],
         part_tokens=[part.tokens for part in shared],
+        passed=ask.passed,
     )
 
 
--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -80,6 +80,10 @@
     model: bool
     patience_s: float = math.inf
 
+    def serves(self, service: str) -> bool:
+        """Returns whether some of its requests go to a service."""
+        return any(share.service == service for share in self.services)
+
     def pick_service(self, rng: random.Random) -> str:
         """Returns the service of one request, by the shares' weights."""
         if len(self.services) == 1:
--- a/src/jasminerelay/cells.py
+++ b/src/jasminerelay/cells.py
@@ -13,11 +13,24 @@
 from collections.abc import Iterable, Sequence
 
 from jasminerelay import rendezvous
+from jasminerelay.schema.messages import CellQueue
+
+MS = 1e3
 
 CELL_SERVERS = 8
 """Most servers of a cell. Its owner places some 40 requests a second at the
 rates known; fewer servers could not be split between three kinds of work."""
 
+FOLLOWERS = 3
+"""Instances of each availability zone that follow the store closely and tell
+the others of their zone. Two may go at once; the other zones' tell, too."""
+
+QUEUE_LIFE_S = 1.0
+"""How long an owner's word on its queue counts; it is told each 0.1 s."""
+
+Cell = tuple[str, int]
+"""Service and number of a cell."""
+
 
 def cells_of(servers: Iterable[str]) -> tuple[tuple[str, ...], ...]:
     """Returns a service's servers by cell.
@@ -41,6 +54,61 @@
     return rendezvous.owner(f"{service}/{cell}", instances)
 
 
+def followers(zone: str, instances: Iterable[str]) -> list[str]:
+    """Returns the instances of a zone that follow the store closely.
+
+    Args:
+        zone: The availability zone.
+        instances: Its live instances.
+    """
+    return rendezvous.rank(f"store/{zone}", instances)[:FOLLOWERS]
+
+
+class QueueView:
+    """How long the queues at cells are, by what their owners tell."""
+
+    def __init__(self) -> None:
+        self._queues: dict[Cell, dict[str, float]] = {}
+        self._heard: dict[Cell, float] = {}
+
+    def hear(self, queues: Iterable[CellQueue], now: float) -> None:
+        """Takes an owner's word."""
+        for item in queues:
+            cell = (item.service, item.cell)
+            self._queues.setdefault(cell, {})[item.kind] = item.ahead_ms / MS
+            self._heard[cell] = now
+
+    def shortest(
+        self, cell: Cell, kind: str, now: float
+    ) -> tuple[int, float] | None:
+        """Returns the cell with the shortest queue and the time it takes.
+
+        Args:
+            cell: A cell of the service that is left out.
+            kind: The kind of work.
+            now: Steady time.
+        """
+        found = [
+            (queues[kind], other[1])
+            for other, queues in self._queues.items()
+            if other[0] == cell[0]
+            and other != cell
+            and kind in queues
+            and now - self._heard[other] < QUEUE_LIFE_S
+        ]
+        if not found:
+            return None
+        ahead_s, number = min(found)
+        return number, ahead_s
+
+    def sent(self, cell: Cell, kind: str, busy_s: float) -> None:
+        """Notes work sent to a cell, until its owner's next word.
+
+        Without it all that is passed on between two words goes to one cell.
+        """
+        self._queues[cell][kind] += busy_s
+
+
 @functools.lru_cache(maxsize=64)
 def _cells(servers: tuple[str, ...]) -> tuple[tuple[str, ...], ...]:
     if not servers:
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -1,6 +1,7 @@
 """Chooses servers for requests from all that an instance knows."""
 
 import dataclasses
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -11,14 +12,13 @@
     Call,
     Engine,
     PromptPart,
-    Route,
 )
 from jasminerelay.enginemodel import EngineModels, Speeds
 from jasminerelay.groups import DemandMeter, DemandView, Need, Split
 from jasminerelay.lengths import Lengths
 from jasminerelay.pace import PaceBook
 from jasminerelay.placing import Guess, Option, Placed, Wait
-from jasminerelay.prefix import PrefixIndex, part_hash
+from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import EngineSample, KindDemand, ServerLoad
 from jasminerelay.silences import Silences
@@ -103,6 +103,7 @@
         engines: EngineModels | None = None,
         lengths: Lengths | None = None,
         silences: Silences | None = None,
+        caches: CacheView | None = None,
     ):
         """Makes a dispatcher.
 
@@ -113,6 +114,8 @@
             engines: What is known of engines; new if None.
             lengths: What is known of answers' lengths; new if None.
             silences: Judges servers that say nothing; new if None.
+            caches: What the servers hold, for who places all their requests;
+                None for one of several.
         """
         self._registry = registry
         self._zone = zone
@@ -124,6 +127,7 @@
         self._split_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
+        self._caches = caches
         self.lengths = lengths or Lengths()
         self._silences = silences or Silences()
         self.paces = PaceBook()
@@ -197,6 +201,13 @@
             return call.route.objective_s / 4
         return self._need_s(call.service, self._need(call))
 
+    def first_s(self, call: Call) -> float:
+        """Returns how long a request's first event takes once it is placed."""
+        if call.prompt is None:
+            return 0.0
+        speeds = self._speeds(call.service)
+        return placing.KNOWN_UNREAD_S + speeds.first_s(call.prompt.own_tokens)
+
     def place(self, call: Call, avoid: frozenset[str]) -> Placed | Wait:
         """Finds a place now."""
         servers = [
@@ -210,7 +221,7 @@
         if call.prompt is None or engine is None:
             options = self._options(call, servers)
             return placing.place_plain(call, _some(options), self._zone)
-        group = self._group(call, servers)
+        group = self._group(call.service, call.route.name, servers)
         now = time.monotonic()
         guess = self._guess(call)
         speeds = self._speeds(call.service)
@@ -239,6 +250,7 @@
                 paces.slowness(server.id),
                 paces.token_s[server.id],
                 self._blocked(call.service, server.id, now),
+                self._caches is not None,
             )
             for server in servers
         ]
@@ -248,7 +260,8 @@
     ) -> int:
         if not hashes:
             return 0
-        count = self._warm.matched(server, hashes)
+        view = self._warm if self._caches is None else self._caches
+        count = view.matched(server, hashes)
         return sum(part.tokens for part in shared[:count])
 
     def _blocked(self, service: str, server: str, now: float) -> bool:
@@ -284,7 +297,7 @@
         pauses = [
             route.pause_s
             for route in (catalog.routes if catalog else ())
-            if route.pause_s and _serves(route, service)
+            if route.pause_s and route.serves(service)
         ]
         if not pauses or engine is None:
             return float("inf")
@@ -331,10 +344,24 @@
         idle = not self.workload.own_running(name)
         self._silences.sent(name, idle, time.monotonic())
         if call.prompt is not None:
-            parts = [part_hash(part.id) for part in call.prompt.parts]
-            self._warm.add(name, tuple(parts))
+            self._note_parts(call, name)
         return self.workload.start(name, placed.unread, placed.memory, number)
 
+    def _note_parts(self, call: Call, server: str) -> None:
+        parts = call.prompt.parts
+        hashes = [part_hash(part.id) for part in parts]
+        engine = self.engine_of(call.service)
+        if self._caches is None or engine is None:
+            self._warm.add(server, tuple(hashes))
+            return
+        tokens = [part.tokens for part in parts]
+        tokens[-1] += self._guess(call).output
+        self._caches.add(
+            server,
+            list(zip(hashes, tokens, strict=True)),
+            engine.cache_tokens,
+        )
+
     def seat_at(self, call: Call, server: BackendServer) -> Seat:
         """Returns a seat at a server that has the run's memory already."""
         memory = call.prompt.tokens + self._guess(call).output
@@ -358,7 +385,7 @@
         if engine is None or not servers:
             return None
         memory = call.prompt.tokens + self._guess(call).output
-        group = self._group(call, servers)
+        group = self._group(call.service, call.route.name, servers)
         options = _some(self._options(call, group))
         roomy = [
             item.server
@@ -450,27 +477,45 @@
         if call.prompt is None:
             ahead = ahead_s * self._instances() / _slots(servers)
             return Prospect(ahead, call.route.objective_s / 3, left_s)
-        outlook = self._outlook(call, servers, now)
+        outlook = self._outlook(call.service, call.route.name, servers, now)
         ahead = outlook.reading_s + ahead_s * outlook.share
         first_s = self._speeds(call.service).first_s(call.prompt.own_tokens)
         own_s = first_s + self._guess(call).output * outlook.token_s
         patience_s = call.arrived + call.route.patience_s - now
         return Prospect(ahead, own_s, left_s, first_s, patience_s)
 
+    def ahead_s(self, service: str, kind: str, queued_s: float) -> float:
+        """Returns the time until the turn of a new model request.
+
+        Args:
+            service: Its service.
+            kind: Its kind.
+            queued_s: Engine time of the requests of its kind that wait.
+        """
+        servers = self._registry.servers_of(service)
+        if not servers:
+            return math.inf
+        outlook = self._outlook(service, kind, servers, time.monotonic())
+        return outlook.reading_s + queued_s * outlook.share
+
     def _outlook(
-        self, call: Call, servers: list[BackendServer], now: float
+        self,
+        service: str,
+        kind: str,
+        servers: list[BackendServer],
+        now: float,
     ) -> "_Outlook":
-        key = (call.service, call.route.name)
+        key = (service, kind)
         held = self._outlooks.get(key)
         if held is not None and now - held.at < OUTLOOK_LIFE_S:
             return held
-        names = [item.id for item in self._group(call, servers)]
+        names = [item.id for item in self._group(service, kind, servers)]
         # Where runs can be moved, a long answer goes on where nothing is read.
-        engine = self.engine_of(call.service)
+        engine = self.engine_of(service)
         moves = engine is not None and engine.moves
         going_on = [item.id for item in servers] if moves else names
         unread = sum(self.workload.load(name).unread for name in names)
-        speeds = self._speeds(call.service)
+        speeds = self._speeds(service)
         seen = (self.paces.token_s(name, now) for name in going_on)
         self._outlooks[key] = _Outlook(
             now,
@@ -485,6 +530,8 @@
         for health in self._health.values():
             health.forget(server)
         self._warm.forget(server)
+        if self._caches is not None:
+            self._caches.forget(server)
         self.paces.forget(server)
         self._silences.forget(server)
 
@@ -550,10 +597,10 @@
                 self.engines.see(sample, now)
 
     def _group(
-        self, call: Call, servers: list[BackendServer]
+        self, service: str, kind: str, servers: list[BackendServer]
     ) -> list[BackendServer]:
-        split = self._splits.get(call.service)
-        names = set(split.group(call.route.name)) if split else ()
+        split = self._splits.get(service)
+        names = set(split.group(kind)) if split else ()
         group = [server for server in servers if server.id in names]
         return group or servers
 
@@ -566,9 +613,5 @@
     return options
 
 
-def _serves(route: Route, service: str) -> bool:
-    return any(share.service == service for share in route.services)
-
-
 def _slots(servers: list[BackendServer]) -> int:
     return max(1, sum(server.slots for server in servers))
--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -35,6 +35,11 @@
 are replaced change in series, and one call then brings several. It delays word
 of a leaving server, which must be known within two seconds."""
 
+FAR_GATHER_S = 5.0
+"""The same pause where others follow closely and tell of changes. Servers that
+start one after the other bring a change each 0.4 s for five seconds: twelve of
+the 28 calls that an instance made on a calm day."""
+
 CHECK_AGE_S = 1.0
 """Age of the store's last answer from which on it is asked again once another
 instance has lost it. Many may lose it within a second; one call serves all."""
@@ -127,6 +132,19 @@
         self._doubt = anyio.Event()
 
 
+@dataclasses.dataclass(frozen=True)
+class Manner:
+    """How a table is followed.
+
+    Attributes:
+        wait_s: How long a call waits for a change.
+        gather_s: Pause after a change before the next call.
+    """
+
+    wait_s: float = WAIT_S
+    gather_s: float = dataclasses.field(default_factory=lambda: GATHER_S)
+
+
 class Follower:
     """Follows one table until cancelled."""
 
@@ -137,7 +155,7 @@
         state: StoreState,
         counters: Counters,
         rng: random.Random,
-        wait_s: float = WAIT_S,
+        manner: Callable[[], Manner] = Manner,
     ):
         """Makes a follower.
 
@@ -147,9 +165,9 @@
             state: Takes notes of lost and regained touch.
             counters: Counts calls.
             rng: Spreads the tries.
-            wait_s: How long a call waits for a change.
+            manner: Returns how to follow from now on.
         """
-        self._wait_s = wait_s
+        self._manner = manner
         self._name = name
         self._source = source
         self._state = state
@@ -183,7 +201,7 @@
                 if page is None:
                     wait_s = 0.0
                     continue
-                wait_s = self._wait_s
+                wait_s = self._manner().wait_s
             except HistoryGoneError:
                 after = None
                 continue
@@ -199,7 +217,8 @@
             after = max(after, page.version)
             if page.rows:
                 take_changes(page)
-                await anyio.sleep(GATHER_S)
+                if await self._doubted():
+                    wait_s = 0.0
 
     async def _changes(self, after: int, wait_s: float) -> Page | None:
         """Waits for changes; None once the store is in doubt.
@@ -224,6 +243,23 @@
             raise failure
         return page
 
+    async def _doubted(self) -> bool:
+        """Pauses; returns whether the store came into doubt meanwhile.
+
+        An outage that begins in a long pause would not be noticed here, and
+        rows that lapse in it would pass for removals. Nor may the pause go on
+        once those who told of changes are silent.
+        """
+        doubt = self._state.doubt
+        began = time.monotonic()
+        while not doubt.is_set():
+            left_s = began + self._manner().gather_s - time.monotonic()
+            if left_s <= 0:
+                break
+            with anyio.move_on_after(min(left_s, GATHER_S)):
+                await doubt.wait()
+        return doubt.is_set()
+
     async def _read_all(self, take_all: Callable[[Page], bool]) -> int | None:
         page = await self._source.read()
         self._worked()
@@ -262,12 +298,14 @@
         self._log = log
         self.on_leaving: Callable[[str], None] = lambda server: None
         self.on_gone: Callable[[str], None] = lambda server: None
+        self.on_changed: Callable[[], None] = lambda: None
 
     def take_configuration(self, page: Page) -> bool:
         """Takes rows of the operator's table."""
         for row in page.rows:
             if row.id == self._key and row.data is not None:
                 self.adopt_configuration(row.version, row.data, "store")
+        self.on_changed()
         return True
 
     def adopt_configuration(
@@ -302,6 +340,7 @@
     def _take(self, page: Page, take: Callable) -> None:
         news = take(page.rows, page.version)
         self.report(news, "store")
+        self.on_changed()
 
     def expire(self, now: float) -> None:
         """Ends the use of servers that stayed away after an outage.
--- a/src/jasminerelay/owning.py
+++ b/src/jasminerelay/owning.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -19,13 +20,16 @@
     Prompt,
     PromptPart,
 )
-from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.cells import QueueView
+from jasminerelay.dispatcher import Dispatcher, OnSplit
 from jasminerelay.enginemodel import EngineModels
 from jasminerelay.lengths import Lengths
 from jasminerelay.metrics import Counters
 from jasminerelay.placing import Placed
+from jasminerelay.prefix import CacheView
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import (
+    CellQueue,
     EndWord,
     EngineSample,
     KindDemand,
@@ -43,6 +47,7 @@
 PLACED = "placed"
 WAITING = "waiting"
 REFUSED = "refused"
+ELSEWHERE = "elsewhere"
 FOREIGN = "foreign"
 
 ASKER_LIFE_S = 3.0
@@ -54,9 +59,16 @@
 """How long an instance's word that a server is silent counts. It is repeated
 five times a second while the silence lasts."""
 
-IDLE_TICK_S = 0.1
-"""How often it is looked whether anyone waits while nobody does. Whoever begins
-to wait is looked at with each word that frees room."""
+PASS_GAIN_S = 0.1
+"""Time that another cell must be quicker for a request to be passed on there,
+beside reading the start of its prompt anew: the age of what is known of it."""
+
+LOOK_S = 0.01
+"""How often places are looked for after a change, while anyone waits. Looked
+for with each datagram, they took most of an owner's processor under a burst."""
+
+IDLE_TICK_S = 0.03
+"""How often it is looked whether anyone waits."""
 
 CALM_S = 0.1
 """Reading ahead at a server up to which its streams show its own step."""
@@ -159,7 +171,12 @@
 
 
 class CellOwner:
-    """Places requests at one cell's servers, for all who ask."""
+    """Places requests at one cell's servers, for all who ask.
+
+    Attributes:
+        room: Where requests wait.
+        changed: Whether there may be room for them that was not looked at.
+    """
 
     def __init__(
         self,
@@ -169,6 +186,7 @@
         registry: Registry,
         dispatcher: Dispatcher,
         silences: ToldSilences,
+        queues: QueueView,
         answer: Answer,
     ):
         """Makes the owner of a cell at which nothing is known to run.
@@ -180,6 +198,7 @@
             registry: The cell's servers.
             dispatcher: Decides by what runs at the cell, and nothing else.
             silences: The dispatcher's word on silent servers.
+            queues: What is known of other cells.
             answer: Sends answers.
         """
         self._own = own
@@ -188,6 +207,7 @@
         self._registry = registry
         self._dispatcher = dispatcher
         self._silences = silences
+        self._queues = queues
         self._answer = answer
         self._askers: dict[str, _Asker] = {}
         self.room = WaitingRoom(
@@ -195,7 +215,10 @@
             dispatcher.expect,
             dispatcher.busy_s,
             dispatcher.reserve,
+            dispatcher.first_s,
+            gathers=True,
         )
+        self.changed = False
 
     @property
     def idle(self) -> bool:
@@ -217,8 +240,7 @@
             self._drop(asker.requests.pop(number))
             freed = True
         self._take_tokens(word.tokens, now)
-        if freed:
-            self.room.freed(self._service)
+        self.changed |= freed or bool(word.asks)
         answers = [self._take_ask(asker, item, now) for item in word.asks]
         if answers:
             self._send(asker, answers)
@@ -257,16 +279,34 @@
         """Returns what all instances' callers bring to the cell."""
         return self._dispatcher.own_demand()
 
+    def told_queues(self) -> list[CellQueue]:
+        """Returns how long a new request of each kind would wait."""
+        catalog = self._registry.catalog
+        return [
+            CellQueue(
+                self._service, self._cell, route.name, round(MS * ahead_s)
+            )
+            for route in (catalog.routes if catalog else ())
+            if route.model
+            and route.serves(self._service)
+            and (ahead_s := self._ahead_s(route.name)) < math.inf
+        ]
+
     def gone(self, server: str) -> None:
         """Forgets a server that has ended."""
         self._dispatcher.gone(server)
 
+    def _ahead_s(self, kind: str) -> float:
+        return self._dispatcher.ahead_s(
+            self._service, kind, self.room.queued_s(kind)
+        )
+
     def _take_ask(
         self, asker: _Asker, ask: PlaceAsk, now: float
     ) -> PlaceAnswer:
         held = asker.requests.get(ask.number)
         if held is not None:
-            return held.answer or PlaceAnswer(ask.number, WAITING)
+            return held.answer or self._still(asker, ask, held)
         call = self._call(ask, now)
         if call is None:
             return PlaceAnswer(ask.number, FOREIGN)
@@ -278,6 +318,8 @@
 
         def settled(waiter: Waiter) -> None:
             request.answer = _answer_of(ask.number, waiter)
+            if waiter.refused is not None:
+                request.answer = self._passed_on(ask, call) or request.answer
             if waiter.seat is not None:
                 request.run = waiter.seat.run
             if entered:
@@ -285,7 +327,42 @@
 
         request.waiter = self.room.admit(call, frozenset(ask.avoid), settled)
         entered = True
-        return request.answer or PlaceAnswer(ask.number, WAITING)
+        return request.answer or self._still(asker, ask, request)
+
+    def _still(
+        self, asker: _Asker, ask: PlaceAsk, request: _Request
+    ) -> PlaceAnswer:
+        """Answers an ask that waits: go elsewhere, or wait on."""
+        passed = self._passed_on(ask, request.call)
+        if passed is None:
+            return PlaceAnswer(ask.number, WAITING)
+        del asker.requests[ask.number]
+        self._drop(request)
+        return passed
+
+    def _passed_on(self, ask: PlaceAsk, call: Call) -> PlaceAnswer | None:
+        """Returns the answer to ask another cell, if that is sooner.
+
+        Starts of prompts spread evenly over the cells, requests and crashes
+        of servers do not: for seconds one cell has a queue and others none.
+        """
+        if ask.passed or call.prompt is None:
+            return None
+        here = (self._service, self._cell)
+        kind = call.route.name
+        found = self._queues.shortest(here, kind, time.monotonic())
+        if found is None:
+            return None
+        cell, there_s = found
+        here_s = self._ahead_s(kind)
+        speeds = self._dispatcher.engines.of(self._service).speeds()
+        lost_s = speeds.reading_s(call.prompt.shared_tokens)
+        if here_s - there_s < lost_s + PASS_GAIN_S:
+            return None
+        servers = len(self._registry.servers_of(self._service))
+        busy_s = self._dispatcher.busy_s(call) / max(1, servers)
+        self._queues.sent((self._service, cell), kind, busy_s)
+        return PlaceAnswer(ask.number, ELSEWHERE, cell=cell)
 
     def _call(self, ask: PlaceAsk, now: float) -> Call | None:
         catalog = self._registry.catalog
@@ -432,6 +509,8 @@
         self._lengths = lengths
         self._counters = counters
         self._cells: dict[tuple[str, int], CellOwner] = {}
+        self.queues = QueueView()
+        self.on_split: OnSplit = lambda service, groups, demand: None
         self.answer: Answer = lambda address, word: None
 
     def __len__(self) -> int:
@@ -477,10 +556,16 @@
 
     async def run(self) -> None:
         """Looks for places for all who wait until cancelled."""
+        looked = 0.0
         while True:
-            await anyio.sleep(TICK_S if self.waiting else IDLE_TICK_S)
-            for cell in self._cells.values():
-                cell.room.look()
+            await anyio.sleep(LOOK_S if self.waiting else IDLE_TICK_S)
+            now = time.monotonic()
+            all_due = now - looked >= TICK_S
+            looked = now if all_due else looked
+            for cell in list(self._cells.values()):
+                if all_due or cell.changed:
+                    cell.changed = False
+                    cell.room.look()
 
     def loads(self, now: float) -> list[ServerLoad]:
         """Returns what runs at the servers of all owned cells."""
@@ -490,6 +575,10 @@
         """Returns what callers bring to all owned cells."""
         return [kind for x in self._cells.values() for kind in x.demand()]
 
+    def told_queues(self) -> list[CellQueue]:
+        """Returns how long new requests would wait at the owned cells."""
+        return [item for x in self._cells.values() for item in x.told_queues()]
+
     def gone(self, server: str) -> None:
         """Forgets a server that has ended."""
         for cell in self._cells.values():
@@ -504,7 +593,9 @@
             self._engines,
             self._lengths,
             silences,
+            CacheView(),
         )
+        dispatcher.on_split = lambda *found: self.on_split(*found)
         return CellOwner(
             self._own,
             service,
@@ -512,6 +603,7 @@
             servers,
             dispatcher,
             silences,
+            self.queues,
             lambda address, word: self.answer(address, word),
         )
 
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -45,10 +45,17 @@
 """Others that get the loads each time, whatever the number of instances. With
 67 of them each hears every other one about every 0.4 s."""
 
+OWNERS_TOLD = 12
+"""Owners of cells that an owner tells each time, in place of as many others.
+They pass requests on by it; the others need it only where owners fail."""
+
 PROBE_EVERY = 2
 """Probes are sent every so many rounds of loads: the others' death must show
 before callers' entry lists expire."""
 
+LEAD_EVERY = 4
+"""Rounds between two words of who follows the store to those who do not."""
+
 SUSPECT_S = 0.8
 """Silence after a missed probe until an instance counts as failed."""
 
@@ -216,9 +223,24 @@
             self._dispatcher.workload.changed = False
             if len(self._owned) if self._by_owners else changed:
                 self._send_loads()
+            if rounds % LEAD_EVERY == 0:
+                self.tell_standing()
             rounds += 1
             await anyio.sleep(LOAD_EVERY_S * self._rng.uniform(0.9, 1.1))
 
+    def tell_standing(self) -> None:
+        """Tells those who follow through this instance how new it is.
+
+        Where that is newer they fetch the rows from here, in place of asking
+        the store each.
+        """
+        led = self._asking.led() if self._asking is not None else []
+        if not led:
+            return
+        data = peerwords.encode(self._word(None))
+        for member in led:
+            self._send_to(member.peers, data)
+
     def _greet(self) -> None:
         sends = self.membership.greet(self._addresses)
         count = min(GREET_AT_ONCE, len(sends))
@@ -231,6 +253,10 @@
             if member.state in (ALIVE, LEAVING)
         ]
         chosen = self._rng.sample(peers, min(LOAD_FANOUT, len(peers)))
+        if self._by_owners:
+            owners = self._asking.owners()
+            count = min(OWNERS_TOLD, len(owners))
+            chosen = self._rng.sample(owners, count) + chosen[count:]
         word = dataclasses.replace(
             self._word(None), samples=self._dispatcher.engines.untold()
         )
@@ -248,7 +274,9 @@
         now = time.monotonic()
         if self._by_owners:
             loads, demand = self._owned.loads(now), self._owned.demand()
+            queues = self._owned.told_queues()
         else:
+            queues = []
             loads = self._dispatcher.own_loads(now)
             demand = self._dispatcher.own_demand()
         return PeerWord(
@@ -258,6 +286,7 @@
             self._registry.standing,
             peerwords.load_columns(loads),
             peerwords.demand_columns(demand),
+            queues=queues,
         )
 
     def _send_to(self, address: str, data: bytes) -> None:
@@ -315,6 +344,10 @@
         demand = peerwords.demand_rows(word.demand)
         self._dispatcher.demand.hear(word.sender, demand, now)
         self._dispatcher.engines.hear(word.samples, now)
+        if self._owned is not None:
+            self._owned.queues.hear(word.queues, now)
+            if word.standing.touch != Touch.LOST:
+                self._asking.note_leader(word.sender, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
         if self._registry.behind(word.standing):
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -20,6 +20,11 @@
 It covers the age of the other instances' words; more only takes the choice
 of order away from the instances."""
 
+KNOWN_UNREAD_S = 0.1
+"""The same where all that is sent to the server is known at once. It covers the
+way to the server and back, so that no engine stands idle; what waits longer can
+still be ordered and passed on."""
+
 SERVICE_SHARE = 2.0
 """Requests per slot that a plain service's server gets: one running, one
 queued behind it while its answer travels."""
@@ -81,6 +86,9 @@
         slowness: Its pace relative to its peers'; 1 is usual.
         token_s: Seconds per token that its streams take now; None if unknown.
         blocked: Whether it rests after a failure.
+        known: Whether `warm` is all that it has read; else it may have read
+            more for other instances, and its place in the prompt's order of
+            servers tells how likely that is.
     """
 
     server: BackendServer
@@ -89,6 +97,7 @@
     slowness: float = 1.0
     token_s: float | None = None
     blocked: bool = False
+    known: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,9 +126,11 @@
 
     Attributes:
         why: What there is none of.
+        full: Whether no server of its kind has room.
     """
 
     why: str
+    full: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -163,15 +174,18 @@
         for item in open_options
     ]
     best = min(scored, key=_seconds)
-    if best.room and best.placed.server.id == home:
+    known = all(item.known for item in open_options)
+    if best.room and (known or best.placed.server.id == home):
         return best.placed
     left_s = call.arrived + call.route.objective_s - now
     if not best.room and best.first_s < left_s * PATIENCE_SHARE:
         return Wait("the server that has its prompt's start is full")
     roomy = [item for item in scored if item.room]
     if not roomy:
-        return Wait("no room at the servers of its group")
-    worth_s = _overflow_worth_s(call, engine, speeds, following)
+        return Wait("no room at the servers of its group", full=True)
+    worth_s = {}
+    if not known:
+        worth_s = _overflow_worth_s(call, engine, speeds, following)
     return min(
         roomy,
         key=lambda item: item.seconds - worth_s.get(item.placed.server.id, 0.0),
@@ -204,11 +218,10 @@
     holders: Sequence[Option],
     guess: Guess,
 ) -> _Scored:
-    source = next((held for held in holders if held is not item), None)
     lacked = _lacked(call, item, item.server.id == home)
-    copy_s = engine.transfer_s(lacked)
-    fetched = source is not None and copy_s < speeds.reading_s(lacked)
-    unread = max(1, call.prompt.own_tokens + (0 if fetched else lacked))
+    source, copied = _copy(engine, speeds, item, holders, lacked)
+    copy_s = engine.transfer_s(copied)
+    unread = max(1, call.prompt.own_tokens + lacked - copied)
     memory = call.prompt.tokens + guess.output
     room = has_room(engine, speeds, item, memory)
     room = room and not _too_slow(call, item, guess.typical)
@@ -218,11 +231,12 @@
     tail_s = guess.output * speeds.token_s(item.load.running)
     seconds = first_s + TAIL_WEIGHT * tail_s
     seconds += REREAD_WEIGHT * speeds.reading_s(unread - 1)
-    if fetched:
+    if copied:
         seconds += REREAD_WEIGHT * copy_s
     if item.slowness >= SLOW_FACTOR:
         seconds += SLOW_SERVER_S
-    sure = call.prompt.shared_tokens - item.warm <= SURE_SHARE * unread
+    unsure = call.prompt.shared_tokens - item.warm
+    sure = item.known or unsure <= SURE_SHARE * unread
     placed = Placed(
         item.server, unread, memory, sure, source.server if source else None
     )
@@ -234,7 +248,8 @@
     slots = max(1, int(engine.slots * RUN_SHARE))
     if item.load.running >= slots:
         return False
-    if speeds.reading_s(item.load.unread) > UNREAD_LIMIT_S:
+    limit_s = KNOWN_UNREAD_S if item.known else UNREAD_LIMIT_S
+    if speeds.reading_s(item.load.unread) > limit_s:
         return False
     if not item.load.running:
         # Even one that is larger than the share must run somewhere.
@@ -322,8 +337,30 @@
     )[:2]
 
 
+def _copy(
+    engine: Engine,
+    speeds: Speeds,
+    item: Option,
+    holders: Sequence[Option],
+    lacked: int,
+) -> tuple[Option | None, int]:
+    """Returns whence a server copies the start of a prompt, and how much.
+
+    The source is named also where reading is as quick: the server chooses.
+    """
+    source = next((held for held in holders if held is not item), None)
+    if source is None:
+        return None, 0
+    if item.known and source.warm <= item.warm:
+        return None, 0
+    gained = source.warm - item.warm if item.known else lacked
+    if engine.transfer_s(gained) >= speeds.reading_s(gained):
+        return source, 0
+    return source, gained
+
+
 def _lacked(call: Call, item: Option, at_home: bool) -> int:
     """Returns the shared tokens that a server is taken to lack."""
-    if at_home:
+    if at_home and not item.known:
         return 0
     return max(0, call.prompt.shared_tokens - item.warm)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -22,9 +22,11 @@
 from jasminerelay.evacuation import Evacuator
 from jasminerelay.eventlog import Bridge, EventLog
 from jasminerelay.following import (
+    FAR_GATHER_S,
     WAIT_S,
     WATCH_S,
     Follower,
+    Manner,
     RegistryFeed,
     StoreState,
 )
@@ -205,13 +207,15 @@
         self._servers = self._follower(store, SERVERS_TABLE, WAIT_S)
 
     def _follower(self, store: Store, table: str, wait_s: float) -> Follower:
+        near = Manner(wait_s=wait_s)
+        far = Manner(gather_s=FAR_GATHER_S)
         return Follower(
             table,
             TableSource(store, table),
             self._store_state,
             self.counters,
             self._rng,
-            wait_s,
+            lambda: near if self._asking.follows_closely() else far,
         )
 
     def _wire_requests(self) -> None:
@@ -262,12 +266,14 @@
         )
         self._asking = AskingRoom(
             life,
+            boot.zone,
             boot.peers,
             self.registry,
             self.dispatcher,
             self._room,
             self.counters,
         )
+        self._owned.on_split = self._log_split
         self._peers.wire_cells(self._owned, self._asking)
 
     def _wire_ports(self) -> None:
@@ -276,6 +282,7 @@
         evacuator = Evacuator(self.client, dialect, self.counters, self.log)
         self._feed.on_leaving = evacuator.leaving
         self._feed.on_gone = self._gone
+        self._feed.on_changed = self._peers.tell_standing
         kit = Kit(
             self.dispatcher,
             self._asking,
@@ -336,6 +343,7 @@
             self.log.trouble("snapshot_unreadable", peer=peer, why=str(exc))
             return
         self._feed.report(news, peer)
+        self._peers.tell_standing()
         self.log.trouble(
             "snapshot",
             peer=peer,
--- a/src/jasminerelay/prefix.py
+++ b/src/jasminerelay/prefix.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Sequence
 
 import xxhash
 
@@ -98,3 +99,60 @@
                 break
             count += 1
         return count
+
+
+class CacheView:
+    """Which parts of prompts each server holds, by all that was sent there.
+
+    For who places all requests of a server. Engines drop what was used least
+    recently once their memory is full; what they are taken to hold beyond
+    that would be placed by and read again. On engines that hold thirty long
+    prompts a start is dropped after some fifteen seconds.
+
+    Example:
+        >>> view = CacheView()
+        >>> view.add("s", [(1, 60), (2, 30)], capacity=100)
+        >>> view.matched("s", (1, 3))
+        1
+        >>> view.add("s", [(4, 60)], capacity=100)
+        >>> view.matched("s", (1,))
+        0
+    """
+
+    def __init__(self) -> None:
+        self._parts: dict[str, collections.OrderedDict[int, int]] = {}
+        self._tokens: collections.Counter[str] = collections.Counter()
+
+    def add(
+        self, server: str, parts: Sequence[tuple[int, int]], capacity: int
+    ) -> None:
+        """Notes that a server reads a prompt.
+
+        Args:
+            server: The server.
+            parts: Hash and tokens of the prompt's parts, in order.
+            capacity: Tokens that the server holds.
+        """
+        held = self._parts.setdefault(server, collections.OrderedDict())
+        # The start is the last to go: without it the rest is of no use.
+        for part, tokens in reversed(parts):
+            self._tokens[server] += tokens - held.pop(part, 0)
+            held[part] = tokens
+        while self._tokens[server] > capacity and held:
+            _, tokens = held.popitem(last=False)
+            self._tokens[server] -= tokens
+
+    def matched(self, server: str, hashes: Sequence[int]) -> int:
+        """Returns how many leading parts a server holds."""
+        held = self._parts.get(server, {})
+        count = 0
+        for part in hashes:
+            if part not in held:
+                break
+            count += 1
+        return count
+
+    def forget(self, server: str) -> None:
+        """Drops a server that has ended."""
+        self._parts.pop(server, None)
+        self._tokens.pop(server, None)
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -317,21 +317,6 @@
     seconds: float
 
 
-@dataclass(frozen=True)
-class PeerWord:
-    """
-    One datagram between instances of a platform.
-    """
-
-    gossip: Gossip | None
-    sender: str
-    number: int
-    standing: Standing
-    loads: LoadColumns
-    demand: DemandColumns
-    samples: list[EngineSample] = field(default_factory=list)
-
-
 @dataclass(frozen=True)
 class PlaceAsk:
     """
@@ -351,6 +336,7 @@
     expected_output: int
     parts: list[int]
     part_tokens: list[int]
+    passed: bool
 
 
 @dataclass(frozen=True)
@@ -422,6 +408,7 @@
     source: str = ''
     why: str = ''
     retry_ms: int = 0
+    cell: int = -1
 
 
 @dataclass(frozen=True)
@@ -436,6 +423,34 @@
     answers: list[PlaceAnswer]
 
 
+@dataclass(frozen=True)
+class CellQueue:
+    """
+    Work that lies before a new request of one kind at a cell.
+    """
+
+    service: str
+    cell: int
+    kind: str
+    ahead_ms: int
+
+
+@dataclass(frozen=True)
+class PeerWord:
+    """
+    One datagram between instances of a platform.
+    """
+
+    gossip: Gossip | None
+    sender: str
+    number: int
+    standing: Standing
+    loads: LoadColumns
+    demand: DemandColumns
+    samples: list[EngineSample] = field(default_factory=list)
+    queues: list[CellQueue] = field(default_factory=list)
+
+
 @dataclass(frozen=True)
 class Messages:
     """
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -21,6 +21,10 @@
 next one's has room; but a look takes processor time, and with a long queue
 most looks are in vain."""
 
+FULL_TRIES = 4
+"""What a look counts that found no server of the kind with room: the next one
+will hardly find any."""
+
 TICK_S = 0.03
 """How often those who wait are looked at without any event: the other
 instances' words, which make room too, come about as often."""
@@ -47,6 +51,7 @@
         call: The request.
         avoid: Servers that it must not go to.
         busy_s: Engine time that it needs.
+        first_s: Time from its place to its first event.
         settled: Is told once there is a seat or a refusal.
         seat: Where it goes, once known.
         refused: Why it was refused, if it was.
@@ -55,6 +60,7 @@
     call: Call
     avoid: frozenset[str]
     busy_s: float
+    first_s: float = 0.0
     settled: Callable[["Waiter"], None] = lambda waiter: None
     seat: Seat | None = None
     refused: NoRoomError | None = None
@@ -66,8 +72,8 @@
         who can still be in time, since an answer that is late anyway loses
         little by waiting longer; then who came first.
         """
-        late = now - self.call.arrived > self.call.route.objective_s
         call = self.call
+        late = now + self.first_s - call.arrived > call.route.objective_s
         return (call.rank, call.route.rank, late, call.arrived)
 
 
@@ -94,6 +100,9 @@
         expect: Expect,
         busy: Callable[[Call], float],
         reserve: Callable[[Call, Placed], Run],
+        first: Callable[[Call], float] = lambda call: 0.0,
+        *,
+        gathers: bool = False,
     ):
         """Makes an empty room.
 
@@ -102,11 +111,18 @@
             expect: Says what to expect, given the engine time ahead.
             busy: Says how long a request keeps an engine busy.
             reserve: Notes a place as taken, before anything else is placed.
+            first: Says how long a request's first event takes once it has a
+                place.
+            gathers: Whether `look` is called every few milliseconds, so that
+                a request behind others of its kind need not be looked at by
+                itself.
         """
         self._place = place
         self._expect = expect
         self._busy = busy
         self._reserve = reserve
+        self._first = first
+        self._gathers = gathers
         self._waiting: list[Waiter] = []
         self._wake = anyio.Event()
 
@@ -144,9 +160,15 @@
             settled: Is told once, perhaps at once, when there is a seat or
                 a refusal.
         """
-        waiter = Waiter(call, avoid, self._busy(call), settled)
+        waiter = Waiter(
+            call, avoid, self._busy(call), self._first(call), settled
+        )
+        behind = self._gathers and any(
+            item.call.route.name == call.route.name for item in self._waiting
+        )
         self._waiting.append(waiter)
-        self._pump(call.service)
+        if not behind:
+            self._pump(call.service)
         if waiter in self._waiting:
             self._wake.set()
         return waiter
@@ -167,6 +189,14 @@
         if self._waiting:
             self._pump(service)
 
+    def queued_s(self, kind: str) -> float:
+        """Returns the engine time that those of one kind need who wait."""
+        return sum(
+            item.busy_s
+            for item in self._waiting
+            if item.call.route.name == kind
+        )
+
     async def run(self) -> None:
         """Looks at those who wait until cancelled."""
         while True:
@@ -195,7 +225,7 @@
                     seat = Seat(placed, self._reserve(item.call, placed))
                     self._settle(item, seat=seat)
                     continue
-                tries[kind] += 1
+                tries[kind] += FULL_TRIES if placed.full else 1
             before = ahead_s.get(kind, 0.0)
             prospect = self._expect(item.call, before)
             if prospect.hopeless:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,6 +13,7 @@
 from jasminerelay.following import (
     Follower,
     HistoryGoneError,
+    Manner,
     Page,
     RegistryFeed,
     StoreState,
@@ -148,6 +149,63 @@
         self.assertTrue(registry.server("s").draining)
         self.assertEqual(script.waits[3], 0.0)
 
+    async def test_doubt_ends_a_long_pause(self) -> None:
+        # Among many instances most pause for seconds after a change, since
+        # others tell them. The store goes away in such a pause; another
+        # instance says so. This one must ask at once: rows that lapse before
+        # it notices would pass for removals, and the pool would be empty.
+        row = ServerRow("s", 1, b"pool:ready")
+        changed = ServerRow("s", 2, b"pool:ready")
+        script = Script(Page((row,), 1), Page((changed,), 2), Page((), 2))
+        follower, state, feed = self.paused(script, lambda: Manner(1.0, 60.0))
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    follower.run, feed.take_all_servers, feed.take_servers
+                )
+                while len(script.waits) < 2:
+                    await anyio.sleep(0.001)
+                await anyio.sleep(0.05)
+                self.assertEqual(len(script.waits), 2)
+                state.failed("op", "silent")
+                while len(script.waits) < 3:
+                    await anyio.sleep(0.001)
+                group.cancel_scope.cancel()
+        self.assertEqual(script.waits[2], 0.0)
+
+    async def test_silent_leaders_end_a_long_pause(self) -> None:
+        # Those who follow the store for this instance die while it pauses. A
+        # server that leaves then must still be known in two seconds, so the
+        # pause ends once they have been silent, and not after its full time.
+        row = ServerRow("s", 1, b"pool:ready")
+        changed = ServerRow("s", 2, b"pool:ready")
+        script = Script(Page((row,), 1), Page((changed,), 2), Page((), 2))
+        manners = [Manner(1.0, 60.0)]
+        follower, _, feed = self.paused(script, lambda: manners[0])
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    follower.run, feed.take_all_servers, feed.take_servers
+                )
+                while len(script.waits) < 2:
+                    await anyio.sleep(0.001)
+                manners[0] = Manner(1.0, 0.0)
+                while len(script.waits) < 3:
+                    await anyio.sleep(0.001)
+                group.cancel_scope.cancel()
+
+    def paused(self, script: Script, manner) -> tuple:
+        """Returns a follower that pauses as told, its state and its feed."""
+        registry = Registry(lambda data: None, decode)
+        log = silent_log()
+        state = StoreState(registry, log)
+        counters = Counters(Statsd())
+        feed = RegistryFeed(registry, "configuration", counters, log)
+        follower = Follower(
+            "servers", script, state, counters, random.Random(1), manner
+        )
+        return follower, state, feed
+
     async def test_lost_history(self) -> None:
         # A server leaves while the store forgets its history. The follower is
         # told so, reads all rows and must notice that one is missing.
