--- a/tests/test_waitingroom.py
+++ b/tests/test_waitingroom.py
@@ -81,6 +81,18 @@
         order = [item.call.id for item in room]
         self.assertEqual(order, ["first", "chat", "study"])
 
+    def test_late_by_the_reading_that_is_left(self) -> None:
+        # A burst fills the engines. The first one's objective is not over
+        # yet, but its prompt takes longer to read than what is left of it;
+        # placed first, it would be late all the same, and so would the one
+        # that has just come.
+        room = [
+            Waiter(call("old", 0.0), frozenset(), 0.1, first_s=0.4),
+            Waiter(call("new", 1.5), frozenset(), 0.1, first_s=0.4),
+        ]
+        room.sort(key=lambda item: item.order(1.7))
+        self.assertEqual([item.call.id for item in room], ["new", "old"])
+
     async def test_hopeless_is_refused_at_once(self) -> None:
         room = self.room([], hopeless=True)
         with self.assertRaises(NoRoomError) as caught:
