Split cells' owners, their messages and the store's followers by noun

No behaviour changes: placewords holds the messages of both sides, ownedcells all cells of an instance, followers who follows the store for whom, silences the owner's word on silent servers.

--- a/src/jasminerelay/asking.py
+++ b/src/jasminerelay/asking.py
@@ -12,28 +12,35 @@
 
 import anyio
 
-from jasminerelay import cells, rendezvous
+from jasminerelay import cells
 from jasminerelay.catalog import Call
 from jasminerelay.cells import Cell
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.errors import NoRoomError
 from jasminerelay.metrics import Counters
-from jasminerelay.owning import ELSEWHERE, PLACED, REFUSED, WAITING
+from jasminerelay.placewords import (
+    ELSEWHERE,
+    MS,
+    PLACED,
+    REFUSED,
+    US,
+    WAITING,
+    ask_word,
+    end_word,
+    run_word,
+)
 from jasminerelay.placing import Placed
-from jasminerelay.prefix import part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import (
     EndWord,
     Member,
     OwnerWord,
     PlaceAnswer,
-    PlaceAsk,
     PlaceWord,
-    RunWord,
     TokenWord,
 )
 from jasminerelay.waitingroom import Seat, WaitingRoom
-from jasminerelay.workload import End, Run, Verdict
+from jasminerelay.workload import Run
 
 OWNERS_FROM = 24
 """Instances from which on owners decide. Up to here each hears all loads
@@ -60,14 +67,6 @@
 RENEW_S = 1.0
 """How often an owner is told of runs at which nothing changes."""
 
-LED_S = 1.2
-"""Silence of those who follow the store for an instance after which it follows
-closely itself. They speak each 0.4 s; a server that leaves must be known within
-two seconds."""
-
-MS = 1e3
-US = 1e6
-
 
 @dataclasses.dataclass(eq=False)
 class _Ask:
@@ -116,7 +115,6 @@
     def __init__(
         self,
         own: str,
-        zone: str,
         peers: str,
         registry: Registry,
         dispatcher: Dispatcher,
@@ -127,7 +125,6 @@
 
         Args:
             own: This instance.
-            zone: Its availability zone.
             peers: Its address for datagrams.
             registry: Configuration and servers.
             dispatcher: Decides where no owner does.
@@ -135,7 +132,6 @@
             counters: Counts events.
         """
         self._own = own
-        self._zone = zone
         self._peers = peers
         self._registry = registry
         self._dispatcher = dispatcher
@@ -147,10 +143,8 @@
         self._dirty = anyio.Event()
         self._live: dict[str, Member] = {}
         self._owners: dict[Cell, Member | None] = {}
-        self._followers: list[str] = []
         self._heard: dict[str, float] = {}
         self._spared: dict[str, float] = {}
-        self._led_at = float("-inf")
         self.active = False
         self.send: Callable[[Member, PlaceWord], None] = lambda to, word: None
 
@@ -171,32 +165,6 @@
             return
         self._owners.clear()
         self._live = members
-        zone = [x.instance for x in live if x.zone == self._zone]
-        self._followers = cells.followers(self._zone, zone)
-
-    def follows_closely(self) -> bool:
-        """Returns whether this instance follows the store for others."""
-        if not self.active or time.monotonic() - self._led_at > LED_S:
-            return True
-        return self._own in self._followers
-
-    def note_leader(self, instance: str, now: float) -> None:
-        """Notes a word of an instance that has the store."""
-        if instance in self._followers:
-            self._led_at = now
-
-    def led(self) -> list[Member]:
-        """Returns the instances that this one tells of the store's changes."""
-        names = self._followers
-        if not self.active or self._own not in names:
-            return []
-        return [
-            member
-            for member in self._live.values()
-            if member.zone == self._zone
-            and member.instance not in names
-            and rendezvous.owner(member.instance, names) == self._own
-        ]
 
     async def enter(self, call: Call, avoid: frozenset[str]) -> Seat:
         """Waits for a place.
@@ -362,7 +330,7 @@
         for end in workload.ended:
             cell = self._cell_of(end.server)
             if cell is not None:
-                self._ended.setdefault(cell, []).append(_end_word(end))
+                self._ended.setdefault(cell, []).append(end_word(end))
                 found.add(cell)
         workload.ended.clear()
         for server in workload.touched:
@@ -424,8 +392,8 @@
             self._peers,
             *cell,
             self._next_number(),
-            [_ask_word(ask, now) for ask in asks],
-            [_run_word(run) for run in runs],
+            [ask_word(x.number, x.call, x.avoid, x.passed, now) for x in asks],
+            [run_word(run) for run in runs],
             self._ended.pop(cell, []),
             self._token_words({run.server for run in runs}, now),
         )
@@ -471,41 +439,3 @@
                     )
                 )
         return words
-
-
-def _ask_word(ask: _Ask, now: float) -> PlaceAsk:
-    call = ask.call
-    prompt = call.prompt
-    shared = prompt.shared if prompt is not None else ()
-    hint = prompt.expected_output if prompt is not None else None
-    return PlaceAsk(
-        number=ask.number,
-        call=call.id,
-        route=call.route.name,
-        rank=call.rank,
-        first=not ask.avoid,
-        age_ms=round(MS * (now - call.arrived)),
-        left_ms=round(MS * (call.ends - now)),
-        avoid=sorted(ask.avoid),
-        own_tokens=prompt.own_tokens if prompt is not None else -1,
-        max_output=prompt.max_output if prompt is not None else 0,
-        expected_output=-1 if hint is None else hint,
-        parts=[part_hash(part.id) for part in shared],
-        part_tokens=[part.tokens for part in shared],
-        passed=ask.passed,
-    )
-
-
-def _run_word(run: Run) -> RunWord:
-    first_ms = -1 if run.first_s is None else round(MS * run.first_s)
-    return RunWord(run.number, run.server, run.unread, run.memory, first_ms)
-
-
-def _end_word(end: End) -> EndWord:
-    return EndWord(
-        end.number,
-        end.server,
-        end.verdict is Verdict.GOOD,
-        end.verdict is Verdict.BAD,
-        end.output,
-    )
--- a/src/jasminerelay/cells.py
+++ b/src/jasminerelay/cells.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable, Sequence
 
 from jasminerelay import rendezvous
+from jasminerelay.catalog import BackendServer, Catalog
+from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import CellQueue
 
 MS = 1e3
@@ -21,10 +23,6 @@
 """Most servers of a cell. Its owner places some 40 requests a second at the
 rates known; fewer servers could not be split between three kinds of work."""
 
-FOLLOWERS = 3
-"""Instances of each availability zone that follow the store closely and tell
-the others of their zone. Two may go at once; the other zones' tell, too."""
-
 QUEUE_LIFE_S = 1.0
 """How long an owner's word on its queue counts; it is told each 0.1 s."""
 
@@ -54,14 +52,35 @@
     return rendezvous.owner(f"{service}/{cell}", instances)
 
 
-def followers(zone: str, instances: Iterable[str]) -> list[str]:
-    """Returns the instances of a zone that follow the store closely.
-
-    Args:
-        zone: The availability zone.
-        instances: Its live instances.
-    """
-    return rendezvous.rank(f"store/{zone}", instances)[:FOLLOWERS]
+class CellServers:
+    """The servers of one cell, in the place of a registry of all."""
+
+    def __init__(self, registry: Registry, service: str, cell: int):
+        self._registry = registry
+        self._service = service
+        self._cell = cell
+
+    @property
+    def catalog(self) -> Catalog | None:
+        """The configuration in force."""
+        return self._registry.catalog
+
+    @property
+    def known(self) -> bool:
+        """Whether the service has so many cells."""
+        servers = self._registry.servers_of(self._service)
+        return self._cell < len(cells_of(item.id for item in servers))
+
+    def servers_of(self, service: str) -> list[BackendServer]:
+        """Returns the cell's servers that take new work."""
+        if service != self._service:
+            return []
+        servers = self._registry.servers_of(service)
+        split = cells_of(item.id for item in servers)
+        if self._cell >= len(split):
+            return []
+        names = set(split[self._cell])
+        return [item for item in servers if item.id in names]
 
 
 class QueueView:
--- a/src/jasminerelay/owning.py
+++ b/src/jasminerelay/owning.py
@@ -10,24 +10,18 @@
 import time
 from collections.abc import Callable, Iterable
 
-import anyio
-
-from jasminerelay import cells
-from jasminerelay.catalog import (
-    BackendServer,
-    Call,
-    Catalog,
-    Prompt,
-    PromptPart,
+from jasminerelay.catalog import Call
+from jasminerelay.cells import CellServers, QueueView
+from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.placewords import (
+    ELSEWHERE,
+    FOREIGN,
+    MS,
+    US,
+    WAITING,
+    answer_word,
+    call_of,
 )
-from jasminerelay.cells import QueueView
-from jasminerelay.dispatcher import Dispatcher, OnSplit
-from jasminerelay.enginemodel import EngineModels
-from jasminerelay.lengths import Lengths
-from jasminerelay.metrics import Counters
-from jasminerelay.placing import Placed
-from jasminerelay.prefix import CacheView
-from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import (
     CellQueue,
     EndWord,
@@ -41,77 +35,26 @@
     ServerLoad,
     TokenWord,
 )
-from jasminerelay.waitingroom import TICK_S, Waiter, WaitingRoom
+from jasminerelay.silences import ToldSilences
+from jasminerelay.waitingroom import Waiter, WaitingRoom
 from jasminerelay.workload import Run
 
-PLACED = "placed"
-WAITING = "waiting"
-REFUSED = "refused"
-ELSEWHERE = "elsewhere"
-FOREIGN = "foreign"
-
 ASKER_LIFE_S = 3.0
 """Silence after which what an instance asked and had under way is dropped.
 While it has anything it sends at least each second; a dead one's connections
 close, so its runs end in about this time."""
 
-SILENT_LIFE_S = 0.5
-"""How long an instance's word that a server is silent counts. It is repeated
-five times a second while the silence lasts."""
-
 PASS_GAIN_S = 0.1
 """Time that another cell must be quicker for a request to be passed on there,
 beside reading the start of its prompt anew: the age of what is known of it."""
 
-LOOK_S = 0.01
-"""How often places are looked for after a change, while anyone waits. Looked
-for with each datagram, they took most of an owner's processor under a burst."""
-
-IDLE_TICK_S = 0.03
-"""How often it is looked whether anyone waits."""
-
 CALM_S = 0.1
 """Reading ahead at a server up to which its streams show its own step."""
 
-MS = 1e3
-US = 1e6
-
 Answer = Callable[[str, OwnerWord], None]
 """Sends answers to an address."""
 
 
-class ToldSilences:
-    """Servers that instances say owe them a word for too long.
-
-    In place of `Silences`: an owner sends nothing itself, so only those who
-    do can tell.
-    """
-
-    def __init__(self) -> None:
-        self._until: dict[str, float] = {}
-
-    def sent(self, server: str, idle: bool, now: float) -> None:
-        """Ignores a placing; its asker watches the server."""
-
-    def heard(self, server: str, now: float) -> None:
-        """Notes that a server said something."""
-        del now
-        self._until.pop(server, None)
-
-    def told(self, server: str, now: float) -> None:
-        """Notes that an instance finds a server silent."""
-        self._until[server] = now + SILENT_LIFE_S
-
-    def silent(self, server: str, running: int, now: float) -> bool:
-        """Returns whether a server should get no request now."""
-        del running
-        return now < self._until.get(server, 0.0)
-
-    def forget(self, server: str) -> None:
-        """Drops a server that has ended."""
-        self._until.pop(server, None)
-
-
 @dataclasses.dataclass(eq=False)
 class _Request:
     """One request of an instance, from its ask to its end.
@@ -139,37 +82,6 @@
     requests: dict[int, _Request] = dataclasses.field(default_factory=dict)
 
 
-class CellServers:
-    """The servers of one cell, in the place of a registry of all."""
-
-    def __init__(self, registry: Registry, service: str, cell: int):
-        self._registry = registry
-        self._service = service
-        self._cell = cell
-
-    @property
-    def catalog(self) -> Catalog | None:
-        """The configuration in force."""
-        return self._registry.catalog
-
-    @property
-    def known(self) -> bool:
-        """Whether the service has so many cells."""
-        servers = self._registry.servers_of(self._service)
-        return self._cell < len(cells.cells_of(item.id for item in servers))
-
-    def servers_of(self, service: str) -> list[BackendServer]:
-        """Returns the cell's servers that take new work."""
-        if service != self._service:
-            return []
-        servers = self._registry.servers_of(service)
-        split = cells.cells_of(item.id for item in servers)
-        if self._cell >= len(split):
-            return []
-        names = set(split[self._cell])
-        return [item for item in servers if item.id in names]
-
-
 class CellOwner:
     """Places requests at one cell's servers, for all who ask.
 
@@ -183,7 +95,7 @@
         own: str,
         service: str,
         cell: int,
-        registry: Registry,
+        registry: CellServers,
         dispatcher: Dispatcher,
         silences: ToldSilences,
         queues: QueueView,
@@ -307,7 +219,7 @@
         held = asker.requests.get(ask.number)
         if held is not None:
             return held.answer or self._still(asker, ask, held)
-        call = self._call(ask, now)
+        call = call_of(ask, self._service, self._registry.catalog, now)
         if call is None:
             return PlaceAnswer(ask.number, FOREIGN)
         if ask.first:
@@ -317,7 +229,7 @@
         entered = False
 
         def settled(waiter: Waiter) -> None:
-            request.answer = _answer_of(ask.number, waiter)
+            request.answer = answer_word(ask.number, waiter)
             if waiter.refused is not None:
                 request.answer = self._passed_on(ask, call) or request.answer
             if waiter.seat is not None:
@@ -364,42 +276,6 @@
         self._queues.sent((self._service, cell), kind, busy_s)
         return PlaceAnswer(ask.number, ELSEWHERE, cell=cell)
 
-    def _call(self, ask: PlaceAsk, now: float) -> Call | None:
-        catalog = self._registry.catalog
-        routes = catalog.routes if catalog else ()
-        route = next((x for x in routes if x.name == ask.route), None)
-        if route is None:
-            return None
-        prompt = None
-        if ask.own_tokens >= 0:
-            shared = tuple(
-                PromptPart(str(part), tokens)
-                for part, tokens in zip(ask.parts, ask.part_tokens, strict=True)
-            )
-            prompt = Prompt(
-                (*shared, PromptPart(ask.call, ask.own_tokens)),
-                sum(ask.part_tokens) + ask.own_tokens,
-                ask.max_output,
-                ask.expected_output if ask.expected_output >= 0 else None,
-            )
-        return Call(
-            id=ask.call,
-            route=route,
-            service=self._service,
-            rank=ask.rank,
-            level=0,
-            organisation="",
-            method="",
-            host="",
-            target=b"",
-            headers=(),
-            body=b"",
-            prompt=prompt,
-            last_event="",
-            arrived=now - ask.age_ms / MS,
-            ends=now + ask.left_ms / MS,
-        )
-
     def _take_runs(
         self, asker: _Asker, runs: Iterable[RunWord], now: float
     ) -> bool:
@@ -478,150 +354,3 @@
             asker.peers,
             OwnerWord(self._own, self._service, self._cell, answers),
         )
-
-
-class OwnedCells:
-    """All cells that this instance has been asked to decide for."""
-
-    def __init__(
-        self,
-        own: str,
-        zone: str,
-        registry: Registry,
-        engines: EngineModels,
-        lengths: Lengths,
-        counters: Counters,
-    ):
-        """Makes an instance that owns nothing yet.
-
-        Args:
-            own: This instance.
-            zone: Its availability zone.
-            registry: Configuration and all servers.
-            engines: What this instance knows of engines.
-            lengths: What it knows of answers' lengths.
-            counters: Counts events.
-        """
-        self._own = own
-        self._zone = zone
-        self._registry = registry
-        self._engines = engines
-        self._lengths = lengths
-        self._counters = counters
-        self._cells: dict[tuple[str, int], CellOwner] = {}
-        self.queues = QueueView()
-        self.on_split: OnSplit = lambda service, groups, demand: None
-        self.answer: Answer = lambda address, word: None
-
-    def __len__(self) -> int:
-        return len(self._cells)
-
-    @property
-    def waiting(self) -> int:
-        """Requests that wait in all cells."""
-        return sum(len(cell.room) for cell in self._cells.values())
-
-    def hear(self, word: PlaceWord) -> None:
-        """Takes all that an instance asks of a cell and has under way there.
-
-        Whoever is asked decides, whether it takes itself for the owner or
-        not: while views differ a cell has two, each of which knows only its
-        own askers' runs, and both fill a server at most to its usual bound.
-        """
-        now = time.monotonic()
-        key = (word.service, word.cell)
-        held = self._cells.get(key)
-        if held is None:
-            servers = CellServers(self._registry, word.service, word.cell)
-            if not servers.known:
-                self._counters.incr("place.foreign")
-                foreign = [PlaceAnswer(x.number, FOREIGN) for x in word.asks]
-                self.answer(
-                    word.peers,
-                    OwnerWord(self._own, word.service, word.cell, foreign),
-                )
-                return
-            self._counters.incr("place.owned")
-            held = self._new(word.service, word.cell, servers)
-            self._cells[key] = held
-        self._counters.incr("place.heard")
-        held.hear(word, now)
-
-    def tick(self, now: float) -> None:
-        """Moves the running means on, and drops cells that nobody asks."""
-        for key, cell in list(self._cells.items()):
-            cell.tick(now)
-            if cell.idle:
-                del self._cells[key]
-
-    async def run(self) -> None:
-        """Looks for places for all who wait until cancelled."""
-        looked = 0.0
-        while True:
-            await anyio.sleep(LOOK_S if self.waiting else IDLE_TICK_S)
-            now = time.monotonic()
-            all_due = now - looked >= TICK_S
-            looked = now if all_due else looked
-            for cell in list(self._cells.values()):
-                if all_due or cell.changed:
-                    cell.changed = False
-                    cell.room.look()
-
-    def loads(self, now: float) -> list[ServerLoad]:
-        """Returns what runs at the servers of all owned cells."""
-        return [load for x in self._cells.values() for load in x.loads(now)]
-
-    def demand(self) -> list[KindDemand]:
-        """Returns what callers bring to all owned cells."""
-        return [kind for x in self._cells.values() for kind in x.demand()]
-
-    def told_queues(self) -> list[CellQueue]:
-        """Returns how long new requests would wait at the owned cells."""
-        return [item for x in self._cells.values() for item in x.told_queues()]
-
-    def gone(self, server: str) -> None:
-        """Forgets a server that has ended."""
-        for cell in self._cells.values():
-            cell.gone(server)
-
-    def _new(self, service: str, cell: int, servers: CellServers) -> CellOwner:
-        silences = ToldSilences()
-        dispatcher = Dispatcher(
-            servers,
-            self._zone,
-            lambda: 1,
-            self._engines,
-            self._lengths,
-            silences,
-            CacheView(),
-        )
-        dispatcher.on_split = lambda *found: self.on_split(*found)
-        return CellOwner(
-            self._own,
-            service,
-            cell,
-            servers,
-            dispatcher,
-            silences,
-            self.queues,
-            lambda address, word: self.answer(address, word),
-        )
-
-
-def _answer_of(number: int, waiter: Waiter) -> PlaceAnswer:
-    if waiter.refused is not None:
-        return PlaceAnswer(
-            number,
-            REFUSED,
-            why=waiter.refused.message,
-            retry_ms=round(MS * (waiter.refused.retry_s or 0.0)),
-        )
-    placed: Placed = waiter.seat.placed
-    return PlaceAnswer(
-        number,
-        PLACED,
-        placed.server.id,
-        placed.unread,
-        placed.memory,
-        placed.source.id if placed.source is not None else "",
-    )
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -18,6 +18,7 @@
 from jasminerelay.asking import AskingRoom
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.eventlog import EventLog
+from jasminerelay.followers import Followers
 from jasminerelay.httpclient import (
     BrokenError,
     Client,
@@ -26,7 +27,7 @@
 )
 from jasminerelay.membership import ALIVE, LEAVING, Membership, Send
 from jasminerelay.metrics import Counters
-from jasminerelay.owning import OwnedCells
+from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.registry import Registry, Touch
 from jasminerelay.schema.messages import (
     Member,
@@ -123,6 +124,7 @@
         )
         self._owned: OwnedCells | None = None
         self._asking: AskingRoom | None = None
+        self._followers: Followers | None = None
         self.on_snapshot: Callable[[Snapshot, str], None] = lambda *_: None
         self.on_store_lost: Callable[[], None] = lambda: None
 
@@ -169,10 +171,19 @@
         """Tells the others that this instance takes no more callers."""
         self._send_all(self.membership.leave())
 
-    def wire_cells(self, owned: OwnedCells, asking: AskingRoom) -> None:
-        """Sets who decides for cells here, and who asks others."""
+    def wire_cells(
+        self, owned: OwnedCells, asking: AskingRoom, followers: Followers
+    ) -> None:
+        """Sets what many instances share.
+
+        Args:
+            owned: Decides for cells here.
+            asking: Asks other instances.
+            followers: Says who follows the store for whom.
+        """
         self._owned = owned
         self._asking = asking
+        self._followers = followers
         owned.answer = self._answer
         asking.send = self._ask
 
@@ -234,7 +245,7 @@
         Where that is newer they fetch the rows from here, in place of asking
         the store each.
         """
-        led = self._asking.led() if self._asking is not None else []
+        led = self._followers.led() if self._followers is not None else []
         if not led:
             return
         data = peerwords.encode(self._word(None))
@@ -347,7 +358,7 @@
         if self._owned is not None:
             self._owned.queues.hear(word.queues, now)
             if word.standing.touch != Touch.LOST:
-                self._asking.note_leader(word.sender, now)
+                self._followers.heard(word.sender, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
         if self._registry.behind(word.standing):
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -21,6 +21,7 @@
 from jasminerelay.errors import StoreError
 from jasminerelay.evacuation import Evacuator
 from jasminerelay.eventlog import Bridge, EventLog
+from jasminerelay.followers import Followers
 from jasminerelay.following import (
     FAR_GATHER_S,
     WAIT_S,
@@ -34,7 +35,7 @@
 from jasminerelay.httpclient import Client
 from jasminerelay.membership import LEAVING
 from jasminerelay.metrics import Counters
-from jasminerelay.owning import OwnedCells
+from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.peerlink import PeerLink, SnapshotApp
 from jasminerelay.platform import bootfile, documents
 from jasminerelay.platform.bootfile import Boot
@@ -215,7 +216,7 @@
             self._store_state,
             self.counters,
             self._rng,
-            lambda: near if self._asking.follows_closely() else far,
+            lambda: near if self._followers.closely() else far,
         )
 
     def _wire_requests(self) -> None:
@@ -266,7 +267,6 @@
         )
         self._asking = AskingRoom(
             life,
-            boot.zone,
             boot.peers,
             self.registry,
             self.dispatcher,
@@ -274,7 +274,8 @@
             self.counters,
         )
         self._owned.on_split = self._log_split
-        self._peers.wire_cells(self._owned, self._asking)
+        self._followers = Followers(life, boot.zone)
+        self._peers.wire_cells(self._owned, self._asking, self._followers)
 
     def _wire_ports(self) -> None:
         boot = self.boot
@@ -428,6 +429,7 @@
     def _see_instances(self) -> None:
         live = self._peers.membership.live()
         self._asking.saw_instances(self._peers.known, live)
+        self._followers.saw_instances(live, shared=self._asking.active)
         self.dispatcher.sees_steps = not self._asking.active
 
     async def _join(self) -> None:
--- a/src/jasminerelay/silences.py
+++ b/src/jasminerelay/silences.py
@@ -19,6 +19,11 @@
 stood still says nothing before it is asked."""
 
 
+SILENT_LIFE_S = 0.5
+"""How long an instance's word that a server is silent counts. It is repeated
+five times a second while the silence lasts."""
+
+
 @dataclasses.dataclass
 class _Words:
     heard: float
@@ -81,3 +86,35 @@
     def forget(self, server: str) -> None:
         """Drops a server that has ended."""
         self._servers.pop(server, None)
+
+
+class ToldSilences:
+    """Servers that instances say owe them a word for too long.
+
+    In place of `Silences`: an owner sends nothing itself, so only those who
+    do can tell.
+    """
+
+    def __init__(self) -> None:
+        self._until: dict[str, float] = {}
+
+    def sent(self, server: str, idle: bool, now: float) -> None:
+        """Ignores a placing; its asker watches the server."""
+
+    def heard(self, server: str, now: float) -> None:
+        """Notes that a server said something."""
+        del now
+        self._until.pop(server, None)
+
+    def told(self, server: str, now: float) -> None:
+        """Notes that an instance finds a server silent."""
+        self._until[server] = now + SILENT_LIFE_S
+
+    def silent(self, server: str, running: int, now: float) -> bool:
+        """Returns whether a server should get no request now."""
+        del running
+        return now < self._until.get(server, 0.0)
+
+    def forget(self, server: str) -> None:
+        """Drops a server that has ended."""
+        self._until.pop(server, None)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -12,7 +12,6 @@
 from jasminerelay.asking import (
     ANSWER_S,
     GATHER_S,
-    LED_S,
     TICK_S,
     AskingRoom,
 )
@@ -20,9 +19,11 @@
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.enginemodel import RUN_SHARE
 from jasminerelay.errors import NoRoomError
+from jasminerelay.followers import FOLLOWERS, LED_S, Followers
 from jasminerelay.membership import ALIVE
 from jasminerelay.metrics import Counters
-from jasminerelay.owning import ASKER_LIFE_S, OwnedCells
+from jasminerelay.ownedcells import OwnedCells
+from jasminerelay.owning import ASKER_LIFE_S
 from jasminerelay.placing import KNOWN_UNREAD_S
 from jasminerelay.platform import documents
 from jasminerelay.registry import Registry
@@ -106,6 +107,7 @@
         ]
         for node in self.nodes.values():
             node.asking.saw_instances(100, live)
+            node.followers.saw_instances(live, shared=True)
 
     async def tell_queues(self) -> None:
         """Lets owners tell each other of their queues until cancelled."""
@@ -151,6 +153,7 @@
         self.registry = known
         self.dispatcher = Dispatcher(known, "z", lambda: len(site.names))
         self.counters = Counters(Statsd())
+        self.followers = Followers(name, "z")
         self.local = WaitingRoom(
             self.dispatcher.place,
             self.dispatcher.expect,
@@ -167,7 +170,6 @@
         )
         self.asking = AskingRoom(
             name,
-            "z",
             self.member.peers,
             known,
             self.dispatcher,
@@ -245,36 +247,36 @@
     def setUp(self) -> None:
         self.site = Site(30, servers=4)
         self.leaders = [
-            node for node in self.site.nodes.values() if node.asking.led()
+            node for node in self.site.nodes.values() if node.followers.led()
         ]
 
     def test_everyone_is_led_by_one(self) -> None:
         led = [
             member.instance
             for node in self.leaders
-            for member in node.asking.led()
+            for member in node.followers.led()
         ]
         names = {node.name for node in self.leaders}
-        self.assertEqual(len(self.leaders), cells.FOLLOWERS)
+        self.assertEqual(len(self.leaders), FOLLOWERS)
         self.assertEqual(sorted(led), sorted(set(self.site.names) - names))
 
     def test_silence_of_leaders(self) -> None:
         # A led instance leaves the store alone while its leaders speak, and
         # follows it itself once they have been silent.
-        led = self.leaders[0].asking.led()[0].instance
-        asking = self.site.nodes[led].asking
-        self.assertTrue(asking.follows_closely())
+        led = self.leaders[0].followers.led()[0].instance
+        followers = self.site.nodes[led].followers
+        self.assertTrue(followers.closely())
         now = time.monotonic()
-        asking.note_leader(self.leaders[0].name, now)
-        self.assertFalse(asking.follows_closely())
-        asking.note_leader(self.leaders[0].name, now - LED_S)
-        self.assertTrue(asking.follows_closely())
+        followers.heard(self.leaders[0].name, now)
+        self.assertFalse(followers.closely())
+        followers.heard(self.leaders[0].name, now - LED_S)
+        self.assertTrue(followers.closely())
 
     def test_few_instances_all_follow(self) -> None:
         node = self.leaders[0]
-        node.asking.saw_instances(6, [node.member])
-        self.assertTrue(node.asking.follows_closely())
-        self.assertEqual(node.asking.led(), [])
+        node.followers.saw_instances([node.member], shared=False)
+        self.assertTrue(node.followers.closely())
+        self.assertEqual(node.followers.led(), [])
 
 
 class HerdTest(unittest.IsolatedAsyncioTestCase):
