Give owners time to decide under a queue; tell owners what has ended

With a hundred waiting, a look for places takes some 5 ms and was made up to a hundred times a second, and each instance with a waiting request asked ten times a second. Change: looks take at most a fifth of the processor; waiting requests are asked for again each 0.3 s; a request's line tells which owner placed it. Now told three times, and a former owner is told that nothing is its to know.

--- a/src/jasminerelay/asking.py
+++ b/src/jasminerelay/asking.py
@@ -51,9 +51,13 @@
 """Silence after an ask from which on the own view decides. An owner in another
 availability zone answers within 5 ms, a busy one within 15 ms."""
 
-OWNER_SILENCE_S = 0.35
-"""Silence of an owner at which requests wait. It is asked each TICK_S; three
-lost datagrams in a row are rarer than an owner that has died."""
+ASK_AGAIN_S = 0.3
+"""How often an owner is asked again while requests wait there. Asked each 0.1 s
+by a hundred instances it had no time left to decide."""
+
+OWNER_SILENCE_S = 0.8
+"""Silence of an owner at which requests wait, after which the own view decides:
+two lost datagrams in a row are rarer than an owner that has died."""
 
 SPARE_S = 0.5
 """How long a silent owner is not asked again, so that one that stands still for
@@ -63,6 +67,10 @@
 """How long first events and ends are gathered before the owner is told: the
 reading that it takes for under way is too much by that time at most."""
 
+REPEATS = 2
+"""How often an owner is told again that nothing is left. With the only such
+datagram lost it counted what had ended for seconds."""
+
 TICK_S = 0.1
 RENEW_S = 1.0
 """How often an owner is told of runs at which nothing changes."""
@@ -103,10 +111,12 @@
         at: Steady time of the last datagram; minus infinity if a new one is
             due.
         owner: Who got it.
+        repeats: How often it is still to be told that nothing is left.
     """
 
     at: float = float("-inf")
     owner: str = ""
+    repeats: int = 0
 
 
 class AskingRoom:
@@ -306,7 +316,7 @@
         placed = Placed(server, answer.unread, answer.memory, False, source)
         run = self._dispatcher.reserve(ask.call, placed, ask.number)
         self._counters.incr("place.placed")
-        return Seat(placed, run)
+        return Seat(placed, run, ask.owner.instance)
 
     def _give_up(self, owner: Member, *asks: _Ask) -> None:
         self._counters.incr("place.owner_silent")
@@ -348,11 +358,14 @@
     def _due(self, now: float) -> set[Cell]:
         """Judges owners, and returns the cells of which to tell again."""
         self._judge(now)
-        found = {ask.cell for ask in self._asks.values()}
+        found = set()
+        asking = {ask.cell for ask in self._asks.values()}
         for cell, told in list(self._told.items()):
             owner = self._owner(cell)
             moved = owner is not None and owner.instance != told.owner
-            if moved or now - told.at > RENEW_S:
+            last = told.repeats < REPEATS
+            renew_s = ASK_AGAIN_S if cell in asking else RENEW_S
+            if moved or last or now - told.at >= renew_s:
                 found.add(cell)
         silent = (
             self._cell_of(run.server)
@@ -381,12 +394,7 @@
         now = time.monotonic()
         runs = self._runs_of(cell)
         asks = [ask for ask in self._asks.values() if ask.cell == cell]
-        if runs or asks:
-            self._told[cell] = _Told(now, owner.instance)
-        else:
-            # Told once that nothing is left. Should that datagram be lost,
-            # the owner drops the rest by its age.
-            self._told.pop(cell, None)
+        self._note_told(cell, owner, now, held=bool(runs or asks))
         word = PlaceWord(
             self._own,
             self._peers,
@@ -400,6 +408,37 @@
         self._counters.incr("place.told")
         self.send(owner, word)
 
+    def _note_told(
+        self, cell: Cell, owner: Member, now: float, *, held: bool
+    ) -> None:
+        before = self._told.get(cell, _Told())
+        if before.owner not in ("", owner.instance):
+            self._take_leave(cell, before.owner)
+        repeats = REPEATS if held else before.repeats - 1
+        if repeats < 0:
+            self._told.pop(cell, None)
+        else:
+            self._told[cell] = _Told(now, owner.instance, repeats)
+
+    def _take_leave(self, cell: Cell, name: str) -> None:
+        """Tells a former owner that nothing here is its to know any more.
+
+        Views may change back within the time for which it would count it.
+        """
+        former = self._live.get(name)
+        if former is not None:
+            word = PlaceWord(
+                self._own,
+                self._peers,
+                *cell,
+                self._next_number(),
+                [],
+                [],
+                [],
+                [],
+            )
+            self.send(former, word)
+
     def _next_number(self) -> int:
         # One sequence for all cells, so that a cell which was forgotten
         # here goes on where it was.
--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -99,6 +99,7 @@
         pause_s: Longest pause between two of them.
         status: Status of the answer; 0 before it.
         tried: Servers that it was sent to, in turn.
+        owners: Instances that decided so, in turn; "" for this one.
         ran: Servers that have run it, or may have.
         maybe_ran: Whether it can no longer be said that it has not run.
         copy: Memory that it goes on from, if it was moved.
@@ -112,6 +113,7 @@
     pause_s: float = 0.0
     status: int = 0
     tried: list[str] = dataclasses.field(default_factory=list)
+    owners: list[str] = dataclasses.field(default_factory=list)
     ran: int = 0
     maybe_ran: bool = False
     copy: Copy | None = None
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -83,6 +83,7 @@
     async def _try(self, seat: Seat) -> Outcome:
         self._placed_at = self._placed_at or time.monotonic()
         self._progress.tried.append(seat.placed.server.id)
+        self._progress.owners.append(seat.owner)
         verdict = None
         try:
             outcome = await self._attempt.run(seat)
@@ -228,6 +229,7 @@
             whole=self._whole,
             why=self._why,
             servers=progress.tried,
+            owners=progress.owners,
             events=progress.events,
             waited_s=round((self._placed_at or now) - call.arrived, 3),
             first_s=first_s,
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -28,6 +28,11 @@
 """How often places are looked for after a change, while anyone waits. Looked
 for with each datagram, they took most of an owner's processor under a burst."""
 
+LOOK_SHARE = 0.2
+"""Most of the processor that looking may take. With a hundred who wait a look
+takes some 5 ms; an owner that does nothing else answers nobody in time, and the
+others, which then decide by their own views, overfill its servers."""
+
 IDLE_TICK_S = 0.03
 """How often it is looked whether anyone waits."""
 
@@ -109,15 +114,19 @@
     async def run(self) -> None:
         """Looks for places for all who wait until cancelled."""
         looked = 0.0
+        pause_s = IDLE_TICK_S
         while True:
-            await anyio.sleep(LOOK_S if self.waiting else IDLE_TICK_S)
-            now = time.monotonic()
-            all_due = now - looked >= TICK_S
-            looked = now if all_due else looked
+            await anyio.sleep(pause_s)
+            began = time.monotonic()
+            all_due = began - looked >= TICK_S
+            looked = began if all_due else looked
             for cell in list(self._cells.values()):
                 if all_due or cell.changed:
                     cell.changed = False
                     cell.room.look()
+            took_s = time.monotonic() - began
+            least_s = LOOK_S if self.waiting else IDLE_TICK_S
+            pause_s = max(least_s, took_s * (1 / LOOK_SHARE - 1))
 
     def loads(self, now: float) -> list[ServerLoad]:
         """Returns what runs at the servers of all owned cells."""
--- a/src/jasminerelay/waitingroom.py
+++ b/src/jasminerelay/waitingroom.py
@@ -37,10 +37,12 @@
     Attributes:
         placed: Where it goes.
         run: Its entry in the ledger; whoever holds the seat ends it.
+        owner: Instance that decided; "" for this one.
     """
 
     placed: Placed
     run: Run
+    owner: str = ""
 
 
 @dataclasses.dataclass(eq=False)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -3,7 +3,7 @@
 import contextlib
 import time
 import unittest
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 import msgspec
@@ -97,14 +97,19 @@
         self.names = [f"n{number:02}" for number in range(instances)]
         self.dead: set[str] = set()
         self.deaf: set[str] = set()
+        self.lose: Callable[[], bool] = lambda: False
         self.nodes = {name: Node(self, name, servers) for name in self.names}
         self.see()
 
-    def see(self) -> None:
-        """Lets all instances see who lives."""
-        live = [
+    def live(self) -> list[Member]:
+        """Returns the instances that live."""
+        return [
             node.member for node in self.nodes.values() if node.counted_live
         ]
+
+    def see(self) -> None:
+        """Lets all instances see who lives."""
+        live = self.live()
         for node in self.nodes.values():
             node.asking.saw_instances(100, live)
             node.followers.saw_instances(live, shared=True)
@@ -184,14 +189,16 @@
             model.stepped(tokens // 1_000, TOKEN_S, 0.0)
 
     def _ask(self, owner: Member, word) -> None:
-        if {self.name, owner.instance} & self.site.dead:
+        cut = {self.name, owner.instance} & self.site.dead
+        if cut or self.site.lose():
             return
         data = peerwords.encode(word)
         self.site.nodes[owner.instance].owned.hear(peerwords.decode(data))
 
     def _answer(self, address: str, word) -> None:
         to = address.removesuffix(":1")
-        if to in self.site.deaf or {self.name, to} & self.site.dead:
+        cut = to in self.site.deaf or {self.name, to} & self.site.dead
+        if cut or self.site.lose():
             return
         data = peerwords.encode(word)
         self.site.nodes[to].asking.hear(peerwords.decode(data))
