Let urgent kinds use other short kinds' servers of a cell at once

Each cell rounds what a kind needs to whole servers: 1.4 to 1.7 became one, where 39 servers in one split round once. Change: at owners, who know all loads, a request goes to servers of kinds after it in rank at once when its own are full, but for those with the longest prompts. Ruled out: larger cells, for the owner's processor.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -124,6 +124,7 @@
         self.meter = DemandMeter()
         self.demand = DemandView()
         self._splits: dict[str, Split] = {}
+        self._kinds: dict[str, list[KindDemand]] = {}
         self._split_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
@@ -227,9 +228,18 @@
         speeds = self._speeds(call.service)
         options = _some(self._options(call, group))
         placed = placing.place_model(call, engine, speeds, options, guess, now)
-        if isinstance(placed, Placed) or not self._may_spill(call, now):
+        if isinstance(placed, Placed):
+            return placed
+        names = self._lent(call)
+        if self._may_spill(call, now):
+            names |= {server.id for server in servers}
+        others = [
+            server
+            for server in servers
+            if server.id in names and server not in group
+        ]
+        if not others:
             return placed
-        others = [server for server in servers if server not in group]
         harmless = self._harmless_tokens(call.service)
         left = harmless - call.prompt.tokens
         options = placing.calm(self._options(call, others), left)
@@ -274,6 +284,27 @@
         busy = self.workload.load(server).running > 0
         return busy and health.probing(server)
 
+    def _lent(self, call: Call) -> set[str]:
+        """Returns other kinds' servers that a request may use at once.
+
+        A cell has few servers, so a kind that needs one and a half gets one
+        and waits, or two. Where all loads are known it may use servers of
+        kinds that come after it in rank, but for those with the longest
+        prompts, beside which its pauses would be too long.
+        """
+        split = self._splits.get(call.service)
+        if self._caches is None or split is None:
+            return set()
+        kinds = self._kinds.get(call.service, ())
+        longest = max((item.size for item in kinds), default=0.0)
+        own = {x.rank for x in kinds if x.kind == call.route.name}
+        return {
+            name
+            for item in kinds
+            if item.size < longest and item.rank > min(own, default=item.rank)
+            for name in split.group(item.kind)
+        }
+
     def _may_spill(self, call: Call, now: float) -> bool:
         """Whether a request may go to other kinds' servers.
 
@@ -578,6 +609,7 @@
             if self.sees_steps:
                 self._note_steps(name, servers, now)
             demand = self.demand.total(name, now)
+            self._kinds[name] = demand
             split = self._splits.setdefault(name, Split())
             if split.update(servers, demand):
                 self.on_split(name, split.groups, demand)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -12,7 +12,9 @@
 from jasminerelay.dispatcher import SPLIT_EVERY_S, Dispatcher
 from jasminerelay.enginemodel import LEAST_SAMPLES
 from jasminerelay.pace import LEAST_TIMES
+from jasminerelay.placing import Wait
 from jasminerelay.platform import documents
+from jasminerelay.prefix import CacheView
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import (
     KindDemand,
@@ -185,6 +187,55 @@
         self.assertIsNone(desk.refuge(call(), frozenset({"i-000"})))
 
 
+class LentServersTest(unittest.TestCase):
+    """A cell's kinds that need a server and a half."""
+
+    KINDS = (
+        KindDemand(f"{SERVICE}/long", 4.0, 6600.0, 2),
+        KindDemand(f"{SERVICE}/check", 2.0, 1800.0, 1),
+        KindDemand(f"{SERVICE}/chat", 1.0, 600.0, 0),
+    )
+
+    def setUp(self) -> None:
+        # An owner, which knows all that runs at its seven servers.
+        self.desk = dispatcher(7)
+        self.desk._caches = CacheView()
+        now = time.monotonic()
+        self.desk.demand.hear("other", self.KINDS, now)
+        self.desk.tick(now)
+
+    def ask(self, kind: str, rank: int):
+        now = time.monotonic()
+        parts = (PromptPart("start", 200), PromptPart("own", 400))
+        asked = call(
+            kind,
+            arrived=now,
+            ends=now + 10.0,
+            route=route(name=kind, rank=rank, pause_s=0.3),
+            prompt=Prompt(parts, 600, 300, 200),
+        )
+        return self.desk.place(asked, frozenset())
+
+    def fill(self, kind: str) -> None:
+        for name in self.desk._splits[SERVICE].group(kind):
+            for _ in range(40):
+                self.desk.workload.start(name, unread=0, memory=100)
+
+    def test_urgent_kind_goes_to_the_next_short_one(self) -> None:
+        # Chats fill their one server of the cell in a burst. Those that would
+        # wait there for longer than their objective go to the checks' servers
+        # at once, and not among long prompts, whose reading stretches pauses.
+        self.fill("chat")
+        placed = self.ask("chat", 0)
+        group = self.desk._splits[SERVICE].group("check")
+        self.assertIn(placed.server.id, group)
+
+    def test_not_the_other_way_round(self) -> None:
+        # Checks that overflow must not take the chats' server.
+        self.fill("check")
+        self.assertIsInstance(self.ask("check", 1), Wait)
+
+
 class WorkOfALookTest(unittest.TestCase):
     """What it takes to look at those who wait."""
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -82,6 +82,43 @@
     )
 
 
+class KnownCachesTest(unittest.TestCase):
+    """Placing where all that servers have read is known."""
+
+    LINKED = dataclasses.replace(ENGINE, link_bits_s=2e11)
+
+    def place(self, *options: Option):
+        known = [dataclasses.replace(item, known=True) for item in options]
+        return placing.place_model(
+            call(), self.LINKED, SPEEDS, known, GUESS, 0.0
+        )
+
+    def test_cold_start_is_read(self) -> None:
+        # Requests with a start that nobody has read yet come in a burst. Taken
+        # for read at the server that it belongs to, each was counted for half
+        # of its reading, and that server was filled with twice what it reads
+        # in time.
+        placed = self.place(option("a"), option("b"))
+        self.assertEqual(placed.unread, 11_000)
+        self.assertIsNone(placed.source)
+        self.assertTrue(placed.sure)
+
+    def test_copied_from_who_has_it(self) -> None:
+        busy = Load(20_000, 10, 100_000)
+        placed = self.place(option("a", busy, warm=5000), option("b"))
+        self.assertEqual(placed.server.id, "b")
+        self.assertEqual(placed.source.id, "a")
+        self.assertEqual(placed.unread, 6000)
+
+    def test_no_reading_piles_up(self) -> None:
+        # What is sent is known at once, so a tenth of a second of reading is
+        # enough to keep an engine at work; the rest waits where its order can
+        # still change.
+        ahead = int(placing.KNOWN_UNREAD_S / SPEEDS.read_token_s) + 1
+        full = Load(ahead, 1, 10_000)
+        self.assertIsInstance(self.place(option("a", full)), Wait)
+
+
 class ModelPlacingTest(unittest.TestCase):
     """One request and the servers of its group."""
 
