--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -40,6 +40,25 @@
 TOKEN_S = 0.005
 
 
+def server_rows(count: int) -> list[ServerRow]:
+    """Returns the rows of idle servers that are ready."""
+    rows = []
+    for number in range(count):
+        data = {
+            "backend": SERVICE,
+            "address": f"10.0.0.{number}:1",
+            "zone": "z",
+            "version": "v1",
+            "slotCount": SLOTS,
+            "phase": "ready",
+            "coldRemainingMs": 0,
+            "callSeq": 0,
+        }
+        name = f"i-{number:03}"
+        rows.append(ServerRow(name, 2, msgspec.json.encode(data)))
+    return rows
+
+
 def registry(servers: int) -> Registry:
     """Returns what an instance knows of a service with idle engines."""
     found = Registry(documents.catalog, documents.server)
@@ -73,21 +92,7 @@
         ],
     }
     found.take_configuration(1, msgspec.json.encode(configuration))
-    rows = []
-    for number in range(servers):
-        data = {
-            "backend": SERVICE,
-            "address": f"10.0.0.{number}:1",
-            "zone": "z",
-            "version": "v1",
-            "slotCount": SLOTS,
-            "phase": "ready",
-            "coldRemainingMs": 0,
-            "callSeq": 0,
-        }
-        name = f"i-{number:03}"
-        rows.append(ServerRow(name, 2, msgspec.json.encode(data)))
-    found.take_all(rows, 2)
+    found.take_all(server_rows(servers), 2)
     return found
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -20,10 +20,10 @@
     KindDemand,
     PeerWord,
     ServerLoad,
-    ServerRow,
     Standing,
 )
 from jasminerelay.waitingroom import TRIES, Waiter, WaitingRoom
+from tests.test_cells import server_rows
 from tests.test_placing import call, route
 
 SERVICE = "pool"
@@ -47,21 +47,7 @@
         ],
     }
     registry.take_configuration(1, msgspec.json.encode(configuration))
-    rows = []
-    for number in range(servers):
-        data = {
-            "backend": SERVICE,
-            "address": f"10.0.0.{number}:1",
-            "zone": "z",
-            "version": "v1",
-            "slotCount": 32,
-            "phase": "ready",
-            "coldRemainingMs": 0,
-            "callSeq": 0,
-        }
-        name = f"i-{number:03}"
-        rows.append(ServerRow(name, 2, msgspec.json.encode(data)))
-    registry.take_all(rows, 2)
+    registry.take_all(server_rows(servers), 2)
     return Dispatcher(registry, "z", lambda: 1)
 
 
