--- a/src/jasminerelay/cells.py
+++ b/src/jasminerelay/cells.py
@@ -69,7 +69,7 @@
     def known(self) -> bool:
         """Whether the service has so many cells."""
         servers = self._registry.servers_of(self._service)
-        return self._cell < len(cells_of(item.id for item in servers))
+        return 0 <= self._cell < len(cells_of(item.id for item in servers))
 
     def servers_of(self, service: str) -> list[BackendServer]:
         """Returns the cell's servers that take new work."""
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -1,6 +1,7 @@
 """Cells of servers, their owners among the instances, and who asks them."""
 
 import contextlib
+import dataclasses
 import time
 import unittest
 import unittest.mock
@@ -25,10 +26,11 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.owning import ASKER_LIFE_S
+from jasminerelay.placewords import FOREIGN, ask_word
 from jasminerelay.placing import KNOWN_UNREAD_S
 from jasminerelay.platform import documents
 from jasminerelay.registry import Registry
-from jasminerelay.schema.messages import Member, ServerRow
+from jasminerelay.schema.messages import Member, PlaceWord, ServerRow
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.waitingroom import Seat, WaitingRoom
 from tests.test_placing import call
@@ -254,6 +256,39 @@
                 self.assertEqual(before, after)
 
 
+class ForeignWordsTest(unittest.TestCase):
+    """Datagrams that no instance of this version sends."""
+
+    def test_cells_that_there_are_not(self) -> None:
+        # An instance whose list of servers is another one asks of a cell that
+        # is not known here. It is told so at once, and decides by itself.
+        node = Site(2, servers=4).nodes["n00"]
+        answers = []
+        node.owned.answer = lambda address, word: answers.append(word)
+        for service, cell in ((SERVICE, 7), (SERVICE, -1), ("other", 0)):
+            ask = ask_word(1, next(prompts(1)), frozenset(), False, 0.0)
+            word = PlaceWord(
+                "n01", "n01:1", service, cell, 1, [ask], [], [], []
+            )
+            node.owned.hear(word)
+            self.assertEqual(answers.pop().answers[0].state, FOREIGN)
+        self.assertEqual(len(node.owned), 0)
+
+    def test_unreadable(self) -> None:
+        # Bytes of a fault, or of another version, name nothing to act on.
+        ask = ask_word(1, next(prompts(1)), frozenset(), False, 0.0)
+        uneven = dataclasses.replace(ask, part_tokens=[1, 2, 3])
+        word = PlaceWord("a", "a:1", SERVICE, 0, 1, [uneven], [], [], [])
+        for data in (
+            peerwords.PLACE_MARK,
+            peerwords.OWNER_MARK + b"\x80",
+            peerwords.PLACE_MARK + b"\xc1",
+            peerwords.encode(word),
+        ):
+            with self.assertRaises(ValueError):
+                peerwords.decode(data)
+
+
 class FollowersTest(unittest.TestCase):
     """Who follows the store for others, and who tells whom."""
 
