--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -181,9 +181,9 @@
         self._doubted = False
         checked = self._unchecked[:CHECKS_AT_ONCE]
         del self._unchecked[:CHECKS_AT_ONCE]
-        asked = {*checked, target} - {None}
+        asked = dict.fromkeys([*checked, target])
         sends += [
-            self._send(name, PROBE) for name in asked & self._known.keys()
+            self._send(name, PROBE) for name in asked if name in self._known
         ]
         return sends
 
