Let a server that answers under another name rest

Change: an answer that another server has the address counts against the server's health like a lost connection, here and at the cell's owner. The test fails before with a caller that gets 503, and passes after. Not touched: rejections for fullness, which say nothing of a server's health.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -212,7 +212,7 @@
             body = await response.aread()
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             if head.not_run:
-                return NotRun(f"status {head.status}")
+                return NotRun(f"status {head.status}", head.misdirected)
             return Unknown(f"broke off: {exc!r}")
         except httpcore.TimeoutException as exc:
             return Unknown(f"silent: {exc!r}")
@@ -221,7 +221,7 @@
             self._kit.channels.distrust(channel.server)
         done.head = head
         if head.not_run:
-            return NotRun(f"status {head.status}")
+            return NotRun(f"status {head.status}", head.misdirected)
         if self._sink.started:
             # A second server does not go on with a stream that has begun.
             return Unknown(f"status {head.status}")
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -39,6 +39,7 @@
         status: HTTP status.
         headers: Header fields to pass on.
         not_run: Whether the server says that it did not run the request.
+        misdirected: Whether another server answers at the address.
         request: Id of the request that it answers; "" if it names none.
         closing: Whether the server ends the connection after the answer.
         idle_s: How long the server keeps an idle connection; None if it does
@@ -51,6 +52,7 @@
     request: str
     closing: bool
     idle_s: float | None
+    misdirected: bool = False
 
 
 class Dialect(Protocol):
@@ -109,9 +111,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotRun:
-    """The server says that it did not run the request."""
+    """The server says that it did not run the request.
+
+    Attributes:
+        why: What it says.
+        misdirected: Whether another server answers at its address.
+    """
 
     why: str
+    misdirected: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -100,6 +100,11 @@
             return None
         if isinstance(outcome, NotSent | Unknown | Interrupted):
             return Verdict.BAD
+        if isinstance(outcome, NotRun) and outcome.misdirected:
+            # The server has started again as another one, and its old row is
+            # still there. It answers at once and looks idle, so it drew most
+            # of what came until the row was gone: 250 requests in two seconds.
+            return Verdict.BAD
         return None
 
     def _note_health(self, server: BackendServer, outcome: Outcome) -> None:
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -158,6 +158,7 @@
             fields.get(ATTEMPT, b"").decode("latin-1"),
             b"close" in connection,
             _idle_s(fields.get(b"keep-alive", b"")),
+            status == MISDIRECTED,
         )
 
     def move(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from jasminerelay import stragglers
 from standins.platformserver import ServerFaults
 from standins.platformsite import HOST, KEY, MODEL, PLAIN
 from tests.platformcase import PlatformCase, events, fetch
@@ -123,6 +124,31 @@
             self.assertIn("retry-after", answer.headers)
             self.assertEqual(self.runs(site), 0)
 
+    async def test_server_started_again_under_another_name(self) -> None:
+        # A crashed server is back at its address as another one, and its old
+        # row stands for some seconds. It sends all requests for the old one
+        # away at once, so it always looks idle. One such answer must be
+        # enough; the others go where they are served.
+        self.enterContext(
+            unittest.mock.patch.object(stragglers, "FAILURE_BACKOFF_S", 60.0)
+        )
+        async with self.site() as (site, (instance,)):
+            await self.ask(instance, "/confirm/first")
+            (server,) = [x for x in site.servers.values() if x.journal]
+            server.name = "plain-9"
+            sent_away = []
+            reject = server._reject
+
+            async def counted(send, status, attempt) -> None:
+                sent_away.append(status)
+                await reject(send, status, attempt)
+
+            server._reject = counted
+            for number in range(12):
+                answer = await self.ask(instance, f"/confirm/{number}")
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(sent_away, [421])
+
     async def test_once_is_not_repeated(self) -> None:
         # The server takes a request that may run once and closes without an
         # answer. It may have run, so the caller is told 502 and no other
