Tell which call of the store failed, who vouches for a configuration, what is passed over

Sight for configurations out of date. A lost store's line names the call that showed it and the age of the store's last answer to any call; requests' and refusals' lines name who confirms that the configuration is the newest (the store, another instance, nobody); a row whose configuration is older than the one in force is no longer passed over without a line. No decision changes. Tests of following, instances, explain, docs and safeguards: passed.

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -98,7 +98,13 @@
     def failed(self, who: str, why: str) -> None:
         """Notes a call that failed."""
         if not self._lost_by:
-            self._log.trouble("dependency_lost", name="store", why=why)
+            self._log.trouble(
+                "dependency_lost",
+                name="store",
+                call=who,
+                answered_s=round(time.monotonic() - self.answered, 2),
+                why=why,
+            )
             self._renew()
         self._lost_by.add(who)
         self._registry.store_lost()
@@ -325,6 +331,15 @@
                 row_version=version,
                 source=source,
             )
+        elif version > self._registry.standing.configuration_version:
+            # The row is newer and its configuration older than the one in
+            # force, which never goes back.
+            self._log.trouble(
+                "configuration_passed_over",
+                version=self._registry.catalog.version,
+                row_version=version,
+                source=source,
+            )
 
     def take_all_servers(self, page: Page) -> bool:
         """Takes all servers' rows; older ones are passed over."""
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -145,19 +145,21 @@
         latest = max(heard for heard, _ in self._heard.values())
         return now - latest > ISOLATED_S
 
-    def confirmed(self, now: float) -> bool:
-        """Returns whether one with the store has just said the same version.
+    def confirmed_by(self, now: float) -> str:
+        """Returns one with the store that has just said the same version.
 
         Instances that have all lost the store would only confirm each other:
         a caller of a route just added was told "not found", which is final.
         """
         own = self._registry.standing.configuration_version
-        return any(
-            now - heard < FRESH_S
-            and word.configuration_version == own
-            and word.touch != Touch.LOST
-            for heard, word in self._heard.values()
-        )
+        for name, (heard, word) in self._heard.items():
+            if (
+                now - heard < FRESH_S
+                and word.configuration_version == own
+                and word.touch != Touch.LOST
+            ):
+                return name
+        return ""
 
     def meet(self, addresses: set[str]) -> None:
         """Adds addresses at which instances may be."""
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -374,15 +374,20 @@
                 time.monotonic() - self._store_state.answered, 2
             ),
             "instances": self._peers.count,
+            "confirmed_by": self._confirmed_by(),
         }
 
     @property
     def current(self) -> bool:
         """Whether the configuration was confirmed of late."""
+        return bool(self._confirmed_by())
+
+    def _confirmed_by(self) -> str:
+        """Returns who has confirmed the configuration of late, if anyone."""
         now = time.monotonic()
         if now - self._store_state.answered < CURRENT_S:
-            return not self._store_state.lost
-        return self._peers.confirmed(now)
+            return "" if self._store_state.lost else "store"
+        return self._peers.confirmed_by(now)
 
     def _takes(self, limit_s: float) -> bool:
         if self._stop is None:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -476,7 +476,7 @@
     Safeguard(
         "instances without the store confirm no configuration",
         "peerlink",
-        "            and word.touch != Touch.LOST\n",
+        "                and word.touch != Touch.LOST\n",
         "",
         "test_platforminstances.StoreOutageTest"
         ".test_unknown_route_among_instances_without_touch",
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -243,6 +243,29 @@
         self.assertEqual([s.id for s in registry.servers()], ["b"])
 
 
+class FeedTest(unittest.TestCase):
+    """What the lines tell of rows that are taken or passed over."""
+
+    def test_configuration_passed_over(self) -> None:
+        # An operator finds an old configuration in force. A line tells a row
+        # that came and was passed over from one that never came.
+        lines = []
+        log = types.SimpleNamespace(
+            trouble=lambda event, **fields: lines.append((event, fields))
+        )
+        registry = Registry(
+            lambda data: types.SimpleNamespace(version=int(data)), decode
+        )
+        feed = RegistryFeed(registry, "config", Counters(Statsd()), log)
+        for version, data in ((5, b"7"), (6, b"6"), (5, b"7")):
+            row = ServerRow("config", version, data)
+            feed.take_configuration(Page((row,), version))
+        self.assertEqual(
+            [(event, fields["row_version"]) for event, fields in lines],
+            [("configuration", 5), ("configuration_passed_over", 6)],
+        )
+
+
 class RegistryTest(unittest.TestCase):
     """Knowledge from the store and from other instances."""
 
