--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -8,7 +8,7 @@
 import dataclasses
 import json
 import pathlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import anyio
 
@@ -115,8 +115,13 @@
         """Ends a server at once; its row stays for a while."""
         self._scopes.pop(name).cancel()
 
-    def configure(self, **changes) -> None:
-        """Writes the next version of the configuration."""
+    def configure(self, added: Sequence[dict] = (), **changes) -> None:
+        """Writes the next version of the configuration.
+
+        Args:
+            added: Further routes.
+            **changes: Other fields of the configuration.
+        """
         self.version += 3
         routes = [
             _route("chat", "/chat/", MODEL, routeType="streaming",
@@ -130,6 +135,7 @@
             _route("confirm", "/confirm/", PLAIN,
                    routeType="non_idempotent", maxAttempts=2),
         ]  # fmt: skip
+        routes += [_route(**route) for route in added]
         for route in routes:
             route.update(self.options.routes.get(route["name"], {}))
         value = {
