Ask the store anew before the knowledge of it is too old

What callers saw: after an outage in which the store was silent and closed nothing, a route just added was not found and old routes held for 4.5 s. Cause: a waiting call that the outage left without an answer looks like one that waits for a change, and nobody called the store otherwise; all instances ask in the same moment, after a change, so all hang together. Class: silence taken for 'nothing has changed'.

Knowledge now carries its age: up to when answers of the store have shown both tables complete. One instance, the first in an order that all share, waits only 0.9 s at a time and tells the others what that proves; each other one asks the store itself once its knowledge is too old (1.3 to 1.6 s by its place in the order, 0.3 s for the leader while its tables are known up to different versions). Ages go by a clock that counts suspensions, and words that may have waited in a buffer during a standstill prove nothing. A call of the store is given up after 1.0 s beyond its own wait (1.5 and 2.0 before), so that one left unanswered, the pause and the next fit into two seconds. The configuration's shorter wait of 10 s goes: it showed an outage after 11.5 s at best.

The test's route lacked a field, so that no instance could have read it; with it the test fails on the code before as it should (TimeoutError) and passes now. Ruled out as a mend: shorter waits at every instance, whose calls grow with the instances.

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -12,18 +12,22 @@
 from jasminerelay.catalog import BackendServer
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
+from jasminerelay.freshness import Freshness, now_s
 from jasminerelay.metrics import Counters
 from jasminerelay.registry import Registry, ServerNews
 from jasminerelay.schema.messages import ServerRow
 
 WAIT_S = 25.0
 """How long the store holds a call until there is a change; it holds them for
-half a minute at most. Longer waits save calls; a shorter one would not show a
-silent connection sooner, since the kernel's probes do that."""
+half a minute at most. Longer waits save calls. That nothing is heard meanwhile
+proves nothing; the knowledge's age says when to ask anew."""
 
-WATCH_S = 10.0
-"""The wait of one of an instance's followers. A store that refuses new calls
-and lets the waiting ones wait is found out in this time."""
+LEAD_WAIT_S = 0.9
+"""The wait of the instance that proves the knowledge for all: its calls come
+back often, empty or not, and each answer is a proof."""
+
+RENEW_LEAST_S = 0.5
+"""Least time between two rounds in which waiting calls are given up."""
 
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 0.6
@@ -76,14 +80,23 @@
 
 
 class StoreState:
-    """Whether the store answers this instance, over all that ask it."""
+    """Whether the store answers this instance, over all that ask it.
+
+    Attributes:
+        answered: Steady time of its last answer to any call.
+        on_news: Is called once the knowledge is proved anew by the store
+            itself, and once the store is lost.
+    """
 
-    def __init__(self, registry: Registry, log: EventLog):
+    def __init__(self, registry: Registry, freshness: Freshness, log: EventLog):
         self._registry = registry
+        self._freshness = freshness
         self._log = log
         self._lost_by: set[str] = set()
         self._doubt = anyio.Event()
+        self._renewed_at = float("-inf")
         self.answered = float("-inf")
+        self.on_news: Callable[[], None] = lambda: None
 
     @property
     def lost(self) -> bool:
@@ -97,7 +110,10 @@
 
     def failed(self, who: str, why: str) -> None:
         """Notes a call that failed."""
-        if not self._lost_by:
+        first = not self._lost_by
+        self._lost_by.add(who)
+        self._registry.store_lost()
+        if first:
             self._log.trouble(
                 "dependency_lost",
                 name="store",
@@ -106,8 +122,7 @@
                 why=why,
             )
             self._renew()
-        self._lost_by.add(who)
-        self._registry.store_lost()
+            self.on_news()
 
     def worked(self, who: str) -> None:
         """Notes a call that worked."""
@@ -121,6 +136,35 @@
         if was_lost:
             self._log.trouble("dependency_regained", name="store")
 
+    def proved(self, table: str, version: int, at: float) -> None:
+        """Notes an answer on a table whose rows have been taken.
+
+        Args:
+            table: The table.
+            version: The store's newest version, by the answer.
+            at: When that was the newest one, by `freshness.now_s`.
+        """
+        if self._freshness.answered(table, version, at):
+            self.on_news()
+
+    def renew_after(self, patience_s: float) -> None:
+        """Has the store asked anew once the knowledge is too old.
+
+        A waiting call that an outage has left without an answer looks like
+        one that waits for a change, and no other call need fail: all
+        instances held a configuration for 4.5 s after the outage, with the
+        store at hand. Who has lost the store asks without waiting anyway.
+
+        Args:
+            patience_s: Age of the knowledge from which on it is asked.
+        """
+        now = now_s()
+        if self._lost_by or now - self._renewed_at < RENEW_LEAST_S:
+            return
+        if self._freshness.age_s(now) > patience_s:
+            self._renewed_at = now
+            self._renew()
+
     def check(self) -> None:
         """Has the store asked at once, since another instance has lost it.
 
@@ -203,10 +247,12 @@
                 if after is None:
                     after = await self._read_all(take_all)
                     continue
+                asked = now_s()
                 page = await self._changes(after, wait_s)
                 if page is None:
                     wait_s = 0.0
                     continue
+                newest_at = _newest_at(page, asked, wait_s)
                 wait_s = self._manner().wait_s
             except HistoryGoneError:
                 after = None
@@ -223,8 +269,9 @@
             after = max(after, page.version)
             if page.rows:
                 take_changes(page)
-                if await self._doubted():
-                    wait_s = 0.0
+            self._state.proved(self._name, page.version, newest_at)
+            if page.rows and await self._doubted():
+                wait_s = 0.0
 
     async def _changes(self, after: int, wait_s: float) -> Page | None:
         """Waits for changes; None once the store is in doubt.
@@ -267,9 +314,11 @@
         return doubt.is_set()
 
     async def _read_all(self, take_all: Callable[[Page], bool]) -> int | None:
+        asked = now_s()
         page = await self._source.read()
         self._worked()
         if take_all(page):
+            self._state.proved(self._name, page.version, asked)
             return page.version
         await anyio.sleep(STALE_PAUSE_S)
         return None
@@ -279,6 +328,16 @@
         self._state.worked(self._name)
 
 
+def _newest_at(page: Page, asked: float, wait_s: float) -> float:
+    """Returns a moment at which a page's version was the store's newest.
+
+    An answer may have lain in a buffer while this process stood still, so the
+    moment at which it is read proves nothing.
+    """
+    over = asked + wait_s
+    return over if not page.rows and now_s() >= over else asked
+
+
 async def _cancel_when(event: anyio.Event, group: TaskGroup) -> None:
     await event.wait()
     group.cancel_scope.cancel()
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import math
 import random
 import time
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.eventlog import EventLog
 from jasminerelay.followers import Followers
+from jasminerelay.freshness import Freshness, now_s
 from jasminerelay.httpclient import (
     BrokenError,
     Client,
@@ -100,6 +102,7 @@
         self,
         own: Member,
         registry: Registry,
+        freshness: Freshness,
         dispatcher: Dispatcher,
         client: Client,
         counters: Counters,
@@ -108,6 +111,7 @@
     ):
         self.membership = Membership(own, SUSPECT_S, rng)
         self._registry = registry
+        self._freshness = freshness
         self._dispatcher = dispatcher
         self._client = client
         self._counters = counters
@@ -247,11 +251,32 @@
         Where that is newer they fetch the rows from here, in place of asking
         the store each.
         """
-        led = self._followers.led() if self._followers is not None else []
-        if not led:
+        self._tell(self._followers.led())
+
+    def tell_news(self) -> None:
+        """Tells the others what the store has proved, or that it is lost.
+
+        Those that know no less hold their knowledge for as young, and need
+        not ask the store.
+        """
+        self._tell(self._followers.told())
+
+    def without_store(self) -> list[str]:
+        """Returns the instances that have said that they lost the store."""
+        lost = [
+            name
+            for name, (_, word) in self._heard.items()
+            if word.touch == Touch.LOST
+        ]
+        if self._registry.standing.touch == Touch.LOST:
+            lost.append(self.membership.own.instance)
+        return lost
+
+    def _tell(self, members: list[Member]) -> None:
+        if not members:
             return
         data = peerwords.encode(self._word(None))
-        for member in led:
+        for member in members:
             self._send_to(member.peers, data)
 
     def _greet(self) -> None:
@@ -296,12 +321,17 @@
             gossip,
             self.membership.own.instance,
             self._number,
-            self._registry.standing,
+            self._standing(),
             peerwords.load_columns(loads),
             peerwords.demand_columns(demand),
             queues=queues,
         )
 
+    def _standing(self) -> Standing:
+        age_s = self._freshness.age_s(now_s())
+        age_ms = -1 if math.isinf(age_s) else int(age_s * 1000)
+        return dataclasses.replace(self._registry.standing, age_ms=age_ms)
+
     def _send_to(self, address: str, data: bytes) -> None:
         try:
             self._outbox.send_nowait((address, data))
@@ -366,6 +396,8 @@
         if self._registry.behind(word.standing):
             self._behind_since = self._behind_since or now
             self._behind_of = word.sender
+        elif word.standing.age_ms >= 0:
+            self._freshness.told(word.standing.age_ms / 1000, now_s())
 
     def _loses_store(self, word: PeerWord) -> bool:
         """Returns whether a word is the first to say that the store is lost."""
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -24,13 +24,13 @@
 from jasminerelay.followers import Followers
 from jasminerelay.following import (
     FAR_GATHER_S,
-    WAIT_S,
-    WATCH_S,
+    LEAD_WAIT_S,
     Follower,
     Manner,
     RegistryFeed,
     StoreState,
 )
+from jasminerelay.freshness import Freshness, now_s
 from jasminerelay.headbound import HeadBounds
 from jasminerelay.httpclient import Client
 from jasminerelay.membership import LEAVING
@@ -199,24 +199,35 @@
         self.registry = Registry(documents.catalog, documents.server)
         self.client = Client(self._watchdog, keepalive=True)
         store = Store(self.client, boot.store)
-        self._store_state = StoreState(self.registry, self.log)
+        self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
+        self._store_state = StoreState(self.registry, self._freshness, self.log)
         self._feed = RegistryFeed(
             self.registry, CONFIGURATION_KEY, self.counters, self.log
         )
         self._instances = InstanceTable(store, boot.ip, self.log)
-        self._configuration = self._follower(store, OPERATOR_TABLE, WATCH_S)
-        self._servers = self._follower(store, SERVERS_TABLE, WAIT_S)
+        self._configuration = self._follower(
+            store, OPERATOR_TABLE, leading=Manner(wait_s=LEAD_WAIT_S)
+        )
+        self._servers = self._follower(store, SERVERS_TABLE, leading=Manner())
 
-    def _follower(self, store: Store, table: str, wait_s: float) -> Follower:
-        near = Manner(wait_s=wait_s)
+    def _follower(
+        self, store: Store, table: str, *, leading: Manner
+    ) -> Follower:
+        near = Manner()
         far = Manner(gather_s=FAR_GATHER_S)
+
+        def manner() -> Manner:
+            if self._followers.leads:
+                return leading
+            return near if self._followers.closely() else far
+
         return Follower(
             table,
             TableSource(store, table),
             self._store_state,
             self.counters,
             self._rng,
-            lambda: near if self._followers.closely() else far,
+            manner,
         )
 
     def _wire_requests(self) -> None:
@@ -234,6 +245,7 @@
         self._peers = PeerLink(
             member,
             self.registry,
+            self._freshness,
             self.dispatcher,
             self.client,
             self.counters,
@@ -243,6 +255,7 @@
         self._peers.meet(set(boot.seeds))
         self._peers.on_snapshot = self._adopt
         self._peers.on_store_lost = self._store_state.check
+        self._store_state.on_news = self._peers.tell_news
         self._room = WaitingRoom(
             self.dispatcher.place,
             self.dispatcher.expect,
@@ -414,10 +427,14 @@
         while True:
             await anyio.sleep(TICK_S)
             now = time.monotonic()
+            self._freshness.tick(now_s())
             self._feed.expire(now)
             self.dispatcher.tick(now)
             self._owned.tick(now)
             self._see_instances()
+            self._store_state.renew_after(
+                self._followers.patience_s(lags=self._freshness.lags)
+            )
             self._budget.saw_instances(self._peers.known, now)
             rounds += 1
             if rounds % TIDY_EVERY == 0:
@@ -434,7 +451,11 @@
     def _see_instances(self) -> None:
         live = self._peers.membership.live()
         self._asking.saw_instances(self._peers.known, live)
-        self._followers.saw_instances(live, shared=self._asking.active)
+        self._followers.saw_instances(
+            live,
+            shared=self._asking.active,
+            without_store=self._peers.without_store(),
+        )
         self.dispatcher.sees_steps = not self._asking.active
 
     async def _join(self) -> None:
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -20,13 +20,12 @@
 RETRY_S = 0.5
 """When a call that the store did not take is worth another try."""
 
-CALL_TIMEOUT_S = 2.0
-"""Silence after which a call is given up. The store answers in milliseconds;
-one that takes seconds serves no caller, and a connection that died without a
-reset shows in no other way."""
-
-FEED_SLACK_S = 1.5
-"""Silence beyond a feed call's own wait after which it is given up."""
+CALL_TIMEOUT_S = 1.0
+"""Silence after which a call is given up, beyond the time that it waits. The
+store answers in milliseconds, a slow one within 0.3 s; a connection that died
+without a reset shows in no other way. A call that an outage has left without an
+answer, the pause after it and the next call fit into the two seconds in which
+a change must be in force."""
 
 PAGE_ROWS = 500
 """Rows of one answer, the most that the store gives."""
@@ -90,7 +89,7 @@
             HistoryGoneError: if the changes since then are no longer kept.
         """
         query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
-        answer = await self._get("/-/rows-feed", query, wait_s + FEED_SLACK_S)
+        answer = await self._get("/-/rows-feed", query, wait_s + CALL_TIMEOUT_S)
         return Page(tuple(_row(item) for item in answer.rows), answer.version)
 
     async def write(self, table: str, key: str, data: bytes) -> None:
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -253,6 +253,7 @@
     servers_version: int
     servers_digest: int
     touch: int = 1
+    age_ms: int = -1
 
 
 @dataclass(frozen=True)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -461,11 +461,32 @@
     Safeguard(
         "a waiting call is renewed once another has failed",
         "following",
-        "            self._renew()\n",
-        "",
+        "            self._renew()\n            self.on_news()\n",
+        "            self.on_news()\n",
         "test_following.FollowerTest"
         ".test_call_that_an_outage_left_without_answer",
     ),
+    Safeguard(
+        "the store is asked once the knowledge is too old",
+        "following",
+        "        if self._freshness.age_s(now) > patience_s:\n",
+        "        if False:\n",
+        "test_silentstore.SilentStoreTest.test_change_after_the_outage",
+    ),
+    Safeguard(
+        "words read after a standstill prove nothing",
+        "freshness",
+        "if self._stood_still(now) or now < self._deaf_until:",
+        "if False:",
+        "test_freshness.FreshnessTest.test_words_read_after_a_standstill",
+    ),
+    Safeguard(
+        "one table's answer does not vouch for another",
+        "freshness",
+        "            if read.version <= known.version\n",
+        "",
+        "test_freshness.FreshnessTest.test_change_elsewhere_proves_nothing",
+    ),
     Safeguard(
         "old rows bring no server back",
         "registry",
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -18,6 +18,7 @@
     RegistryFeed,
     StoreState,
 )
+from jasminerelay.freshness import Freshness
 from jasminerelay.metrics import Counters
 from jasminerelay.registry import RETURN_GRACE_S, Registry
 from jasminerelay.schema.messages import ServerRow
@@ -76,7 +77,7 @@
     async def follow(self, script: Script) -> Registry:
         registry = Registry(lambda data: None, decode)
         log = silent_log()
-        state = StoreState(registry, log)
+        state = StoreState(registry, Freshness(["servers"]), log)
         feed = RegistryFeed(registry, "configuration", Counters(Statsd()), log)
         follower = Follower(
             "servers", script, state, Counters(Statsd()), random.Random(1)
@@ -198,7 +199,7 @@
         """Returns a follower that pauses as told, its state and its feed."""
         registry = Registry(lambda data: None, decode)
         log = silent_log()
-        state = StoreState(registry, log)
+        state = StoreState(registry, Freshness(["servers"]), log)
         counters = Counters(Statsd())
         feed = RegistryFeed(registry, "configuration", counters, log)
         follower = Follower(
--- a/tests/test_platforminstances.py
+++ b/tests/test_platforminstances.py
@@ -133,7 +133,6 @@
 
     options = SiteOptions(links=True)
 
-    @unittest.mock.patch.object(root, "WATCH_S", root.WAIT_S)
     async def test_another_instance_has_lost_the_store(self) -> None:
         # Callers are refused, since the pool is empty though its servers
         # live. The store refuses new calls and lets the waiting ones wait, so
--- a/tests/test_silentstore.py
+++ b/tests/test_silentstore.py
@@ -1,7 +1,6 @@
 """A store that says nothing and closes nothing, as instances see it."""
 
 import unittest
-import unittest.mock
 
 import anyio
 
@@ -11,7 +10,12 @@
 from standins.platformsite import MODEL, PLAIN
 from tests.platformcase import PlatformCase
 
-ADDED = {"name": "added", "prefix": "/added/", "service": PLAIN}
+ADDED = {
+    "name": "added",
+    "prefix": "/added/",
+    "service": PLAIN,
+    "routeType": "idempotent",
+}
 """A route that an operator adds."""
 
 
@@ -43,7 +47,6 @@
             await self.until(lambda i=instance: i.version == site.version)
         await anyio.sleep(2 * GATHER_S)
 
-    @unittest.mock.patch.object(root, "WATCH_S", root.WAIT_S)
     async def test_change_after_the_outage(self) -> None:
         # A caller of a route that the operator added after an outage is told
         # "not found" for seconds, and others go by the routes of before it.
