Keep what others say of their knowledge apart from the sockets

No change of behaviour: who is behind whom, who has lost the store and who knows a newer version moves from the datagrams' task to a pure module, so that models play it as it is.

--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -39,6 +39,7 @@
     Snapshot,
     Standing,
 )
+from jasminerelay.standings import Standings
 
 LOAD_EVERY_S = 0.1
 """How often loads are sent while they change. Choices by loads that are older
@@ -75,17 +76,7 @@
 GREET_AT_ONCE = 8
 """Addresses tried at once; gossip brings the rest."""
 
-BEHIND_S = 0.25
-"""How long an instance that is behind waits for the store before it asks
-another instance: the store's own word usually comes within milliseconds."""
-
 FETCH_TIMEOUT_S = 1.0
-ISOLATED_S = 1.5
-"""Silence of all others after which an instance takes itself for cut off."""
-
-FRESH_S = 1.5
-"""Age up to which another instance's newer version counts, before it is here.
-"""
 
 MAX_OUTGOING = 200
 """Datagrams that wait to be sent; more are dropped, as a full link would."""
@@ -119,10 +110,8 @@
         self._log = log
         self._rng = rng
         self._number = 0
-        self._heard: dict[str, tuple[float, Standing]] = {}
+        self.standings = Standings(registry, freshness)
         self._addresses: set[str] = set()
-        self._behind_since: float | None = None
-        self._behind_of = ""
         self._live: set[str] = set()
         self._outbox, self._outgoing = anyio.create_memory_object_stream(
             MAX_OUTGOING
@@ -143,21 +132,6 @@
         """How many instances are known at all, failed ones included."""
         return len(self.membership.view)
 
-    def isolated(self, now: float) -> bool:
-        """Returns whether all others have fallen silent."""
-        if not self._heard:
-            return False
-        latest = max(heard for heard, _ in self._heard.values())
-        return now - latest > ISOLATED_S
-
-    def knows_newer(self, now: float) -> bool:
-        """Returns whether another has just told of a newer configuration."""
-        own = self._registry.standing.configuration_version
-        return any(
-            now - heard < FRESH_S and word.configuration_version > own
-            for heard, word in self._heard.values()
-        )
-
     def meet(self, addresses: set[str]) -> None:
         """Adds addresses at which instances may be."""
         self._addresses |= addresses - {self.membership.own.peers}
@@ -255,12 +229,8 @@
         self._tell(self._followers.told())
 
     def without_store(self) -> list[str]:
-        """Returns the instances that have said that they lost the store."""
-        lost = [
-            name
-            for name, (_, word) in self._heard.items()
-            if word.touch == Touch.LOST
-        ]
+        """Returns the instances that have lost the store, this one included."""
+        lost = self.standings.without_store()
         if self._registry.standing.touch == Touch.LOST:
             lost.append(self.membership.own.instance)
         return lost
@@ -372,9 +342,9 @@
         now = time.monotonic()
         if word.sender == self.membership.own.instance:
             return
-        if self._loses_store(word):
+        if self.standings.loses_store(word.sender, word.standing):
             self.on_store_lost()
-        self._heard[word.sender] = (now, word.standing)
+        self.standings.hear(word.sender, word.standing, now, now_s())
         loads = peerwords.load_rows(word.loads)
         self._dispatcher.hear_loads(word.sender, word.number, loads, now)
         demand = peerwords.demand_rows(word.demand)
@@ -386,32 +356,13 @@
                 self._followers.heard(word.sender, now)
         if word.gossip is not None:
             self._send_all(self.membership.receive(word.gossip, now))
-        if self._registry.behind(word.standing):
-            self._behind_since = self._behind_since or now
-            self._behind_of = word.sender
-        elif word.standing.age_ms >= 0:
-            self._freshness.told(word.standing.age_ms / 1000, now_s())
-
-    def _loses_store(self, word: PeerWord) -> bool:
-        """Returns whether a word is the first to say that the store is lost."""
-        if word.standing.touch != Touch.LOST:
-            return False
-        heard = self._heard.get(word.sender)
-        return heard is None or heard[1].touch != Touch.LOST
 
     async def _catch_up(self) -> None:
         while True:
             await anyio.sleep(LOAD_EVERY_S)
-            now = time.monotonic()
-            if self._behind_since is None:
-                continue
-            if now - self._behind_since < BEHIND_S:
-                continue
-            self._behind_since = None
-            heard = self._heard.get(self._behind_of)
-            if heard is None or not self._registry.behind(heard[1]):
-                continue
-            await self._fetch(self._behind_of)
+            name = self.standings.ahead(time.monotonic())
+            if name is not None:
+                await self._fetch(name)
 
     async def _fetch(self, name: str) -> None:
         address = next(
@@ -444,9 +395,8 @@
         for name in self._live - live:
             self._log.trouble("instance_not_live", peer=name)
         self._live = live
-        names = {member.instance for member in self.membership.view}
-        for name in [name for name in self._heard if name not in names]:
-            del self._heard[name]
+        view = self.membership.view
+        self.standings.keep({member.instance for member in view})
 
 
 class SnapshotApp:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -401,7 +401,7 @@
         """
         if self._freshness.age_s(now_s()) > CURRENT_S:
             return False
-        return not self._peers.knows_newer(time.monotonic())
+        return not self._peers.standings.knows_newer(time.monotonic())
 
     def _takes(self, limit_s: float) -> bool:
         if self._stop is None:
@@ -413,7 +413,8 @@
         members = membership.live()
         if not self._ready or self._stop is not None:
             members = [item for item in members if item is not membership.own]
-        if self._store_state.lost and self._peers.isolated(time.monotonic()):
+        isolated = self._peers.standings.isolated(time.monotonic())
+        if self._store_state.lost and isolated:
             # Neither the store nor any other instance answers: it is more
             # likely this one that is cut off than all others that are dead,
             # and a list of this one alone would bring it every caller.
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -368,8 +368,8 @@
     ),
     Safeguard(
         "an instance that is behind asks another",
-        "peerlink",
-        "if self._registry.behind(word.standing):",
+        "standings",
+        "if self._registry.behind(standing):",
         "if False:",
         "test_platforminstances.StoreOutageTest.test_learns_from_another_instance",
     ),
@@ -505,8 +505,8 @@
     Safeguard(
         "who hears of a newer configuration refuses nothing for good",
         "platform/root",
-        "        return not self._peers.knows_newer(time.monotonic())\n",
-        "        return True\n",
+        "not self._peers.standings.knows_newer(time.monotonic())",
+        "True",
         "test_silentstore.SilentStoreTest.test_newer_version_on_its_way",
     ),
     Safeguard(
