--- /dev/null
+++ b/tests/test_starting.py
@@ -0,0 +1,111 @@
+"""Stops that come while a program is still starting."""
+
+import os
+import subprocess
+import sys
+import unittest
+
+import anyio
+
+from standins.launcher import ROOT
+from standins.platformsite import SiteOptions
+from tests.platformcase import PlatformCase
+
+STOPPED = """
+import os, runpy, signal, sys
+from importlib.metadata import entry_points
+
+program, module, name = sys.argv[1:]
+sys.argv = [program]
+
+def stop_at(frame, event, argument):
+    here = frame.f_globals.get("__name__"), frame.f_code.co_qualname
+    if event == "call" and here == (module, name):
+        sys.setprofile(None)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+sys.setprofile(stop_at)
+if program.endswith(".py"):
+    runpy.run_path(program, run_name="__main__")
+else:
+    (entry,) = entry_points(group="console_scripts", name=program)
+    sys.exit(entry.load()())
+"""
+"""Runs a program that gets SIGTERM as it enters a function or a module."""
+
+END_S = 60.0
+AT_ONCE = 2
+
+LOADING = "<module>"
+
+
+class StartingTest(PlatformCase):
+    """SIGTERM at many points of the start, from the first import on."""
+
+    options = SiteOptions(grace_s=1.0)
+
+    async def stopped(self, program: str, module: str, name: str) -> None:
+        """Asserts that a program that is stopped somewhere ends in order."""
+        async with self.limiter:
+            with anyio.fail_after(END_S):
+                done = await anyio.run_process(
+                    [sys.executable, "-c", STOPPED, program, module, name],
+                    cwd=ROOT,
+                    env=self.environment,
+                    check=False,
+                    stderr=subprocess.STDOUT,
+                )
+        where = f"{program} at {module} {name}: {done.stdout.decode()}"
+        self.assertEqual(done.returncode, 0, where)
+        self.assertIn('"event":"stop"', done.stdout.decode(), where)
+
+    async def stopped_at_each(self, program: str, points) -> None:
+        """Stops a program at each of several points."""
+        self.limiter = anyio.CapacityLimiter(AT_ONCE)
+        async with anyio.create_task_group() as group:
+            for point in points:
+                group.start_soon(self.stopped, program, *point)
+
+    async def test_instance_on_the_platform(self) -> None:
+        # An operator restarts instances in turn and is told of a failed unit.
+        # One was told to stop right after it had been started, before the
+        # program listened to signals, and ended by the signal's default
+        # action, though it had accepted nothing. The store is silent, so that
+        # the later points lie in the first read of it.
+        async with self.site() as (site, _):
+            path = site.settings("edge-new")
+            self.environment = {**os.environ, "JASMINERELAY_BOOT": str(path)}
+            site.store.faults.hang = True
+            root = "jasminerelay.platform.root"
+            await self.stopped_at_each(
+                "deploy/instance.py",
+                (
+                    ("anyio", LOADING),
+                    ("uvicorn", LOADING),
+                    (root, LOADING),
+                    (root, "main"),
+                    (root, "Instance.__init__"),
+                    (root, "Instance.run"),
+                    (root, "Instance._join"),
+                    ("jasminerelay.platform.storeclient", "Store.read"),
+                    ("jasminerelay.freshness", "Freshness.tick"),
+                ),
+            )
+
+    async def test_daemon(self) -> None:
+        # The same with the daemon of the own interface.
+        self.environment = dict(os.environ)
+        daemon = "jasminerelay.daemon"
+        await self.stopped_at_each(
+            "jasminerelayd",
+            (
+                ("anyio", LOADING),
+                ("grpc", LOADING),
+                (daemon, LOADING),
+                (daemon, "main"),
+            ),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
