Answer signals from a program's first line on

What an operator saw: a rolling restart reports a failed unit, though the instance had accepted nothing. Cause: the signal's default action holds until the program listens, for most of a second, several on a busy machine. The programs now start in a small module that answers SIGTERM and SIGINT with status 0 and a stop line before anything else is loaded; on the platform SIGHUP, too, ended a starting instance, and is passed over (settings are looked at every two seconds anyway). Signals that come once the program has stopped listening, in its last milliseconds, are ignored: a second SIGTERM ended it by the signal.

Two proofs of the last mends passed without their safeguards: the one of the renewal by age is now the model, the one of a newer version on its way no longer ends by the age.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -6,6 +6,6 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 sys.path[:0] = [str(_ROOT / "src"), str(_ROOT / "target" / "deps")]
 
-from jasminerelay.platform.root import main  # noqa: E402
+from jasminerelay.launch import platform_instance  # noqa: E402
 
-sys.exit(main())
+sys.exit(platform_instance())
--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -23,6 +23,7 @@
     callers,
     entrylist,
     headbound,
+    launch,
     membership,
     operators,
     peers,
@@ -475,13 +476,16 @@
         await anyio.sleep(0.2)
 
     async def _signals(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as received:
-            async for _ in received:
-                # A second signal does not cut requests either; whoever wants
-                # that sends SIGKILL.
-                self.drain()
+        try:
+            with anyio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT
+            ) as received:
+                async for _ in received:
+                    # A second signal does not cut requests either; whoever
+                    # wants that sends SIGKILL.
+                    self.drain()
+        finally:
+            launch.ignore_late()
 
     async def _follow_list(self) -> None:
         while True:
@@ -548,7 +552,3 @@
     gc.set_threshold(GC_YOUNG_OBJECTS)
     anyio.run(Relay(cfg).run)
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/src/jasminerelay/launch.py
@@ -0,0 +1,62 @@
+"""Entry points of the programs.
+
+Loading a program takes a good part of a second, several on a busy machine. An
+instance that is told to stop in that time has accepted nothing, so it ends in
+order at once; by the signal's default action a rolling restart would report a
+failed unit.
+"""
+
+import contextlib
+import os
+import signal
+import sys
+
+_STOP_LINE = b'{"event":"stop","why":"told to stop while it was starting"}\n'
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def daemon() -> int:
+    """Runs the daemon of the own interface; returns its exit status."""
+    answer_early()
+    # Imported only now: whatever comes first is answered from here on.
+    from jasminerelay.daemon import main
+
+    return main()
+
+
+def platform_instance() -> int:
+    """Runs an instance on the platform; returns its exit status."""
+    answer_early()
+    # Settings that change while it starts are found when they are next looked
+    # at; the default action would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from jasminerelay.platform.root import main
+
+    return main()
+
+
+def answer_early() -> None:
+    """Ends the process in order when it is told to stop while it starts.
+
+    Holds until the program listens to the signals itself.
+    """
+    for number in _STOP_SIGNALS:
+        signal.signal(number, _end)
+
+
+def ignore_late() -> None:
+    """Lets a stop that is almost done go on, whatever signal comes."""
+    for number in (*_STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
+def _end(number: int, frame: object) -> None:
+    del number, frame
+    # Whoever read the lines may be gone, and then nobody is to be told.
+    with contextlib.suppress(OSError):
+        os.write(sys.__stdout__.fileno(), _STOP_LINE)
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    sys.exit(daemon())
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from jasminerelay import entrylist, headbound, ports
+from jasminerelay import entrylist, headbound, launch, ports
 from jasminerelay.asking import AskingRoom
 from jasminerelay.attempt import Kit
 from jasminerelay.catalog import Bounds, Catalog
@@ -476,14 +476,17 @@
                 await anyio.sleep(self._rng.uniform(0.5, 1.5))
 
     async def _signals(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    self._reload("signal")
-                elif self._stop is None:
-                    self.stop()
+        try:
+            with anyio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            ) as signals:
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        self._reload("signal")
+                    elif self._stop is None:
+                        self.stop()
+        finally:
+            launch.ignore_late()
 
     def stop(self) -> None:
         """Begins the planned stop."""
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -209,7 +209,7 @@
         addresses = [free_address() for _ in range(3)]
         path = self._path / f"{name}.toml"
         path.write_text(self.settings_text(name, index, addresses))
-        command = [sys.executable, "-m", "jasminerelay.daemon", str(path)]
+        command = [sys.executable, "-m", "jasminerelay.launch", str(path)]
         popen, log = self._spawn(name, command)
         daemon = Daemon(
             name, addresses[0], popen, log, addresses[1], addresses[2], path
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -471,7 +471,7 @@
         "following",
         "        if self._freshness.age_s(now) > patience_s:\n",
         "        if False:\n",
-        "test_silentstore.SilentStoreTest.test_change_after_the_outage",
+        "test_staleversions.StaleVersionsTest.test_few_instances",
     ),
     Safeguard(
         "words read after a standstill prove nothing",
@@ -487,6 +487,20 @@
         "",
         "test_freshness.FreshnessTest.test_change_elsewhere_proves_nothing",
     ),
+    Safeguard(
+        "a stop is answered while the program loads",
+        "launch",
+        "        signal.signal(number, _end)\n",
+        "        pass\n",
+        "test_starting.StartingTest.test_instance_on_the_platform",
+    ),
+    Safeguard(
+        "changed settings end no program that loads",
+        "launch",
+        "    signal.signal(signal.SIGHUP, signal.SIG_IGN)\n",
+        "",
+        "test_starting.StartingTest.test_changed_settings",
+    ),
     Safeguard(
         "old rows bring no server back",
         "registry",
--- a/tests/safeguards.py
+++ b/tests/safeguards.py
@@ -15,7 +15,7 @@
 from tests.safeguardlist import SAFEGUARDS, Safeguard
 
 ROOT = pathlib.Path(__file__).parent.parent
-PARTS = ("src", "standins", "tests", "examples", "bench")
+PARTS = ("src", "standins", "tests", "examples", "bench", "deploy")
 TIMEOUT_S = 300.0
 
 
--- a/tests/test_silentstore.py
+++ b/tests/test_silentstore.py
@@ -1,6 +1,7 @@
 """A store that says nothing and closes nothing, as instances see it."""
 
 import unittest
+import unittest.mock
 
 import anyio
 
@@ -111,11 +112,12 @@
             answer = await self.ask(instance, "/added/x")
             self.assertEqual(answer.status, 503)
 
+    @unittest.mock.patch.object(root, "CURRENT_S", float("inf"))
     async def test_newer_version_on_its_way(self) -> None:
         # A caller of a route just added reaches an instance that has heard of
         # the new version and does not have it yet: its own call hangs, and
-        # the other instance's snapshot does not come. Its knowledge is young,
-        # and yet it knows that it is not the newest.
+        # the other instance's snapshot does not come. Its knowledge is young
+        # enough, and yet it knows that it is not the newest.
         async with self.site(2) as (site, (first, second)):
             await self.until(lambda: first.peers_live == 2)
             await self.until(lambda: second.peers_live == 2)
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -15,23 +15,26 @@
 import os, runpy, signal, sys
 from importlib.metadata import entry_points
 
-program, module, name = sys.argv[1:]
+program = sys.argv[1]
+points = [point.split(":") for point in sys.argv[2:]]
 sys.argv = [program]
 
-def stop_at(frame, event, argument):
-    here = frame.f_globals.get("__name__"), frame.f_code.co_qualname
-    if event == "call" and here == (module, name):
-        sys.setprofile(None)
-        os.kill(os.getpid(), signal.SIGTERM)
+def strike(frame, event, argument):
+    here = [frame.f_globals.get("__name__"), frame.f_code.co_qualname]
+    if event == "call" and here == points[0][1:]:
+        number = signal.Signals[points.pop(0)[0]]
+        if not points:
+            sys.setprofile(None)
+        os.kill(os.getpid(), number)
 
-sys.setprofile(stop_at)
+sys.setprofile(strike)
 if program.endswith(".py"):
     runpy.run_path(program, run_name="__main__")
 else:
     (entry,) = entry_points(group="console_scripts", name=program)
     sys.exit(entry.load()())
 """
-"""Runs a program that gets SIGTERM as it enters a function or a module."""
+"""Runs a program that gets signals as it enters functions or modules."""
 
 END_S = 60.0
 AT_ONCE = 2
@@ -44,18 +47,23 @@
 
     options = SiteOptions(grace_s=1.0)
 
-    async def stopped(self, program: str, module: str, name: str) -> None:
-        """Asserts that a program that is stopped somewhere ends in order."""
+    async def stopped(self, program: str, *points: str) -> None:
+        """Asserts that a program ends in order.
+
+        Args:
+            program: The program.
+            *points: Signal, module and function at which it comes, in order.
+        """
         async with self.limiter:
             with anyio.fail_after(END_S):
                 done = await anyio.run_process(
-                    [sys.executable, "-c", STOPPED, program, module, name],
+                    [sys.executable, "-c", STOPPED, program, *points],
                     cwd=ROOT,
                     env=self.environment,
                     check=False,
                     stderr=subprocess.STDOUT,
                 )
-        where = f"{program} at {module} {name}: {done.stdout.decode()}"
+        where = f"{program} {points}: {done.stdout.decode()}"
         self.assertEqual(done.returncode, 0, where)
         self.assertIn('"event":"stop"', done.stdout.decode(), where)
 
@@ -64,7 +72,8 @@
         self.limiter = anyio.CapacityLimiter(AT_ONCE)
         async with anyio.create_task_group() as group:
             for point in points:
-                group.start_soon(self.stopped, program, *point)
+                stop = f"SIGTERM:{':'.join(point)}"
+                group.start_soon(self.stopped, program, stop)
 
     async def test_instance_on_the_platform(self) -> None:
         # An operator restarts instances in turn and is told of a failed unit.
@@ -92,6 +101,21 @@
                 ),
             )
 
+    async def test_changed_settings(self) -> None:
+        # The settings file changes while an instance starts, and the platform
+        # says so by a signal whose default action ends the process.
+        async with self.site() as (site, _):
+            path = site.settings("edge-new")
+            self.environment = {**os.environ, "JASMINERELAY_BOOT": str(path)}
+            self.limiter = anyio.CapacityLimiter(AT_ONCE)
+            root = "jasminerelay.platform.root"
+            for point in ("anyio:<module>", f"{root}:main"):
+                await self.stopped(
+                    "deploy/instance.py",
+                    f"SIGHUP:{point}",
+                    f"SIGTERM:{root}:Instance._tick",
+                )
+
     async def test_daemon(self) -> None:
         # The same with the daemon of the own interface.
         self.environment = dict(os.environ)
