--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -186,10 +186,10 @@
     Safeguard(
         "a second SIGTERM does not cut",
         "daemon",
-        "                self.drain()\n\n    async def _follow_list",
-        "                if self._draining:\n"
-        "                    os._exit(1)\n"
-        "                self.drain()\n\n    async def _follow_list",
+        "                    self.drain()\n        finally:\n",
+        "                    if self._draining:\n"
+        "                        raise SystemExit(1)\n"
+        "                    self.drain()\n        finally:\n",
         "test_stopping.PlannedStopTest.test_cuts_nothing",
     ),
     Safeguard(
