Prove the bound of an old configuration in each case that leaves no news

In virtual time, with the programs' followers: an instance's own calls hang; a zone is cut off from the others, or from them and the store; the three that follow the store for a zone hang and say that they have it; an instance starts, or goes on after a standstill, in the outage.

--- a/tests/test_staleversions.py
+++ b/tests/test_staleversions.py
@@ -9,6 +9,7 @@
 import random
 import types
 import unittest
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -40,6 +41,9 @@
 LENGTH_S = 60.0
 STEP_S = 0.05
 
+SETTLED_S = 3.0
+"""Time from the start until all know each other and the first version."""
+
 PROMISED_S = 2.0
 """Time in which a change must be in force after the store has accepted it."""
 
@@ -280,8 +284,24 @@
 class World:
     """Plays one seed and checks every step."""
 
-    def __init__(self, test: unittest.TestCase, seed: int, count: int):
+    def __init__(
+        self,
+        test: unittest.TestCase,
+        seed: int,
+        count: int,
+        story: Callable[["World"], Awaitable[None]] | None = None,
+    ):
+        """Makes the world.
+
+        Args:
+            test: Takes what is asserted.
+            seed: Seed of times and faults.
+            count: How many instances there are.
+            story: What happens, in place of drawn faults; the end of it is
+                the end of the world.
+        """
         self._test = test
+        self._story = story
         self._count = count
         self.rng = random.Random(seed)
         self.shared = count >= 24
@@ -296,13 +316,15 @@
         async with anyio.create_task_group() as group:
             self._group = group
             for number in range(self._count):
-                self._start(f"z{number % 3}")
-            group.start_soon(self._operate)
-            group.start_soon(self._break)
-            while now() < LENGTH_S:
-                await anyio.sleep(STEP_S)
-                for node in self.nodes.values():
-                    self._check(node)
+                self.start(f"z{number % 3}")
+            group.start_soon(self._check_all)
+            if self._story is not None:
+                await anyio.sleep(SETTLED_S)
+                await self._story(self)
+            else:
+                group.start_soon(self._operate)
+                group.start_soon(self._break)
+                await anyio.sleep(LENGTH_S)
             group.cancel_scope.cancel()
 
     def send(self, sender: Node, to: str, standing) -> None:
@@ -327,12 +349,20 @@
         if self.rng.random() >= LOST_SHARE:
             node.hear(sender, standing)
 
-    def _start(self, zone: str) -> None:
+    def start(self, zone: str) -> Node:
+        """Starts an instance that knows nothing."""
         self._lives += 1
         name = f"i{self._lives}"
         node = Node(self, Member(name, "", zone, "", "", "", ALIVE, 1))
         self.nodes[name] = node
         self._group.start_soon(node.run)
+        return node
+
+    async def _check_all(self) -> None:
+        while True:
+            await anyio.sleep(STEP_S)
+            for node in self.nodes.values():
+                self._check(node)
 
     async def _operate(self) -> None:
         while True:
@@ -357,7 +387,7 @@
             self.store.configure()
             await anyio.sleep(self.rng.uniform(0.0, 0.5))
         for node in self.nodes.values():
-            self._silence(node)
+            self.silence(node)
         self.store.up = False
         await anyio.sleep(self.rng.uniform(0.5, 7.0))
         self.store.up = True
@@ -373,7 +403,7 @@
             chosen = self.rng.sample(list(self.nodes), 2)
         cut = [self.nodes[name] for name in chosen]
         for node in cut:
-            self._silence(node)
+            self.silence(node)
             node.linked = False
         await anyio.sleep(self.rng.uniform(2.0, 9.0))
         for node in cut:
@@ -388,7 +418,7 @@
         for node in group:
             node.part, node.joined = 1, now()
             if store_too:
-                self._silence(node)
+                self.silence(node)
                 node.linked = False
         await anyio.sleep(self.rng.uniform(2.0, 9.0))
         for node in group:
@@ -404,9 +434,10 @@
         node = self.nodes.pop(name)
         node.scope.cancel()
         await anyio.sleep(self.rng.uniform(0.1, 1.0))
-        self._start(node.member.zone)
+        self.start(node.member.zone)
 
-    def _silence(self, node: Node) -> None:
+    def silence(self, node: Node) -> None:
+        """Leaves an instance's calls under way without an answer for good."""
         node.silences += 1
         node.refused = self.rng.random() < 0.3
 
@@ -464,5 +495,135 @@
         self.play(SEEDS[:3], 30)
 
 
+class BoundTest(unittest.TestCase):
+    """The bound in each case that leaves an instance without news."""
+
+    def play(self, story, count: int = 6) -> None:
+        """Plays a story on which every step is checked as above."""
+        for seed in SEEDS[:3]:
+            with self.subTest(seed=seed):
+                world = World(self, seed, count, story)
+                virtualtime.run(world.run, (following, followers))
+
+    def assert_known(self, world: World, nodes) -> None:
+        """Asserts that instances have the newest configuration."""
+        for node in nodes:
+            self.assertEqual(node.version, world.store.configuration, node.name)
+
+    def cut(self, world: World, nodes) -> None:
+        """Lets instances' ways to the store fall silent."""
+        for node in nodes:
+            world.silence(node)
+            node.refused = False
+            node.linked = False
+
+    def test_own_waiting_call_is_silent(self) -> None:
+        # One instance's calls hang and none of them fails at first; the
+        # store serves the others. Their word must bring it the change in the
+        # time that was promised.
+        async def story(world: World) -> None:
+            for node in list(world.nodes.values()):
+                self.cut(world, [node])
+                world.store.configure()
+                await anyio.sleep(PROMISED_S)
+                self.assert_known(world, world.nodes.values())
+                node.linked, node.linked_since = True, now()
+                await anyio.sleep(OWN_S)
+
+        self.play(story)
+
+    def test_zone_is_cut_off(self) -> None:
+        # A zone hears nothing from the others, the leading instance among
+        # them, and its waiting calls hang. The store answers new calls, so it
+        # must know a change in time by them.
+        async def story(world: World) -> None:
+            leader = next(n for n in world.nodes.values() if n.followers.leads)
+            zones = {n.member.zone for n in world.nodes.values()}
+            zone = min(zones - {leader.member.zone})
+            part = [n for n in world.nodes.values() if n.member.zone == zone]
+            for node in part:
+                world.silence(node)
+                node.part, node.joined = 1, now()
+            world.store.configure()
+            await anyio.sleep(PROMISED_S)
+            self.assert_known(world, world.nodes.values())
+
+        self.play(story)
+        self.play(story, 30)
+
+    def test_zone_is_cut_off_from_all(self) -> None:
+        # The zone has neither the store nor the others. It cannot know the
+        # change; it must not refuse for good by what it knows.
+        async def story(world: World) -> None:
+            part = [n for n in world.nodes.values() if n.member.zone == "z1"]
+            self.cut(world, part)
+            for node in part:
+                node.part, node.joined = 1, now()
+            await anyio.sleep(PROMISED_S)
+            self.assertFalse(any(node.current for node in part))
+            world.store.configure()
+            await anyio.sleep(PROMISED_S)
+            for node in part:
+                node.part, node.joined = 0, now()
+                node.linked, node.linked_since = True, now()
+            await anyio.sleep(OWN_S)
+            self.assert_known(world, world.nodes.values())
+            self.assertTrue(all(node.current for node in part))
+
+        self.play(story)
+        self.play(story, 30)
+
+    def test_followers_hang_silently(self) -> None:
+        # The three that follow the store for a zone hang in silent calls and
+        # say that they have it, until one of their calls is given up. Those
+        # that they tell of changes must know this one in time.
+        async def story(world: World) -> None:
+            group = [n for n in world.nodes.values() if n.member.zone == "z1"]
+            names = followers.chosen("z1", [node.name for node in group])
+            self.cut(world, [world.nodes[name] for name in names])
+            world.store.configure()
+            await anyio.sleep(PROMISED_S)
+            self.assert_known(world, world.nodes.values())
+
+        self.play(story, 30)
+
+    def test_starts_in_the_outage(self) -> None:
+        # An instance starts while the store is silent and takes the others'
+        # configuration. Like them it must not refuse for good by it, and
+        # must know the change that ends the outage in time.
+        async def story(world: World) -> None:
+            for node in world.nodes.values():
+                world.silence(node)
+            world.store.up = False
+            await anyio.sleep(PROMISED_S)
+            fresh = world.start("z1")
+            await anyio.sleep(PROMISED_S)
+            self.assertTrue(fresh.version)
+            self.assertFalse(fresh.current)
+            world.store.up, world.store.up_since = True, now()
+            world.store.configure()
+            await anyio.sleep(OWN_S)
+            self.assert_known(world, world.nodes.values())
+            self.assertTrue(fresh.current)
+
+        self.play(story)
+
+    def test_thaws_in_the_outage(self) -> None:
+        # An instance stands still while the store changes and falls silent.
+        # When it goes on it reads what the others sent at the beginning, all
+        # of it before it could ask anyone: none of that is proof.
+        async def story(world: World) -> None:
+            node = next(iter(world.nodes.values()))
+            other = list(world.nodes.values())[-1]
+            old = dataclasses.replace(other.registry.standing, age_ms=100)
+            self.cut(world, [node])
+            node.scope.cancel()
+            await anyio.sleep(PROMISED_S)
+            node.hear(other, old)
+            self.assertFalse(node.current)
+
+        self.play(story)
+
+
 if __name__ == "__main__":
     unittest.main()
