--- a/src/jasminerelay/asking.py
+++ b/src/jasminerelay/asking.py
@@ -43,17 +43,16 @@
 from jasminerelay.workload import Run
 
 OWNERS_FROM = 24
-"""Instances from which on owners decide. Up to here each hears all loads
-every 0.15 s, and cells would only add a message to each request; at 88 the
-others' placings of the last half second are unknown, three to a server."""
+"""Instances from which on owners decide. Among fewer each hears all loads in
+time, and cells would only add a message to each request."""
 
 ANSWER_S = 0.03
-"""Silence after an ask from which on the own view decides. An owner in another
-availability zone answers within 5 ms, a busy one within 15 ms."""
+"""Silence after an ask from which on the own view decides: longer than a busy
+owner in another availability zone takes."""
 
 ASK_AGAIN_S = 0.3
-"""How often an owner is asked again while requests wait there. Asked each 0.1 s
-by a hundred instances it had no time left to decide."""
+"""How often an owner is asked again while requests wait there. Asked more often
+by a hundred instances it has no time left to decide."""
 
 OWNER_SILENCE_S = 0.8
 """Silence of an owner at which requests wait, after which the own view decides:
@@ -69,7 +68,7 @@
 
 REPEATS = 2
 """How often an owner is told again that nothing is left. With the only such
-datagram lost it counted what had ended for seconds."""
+datagram lost it goes on counting what has ended."""
 
 MOST_ASKS = 64
 """Requests of one instance that wait at a cell; the own view decides for more.
--- a/src/jasminerelay/enginemodel.py
+++ b/src/jasminerelay/enginemodel.py
@@ -24,8 +24,7 @@
 
 SAMPLE_EVERY_S = 0.5
 """Least time between two samples once there are enough, so that they cover
-half a minute. Taken as they come, sixty requests a second would leave the last
-second only, and with it the waits of one overfilled server."""
+half a minute and not the waits of one overfilled server in the last second."""
 
 REDRAW_SHARE = 0.25
 """Part of the samples that must be new before the lines are drawn again."""
--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -40,9 +40,8 @@
 of a leaving server, which must be known within two seconds."""
 
 FAR_GATHER_S = 5.0
-"""The same pause where others follow closely and tell of changes. Servers that
-start one after the other bring a change each 0.4 s for five seconds: twelve of
-the 28 calls that an instance made on a calm day."""
+"""The same pause where others follow closely and tell of changes: servers that
+start one after the other bring changes for as long."""
 
 CHECK_AGE_S = 1.0
 """Age of the store's last answer from which on it is asked again once another
@@ -152,8 +151,8 @@
 
         A waiting call that an outage has left without an answer looks like
         one that waits for a change, and no other call need fail: all
-        instances held a configuration for 4.5 s after the outage, with the
-        store at hand. Who has lost the store asks without waiting anyway.
+        instances would hold an old configuration with the store at hand. Who
+        has lost the store asks without waiting anyway.
 
         Args:
             patience_s: Age of the knowledge from which on it is asked.
@@ -278,9 +277,9 @@
 
         An outage may leave a waiting call without an answer for good, on a
         connection that looks alive. Until its own time is over it hears of
-        no change: six instances sent to a server two seconds after it had
-        said that it leaves. Who fails first therefore has all ask anew, here
-        and at the other instances.
+        no change, and requests go on to a server that has said that it
+        leaves. Who fails first therefore has all ask anew, here and at the
+        other instances.
         """
         if not wait_s:
             return await self._source.changes(after, wait_s)
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -20,8 +20,8 @@
 
 FLOOR = 0.7
 """Part of its share by work that each kind has before the ranks are served in
-order. Without it a burst of the highest rank left the lowest one server of
-six, on which nine in ten of its requests were refused."""
+order. Without it a burst of the highest rank leaves the lowest one next to
+nothing."""
 
 SETTLE = 0.2
 """Part of a server beyond one half by which a kind's due share must leave its
--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -242,7 +242,7 @@
         The suspect's beat rises with each datagram, and most hold a newer one
         than whoever suspects it. Were the suspicion passed over for that, a
         dead one would stay alive in their views until each had probed it
-        itself, 39 s among 195 instances.
+        itself.
         """
         if word.state not in (SUSPECT, FAILED) or known.member.state != ALIVE:
             return
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -29,9 +29,9 @@
 for with each datagram, they took most of an owner's processor under a burst."""
 
 LOOK_SHARE = 0.2
-"""Most of the processor that looking may take. With a hundred who wait a look
-takes some 5 ms; an owner that does nothing else answers nobody in time, and the
-others, which then decide by their own views, overfill its servers."""
+"""Most of the processor that looking may take. An owner that does nothing else
+answers nobody in time, and the others, which then decide by their own views,
+overfill its servers."""
 
 IDLE_TICK_S = 0.03
 """How often it is looked whether anyone waits."""
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -46,8 +46,7 @@
 send several instances to the same server at once."""
 
 LOAD_FANOUT = 16
-"""Others that get the loads each time, whatever the number of instances. With
-67 of them each hears every other one about every 0.4 s."""
+"""Others that get the loads each time, whatever the number of instances."""
 
 OWNERS_TOLD = 12
 """Owners of cells that an owner tells each time, in place of as many others.
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -37,8 +37,8 @@
 OVERFLOW_SHARES = (1.0, 0.7, 0.45, 0.25)
 """Part of a prompt's shared start that is taken to be read already at the
 servers that all instances pick next when the first one is full. Without an
-order for what overflows, each instance picked another server, and each of
-those read the start anew; with a weak one a third of the overflow still did."""
+order for what overflows, each instance picks another server, and each of
+those read the start anew; with a weak one much of the overflow still does."""
 
 SURE_SHARE = 0.25
 """Part of the tokens to read of which it may be unknown whether they are read
@@ -71,8 +71,7 @@
 ANSWER_SHARE = 0.75
 """Part of its time limit that a usual answer may take at a server. Each request
 that joins an engine slows all others there; without the bound, engines under a
-burst of long prompts ended 130 of 820 answers at their time limit and had made
-most of their tokens by then."""
+burst of long prompts end many answers at their time limit, nearly made."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -295,10 +295,10 @@
 
     def _settle(self, snapshot: Snapshot) -> list[ServerNews]:
         # An instance that is cut off from the store alone cannot tell a
-        # server that left from one whose row lapsed, and kept the former for
-        # up to 12 s, until the store served it again. The sender has had the
-        # store throughout: what its list lacks has left. Rows newer than the
-        # list are not its to judge.
+        # server that left from one whose row lapsed, and would keep the former
+        # until the store serves it again. The sender has had the store
+        # throughout: what its list lacks has left. Rows newer than the list
+        # are not its to judge.
         version = snapshot.servers_version
         self._consulted = max(self._consulted, version)
         present = {row.id for row in snapshot.servers}
