--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -239,8 +239,9 @@
     elif status in (502, 504):
         causes.append(f"answered {status}: it may have run")
     causes.append(
-        f"decided on configuration {fields.get('configuration')} with the"
-        f" store's word {fields.get('store_age_s')} s old and"
+        f"decided on configuration {fields.get('configuration')} by knowledge"
+        f" {fields.get('knowledge_age_s')} s old, with the store's last word"
+        f" {fields.get('store_age_s')} s old and"
         f" {fields.get('instances')} instances live"
     )
     return causes
--- a/src/jasminerelay/standings.py
+++ b/src/jasminerelay/standings.py
@@ -38,7 +38,9 @@
         self._behind_since: float | None = None
         self._behind_of = ""
 
-    def hear(self, sender: str, standing: Standing, now: float, at: float):
+    def hear(
+        self, sender: str, standing: Standing, now: float, at: float
+    ) -> None:
         """Takes a word.
 
         Args:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -38,6 +38,7 @@
         total_s=2.5,
         configuration=4,
         store_age_s=1.8,
+        knowledge_age_s=0.4,
         instances=6,
         left_out=3,
     ),
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -85,7 +85,7 @@
         self.assertAlmostEqual(self.freshness.age_s(now), 0.1)
 
 
-class FollowersTest(unittest.TestCase):
+class LeaderTest(unittest.TestCase):
     """Who asks the store, after how long, and whom it tells."""
 
     @staticmethod
