Start instances on the platform from the adapter

The module that answers early signals belongs to the core, which imports no adapter; test_core_imports_no_adapter had turned red by it. The entry point moves into the adapter; nothing else changes.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -6,6 +6,6 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 sys.path[:0] = [str(_ROOT / "src"), str(_ROOT / "target" / "deps")]
 
-from jasminerelay.launch import platform_instance  # noqa: E402
+from jasminerelay.platform.start import main  # noqa: E402
 
-sys.exit(platform_instance())
+sys.exit(main())
--- a/src/jasminerelay/launch.py
+++ b/src/jasminerelay/launch.py
@@ -1,4 +1,4 @@
-"""Entry points of the programs.
+"""Signals that come before a program listens to them, and after.
 
 Loading a program takes a good part of a second, several on a busy machine. An
 instance that is told to stop in that time has accepted nothing, so it ends in
@@ -18,23 +18,12 @@
 def daemon() -> int:
     """Runs the daemon of the own interface; returns its exit status."""
     answer_early()
-    # Imported only now: whatever comes first is answered from here on.
+    # Imported only now: whatever signal comes first is answered from here on.
     from jasminerelay.daemon import main
 
     return main()
 
 
-def platform_instance() -> int:
-    """Runs an instance on the platform; returns its exit status."""
-    answer_early()
-    # Settings that change while it starts are found when they are next looked
-    # at; the default action would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from jasminerelay.platform.root import main
-
-    return main()
-
-
 def answer_early() -> None:
     """Ends the process in order when it is told to stop while it starts.
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -496,7 +496,7 @@
     ),
     Safeguard(
         "changed settings end no program that loads",
-        "launch",
+        "platform/start",
         "    signal.signal(signal.SIGHUP, signal.SIG_IGN)\n",
         "",
         "test_starting.StartingTest.test_changed_settings",
