--- a/tests/test_silentstore.py
+++ b/tests/test_silentstore.py
@@ -131,6 +131,24 @@
             answer = await self.ask(first, "/added/x")
             self.assertEqual(answer.status, 503)
 
+    async def test_configuration_that_cannot_be_read(self) -> None:
+        # The operator adds a route in a configuration that this program
+        # cannot read. It goes on with the former one, as it should, and knows
+        # that this is not the newest: "not found" would be final for callers
+        # of the route until somebody mends the program.
+        async with self.site() as (site, (instance,)):
+            await self.until(lambda: instance.current)
+            site.store.put("op", "config", {"version": "none"})
+            await self.until(lambda: not instance.current)
+            answer = await self.ask(instance, "/added/x")
+            self.assertEqual(answer.status, 503)
+            answer = await self.ask(instance, "/confirm/x")
+            self.assertEqual(answer.status, 200)
+            site.configure(added=[ADDED])
+            await self.until(lambda: instance.current)
+            answer = await self.ask(instance, "/added/x")
+            self.assertEqual(answer.status, 200)
+
     async def test_own_waiting_call_is_silent(self) -> None:
         # One instance's calls of the store hang and none fails; the other is
         # served. It must not wait for its own call to end: the other's word
