Refuse nothing for good beside a configuration that cannot be read

What a caller sees: a final 404 for a route that only a configuration has which this program cannot read. Cause: the store's answer counts as proof of what is known, whether or not its row could be taken. The registry now says that it misses a newer configuration, and unknown routes and keys get 503 until one comes that can be read; what is known is served as before.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -401,6 +401,8 @@
         """
         if self._freshness.age_s(now_s()) > CURRENT_S:
             return False
+        if self.registry.misses_configuration:
+            return False
         return not self._peers.standings.knows_newer(time.monotonic())
 
     def _takes(self, limit_s: float) -> bool:
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -104,6 +104,7 @@
         self._decode_server = decode_server
         self.catalog: Catalog | None = None
         self._configuration = (0, b"")
+        self._unread_configuration = 0
         self._held: dict[str, _Held] = {}
         self._servers_version = 0
         self._servers_known = False
@@ -124,6 +125,11 @@
         """Whether configuration and servers are known."""
         return self.catalog is not None and self._servers_known
 
+    @property
+    def misses_configuration(self) -> bool:
+        """Whether there is a newer configuration that cannot be read here."""
+        return self._unread_configuration > self._configuration[0]
+
     @property
     def servers_version(self) -> int:
         """The store's version as of which the servers hold."""
@@ -163,7 +169,9 @@
         """
         if version <= self._configuration[0]:
             return False
+        self._unread_configuration = version
         catalog = self._decode_catalog(data)
+        self._unread_configuration = 0
         if self.catalog is not None and catalog.version < self.catalog.version:
             return False
         self._configuration = (version, data)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -516,6 +516,13 @@
         "test_platforminstances.StoreOutageTest"
         ".test_unknown_route_among_instances_without_touch",
     ),
+    Safeguard(
+        "an unreadable configuration lets nothing be refused for good",
+        "platform/root",
+        "        if self.registry.misses_configuration:\n",
+        "        if False:\n",
+        "test_silentstore.SilentStoreTest.test_configuration_that_cannot_be_read",
+    ),
     Safeguard(
         "who hears of a newer configuration refuses nothing for good",
         "platform/root",
