--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -47,6 +47,11 @@
 
     options = SiteOptions(grace_s=1.0)
 
+    def prepare(self, site) -> None:
+        """Gives the programs the settings of one more instance of a site."""
+        path = site.settings("edge-new")
+        self.environment = {**os.environ, "JASMINERELAY_BOOT": str(path)}
+
     async def stopped(self, program: str, *points: str) -> None:
         """Asserts that a program ends in order.
 
@@ -82,8 +87,7 @@
         # action, though it had accepted nothing. The store is silent, so that
         # the later points lie in the first read of it.
         async with self.site() as (site, _):
-            path = site.settings("edge-new")
-            self.environment = {**os.environ, "JASMINERELAY_BOOT": str(path)}
+            self.prepare(site)
             site.store.faults.hang = True
             root = "jasminerelay.platform.root"
             await self.stopped_at_each(
@@ -105,8 +109,7 @@
         # The settings file changes while an instance starts, and the platform
         # says so by a signal whose default action ends the process.
         async with self.site() as (site, _):
-            path = site.settings("edge-new")
-            self.environment = {**os.environ, "JASMINERELAY_BOOT": str(path)}
+            self.prepare(site)
             self.limiter = anyio.CapacityLimiter(AT_ONCE)
             root = "jasminerelay.platform.root"
             for point in ("anyio:<module>", f"{root}:main"):
--- /dev/null
+++ b/tests/versionworld.py
@@ -0,0 +1,468 @@
+"""A model of instances that share proofs of the configuration's version.
+
+The programs' own followers, ages and judgements of others run in virtual time
+on a model of the store, of its connections and of the words between instances.
+Times and faults are drawn from a seed.
+"""
+
+import dataclasses
+import random
+import types
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from jasminerelay import followers
+from jasminerelay.errors import StoreError
+from jasminerelay.followers import Followers
+from jasminerelay.following import (
+    FAR_GATHER_S,
+    LEAD_WAIT_S,
+    Follower,
+    Manner,
+    Page,
+    RegistryFeed,
+    StoreState,
+)
+from jasminerelay.freshness import Freshness
+from jasminerelay.membership import ALIVE
+from jasminerelay.metrics import Counters
+from jasminerelay.platform.root import CURRENT_S
+from jasminerelay.platform.storeclient import CALL_TIMEOUT_S
+from jasminerelay.registry import Registry
+from jasminerelay.schema.messages import Member, ServerRow
+from jasminerelay.schema.settings import Statsd
+from jasminerelay.standings import Standings
+from tests.test_following import decode, silent_log
+
+LENGTH_S = 60.0
+STEP_S = 0.05
+
+SETTLED_S = 3.0
+"""Time from the start until all know each other and the first version."""
+
+PROMISED_S = 2.0
+"""Time in which a change must be in force after the store has accepted it."""
+
+OWN_S = 2.0
+"""The same after the store's return, or that of the connection to it."""
+
+NOTICE_S = 2.0
+"""Time in which the others' failure, or their return, is known."""
+
+ANSWER_S = 0.004
+WORD_S = 0.002
+LOST_SHARE = 0.01
+TABLES = ("op", "servers")
+
+
+def now() -> float:
+    """Returns the virtual time."""
+    return anyio.current_time()
+
+
+class Store:
+    """Two tables with one version, and its moments of acceptance."""
+
+    def __init__(self) -> None:
+        self.up = True
+        self.up_since = 0.0
+        self.version = 0
+        self.configuration = 0
+        self.rows: list[tuple[str, ServerRow]] = []
+        self.accepted: list[tuple[float, int]] = []
+        self._changed = anyio.Event()
+
+    def configure(self) -> None:
+        """Accepts the next configuration."""
+        self.configuration += 1
+        self._put("op", "config", str(self.configuration).encode())
+        self.accepted.append((now(), self.configuration))
+
+    def register(self, name: str) -> None:
+        """Accepts a server's row."""
+        self._put("servers", name, b"pool:ready")
+
+    def page(self, table: str, after: int) -> Page:
+        """Returns the newest row of each key that changed after a version."""
+        found = {
+            row.id: row
+            for name, row in self.rows
+            if name == table and row.version > after
+        }
+        return Page(tuple(found.values()), self.version)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Page:
+        """Waits for a change."""
+        with anyio.move_on_after(wait_s):
+            while not self.page(table, after).rows:
+                await self._changed.wait()
+        return self.page(table, after)
+
+    def _put(self, table: str, key: str, data: bytes) -> None:
+        self.version += 1
+        self.rows.append((table, ServerRow(key, self.version, data)))
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+class Table:
+    """An instance's calls on one table.
+
+    A call that is under way when the store or the connection falls silent
+    stays without an answer for good: only its own timeout ends it.
+    """
+
+    def __init__(self, node: "Node", name: str):
+        self._node = node
+        self._name = name
+
+    async def read(self) -> Page:
+        """Returns all rows."""
+        return await self.changes(0, 0.0)
+
+    async def changes(self, after: int, wait_s: float) -> Page:
+        """Waits for a change, as long as the store answers."""
+        node, store = self._node, self._node.world.store
+        if not node.reaches_store and node.refused:
+            raise StoreError("refused")
+        silent = node.silences
+        with anyio.move_on_after(wait_s + CALL_TIMEOUT_S):
+            if node.reaches_store:
+                await anyio.sleep(ANSWER_S)
+                page = await store.changes(self._name, after, wait_s)
+                if silent == node.silences:
+                    return page
+            await anyio.sleep_forever()
+        raise StoreError("silent")
+
+
+class Node:
+    """One instance, without requests and sockets.
+
+    Attributes:
+        silences: How often the store or the way to it has fallen silent.
+        linked: Whether the way to the store is open.
+        linked_since: When it was opened last.
+        refused: Whether the store refuses calls where it does not answer.
+        part: Part of the network; instances of other parts hear nothing.
+        joined: When it came to its part of the network.
+    """
+
+    def __init__(self, world: "World", member: Member):
+        self.world = world
+        self.member = member
+        self.name = member.instance
+        self.silences = 0
+        self.linked = True
+        self.linked_since = now()
+        self.refused = False
+        self.part = 0
+        self.joined = now()
+        self.scope = anyio.CancelScope()
+        self.registry = Registry(
+            lambda data: types.SimpleNamespace(version=int(data)), decode
+        )
+        self.freshness = Freshness(TABLES)
+        self.standings = Standings(self.registry, self.freshness)
+        self.followers = Followers(member.instance, member.zone)
+        log, counters = silent_log(), Counters(Statsd())
+        self.state = StoreState(self.registry, self.freshness, log)
+        self.state.on_news = lambda: self.tell(self.followers.told())
+        self.feed = RegistryFeed(self.registry, "config", counters, log)
+        self.feed.on_changed = lambda: self.tell(self.followers.led())
+        leading = {"op": Manner(wait_s=LEAD_WAIT_S), "servers": Manner()}
+        self._followers = {
+            table: Follower(
+                table,
+                Table(self, table),
+                self.state,
+                counters,
+                world.rng,
+                lambda table=table: self._manner(leading[table]),
+            )
+            for table in TABLES
+        }
+        self.counters = counters
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answers new calls of this instance."""
+        return self.linked and self.world.store.up
+
+    @property
+    def able_since(self) -> float:
+        """From when on the store has answered it."""
+        return max(self.linked_since, self.world.store.up_since)
+
+    @property
+    def version(self) -> int:
+        """The configuration in force here."""
+        return self.registry.catalog.version if self.registry.catalog else 0
+
+    @property
+    def current(self) -> bool:
+        """Whether it refuses for good what it does not know."""
+        young = self.freshness.age_s(now()) <= CURRENT_S
+        return young and not self.standings.knows_newer(now())
+
+    async def run(self) -> None:
+        """Lives until its scope is cancelled."""
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                feed = self.feed
+                group.start_soon(
+                    self._followers["op"].run,
+                    feed.take_configuration,
+                    feed.take_configuration,
+                )
+                group.start_soon(
+                    self._followers["servers"].run,
+                    feed.take_all_servers,
+                    feed.take_servers,
+                )
+                group.start_soon(self._tick)
+
+    def tell(self, members: list[Member]) -> None:
+        """Sends the own standing to some instances."""
+        age_s = self.freshness.age_s(now())
+        standing = dataclasses.replace(
+            self.registry.standing,
+            age_ms=-1 if age_s == float("inf") else int(age_s * 1000),
+        )
+        for member in members:
+            self.world.send(self, member.instance, standing)
+
+    def hear(self, sender: "Node", standing) -> None:
+        """Takes a word."""
+        if self.standings.loses_store(sender.name, standing):
+            self.state.check()
+        self.standings.hear(sender.name, standing, now(), now())
+        if standing.touch:
+            self.followers.heard(sender.name, now())
+
+    def _manner(self, leading: Manner) -> Manner:
+        if self.followers.leads:
+            return leading
+        near = self.followers.closely()
+        return Manner() if near else Manner(gather_s=FAR_GATHER_S)
+
+    async def _tick(self) -> None:
+        rounds = 0
+        while True:
+            await anyio.sleep(self.world.rng.uniform(0.09, 0.11))
+            rounds += 1
+            self.freshness.tick(now())
+            live = self.world.seen_by(self)
+            lost = self.standings.without_store()
+            if self.state.lost:
+                lost.append(self.name)
+            self.followers.saw_instances(
+                live, shared=self.world.shared, without_store=lost
+            )
+            lags = self.freshness.lags
+            self.state.renew_after(self.followers.patience_s(lags=lags))
+            if rounds % 2 == 0 and len(live) > 1:
+                others = [item for item in live if item is not self.member]
+                self.tell([self.world.rng.choice(others)])
+            if rounds % 4 == 0:
+                self.tell(self.followers.led())
+            await self._catch_up()
+
+    async def _catch_up(self) -> None:
+        name = self.standings.ahead(now())
+        other = self.world.nodes.get(name or "")
+        if other is None or other.part != self.part:
+            return
+        await anyio.sleep(ANSWER_S)
+        self.registry.adopt(other.registry.export())
+
+
+class World:
+    """Plays one seed and checks every step."""
+
+    def __init__(
+        self,
+        test: unittest.TestCase,
+        seed: int,
+        count: int,
+        story: Callable[["World"], Awaitable[None]] | None = None,
+    ):
+        """Makes the world.
+
+        Args:
+            test: Takes what is asserted.
+            seed: Seed of times and faults.
+            count: How many instances there are.
+            story: What happens, in place of drawn faults; the end of it is
+                the end of the world.
+        """
+        self._test = test
+        self._story = story
+        self._count = count
+        self.rng = random.Random(seed)
+        self.shared = count >= 24
+        self.store = Store()
+        self.nodes: dict[str, Node] = {}
+        self._group = None
+        self._lives = 0
+
+    async def run(self) -> None:
+        """Plays the whole time."""
+        self.store.configure()
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for number in range(self._count):
+                self.start(f"z{number % 3}")
+            group.start_soon(self._check_all)
+            if self._story is not None:
+                await anyio.sleep(SETTLED_S)
+                await self._story(self)
+            else:
+                group.start_soon(self._operate)
+                group.start_soon(self._break)
+                await anyio.sleep(LENGTH_S)
+            group.cancel_scope.cancel()
+
+    def send(self, sender: Node, to: str, standing) -> None:
+        """Carries a word, if the way is open and it is not lost."""
+        self._group.start_soon(self._carry, sender, to, standing)
+
+    def seen_by(self, node: Node) -> list[Member]:
+        """Returns the instances that one takes for live; it learns late."""
+        return [
+            other.member
+            for other in self.nodes.values()
+            if other is node
+            or other.part == node.part
+            or now() - max(other.joined, node.joined) < NOTICE_S
+        ]
+
+    async def _carry(self, sender: Node, to: str, standing) -> None:
+        await anyio.sleep(WORD_S)
+        node = self.nodes.get(to)
+        if node is None or node.part != sender.part:
+            return
+        if self.rng.random() >= LOST_SHARE:
+            node.hear(sender, standing)
+
+    def start(self, zone: str) -> Node:
+        """Starts an instance that knows nothing."""
+        self._lives += 1
+        name = f"i{self._lives}"
+        node = Node(self, Member(name, "", zone, "", "", "", ALIVE, 1))
+        self.nodes[name] = node
+        self._group.start_soon(node.run)
+        return node
+
+    async def _check_all(self) -> None:
+        while True:
+            await anyio.sleep(STEP_S)
+            for node in self.nodes.values():
+                self._check(node)
+
+    async def _operate(self) -> None:
+        while True:
+            await anyio.sleep(self.rng.uniform(0.3, 5.0))
+            if not self.store.up:
+                continue
+            if self.rng.random() < 0.8:
+                self.store.configure()
+            else:
+                self.store.register(f"s{self.rng.randrange(4)}")
+
+    async def _break(self) -> None:
+        faults = (self._outage, self._cut_off, self._part, self._replace)
+        while True:
+            await anyio.sleep(self.rng.uniform(1.0, 6.0))
+            await self.rng.choice(faults)()
+
+    async def _outage(self) -> None:
+        """The store is silent, or refuses, and comes back."""
+        # Most calls after a change are sent in the same moment.
+        if self.rng.random() < 0.5:
+            self.store.configure()
+            await anyio.sleep(self.rng.uniform(0.0, 0.5))
+        for node in self.nodes.values():
+            self.silence(node)
+        self.store.up = False
+        await anyio.sleep(self.rng.uniform(0.5, 7.0))
+        self.store.up = True
+        self.store.up_since = now()
+        self.store.configure()
+
+    async def _cut_off(self) -> None:
+        """The ways of some to the store close: mostly of those who follow."""
+        zone = f"z{self.rng.randrange(3)}"
+        group = [n for n in self.nodes.values() if n.member.zone == zone]
+        chosen = followers.chosen(zone, [node.name for node in group])
+        if self.rng.random() < 0.5:
+            chosen = self.rng.sample(list(self.nodes), 2)
+        cut = [self.nodes[name] for name in chosen]
+        for node in cut:
+            self.silence(node)
+            node.linked = False
+        await anyio.sleep(self.rng.uniform(2.0, 9.0))
+        for node in cut:
+            node.linked = True
+            node.linked_since = now()
+
+    async def _part(self) -> None:
+        """A zone is cut from the others, half of the times from the store."""
+        zone = f"z{self.rng.randrange(3)}"
+        group = [n for n in self.nodes.values() if n.member.zone == zone]
+        store_too = self.rng.random() < 0.5
+        for node in group:
+            node.part, node.joined = 1, now()
+            if store_too:
+                self.silence(node)
+                node.linked = False
+        await anyio.sleep(self.rng.uniform(2.0, 9.0))
+        for node in group:
+            node.part, node.joined = 0, now()
+            if store_too:
+                node.linked, node.linked_since = True, now()
+
+    async def _replace(self) -> None:
+        """An instance ends and another one starts: often the leading one."""
+        names = list(self.nodes)
+        lead = [n.name for n in self.nodes.values() if n.followers.leads]
+        name = self.rng.choice(lead or names)
+        node = self.nodes.pop(name)
+        node.scope.cancel()
+        await anyio.sleep(self.rng.uniform(0.1, 1.0))
+        self.start(node.member.zone)
+
+    def silence(self, node: Node) -> None:
+        """Leaves an instance's calls under way without an answer for good."""
+        node.silences += 1
+        node.refused = self.rng.random() < 0.3
+
+    def _check(self, node: Node) -> None:
+        able = node.reaches_store and now() - node.able_since > OWN_S
+        due = self._due(now() - PROMISED_S)
+        if able:
+            self._test.assertGreaterEqual(
+                node.version,
+                due,
+                f"at {now():.2f} s {node.name} is behind the store",
+            )
+            # Else unknown routes would get 503 for good. One that has heard
+            # of a newer version says 503 until that is here, as checked above.
+            self._test.assertLessEqual(
+                node.freshness.age_s(now()),
+                CURRENT_S,
+                f"at {now():.2f} s {node.name} has no proof of what it knows",
+            )
+        if node.current:
+            self._test.assertGreaterEqual(
+                node.version,
+                due,
+                f"at {now():.2f} s {node.name} refuses for good by an old"
+                " version",
+            )
+
+    def _due(self, at: float) -> int:
+        """Returns the configuration that was the newest at a moment."""
+        return max((v for t, v in self.store.accepted if t <= at), default=0)
