Give each started program addresses of its own in the test of stops

The test failed in four of eight runs under load: two programs at a time had the same settings file, and the second ended with 3, 'address already in use' (three of three outputs that were kept say so; the first failure's was not kept). With settings of their own six of six runs pass under the same load.

--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -1,5 +1,6 @@
 """Stops that come while a program is still starting."""
 
+import itertools
 import os
 import subprocess
 import sys
@@ -47,10 +48,18 @@
 
     options = SiteOptions(grace_s=1.0)
 
-    def prepare(self, site) -> None:
-        """Gives the programs the settings of one more instance of a site."""
-        path = site.settings("edge-new")
-        self.environment = {**os.environ, "JASMINERELAY_BOOT": str(path)}
+    def setUp(self) -> None:
+        super().setUp()
+        self.running_site = None
+        self.numbers = itertools.count(2)
+        self.limiter = anyio.CapacityLimiter(AT_ONCE)
+
+    def environment(self) -> dict[str, str]:
+        """Returns a program's variables, with addresses of its own."""
+        if self.running_site is None:
+            return dict(os.environ)
+        path = self.running_site.settings(f"edge-{next(self.numbers)}")
+        return {**os.environ, "JASMINERELAY_BOOT": str(path)}
 
     async def stopped(self, program: str, *points: str) -> None:
         """Asserts that a program ends in order.
@@ -64,7 +73,7 @@
                 done = await anyio.run_process(
                     [sys.executable, "-c", STOPPED, program, *points],
                     cwd=ROOT,
-                    env=self.environment,
+                    env=self.environment(),
                     check=False,
                     stderr=subprocess.STDOUT,
                 )
@@ -74,7 +83,6 @@
 
     async def stopped_at_each(self, program: str, points) -> None:
         """Stops a program at each of several points."""
-        self.limiter = anyio.CapacityLimiter(AT_ONCE)
         async with anyio.create_task_group() as group:
             for point in points:
                 stop = f"SIGTERM:{':'.join(point)}"
@@ -87,7 +95,7 @@
         # action, though it had accepted nothing. The store is silent, so that
         # the later points lie in the first read of it.
         async with self.site() as (site, _):
-            self.prepare(site)
+            self.running_site = site
             site.store.faults.hang = True
             root = "jasminerelay.platform.root"
             await self.stopped_at_each(
@@ -109,8 +117,7 @@
         # The settings file changes while an instance starts, and the platform
         # says so by a signal whose default action ends the process.
         async with self.site() as (site, _):
-            self.prepare(site)
-            self.limiter = anyio.CapacityLimiter(AT_ONCE)
+            self.running_site = site
             root = "jasminerelay.platform.root"
             for point in ("anyio:<module>", f"{root}:main"):
                 await self.stopped(
@@ -121,7 +128,6 @@
 
     async def test_daemon(self) -> None:
         # The same with the daemon of the own interface.
-        self.environment = dict(os.environ)
         daemon = "jasminerelay.daemon"
         await self.stopped_at_each(
             "jasminerelayd",
