Keep the daemon's module runnable as a process

It had lost its entry point with the module for early signals, and printed nothing; test_help_as_a_process found it, and asks the new module, too.

--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -552,3 +552,7 @@
     gc.set_threshold(GC_YOUNG_OBJECTS)
     anyio.run(Relay(cfg).run)
     return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -67,7 +67,7 @@
             self.assertIn("no zone, listen, platform, keys", err.getvalue())
 
     def test_help_as_a_process(self) -> None:
-        for module in ("cli", "daemon"):
+        for module in ("cli", "daemon", "launch"):
             done = subprocess.run(
                 [sys.executable, "-m", f"jasminerelay.{module}", "--help"],
                 capture_output=True,
