Name lost runs' requests by a fingerprint in their lines

A repeat comes with a new id, and lines named neither path nor body, so that a request under which servers end could only be guessed by its sizes.

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from jasminerelay import fingerprint
 from jasminerelay.attempt import OK, Attempt, Kit, Progress
 from jasminerelay.catalog import BackendServer, Call, Repeat
 from jasminerelay.errors import NoRoomError
@@ -45,6 +46,7 @@
         self._placed_at = 0.0
         self._why = ""
         self._whole = False
+        self._lost_run = False
 
     async def run(self) -> None:
         """Serves the request; its caller's leaving cancels this."""
@@ -88,6 +90,7 @@
         try:
             outcome = await self._attempt.run(seat)
             verdict = self._verdict(outcome)
+            self._lost_run |= isinstance(outcome, Unknown | Interrupted)
             return outcome
         finally:
             seat.run.end(verdict, self._progress.output)
@@ -242,6 +245,7 @@
             total_s=total_s,
             limit_s=round(call.ends - call.arrived, 3),
             tokens=_tokens_of(call),
+            fingerprint=fingerprint.of(call).hex() if self._lost_run else "",
             **self._kit.versions(),
         )
 
