--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+from collections.abc import Callable
 
 TICK_S = 0.01
 
@@ -26,6 +27,8 @@
             inside an event; 0 for never.
         torn: Whether a stream that breaks off ends inside an event.
         tick_s: Time between two events.
+        fatal: Body of a request under which the server ends; empty for none.
+        fatal_after: Events that such a request gets before the end.
     """
 
     refuse: int = 0
@@ -36,6 +39,8 @@
     tear_after: int = 0
     torn: bool = False
     tick_s: float = TICK_S
+    fatal: bytes = b""
+    fatal_after: int = 0
 
 
 @dataclasses.dataclass
@@ -73,6 +78,7 @@
         self.most = 0
         self.running = 0
         self.moves = 0
+        self.end: Callable[[], None] = lambda: None
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -125,6 +131,9 @@
 
     async def _answer(self, scope, send, ran: Ran) -> None:
         faults = self.faults
+        if self._is_fatal(ran) and not faults.fatal_after:
+            self.end()
+            await asyncio.sleep(3600)
         if faults.mute:
             faults.mute -= 1
             await asyncio.sleep(3600)
@@ -155,6 +164,9 @@
             await asyncio.sleep(self.faults.tick_s)
             if ran.moved:
                 return
+            if number > self.faults.fatal_after and self._is_fatal(ran):
+                self.end()
+                await asyncio.sleep(3600)
             if self.faults.tear_after and number > self.faults.tear_after:
                 await _piece(send, b"id: %d\ndata: to" % number)
                 break
@@ -166,6 +178,9 @@
         await send({"type": "http.response.body", "body": b""})
         ran.ended = True
 
+    def _is_fatal(self, ran: Ran) -> bool:
+        return bool(self.faults.fatal) and ran.body == self.faults.fatal
+
     async def _whole(self, send, status: int, ran: Ran, body: bytes) -> None:
         attempt = ran.attempt
         if self.faults.cross:
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -37,6 +37,10 @@
         routes: Changes to the routes' fields, by route name.
         links: Whether servers and store are reached through links that can
             be disturbed.
+        fatal: Body of a request under which each server ends that runs it;
+            empty for none.
+        fatal_after: Events that such a request gets before the end.
+        restart_s: Time after which an ended server starts again.
     """
 
     engines: int = 2
@@ -44,6 +48,9 @@
     grace_s: float = 4.0
     routes: dict[str, dict] = dataclasses.field(default_factory=dict)
     links: bool = False
+    fatal: bytes = b""
+    fatal_after: int = 0
+    restart_s: float = 0.5
 
 
 class PlatformSite:
@@ -63,6 +70,7 @@
         self._seeds: list[str] = []
         self._instances = 0
         self._leaving: set[str] = set()
+        self.ended: list[str] = []
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["PlatformSite"]:
@@ -81,6 +89,9 @@
     async def add_server(self, name: str, service: str) -> PlatformServer:
         """Starts a server and writes its row."""
         server = PlatformServer(name)
+        server.faults.fatal = self.options.fatal
+        server.faults.fatal_after = self.options.fatal_after
+        server.end = lambda: self._end(name, service)
         address = free_address()
         self.servers[name] = server
         await self._listen(name, server, address)
@@ -115,6 +126,19 @@
         """Ends a server at once; its row stays for a while."""
         self._scopes.pop(name).cancel()
 
+    def _end(self, name: str, service: str) -> None:
+        """Ends a server that a request has crashed; it starts again later."""
+        if name not in self._scopes:
+            return
+        self.ended.append(name)
+        self.kill_server(name)
+        self._group.start_soon(self._start_again, name, service)
+
+    async def _start_again(self, name: str, service: str) -> None:
+        await anyio.sleep(self.options.restart_s)
+        self.store.drop("servers", name)
+        await self.add_server(f"{name}+", service)
+
     def configure(self, added: Sequence[dict] = (), **changes) -> None:
         """Writes the next version of the configuration.
 
