Send a request to no server once three have ended while they ran it

What callers saw: one streaming request, sent again as a new one at any instance, ended eight servers, and with each all that ran beside it.

Cause: nothing linked the repeats. Each is a new request with a new id, and an instance blamed the server alone. Evidence: the instances' lines name the same sizes seven times, at four instances, one lost run a line, each followed by refused connections; one instance sent it again after it had lost a server under it.

Change: a run lost with its connection makes the instance ask whether the server still takes connections. If it refuses them, its end counts against the request's fingerprint (organisation, method, host, path, body), once a server. First ends go to two homes by rendezvous hashing, from the second on each tells each a few others; knowledge is a union of ends, so order, loss and repeats of words do not matter. Blocked with the third end unless a blocked one that was there at as many explains all of them but one; a whole run clears. Refused with a final 500, not run: 503 would ask the caller to come back, 4xx would say that the request is improper. One small row each in the store for a start of all at once.

Taken out, each of five parts makes its proof fail.

Ruled out: repeats by the product itself (the route lets it run once) and repeats under way at the third end (the sends came 5 to 10 s later). A plain count of three ends condemned innocent requests in the ledger's tests; a count of unexplained ends alone let one of two guilty ones go.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -11,6 +11,7 @@
 from jasminerelay import sse
 from jasminerelay.catalog import BackendServer, Call, Repeat, Route
 from jasminerelay.channels import Channel, Channels, SilentError
+from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.evacuation import STAY_S, Copy, Evacuator
 from jasminerelay.eventlog import EventLog
@@ -68,6 +69,7 @@
         dialect: Words of the interface.
         evacuator: Moves streams away from servers that leave.
         budget: Repeats that may be sent.
+        crashes: Requests under which servers end.
         counters: Counts events.
         telemetry: Takes times.
         log: Takes events.
@@ -81,6 +83,7 @@
     dialect: Dialect
     evacuator: Evacuator
     budget: SharedBudget
+    crashes: CrashWatch
     counters: Counters
     telemetry: Telemetry
     log: EventLog
--- a/src/jasminerelay/cli.py
+++ b/src/jasminerelay/cli.py
@@ -35,6 +35,7 @@
   jasminerelay losses [LOG...]
   jasminerelay platform check SETTINGS
   jasminerelay platform check-deploy FILE
+  jasminerelay platform release FINGERPRINT STORE
   jasminerelay -h | --help
 
 Options:
@@ -50,7 +51,8 @@
 files or standard input, and shows how a request came to its end; losses counts
 the requests in them that were not served, by kind and cause; platform
 check reads a settings file of that platform, check-deploy the file by which it
-builds and starts the instances.
+builds and starts the instances; release lets a request be sent again that is
+blocked since servers ended while they ran it (STORE is the store's IP:PORT).
 
 Exit status: 0 done, 1 no answer or refused, 2 faulty command or file,
 3 another manifest was accepted first, 4 some instances did not answer.
@@ -80,6 +82,8 @@
 def _command(arguments: dict[str, Any]) -> int:
     if arguments["check-deploy"]:
         return localcommands.check_deploy(arguments)
+    if arguments["release"]:
+        return localcommands.release_request(arguments)
     if arguments["platform"]:
         return localcommands.check_platform(arguments)
     if arguments["explain"]:
--- a/src/jasminerelay/errors.py
+++ b/src/jasminerelay/errors.py
@@ -100,6 +100,16 @@
     remedy = "Send 'Authorization: Bearer KEY' with a key of the organisation."
 
 
+class CrashingRequestError(RelayError):
+    """Backend servers end while they run the request; it is not sent again."""
+
+    status = 500
+    code = "request_ends_servers"
+    remedy = (
+        "Do not send it again unchanged; give the operators the request id."
+    )
+
+
 class ForbiddenError(RelayError):
     """The organisation may not use what the request names."""
 
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -26,7 +26,10 @@
         "move",
         "move_failed",
         "reload",
+        "request_blocked",
+        "request_released",
         "server",
+        "server_ended",
         "snapshot",
         "start",
         "stop",
@@ -34,7 +37,10 @@
     }
 )
 
-_ABOUT_SERVERS = frozenset({"server", "move", "move_failed"})
+_ABOUT_SERVERS = frozenset({"server", "server_ended", "move", "move_failed"})
+_ABOUT_REQUESTS = frozenset({"request_blocked", "request_released"})
+"""Of interest only where they name the request's fingerprint."""
+
 _NOT_SHOWN = frozenset({"settings"})
 
 
@@ -128,13 +134,18 @@
         server for event in own for server in event.fields.get("servers", ())
     }
     instances = {event.instance for event in own}
+    prints = {event.fields.get("fingerprint") for event in own} - {"", None}
     surroundings = [
         event
         for event in events
         if event.name in _SURROUNDINGS
         and event not in own
-        and first - CONTEXT_S <= event.at <= last
-        and _concerns(event, instances, servers)
+        and (
+            event.fields.get("fingerprint") in prints
+            if event.name in _ABOUT_REQUESTS
+            else first - CONTEXT_S <= event.at <= last
+            and _concerns(event, instances, servers)
+        )
     ]
     causes = [cause for event in own for cause in _causes(event)]
     return Explanation(tuple(own), tuple(surroundings), tuple(causes), left_out)
@@ -198,6 +209,8 @@
         return "answer broke off at the server"
     if status in (502, 504):
         return "server broke off before the answer"
+    if not sent:
+        return "refused: servers end while they run it"
     return f"server answered {status}"
 
 
@@ -236,6 +249,8 @@
         causes.append(f"the caller left after {fields.get('total_s')} s")
     elif status == 503:
         causes.append("answered 503: it has not run")
+    elif status == 500 and not fields.get("servers"):
+        causes.append("answered 500: it has not run and is not sent again")
     elif status in (502, 504):
         causes.append(f"answered {status}: it may have run")
     causes.append(
--- a/src/jasminerelay/fingerprint.py
+++ b/src/jasminerelay/fingerprint.py
@@ -12,8 +12,8 @@
 many for a caller to find a second request with another's."""
 
 
-def of(call: Call) -> bytes:
-    """Returns the same bytes for the same request of the same organisation.
+def of(call: Call) -> str:
+    """Returns the same text for the same request of the same organisation.
 
     Args:
         call: The request. Its method, host, target and body count; its header
@@ -30,4 +30,4 @@
         # With its length, so that no part's end can pass for the next's start.
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
-    return digest.digest()
+    return digest.hexdigest()
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -8,7 +8,7 @@
 from jasminerelay import fingerprint
 from jasminerelay.attempt import OK, Attempt, Kit, Progress
 from jasminerelay.catalog import BackendServer, Call, Repeat
-from jasminerelay.errors import NoRoomError
+from jasminerelay.errors import CrashingRequestError, NoRoomError
 from jasminerelay.exchange import (
     Delivered,
     Failed,
@@ -64,14 +64,22 @@
             self._log(ended)
 
     async def _serve(self) -> None:
+        crashes = self._kit.crashes
         while True:
+            seat = None
             try:
-                seat = await self._seat()
+                if not crashes.blocks(self._call):
+                    with crashes.unless_blocked(self._call):
+                        seat = await self._seat()
             except NoRoomError as exc:
                 await self._no_room(exc)
                 return
+            if seat is None:
+                await self._blocked()
+                return
             outcome = await self._try(seat)
             self._note_health(seat.placed.server, outcome)
+            await self._note_crash(seat.placed.server, outcome)
             if not await next_step(outcome, self):
                 return
 
@@ -118,6 +126,14 @@
         elif verdict is Verdict.BAD:
             health.failed(server.id, time.monotonic())
 
+    async def _note_crash(
+        self, server: BackendServer, outcome: Outcome
+    ) -> None:
+        if isinstance(outcome, Delivered | Failed):
+            self._kit.crashes.survived(self._call)
+        elif isinstance(outcome, Unknown | Interrupted) and not self.moved:
+            await self._kit.crashes.lost(self._call, server)
+
     @property
     def moved(self) -> bool:
         """Whether the run was stopped on purpose and goes on elsewhere."""
@@ -131,6 +147,9 @@
         """Returns whether one more server may run the request."""
         allowed = self._progress.may_repeat(self._call.route)
         self._progress.ran += 1
+        if allowed and not self._kit.crashes.repeats(self._call):
+            self._kit.counters.incr("crash.not_repeated")
+            return False
         return allowed and self._repeat_allowed()
 
     def again_unsent(self, why: str) -> bool:
@@ -196,6 +215,18 @@
         else:
             await self._refuse(503, exc.message, exc.retry_s)
 
+    async def _blocked(self) -> None:
+        self._kit.counters.incr("crash.refused")
+        self._lost_run = True
+        exc = CrashingRequestError(
+            "servers end while they run this request; it was not run"
+        )
+        if self._progress.maybe_ran or self._sink.started:
+            self._why = exc.message
+            await self.give_up()
+        else:
+            await self._refuse(exc.status, exc.message, None)
+
     async def _time_out(self) -> None:
         self._why = "its time was over"
         if self._sink.started:
@@ -245,7 +276,7 @@
             total_s=total_s,
             limit_s=round(call.ends - call.arrived, 3),
             tokens=_tokens_of(call),
-            fingerprint=fingerprint.of(call).hex() if self._lost_run else "",
+            fingerprint=fingerprint.of(call) if self._lost_run else "",
             **self._kit.versions(),
         )
 
--- a/src/jasminerelay/localcommands.py
+++ b/src/jasminerelay/localcommands.py
@@ -1,16 +1,20 @@
-"""Commands of the tool that need files only and ask no instance."""
+"""Commands of the tool that ask no instance."""
 
 import dataclasses
 import json
 import pathlib
+import string
 import sys
 from typing import Any
 
 import tabulate
 
 from jasminerelay import explain, manifest
+from jasminerelay.errors import StoreError
+from jasminerelay.fingerprint import SIZE_BYTES
 from jasminerelay.operatorclient import EXIT_USAGE, CommandError
 from jasminerelay.platform import bootfile, deployfile
+from jasminerelay.platform.release import release
 
 
 def read(path: str) -> str:
@@ -58,6 +62,26 @@
     return 0
 
 
+def release_request(arguments: dict[str, Any]) -> int:
+    """Lets a blocked request be sent again; returns the exit status."""
+    name = arguments["FINGERPRINT"].lower()
+    if len(name) != 2 * SIZE_BYTES or set(name) - set(string.hexdigits):
+        raise CommandError(
+            f"{name}: not a fingerprint; take it from the request's line,"
+            f" {2 * SIZE_BYTES} digits",
+            EXIT_USAGE,
+        )
+    address = arguments["STORE"]
+    if not address.rpartition(":")[2].isdigit():
+        raise CommandError(f"{address}: give the store as IP:PORT", EXIT_USAGE)
+    try:
+        release(name, address)
+    except StoreError as exc:
+        raise CommandError(f"{exc.message}; try again") from exc
+    print(f"{name} is released; instances know it within half a minute")
+    return 0
+
+
 def _events(arguments: dict[str, Any]) -> tuple[list[explain.Event], int]:
     lines = []
     for path in arguments["LOG"]:
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -32,6 +32,7 @@
 from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.registry import Registry, Touch
 from jasminerelay.schema.messages import (
+    CrashWord,
     Member,
     OwnerWord,
     PeerWord,
@@ -120,6 +121,7 @@
         self._followers: Followers | None = None
         self.on_snapshot: Callable[[Snapshot, str], None] = lambda *_: None
         self.on_store_lost: Callable[[], None] = lambda: None
+        self.on_crashes: Callable[[CrashWord], None] = lambda word: None
 
     @property
     def count(self) -> int:
@@ -159,6 +161,10 @@
         owned.answer = self._answer
         asking.send = self._ask
 
+    def tell_crashes(self, member: Member, word: CrashWord) -> None:
+        """Sends what is known of requests under which servers end."""
+        self._send_to(member.peers, peerwords.encode(word))
+
     def _ask(self, owner: Member, word: PlaceWord) -> None:
         if owner.instance == self.membership.own.instance:
             self._owned.hear(word)
@@ -333,6 +339,10 @@
     def _(self, word: OwnerWord) -> None:
         self._asking.hear(word)
 
+    @_take.register
+    def _(self, word: CrashWord) -> None:
+        self.on_crashes(word)
+
     @_take.register
     def _(self, word: PeerWord) -> None:
         self._hear(word)
--- a/src/jasminerelay/peerwords.py
+++ b/src/jasminerelay/peerwords.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jasminerelay.schema.messages import (
+    CrashWord,
     DemandColumns,
     KindDemand,
     LoadColumns,
@@ -22,15 +23,17 @@
 
 PLACE_MARK = b"\x01"
 OWNER_MARK = b"\x02"
+CRASH_MARK = b"\x03"
 """First bytes that tell the kinds of datagrams apart; one without is a
 `PeerWord`, whose first byte is that of a map."""
 
-Word = PeerWord | PlaceWord | OwnerWord
+Word = PeerWord | PlaceWord | OwnerWord | CrashWord
 
 _encode = msgspec.msgpack.encode
 _decode_peer = msgspec.msgpack.Decoder(PeerWord).decode
 _decode_place = msgspec.msgpack.Decoder(PlaceWord).decode
 _decode_owner = msgspec.msgpack.Decoder(OwnerWord).decode
+_decode_crash = msgspec.msgpack.Decoder(CrashWord).decode
 
 
 @functools.singledispatch
@@ -49,6 +52,11 @@
     return OWNER_MARK + _encode(word)
 
 
+@encode.register
+def _(word: CrashWord) -> bytes:
+    return CRASH_MARK + _encode(word)
+
+
 def decode(data: bytes) -> Word:
     """Reads a datagram.
 
@@ -60,6 +68,8 @@
         return _checked_place(_decode_place(data[1:]))
     if mark == OWNER_MARK:
         return _decode_owner(data[1:])
+    if mark == CRASH_MARK:
+        return _checked_crash(_decode_crash(data[1:]))
     return _checked_peer(_decode_peer(data))
 
 
@@ -69,6 +79,12 @@
     return word
 
 
+def _checked_crash(word: CrashWord) -> CrashWord:
+    for item in word.requests:
+        _check_even(item.servers, item.ages_ms)
+    return word
+
+
 def _checked_peer(word: PeerWord) -> PeerWord:
     loads, demand = word.loads, word.demand
     _check_even(
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -17,6 +17,7 @@
 from jasminerelay.attempt import Kit
 from jasminerelay.catalog import Bounds, Catalog
 from jasminerelay.channels import Channels
+from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.errors import StoreError
 from jasminerelay.evacuation import Evacuator
@@ -47,6 +48,7 @@
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
     SERVERS_TABLE,
+    CrashTable,
     InstanceTable,
     TableSource,
 )
@@ -181,6 +183,12 @@
                 self._watch_settings,
             ):
                 group.start_soon(part)
+            group.start_soon(
+                self._crashes.run,
+                self._crash_table.save,
+                self._crash_table.read,
+                lambda: self._followers.leads,
+            )
             group.start_soon(
                 self._configuration.run,
                 self._feed.take_configuration,
@@ -207,6 +215,7 @@
             self.registry, CONFIGURATION_KEY, self.counters, self.log
         )
         self._instances = InstanceTable(store, boot.ip, self.log)
+        self._crash_table = CrashTable(store, self.log)
         self._configuration = self._follower(
             store, OPERATOR_TABLE, leading=Manner(wait_s=LEAD_WAIT_S)
         )
@@ -265,6 +274,12 @@
             self.dispatcher.reserve,
         )
         self._wire_cells(life)
+        self._crashes = CrashWatch(
+            life, self.registry, self.counters, self.log, self._rng
+        )
+        self._crashes.members = self._peers.membership.live
+        self._crashes.send = self._peers.tell_crashes
+        self._peers.on_crashes = self._crashes.hear
         self._channels = Channels(self._watchdog)
         self._budget = SharedBudget(
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
@@ -306,6 +321,7 @@
             dialect,
             evacuator,
             self._budget,
+            self._crashes,
             self.counters,
             self.telemetry,
             self.log,
--- a/src/jasminerelay/platform/tables.py
+++ b/src/jasminerelay/platform/tables.py
@@ -1,15 +1,20 @@
 """The platform's tables as sources of rows."""
 
+import time
+
 import msgspec
 
 from jasminerelay.eventlog import EventLog
 from jasminerelay.following import Page
 from jasminerelay.platform.storeclient import Store
+from jasminerelay.schema.messages import ServerEnds
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 SERVERS_TABLE = "servers"
 INSTANCES_TABLE = "jasminerelay_instances"
+CRASHES_TABLE = "jasminerelay_crashes"
+MS = 1e3
 
 
 class TableSource:
@@ -70,3 +75,72 @@
                 continue
             found.add(instance.peers)
         return found
+
+
+class _Blocked(msgspec.Struct):
+    servers: list[str]
+    # By the time of day, which may be seconds off: an end counts for a day.
+    ended_ms: list[int]
+    # When a whole run, or an operator, cleared the request; -1 for never.
+    cleared_ms: int = -1
+
+
+class CrashTable:
+    """Requests that are not sent any more, a row each.
+
+    Instances tell each other of them; the rows are for those that start when
+    no other instance is left to tell. A request is blocked at most once in a
+    day, so rows are few.
+    """
+
+    def __init__(self, store: Store, log: EventLog):
+        self._store = store
+        self._log = log
+
+    async def save(self, word: ServerEnds) -> None:
+        """Writes a request's row; raises StoreError without answer."""
+        await _save(self._store, word)
+
+    async def read(self) -> list[ServerEnds]:
+        """Returns what stands there; raises StoreError without answer."""
+        found = []
+        now_ms = round(time.time() * MS)
+        for row in (await self._store.read(CRASHES_TABLE)).rows:
+            if row.data is None:
+                continue
+            try:
+                held = msgspec.json.decode(row.data, type=_Blocked)
+                word = _ends_word(row.id, held, now_ms)
+            except (msgspec.MsgspecError, ValueError) as exc:
+                self._log.trouble("crash_unreadable", row=row.id, why=str(exc))
+                continue
+            found.append(word)
+        return found
+
+
+async def release_request(store: Store, fingerprint: str) -> None:
+    """Lets a request be sent again; raises StoreError without answer."""
+    await _save(store, ServerEnds(fingerprint, [], [], 0))
+
+
+async def _save(store: Store, word: ServerEnds) -> None:
+    now_ms = round(time.time() * MS)
+    row = _Blocked(
+        word.servers,
+        [now_ms - age_ms for age_ms in word.ages_ms],
+        -1 if word.survived_ms < 0 else now_ms - word.survived_ms,
+    )
+    body = msgspec.json.encode(row)
+    await store.write(CRASHES_TABLE, word.fingerprint, body)
+
+
+def _ends_word(name: str, held: _Blocked, now_ms: int) -> ServerEnds:
+    if len(held.servers) != len(held.ended_ms):
+        raise ValueError("its lists differ in length")
+    cleared = held.cleared_ms
+    return ServerEnds(
+        name,
+        held.servers,
+        [max(0, now_ms - at) for at in held.ended_ms],
+        -1 if cleared < 0 else max(0, now_ms - cleared),
+    )
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -436,6 +436,28 @@
     ahead_ms: int
 
 
+@dataclass(frozen=True)
+class ServerEnds:
+    """
+    Servers that have ended while they ran one request.
+    """
+
+    fingerprint: str
+    servers: list[str]
+    ages_ms: list[int]
+    survived_ms: int
+
+
+@dataclass(frozen=True)
+class CrashWord:
+    """
+    What one instance knows of requests under which servers have ended.
+    """
+
+    sender: str
+    requests: list[ServerEnds]
+
+
 @dataclass(frozen=True)
 class PeerWord:
     """
@@ -468,3 +490,4 @@
     snapshot: Snapshot | None = None
     place_word: PlaceWord | None = None
     owner_word: OwnerWord | None = None
+    crash_word: CrashWord | None = None
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -64,7 +64,7 @@
         self.links: dict[str, Link] = {}
         self.version = 0
         self._folder = folder
-        self._store_address = free_address()
+        self.store_address = free_address()
         self._group: anyio.abc.TaskGroup | None = None
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._seeds: list[str] = []
@@ -77,7 +77,7 @@
         """Runs the store and the servers while the context is open."""
         async with anyio.create_task_group() as group:
             self._group = group
-            await self._listen("store", self.store.app(), self._store_address)
+            await self._listen("store", self.store.app(), self.store_address)
             for index in range(self.options.engines):
                 await self.add_server(f"engine-{index + 1}", MODEL)
             for index in range(self.options.plain):
@@ -215,7 +215,7 @@
             "[bounds]",
             f"graceS = {self.options.grace_s}",
             "[platform]",
-            f'address = "{self._linked(name, self._store_address)}"',
+            f'address = "{self._linked(name, self.store_address)}"',
         ]
         path = self._folder / f"{name}.toml"
         if self.options.links:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -660,4 +660,42 @@
         "if at_home:",
         "test_placing.KnownCachesTest.test_cold_start_is_read",
     ),
+    Safeguard(
+        "requests under which servers end are sent no more",
+        "forwarding",
+        "if not crashes.blocks(self._call):",
+        "if True:",
+        "test_crashingrequests.CrashingRequestTest"
+        ".test_repeats_at_all_instances_end_three_servers_at_most",
+    ),
+    Safeguard(
+        "only a server that refuses connections has ended",
+        "crashwatch",
+        "        if probe.ended_at is None:\n            return\n",
+        "",
+        "test_crashingrequests.LivingServerTest.test_broken_streams_are_no_ends",
+    ),
+    Safeguard(
+        "ends that another request explains are let go",
+        "crashes",
+        "if len(ends - explained) >= UNEXPLAINED_ENDS:",
+        "if True:",
+        "test_crashes.CrashLedgerTest"
+        ".test_ends_that_the_guilty_one_explains_are_let_go",
+    ),
+    Safeguard(
+        "all are told from the second end on",
+        "crashwatch",
+        "        if not self._spread:\n            return\n",
+        "        return\n",
+        "test_crashes.CrashModelTest.test_calm_day",
+    ),
+    Safeguard(
+        "what is blocked outlasts all instances",
+        "crashwatch",
+        "await save(self.ledger.word(name, time.monotonic()))",
+        "pass",
+        "test_crashingrequests.CrashingRequestTest"
+        ".test_start_of_all_at_once_forgets_nothing",
+    ),
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -65,6 +65,21 @@
         self.assertIn("1.8 s old", words)
         self.assertEqual(found.left_out, 3)
 
+    def test_blocked_request(self) -> None:
+        log = [
+            line(1.0, "e", "request_blocked", fingerprint="f1", servers=["s1"]),
+            line(1.0, "e", "request_blocked", fingerprint="f2", servers=["s2"]),
+            line(
+                90.0, "e", "request", id="b1", ended="done", status=500,
+                servers=[], fingerprint="f1", total_s=0.0,
+            ),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        found = explain.explain("b1", events)
+        self.assertEqual(len(found.surroundings), 1)
+        self.assertIn("f1", str(found.surroundings[0]))
+        self.assertIn("not sent again", " ".join(found.causes))
+
     def test_unknown_request(self) -> None:
         events, _ = explain.read(LOG)
         self.assertIsNone(explain.explain("nobody", events))
