Add failing tests: servers that name a limit get more from all instances

Four instances, 33 requests a second; two of three model servers, and one of two plain ones, name 2 a second. They get 31 and 66 in some four seconds, 17 allowed.

--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -29,6 +29,7 @@
         tick_s: Time between two events.
         fatal: Body of a request under which the server ends; empty for none.
         fatal_after: Events that such a request gets before the end.
+        limit: Requests a second that it says it takes; empty if it says none.
     """
 
     refuse: int = 0
@@ -41,6 +42,7 @@
     tick_s: float = TICK_S
     fatal: bytes = b""
     fatal_after: int = 0
+    limit: bytes = b""
 
 
 @dataclasses.dataclass
@@ -75,6 +77,7 @@
         self.name = name
         self.faults = ServerFaults()
         self.journal: list[Ran] = []
+        self.arrivals: list[float] = []
         self.most = 0
         self.running = 0
         self.moves = 0
@@ -91,6 +94,7 @@
         if body is None:
             return
         attempt = headers.get("attempt-id", "")
+        self.arrivals.append(asyncio.get_running_loop().time())
         if scope["path"] == "/-/kv-move":
             await self._move(send, json.loads(body))
         elif headers.get("expect-instance", self.name) != self.name:
@@ -214,10 +218,12 @@
         await send({"type": "http.response.body", "body": b""})
 
     def _marks(self, attempt: str) -> list[tuple[bytes, bytes]]:
+        limit = self.faults.limit
         return [
             (b"attempt-id", attempt.encode()),
             (b"server-signature", f"{self.name}.{attempt}".encode()),
             (b"instance-load", b"1,0,8"),
+            *([(b"server-limit", limit)] if limit else []),
         ]
 
 
