--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -338,6 +338,7 @@
                     await anyio.sleep(RETRY_S)
                     continue
             await anyio.sleep(READ_EVERY_S)
+            self.ledger.expire(time.monotonic())
 
 
 async def refuses_connections(address: str) -> bool:
