Keep limits that servers name, over all instances together

What servers saw: they said in their answers how many requests a second they take from all instances, and got as much as before.

Cause: nothing read the field.

Change: the adapter reads it into the head of an answer (a bad value is logged and no limit) and does not pass it back. The newest word of a server's start counts; all are told once when it is new, changes or ends. Work goes to other servers first; for what finds no place there one home a server, by rendezvous hashing, lends leave one by one at the rate, the first rank first, and leave lapses after half a second. A home that begins has nothing to lend, and lends by the share that the instances it sees are of those known of late. Every three seconds one request is sent as a trial, so that the end shows where little is sent. Where all servers have a limit, the wait expected is worked out from the rates. A server with a limit is counted in no group of servers, so its little load draws nothing.

Ruled out: a limit that each instance keeps to alone, and one that only some hear of.

--- a/src/jasminerelay/asking.py
+++ b/src/jasminerelay/asking.py
@@ -214,6 +214,15 @@
                 found[owner.instance] = owner
         return list(found.values())
 
+    def placer_of(self, server: str) -> str | None:
+        """Returns the instance that places requests at a server, if one does.
+
+        None where each instance places its own.
+        """
+        cell = self._cell_of(server) if self.active else None
+        owner = self._owner(cell) if cell is not None else None
+        return owner.instance if owner is not None else None
+
     def freed(self, service: str) -> None:
         """Notes that a server of a service has room again."""
         self._local.freed(service)
--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -29,6 +29,7 @@
     Unknown,
 )
 from jasminerelay.httpclient import BrokenError, NotSentError, body_chunks
+from jasminerelay.limitwatch import LimitWatch
 from jasminerelay.metrics import Counters
 from jasminerelay.sharedbudget import SharedBudget
 from jasminerelay.telemetry import Telemetry
@@ -70,6 +71,7 @@
         evacuator: Moves streams away from servers that leave.
         budget: Repeats that may be sent.
         crashes: Requests under which servers end.
+        limits: Limits that servers name.
         counters: Counts events.
         telemetry: Takes times.
         log: Takes events.
@@ -84,6 +86,7 @@
     evacuator: Evacuator
     budget: SharedBudget
     crashes: CrashWatch
+    limits: LimitWatch
     counters: Counters
     telemetry: Telemetry
     log: EventLog
@@ -196,6 +199,8 @@
         # this one's is expected. On a connection that was used before, only
         # the id tells; one without an id may be anybody's.
         named = head.request or ("" if kept else self._call.id)
+        if named == self._call.id and not head.misdirected:
+            self._kit.limits.heard(server.id, head)
         if named != self._call.id:
             self._kit.channels.distrust(server)
             self._kit.counters.incr("backend.crossed")
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -21,6 +21,7 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import EngineSample, KindDemand, ServerLoad
+from jasminerelay.serverlimits import Allowance
 from jasminerelay.silences import Silences
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.waitingroom import Seat
@@ -32,6 +33,10 @@
 
 US = 1e6
 
+LEAST_RATE = 0.01
+"""Requests a second that servers are taken to allow at the least, where what is
+left to expect is worked out."""
+
 OUTLOOK_LIFE_S = 0.02
 """How long what is read off a kind's servers serves all who wait for them.
 Under a burst dozens wait and are looked at thirty times a second; read anew
@@ -103,6 +108,7 @@
         lengths: Lengths | None = None,
         silences: Silences | None = None,
         caches: CacheView | None = None,
+        allowance: Allowance | None = None,
     ):
         """Makes a dispatcher.
 
@@ -115,6 +121,8 @@
             silences: Judges servers that say nothing; new if None.
             caches: What the servers hold, for who places all their requests;
                 None for one of several.
+            allowance: What may be sent to servers that have a limit; None
+                where no server names one.
         """
         self._registry = registry
         self._zone = zone
@@ -128,6 +136,7 @@
         self._health: dict[str, Stragglers] = {}
         self._warm = PrefixIndex()
         self._caches = caches
+        self._allowance = Allowance() if allowance is None else allowance
         self.lengths = lengths or Lengths()
         self._silences = silences or Silences()
         self.paces = PaceBook()
@@ -217,6 +226,40 @@
         ]
         if not servers:
             return Wait("no server in use")
+        free = self._unlimited(servers)
+        if len(free) == len(servers):
+            return self._place_among(call, servers)
+        return self._place_beside_limits(call, servers, free)
+
+    def _place_beside_limits(
+        self,
+        call: Call,
+        servers: list[BackendServer],
+        free: list[BackendServer],
+    ) -> Placed | Wait:
+        """Places a request where some servers have a limit.
+
+        Such a server is in need, so work goes elsewhere first; and it looks
+        idle for the little that it gets.
+        """
+        now = time.monotonic()
+        limited = [item for item in servers if item not in free]
+        allowance = self._allowance
+        tried = [x for x in limited if allowance.on_trial(x.id, now)]
+        held = [x for x in limited if allowance.may_send(x.id, now)]
+        placed: Placed | Wait = Wait("its servers take no more for now")
+        for some in (tried, free, held):
+            if some:
+                placed = self._place_among(call, some)
+            if isinstance(placed, Placed):
+                return placed
+        for item in limited:
+            allowance.want(item.id, call.rank, now)
+        return placed
+
+    def _place_among(
+        self, call: Call, servers: list[BackendServer]
+    ) -> Placed | Wait:
         engine = self.engine_of(call.service)
         if call.prompt is None or engine is None:
             options = self._options(call, servers)
@@ -371,6 +414,9 @@
             number: The run's number; None for a new one.
         """
         name = placed.server.id
+        if number is None:
+            # With a number an owner has placed it, and spent its own leave.
+            self._allowance.spend(name, time.monotonic())
         idle = not self.workload.own_running(name)
         self._silences.sent(name, idle, time.monotonic())
         if call.prompt is not None:
@@ -394,6 +440,7 @@
 
     def seat_at(self, call: Call, server: BackendServer) -> Seat:
         """Returns a seat at a server that has the run's memory already."""
+        self._allowance.spend(server.id, time.monotonic())
         memory = call.prompt.tokens + self._guess(call).output
         run = self.workload.start(server.id, 0, memory)
         return Seat(Placed(server, 0, memory), run)
@@ -407,11 +454,7 @@
         of a more urgent kind a run that goes on preempts what it finds.
         """
         engine = self.engine_of(call.service)
-        servers = [
-            server
-            for server in self._registry.servers_of(call.service)
-            if server.id not in avoid
-        ]
+        servers = self._open_to_moves(call.service, avoid)
         if engine is None or not servers:
             return None
         memory = call.prompt.tokens + self._guess(call).output
@@ -429,6 +472,22 @@
         by_id = {item.id: item for item in roomy or group}
         return self.seat_at(call, by_id[rendezvous.owner(call.id, by_id)])
 
+    def _open_to_moves(
+        self, service: str, avoid: frozenset[str]
+    ) -> list[BackendServer]:
+        now = time.monotonic()
+        return [
+            server
+            for server in self._registry.servers_of(service)
+            if server.id not in avoid
+            and self._allowance.may_send(server.id, now)
+        ]
+
+    def _unlimited(self, servers: list[BackendServer]) -> list[BackendServer]:
+        if not self._allowance.limits:
+            return servers
+        return [x for x in servers if not self._allowance.limited(x.id)]
+
     def cannot_end(
         self, call: Call, server: BackendServer, events: int
     ) -> bool:
@@ -463,11 +522,7 @@
         memory = call.prompt.tokens + self._guess(call).output
         speeds = self._speeds(call.service)
         here_s = self.paces.token_s(server.id, now) or speeds.step_s
-        others = [
-            item
-            for item in self._registry.servers_of(call.service)
-            if item.id not in avoid
-        ]
+        others = self._open_to_moves(call.service, avoid)
         by_id = {
             item.server.id: item.server
             for item in self._options(call, others)
@@ -504,6 +559,9 @@
             # The next word of the store may bring some; a short wait costs
             # the caller less than coming back.
             return Prospect(now - call.arrived, 0.0, call.route.objective_s)
+        servers = self._unlimited(servers)
+        if not servers:
+            return self._expect_leave(call, ahead_s, left_s)
         if call.prompt is None:
             ahead = ahead_s * self._instances() / _slots(servers)
             return Prospect(ahead, call.route.objective_s / 3, left_s)
@@ -514,6 +572,18 @@
         patience_s = call.arrived + call.route.patience_s - now
         return Prospect(ahead, own_s, left_s, first_s, patience_s)
 
+    def _expect_leave(
+        self, call: Call, ahead_s: float, left_s: float
+    ) -> Prospect:
+        """Returns what to expect where all servers have a limit."""
+        servers = self._registry.servers_of(call.service)
+        limits = self._allowance.limits
+        rate = sum(limits.get(server.id, 0.0) for server in servers)
+        busy_s = self.busy_s(call)
+        before = ahead_s / busy_s if busy_s else 0.0
+        turn_s = (1 + before) * self._instances() / max(rate, LEAST_RATE)
+        return Prospect(turn_s, busy_s, left_s)
+
     def ahead_s(self, service: str, kind: str, queued_s: float) -> float:
         """Returns the time until the turn of a new model request.
 
@@ -522,7 +592,7 @@
             kind: Its kind.
             queued_s: Engine time of the requests of its kind that wait.
         """
-        servers = self._registry.servers_of(service)
+        servers = self._unlimited(self._registry.servers_of(service))
         if not servers:
             return math.inf
         outlook = self._outlook(service, kind, servers, time.monotonic())
@@ -604,7 +674,10 @@
         self.demand.hear("", self.own_demand(), now)
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
-            servers = [item.id for item in self._registry.servers_of(name)]
+            there = self._registry.servers_of(name)
+            # What a server with a limit gets is too little to count on.
+            counted = self._unlimited(there) or there
+            servers = [item.id for item in counted]
             if self.sees_steps:
                 self._note_steps(name, servers, now)
             demand = self.demand.total(name, now)
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -44,6 +44,9 @@
         closing: Whether the server ends the connection after the answer.
         idle_s: How long the server keeps an idle connection; None if it does
             not say.
+        limit: Requests a second that the server takes from all instances
+            together; None if it names no limit.
+        limit_fault: What it names in place of one, if that cannot be read.
     """
 
     status: int
@@ -53,6 +56,8 @@
     closing: bool
     idle_s: float | None
     misdirected: bool = False
+    limit: float | None = None
+    limit_fault: str = ""
 
 
 class Dialect(Protocol):
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -21,6 +21,7 @@
     PlaceWord,
     ServerLoad,
 )
+from jasminerelay.serverlimits import Allowance
 from jasminerelay.silences import ToldSilences
 from jasminerelay.waitingroom import TICK_S
 
@@ -48,6 +49,7 @@
         engines: EngineModels,
         lengths: Lengths,
         counters: Counters,
+        allowance: Allowance | None = None,
     ):
         """Makes an instance that owns nothing yet.
 
@@ -58,6 +60,8 @@
             engines: What this instance knows of engines.
             lengths: What it knows of answers' lengths.
             counters: Counts events.
+            allowance: What this instance may send to servers with a limit;
+                None where no server names one.
         """
         self._own = own
         self._zone = zone
@@ -65,6 +69,7 @@
         self._engines = engines
         self._lengths = lengths
         self._counters = counters
+        self._allowance = allowance
         self._cells: dict[tuple[str, int], CellOwner] = {}
         self.queues = QueueView()
         self.on_split: OnSplit = lambda service, groups, demand: None
@@ -128,6 +133,11 @@
             least_s = LOOK_S if self.waiting else IDLE_TICK_S
             pause_s = max(least_s, took_s * (1 / LOOK_SHARE - 1))
 
+    def look_soon(self) -> None:
+        """Has places looked for at all cells where anyone waits."""
+        for cell in self._cells.values():
+            cell.changed = True
+
     def loads(self, now: float) -> list[ServerLoad]:
         """Returns what runs at the servers of all owned cells."""
         return [load for x in self._cells.values() for load in x.loads(now)]
@@ -155,6 +165,7 @@
             self._lengths,
             silences,
             CacheView(),
+            self._allowance,
         )
         dispatcher.on_split = lambda *found: self.on_split(*found)
         return CellOwner(
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -33,6 +33,7 @@
 from jasminerelay.registry import Registry, Touch
 from jasminerelay.schema.messages import (
     CrashWord,
+    LimitWord,
     Member,
     OwnerWord,
     PeerWord,
@@ -122,6 +123,7 @@
         self.on_snapshot: Callable[[Snapshot, str], None] = lambda *_: None
         self.on_store_lost: Callable[[], None] = lambda: None
         self.on_crashes: Callable[[CrashWord], None] = lambda word: None
+        self.on_limits: Callable[[LimitWord], None] = lambda word: None
 
     @property
     def count(self) -> int:
@@ -161,8 +163,8 @@
         owned.answer = self._answer
         asking.send = self._ask
 
-    def tell_crashes(self, member: Member, word: CrashWord) -> None:
-        """Sends what is known of requests under which servers end."""
+    def tell(self, member: Member, word: CrashWord | LimitWord) -> None:
+        """Sends a word to another instance."""
         self._send_to(member.peers, peerwords.encode(word))
 
     def _ask(self, owner: Member, word: PlaceWord) -> None:
@@ -343,6 +345,10 @@
     def _(self, word: CrashWord) -> None:
         self.on_crashes(word)
 
+    @_take.register
+    def _(self, word: LimitWord) -> None:
+        self.on_limits(word)
+
     @_take.register
     def _(self, word: PeerWord) -> None:
         self._hear(word)
--- a/src/jasminerelay/peerwords.py
+++ b/src/jasminerelay/peerwords.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -14,6 +15,7 @@
     CrashWord,
     DemandColumns,
     KindDemand,
+    LimitWord,
     LoadColumns,
     OwnerWord,
     PeerWord,
@@ -24,16 +26,18 @@
 PLACE_MARK = b"\x01"
 OWNER_MARK = b"\x02"
 CRASH_MARK = b"\x03"
+LIMIT_MARK = b"\x04"
 """First bytes that tell the kinds of datagrams apart; one without is a
 `PeerWord`, whose first byte is that of a map."""
 
-Word = PeerWord | PlaceWord | OwnerWord | CrashWord
+Word = PeerWord | PlaceWord | OwnerWord | CrashWord | LimitWord
 
 _encode = msgspec.msgpack.encode
 _decode_peer = msgspec.msgpack.Decoder(PeerWord).decode
 _decode_place = msgspec.msgpack.Decoder(PlaceWord).decode
 _decode_owner = msgspec.msgpack.Decoder(OwnerWord).decode
 _decode_crash = msgspec.msgpack.Decoder(CrashWord).decode
+_decode_limit = msgspec.msgpack.Decoder(LimitWord).decode
 
 
 @functools.singledispatch
@@ -57,6 +61,11 @@
     return CRASH_MARK + _encode(word)
 
 
+@encode.register
+def _(word: LimitWord) -> bytes:
+    return LIMIT_MARK + _encode(word)
+
+
 def decode(data: bytes) -> Word:
     """Reads a datagram.
 
@@ -70,6 +79,8 @@
         return _decode_owner(data[1:])
     if mark == CRASH_MARK:
         return _checked_crash(_decode_crash(data[1:]))
+    if mark == LIMIT_MARK:
+        return _checked_limit(_decode_limit(data[1:]))
     return _checked_peer(_decode_peer(data))
 
 
@@ -85,6 +96,13 @@
     return word
 
 
+def _checked_limit(word: LimitWord) -> LimitWord:
+    for item in word.limits:
+        if not math.isfinite(item.rate):
+            raise ValueError("a limit of a datagram is no number")
+    return word
+
+
 def _checked_peer(word: PeerWord) -> PeerWord:
     loads, demand = word.loads, word.demand
     _check_even(
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -1,5 +1,7 @@
 """Header fields of callers' requests and of backend servers' answers."""
 
+import math
+
 import msgspec
 
 from jasminerelay.catalog import BackendServer, Call, Prompt, PromptPart
@@ -22,6 +24,8 @@
 _ORGANISATION = b"tenant"
 _URGENCY = b"request-urgency"
 _NOT_RUN = b"not-executed"
+# Requests a second that the server takes from all instances together.
+_LIMIT = b"server-limit"
 # Address and run of a memory copy that the request goes on from.
 _COPY_FROM = b"kv-from"
 # Server from which the start of the prompt is copied, if it has it.
@@ -67,7 +71,15 @@
 sends one could reserve, move or preempt what is not its own, or pose as
 another organisation."""
 
-_NOT_PASSED_BACK = _HOP | {b"content-length", b"instance-load", _NOT_RUN}
+_NOT_PASSED_BACK = _HOP | {
+    b"content-length",
+    b"instance-load",
+    _NOT_RUN,
+    _LIMIT,
+}
+
+MOST_LIMIT = 1e6
+"""Requests a second from which on a limit is taken for a mistake."""
 
 Fields = list[tuple[bytes, bytes]]
 
@@ -147,6 +159,7 @@
         """Reads the head of a server's answer."""
         fields = {name.lower(): value for name, value in headers}
         connection = fields.get(b"connection", b"").lower()
+        limit, limit_fault = _limit(fields.get(_LIMIT))
         return Head(
             status,
             tuple(
@@ -159,6 +172,8 @@
             b"close" in connection,
             _idle_s(fields.get(b"keep-alive", b"")),
             status == MISDIRECTED,
+            limit,
+            limit_fault,
         )
 
     def move(
@@ -205,6 +220,19 @@
     handle: str = ""
 
 
+def _limit(value: bytes | None) -> tuple[float | None, str]:
+    """Returns the limit in a field, and what stands there in place of one."""
+    if value is None:
+        return None, ""
+    try:
+        limit = float(value)
+    except ValueError:
+        limit = math.nan
+    if 0 <= limit <= MOST_LIMIT:
+        return limit, ""
+    return None, value[:80].decode("latin-1")
+
+
 def _idle_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -34,6 +34,7 @@
 from jasminerelay.freshness import Freshness, now_s
 from jasminerelay.headbound import HeadBounds
 from jasminerelay.httpclient import Client
+from jasminerelay.limitwatch import LimitWatch
 from jasminerelay.membership import LEAVING
 from jasminerelay.metrics import Counters
 from jasminerelay.ownedcells import OwnedCells
@@ -178,6 +179,7 @@
                 self._room.run,
                 self._asking.run,
                 self._owned.run,
+                self._limits.run,
                 self._tick,
                 self._join,
                 self._watch_settings,
@@ -243,13 +245,17 @@
 
     def _wire_requests(self) -> None:
         boot = self.boot
-        self.dispatcher = Dispatcher(
-            self.registry, boot.zone, lambda: self._peers.count
-        )
-        self.dispatcher.on_split = self._log_split
         # Each life of a process is a member of its own: a restarted one must
         # not be taken for the one that fell silent.
         life = f"{boot.name}/{self._rng.getrandbits(48):012x}"
+        self._limits = LimitWatch(life, self.counters, self.log, self._rng)
+        self.dispatcher = Dispatcher(
+            self.registry,
+            boot.zone,
+            lambda: self._peers.count,
+            allowance=self._limits.allowance,
+        )
+        self.dispatcher.on_split = self._log_split
         member = Member(
             life, "", boot.zone, boot.callers, "", boot.peers, LEAVING, 0
         )
@@ -278,8 +284,12 @@
             life, self.registry, self.counters, self.log, self._rng
         )
         self._crashes.members = self._peers.membership.live
-        self._crashes.send = self._peers.tell_crashes
+        self._crashes.send = self._peers.tell
         self._peers.on_crashes = self._crashes.hear
+        self._limits.placer = self._asking.placer_of
+        self._limits.send = self._peers.tell
+        self._limits.on_leave = self._look_again
+        self._peers.on_limits = self._limits.hear
         self._channels = Channels(self._watchdog)
         self._budget = SharedBudget(
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
@@ -294,6 +304,7 @@
             self.dispatcher.engines,
             self.dispatcher.lengths,
             self.counters,
+            self._limits.allowance,
         )
         self._asking = AskingRoom(
             life,
@@ -322,6 +333,7 @@
             evacuator,
             self._budget,
             self._crashes,
+            self._limits,
             self.counters,
             self.telemetry,
             self.log,
@@ -364,7 +376,13 @@
         bounds = catalog.bounds if catalog else Bounds()
         return HeadBounds(bounds.head_bytes, bounds.head_s, bounds.idle_s)
 
+    def _look_again(self) -> None:
+        """Looks for places for who waits, once a server takes requests."""
+        self._room.look()
+        self._owned.look_soon()
+
     def _gone(self, server: str) -> None:
+        self._limits.gone(server)
         self.dispatcher.gone(server)
         self._owned.gone(server)
 
@@ -476,6 +494,7 @@
             shared=self._asking.active,
             without_store=self._peers.without_store(),
         )
+        self._limits.saw_instances(live, self._peers.known, time.monotonic())
         self.dispatcher.sees_steps = not self._asking.active
 
     async def _join(self) -> None:
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -458,6 +458,51 @@
     requests: list[ServerEnds]
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """
+    How many requests a server takes from all instances together.
+    """
+
+    server: str
+    rate: float
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class LimitAsk:
+    """
+    An instance has requests for which only servers with a limit are left.
+    """
+
+    server: str
+    rank: int
+    count: int
+
+
+@dataclass(frozen=True)
+class LimitGrant:
+    """
+    Leave to send requests to a server that has a limit.
+    """
+
+    server: str
+    count: int
+    trial: bool
+
+
+@dataclass(frozen=True)
+class LimitWord:
+    """
+    What one instance tells another of servers that have a limit.
+    """
+
+    sender: str
+    limits: list[NamedLimit]
+    asks: list[LimitAsk]
+    grants: list[LimitGrant]
+
+
 @dataclass(frozen=True)
 class PeerWord:
     """
@@ -491,3 +536,4 @@
     place_word: PlaceWord | None = None
     owner_word: OwnerWord | None = None
     crash_word: CrashWord | None = None
+    limit_word: LimitWord | None = None
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -426,8 +426,8 @@
     Safeguard(
         "runs from a leaving server are spread",
         "dispatcher",
-        "owner(call.id, by_id)])\n\n    def cannot_end",
-        'owner("", by_id)])\n\n    def cannot_end',
+        "owner(call.id, by_id)])\n\n    def _open_to",
+        'owner("", by_id)])\n\n    def _open_to',
         "test_dispatcher.RefugeTest.test_instances_do_not_meet_at_one_server",
     ),
     Safeguard(
@@ -698,4 +698,40 @@
         "test_crashingrequests.CrashingRequestTest"
         ".test_start_of_all_at_once_forgets_nothing",
     ),
+    Safeguard(
+        "leave to send lapses",
+        "serverlimits",
+        "if grant.count > 0 and grant.until > now",
+        "if grant.count > 0",
+        "test_serverlimits.AllowanceTest"
+        ".test_leave_is_for_one_request_and_a_moment",
+    ),
+    Safeguard(
+        "a new home has nothing to lend",
+        "serverlimits",
+        "        self._tokens = 0.0\n",
+        "        self._tokens = 5.0\n",
+        "test_serverlimits.LenderTest.test_new_home_has_nothing_to_lend",
+    ),
+    Safeguard(
+        "a server's leave is lent by one home",
+        "limitwatch",
+        "if self._home(server) != self._own:",
+        "if False:",
+        "test_namedlimits.NamedLimitTest.test_all_instances_together_keep_to_it",
+    ),
+    Safeguard(
+        "both sides of a cut lend by their share",
+        "limitwatch",
+        "return min(1.0, live / max(live, most))",
+        "return 1.0",
+        "test_serverlimits.ShareTest.test_two_sides_of_a_cut",
+    ),
+    Safeguard(
+        "a trial shows the end of a limit",
+        "limitwatch",
+        "if lender.trial_due(now):",
+        "if False:",
+        "test_namedlimits.NamedLimitTest.test_limit_that_ends",
+    ),
 )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -286,6 +286,7 @@
         "prefix-hash",
         "server-signature",
         "request-urgency",
+        "server-limit",
         "deadline-ms",
         "rows-tx",
         "rows-get",
--- a/tests/test_namedlimits.py
+++ b/tests/test_namedlimits.py
@@ -1,9 +1,12 @@
 """Servers that name how many requests a second they take."""
 
 import time
+import unittest
+import unittest.mock
 
 import anyio
 
+from jasminerelay import asking
 from standins.platformsite import SiteOptions
 from tests.platformcase import PlatformCase
 
@@ -18,6 +21,9 @@
 
 PAUSE_S = 0.03
 
+ENDS_S = 8.0
+"""Time in which the end of a limit must be known."""
+
 
 class NamedLimitCase(PlatformCase):
     """Base of tests that send many requests at all instances."""
@@ -92,3 +98,56 @@
             since = time.monotonic()
             await self.send_for(instances, 5.0, "/lookup/x")
         self.assert_kept(limited, since, 2.0)
+
+    async def test_owners_keep_to_it(self) -> None:
+        # Guards against requests that a cell's owner places by itself.
+        self.enterContext(unittest.mock.patch.object(asking, "OWNERS_FROM", 2))
+        await self.test_all_instances_together_keep_to_it()
+
+    async def test_limit_that_ends(self) -> None:
+        # Guards against a server that is left out for good, since so little
+        # is sent there that no answer tells of the end.
+        async with self.site(2) as (site, instances):
+            await self.until(lambda: all(x.peers_live == 2 for x in instances))
+            for name in ("plain-1", "plain-2"):
+                site.servers[name].faults.limit = b"0.4"
+            await self.send_for(instances, KNOWN_S, "/lookup/x")
+            for name in ("plain-1", "plain-2"):
+                site.servers[name].faults.limit = b""
+            await self.send_for(instances, ENDS_S, "/lookup/x")
+            answers = await self.send_for(instances, 1.0, "/lookup/x")
+        self.assertEqual({answer.status for answer in answers}, {200})
+
+
+class AllLimitedTest(NamedLimitCase):
+    """All servers of a service name a limit."""
+
+    options = SiteOptions(engines=2, plain=1)
+
+    async def test_refused_in_time_and_truly(self) -> None:
+        # Guards against requests that wait in vain until their time is over,
+        # or are refused though they have run.
+        async with self.site(2) as (site, instances):
+            await self.until(lambda: all(x.peers_live == 2 for x in instances))
+            server = site.servers["plain-1"]
+            server.faults.limit = b"2.0"
+            await self.send_for(instances, KNOWN_S, "/lookup/x")
+            before = len(server.journal)
+            since = time.monotonic()
+            answers = await self.send_for(instances, 5.0, "/confirm/x")
+        self.assert_kept(server, since, 2.0)
+        by_status = {
+            status: [x for x in answers if x.status == status]
+            for status in (200, 503)
+        }
+        self.assertEqual(sum(map(len, by_status.values())), len(answers))
+        self.assertEqual(len(server.journal) - before, len(by_status[200]))
+        self.assertGreaterEqual(len(by_status[200]), 6)
+        for answer in by_status[503]:
+            self.assertIn("retry-after", answer.headers)
+        for answer in answers:
+            self.assertNotIn("server-limit", answer.headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
