Take no limit of a server that is not known here

An instance that had forgotten an ended server's limit took it again from one that had not, and told it on; each would have kept it for good. Found by reading; the test fails without.

--- a/src/jasminerelay/limitwatch.py
+++ b/src/jasminerelay/limitwatch.py
@@ -54,6 +54,7 @@
     def __init__(
         self,
         own: str,
+        known: Callable[[str], bool],
         counters: Counters,
         log: EventLog,
         rng: random.Random,
@@ -62,12 +63,15 @@
 
         Args:
             own: This instance.
+            known: Says whether a server is known here; limits of others are
+                passed over.
             counters: Counts events.
             log: Takes events.
             rng: Source of random choices.
         """
         self.allowance = Allowance()
         self._own = own
+        self._known = known
         self._counters = counters
         self._log = log
         self._rng = rng
@@ -153,6 +157,10 @@
         self._lend(now)
 
     def _take(self, server: str, rate: float, at: float, source: str) -> None:
+        # Others may not have heard yet that a server has ended. Taken from
+        # them again, and told on, its limit would go round for good.
+        if not self._known(server):
+            return
         if not self.allowance.named(server, rate, at):
             return
         self._epidemic.add(server)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -248,7 +248,13 @@
         # Each life of a process is a member of its own: a restarted one must
         # not be taken for the one that fell silent.
         life = f"{boot.name}/{self._rng.getrandbits(48):012x}"
-        self._limits = LimitWatch(life, self.counters, self.log, self._rng)
+        self._limits = LimitWatch(
+            life,
+            lambda server: self.registry.server(server) is not None,
+            self.counters,
+            self.log,
+            self._rng,
+        )
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
--- a/tests/limitworld.py
+++ b/tests/limitworld.py
@@ -131,7 +131,9 @@
     def _start_node(self) -> None:
         self._number += 1
         name = f"n{self._number:03d}"
-        watch = LimitWatch(name, Quiet(), Quiet(), self._rng)
+        watch = LimitWatch(
+            name, self.rates.__contains__, Quiet(), Quiet(), self._rng
+        )
         node = Node(name, watch, anyio.current_time())
         watch.send = lambda to, word: self._send(node, to, word)
         self._nodes.append(node)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -734,4 +734,11 @@
         "if False:",
         "test_namedlimits.NamedLimitTest.test_limit_that_ends",
     ),
+    Safeguard(
+        "limits of ended servers are not taken from others",
+        "limitwatch",
+        "if not self._known(server):",
+        "if False:",
+        "test_serverlimits.GoneTest.test_late_word_brings_no_limit_back",
+    ),
 )
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -10,7 +10,12 @@
 
 from jasminerelay import limitwatch, rendezvous, serverlimits
 from jasminerelay.platform.headers import PlatformDialect
-from jasminerelay.schema.messages import LimitAsk, LimitWord, Member
+from jasminerelay.schema.messages import (
+    LimitAsk,
+    LimitWord,
+    Member,
+    NamedLimit,
+)
 from jasminerelay.serverlimits import NO_LIMIT, Allowance, Lender
 from tests import virtualtime
 from tests.limitworld import SPAN_S, Quiet, World
@@ -128,7 +133,9 @@
     def lent_on(self, side: list[str], names: list[str]) -> int:
         """Returns what the home of one side lends to who asks there."""
         home = rendezvous.owner("s", side)
-        watch = limitwatch.LimitWatch(home, Quiet(), Quiet(), random.Random(1))
+        watch = limitwatch.LimitWatch(
+            home, lambda server: True, Quiet(), Quiet(), random.Random(1)
+        )
         granted = []
         watch.send = lambda to, word: granted.extend(word.grants)
         watch.allowance.named("s", self.RATE, 0.0)
@@ -148,6 +155,25 @@
         return sum(grant.count for grant in granted)
 
 
+class GoneTest(unittest.TestCase):
+    """Servers that have ended."""
+
+    def test_late_word_brings_no_limit_back(self) -> None:
+        # Guards against limits of ended servers that instances tell each
+        # other for good.
+        servers = {"s"}
+        watch = limitwatch.LimitWatch(
+            "n", servers.__contains__, Quiet(), Quiet(), random.Random(1)
+        )
+        word = LimitWord("other", [NamedLimit("s", 2.0, 10)], [], [])
+        watch.hear(word)
+        self.assertTrue(watch.allowance)
+        servers.clear()
+        watch.gone("s")
+        watch.hear(word)
+        self.assertFalse(watch.allowance)
+
+
 class FieldTest(unittest.TestCase):
     """The field in which a server names its limit."""
 
