Find a server that names its start by its id

Rows are held by the server's name, and the lookup took the id, which goes on with the start where a server names one. Callers at such a site among 24 instances and more got places by their own instance's view, since each place that an owner gave was taken for stale; and ends of such servers would have counted against no request.

--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -149,10 +149,15 @@
         """Returns the servers of a service that take new work."""
         return self._by_service.get(service, [])
 
-    def server(self, name: str) -> BackendServer | None:
+    def server(self, server_id: str) -> BackendServer | None:
         """Returns a server by its id, also a draining one."""
-        held = self._held.get(name)
-        return held.server if held else None
+        # Rows are held by the server's name, which its id may go on from.
+        held = self._held.get(server_id) or self._held.get(
+            server_id.rpartition("@")[0]
+        )
+        if held is None or held.server.id != server_id:
+            return None
+        return held.server
 
     def servers(self) -> list[BackendServer]:
         """Returns all servers, also draining ones."""
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -193,6 +193,16 @@
         self.followed.take(row(3))
         self.assertEqual(self.followed.ids(), [f"a@{START}"])
 
+    def test_found_by_its_id(self) -> None:
+        # Guards against places at a restarted server that an owner gives and
+        # the asking instance takes for stale, and ends of it that go unseen.
+        known = registry()
+        known.take_changes([row(1)], 1)
+        (server,) = known.servers_of(POOL)
+        self.assertEqual(known.server(server.id), server)
+        self.assertIsNone(known.server(f"a@{START + 900}"))
+        self.assertIsNone(known.server("b"))
+
     def test_name_on_the_wire(self) -> None:
         server = documents.server("a", msgspec.json.encode(ENTRY))
         self.assertEqual((server.name, server.id), ("a", f"a@{START}"))
