Break the circle between the daemon and its launcher

Answering signals early and ignoring them late is a matter of its own (stopsignals); the launcher only starts the daemon.

--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -23,13 +23,13 @@
     callers,
     entrylist,
     headbound,
-    launch,
     membership,
     operators,
     peers,
     ports,
     replies,
     settings,
+    stopsignals,
 )
 from jasminerelay.answerkit import Kit
 from jasminerelay.brokers import BrokerHost
@@ -485,7 +485,7 @@
                     # wants that sends SIGKILL.
                     self.drain()
         finally:
-            launch.ignore_late()
+            stopsignals.ignore_late()
 
     async def _follow_list(self) -> None:
         while True:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from jasminerelay import entrylist, headbound, launch, ports
+from jasminerelay import entrylist, headbound, ports, stopsignals
 from jasminerelay.asking import AskingRoom
 from jasminerelay.attempt import Kit
 from jasminerelay.catalog import Bounds, Catalog
@@ -529,7 +529,7 @@
                     elif self._stop is None:
                         self.stop()
         finally:
-            launch.ignore_late()
+            stopsignals.ignore_late()
 
     def stop(self) -> None:
         """Begins the planned stop."""
--- a/src/jasminerelay/platform/start.py
+++ b/src/jasminerelay/platform/start.py
@@ -2,12 +2,12 @@
 
 import signal
 
-from jasminerelay import launch
+from jasminerelay import stopsignals
 
 
 def main() -> int:
     """Runs the instance; returns its exit status."""
-    launch.answer_early()
+    stopsignals.answer_early()
     # Settings that change while it starts are found when they are next looked
     # at; the default action would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -489,7 +489,7 @@
     ),
     Safeguard(
         "a stop is answered while the program loads",
-        "launch",
+        "stopsignals",
         "        signal.signal(number, _end)\n",
         "        pass\n",
         "test_starting.StartingTest.test_instance_on_the_platform",
