--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -77,7 +77,20 @@
     looked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     over: bool = False
     ended_at: float | None = None
-    lost: set[str] = dataclasses.field(default_factory=set)
+    lost: dict[str, None] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class _FirstEnd:
+    """A request's only end so far, which only this instance knows.
+
+    Attributes:
+        at: Steady time of it.
+        tells: How often the homes were told.
+    """
+
+    at: float
+    tells: int = 0
 
 
 class CrashWatch:
@@ -110,9 +123,11 @@
         self._log = log
         self._rng = rng
         self._probes: dict[str, _Probe] = {}
-        self._first: dict[str, tuple[float, int]] = {}
+        self._first: dict[str, _FirstEnd] = {}
         self._epidemic = Epidemic(rng)
-        self._unsaved: dict[str, None] = {}
+        self._unsaved: set[str] = set()
+        self._save_due = anyio.Event()
+        self._work = anyio.Event()
         self._waiting: dict[anyio.CancelScope, Call] = {}
         self._refuses = refuses or refuses_connections
         self._probing: anyio.abc.TaskGroup | None = None
@@ -155,10 +170,11 @@
         if probe is None or (probe.over and probe.ended_at is None):
             probe = self._probes[server.id] = _Probe()
             self._probing.start_soon(self._probe, server, probe)
+            self._work.set()
         if probe.ended_at is not None:
             self._note_end(name, server.id)
             return
-        probe.lost.add(name)
+        probe.lost[name] = None
         with anyio.move_on_after(PROBE_WAIT_S):
             await probe.looked.wait()
 
@@ -173,7 +189,7 @@
             self._counters.incr("crash.cleared")
             self._first.pop(name, None)
             if name in blocked:
-                self._unsaved[name] = None
+                self._save_soon(name)
             if told:
                 self._epidemic.add(name)
             self._note_blocked(blocked)
@@ -182,7 +198,7 @@
         """Takes what another instance knows."""
         for item in word.requests:
             if self._take(item) and self._at_home(item.fingerprint):
-                self._unsaved[item.fingerprint] = None
+                self._save_soon(item.fingerprint)
 
     async def run(
         self, save: Save, read: Read, leads: Callable[[], bool]
@@ -199,6 +215,9 @@
             group.start_soon(self._save, save)
             group.start_soon(self._read, read, leads)
             while True:
+                if not self._probes and not len(self.ledger):
+                    self._work = anyio.Event()
+                    await self._work.wait()
                 await anyio.sleep(TICK_S)
                 self.tick()
 
@@ -231,6 +250,8 @@
         self._log.trouble("server_ended", server=server)
         for name in probe.lost:
             self._note_end(name, server)
+        # At once: this instance may be the next to go, and nobody else knows.
+        self.tick()
 
     def _note_end(self, name: str, server: str) -> None:
         blocked = self.ledger.all_blocked
@@ -242,9 +263,9 @@
             self._first.pop(name, None)
             self._epidemic.add(name)
         else:
-            self._first[name] = (now, 0)
+            self._first[name] = _FirstEnd(now)
         if self._note_blocked(blocked) and self.ledger.blocked(name):
-            self._unsaved[name] = None
+            self._save_soon(name)
 
     def _at_home(self, name: str) -> bool:
         names = {self._own, *(x.instance for x in self.members())}
@@ -263,6 +284,7 @@
             # It has missed that a whole run cleared the request.
             self._epidemic.add(name, 1)
         if changed:
+            self._work.set()
             self._note_blocked(blocked)
         return name in self.ledger.all_blocked - blocked
 
@@ -288,16 +310,14 @@
         """Tells each request's homes of ends that only this instance knows."""
         due: dict[str, list[str]] = {}
         by_name = {member.instance: member for member in others}
-        for name, (at, tells) in list(self._first.items()):
-            if now - at < HOME_TELLS_S[tells]:
+        for name, end in list(self._first.items()):
+            if now - end.at < HOME_TELLS_S[end.tells]:
                 continue
-            homes = rendezvous.rank(name, [self._own, *by_name])[:HOMES]
-            for home in homes:
+            for home in rendezvous.rank(name, [self._own, *by_name])[:HOMES]:
                 if home != self._own:
                     due.setdefault(home, []).append(name)
-            if tells + 1 < len(HOME_TELLS_S):
-                self._first[name] = (at, tells + 1)
-            else:
+            end.tells += 1
+            if end.tells == len(HOME_TELLS_S):
                 del self._first[name]
         for home, names in due.items():
             self._tell([by_name[home]], names, now)
@@ -307,7 +327,7 @@
         suspects = self.ledger.suspects()
         if member is not None and suspects:
             chosen = self._rng.sample(suspects, min(MOST_TOLD, len(suspects)))
-            blocked = self.ledger.all_blocked
+            blocked = sorted(self.ledger.all_blocked)
             rest = [name for name in chosen if name not in blocked]
             self._tell([member], [*blocked, *rest][:MOST_TOLD], now)
 
@@ -322,17 +342,22 @@
             for member in members:
                 self.send(member, word)
 
+    def _save_soon(self, name: str) -> None:
+        self._unsaved.add(name)
+        self._save_due.set()
+
     async def _save(self, save: Save) -> None:
         while True:
-            await anyio.sleep(TICK_S)
-            for name in list(self._unsaved):
+            await self._save_due.wait()
+            self._save_due = anyio.Event()
+            while self._unsaved:
+                name = min(self._unsaved)
                 try:
                     await save(self.ledger.word(name, time.monotonic()))
+                    self._unsaved.discard(name)
                 except StoreError as exc:
                     self._log.info("blocked_not_saved", why=exc.message)
                     await anyio.sleep(RETRY_S)
-                    break
-                del self._unsaved[name]
 
     async def _read(self, read: Read, leads: Callable[[], bool]) -> None:
         first = True
