--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -227,6 +227,12 @@
             with self.subTest(seed=seed):
                 self.check(self.play(seed, 6))
 
+    def test_one_that_was_beside_the_guilty_one_at_each_run(self) -> None:
+        # Guards against an innocent request that is blocked for a day: all of
+        # its four runs were beside the guilty one, whose first two ends went
+        # with the instances that had seen them.
+        self.check(self.play(282, 6))
+
     def test_195_instances(self) -> None:
         self.check(self.play(1, 195))
 
