Let no instance lend that the others do not take for live

One that is told to stop still took itself into account, and for some servers for the home: it lent itself leave on top of what the others' home lent, up to twice the rate while it was stopped. Found by reading; the test fails before.

--- a/src/jasminerelay/limitwatch.py
+++ b/src/jasminerelay/limitwatch.py
@@ -131,7 +131,9 @@
         while self._sizes[0][0] < now - SPAN_S:
             self._sizes.popleft()
         self._members = {member.instance: member for member in live}
-        names = tuple(sorted({*self._members, self._own}))
+        # Not this one while it leaves: the others do not ask it any more, and
+        # what it lent itself would come on top of what another home lends.
+        names = tuple(sorted(self._members)) or (self._own,)
         if names != self._names:
             self._names = names
             self._homes.clear()
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -155,6 +155,34 @@
         return sum(grant.count for grant in granted)
 
 
+class HomeTest(unittest.TestCase):
+    """Which instance lends a server's leave."""
+
+    def test_leaving_instance_lends_nothing(self) -> None:
+        # Guards against twice the rate while an instance is stopped: the
+        # others take the next one for the home.
+        watch = limitwatch.LimitWatch(
+            "n0", lambda server: True, Quiet(), Quiet(), random.Random(1)
+        )
+        others = [
+            Member(name, "", "", "", "", name, "alive", 0)
+            for name in ("n1", "n2")
+        ]
+        sent = []
+        watch.send = lambda to, word: sent.extend(word.grants)
+        for number in range(8):
+            watch.allowance.named(f"s{number}", 100.0, 0.0)
+        for step in range(40):
+            now = step * limitwatch.TICK_S
+            watch.saw_instances(others, 3, now)
+            for number in range(8):
+                watch.allowance.want(f"s{number}", 0, now)
+            watch.tick(now)
+        self.assertEqual(sent, [])
+        for number in range(8):
+            self.assertFalse(watch.allowance.may_send(f"s{number}", 2.0))
+
+
 class GoneTest(unittest.TestCase):
     """Servers that have ended."""
 
