--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Callable
+from urllib.parse import parse_qs
 
 import anyio
 import msgspec
@@ -83,6 +84,8 @@
 """Datagrams that wait to be sent; more are dropped, as a full link would."""
 
 SNAPSHOT_PATH = "/snapshot"
+KNOWN_FIELD = "configuration"
+"""Field of its query: the version of the configuration that the asker has."""
 
 _encode = msgspec.msgpack.encode
 _decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
@@ -390,8 +393,11 @@
         )
         if address is None:
             return
+        known = self._registry.standing.configuration_version
         exchange = Exchange(
-            "GET", f"http://{address}{SNAPSHOT_PATH}", timeout_s=FETCH_TIMEOUT_S
+            "GET",
+            f"http://{address}{SNAPSHOT_PATH}?{KNOWN_FIELD}={known}",
+            timeout_s=FETCH_TIMEOUT_S,
         )
         try:
             reply = await self._client.call(exchange)
@@ -425,7 +431,8 @@
         if scope["type"] != "http":
             return
         found = scope["path"] == SNAPSHOT_PATH
-        body = _encode(self._registry.export()) if found else b""
+        known = _known(scope["query_string"])
+        body = _encode(self._registry.export(known)) if found else b""
         await send(
             {
                 "type": "http.response.start",
@@ -434,3 +441,9 @@
             }
         )
         await send({"type": "http.response.body", "body": body})
+
+
+def _known(query: bytes) -> int:
+    """Returns the version in a snapshot's query; 0 without one."""
+    values = parse_qs(query.decode("latin-1")).get(KNOWN_FIELD, ["0"])
+    return int(values[0]) if values[0].isdigit() else 0
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -272,10 +272,18 @@
             other.servers_version
         )
 
-    def export(self) -> Snapshot:
-        """Returns all that this instance knows, for another one."""
+    def export(self, known: int = 0) -> Snapshot:
+        """Returns what this instance knows, for another one.
+
+        Args:
+            known: Version of the other's configuration, as the store counts.
+                The configuration is left out if it is no newer: it is most of
+                what is known, and in a series of restarts only rows change.
+        """
+        version, data = self._configuration
         return Snapshot(
-            *self._configuration,
+            version,
+            data if version > known else b"",
             self._servers_version,
             [
                 held.row
