--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,5 +1,6 @@
 """Following the store's tables through outages and lost history."""
 
+import contextlib
 import random
 import types
 import unittest
@@ -155,48 +156,28 @@
         # others tell them. The store goes away in such a pause; another
         # instance says so. This one must ask at once: rows that lapse before
         # it notices would pass for removals, and the pool would be empty.
-        row = ServerRow("s", 1, b"pool:ready")
-        changed = ServerRow("s", 2, b"pool:ready")
-        script = Script(Page((row,), 1), Page((changed,), 2), Page((), 2))
-        follower, state, feed = self.paused(script, lambda: Manner(1.0, 60.0))
-        with anyio.fail_after(10):
-            async with anyio.create_task_group() as group:
-                group.start_soon(
-                    follower.run, feed.take_all_servers, feed.take_servers
-                )
-                while len(script.waits) < 2:
-                    await anyio.sleep(0.001)
-                await anyio.sleep(0.05)
-                self.assertEqual(len(script.waits), 2)
-                state.failed("op", "silent")
-                while len(script.waits) < 3:
-                    await anyio.sleep(0.001)
-                group.cancel_scope.cancel()
+        async with self.pausing(lambda: Manner(1.0, 60.0)) as (script, state):
+            await anyio.sleep(0.05)
+            self.assertEqual(len(script.waits), 2)
+            state.failed("op", "silent")
+            await self.asked(script, 3)
         self.assertEqual(script.waits[2], 0.0)
 
     async def test_silent_leaders_end_a_long_pause(self) -> None:
         # Those who follow the store for this instance die while it pauses. A
         # server that leaves then must still be known in two seconds, so the
         # pause ends once they have been silent, and not after its full time.
+        manners = [Manner(1.0, 60.0)]
+        async with self.pausing(lambda: manners[0]) as (script, _):
+            manners[0] = Manner(1.0, 0.0)
+            await self.asked(script, 3)
+
+    @contextlib.asynccontextmanager
+    async def pausing(self, manner):
+        """Gives the calls of a follower that pauses as told, and its state."""
         row = ServerRow("s", 1, b"pool:ready")
         changed = ServerRow("s", 2, b"pool:ready")
         script = Script(Page((row,), 1), Page((changed,), 2), Page((), 2))
-        manners = [Manner(1.0, 60.0)]
-        follower, _, feed = self.paused(script, lambda: manners[0])
-        with anyio.fail_after(10):
-            async with anyio.create_task_group() as group:
-                group.start_soon(
-                    follower.run, feed.take_all_servers, feed.take_servers
-                )
-                while len(script.waits) < 2:
-                    await anyio.sleep(0.001)
-                manners[0] = Manner(1.0, 0.0)
-                while len(script.waits) < 3:
-                    await anyio.sleep(0.001)
-                group.cancel_scope.cancel()
-
-    def paused(self, script: Script, manner) -> tuple:
-        """Returns a follower that pauses as told, its state and its feed."""
         registry = Registry(lambda data: None, decode)
         log = silent_log()
         state = StoreState(registry, Freshness(["servers"]), log)
@@ -205,7 +186,19 @@
         follower = Follower(
             "servers", script, state, counters, random.Random(1), manner
         )
-        return follower, state, feed
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    follower.run, feed.take_all_servers, feed.take_servers
+                )
+                await self.asked(script, 2)
+                yield script, state
+                group.cancel_scope.cancel()
+
+    async def asked(self, script: Script, count: int) -> None:
+        """Waits until the store has been asked so often."""
+        while len(script.waits) < count:
+            await anyio.sleep(0.001)
 
     async def test_lost_history(self) -> None:
         # A server leaves while the store forgets its history. The follower is
