--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -415,7 +415,7 @@
         """
         name = placed.server.id
         if number is None:
-            # With a number an owner has placed it, and spent its own leave.
+            # With a number an owner has placed it, and spent its own grant.
             self._allowance.spend(name, time.monotonic())
         idle = not self.workload.own_running(name)
         self._silences.sent(name, idle, time.monotonic())
@@ -561,7 +561,7 @@
             return Prospect(now - call.arrived, 0.0, call.route.objective_s)
         servers = self._unlimited(servers)
         if not servers:
-            return self._expect_leave(call, ahead_s, left_s)
+            return self._expect_grant(call, ahead_s, left_s)
         if call.prompt is None:
             ahead = ahead_s * self._instances() / _slots(servers)
             return Prospect(ahead, call.route.objective_s / 3, left_s)
@@ -572,7 +572,7 @@
         patience_s = call.arrived + call.route.patience_s - now
         return Prospect(ahead, own_s, left_s, first_s, patience_s)
 
-    def _expect_leave(
+    def _expect_grant(
         self, call: Call, ahead_s: float, left_s: float
     ) -> Prospect:
         """Returns what to expect where all servers have a limit."""
--- a/src/jasminerelay/limitwatch.py
+++ b/src/jasminerelay/limitwatch.py
@@ -34,8 +34,8 @@
 )
 
 TICK_S = 0.05
-"""How often leave is asked for and lent. It is lent one by one, so this is what
-a request waits longer than it must."""
+"""How often grants are asked for and lent. They come one by one, so this is
+what a request waits longer than it must."""
 
 TELL_S = 0.1
 """How often limits that are new are told."""
@@ -45,7 +45,7 @@
 
 MOST_HOMES = 4
 """Servers' homes that an instance asks in one round. With more it would get
-leave at several servers for one request, and let most of it lapse."""
+grants at several servers for one request, and let most of them lapse."""
 
 
 class LimitWatch:
@@ -84,7 +84,7 @@
         self._there_are = anyio.Event()
         self.placer: Callable[[str], str | None] = lambda server: None
         self.send: Callable[[Member, LimitWord], None] = lambda to, word: None
-        self.on_leave: Callable[[], None] = lambda: None
+        self.on_grant: Callable[[], None] = lambda: None
 
     def heard(self, server: str, head: Head) -> None:
         """Takes the head of a server's answer to a request of this instance."""
@@ -177,15 +177,15 @@
         )
         if rate == NO_LIMIT:
             self._lenders.pop(server, None)
-            self.on_leave()
+            self.on_grant()
 
     def _take_grants(self, grants: Sequence[LimitGrant], now: float) -> None:
         for grant in grants:
-            self._counters.incr("limit.leave")
+            self._counters.incr("limit.granted")
             self.allowance.lend(
                 grant.server, grant.count, trial=grant.trial, now=now
             )
-        self.on_leave()
+        self.on_grant()
 
     def _home(self, server: str) -> str | None:
         if server not in self._homes:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -294,7 +294,7 @@
         self._peers.on_crashes = self._crashes.hear
         self._limits.placer = self._asking.placer_of
         self._limits.send = self._peers.tell
-        self._limits.on_leave = self._look_again
+        self._limits.on_grant = self._look_again
         self._peers.on_limits = self._limits.hear
         self._channels = Channels(self._watchdog)
         self._budget = SharedBudget(
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -483,7 +483,7 @@
 @dataclass(frozen=True)
 class LimitGrant:
     """
-    Leave to send requests to a server that has a limit.
+    A grant to send requests to a server that has a limit.
     """
 
     server: str
--- a/src/jasminerelay/serverlimits.py
+++ b/src/jasminerelay/serverlimits.py
@@ -1,10 +1,11 @@
 """Limits that backend servers name for all instances together.
 
 Pure. A server in need says in its answers how many requests a second it takes.
-One instance, its home by rendezvous hashing, lends leave to send, one request
+One instance, its home by rendezvous hashing, lends grants to send, one request
 at a time and at that rate, to whoever has requests that find no place at other
-servers, the first rank first. Leave lapses when it is not used at once, so what
-a dead, frozen or cut off instance holds is never more than a moment's worth.
+servers, the first rank first. A grant lapses when it is not used at once, so
+what a dead, frozen or cut off instance holds is never more than a moment's
+worth.
 """
 
 import dataclasses
@@ -15,7 +16,7 @@
 MS = 1e3
 
 GRANT_LIFE_S = 0.5
-"""How long leave to send counts. Those who ask have requests that wait."""
+"""How long a grant to send counts. Those who ask have requests that wait."""
 
 TRIAL_LIFE_S = 2.0
 """The same where the next request that comes is to be sent."""
@@ -27,8 +28,8 @@
 """How long a request's vain look for a place counts; it looks more often."""
 
 BURST_S = 0.25
-"""Leave that may be saved up, in seconds' worth at the named rate: the time
-between two rounds of asks and more, so that no leave is lost between them."""
+"""Grants that may be saved up, in seconds' worth at the named rate: the time
+between two rounds of asks and more, so that no grant is lost between them."""
 
 TRIAL_AFTER_S = 3.0
 TRIAL_AT_LAST_S = 30.0
@@ -58,7 +59,7 @@
 
 @dataclasses.dataclass
 class _Grant:
-    """Leave to send.
+    """Requests that may be sent.
 
     Attributes:
         count: Requests.
@@ -159,7 +160,7 @@
                 del self._named[server]
 
     def lend(self, server: str, count: int, *, trial: bool, now: float) -> None:
-        """Takes leave to send requests to a server."""
+        """Takes a grant to send requests to a server."""
         life_s = TRIAL_LIFE_S if trial else GRANT_LIFE_S
         grant = _Grant(count, now + life_s, trial)
         self._grants.setdefault(server, []).append(grant)
@@ -216,7 +217,7 @@
 
 
 class Lender:
-    """A server's home: lends leave at the rate that the server has named.
+    """A server's home: lends grants at the rate that the server has named.
 
     A new home has nothing to lend at first, since the one before may have lent
     just now.
@@ -269,7 +270,7 @@
     def trial_due(self, now: float) -> bool:
         """Returns whether to have a request sent, whoever asks.
 
-        Leave that was lent may have lapsed, so that no answer comes by which
+        What was lent may have lapsed, so that no answer comes by which
         the end of the limit would show.
         """
         since_s = now - self._trial_at
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -706,12 +706,12 @@
         ".test_start_of_all_at_once_forgets_nothing",
     ),
     Safeguard(
-        "leave to send lapses",
+        "a grant to send lapses",
         "serverlimits",
         "if grant.count > 0 and grant.until > now",
         "if grant.count > 0",
         "test_serverlimits.AllowanceTest"
-        ".test_leave_is_for_one_request_and_a_moment",
+        ".test_grant_is_for_one_request_and_a_moment",
     ),
     Safeguard(
         "a new home has nothing to lend",
@@ -721,7 +721,7 @@
         "test_serverlimits.LenderTest.test_new_home_has_nothing_to_lend",
     ),
     Safeguard(
-        "a server's leave is lent by one home",
+        "a server's grants are lent by one home",
         "limitwatch",
         "owner = rendezvous.owner(server, self._names)",
         "owner = self._own",
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -33,7 +33,7 @@
     def setUp(self) -> None:
         self.allowance = Allowance()
 
-    def test_leave_is_for_one_request_and_a_moment(self) -> None:
+    def test_grant_is_for_one_request_and_a_moment(self) -> None:
         self.allowance.named("s", 2.0, 0.0)
         self.allowance.lend("s", 1, trial=False, now=1.0)
         self.assertTrue(self.allowance.may_send("s", 1.1))
@@ -157,7 +157,7 @@
 
 
 class HomeTest(unittest.TestCase):
-    """Which instance lends a server's leave."""
+    """Which instance lends a server's grants."""
 
     def test_leaving_instance_lends_nothing(self) -> None:
         # Guards against twice the rate while an instance is stopped: the
