--- a/src/jasminerelay/crashes.py
+++ b/src/jasminerelay/crashes.py
@@ -35,7 +35,11 @@
 server has slots."""
 
 MAX_ENDS = 8
-"""Ends that are kept of one request, twice as many as block it."""
+"""Ends that are kept of one request; more would tell nothing new."""
+
+NEWER_S = 1.0
+"""How much later a whole run must be to count as another one. Ages are rounded
+on their way: told on and on, the same run would pass for a newer one."""
 
 NEVER = float("-inf")
 MS = 1e3
@@ -169,9 +173,7 @@
     ) -> bool:
         record = self._records.setdefault(fingerprint, _Record())
         before = (set(record.ends), record.survived)
-        # Ages are rounded on their way: told on and on, the same whole run
-        # must not count as a newer one each time.
-        if survived > record.survived + 1.0:
+        if survived > record.survived + NEWER_S:
             record.survived = survived
         for server, at in ends.items():
             if len(record.ends) < MAX_ENDS:
