Keep a lease in one place, whichever store its row is in

Cause: the own interface's placer kept its lease by itself; duties on the platform need the same lease in the platform's store. The store's client has transactions under conditions, and the latest time of its clock. The placer goes by it as before (its tests unchanged).

--- a/src/jasminerelay/following.py
+++ b/src/jasminerelay/following.py
@@ -58,10 +58,12 @@
     Attributes:
         rows: The rows.
         version: The store's version at that moment.
+        now_s: The store's steady clock as it answered, in seconds.
     """
 
     rows: tuple[ServerRow, ...]
     version: int
+    now_s: float = 0.0
 
 
 class HistoryGoneError(StoreError):
--- a/src/jasminerelay/placements.py
+++ b/src/jasminerelay/placements.py
@@ -5,10 +5,11 @@
 harm.
 """
 
+import dataclasses
 import logging
-import secrets
 import time
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import msgspec
@@ -22,13 +23,14 @@
     Exchange,
     NotSentError,
 )
+from jasminerelay.leasing import LeaseKeeper
 from jasminerelay.limits import Bucket, Limit
 from jasminerelay.manifest import Directory
 from jasminerelay.metrics import Counters
 from jasminerelay.schema.manifest import Placement, Server
 from jasminerelay.schema.messages import Member
 from jasminerelay.schema.settings import Timing
-from jasminerelay.store import ABSENT, Table, Write
+from jasminerelay.store import ABSENT, Row, Table, Write
 
 _log = logging.getLogger(__name__)
 
@@ -39,6 +41,38 @@
 TICK_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True)
+class _Held:
+    version: int
+    row: LeaseRow | None
+    age_s: float = 0.0
+
+
+class _TableRows:
+    """The lease's row in the table service."""
+
+    def __init__(self, table: Table):
+        self._table = table
+
+    async def read(self) -> _Held:
+        """Returns the row as it is."""
+        return _held(await self._table.read(ROW_KEY))
+
+    async def write(
+        self, expect: int, row: LeaseRow, extra: Any = None
+    ) -> tuple[bool, _Held]:
+        """Writes the row if it has a version."""
+        writes = [Write(ROW_KEY, expect, row)]
+        written = (await self._table.commit(writes))[0]
+        return written.ok, _held(written.row)
+
+
+def _held(row: Row | None) -> _Held:
+    if row is None:
+        return _Held(ABSENT, None)
+    return _Held(row.version, msgspec.convert(row.value, LeaseRow))
+
+
 class _Loaded(msgspec.Struct):
     """What a server says that it has."""
 
@@ -68,18 +102,25 @@
         self._own = own
         self._live = live
         self._directory = directory
-        self._table = table
         self._client = client
         self._cfg = cfg
         self._counters = counters
         self._lease = Lease(cfg.placement_lease_s, cfg.order_timeout_s)
+        self._keeper = LeaseKeeper(
+            _TableRows(table),
+            self._lease,
+            own.instance,
+            own.incarnation,
+            time.monotonic,
+        )
+        self._keeper.on_taken = self._taken
         self._bucket: Bucket | None = None
         self._bucket_rate = 0.0
 
     @property
     def holds(self) -> bool:
         """Whether this instance gives the orders now."""
-        return self._lease.holds(time.monotonic())
+        return self._keeper.holds
 
     async def run(self) -> None:
         """Keeps the lease if it falls here and reconciles, until cancelled."""
@@ -96,38 +137,16 @@
                 self._counters.incr("placement.store_failed")
 
     async def _keep_lease(self) -> None:
-        now = time.monotonic()
-        if self._lease.holds(now):
-            if self._lease.renew_due(now):
-                await self._write(self._lease.fence)
-            return
-        if not self._is_candidate():
-            return
-        row = await self._table.read(ROW_KEY)
-        now = time.monotonic()
-        version = row.version if row else ABSENT
-        self._lease.observe(version, now)
-        if row is None or self._lease.may_take(now):
-            await self._write(version)
-
-    async def _write(self, expect: int) -> None:
-        held = self.holds
-        token = secrets.token_hex(8)
-        row = LeaseRow(self._own.instance, self._own.incarnation, token)
-        started = time.monotonic()
-        written = (await self._table.commit([Write(ROW_KEY, expect, row)]))[0]
-        found = written.row
-        if written.ok and found is not None:
-            self._lease.wrote(found.version, started)
-            if not held:
-                # Another may have read weights just now.
-                self._bucket = None
-                self._counters.incr("placement.lease_taken")
-                _log.info("took the placement lease, fence %d", found.version)
-            return
-        self._lease.lost()
-        if found is not None:
-            self._lease.observe(found.version, time.monotonic())
+        if self.holds:
+            await self._keeper.keep()
+        elif self._is_candidate():
+            await self._keeper.try_take()
+
+    def _taken(self) -> None:
+        # Another may have read weights just now.
+        self._bucket = None
+        self._counters.incr("placement.lease_taken")
+        _log.info("took the placement lease, fence %d", self._lease.fence)
 
     async def _reconcile(self, directory: Directory) -> None:
         rate = directory.manifest.weight_loads_per_s
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -1,6 +1,9 @@
 """The one client of the platform's store."""
 
 import base64
+import dataclasses
+import math
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -8,6 +11,7 @@
 
 from jasminerelay.errors import StoreError
 from jasminerelay.following import HistoryGoneError, Page
+from jasminerelay.freshness import now_s
 from jasminerelay.httpclient import (
     BrokenError,
     Client,
@@ -27,6 +31,9 @@
 answer, the pause after it and the next call fit into the two seconds in which
 a change must be in force."""
 
+CONDITION_FAILED = 412
+MS = 1e3
+
 PAGE_ROWS = 500
 """Rows of one answer, the most that the store gives."""
 
@@ -43,6 +50,55 @@
     # Of the whole store, not of a schema or a row.
     version: int = msgspec.field(name="schemaVersion", default=0)
     more: bool = msgspec.field(name="hasMore", default=False)
+    # Of the store's steady clock, whose zero means nothing.
+    now_ms: float = msgspec.field(name="nowMs", default=0.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Condition:
+    """A version that a row must have for a transaction to take place.
+
+    Attributes:
+        table: The row's table.
+        key: Its key.
+        version: The version; 0 if there must be no such row.
+    """
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class NewRow:
+    """A row to write.
+
+    Attributes:
+        table: Its table.
+        key: Its key.
+        data: Its content.
+    """
+
+    table: str
+    key: str
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Committed:
+    """The outcome of a transaction.
+
+    Attributes:
+        done: Whether its conditions held and it took effect.
+        version: The store's version after it.
+        rows: The rows of its conditions, if they did not hold.
+        now_s: The store's clock as it answered, in seconds.
+    """
+
+    done: bool
+    version: int
+    rows: tuple[ServerRow, ...]
+    now_s: float
 
 
 class Store:
@@ -61,6 +117,14 @@
         """
         self._client = client
         self._base = f"http://{address}"
+        self._ahead_s = -math.inf
+
+    def latest_now_s(self) -> float:
+        """Returns the latest time that the store's clock may show now.
+
+        Minus infinity before its first answer.
+        """
+        return now_s() + self._ahead_s
 
     async def read(self, table: str) -> Page:
         """Returns all rows of a table's unnamed part.
@@ -75,11 +139,13 @@
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if source:
                 query["source"] = source
+            sent = now_s()
             answer = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
+            self._saw_clock(answer, sent)
             rows += [_row(item) for item in answer.rows]
             version = answer.version if version is None else version
             if not answer.more or not answer.rows:
-                return Page(tuple(rows), version)
+                return Page(tuple(rows), version, answer.now_ms / MS)
             source = answer.rows[-1].key + "\x00"
 
     async def changes(self, table: str, after: int, wait_s: float) -> Page:
@@ -94,19 +160,59 @@
 
     async def write(self, table: str, key: str, data: bytes) -> None:
         """Writes a row, whatever stands there."""
-        encoded = base64.b64encode(data).decode()
-        row = {"table": table, "part": "", "key": key, "data": encoded}
-        await self._transact([row], [])
+        _check(await self._transact([], [NewRow(table, key, data)], []))
 
     async def remove(self, table: str, key: str) -> None:
         """Removes a row, if it is there."""
-        await self._transact([], [{"table": table, "part": "", "key": key}])
+        _check(await self._transact([], [], [(table, key)]))
+
+    async def commit(
+        self,
+        conditions: Sequence[Condition],
+        write: Sequence[NewRow],
+        remove: Sequence[tuple[str, str]] = (),
+    ) -> Committed:
+        """Writes and removes rows if others have the versions they must have.
+
+        Args:
+            conditions: The versions.
+            write: Rows to write.
+            remove: Tables and keys of rows to remove.
+        """
+        sent = now_s()
+        reply = await self._transact(conditions, write, remove)
+        if reply.status != CONDITION_FAILED:
+            _check(reply)
+        answer = _decoded(reply)
+        self._saw_clock(answer, sent)
+        return Committed(
+            reply.status != CONDITION_FAILED,
+            answer.version,
+            tuple(_row(item) for item in answer.rows),
+            answer.now_ms / MS,
+        )
 
     async def _transact(
-        self, write: list[dict[str, Any]], remove: list[dict[str, Any]]
-    ) -> None:
+        self,
+        conditions: Sequence[Condition],
+        write: Sequence[NewRow],
+        remove: Sequence[tuple[str, str]],
+    ) -> Reply:
         body = msgspec.json.encode(
-            {"expect": [], "write": write, "remove": remove}
+            {
+                "expect": [
+                    {**_place(x.table, x.key), "schemaVersion": x.version}
+                    for x in conditions
+                ],
+                "write": [
+                    {
+                        **_place(x.table, x.key),
+                        "data": base64.b64encode(x.data).decode(),
+                    }
+                    for x in write
+                ],
+                "remove": [_place(table, key) for table, key in remove],
+            }
         )
         exchange = Exchange(
             "POST",
@@ -115,7 +221,7 @@
             body,
             CALL_TIMEOUT_S,
         )
-        _check(await self._call(exchange))
+        return await self._call(exchange)
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_s: float
@@ -125,12 +231,7 @@
         if reply.status == 410:
             raise HistoryGoneError("the changes asked for are gone")
         _check(reply)
-        try:
-            return msgspec.json.decode(reply.body, type=_Answer)
-        except msgspec.MsgspecError as exc:
-            raise StoreError(
-                f"unreadable answer of the store: {exc}", retry_s=RETRY_S
-            ) from exc
+        return _decoded(reply)
 
     async def _call(self, exchange: Exchange) -> Reply:
         try:
@@ -140,6 +241,23 @@
                 f"the store did not answer: {exc}", retry_s=RETRY_S
             ) from exc
 
+    def _saw_clock(self, answer: _Answer, sent: float) -> None:
+        # It showed this when the call was sent at the earliest.
+        self._ahead_s = answer.now_ms / MS - sent
+
+
+def _decoded(reply: Reply) -> _Answer:
+    try:
+        return msgspec.json.decode(reply.body, type=_Answer)
+    except msgspec.MsgspecError as exc:
+        raise StoreError(
+            f"unreadable answer of the store: {exc}", retry_s=RETRY_S
+        ) from exc
+
+
+def _place(table: str, key: str) -> dict[str, str]:
+    return {"table": table, "part": "", "key": key}
+
 
 def _check(reply: Reply) -> None:
     if reply.status != 200:
