Do the duties: one instance at a time reports usage and orders servers

Change: three homes are told what each instance counts and brings; one of them holds the lease. A report is decided by a write under the lease before it is sent. Half of the time to the due moment is left for a new holder. Ruled out: homes only among those that have the store (home sets changed with each doubt, and windows were lost by it).

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -76,6 +76,7 @@
         telemetry: Takes times.
         log: Takes events.
         rng: Source of random choices.
+        began: Takes whose request a server has begun, and how long ago.
         versions: Returns what the decisions rest on, for the log.
     """
 
@@ -91,6 +92,7 @@
     telemetry: Telemetry
     log: EventLog
     rng: random.Random
+    began: Callable[[str, float], None]
     versions: Callable[[], dict[str, float]]
 
 
@@ -143,6 +145,7 @@
         self._progress = progress
         self._moving: anyio.Event | None = None
         self._sent_at = 0.0
+        self._goes_on = False
 
     async def run(self, seat: Seat) -> Outcome:
         """Sends the request to the seat's server and passes on the answer."""
@@ -170,6 +173,7 @@
         server = channel.server
         left_s = self._call.ends - time.monotonic()
         copy, self._progress.copy = self._progress.copy, None
+        self._goes_on = copy is not None
         sending = Sending(
             self._call,
             server,
@@ -190,8 +194,10 @@
         try:
             response = await channel.send(request, self._silence_s())
         except SilentError as exc:
+            self._note_lost()
             return Unknown(f"silent: {exc}")
         except BrokenError as exc:
+            self._note_lost()
             return Unknown(str(exc))
         self._kit.dispatcher.heard(server.id, time.monotonic())
         head = self._kit.dialect.head(response.status, response.headers)
@@ -207,8 +213,21 @@
             return Unknown("an answer to another request came")
         if self._call.route.streaming and head.status == OK:
             return await self._stream(seat, channel, response, head, done)
+        if not head.not_run:
+            self._note_begun(time.monotonic() - self._sent_at)
         return await self._whole(channel, response, head, done)
 
+    def _note_begun(self, ago_s: float) -> None:
+        # A run that was moved is the same run.
+        if not self._goes_on:
+            self._kit.began(self._call.organisation, ago_s)
+
+    def _note_lost(self) -> None:
+        # A plain call whose answer is lost has most likely run; a stream
+        # begins with its first event.
+        if not self._call.route.streaming:
+            self._note_begun(time.monotonic() - self._sent_at)
+
     async def _whole(
         self,
         channel: Channel,
@@ -278,6 +297,8 @@
             async for chunk in body_chunks(response):
                 events = cutter.feed(chunk)
                 if events:
+                    if not timer.first_at:
+                        self._note_begun(0.0)
                     timer.events(len(events))
                     progress.pause_s = max(progress.pause_s, timer.pause_s)
                     progress.first_at = progress.first_at or timer.first_at
--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -126,6 +126,27 @@
         return tokens * self.token_bytes * BYTE_BITS / self.link_bits_s
 
 
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """How many servers of a service may be ordered, and what they cost.
+
+    Attributes:
+        least: Least number of servers in an availability zone.
+        most: Most of them, both kinds together.
+        boot_s: Time from the order of a server to its first request.
+        preemptible_price: Price of a server that may be taken away, as a part
+            of the usual one; None if there are none.
+        zone_prices: Price of a server's second by availability zone; zones
+            that are not named have none.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    preemptible_price: float | None
+    zone_prices: Mapping[str, float]
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A group of backend servers that do the same work.
@@ -134,11 +155,13 @@
         name: Its name.
         max_connections: Connections that one server takes from all instances.
         engine: Set for a service of model engines.
+        scaling: Set for one whose servers may be ordered.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -188,6 +211,7 @@
         born: Its own clock at its start, in Unix milliseconds; 0 if it does
             not say. It tells incarnations apart and never orders them: a
             clock may have stepped back between two starts.
+        preemptible: Whether it may be taken away at short notice.
     """
 
     name: str
@@ -197,6 +221,7 @@
     slots: int
     draining: bool
     born: int = 0
+    preemptible: bool = False
 
     @property
     def id(self) -> str:
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -34,6 +34,7 @@
 from jasminerelay.registry import Registry, Touch
 from jasminerelay.schema.messages import (
     CrashWord,
+    DutyWord,
     LimitWord,
     Member,
     OwnerWord,
@@ -127,6 +128,7 @@
         self.on_store_lost: Callable[[], None] = lambda: None
         self.on_crashes: Callable[[CrashWord], None] = lambda word: None
         self.on_limits: Callable[[LimitWord], None] = lambda word: None
+        self.on_duty: Callable[[DutyWord], None] = lambda word: None
 
     @property
     def count(self) -> int:
@@ -166,7 +168,9 @@
         owned.answer = self._answer
         asking.send = self._ask
 
-    def tell(self, member: Member, word: CrashWord | LimitWord) -> None:
+    def tell(
+        self, member: Member, word: CrashWord | LimitWord | DutyWord
+    ) -> None:
         """Sends a word to another instance."""
         self._send_to(member.peers, peerwords.encode(word))
 
@@ -352,6 +356,10 @@
     def _(self, word: LimitWord) -> None:
         self.on_limits(word)
 
+    @_take.register
+    def _(self, word: DutyWord) -> None:
+        self.on_duty(word)
+
     @_take.register
     def _(self, word: PeerWord) -> None:
         self._hear(word)
--- a/src/jasminerelay/peerwords.py
+++ b/src/jasminerelay/peerwords.py
@@ -14,6 +14,7 @@
 from jasminerelay.schema.messages import (
     CrashWord,
     DemandColumns,
+    DutyWord,
     KindDemand,
     LimitWord,
     LoadColumns,
@@ -27,10 +28,11 @@
 OWNER_MARK = b"\x02"
 CRASH_MARK = b"\x03"
 LIMIT_MARK = b"\x04"
+DUTY_MARK = b"\x05"
 """First bytes that tell the kinds of datagrams apart; one without is a
 `PeerWord`, whose first byte is that of a map."""
 
-Word = PeerWord | PlaceWord | OwnerWord | CrashWord | LimitWord
+Word = PeerWord | PlaceWord | OwnerWord | CrashWord | LimitWord | DutyWord
 
 _encode = msgspec.msgpack.encode
 _decode_peer = msgspec.msgpack.Decoder(PeerWord).decode
@@ -38,6 +40,7 @@
 _decode_owner = msgspec.msgpack.Decoder(OwnerWord).decode
 _decode_crash = msgspec.msgpack.Decoder(CrashWord).decode
 _decode_limit = msgspec.msgpack.Decoder(LimitWord).decode
+_decode_duty = msgspec.msgpack.Decoder(DutyWord).decode
 
 
 @functools.singledispatch
@@ -66,6 +69,11 @@
     return LIMIT_MARK + _encode(word)
 
 
+@encode.register
+def _(word: DutyWord) -> bytes:
+    return DUTY_MARK + _encode(word)
+
+
 def decode(data: bytes) -> Word:
     """Reads a datagram.
 
@@ -81,6 +89,8 @@
         return _checked_crash(_decode_crash(data[1:]))
     if mark == LIMIT_MARK:
         return _checked_limit(_decode_limit(data[1:]))
+    if mark == DUTY_MARK:
+        return _checked_duty(_decode_duty(data[1:]))
     return _checked_peer(_decode_peer(data))
 
 
@@ -103,15 +113,26 @@
     return word
 
 
+def _checked_duty(word: DutyWord) -> DutyWord:
+    for item in word.usage:
+        _check_even(item.organisations, item.counts)
+    _check_demand(word.demand)
+    return word
+
+
 def _checked_peer(word: PeerWord) -> PeerWord:
     loads, demand = word.loads, word.demand
     _check_even(
         loads.servers, loads.unread, loads.running, loads.memory, loads.token_us
     )
-    _check_even(demand.kinds, demand.work, demand.size, demand.ranks)
+    _check_demand(demand)
     return word
 
 
+def _check_demand(demand: DemandColumns) -> None:
+    _check_even(demand.kinds, demand.work, demand.size, demand.ranks)
+
+
 def load_columns(loads: Iterable[ServerLoad]) -> LoadColumns:
     """Returns loads as they travel."""
     columns = LoadColumns([], [], [], [], [])
--- a/src/jasminerelay/platform/documents.py
+++ b/src/jasminerelay/platform/documents.py
@@ -15,6 +15,7 @@
     Holder,
     Repeat,
     Route,
+    Scaling,
     Service,
     Share,
 )
@@ -78,10 +79,26 @@
     event_tokens: int = msgspec.field(name="stride", default=1)
 
 
+class _Scaling(msgspec.Struct):
+    # Of each availability zone, despite names that speak of replicas.
+    least: int = msgspec.field(name="minReplicas")
+    most: int = msgspec.field(name="maxReplicas")
+    boot_s: float = msgspec.field(name="bootTimeS", default=0.0)
+    # A part of the usual price, not a price of its own.
+    preemptible_price: float | None = msgspec.field(
+        name="spotPrice", default=None
+    )
+    zone_prices: dict[str, float] = msgspec.field(
+        name="zonePrices", default_factory=dict
+    )
+
+
 class _Service(msgspec.Struct):
     name: str
     max_connections: int = msgspec.field(name="maxConnections", default=64)
     runtime: _Runtime | None = None
+    # Servers are ordered by the instances; nothing scales by itself.
+    scaling: _Scaling | None = msgspec.field(name="autoscale", default=None)
 
 
 class _Limits(msgspec.Struct):
@@ -124,6 +141,7 @@
     # Start of the server by its own clock, in Unix milliseconds. A server that
     # starts again may keep its id; this tells the two apart.
     born: int = 0
+    preemptible: bool = False
 
 
 def catalog(data: bytes) -> Catalog:
@@ -181,6 +199,7 @@
         raw.slots,
         raw.phase == DRAINING,
         raw.born,
+        raw.preemptible,
     )
 
 
@@ -242,4 +261,15 @@
             raw.runtime.moves,
             raw.runtime.link_mbps * MBPS,
         )
-    return Service(raw.name, raw.max_connections, engine)
+    return Service(raw.name, raw.max_connections, engine, _scaling(raw.scaling))
+
+
+def _scaling(raw: _Scaling | None) -> Scaling | None:
+    if raw is None:
+        return None
+    # Zero is what a platform without such servers may name.
+    price = raw.preemptible_price or None
+    least = max(0, raw.least)
+    return Scaling(
+        least, max(least, raw.most), raw.boot_s, price, raw.zone_prices
+    )
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -19,6 +19,7 @@
 from jasminerelay.channels import Channels
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.duties import Duties
 from jasminerelay.errors import StoreError
 from jasminerelay.evacuation import Evacuator
 from jasminerelay.eventlog import Bridge, EventLog
@@ -42,6 +43,7 @@
 from jasminerelay.platform import bootfile, documents
 from jasminerelay.platform.bootfile import Boot
 from jasminerelay.platform.doors import Doors
+from jasminerelay.platform.dutyroot import wire_duties
 from jasminerelay.platform.headers import PlatformDialect
 from jasminerelay.platform.ingress import Front, Ingress
 from jasminerelay.platform.storeclient import Store
@@ -118,6 +120,7 @@
         self._watchdog = Watchdog()
         self._wire_knowledge()
         self._wire_requests()
+        self._wire_duties()
         self._wire_ports()
 
     @property
@@ -183,6 +186,7 @@
                 self._tick,
                 self._join,
                 self._watch_settings,
+                *([self._duties.run] if self._duties else []),
             ):
                 group.start_soon(part)
             group.start_soon(
@@ -210,7 +214,7 @@
         boot = self.boot
         self.registry = Registry(documents.catalog, documents.server)
         self.client = Client(self._watchdog, keepalive=True)
-        store = Store(self.client, boot.store)
+        store = self._store = Store(self.client, boot.store)
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreState(self.registry, self._freshness, self.log)
         self._feed = RegistryFeed(
@@ -324,6 +328,21 @@
         self._followers = Followers(life, boot.zone)
         self._peers.wire_cells(self._owned, self._asking, self._followers)
 
+    def _wire_duties(self) -> None:
+        self._duties: Duties | None = wire_duties(
+            self.boot,
+            self._peers.membership.own,
+            self._store,
+            self.client,
+            self.dispatcher,
+            self.registry,
+            self.counters,
+            self.log,
+        )
+        if self._duties is not None:
+            self._duties.send = self._peers.tell
+            self._peers.on_duty = self._duties.hear
+
     def _wire_ports(self) -> None:
         boot = self.boot
         dialect = PlatformDialect()
@@ -344,6 +363,7 @@
             self.telemetry,
             self.log,
             self._rng,
+            self._duties.began if self._duties else lambda *_: None,
             self._versions,
         )
         front = Front(
@@ -500,6 +520,8 @@
             shared=self._asking.active,
             without_store=self._peers.without_store(),
         )
+        if self._duties is not None:
+            self._duties.saw_instances(live)
         self._limits.saw_instances(live, self._peers.known, time.monotonic())
         self.dispatcher.sees_steps = not self._asking.active
 
@@ -536,6 +558,8 @@
         self._stop = Stop(time.monotonic(), self.boot.grace_s)
         self.log.trouble("stopping", under_way=self._under_way())
         self._peers.leave()
+        if self._duties is not None:
+            self._duties.stop()
 
     async def _until_stopped(self) -> None:
         while True:
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -503,6 +503,31 @@
     grants: list[LimitGrant]
 
 
+@dataclass(frozen=True)
+class UsageWindow:
+    """
+    Requests that servers began for an instance in one window of true time.
+    """
+
+    number: int
+    organisations: list[str]
+    counts: list[int]
+
+
+@dataclass(frozen=True)
+class DutyWord:
+    """
+    What one instance tells those that may do the duties, or one of these tells it.
+    """
+
+    sender: str
+    holds: bool
+    clock_ms: int
+    usage: list[UsageWindow]
+    demand: DemandColumns
+    skew_ms: int = 0
+
+
 @dataclass(frozen=True)
 class PeerWord:
     """
@@ -537,3 +562,4 @@
     owner_word: OwnerWord | None = None
     crash_word: CrashWord | None = None
     limit_word: LimitWord | None = None
+    duty_word: DutyWord | None = None
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -15,6 +15,7 @@
 from jasminerelay import ports
 from standins.launcher import free_address
 from standins.link import Link
+from standins.platformduties import PlatformDuties
 from standins.platformserver import PlatformServer
 from standins.platformstore import PlatformStore
 
@@ -41,6 +42,10 @@
             empty for none.
         fatal_after: Events that such a request gets before the end.
         restart_s: Time after which an ended server starts again.
+        duties: Whether one instance at a time has duties.
+        window_s: Length of a window of usage.
+        late_s: Time after a window's end at which its report is due.
+        scaling: What servers may be ordered; empty for none.
     """
 
     engines: int = 2
@@ -51,6 +56,10 @@
     fatal: bytes = b""
     fatal_after: int = 0
     restart_s: float = 0.5
+    duties: bool = False
+    window_s: float = 2.0
+    late_s: float = 6.0
+    scaling: dict = dataclasses.field(default_factory=dict)
 
 
 class PlatformSite:
@@ -59,6 +68,8 @@
     def __init__(self, options: SiteOptions, folder: pathlib.Path):
         self.options = options
         self.store = PlatformStore()
+        self.duties = PlatformDuties()
+        self.duties_address = free_address()
         self.servers: dict[str, PlatformServer] = {}
         self.addresses: dict[str, str] = {}
         self.links: dict[str, Link] = {}
@@ -71,6 +82,7 @@
         self._instances = 0
         self._leaving: set[str] = set()
         self.ended: list[str] = []
+        self._first_start = True
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["PlatformSite"]:
@@ -78,6 +90,10 @@
         async with anyio.create_task_group() as group:
             self._group = group
             await self._listen("store", self.store.app(), self.store_address)
+            if self.options.duties:
+                await self._listen(
+                    "duties", self.duties.app(), self.duties_address
+                )
             for index in range(self.options.engines):
                 await self.add_server(f"engine-{index + 1}", MODEL)
             for index in range(self.options.plain):
@@ -172,6 +188,7 @@
                     "name": MODEL,
                     "healthPath": "/healthz",
                     "maxConnections": 64,
+                    **self._scaling(),
                     "runtime": {
                         "slotCount": 8,
                         "kvCapacity": 100_000,
@@ -198,6 +215,22 @@
         }
         self.store.put("op", "config", value)
 
+    def _scaling(self) -> dict:
+        scaling = self.options.scaling
+        return {"autoscale": scaling} if scaling else {}
+
+    def _duty_lines(self, name: str) -> list[str]:
+        """Returns what an instance's settings say of the duties."""
+        if not self.options.duties:
+            return []
+        address = self._linked(f"{name}-duties", self.duties_address)
+        return [
+            "[cloudApi]",
+            f'address = "{address}"',
+            'duties = ["usage_report", "autoscaler"]',
+            "dutyPerS = 50.0",
+        ]
+
     def settings(self, name: str, zone: str = "north") -> pathlib.Path:
         """Writes the settings file of an instance; returns its path."""
         listen = {
@@ -211,13 +244,17 @@
             f'zone = "{zone}"',
             'region = "r"',
             f"internalPortRange = [{port}, {port}]",
+            f"bootstrap = {str(self._first_start).lower()}",
             f"seedNodes = {json.dumps(self._seeds)}",
             "[listenAddrs]",
             *(f'{key} = "{value}"' for key, value in listen.items()),
             "[bounds]",
             f"graceS = {self.options.grace_s}",
+            f"windowS = {self.options.window_s}",
+            f"usageLateS = {self.options.late_s}",
             "[platform]",
             f'address = "{self._linked(name, self.store_address)}"',
+            *self._duty_lines(name),
         ]
         path = self._folder / f"{name}.toml"
         if self.options.links:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -83,12 +83,15 @@
         "resume",
         "retry",
         "routing",
+        "scaling",
         "sharedbudget",
         "silences",
         "spread",
         "sse",
         "stopping",
         "stragglers",
+        "trueclock",
+        "usage",
         "workload",
     )
     OWNERS = ("anyio", "grpc", "httpcore", "uvicorn", "starlette", "socket")
--- /dev/null
+++ b/tests/test_platformduties.py
@@ -0,0 +1,304 @@
+"""Duties on the platform's interface: settings, calls, rows, reports."""
+
+import json
+import unittest
+
+import anyio
+
+from jasminerelay.dutycalls import Said
+from jasminerelay.errors import StoreError
+from jasminerelay.fencing import LeaseRow
+from jasminerelay.httpclient import BrokenError, Exchange, NotSentError, Reply
+from jasminerelay.platform import bootfile, documents
+from jasminerelay.platform.dutyapi import DutyApi
+from jasminerelay.platform.storeclient import Store
+from jasminerelay.platform.tables import DutyTable
+from jasminerelay.scaling import Order
+from jasminerelay.usage import Report
+from standins.platformsite import MODEL, SiteOptions
+from standins.platformstore import PlatformStore
+from tests.instanceworld import Quiet
+from tests.platformcase import PlatformCase
+
+SETTINGS = """
+nodeName = "edge-1"
+ip = "127.0.0.1"
+zone = "north"
+region = "r"
+internalPortRange = [7000, 7001]
+[listenAddrs]
+front = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+registry = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+[bounds]
+{bounds}
+{duties}
+"""
+
+
+def settings(duties: str = "", bounds: str = "") -> str:
+    """Returns a settings file."""
+    return SETTINGS.format(duties=duties, bounds=bounds)
+
+
+class SettingsTest(unittest.TestCase):
+    """Which duties there are, and by what they go."""
+
+    def test_no_duties(self) -> None:
+        boot = bootfile.parse(settings(), "f").unwrap()
+        self.assertIsNone(boot.duty_calls)
+
+    def test_one_duty_and_others_that_are_not_known(self) -> None:
+        text = '[cloudApi]\naddress = "127.0.0.1:5"\n'
+        text += 'duties = ["usage_report", "tea"]'
+        rules = bootfile.parse(settings(text), "f").unwrap().duty_calls
+        self.assertTrue(rules.usage)
+        self.assertFalse(rules.servers)
+
+    def test_lengths(self) -> None:
+        text = '[cloudApi]\naddress = "127.0.0.1:5"\ndutyPerS = 2'
+        bounds = "leaseMs = 1500\nwindowS = 60\nusageLateS = 20"
+        parsed = bootfile.parse(settings(text, bounds), "f").unwrap()
+        rules = parsed.duty_calls
+        self.assertEqual(
+            (rules.lease_s, rules.window_s, rules.late_s, rules.calls_s),
+            (1.5, 60, 20, 2),
+        )
+
+    def test_a_wrong_field_says_how_to_mend_it(self) -> None:
+        text = '[cloudApi]\naddress = "127.0.0.1:5"'
+        for bounds in ("leaseMs = 0", "windowS = -5", "usageLateS = 0"):
+            with self.subTest(bounds=bounds):
+                parsed = bootfile.parse(settings(text, bounds), "f")
+                problem = parsed.unwrap_err()[0]
+                self.assertIn("bounds.", str(problem))
+                self.assertIn("mend the field", str(problem))
+
+    def test_an_address_without_a_port(self) -> None:
+        text = '[cloudApi]\naddress = "nowhere"'
+        self.assertTrue(bootfile.parse(settings(text), "f").is_err())
+
+
+class DocumentsTest(unittest.TestCase):
+    """What the configuration and the servers' rows say of orders."""
+
+    def test_scaling(self) -> None:
+        service = {
+            "name": "s",
+            "autoscale": {
+                "minReplicas": 1,
+                "maxReplicas": 30,
+                "bootTimeS": 4.0,
+                "spotPrice": 0.22,
+                "zonePrices": {"a": 1.0, "b": 0.8},
+            },
+        }
+        body = {"version": 1, "routes": [], "backends": [service]}
+        catalog = documents.catalog(json.dumps(body).encode())
+        scaling = catalog.services["s"].scaling
+        self.assertEqual((scaling.least, scaling.most), (1, 30))
+        self.assertEqual(scaling.preemptible_price, 0.22)
+        self.assertEqual(scaling.zone_prices, {"a": 1.0, "b": 0.8})
+
+    def test_a_service_whose_servers_are_not_ordered(self) -> None:
+        body = {"version": 1, "routes": [], "backends": [{"name": "s"}]}
+        catalog = documents.catalog(json.dumps(body).encode())
+        self.assertIsNone(catalog.services["s"].scaling)
+
+
+class _Client:
+    """Keeps what is sent, and answers as told."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.sent: list[Exchange] = []
+
+    async def call(self, exchange: Exchange) -> Reply:
+        """Takes a call."""
+        self.sent.append(exchange)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return Reply(self.answer, {}, b"")
+
+
+class DutyApiTest(unittest.IsolatedAsyncioTestCase):
+    """The calls' words, and what their answers mean."""
+
+    async def said(self, answer) -> Said:
+        """Reports usage; returns what the answer is taken for."""
+        self.client = _Client(answer)
+        api = DutyApi(self.client, "127.0.0.1:5", "edge-1", 0.5, Quiet())
+        return await api.report(Report(7, {"elm": 2}), 12)
+
+    async def test_report(self) -> None:
+        self.assertIs(await self.said(200), Said.DONE)
+        sent = self.client.sent[0]
+        self.assertTrue(sent.url.endswith("/usage"))
+        self.assertEqual(sent.headers["fencing-token"], "12")
+        self.assertEqual(sent.headers["duty-holder"], "edge-1")
+        self.assertEqual(
+            json.loads(sent.body), {"windowNum": 7, "counts": {"elm": 2}}
+        )
+
+    async def test_order(self) -> None:
+        client = _Client(200)
+        api = DutyApi(client, "127.0.0.1:5", "edge-1", 0.5, Quiet())
+        await api.order(Order("s", "a", True, 6), 13)
+        await api.order(Order("s", "a", False, 0), 13)
+        self.assertEqual(
+            [json.loads(item.body) for item in client.sent],
+            [
+                {
+                    "backend": "s",
+                    "zone": "a",
+                    "desiredCount": 6,
+                    "preemptible": True,
+                },
+                {"backend": "s", "zone": "a", "desiredCount": 0},
+            ],
+        )
+
+    async def test_answers(self) -> None:
+        # Guards against a call taken for not done that may still be done.
+        for answer, said in (
+            (409, Said.CONFLICT),
+            (429, Said.BUSY),
+            (503, Said.BUSY),
+            (500, Said.NOTHING),
+            (NotSentError("refused"), Said.BUSY),
+            (BrokenError("silent"), Said.NOTHING),
+        ):
+            with self.subTest(answer=answer):
+                self.assertIs(await self.said(answer), said)
+
+
+class _StoreClient:
+    """Calls the stand-in of the store without sockets."""
+
+    def __init__(self, store: PlatformStore):
+        self._app = store.app()
+        self.lose_next = False
+
+    async def call(self, exchange: Exchange) -> Reply:
+        """Takes a call."""
+        path, _, query = exchange.url.removeprefix("http://x").partition("?")
+        scope = {
+            "type": "http",
+            "method": exchange.method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": query.encode(),
+            "headers": [(b"content-type", b"application/json")],
+        }
+        sent = []
+
+        async def receive() -> dict:
+            return {"type": "http.request", "body": exchange.body}
+
+        async def send(message: dict) -> None:
+            sent.append(message)
+
+        await self._app(scope, receive, send)
+        if self.lose_next:
+            self.lose_next = False
+            raise BrokenError("lost")
+        body = b"".join(item.get("body", b"") for item in sent[1:])
+        return Reply(sent[0]["status"], {}, body)
+
+
+class DutyTableTest(unittest.IsolatedAsyncioTestCase):
+    """The lease and the reports in the store."""
+
+    def setUp(self) -> None:
+        self.store = PlatformStore()
+        self.client = _StoreClient(self.store)
+        self.tables = [self.table() for _ in range(2)]
+
+    def table(self) -> DutyTable:
+        """Returns an instance's way to the table."""
+        return DutyTable(Store(self.client, "x"), Quiet())
+
+    async def test_only_who_has_the_version_writes(self) -> None:
+        first, second = self.tables
+        await first.read()
+        done, held = await first.write(0, LeaseRow("a", "a/1", "t1"))
+        self.assertTrue(done)
+        done, found = await second.write(0, LeaseRow("b", "b/1", "t2"))
+        self.assertFalse(done)
+        self.assertEqual((found.version, found.row.token), (held.version, "t1"))
+
+    async def test_a_report_is_decided_once(self) -> None:
+        # Guards against two reports of one window: the write of the first
+        # had no answer, and the next holder counts otherwise.
+        first, second = self.tables
+        await first.read()
+        _, held = await first.write(0, LeaseRow("a", "a/1", "t1"))
+        self.client.lose_next = True
+        with self.assertRaises(StoreError):
+            await first.write(
+                held.version, LeaseRow("a", "a/1", "t2"), Report(7, {"elm": 2})
+            )
+        found = await second.read()
+        done, _ = await second.write(
+            found.version, LeaseRow("b", "b/1", "t3"), Report(7, {"elm": 3})
+        )
+        self.assertFalse(done)
+        self.assertEqual(second.reports[7], {"elm": 2})
+
+    async def test_age_by_the_store(self) -> None:
+        first, second = self.tables
+        await first.read()
+        await first.write(0, LeaseRow("a", "a/1", "t1"))
+        await anyio.sleep(0.1)
+        found = await second.read()
+        self.assertGreaterEqual(found.age_s, 0.09)
+        self.assertLess(found.age_s, 1.0)
+
+    async def test_given_up_is_free_at_once(self) -> None:
+        first, second = self.tables
+        await first.read()
+        await first.write(0, LeaseRow("a", "a/1", "t1", given_up=True))
+        self.assertEqual((await second.read()).age_s, float("inf"))
+
+
+class ReportsTest(PlatformCase):
+    """Instances on the platform's interface report what servers began."""
+
+    options = SiteOptions(
+        engines=1,
+        plain=1,
+        duties=True,
+        scaling={
+            "minReplicas": 1,
+            "maxReplicas": 4,
+            "bootTimeS": 1.0,
+            "spotPrice": 0.2,
+            "zonePrices": {"north": 1.0},
+        },
+    )
+
+    async def test_usage_and_orders(self) -> None:
+        async with self.site(2) as (site, instances):
+            for number in range(6):
+                answer = await self.ask(
+                    instances[number % 2],
+                    "/lookup/x",
+                    method="GET",
+                    attempt=f"a{number}",
+                )
+                self.assertEqual(answer.status, 200)
+            judge = site.duties.judge
+            await self.until(lambda: self.reported(judge) == 6)
+            place = (MODEL, "north", True)
+            await self.until(lambda: place in judge.servers)
+            self.assertEqual(judge.broken, [])
+
+    def reported(self, judge) -> int:
+        """Returns the requests in all reports."""
+        return sum(sum(counts.values()) for counts in judge.reports.values())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/virtualtime.py
+++ b/tests/virtualtime.py
@@ -45,7 +45,8 @@
         modules: Modules whose clocks are to show that time, too.
     """
     with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
-        clock = types.SimpleNamespace(monotonic=runner.get_loop().time)
+        now = runner.get_loop().time
+        clock = types.SimpleNamespace(monotonic=now, time=now)
         patches = [
             unittest.mock.patch.object(module, name, shown)
             for module in modules
