Let urgent kinds use other short kinds' servers at once among few instances, too

Change: what owners of cells do already is done by each instance: a kind whose servers are full goes to those of the kinds after it, but for the longest.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -330,12 +330,13 @@
         """Returns other kinds' servers that a request may use at once.
 
         A cell has few servers, so a kind that needs one and a half gets one
-        and waits, or two. Where all loads are known it may use servers of
-        kinds that come after it in rank, but for those with the longest
-        prompts, beside which its pauses would be too long.
+        and waits, or two; and a split follows a burst a second or two late.
+        So a kind may use servers of those that come after it in rank, but for
+        those with the longest prompts, beside which its pauses would be too
+        long.
         """
         split = self._splits.get(call.service)
-        if self._caches is None or split is None:
+        if split is None:
             return set()
         kinds = self._kinds.get(call.service, ())
         longest = max((item.size for item in kinds), default=0.0)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -173,6 +173,33 @@
         self.assertIsNone(desk.refuge(call(), frozenset({"i-000"})))
 
 
+class LentAmongFewTest(unittest.TestCase):
+    """A burst of the most urgent kind among few instances."""
+
+    def test_a_burst_goes_on_where_less_urgent_ones_run(self) -> None:
+        # Guards against requests of the first rank that get nothing while the
+        # split of servers follows their burst two seconds late: those of the
+        # next rank went on beginning beside them.
+        desk = dispatcher(7)
+        now = time.monotonic()
+        desk.demand.hear("other", LentServersTest.KINDS, now)
+        desk.tick(now)
+        split = desk._splits[SERVICE]
+        for name in split.group("chat"):
+            for _ in range(40):
+                desk.workload.start(name, unread=0, memory=100)
+        parts = (PromptPart("start", 200), PromptPart("own", 400))
+        asked = call(
+            "chat",
+            arrived=now,
+            ends=now + 10.0,
+            route=route(name="chat", rank=0, pause_s=0.3),
+            prompt=Prompt(parts, 600, 300, 200),
+        )
+        placed = desk.place(asked, frozenset())
+        self.assertIn(placed.server.id, split.group("check"))
+
+
 class LentServersTest(unittest.TestCase):
     """A cell's kinds that need a server and a half."""
 
