Tell other instances which rows have changed, not all rows

Cause: an instance that was behind fetched all rows, for each change. Of 3,000 rows that is some 450 KB, and 300 instances fetched them from each other again and again; links carry 1.25 MB a second. Change: who asks names the version up to which it knows all rows, and gets the rows and removals since; all of them if removals since then are no longer kept, if rows have lapsed there, or if its digest then differs.

--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -120,7 +120,7 @@
         self._skews: dict[str, float] = {}
         self._homes: list[Member] = []
         self._members: dict[str, Member] = {}
-        self._live = 1
+
         self._home_since: dict[str, float] = {}
         self._holder_at = now_s()
         self._tried_at = float("-inf")
@@ -152,8 +152,9 @@
 
     def saw_instances(self, live: Sequence[Member]) -> None:
         """Notes the instances that take callers."""
-        self._live = max(1, len(live))
         members = {member.instance: member for member in live}
+        if members.keys() == self._members.keys():
+            return
         self._members = members
         # Also one that has lost the store: it cannot do the duties, but it
         # goes on listening, and knows all once it has the store again.
@@ -191,7 +192,7 @@
 
         None if too few instances have been heard of late to say.
         """
-        if len(self._heard) < SIGHT_SHARE * self._live:
+        if len(self._heard) < SIGHT_SHARE * max(1, len(self._members)):
             return None
         if self._registry.standing.touch is Touch.LOST:
             return None
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -86,7 +86,9 @@
 
 SNAPSHOT_PATH = "/snapshot"
 KNOWN_FIELD = "configuration"
-"""Field of its query: the version of the configuration that the asker has."""
+SINCE_FIELD = "servers"
+"""Fields of its query: the version of the configuration that the asker has, and
+the store's version up to which it knows all servers' rows."""
 
 _encode = msgspec.msgpack.encode
 _decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
@@ -404,7 +406,8 @@
         known = self._registry.standing.configuration_version
         exchange = Exchange(
             "GET",
-            f"http://{address}{SNAPSHOT_PATH}?{KNOWN_FIELD}={known}",
+            f"http://{address}{SNAPSHOT_PATH}?{KNOWN_FIELD}={known}"
+            f"&{SINCE_FIELD}={self._registry.complete_until}",
             timeout_s=FETCH_TIMEOUT_S,
         )
         try:
@@ -439,8 +442,10 @@
         if scope["type"] != "http":
             return
         found = scope["path"] == SNAPSHOT_PATH
-        known = _known(scope["query_string"])
-        body = _encode(self._registry.export(known)) if found else b""
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        known = _version(query, KNOWN_FIELD)
+        since = _version(query, SINCE_FIELD)
+        body = _encode(self._registry.export(known, since)) if found else b""
         await send(
             {
                 "type": "http.response.start",
@@ -451,7 +456,7 @@
         await send({"type": "http.response.body", "body": body})
 
 
-def _known(query: bytes) -> int:
-    """Returns the version in a snapshot's query; 0 without one."""
-    values = parse_qs(query.decode("latin-1")).get(KNOWN_FIELD, ["0"])
-    return int(values[0]) if values[0].isdigit() else 0
+def _version(query: dict[str, list[str]], field: str) -> int:
+    """Returns a version of a snapshot's query; 0 without one."""
+    value = query.get(field, ["0"])[0]
+    return int(value) if value.isdecimal() else 0
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -120,6 +120,11 @@
         self._digest = 0
         self._by_service: dict[str, list[BackendServer]] = {}
         self._ids: dict[str, tuple[str, ...]] = {}
+        self._gone: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._gone_since: int | None = None
+        self._doubted = False
 
     @property
     def complete(self) -> bool:
@@ -232,6 +237,8 @@
             return []
         rows = list(rows)
         present = {row.id for row in rows}
+        if self._gone_since is None:
+            self._gone_since = version
         gone = [
             ServerRow(name, version, None)
             for name in self._held
@@ -259,6 +266,8 @@
             return []
         self._touch = Touch.SETTLED
         over = [self._held.pop(name) for name in self._lapsed]
+        for held in over:
+            self._note_gone(held.row.id, self._servers_version)
         self._lapsed.clear()
         if over:
             self._rebuild()
@@ -268,6 +277,8 @@
         """Returns whether an instance of this standing knows more."""
         if other.configuration_version > self._configuration[0]:
             return True
+        if self._doubted and other.servers_version >= self._servers_version:
+            return True
         if (
             other.servers_version > self._servers_version
             and other.servers_digest != self._digest
@@ -277,15 +288,30 @@
             other.servers_version
         )
 
-    def export(self, known: int = 0) -> Snapshot:
+    @property
+    def complete_until(self) -> int:
+        """Version after which another's changes are enough; 0 if none is.
+
+        Rows that lapsed here may be gone there for longer.
+        """
+        if self._doubted or self._lapsed or not self._servers_known:
+            return 0
+        return self._servers_version
+
+    def export(self, known: int = 0, since: int = 0) -> Snapshot:
         """Returns what this instance knows, for another one.
 
         Args:
             known: Version of the other's configuration, as the store counts.
                 The configuration is left out if it is no newer: it is most of
                 what is known, and in a series of restarts only rows change.
+            since: The store's version up to which the other knows all rows; 0
+                if it does not. Of thousands of rows a few change at a time.
         """
         version, data = self._configuration
+        if self._gone_since is None or since < self._gone_since:
+            since = 0
+        gone = [name for name, at in self._gone.items() if at > since]
         return Snapshot(
             version,
             data if version > known else b"",
@@ -293,9 +319,12 @@
             [
                 held.row
                 for name, held in self._held.items()
-                if name not in self._lapsed
+                if name not in self._lapsed and held.row.version > since
             ],
             self._touch is Touch.SETTLED,
+            since,
+            gone if since else [],
+            self._digest,
         )
 
     def adopt(self, snapshot: Snapshot) -> list[ServerNews]:
@@ -308,9 +337,39 @@
             self.take_configuration(
                 snapshot.configuration_version, snapshot.configuration
             )
+        if snapshot.since:
+            return self._adopt_changes(snapshot)
         news = self._settle(snapshot) if snapshot.settled else []
-        if snapshot.servers_version > self._servers_version:
-            news += self.take_all(snapshot.servers, snapshot.servers_version)
+        version = snapshot.servers_version
+        if self._doubted and version == self._servers_version:
+            news += self.take_all(snapshot.servers, version)
+        self._doubted = False
+        if version > self._servers_version:
+            news += self.take_all(snapshot.servers, version)
+        return news
+
+    def _adopt_changes(self, snapshot: Snapshot) -> list[ServerNews]:
+        """Takes what has changed since a version that is known here whole."""
+        version = snapshot.servers_version
+        known = self._servers_version
+        if version <= known or snapshot.since > known:
+            return []
+        gone = [
+            name
+            for name in snapshot.gone
+            if name in self._held and self._held[name].row.version <= version
+        ]
+        news = []
+        if snapshot.settled:
+            news = [self._drop(ServerRow(name, version, None)) for name in gone]
+            gone = []
+        removed = [ServerRow(name, version, None) for name in gone]
+        news += self._take([*snapshot.servers, *removed], version)
+        # A change that was missed before would stay missing: then all rows are
+        # asked for.
+        self._doubted = (
+            not self._lapsed and self._digest != snapshot.servers_digest
+        )
         return news
 
     def _asks(self, version: int) -> bool:
@@ -356,6 +415,7 @@
         if before is not None and before.id != server.id:
             self._note_past(before)
         self._held[row.id] = _Held(row, server)
+        self._gone.pop(row.id, None)
         self._lapsed.discard(row.id)
         if held is not None and held.usable and before == server:
             return None
@@ -402,8 +462,16 @@
 
     def _drop(self, row: ServerRow) -> ServerNews:
         self._lapsed.discard(row.id)
+        self._note_gone(row.id, row.version)
         return ServerNews(row, self._held.pop(row.id).server, None)
 
+    def _note_gone(self, name: str, version: int) -> None:
+        self._gone.pop(name, None)
+        self._gone[name] = version
+        while len(self._gone) > MAX_PAST:
+            _, oldest = self._gone.popitem(last=False)
+            self._gone_since = max(self._gone_since or 0, oldest)
+
     def _rebuild(self) -> None:
         self._by_service = {}
         digest = xxhash.xxh64()
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -241,6 +241,9 @@
     servers_version: int
     servers: list[ServerRow]
     settled: bool = False
+    since: int = 0
+    gone: list[str] = field(default_factory=list)
+    servers_digest: int = 0
 
 
 @dataclass(frozen=True)
