Give engines two grades of urgency

Change: engines are told the first rank of the routes, or not. Who waits is ordered by organisation and route as before.

--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -263,6 +263,24 @@
             routes.sort(key=lambda route: -len(route.prefix))
         object.__setattr__(self, "_by_host", by_host)
         object.__setattr__(self, "_levels", self._dense_levels())
+        ranks = {route.rank for route in self.routes if route.model}
+        object.__setattr__(self, "_route_ranks", sorted(ranks))
+
+    def urgent(self, rank: int, route: Route) -> bool:
+        """Returns whether engines take a request before others.
+
+        A full engine puts back the newest of all that are less urgent than the
+        one that comes, not the least urgent of them. With more than two grades
+        at an engine the middle ones are put back while the last ones run on.
+
+        Args:
+            rank: The organisation's rank, or the route's.
+            route: The route.
+        """
+        ranks: list[int] = self._route_ranks  # type: ignore
+        if len(ranks) > 1:
+            return route.rank == ranks[0]
+        return self.level_of(rank, route) == 0
 
     def level_of(self, rank: int, route: Route) -> int:
         """Returns the place of a model request among all that may come.
@@ -356,7 +374,7 @@
         route: Its route.
         service: The service that serves it.
         rank: 0 is served first.
-        level: Its place by rank and route's rank; 0 is served first.
+        urgent: Whether engines take it before others.
         organisation: Whose it is; "" without a key.
         method: HTTP method.
         host: Host that the caller named.
@@ -374,7 +392,7 @@
     route: Route
     service: str
     rank: int
-    level: int
+    urgent: bool
     organisation: str
     method: str
     host: str
--- a/src/jasminerelay/placewords.py
+++ b/src/jasminerelay/placewords.py
@@ -78,7 +78,7 @@
         route=route,
         service=service,
         rank=ask.rank,
-        level=0,
+        urgent=False,
         organisation="",
         method="",
         host="",
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -10,7 +10,8 @@
 from jasminerelay.httpclient import Exchange, Reply
 
 MS = 1000.0
-URGENCY_LAST = 9
+URGENT = b"0"
+USUAL = b"5"
 """The platform's urgencies go from 0, the first, to 9."""
 
 MISDIRECTED = 421
@@ -141,8 +142,7 @@
         if call.organisation:
             fields.append((_ORGANISATION, call.organisation.encode()))
         if call.prompt is not None:
-            urgency = min(max(call.level, 0), URGENCY_LAST)
-            fields.append((_URGENCY, str(urgency).encode()))
+            fields.append((_URGENCY, URGENT if call.urgent else USUAL))
         if sending.after:
             fields.append((LAST_EVENT, sending.after.encode("latin-1")))
         if sending.copy is not None:
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -149,7 +149,7 @@
             route,
             route.pick_service(self._front.kit.rng),
             rank,
-            catalog.level_of(rank, route),
+            catalog.urgent(rank, route),
             holder.name if holder else "",
             scope["method"],
             host,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -192,6 +192,36 @@
             self.assertEqual(len(set(seen)), len(set(levels)))
             self.assertLess(max(levels), 6)
 
+    def test_engines_know_two_grades(self) -> None:
+        # Guards against chats of one organisation put back at a full engine
+        # for those of another, while long studies ran on there.
+        routes = [
+            {**CONFIGURATION["routes"][0], "name": name, "prefix": f"/{name}/"}
+            | {"priorityClass": rank, "sessionAffinity": True}
+            for name, rank in (("chat", 0), ("check", 1), ("study", 2))
+        ]
+        data = {**CONFIGURATION, "routes": routes}
+        catalog = documents.catalog(msgspec.json.encode(data))
+        urgent = {
+            (rank, route.name): catalog.urgent(rank, route)
+            for rank in (0, 1, 2)
+            for route in catalog.routes
+        }
+        for (_, name), found in urgent.items():
+            self.assertEqual(found, name == "chat")
+
+    def test_organisations_decide_among_routes_that_rank_alike(self) -> None:
+        tenants = [
+            {"name": f"t{rank}", "apiKeys": [f"k{rank}"], "priorityClass": rank}
+            for rank in (1, 3)
+        ]
+        route = {**CONFIGURATION["routes"][0], "sessionAffinity": True}
+        data = {**CONFIGURATION, "routes": [route], "tenants": tenants}
+        catalog = documents.catalog(msgspec.json.encode(data))
+        only = catalog.routes[0]
+        self.assertTrue(catalog.urgent(1, only))
+        self.assertFalse(catalog.urgent(3, only))
+
     def test_unreadable(self) -> None:
         for data in (b"", b"[]", b'{"version": "x"}'):
             with self.assertRaises(documents.DocumentError):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -54,7 +54,7 @@
         "route": route(),
         "service": "pool",
         "rank": 2,
-        "level": 2,
+        "urgent": False,
         "organisation": "o",
         "method": "POST",
         "host": "h",
