--- a/src/jasminerelay/fencing.py
+++ b/src/jasminerelay/fencing.py
@@ -87,6 +87,10 @@
         """Whether nobody has held the lease since this instance did."""
         return self._own > 0 and self._own == self._version
 
+    @property
+    def _nobody_held_it(self) -> bool:
+        return self._version == 0 and self._seen_at != math.inf
+
     def observe(self, version: int, now: float, age_s: float = 0.0) -> None:
         """Takes the version of the row as read.
 
@@ -107,7 +111,7 @@
         It may have written just before the row was first seen with this
         version, and may have sent an order at the very end of its lease.
         """
-        if self.last_is_own:
+        if self.last_is_own or self._nobody_held_it:
             return True
         if now - self._ordered_at < self._turn_s:
             return False
