--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -223,10 +223,13 @@
             self._kit.began(self._call.organisation, ago_s)
 
     def _note_lost(self) -> None:
-        # A plain call whose answer is lost has most likely run; a stream
-        # begins with its first event.
-        if not self._call.route.streaming:
-            self._note_begun(time.monotonic() - self._sent_at)
+        # A call whose answer is lost has most likely run. A stream begins with
+        # its first event, so it must have been there for as long as that takes.
+        ago_s = time.monotonic() - self._sent_at
+        if self._call.route.streaming:
+            ago_s -= self._kit.dispatcher.first_s(self._call)
+        if ago_s >= 0:
+            self._note_begun(ago_s)
 
     async def _whole(
         self,
