--- a/src/jasminerelay/asking.py
+++ b/src/jasminerelay/asking.py
@@ -256,7 +256,7 @@
                 self._tell(cell)
 
     def _new_ask(self, call: Call, avoid: frozenset[str]) -> _Ask | None:
-        if not self.active:
+        if not self.active or not self._has_owners(call.service):
             return None
         count = len(cells.cells_of(self._registry.ids_of(call.service)))
         if not count:
@@ -466,6 +466,15 @@
         # here goes on where it was.
         return self._dispatcher.workload.new_number()
 
+    def _has_owners(self, service: str) -> bool:
+        """Whether owners place a service's requests.
+
+        Not those of a plain one: it has few servers, so few owners, to which
+        all of the deployment's requests would be told. Its servers queue what
+        they cannot take at once, and a request takes little of them.
+        """
+        return self._dispatcher.engine_of(service) is not None
+
     def _runs_of(self, cell: Cell) -> list[Run]:
         return [
             run
@@ -475,7 +484,7 @@
 
     def _cell_of(self, name: str) -> Cell | None:
         server = self._registry.server(name)
-        if server is None:
+        if server is None or not self._has_owners(server.service):
             return None
         ids = self._registry.ids_of(server.service)
         number = cells.number_of(name, ids)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -228,6 +228,32 @@
         )
 
 
+class PlainServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Lookups among many instances, at three servers."""
+
+    async def test_nobody_is_asked(self) -> None:
+        # Guards against one instance that is asked for every lookup of the
+        # deployment, and is too busy to answer or to be taken for alive.
+        site = Site(30, 3)
+        asked = []
+        used = set()
+        for node in site.nodes.values():
+            node.dispatcher.engine_of = lambda service: None
+            node.asking.send = lambda owner, word: asked.append(owner)
+            for number in range(4):
+                item = call(
+                    f"{node.name}-{number}",
+                    arrived=time.monotonic(),
+                    ends=time.monotonic() + 4.0,
+                    prompt=None,
+                )
+                seat = await node.asking.enter(item, frozenset())
+                used.add(seat.placed.server.id)
+            self.assertIsNone(node.asking.placer_of("i-000"))
+        self.assertEqual(asked, [])
+        self.assertEqual(len(used), 3)
+
+
 class CellsTest(unittest.TestCase):
     """Which servers form a cell, and who decides for it."""
 
