--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -185,7 +185,9 @@
         self._skews[word.sender] = word.clock_ms / MS - self.true_s()
         self._ledger.hear(word.sender, word.usage)
         demand = peerwords.demand_rows(word.demand)
-        self._demand.hear(word.sender, demand, time.monotonic())
+        if demand:
+            # The holder's words that only say that it is there have none.
+            self._demand.hear(word.sender, demand, time.monotonic())
 
     def work(self, service: str) -> float | None:
         """Returns how many servers a service's requests fill.
