Order no servers before those that are there have shown

At the first second 10 servers stood before the traffic, 80 % of the requests of engines found no owner. Change: no order until no further server has shown for 2 s; one that shows later counts among the first until there is work; on the first start a home vouches for all windows, since counts are kept for longer than it takes to find the homes. Two tests fail without it.

--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -63,6 +63,10 @@
 CORRECT_EVERY_S = 3.0
 """Pause between two corrections of a clock: the first one must show."""
 
+YOUNG_S = 15.0
+"""Age up to which an instance's start is that of the whole system, if it is the
+first: counts are kept for longer."""
+
 REST_S = 6.0
 """How long one that could not reach the platform leaves the duty to others."""
 
@@ -74,6 +78,7 @@
         reports: Reports usage; None if nobody wants that.
         orders: Orders servers; None if nobody wants that.
         send: Sends a word to another instance.
+        first_start: Whether nothing of the whole system ran before.
     """
 
     def __init__(
@@ -125,6 +130,8 @@
         self._holder_at = now_s()
         self._tried_at = float("-inf")
         self._corrected_at = float("-inf")
+        self._born = now_s()
+        self.first_start = False
         self._rests_until = float("-inf")
         self._stopping = False
         self.send: Callable[[Member, DutyWord], None] = lambda to, word: None
@@ -170,7 +177,11 @@
         if self._position is None:
             self._ledger.closes()
         elif not was_home:
-            self._ledger.opens(self._usage.window_at(self.true_s()) + 1)
+            # As all start for the first time, all that was counted is told to
+            # whoever becomes a home.
+            first = self.first_start and now - self._born < YOUNG_S
+            window = self._usage.window_at(self.true_s()) + 1
+            self._ledger.opens(0 if first else window)
 
     def hear(self, word: DutyWord) -> None:
         """Takes another instance's word."""
--- a/src/jasminerelay/platform/dutyroot.py
+++ b/src/jasminerelay/platform/dutyroot.py
@@ -60,8 +60,6 @@
     clock = TrueClock(now_s(), time.time())
     usage = OwnUsage(rules.window_s)
     ledger = UsageLedger()
-    if boot.first_start:
-        ledger.opens(0)
     duties = Duties(
         own,
         keeper,
@@ -74,6 +72,7 @@
         counters,
         log,
     )
+    duties.first_start = boot.first_start
     if rules.usage:
         duties.reports = UsageReports(
             desk,
--- a/src/jasminerelay/scaling.py
+++ b/src/jasminerelay/scaling.py
@@ -21,8 +21,8 @@
 price: above it waits grow faster than the work."""
 
 FULL_USE = 0.9
-"""The same while preemptible servers are away and usual ones, which cost several
-times as much, are to fill in for some seconds."""
+"""The same while preemptible servers are away and usual ones, which cost much
+more, are to fill in for some seconds."""
 
 SPARE_BUDGET = 0.3
 """Servers beyond the present work, at the full price and as a part of it, that
@@ -38,6 +38,9 @@
 SHRINK_SHARE = 0.15
 """Part by which fewer must do; less is not worth a cold cache."""
 
+STEADY_S = 2.0
+"""How long no further server must show before the first order."""
+
 BOOT_SLACK_S = 2.0
 """Time beyond its boot in which an ordered server may show."""
 
@@ -115,6 +118,9 @@
         self._kinds: dict[tuple[str, bool], _Kind] = {}
         self._began: float | None = None
         self._first = 0
+        self._first_at = -math.inf
+        self._ordered = False
+        self._worked = False
         self._target = 0
         self._enough_since: float | None = None
         self._most_needed = 0
@@ -144,6 +150,8 @@
         if self._began is None:
             self._began = now
         self._count(scaling, servers)
+        if not self._is_steady(work, now):
+            return []
         self._aim(scaling, work, now)
         # Cheaper zones come first where a number cannot be shared evenly.
         prices = scaling.zone_prices
@@ -253,6 +261,7 @@
     def accepted(self, order: Order, now: float) -> None:
         """Notes that an order was taken, or may have been."""
         kind = self._kind(order.zone, order.preemptible)
+        self._ordered = True
         if order.count > kind.there:
             kind.raised_at = now
             kind.refused_at = -math.inf
@@ -273,13 +282,30 @@
         for server in servers:
             self._kind(server.zone, server.preemptible).there += 1
 
+    def _is_steady(self, work: float, now: float) -> bool:
+        """Returns whether the servers that were there at first are known.
+
+        Rows come one after another as servers, or all of the platform, start.
+        Who orders by the first few sends the others away.
+        """
+        if self._first and (work or self._ordered):
+            return True
+        present = sum(kind.there for kind in self._kinds.values())
+        if present > self._first:
+            self._first = present
+            self._first_at = now
+        return now - self._first_at >= STEADY_S
+
     def _aim(self, scaling: Scaling, work: float, now: float) -> None:
         price = scaling.preemptible_price or 1.0
-        if not self._first:
-            self._first = sum(kind.there for kind in self._kinds.values())
-            self._target = self._first
-            if scaling.preemptible_price is not None:
-                self._target = math.ceil(self._first * (1 + _spare(price)))
+        usual = [kind for (_, cheap), kind in self._kinds.items() if not cheap]
+        if not self._worked:
+            # One more that shows late was there at first, too.
+            there = sum(kind.there for kind in usual)
+            self._first = max(self._first, there)
+            spare = _spare(price) if scaling.preemptible_price else 0.0
+            self._target = math.ceil(self._first * (1 + spare))
+        self._worked = self._worked or work > 0
         needed = _needed(price, work)
         zones = len(scaling.zone_prices)
         most = scaling.most * zones
--- a/tests/dutyworld.py
+++ b/tests/dutyworld.py
@@ -265,8 +265,6 @@
             keeper, calls, 50.0, anyio.current_time, Quiet(), Quiet()
         )
         ledger = UsageLedger()
-        if self._first:
-            ledger.opens(0)
         registry = types.SimpleNamespace(
             catalog=None, standing=types.SimpleNamespace(touch=Touch.THERE)
         )
@@ -286,6 +284,7 @@
             desk, rows, ledger, WINDOW_S, LATE_S, watch.true_s, Quiet(), Quiet()
         )
         watch.orders = SteadyOrders(desk)
+        watch.first_start = self._first
         watch.rows = rows
         watch.calls = calls
         return watch
--- a/tests/scalingworld.py
+++ b/tests/scalingworld.py
@@ -82,6 +82,18 @@
                 self.orders.append((self.now, order))
                 self._obey(order)
 
+    def hold_back(self, count: int) -> list["_Server"]:
+        """Hides some servers' rows; returns the servers."""
+        late = self._servers[:count]
+        for server in late:
+            server.ready_at = float("inf")
+        return late
+
+    def show(self, servers: list["_Server"]) -> None:
+        """Shows servers' rows."""
+        for server in servers:
+            server.ready_at = self.now
+
     def take_away(self, zone: str, for_s: float) -> None:
         """Takes all preemptible servers of a zone away, and gives none."""
         for server in self._servers:
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -42,6 +42,25 @@
         ]
         self.assertEqual(fewer, [])
 
+    def test_nothing_is_ordered_by_the_first_few_rows(self) -> None:
+        # Guards against a holder that sees four servers of 45 as all start
+        # together, takes them for all, and sends the others away.
+        world = ScalingWorld(4, scaling())
+        late = world.hold_back(10)
+        world.play(1.0, 0.0)
+        world.show(late)
+        world.play(START_S, 0.0)
+        self.assertGreaterEqual(world.there(), 24)
+        self.assertGreaterEqual(world.least_there, 2)
+
+    def test_one_that_shows_late_counts(self) -> None:
+        world = ScalingWorld(4, scaling())
+        late = world.hold_back(3)
+        world.play(4.0, 0.0)
+        world.show(late)
+        world.play(START_S, 0.0)
+        self.assertEqual(world.planner.target, 24)
+
     def test_without_preemptible_ones(self) -> None:
         world = ScalingWorld(4, scaling(preemptible_price=None))
         world.play(START_S, CALM)
