Make no room among usual servers before there is any work to go by

Change: until there is work, as many stay as there were at first. Its test fails without the change.

--- a/src/jasminerelay/scaling.py
+++ b/src/jasminerelay/scaling.py
@@ -245,7 +245,7 @@
             for zone, count in wanted.items()
             if zone not in gone and self._kind(zone, True).wanted
         }
-        free = present - math.ceil(work)
+        free = present - (math.ceil(work) if self._worked else self._first)
         if not any(back.values()) or free <= 0:
             return wanted
         if now - self._exchanged_at < scaling.boot_s + BOOT_SLACK_S:
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -28,6 +28,18 @@
         world.play(START_S, CALM)
         self.assertGreaterEqual(world.least_there, 12)
 
+    def test_they_stay_also_before_any_work(self) -> None:
+        # Guards against usual servers that go to make room for others while
+        # there is nothing to say how many are needed.
+        world = ScalingWorld(4, scaling())
+        for server in world.hold_back(6):
+            world.play(1.5, 0.0)
+            world.show([server])
+        world.play(0.5, 0.0)
+        world.least_there = 12
+        world.play(START_S, 0.0)
+        self.assertGreaterEqual(world.least_there, 12)
+
     def test_a_new_holder_sends_none_away_at_once(self) -> None:
         # Guards against one that does not know what was just ordered.
         world = ScalingWorld(4, scaling())
