--- a/src/jasminerelay/scaling.py
+++ b/src/jasminerelay/scaling.py
@@ -20,10 +20,6 @@
 """Part of the servers that the present work may fill, where they cost the full
 price: above it waits grow faster than the work."""
 
-FULL_USE = 0.9
-"""The same while preemptible servers are away and usual ones, which cost much
-more, are to fill in for some seconds."""
-
 SPARE_BUDGET = 0.3
 """Servers beyond the present work, at the full price and as a part of it, that
 may stand ready. Where they cost a fifth, five times as many stand for it."""
@@ -201,7 +197,7 @@
         booting = sum(self._booting(kind, scaling, now) for kind in cheap)
         wanted = {zone: self._kind(zone, False).wanted for zone in zones}
         present = sum(kind.there for kind in self._kinds.values())
-        needed = min(self._target, math.ceil(work / FULL_USE)) or self._first
+        needed = min(self._target, math.ceil(work / USE)) or self._first
         lacked = needed - booting - sum(kind.there for kind in cheap)
         lacked -= sum(wanted.values())
         if lacked > max(1, needed * LACK_SHARE):
