Take over the duty with the servers that there are

Cause (reading): a new holder took what stood ready by its predecessor's orders for the first servers of a start, and ordered more than twice as many. Change: it aims at what is there until the work says otherwise. Its test fails without the change.

--- a/src/jasminerelay/scaling.py
+++ b/src/jasminerelay/scaling.py
@@ -294,13 +294,8 @@
 
     def _aim(self, scaling: Scaling, work: float, now: float) -> None:
         price = scaling.preemptible_price or 1.0
-        usual = [kind for (_, cheap), kind in self._kinds.items() if not cheap]
         if not self._worked:
-            # One more that shows late was there at first, too.
-            there = sum(kind.there for kind in usual)
-            self._first = max(self._first, there)
-            spare = _spare(price) if scaling.preemptible_price else 0.0
-            self._target = math.ceil(self._first * (1 + spare))
+            self._aim_at_first(scaling, price, work)
         self._worked = self._worked or work > 0
         needed = _needed(price, work)
         zones = len(scaling.zone_prices)
@@ -319,6 +314,22 @@
             self._target = self._most_needed
             self._enough_since = None
 
+    def _aim_at_first(
+        self, scaling: Scaling, price: float, work: float
+    ) -> None:
+        """Aims by the servers that are there, until there is work to go by."""
+        there = {False: 0, True: 0}
+        for (_, preemptible), kind in self._kinds.items():
+            there[preemptible] += kind.there
+        # One more that shows late was there at first, too.
+        self._first = max(self._first, there[False])
+        took_over = work or (there[True] and not self._ordered)
+        if took_over or scaling.preemptible_price is None:
+            # What another holder has ordered stands ready already.
+            self._target = max(self._target, self._first)
+        else:
+            self._target = math.ceil(self._first * (1 + _spare(price)))
+
     def _booting(self, kind: _Kind, scaling: Scaling, now: float) -> int:
         if now - kind.raised_at > scaling.boot_s + BOOT_SLACK_S:
             return 0
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -54,6 +54,16 @@
         ]
         self.assertEqual(fewer, [])
 
+    def test_a_new_holder_orders_no_more_for_its_own_sake(self) -> None:
+        # Guards against twice as many servers with each change of the holder.
+        world = ScalingWorld(4, scaling(most=30))
+        world.play(START_S, CALM)
+        there = world.there()
+        for work in (CALM, 0.0):
+            world.planner = ServerPlanner("engines")
+            world.play(10.0, work)
+            self.assertLessEqual(world.there(), there)
+
     def test_nothing_is_ordered_by_the_first_few_rows(self) -> None:
         # Guards against a holder that sees four servers of 45 as all start
         # together, takes them for all, and sends the others away.
