--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -147,7 +147,12 @@
         """Runs load and faults, heals everything, checks the journals."""
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
         options = Options(
-            engines=3, plain=3, grace_s=GRACE_S, links=True, fatal=FATAL
+            engines=3,
+            plain=3,
+            grace_s=GRACE_S,
+            links=True,
+            fatal=FATAL,
+            duties=True,
         )
         with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
             self.site = PlatformSite(options, pathlib.Path(folder))
@@ -165,6 +170,7 @@
                 self._check_logs()
         self._check_answers()
         self._check_runs()
+        self._check_duties()
 
     async def _play(self) -> None:
         for instance in self.instances:
@@ -497,6 +503,12 @@
         if not wanted.startswith(told.content):
             self._violate(f"{told.attempt}: {told.content[-200:]!r}")
 
+    def _check_duties(self) -> None:
+        judge = self.site.duties.judge
+        for broken in judge.broken:
+            self._violate(f"duties: {broken}")
+        self.counts["windows reported"] = len(judge.reports)
+
     def _check_runs(self) -> None:
         sent = {told.attempt: told for told in self._told}
         runs: collections.Counter[str] = collections.Counter()
