Show when a server announces its shutdown in an answer, and what is sent there

Change: the adapter reads Server-Leaving with each answer and does not pass it on, since it concerns the server's connections; the first of a server is logged (drain_announced) and counted, and so is each request sent there afterwards (drain.sent). Nothing is decided by it yet.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -13,6 +13,7 @@
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.drainwatch import DrainWatch
 from jasminerelay.eventlog import EventLog
 from jasminerelay.exchange import (
     Delivered,
@@ -77,6 +78,7 @@
         budget: Retry budget.
         crashes: Records of requests that crash servers.
         limits: Rate limits that servers announce.
+        drains: Servers that announce that they shut down.
         counters: Counts events.
         telemetry: Records latencies.
         log: Event log.
@@ -95,6 +97,7 @@
     budget: SharedRetryBudget
     crashes: CrashWatch
     limits: LimitWatch
+    drains: DrainWatch
     counters: Counters
     telemetry: Telemetry
     log: EventLog
@@ -204,6 +207,7 @@
         self._progress.maybe_ran = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
+        self._context.drains.on_request(server.id)
         try:
             response = await channel.send(request, self._answer_timeout_s())
         except AnswerTimeoutError as exc:
@@ -220,6 +224,7 @@
         answered_id = head.request or ("" if reused else self._call.id)
         if answered_id == self._call.id and not head.misdirected:
             self._context.limits.on_response(server.id, head)
+            self._context.drains.on_response(server.id, head)
         if answered_id != self._call.id:
             self._context.channels.record_unexpected_data(server)
             self._context.counters.incr("backend.crossed")
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -47,6 +47,7 @@
         limit: Requests per second that the server accepts from all instances
             together; None if not given.
         limit_fault: The announced limit, if it can't be parsed.
+        leaving: Whether the server announces that it shuts down.
     """
 
     status: int
@@ -58,6 +59,7 @@
     misdirected: bool = False
     limit: float | None = None
     limit_fault: str = ""
+    leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -28,6 +28,8 @@
 _NOT_RUN = b"not-executed"
 # Requests per second that the server accepts from all instances together.
 _RATE_LIMIT = b"server-limit"
+# "1" in the responses of a server that shuts down.
+_LEAVING = b"server-leaving"
 # Address and handle of the KV cache copy from which the request resumes.
 _RESUME_FROM = b"kv-from"
 # Server from which the prompt's cached prefix is copied, if it is there.
@@ -78,7 +80,10 @@
     b"instance-load",
     _NOT_RUN,
     _RATE_LIMIT,
+    _LEAVING,
 }
+"""Fields that concern only the connection to the server, or only this router.
+"""
 
 MAX_RATE_LIMIT = 1e6
 """Highest valid rate limit in requests per second; a higher one is a fault."""
@@ -177,6 +182,7 @@
             status == MISDIRECTED,
             limit,
             limit_fault,
+            fields.get(_LEAVING, b"0").strip() not in (b"", b"0"),
         )
 
     def move(
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -18,6 +18,7 @@
 from jasminerelay.channels import ChannelPool
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.drainwatch import DrainWatch
 from jasminerelay.duties import Duties
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog, EventLogHandler
@@ -270,6 +271,7 @@
             self.log,
             self._rng,
         )
+        self._drains = DrainWatch(self.counters, self.log)
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
@@ -376,6 +378,7 @@
             self._retry_budget,
             self._crashes,
             self._rate_limits,
+            self._drains,
             self.counters,
             self.telemetry,
             self.log,
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -32,6 +32,7 @@
         fatal_after: Number of events that are sent before such a crash.
         limit: Value of the Server-Limit header field, in requests per second;
             empty for no such field.
+        leaving: Whether responses announce that the server shuts down.
     """
 
     refuse: int = 0
@@ -45,6 +46,7 @@
     fatal: bytes = b""
     fatal_after: int = 0
     limit: bytes = b""
+    leaving: bool = False
 
 
 @dataclasses.dataclass
@@ -242,6 +244,7 @@
             (b"server-signature", f"{self.name}.{attempt}".encode()),
             (b"instance-load", b"1,0,8"),
             *([(b"server-limit", limit)] if limit else []),
+            *([(b"server-leaving", b"1")] if self.faults.leaving else []),
         ]
 
 
