Keep requests from servers that announce their shutdown in their answers

Cause: only the row in the store said that a server leaves, so while the store was silent nothing did; no code decoded what servers say in answers. Class: a statement that binds the receiver, received on one path and obeyed on another.

Change: the announcement makes the server draining in the registry, which every path asks: the local queue, the owner of a cell, the sender's check of an owner's placement, retries, targets of moves, the split and the cells. It holds for that incarnation whatever its row says, so an older row does not revive it and a row that lapses in an outage ends it; the id with the start time ends it at a restart. Versions before read the datagram as unreadable and count it.

Left: a stream whose first answer is the one that announces is not moved; as with rows, a move needs an event that was sent.

--- a/src/jasminerelay/epidemic.py
+++ b/src/jasminerelay/epidemic.py
@@ -40,6 +40,11 @@
         """Adds an item, to be forwarded in the given number of rounds."""
         self._rounds_left[name] = max(rounds, self._rounds_left.get(name, 0))
 
+    @property
+    def pending(self) -> bool:
+        """Whether any item is still to be forwarded."""
+        return bool(self._rounds_left)
+
     def next_round(
         self, members: Sequence[Member]
     ) -> tuple[list[Member], list[str]]:
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -38,6 +38,7 @@
 from jasminerelay.schema.messages import (
     CellUpdate,
     CrashReport,
+    DrainMessage,
     DutyMessage,
     LimitMessage,
     Member,
@@ -143,6 +144,7 @@
         self.on_crashes: Callable[[CrashReport], None] = lambda message: None
         self.on_limits: Callable[[LimitMessage], None] = lambda message: None
         self.on_duty: Callable[[DutyMessage], None] = lambda message: None
+        self.on_drains: Callable[[DrainMessage], None] = lambda message: None
 
     @property
     def count(self) -> int:
@@ -186,7 +188,9 @@
         placement_client.send = self._send_to_owner
 
     def send_message(
-        self, member: Member, message: CrashReport | LimitMessage | DutyMessage
+        self,
+        member: Member,
+        message: CrashReport | LimitMessage | DutyMessage | DrainMessage,
     ) -> None:
         """Sends a message to another instance."""
         self._send_to(member.peers, peermessages.encode(message))
@@ -383,6 +387,10 @@
     def _(self, message: DutyMessage) -> None:
         self.on_duty(message)
 
+    @_dispatch.register
+    def _(self, message: DrainMessage) -> None:
+        self.on_drains(message)
+
     @_dispatch.register
     def _(self, message: PeerMessage) -> None:
         self._handle_peer_message(message)
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -15,6 +15,7 @@
     CellUpdate,
     CrashReport,
     DemandColumns,
+    DrainMessage,
     DutyMessage,
     LimitMessage,
     LoadColumns,
@@ -29,6 +30,7 @@
 CRASH_TAG = b"\x03"
 LIMIT_TAG = b"\x04"
 DUTY_TAG = b"\x05"
+DRAIN_TAG = b"\x06"
 """First bytes that distinguish the kinds of datagrams. The periodic message to
 other instances has none; it starts with the first byte of a map."""
 
@@ -39,6 +41,7 @@
     | CrashReport
     | LimitMessage
     | DutyMessage
+    | DrainMessage
 )
 
 _encode = msgspec.msgpack.encode
@@ -48,6 +51,7 @@
 _decode_crash = msgspec.msgpack.Decoder(CrashReport).decode
 _decode_limit = msgspec.msgpack.Decoder(LimitMessage).decode
 _decode_duty = msgspec.msgpack.Decoder(DutyMessage).decode
+_decode_drain = msgspec.msgpack.Decoder(DrainMessage).decode
 
 
 @functools.singledispatch
@@ -81,6 +85,11 @@
     return DUTY_TAG + _encode(message)
 
 
+@encode.register
+def _(message: DrainMessage) -> bytes:
+    return DRAIN_TAG + _encode(message)
+
+
 def decode(data: bytes) -> Message:
     """Decodes a datagram.
 
@@ -98,6 +107,8 @@
         return _checked_limit(_decode_limit(data[1:]))
     if mark == DUTY_TAG:
         return _checked_duty(_decode_duty(data[1:]))
+    if mark == DRAIN_TAG:
+        return _decode_drain(data[1:])
     return _checked_peer(_decode_peer(data))
 
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -185,6 +185,7 @@
                 self._placement_client.run,
                 self._owned_cells.run,
                 self._rate_limits.run,
+                self._drains.run,
                 self._tick,
                 self._discover_peers,
                 self._watch_settings,
@@ -271,7 +272,9 @@
             self.log,
             self._rng,
         )
-        self._drains = DrainWatch(self.counters, self.log)
+        self._drains = DrainWatch(
+            member_id, self.registry, self.counters, self.log, self._rng
+        )
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
@@ -315,6 +318,12 @@
         self._rate_limits.send = self._peers.send_message
         self._rate_limits.on_grant = self._retry_placement
         self._peers.on_limits = self._rate_limits.handle_message
+        self._drains.members = self._peers.membership.live
+        self._drains.send = self._peers.send_message
+        self._drains.on_change = lambda change, source: (
+            self._registry_feed.report_changes([change], source)
+        )
+        self._peers.on_drains = self._drains.handle_message
         self._channels = ChannelPool(self._watchdog)
         self._retry_budget = SharedRetryBudget(
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -29,9 +29,10 @@
 and one that has left must not receive requests for long."""
 
 MAX_HISTORY = 1024
-"""Limit on remembered incarnations that were replaced, and on remembered
-removals. It covers a restart of each of 600 servers within the minutes in which
-a delayed update about the former incarnation may still arrive."""
+"""Limit on remembered incarnations that were replaced, on remembered removals
+and on remembered announcements of shutdowns. It covers a restart of each of 600
+servers within the minutes in which a delayed update about the former
+incarnation may still arrive."""
 
 ServerDecoder = Callable[[str, bytes], BackendServer]
 
@@ -116,6 +117,9 @@
         self._ended_incarnations: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._announced_drains: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._unreadable_rows: dict[str, int] = {}
         self._store_contact = StoreStatus.REACHABLE
         self._store_reachable_since: float | None = None
@@ -178,6 +182,31 @@
         """Returns all servers, including draining servers."""
         return [held.server for held in self._entries.values()]
 
+    def has_announced_drain(self, server_id: str) -> bool:
+        """Returns whether a server has announced that it shuts down."""
+        return server_id in self._announced_drains
+
+    def announce_drain(self, server_id: str) -> ServerChange | None:
+        """Marks a server as draining for the rest of its life.
+
+        Its row may say so much later, or never while the store is unreachable,
+        and an older row may still arrive. The server may not be registered yet.
+
+        Returns:
+            The effect; None if the server is unknown or was draining already.
+        """
+        self._announced_drains[server_id] = None
+        if len(self._announced_drains) > MAX_HISTORY:
+            self._announced_drains.popitem(last=False)
+        before = self.server(server_id)
+        if before is None or before.draining:
+            return None
+        held = self._entries[before.name]
+        after = dataclasses.replace(before, draining=True)
+        self._entries[before.name] = dataclasses.replace(held, server=after)
+        self._rebuild()
+        return ServerChange(held.row, before, after)
+
     def apply_configuration(self, version: int, data: bytes) -> bool:
         """Applies a configuration; returns whether it replaced the current one.
 
@@ -438,6 +467,8 @@
             return self._apply_unreadable(row, held, str(exc))
         if server.id in self._ended_incarnations:
             return None
+        if self.has_announced_drain(server.id):
+            server = dataclasses.replace(server, draining=True)
         if before is not None and before.id != server.id:
             self._record_ended_incarnation(before)
         self._entries[row.id] = _Entry(row, server)
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -506,6 +506,16 @@
     grants: list[LimitGrant]
 
 
+@dataclass(frozen=True)
+class DrainMessage:
+    """
+    Servers that have announced in a response that they shut down, as known by one instance.
+    """
+
+    sender: str
+    servers: list[str]
+
+
 @dataclass(frozen=True)
 class UsageWindow:
     """
@@ -566,3 +576,4 @@
     crash_word: CrashReport | None = None
     limit_word: LimitMessage | None = None
     duty_word: DutyMessage | None = None
+    drain_message: DrainMessage | None = None
