Obey announcements of a shutdown in all answers on our own interface, too

The same cause on the other interface: X-Leaving was read in refusals alone, so a server that serves on and announces it in its answers got on as before. And an instance that knew used any grant of a broker that did not. Change: the clients of engines and services read it in every response, in one place, instead of the two handlers of failures; an instance returns a grant for a server that it knows to be leaving and asks again without it, and is refused at once where no server of the cell is left.

--- a/src/jasminerelay/answercontext.py
+++ b/src/jasminerelay/answercontext.py
@@ -68,7 +68,6 @@
         timing: Timeouts.
         estimator: Estimates answer lengths from completed answers.
         retries: Retry budget of the instance.
-        on_leaving: Called with the name of a backend server that is leaving.
         spawn: Runs a function in the background, independent of the request.
     """
 
@@ -81,5 +80,4 @@
     timing: Timing
     estimator: LengthEstimator
     retries: RetryBudget
-    on_leaving: Callable[[str], None]
     spawn: Callable[..., None]
--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -173,7 +173,7 @@
                 return
             if error is not None:
                 failures += 1
-                self._handle_failure(error, server, failures)
+                self._handle_failure(error, failures)
                 avoid.append(server.name)
             if self._delivered_tokens >= self._token_limit:
                 # Only the end of the stream is missing, and engines reject a
@@ -279,13 +279,9 @@
         self._preempted_on = server.name
         return True
 
-    def _handle_failure(
-        self, error: AttemptError, server: Server, failures: int
-    ) -> None:
+    def _handle_failure(self, error: AttemptError, failures: int) -> None:
         """Returns if the request may be retried, else raises."""
         self._context.counters.incr(f"attempt.{error.execution_status.value}")
-        if error.leaving:
-            self._context.on_leaving(server.name)
         if error.execution_status is ExecutionStatus.NOT_RUN:
             self.outcome.refused()
         if error.rejection is not None:
--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import aclosing
 from typing import Any
 
@@ -95,8 +95,16 @@
 class EngineClient:
     """Client of the model engines; starts, resumes and cancels streams."""
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpClient, on_leaving: Callable[[str], None]):
+        """Creates the client.
+
+        Args:
+            client: HTTP client.
+            on_leaving: Called with the name of a server whose response, of
+                any status, announces that it is leaving.
+        """
         self._client = client
+        self._on_leaving = on_leaving
 
     def run(self, attempt: EngineAttempt) -> AsyncIterator[Chunk]:
         """Starts an attempt and yields its frames."""
@@ -138,6 +146,8 @@
     ) -> AsyncIterator[Chunk]:
         try:
             async with self._client.stream(exchange) as response:
+                if _is_leaving(response_headers(response)):
+                    self._on_leaving(attempt.server.name)
                 if response.status != 200:
                     body = await response.aread()
                     reply = HttpResponse(
@@ -174,8 +184,16 @@
 class ServiceClient:
     """Client of the servers of plain services."""
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpClient, on_leaving: Callable[[str], None]):
+        """Creates the client.
+
+        Args:
+            client: HTTP client.
+            on_leaving: Called with the name of a server whose response, of
+                any status, announces that it is leaving.
+        """
         self._client = client
+        self._on_leaving = on_leaving
 
     async def call(self, server: Server, exchange: HttpRequest) -> HttpResponse:
         """Sends a call and returns the response.
@@ -195,6 +213,8 @@
             raise AttemptError(str(exc), ExecutionStatus.NOT_RUN) from exc
         except IncompleteExchangeError as exc:
             raise AttemptError(str(exc), ExecutionStatus.MAY_HAVE_RUN) from exc
+        if _is_leaving(reply.headers):
+            self._on_leaving(server.name)
         if NOT_RUN_HEADER in reply.headers:
             raise _refusal_error(reply)
         return reply
@@ -244,8 +264,12 @@
     return f"http://{server.address}{path}"
 
 
+def _is_leaving(headers: Mapping[str, str]) -> bool:
+    return LEAVING_HEADER in headers
+
+
 def _refusal_error(reply: HttpResponse) -> AttemptError:
-    leaving = LEAVING_HEADER in reply.headers
+    leaving = _is_leaving(reply.headers)
     message = f"HTTP status {reply.status}"
     if NOT_RUN_HEADER in reply.headers:
         return AttemptError(message, ExecutionStatus.NOT_RUN, leaving=leaving)
--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -315,7 +315,7 @@
         completions = Completions(
             AnswerContext(
                 self.permit_client,
-                backends.EngineClient(self._client),
+                backends.EngineClient(self._client, self._on_server_leaving),
                 signer,
                 self.burn_recorder,
                 self.counters,
@@ -323,18 +323,16 @@
                 cfg.timing,
                 LengthEstimator(),
                 RetryBudget(),
-                self._on_server_leaving,
                 self._spawn,
             )
         )
         services = ServiceCalls(
             self.permit_client,
-            backends.ServiceClient(self._client),
+            backends.ServiceClient(self._client, self._on_server_leaving),
             self._claim_store,
             self.burn_recorder,
             self.counters,
             self._invariants,
-            self._on_server_leaving,
             self._spawn,
             signer.ticket,
         )
--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -8,7 +8,11 @@
 import anyio
 
 from jasminerelay import rendezvous
-from jasminerelay.broker import REFUSED_UNKNOWN_CELL, Broker
+from jasminerelay.broker import (
+    REFUSED_NO_SERVER,
+    REFUSED_UNKNOWN_CELL,
+    Broker,
+)
 from jasminerelay.errors import InvariantError
 from jasminerelay.fairqueue import queued_request
 from jasminerelay.limits import BorrowedBalance, Limit, TokenBucket
@@ -32,6 +36,10 @@
 )
 
 TICK_S = 0.1
+
+NO_SERVER_RETRY_S = 1.0
+"""Retry delay if all servers of a cell are leaving."""
+
 COORDINATION_BROKER = "broker"
 COORDINATION_NAIVE = "naive"
 
@@ -150,7 +158,36 @@
     async def acquire(
         self, request: PermitRequest
     ) -> PermitGrant | PermitRefusal:
-        """Requests a permit; waits for the grant or the refusal."""
+        """Requests a permit; waits for the grant or the refusal.
+
+        The broker may not have learned yet that a server is leaving, so a grant
+        for such a server is returned, and another one requested.
+        """
+        while True:
+            result = await self._request_permit(request)
+            if (
+                isinstance(result, PermitRefusal)
+                or result.server not in self._leaving
+            ):
+                return result
+            self._counters.incr("permit.leaving_server")
+            self.release(_empty_release(request))
+            request = dataclasses.replace(
+                request, avoid=[*request.avoid, result.server]
+            )
+            if self._avoids_all_servers(request):
+                return PermitRefusal(
+                    request.ask_id, REFUSED_NO_SERVER, NO_SERVER_RETRY_S
+                )
+
+    def _avoids_all_servers(self, request: PermitRequest) -> bool:
+        cell = self._directory().cells.get(request.cell)
+        servers = cell.servers if cell is not None else ()
+        return {server.name for server in servers} <= set(request.avoid)
+
+    async def _request_permit(
+        self, request: PermitRequest
+    ) -> PermitGrant | PermitRefusal:
         pending = _PendingRequest(request, time.monotonic(), anyio.Event())
         self._pending[request.ask_id] = pending
         self._wake.set()
--- a/src/jasminerelay/servicecalls.py
+++ b/src/jasminerelay/servicecalls.py
@@ -88,7 +88,6 @@
         burn_recorder: burn.BurnRecorder,
         counters: Counters,
         invariants: InvariantHandler,
-        on_leaving: Callable[[str], None],
         spawn: Callable[..., None],
         ticket: Callable[[str, str, float], str],
     ):
@@ -98,7 +97,6 @@
         self._burn_recorder = burn_recorder
         self._counters = counters
         self._invariants = invariants
-        self._on_leaving = on_leaving
         self._spawn = spawn
         self._ticket = ticket
         self._retries = RetryBudget()
@@ -259,8 +257,6 @@
     ) -> None:
         """Returns if the call may be retried, else raises."""
         self._counters.incr(f"attempt.{error.execution_status.value}")
-        if error.leaving:
-            self._on_leaving(server.name)
         if error.execution_status is ExecutionStatus.NOT_RUN:
             outcome.refused()
         elif not _may_repeat(request, server):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -39,6 +39,7 @@
         slow_factor: Multiplier of the step time.
         leaving: Refuse new requests, as a server that is shutting down does.
         hide_leaving: Leave `leaving` out of the load report.
+        announce: Serve requests, and announce the shutdown in the answers.
         refuse: Number of upcoming requests that are refused before they run.
         cut: Number of frames, over all streams, after which a connection is
             cut; the stream itself is kept. 0 disables the fault.
@@ -54,6 +55,7 @@
     slow_factor: float = 1.0
     leaving: bool = False
     hide_leaving: bool = False
+    announce: bool = False
     refuse: int = 0
     cut: int = 0
     forget: bool = False
@@ -330,7 +332,9 @@
         self, stream: Stream, offset: int
     ) -> StreamingResponse:
         return StreamingResponse(
-            self._frames_of(stream, offset), media_type="text/event-stream"
+            self._frames_of(stream, offset),
+            headers={"x-leaving": "1"} if self.faults.announce else None,
+            media_type="text/event-stream",
         )
 
     async def _frames_of(
--- a/standins/service.py
+++ b/standins/service.py
@@ -21,12 +21,14 @@
         refuse: Number of upcoming calls that are refused before they run.
         drop_after: Number of upcoming calls that run but are not answered.
         leaving: Refuse all calls, as a server that is shutting down does.
+        announce: Run calls, and announce the shutdown in the answers.
     """
 
     slow_s: float = 0.0
     refuse: int = 0
     drop_after: int = 0
     leaving: bool = False
+    announce: bool = False
 
 
 class PlainService:
@@ -93,7 +95,8 @@
         answer = {"done": scope["path"], "body": body, "by": self._name}
         if self._deduplicates and key:
             answer = self._answers.setdefault(key, answer)
-        await JSONResponse(answer)(scope, receive, send)
+        headers = {"x-leaving": "1"} if self.faults.announce else None
+        await JSONResponse(answer, headers=headers)(scope, receive, send)
 
     async def _run(self, request: Request, key: str, body: str) -> None:
         self._running += 1
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -69,7 +69,6 @@
             Timing(),
             LengthEstimator(),
             RetryBudget(),
-            lambda name: None,
             lambda *action: None,
         )
         body = b'{"model": "m", "prompt": "p"}'
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -8,6 +8,7 @@
 import anyio
 
 from jasminerelay import manifest, rendezvous
+from jasminerelay.broker import REFUSED_NO_SERVER
 from jasminerelay.brokerhost import BrokerHost
 from jasminerelay.metrics import Counters, InvariantHandler
 from jasminerelay.permitclient import PermitClient
@@ -175,6 +176,15 @@
         self.client.release(release("1"))
         self.assertEqual(self.instances.held(self.instances.broker_name), 0)
 
+    async def test_broker_does_not_know_of_leaving_server(self) -> None:
+        # Guards against a request to a leaving server by a grant of a broker
+        # that has not heard of it, and against its slot staying occupied.
+        self.client.set_leaving_servers({"s"})
+        with anyio.fail_after(1.0):
+            result = await self.client.acquire(permit_request("1"))
+        self.assertEqual(result.reason, REFUSED_NO_SERVER)
+        self.assertEqual(self.instances.held(self.instances.broker_name), 0)
+
     async def test_former_broker_releases_permit(self) -> None:
         # The broker's instance leaves the membership and returns. The permit
         # must be reported to the new broker and released at the former one;
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -5,6 +5,7 @@
 
 from standins.launcher import Options, call, wait_for
 from tests.support import (
+    KEY,
     Background,
     SystemCase,
     answer_to,
@@ -105,6 +106,39 @@
         wait_for(serves_again)
 
 
+class AnnouncedLeavingTest(SystemCase):
+    """Servers that announce the shutdown in the answers that they complete."""
+
+    options = Options(daemons=3, max_engines=2, max_services=2)
+
+    def runs(self, name: str) -> int:
+        """Returns the number of requests that a server ran."""
+        field = "attempts" if name.startswith("model") else "runs"
+        return len(self.system.journal(name, field))
+
+    def send(self, number: int) -> None:
+        """Sends a model request and a call to each instance."""
+        for daemon in self.system.daemons:
+            status, _ = chat(daemon, f"announced {number} {daemon.name}")
+            self.assertEqual(status, 200)
+            url = daemon.url + "/services/bookings/slots"
+            self.assertEqual(call("GET", url, token=KEY)[0], 200)
+
+    def test_no_new_requests(self) -> None:
+        # Guards against work for a server that says in its answers that it
+        # leaves, and in its load reports and refusals not yet.
+        names = ("model-1", "bookings-1")
+        for name in names:
+            self.system.fault(name, announce=True)
+        for number in range(8):
+            self.send(number)
+        before = [self.runs(name) for name in names]
+        for number in range(8, 16):
+            self.send(number)
+        self.assertEqual([self.runs(name) for name in names], before)
+        self.assertTrue(all(before))
+
+
 class PlannedStopTest(SystemCase):
     """An instance gets SIGTERM while it serves requests."""
 
