Show when a server requests a pause, and what is sent there in it

Change: the adapter reads Retry-After of a server's 503 (seconds, fractions allowed, kept to an hour at most; a date, a negative or no number is reported and no pause); the start of a pause is logged (pause_requested), requests sent in it are counted (pause.sent). Nothing is decided by it yet. The field is passed on as before where a server's 503 is the answer, since it tells the caller the same. The stand-in server can request pauses. 55 tests of the platform, limits, announcements and pages pass.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -37,6 +37,7 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
 from jasminerelay.placementqueue import RequestPlacer, Reservation
+from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
 
@@ -79,6 +80,7 @@
         crashes: Records of requests that crash servers.
         limits: Rate limits that servers announce.
         drains: Servers that announce that they shut down.
+        pauses: Pauses that servers request.
         counters: Counts events.
         telemetry: Records latencies.
         log: Event log.
@@ -98,6 +100,7 @@
     crashes: CrashWatch
     limits: LimitWatch
     drains: DrainWatch
+    pauses: ServerPauses
     counters: Counters
     telemetry: Telemetry
     log: EventLog
@@ -208,6 +211,7 @@
         reused = not channel.unused
         self._sent_at = time.monotonic()
         self._context.drains.on_request(server.id)
+        self._context.pauses.on_request(server.id)
         try:
             response = await channel.send(request, self._answer_timeout_s())
         except AnswerTimeoutError as exc:
@@ -225,6 +229,7 @@
         if answered_id == self._call.id and not head.misdirected:
             self._context.limits.on_response(server.id, head)
             self._context.drains.on_response(server.id, head)
+            self._context.pauses.on_response(server.id, head)
         if answered_id != self._call.id:
             self._context.channels.record_unexpected_data(server)
             self._context.counters.incr("backend.crossed")
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -48,6 +48,9 @@
             together; None if not given.
         limit_fault: The announced limit, if it can't be parsed.
         leaving: Whether the server announces that it shuts down.
+        pause_s: Time for which the server requests a pause from this instance;
+            0 if it requests none.
+        pause_fault: The requested pause, if it can't be parsed.
     """
 
     status: int
@@ -60,6 +63,8 @@
     limit: float | None = None
     limit_fault: str = ""
     leaving: bool = False
+    pause_s: float = 0.0
+    pause_fault: str = ""
 
 
 class Dialect(Protocol):
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -52,6 +52,7 @@
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import Member, StoreSnapshot
 from jasminerelay.schema.settings import Statsd
+from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
 from jasminerelay.storefollowing import (
@@ -275,6 +276,7 @@
         self._drains = DrainWatch(
             member_id, self.registry, self.counters, self.log, self._rng
         )
+        self._pauses = ServerPauses(self.counters, self.log)
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
@@ -388,6 +390,7 @@
             self._crashes,
             self._rate_limits,
             self._drains,
+            self._pauses,
             self.counters,
             self.telemetry,
             self.log,
@@ -440,6 +443,7 @@
 
     def _on_server_removed(self, server: str) -> None:
         self._rate_limits.gone(server)
+        self._pauses.forget(server)
         self.dispatcher.gone(server)
         self._owned_cells.gone(server)
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -33,6 +33,8 @@
         limit: Value of the Server-Limit header field, in requests per second;
             empty for no such field.
         leaving: Whether responses announce that the server shuts down.
+        pause: Value of the Retry-After header field of rejections, in seconds;
+            empty for no such field.
     """
 
     refuse: int = 0
@@ -47,6 +49,7 @@
     fatal_after: int = 0
     limit: bytes = b""
     leaving: bool = False
+    pause: bytes = b""
 
 
 @dataclasses.dataclass
@@ -228,6 +231,8 @@
         headers = [(b"content-length", b"0"), *self._response_headers(attempt)]
         if status != 421:
             headers.append((b"not-executed", b"1"))
+            if self.faults.pause:
+                headers.append((b"retry-after", self.faults.pause))
         await send(
             {
                 "type": "http.response.start",
