--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -84,6 +84,7 @@
         faults: Active faults.
         journal: Requests that it ran.
         arrival_times: Times at which requests arrived, also rejected ones.
+        rejection_times: Times at which requests were rejected.
         max_running: Maximum number of requests that ran at once.
         running: Number of requests that run now.
         move_count: Number of requests that were moved to another server.
@@ -95,6 +96,7 @@
         self.faults = ServerFaults()
         self.journal: list[ServedRequest] = []
         self.arrival_times: list[float] = []
+        self.rejection_times: list[float] = []
         self.max_running = 0
         self.running = 0
         self.move_count = 0
@@ -118,6 +120,7 @@
             await self._reject(send, 421, attempt)
         elif self.faults.refuse:
             self.faults.refuse -= 1
+            self.rejection_times.append(self.arrival_times[-1])
             await self._reject(send, 503, attempt)
         else:
             target = scope["raw_path"].decode()
--- /dev/null
+++ b/tests/test_serverpauses.py
@@ -0,0 +1,186 @@
+"""Servers that reject requests and want none for a while."""
+
+import itertools
+import time
+import unittest
+import unittest.mock
+
+import anyio
+
+from jasminerelay import placementclient
+from standins.platformsite import SiteOptions
+from tests.platformcase import PlatformCase
+
+PAUSE_S = 3.0
+IN_FLIGHT_S = 0.5
+"""Time after a server has requested a pause in which requests that were under
+way may still reach it."""
+
+MAX_IN_PAUSE = 2
+"""Requests of one instance that may reach a server in the rest of its pause."""
+
+SEND_INTERVAL_S = 0.03
+
+
+class PauseCase(PlatformCase):
+    """Base of tests that send many requests at once."""
+
+    options = SiteOptions(engines=3, plain=3)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.prompts = itertools.count(1)
+
+    async def send(self, instance, path: str, answers: list) -> None:
+        """Sends a request and records its answer and its duration."""
+        number = next(self.prompts)
+        began = time.monotonic()
+        answer = await self.ask(
+            instance,
+            path,
+            attempt=f"r{number}",
+            Token_Usage="100,3",
+            Prefix_Hash=f"{number:x}:60,b:40",
+        )
+        answers.append((answer, time.monotonic() - began))
+
+    async def send_for(self, instances, path: str, seconds: float) -> list:
+        """Sends requests at all instances in turn; returns the answers."""
+        answers: list = []
+        deadline = time.monotonic() + seconds
+        async with anyio.create_task_group() as group:
+            for number in itertools.count():
+                if time.monotonic() >= deadline:
+                    break
+                instance = instances[number % len(instances)]
+                group.start_soon(self.send, instance, path, answers)
+                await anyio.sleep(SEND_INTERVAL_S)
+        return answers
+
+    def request_pause(self, *servers) -> None:
+        """Lets servers reject everything and request a pause."""
+        for server in servers:
+            server.faults.refuse = 100_000
+            server.faults.pause = b"%.1f" % PAUSE_S
+
+    def accept(self, *servers) -> None:
+        """Lets servers accept everything again."""
+        for server in servers:
+            server.faults.refuse = 0
+
+    def assert_paused(self, server, instances: int = 1) -> None:
+        """Asserts that a server got no more than allowed in its first pause."""
+        first = server.rejection_times[0]
+        in_pause = [
+            at
+            for at in server.arrival_times
+            if first + IN_FLIGHT_S < at < first + PAUSE_S
+        ]
+        self.assertLessEqual(len(in_pause), MAX_IN_PAUSE * instances)
+
+
+class ServerPauseTest(PauseCase):
+    """One of three servers requests a pause from one instance or several."""
+
+    async def check(self, path: str, kind: str, count: int = 1) -> None:
+        """Sends requests of a path while a server of its kind wants none."""
+        async with self.site(count) as (site, instances):
+            await self.until(
+                lambda: all(x.live_instance_count == count for x in instances)
+            )
+            servers = [
+                server
+                for name, server in site.servers.items()
+                if name.startswith(kind)
+            ]
+            await self.send_for(instances, path, 0.5)
+            server = max(servers, key=lambda x: len(x.journal))
+            self.request_pause(server)
+            answers = await self.send_for(instances, path, PAUSE_S + 0.5)
+            self.assert_paused(server, count)
+            self.assertEqual({answer.status for answer, _ in answers}, {200})
+            self.accept(server)
+            before = len(server.journal)
+            await self.send_for(instances, path, PAUSE_S)
+            self.assertGreater(len(server.journal), before)
+
+    async def test_plain_server(self) -> None:
+        # Guards against requests to a server that has asked for a pause.
+        await self.check("/confirm/x", "plain")
+
+    async def test_model_server(self) -> None:
+        # Guards against a pause that is dropped since the only server of a
+        # kind's group is the one that wants it.
+        await self.check("/chat/c/stream", "engine")
+
+    async def test_owner_of_the_cell_decides(self) -> None:
+        # Guards against a request that goes to a paused server since the owner
+        # of its cell, which the server has told nothing, has placed it there.
+        self.enterContext(
+            unittest.mock.patch.object(
+                placementclient, "MIN_INSTANCES_FOR_OWNERS", 2
+            )
+        )
+        await self.check("/chat/c/stream", "engine", 2)
+
+    async def test_good_end_of_an_earlier_request(self) -> None:
+        # Guards against a pause that ends with a stream from before it.
+        async with self.site() as (site, (instance,)):
+            answers: list = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    lambda: self.ask(
+                        instance,
+                        "/chat/c/stream",
+                        attempt="long",
+                        Token_Usage="100,100",
+                        Prefix_Hash="aa:60,bb:40",
+                    )
+                )
+                engines = [
+                    x for n, x in site.servers.items() if n.startswith("engine")
+                ]
+                await self.until(lambda: any(x.journal for x in engines))
+                server = next(x for x in engines if x.journal)
+                self.request_pause(server)
+                answers += await self.send_for(
+                    [instance], "/chat/c/stream", PAUSE_S
+                )
+            self.assertTrue(server.journal[0].ended)
+            if server.rejection_times:
+                self.assert_paused(server)
+            self.assertEqual({answer.status for answer, _ in answers}, {200})
+
+
+class AllPausedTest(PauseCase):
+    """All servers of a service request a pause."""
+
+    options = SiteOptions(engines=1, plain=2)
+
+    async def test_refused_at_once_with_a_time(self) -> None:
+        # Guards against callers that wait for a server that takes nothing, and
+        # against a refusal that asks them back before one does.
+        async with self.site() as (site, (instance,)):
+            servers = [site.servers["plain-1"], site.servers["plain-2"]]
+            self.request_pause(*servers)
+            await self.send_for([instance], "/confirm/x", IN_FLIGHT_S)
+            began = max(server.rejection_times[0] for server in servers)
+            answers = await self.send_for([instance], "/confirm/x", 1.0)
+            for answer, seconds in answers:
+                self.assertEqual(answer.status, 503)
+                self.assertLess(seconds, 0.3)
+                self.assertGreater(float(answer.headers["retry-after"]), 1.0)
+            for server in servers:
+                self.assertEqual(server.journal, [])
+            self.accept(*servers)
+            await anyio.sleep(
+                max(0.0, began + PAUSE_S - time.monotonic()) + 0.5
+            )
+            for server in servers:
+                self.assert_paused(server)
+            answers = await self.send_for([instance], "/confirm/x", 0.5)
+            self.assertEqual({answer.status for answer, _ in answers}, {200})
+
+
+if __name__ == "__main__":
+    unittest.main()
