Keep to the pauses that servers request with a rejection

Cause: nothing decoded Retry-After of a server, and a rejection had no effect on the next choice: an overloaded server rejects at once and looks idle, so it attracted more. Class as with the announced shutdown: a statement that binds the receiver, received and not obeyed; here each receiver on its own.

Change: the pause is kept at the instance that was asked, by incarnation, and asked at every choice: the local queue, retries, targets of moves, the request to the owner of a cell (as servers to avoid, which owners of the version before know), the check of the owner's placement, and once more when the connection is open, since opening it can take longer than the pause is old. It is no back-off: no good end and no lack of other servers ends it. Afterwards the server gets one request at a time until it accepts one; its end is spread by up to a tenth, since many instances are asked at once. Until then it counts for no capacity in the split and the wait estimates. Where all servers pause, a request is refused at once with the time until one accepts (a queue of a quarter second is kept, as long as a caller takes to come back), also after it has been rejected by all.

Weighed: telling the other instances. The server says it to each; one that is asked on its own behalf must not stop the others. Cost: a rejection an instance and pause. An early back-off by the existing failure records: its exponent is shorter than the pause, a good end clears it, and it is dropped where all servers of a group are blocked.

Suspected: a moved run whose target asks for a pause while its KV cache is copied is still continued there, since it can continue nowhere else.

--- a/src/jasminerelay/admission.py
+++ b/src/jasminerelay/admission.py
@@ -65,6 +65,16 @@
         return self.overrun_s > 0
 
 
+def retry_after_pause_s(pause_s: float, spread: float) -> float:
+    """Returns the Retry-After time of a request that no server accepts now.
+
+    Args:
+        pause_s: Time until a server accepts requests again.
+        spread: Number from 0 to 1 that differs between requests.
+    """
+    return math.ceil(100 * (pause_s + spread * RETRY_SPREAD_S)) / 100
+
+
 def retry_after_s(estimate: WaitEstimate, spread: float) -> float:
     """Returns the Retry-After time of a refused request.
 
--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -173,6 +173,9 @@
             channel = await self._context.channels.acquire(server)
         except NotSentError as exc:
             return NotSent(str(exc))
+        if not self._may_send(server):
+            await self._context.channels.put_back(channel, None, False)
+            return NotSent("the server requested a pause", withheld=True)
         done = _Completion()
         try:
             return await self._exchange(reservation, channel, done)
@@ -186,6 +189,13 @@
                     channel, head.idle_timeout_s, head.closing
                 )
 
+    def _may_send(self, server: BackendServer) -> bool:
+        # Opening a connection can take so long that the server has rejected
+        # another request meanwhile. A moved run can only continue there.
+        if self._progress.copy is not None:
+            return True
+        return not self._context.pauses.active(server.id, time.monotonic())
+
     async def _exchange(
         self, reservation: Reservation, channel: Channel, done: "_Completion"
     ) -> Outcome:
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -33,6 +33,7 @@
 from jasminerelay.responsemonitor import ResponseMonitor
 from jasminerelay.schema.messages import EngineSample, RouteDemand, ServerLoad
 from jasminerelay.serverlimits import Allowance
+from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.tokentimes import TokenTimes
 from jasminerelay.workload import InFlightRequest, Workload
@@ -120,6 +121,7 @@
         response_monitor: ResponseMonitor | None = None,
         caches: CacheView | None = None,
         allowance: Allowance | None = None,
+        pauses: ServerPauses | None = None,
     ):
         """Creates a dispatcher.
 
@@ -134,6 +136,8 @@
                 places all their requests; None if several instances place
                 requests there.
             allowance: Rate limits of servers; None if no server has one.
+            pauses: Pauses that servers request from this instance; None where
+                the requests of other instances are placed, too.
         """
         self._registry = registry
         self._zone = zone
@@ -148,6 +152,7 @@
         self._prefixes = PrefixIndex()
         self._caches = caches
         self._allowance = Allowance() if allowance is None else allowance
+        self._pauses = pauses
         self.lengths = lengths or OutputLengths()
         self._response_monitor = response_monitor or ResponseMonitor()
         self.token_times = TokenTimes()
@@ -245,12 +250,62 @@
             if server.id not in avoid
         ]
         if not servers:
-            return Wait("service has no usable server")
+            return Wait(
+                "service has no usable server",
+                retry_s=self.pause_s(call.service),
+            )
+        if self._pauses:
+            return self._place_with_pauses(call, servers)
+        return self._place_accepting(call, servers)
+
+    def _place_with_pauses(
+        self, call: Call, servers: list[BackendServer]
+    ) -> PlacementDecision | Wait:
+        """Places a request where servers have requested a pause.
+
+        Once its pause is over a server gets one request as a trial. No other
+        request need find it: the servers are assigned to kinds without it.
+        """
+        now = time.monotonic()
+        trials = [x for x in servers if self._pauses.trial_due(x.id, now)]
+        placed = self._place_accepting(call, trials) if trials else None
+        if isinstance(placed, PlacementDecision):
+            return placed
+        accepting = [x for x in servers if self._pauses.accepts(x.id, now)]
+        if not accepting:
+            retry_s = self._pauses.remaining_s((x.id for x in servers), now)
+            return Wait("all servers have requested a pause", retry_s=retry_s)
+        return self._place_accepting(call, accepting)
+
+    def _place_accepting(
+        self, call: Call, servers: list[BackendServer]
+    ) -> PlacementDecision | Wait:
         unlimited = self._unlimited(servers)
         if len(unlimited) == len(servers):
             return self._place_among(call, servers)
         return self._place_with_limits(call, servers, unlimited)
 
+    def paused(self, servers: Iterable[str]) -> frozenset[str]:
+        """Returns those of some servers that get no request of this instance.
+
+        They have requested a pause, or have a trial request after one.
+        """
+        pauses = self._pauses
+        if not pauses:
+            return frozenset()
+        now = time.monotonic()
+        return frozenset(x for x in servers if not pauses.accepts(x, now))
+
+    def pause_s(self, service: str) -> float:
+        """Returns the time until a service's server accepts requests again.
+
+        0 if there is a server that has requested no pause.
+        """
+        servers = self._registry.server_ids_of(service)
+        if not self._pauses or not servers:
+            return 0.0
+        return self._pauses.remaining_s(servers, time.monotonic())
+
     def _place_with_limits(
         self,
         call: Call,
@@ -453,6 +508,8 @@
             # A request with a number was placed by a cell owner, whose own
             # allowance was charged.
             self._allowance.use_grant(name, time.monotonic())
+        if self._pauses is not None:
+            self._pauses.record_placement(name, time.monotonic())
         idle = not self.workload.own_running(name)
         self._response_monitor.record_request(name, idle, time.monotonic())
         if call.prompt is not None:
@@ -477,6 +534,8 @@
     def reserve_at(self, call: Call, server: BackendServer) -> Reservation:
         """Reserves capacity at a server that has the request's KV cache."""
         self._allowance.use_grant(server.id, time.monotonic())
+        if self._pauses is not None:
+            self._pauses.record_placement(server.id, time.monotonic())
         memory = call.prompt.tokens + self._output_estimate(call).output
         run = self.workload.start(server.id, 0, memory)
         return Reservation(PlacementDecision(server, 0, memory), run)
@@ -514,6 +573,7 @@
         self, service: str, avoid: frozenset[str]
     ) -> list[BackendServer]:
         now = time.monotonic()
+        avoid |= self.paused(self._registry.server_ids_of(service))
         return [
             server
             for server in self._registry.servers_of(service)
@@ -526,6 +586,20 @@
             return servers
         return [x for x in servers if not self._allowance.is_limited(x.id)]
 
+    def _without_recovering(
+        self, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Returns the servers that count as capacity, of some; all if none.
+
+        Those that have requested a pause do not count until they have accepted
+        a request again.
+        """
+        if not self._pauses:
+            return servers
+        return [
+            x for x in servers if not self._pauses.is_recovering(x.id)
+        ] or servers
+
     def needs_faster_server(
         self, call: Call, server: BackendServer, events: int
     ) -> bool:
@@ -611,7 +685,7 @@
             return WaitEstimate(
                 now - call.arrived_at, 0.0, call.route.objective_s
             )
-        servers = self._unlimited(servers)
+        servers = self._unlimited(self._without_recovering(servers))
         if not servers:
             return self._expect_limited(call, ahead_s, left_s)
         if call.prompt is None:
@@ -739,7 +813,8 @@
             there = self._registry.servers_of(name)
             # Servers with a rate limit get too little traffic to count as
             # capacity.
-            capacity = self._unlimited(there) or there
+            unlimited = self._unlimited(there) or there
+            capacity = self._without_recovering(unlimited)
             servers = [item.id for item in capacity]
             if self.measures_step_times:
                 self._record_steps(name, servers, now)
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -120,9 +120,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotSent:
-    """No byte reached the server; the request has not run."""
+    """No byte reached the server; the request has not run.
+
+    Attributes:
+        why: The reason.
+        withheld: Whether this instance decided not to send it, so that it says
+            nothing about the server.
+    """
 
     why: str
+    withheld: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -114,6 +114,8 @@
             return Verdict.GOOD
         if isinstance(outcome, Interrupted) and self.moved:
             return None
+        if isinstance(outcome, NotSent) and outcome.withheld:
+            return None
         if isinstance(outcome, NotSent | Unknown | Interrupted):
             return Verdict.BAD
         if isinstance(outcome, NotRun) and outcome.misdirected:
@@ -216,10 +218,11 @@
                 502, f"the backend server failed: {self._reason}", None
             )
         else:
+            pause_s = self._context.dispatcher.pause_s(self._call.service)
             await self._refuse(
                 503,
                 f"no server accepted the request: {self._reason}",
-                RETRY_AFTER_S,
+                max(pause_s, RETRY_AFTER_S),
             )
 
     def _spend_retry(self) -> bool:
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -271,12 +271,16 @@
     ) -> _PendingRequest | None:
         if not self.active or not self._has_owners(call.service):
             return None
-        count = len(cells.cells_of(self._registry.server_ids_of(call.service)))
+        split = cells.cells_of(self._registry.server_ids_of(call.service))
+        count = len(split)
         if not count:
             return None
         shared = call.prompt.shared_parts if call.prompt is not None else ()
         key = shared[-1].id if shared else call.id
         cell = (call.service, cells.cell_of_key(key, count))
+        servers = frozenset(split[cell[1]])
+        if servers <= avoid | self._dispatcher.paused(servers):
+            return None
         owner = self._owner(cell)
         if owner is None:
             return None
@@ -350,8 +354,14 @@
         self, pending: _PendingRequest, answer: PlacementAnswer
     ) -> Reservation | None:
         server = self._registry.server(answer.server)
-        if server is None or server.draining or server.id in pending.avoid:
-            # The owner's list of servers is older than the local one.
+        if (
+            server is None
+            or server.draining
+            or server.id in pending.avoid
+            or self._dispatcher.paused((server.id,))
+        ):
+            # The owner's list of servers is older than the local one, or the
+            # server has requested a pause from this instance since.
             self._counters.incr("place.stale_server")
             return None
         source = self._registry.server(answer.source)
@@ -455,6 +465,7 @@
             for pending in self._pending.values()
             if pending.cell == cell
         ]
+        paused = self._dispatcher.paused(self._servers_of(cell))
         self._record_update(cell, owner, now, held=bool(runs or asks))
         message = CellUpdate(
             self._own,
@@ -462,7 +473,9 @@
             *cell,
             self._next_number(),
             [
-                placement_request(x.number, x.call, x.avoid, x.passed, now)
+                placement_request(
+                    x.number, x.call, x.avoid, x.passed, now, paused
+                )
                 for x in asks
             ],
             [in_flight_report(run) for run in runs],
@@ -525,6 +538,11 @@
             if self._cell_of(run.server) == cell
         ]
 
+    def _servers_of(self, cell: Cell) -> tuple[str, ...]:
+        service, number = cell
+        split = cells.cells_of(self._registry.server_ids_of(service))
+        return split[number] if number < len(split) else ()
+
     def _cell_of(self, name: str) -> Cell | None:
         server = self._registry.server(name)
         if server is None or not self._has_owners(server.service):
--- a/src/jasminerelay/placementmessages.py
+++ b/src/jasminerelay/placementmessages.py
@@ -30,16 +30,22 @@
 
 
 def placement_request(
-    number: int, call: Call, avoid: frozenset[str], passed: bool, now: float
+    number: int,
+    call: Call,
+    tried: frozenset[str],
+    passed: bool,
+    now: float,
+    paused: frozenset[str] = frozenset(),
 ) -> PlacementRequest:
     """Returns the message that requests a placement.
 
     Args:
         number: Number of the request, unique within the instance.
         call: The request.
-        avoid: Servers that must not be chosen.
+        tried: Servers that have been tried.
         passed: Whether another owner has redirected the request.
         now: Monotonic time.
+        paused: Servers that want no requests from this instance now.
     """
     prompt = call.prompt
     shared = prompt.shared_parts if prompt is not None else ()
@@ -49,10 +55,10 @@
         call=call.id,
         route=call.route.name,
         rank=call.rank,
-        first=not avoid,
+        first=not tried,
         age_ms=round(MS * (now - call.arrived_at)),
         left_ms=round(MS * (call.answer_deadline - now)),
-        avoid=sorted(avoid),
+        avoid=sorted(tried | paused),
         own_tokens=prompt.own_tokens if prompt is not None else NO_VALUE,
         max_output=prompt.max_output if prompt is not None else 0,
         expected_output=NO_VALUE if hint is None else hint,
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -25,6 +25,10 @@
 """Number of attempts that one counts for if it found no server of the kind with
 capacity: the next one would hardly succeed."""
 
+MAX_PAUSE_WAIT_S = 0.25
+"""Longest remaining pause of all servers for which a request waits here; with a
+longer one its caller is asked to come back. A caller takes as long to retry."""
+
 PASS_INTERVAL_S = 0.03
 """Interval of placement passes without any event. Load reports of other
 instances, which can also show free capacity, come about as often."""
@@ -236,6 +240,11 @@
                     )
                     self._settle(item, reservation=reservation)
                     continue
+                if placed.retry_s > MAX_PAUSE_WAIT_S:
+                    self._settle(
+                        item, refused=_pause_refusal(item.call, placed)
+                    )
+                    continue
                 failed_attempts[kind] += FULL_ATTEMPT_COST if placed.full else 1
             work_ahead_s = queued_ahead_s.get(kind, 0.0)
             estimate = self._expect(item.call, work_ahead_s)
@@ -257,10 +266,21 @@
 
 
 def _refusal(call: Call, estimate: WaitEstimate) -> NoCapacityError:
-    spread = (hash(call.id) % 1000) / 1000
     return NoCapacityError(
         f"no capacity in time: {estimate.queue_delay_s:.2f} s queueing delay,"
         f" {estimate.service_s:.2f} s service time,"
         f" {estimate.remaining_s:.2f} s left",
-        retry_s=admission.retry_after_s(estimate, spread),
+        retry_s=admission.retry_after_s(estimate, _spread(call)),
     )
+
+
+def _pause_refusal(call: Call, wait: Wait) -> NoCapacityError:
+    return NoCapacityError(
+        wait.why,
+        retry_s=admission.retry_after_pause_s(wait.retry_s, _spread(call)),
+    )
+
+
+def _spread(call: Call) -> float:
+    """Returns a number from 0 to 1 that differs between requests."""
+    return (hash(call.id) % 1000) / 1000
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -131,10 +131,13 @@
     Attributes:
         why: Which resource is lacking.
         full: Whether no server of its kind has capacity.
+        retry_s: Time after which a server may accept requests again; 0 if some
+            accept requests now.
     """
 
     why: str
     full: bool = False
+    retry_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -276,12 +276,13 @@
         self._drains = DrainWatch(
             member_id, self.registry, self.counters, self.log, self._rng
         )
-        self._pauses = ServerPauses(self.counters, self.log)
+        self._pauses = ServerPauses(self.counters, self.log, self._rng)
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
             lambda: self._peers.count,
             allowance=self._rate_limits.allowance,
+            pauses=self._pauses,
         )
         self.dispatcher.on_split_change = self._log_split
         member = Member(
