Keep to requested pauses on our own interface, too

The same cause on the other interface: Retry-After in a refusal of an engine or service was not read, and a broker at another instance can't know of a pause that a server requests from this one. Change: the clients of engines and services report what each response says of its server (ServerStatement); an instance leaves out servers in a pause when it requests a permit, returns a grant for one, and refuses at once with the time where no server of the cell accepts. The field is parsed in one place for both interfaces (retryafter); ServerPauses is the same class.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -39,6 +39,7 @@
     PermitRequest,
 )
 from jasminerelay.schema.settings import Statsd
+from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.watchdog import Watchdog
 
 PROBES = 400
@@ -269,6 +270,7 @@
         counters,
         InvariantHandler(counters, fatal=True),
         1.0,
+        ServerPauses(counters, lambda *_, **__: None, random.Random(1)),
     )
     for number in range(STREAMS):
         cell = f"pool-{number % MODELS}/0"
--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -18,12 +18,14 @@
     body_chunks,
     response_headers,
 )
+from jasminerelay.retryafter import parse_pause
 from jasminerelay.schema.manifest import Server
 from jasminerelay.schema.messages import CacheEvent, LoadReport
 
 ATTEMPT_HEADER = "x-request-id"
 NOT_RUN_HEADER = "x-not-run"
 LEAVING_HEADER = "x-leaving"
+RETRY_AFTER_HEADER = "retry-after"
 DONE = b"[DONE]"
 CANCEL_TIMEOUT_S = 2.0
 
@@ -58,6 +60,27 @@
         self.rejection = rejection
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerStatement:
+    """What a response says of its server.
+
+    Attributes:
+        leaving: Whether the server announces that it is leaving.
+        not_run: Whether it reports that it did not run the request.
+        pause_s: Time in seconds for which it wants no requests from this
+            instance; 0 if it requests no pause.
+        pause_fault: The requested pause, if it can't be parsed.
+    """
+
+    leaving: bool
+    not_run: bool
+    pause_s: float
+    pause_fault: str
+
+
+OnResponse = Callable[[str, ServerStatement], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chunk:
     """One frame of an engine's stream.
@@ -95,16 +118,16 @@
 class EngineClient:
     """Client of the model engines; starts, resumes and cancels streams."""
 
-    def __init__(self, client: HttpClient, on_leaving: Callable[[str], None]):
+    def __init__(self, client: HttpClient, on_response: OnResponse):
         """Creates the client.
 
         Args:
             client: HTTP client.
-            on_leaving: Called with the name of a server whose response, of
-                any status, announces that it is leaving.
+            on_response: Called with the name of a server and what its
+                response, of any status, says of it.
         """
         self._client = client
-        self._on_leaving = on_leaving
+        self._on_response = on_response
 
     def run(self, attempt: EngineAttempt) -> AsyncIterator[Chunk]:
         """Starts an attempt and yields its frames."""
@@ -146,8 +169,10 @@
     ) -> AsyncIterator[Chunk]:
         try:
             async with self._client.stream(exchange) as response:
-                if _is_leaving(response_headers(response)):
-                    self._on_leaving(attempt.server.name)
+                self._on_response(
+                    attempt.server.name,
+                    _statement(response.status, response_headers(response)),
+                )
                 if response.status != 200:
                     body = await response.aread()
                     reply = HttpResponse(
@@ -184,16 +209,16 @@
 class ServiceClient:
     """Client of the servers of plain services."""
 
-    def __init__(self, client: HttpClient, on_leaving: Callable[[str], None]):
+    def __init__(self, client: HttpClient, on_response: OnResponse):
         """Creates the client.
 
         Args:
             client: HTTP client.
-            on_leaving: Called with the name of a server whose response, of
-                any status, announces that it is leaving.
+            on_response: Called with the name of a server and what its
+                response, of any status, says of it.
         """
         self._client = client
-        self._on_leaving = on_leaving
+        self._on_response = on_response
 
     async def call(self, server: Server, exchange: HttpRequest) -> HttpResponse:
         """Sends a call and returns the response.
@@ -213,8 +238,7 @@
             raise AttemptError(str(exc), ExecutionStatus.NOT_RUN) from exc
         except IncompleteExchangeError as exc:
             raise AttemptError(str(exc), ExecutionStatus.MAY_HAVE_RUN) from exc
-        if _is_leaving(reply.headers):
-            self._on_leaving(server.name)
+        self._on_response(server.name, _statement(reply.status, reply.headers))
         if NOT_RUN_HEADER in reply.headers:
             raise _refusal_error(reply)
         return reply
@@ -264,12 +288,16 @@
     return f"http://{server.address}{path}"
 
 
-def _is_leaving(headers: Mapping[str, str]) -> bool:
-    return LEAVING_HEADER in headers
+def _statement(status: int, headers: Mapping[str, str]) -> ServerStatement:
+    return ServerStatement(
+        LEAVING_HEADER in headers,
+        NOT_RUN_HEADER in headers,
+        *parse_pause(status, headers.get(RETRY_AFTER_HEADER)),
+    )
 
 
 def _refusal_error(reply: HttpResponse) -> AttemptError:
-    leaving = _is_leaving(reply.headers)
+    leaving = LEAVING_HEADER in reply.headers
     message = f"HTTP status {reply.status}"
     if NOT_RUN_HEADER in reply.headers:
         return AttemptError(message, ExecutionStatus.NOT_RUN, leaving=leaving)
--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -56,6 +56,7 @@
     ServerNotice,
 )
 from jasminerelay.schema.settings import Settings
+from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.servicecalls import ServiceCalls
 from jasminerelay.store import (
     InstanceListClient,
@@ -66,6 +67,12 @@
 
 _log = logging.getLogger("jasminerelay.daemon")
 
+
+def _warn_of_server(event: str, **fields: object) -> None:
+    text = " ".join(f"{name}={value}" for name, value in fields.items())
+    _log.warning("%s %s", event, text)
+
+
 USAGE = """Runs one instance of the relay.
 
 Usage:
@@ -280,6 +287,7 @@
         self._broker_links = peers.BrokerLinks(
             cfg.instance, self._brokers, self._peer_credentials, self.counters
         )
+        self._pauses = ServerPauses(self.counters, _warn_of_server, self._rng)
         self.permit_client = PermitClient(
             self.membership.own_member,
             self.membership.live,
@@ -288,6 +296,7 @@
             self.counters,
             self._invariants,
             cfg.timing.permit_timeout_s,
+            self._pauses,
             cfg.coordination,
         )
         self._broker_links.set_handler(self.permit_client, self._peer_address)
@@ -315,7 +324,7 @@
         completions = Completions(
             AnswerContext(
                 self.permit_client,
-                backends.EngineClient(self._client, self._on_server_leaving),
+                backends.EngineClient(self._client, self._on_response),
                 signer,
                 self.burn_recorder,
                 self.counters,
@@ -328,7 +337,7 @@
         )
         services = ServiceCalls(
             self.permit_client,
-            backends.ServiceClient(self._client, self._on_server_leaving),
+            backends.ServiceClient(self._client, self._on_response),
             self._claim_store,
             self.burn_recorder,
             self.counters,
@@ -403,6 +412,13 @@
         self._brokers.on_load_report(server, report, now)
         self.permit_client.on_load_report(server, report, now)
 
+    def _on_response(
+        self, server: str, statement: backends.ServerStatement
+    ) -> None:
+        if statement.leaving:
+            self._on_server_leaving(server)
+        self._pauses.on_response(server, statement)
+
     def _on_server_leaving(self, server: str) -> None:
         notice = self.membership.notice_of(server)
         is_leaving = notice is not None and notice.leaving
--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -34,11 +34,12 @@
     PermitRevocation,
     TokenLoan,
 )
+from jasminerelay.serverpauses import ServerPauses
 
 TICK_S = 0.1
 
 NO_SERVER_RETRY_S = 1.0
-"""Retry delay if all servers of a cell are leaving."""
+"""Minimum retry delay if no server of a cell accepts requests."""
 
 COORDINATION_BROKER = "broker"
 COORDINATION_NAIVE = "naive"
@@ -81,6 +82,7 @@
         counters: Counters,
         invariants: InvariantHandler,
         timeout_s: float,
+        pauses: ServerPauses,
         coordination: str = COORDINATION_BROKER,
     ):
         """Initialises the permit client.
@@ -94,6 +96,7 @@
             invariants: Reports invariant violations of the local brokers.
             timeout_s: Seconds without a frame after which a broker counts as
                 unresponsive.
+            pauses: Pauses that backend servers request from this instance.
             coordination: `COORDINATION_BROKER` or `COORDINATION_NAIVE`.
         """
         self._own = own
@@ -103,6 +106,7 @@
         self._counters = counters
         self._invariants = invariants
         self._timeout_s = timeout_s
+        self._pauses = pauses
         self._coordination = coordination
         self._pending: dict[str, _PendingRequest] = {}
         self._held_permits: dict[str, _PermitRecord] = {}
@@ -160,30 +164,54 @@
     ) -> PermitGrant | PermitRefusal:
         """Requests a permit; waits for the grant or the refusal.
 
-        The broker may not have learned yet that a server is leaving, so a grant
-        for such a server is returned, and another one requested.
+        The broker may not have learned yet that a server is leaving, and does
+        not learn that one has requested a pause from this instance. A grant for
+        such a server is returned, and another one requested.
         """
         while True:
-            result = await self._request_permit(request)
-            if (
-                isinstance(result, PermitRefusal)
-                or result.server not in self._leaving
-            ):
-                return result
-            self._counters.incr("permit.leaving_server")
-            self.release(_empty_release(request))
-            request = dataclasses.replace(
-                request, avoid=[*request.avoid, result.server]
-            )
-            if self._avoids_all_servers(request):
+            closed = self._closed_servers(request.cell)
+            servers = self._servers_of(request.cell)
+            if closed and servers <= closed | set(request.avoid):
                 return PermitRefusal(
-                    request.ask_id, REFUSED_NO_SERVER, NO_SERVER_RETRY_S
+                    request.ask_id,
+                    REFUSED_NO_SERVER,
+                    self._retry_s(servers),
                 )
+            avoid = sorted(closed | set(request.avoid))
+            result = await self._request_permit(
+                dataclasses.replace(request, avoid=avoid)
+            )
+            if isinstance(result, PermitRefusal):
+                return result
+            if result.server not in self._closed_servers(request.cell):
+                self._pauses.record_placement(result.server, time.monotonic())
+                return result
+            self._counters.incr("permit.closed_server")
+            self.release(_empty_release(request))
+
+    def _servers_of(self, cell: str) -> frozenset[str]:
+        directory = self._directory()
+        held = directory.cells.get(cell) if directory is not None else None
+        servers = held.servers if held is not None else ()
+        return frozenset(server.name for server in servers)
+
+    def _closed_servers(self, cell: str) -> frozenset[str]:
+        """Returns the servers of a cell that get no requests of this instance.
+
+        They are leaving, or have requested a pause.
+        """
+        now = time.monotonic()
+        return frozenset(
+            name
+            for name in self._servers_of(cell)
+            if name in self._leaving or not self._pauses.accepts(name, now)
+        )
 
-    def _avoids_all_servers(self, request: PermitRequest) -> bool:
-        cell = self._directory().cells.get(request.cell)
-        servers = cell.servers if cell is not None else ()
-        return {server.name for server in servers} <= set(request.avoid)
+    def _retry_s(self, servers: frozenset[str]) -> float:
+        """Returns the time until one of a cell's servers accepts requests."""
+        staying = servers - self._leaving
+        pause_s = self._pauses.remaining_s(staying, time.monotonic())
+        return max(NO_SERVER_RETRY_S, pause_s) if staying else NO_SERVER_RETRY_S
 
     async def _request_permit(
         self, request: PermitRequest
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -8,13 +8,13 @@
 from jasminerelay.exchange import OutgoingRequest, ResponseHead
 from jasminerelay.httpclient import HttpRequest, HttpResponse
 from jasminerelay.migration import MOVE_TIMEOUT_S, KvCacheCopy
+from jasminerelay.retryafter import parse_pause
 
 MS = 1000.0
 HIGH_URGENCY = b"0"
 NORMAL_URGENCY = b"5"
 """The platform's urgencies range from 0, the most urgent, to 9."""
 
-UNAVAILABLE = 503
 MISDIRECTED = 421
 """Status from a server that has taken over the address of the expected one. The
 request has not run."""
@@ -89,9 +89,6 @@
 """Fields that concern only the connection to the server, or only this router.
 """
 
-MAX_PAUSE_S = 3600.0
-"""Longest pause in seconds that is kept to; a longer one is shortened."""
-
 MAX_RATE_LIMIT = 1e6
 """Highest valid rate limit in requests per second; a higher one is a fault."""
 
@@ -177,7 +174,10 @@
         fields = {name.lower(): value for name, value in headers}
         connection = fields.get(b"connection", b"").lower()
         limit, limit_fault = _parse_rate_limit(fields.get(_RATE_LIMIT))
-        pause_s, pause_fault = _parse_pause(status, fields.get(_RETRY_AFTER))
+        pause = fields.get(_RETRY_AFTER)
+        pause_s, pause_fault = parse_pause(
+            status, None if pause is None else pause.decode("latin-1")
+        )
         return ResponseHead(
             status,
             tuple(
@@ -252,19 +252,6 @@
     return None, value[:80].decode("latin-1")
 
 
-def _parse_pause(status: int, value: bytes | None) -> tuple[float, str]:
-    """Returns the requested pause, and the field's text if it is not valid."""
-    if status != UNAVAILABLE or value is None:
-        return 0.0, ""
-    try:
-        pause_s = float(value)
-    except ValueError:
-        pause_s = math.nan
-    if pause_s >= 0 and math.isfinite(pause_s):
-        return min(pause_s, MAX_PAUSE_S), ""
-    return 0.0, value[:80].decode("latin-1")
-
-
 def _keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -276,7 +276,7 @@
         self._drains = DrainWatch(
             member_id, self.registry, self.counters, self.log, self._rng
         )
-        self._pauses = ServerPauses(self.counters, self.log, self._rng)
+        self._pauses = ServerPauses(self.counters, self.log.warn, self._rng)
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
--- a/src/jasminerelay/serverpauses.py
+++ b/src/jasminerelay/serverpauses.py
@@ -8,10 +8,9 @@
 import math
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
-from jasminerelay.eventlog import EventLog
-from jasminerelay.exchange import ResponseHead
 from jasminerelay.metrics import Counters
 
 TRIAL_TIMEOUT_S = 1.0
@@ -24,22 +23,43 @@
 of all of them when it ends."""
 
 
+class Statement(Protocol):
+    """What a response says of its server."""
+
+    @property
+    def pause_s(self) -> float:
+        """Requested pause in seconds; 0 for none."""
+
+    @property
+    def pause_fault(self) -> str:
+        """The requested pause, if it can't be parsed."""
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the server reports that it did not run the request."""
+
+
 class ServerPauses:
     """The servers that want no requests from this instance, and until when.
 
     After its pause a server gets one request at a time, until it accepts one.
     """
 
-    def __init__(self, counters: Counters, log: EventLog, rng: random.Random):
+    def __init__(
+        self,
+        counters: Counters,
+        warn: Callable[..., None],
+        rng: random.Random,
+    ):
         """Creates the state of an instance of which no server wants a pause.
 
         Args:
             counters: Counts events.
-            log: Receives events.
+            warn: Logs an event with its fields.
             rng: Source of random choices.
         """
         self._counters = counters
-        self._log = log
+        self._warn = warn
         self._rng = rng
         self._until: dict[str, float] = {}
         self._trial_at: dict[str, float] = {}
@@ -85,11 +105,11 @@
         if self.active(server, time.monotonic()):
             self._counters.incr("pause.sent")
 
-    def on_response(self, server: str, head: ResponseHead) -> None:
-        """Handles the response head of a server to this instance's request."""
+    def on_response(self, server: str, head: Statement) -> None:
+        """Handles a server's response to this instance's request."""
         if head.pause_fault:
             self._counters.incr("pause.unreadable")
-            self._log.warn(
+            self._warn(
                 "pause_unreadable", server=server, found=head.pause_fault
             )
         now = time.monotonic()
@@ -100,9 +120,7 @@
             return
         self._counters.incr("pause.requested")
         if not self.active(server, now):
-            self._log.warn(
-                "pause_requested", server=server, pause_s=head.pause_s
-            )
+            self._warn("pause_requested", server=server, pause_s=head.pause_s)
         extended_s = head.pause_s * (1 + self._rng.uniform(0, SPREAD_SHARE))
         self._until[server] = max(
             self._until.get(server, 0.0), now + extended_s
--- a/standins/common.py
+++ b/standins/common.py
@@ -55,6 +55,15 @@
         await self._app(scope, receive, send)
 
 
+def refusal_headers(pause: str) -> dict[str, str]:
+    """Returns the headers of a refusal before a request runs.
+
+    Args:
+        pause: Time in seconds for which no requests are wanted; empty for none.
+    """
+    return {"x-not-run": "1", **({"retry-after": pause} if pause else {})}
+
+
 async def set_faults(faults, receive, scope, send) -> None:
     """Sets the fields of `faults` that the request body names."""
     body = b""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,7 +21,12 @@
 from starlette.responses import JSONResponse, StreamingResponse
 from starlette.routing import Route
 
-from standins.common import make_parser, serve, set_faults
+from standins.common import (
+    make_parser,
+    refusal_headers,
+    serve,
+    set_faults,
+)
 
 BLOCK_CHARS = 256
 CHARS_PER_TOKEN = 4
@@ -41,6 +46,7 @@
         hide_leaving: Leave `leaving` out of the load report.
         announce: Serve requests, and announce the shutdown in the answers.
         refuse: Number of upcoming requests that are refused before they run.
+        pause: Value of Retry-After in these refusals; empty for none.
         cut: Number of frames, over all streams, after which a connection is
             cut; the stream itself is kept. 0 disables the fault.
         forget: End and remove a stream whose connection was cut by `cut`.
@@ -57,6 +63,7 @@
     hide_leaving: bool = False
     announce: bool = False
     refuse: int = 0
+    pause: str = ""
     cut: int = 0
     forget: bool = False
     load_lag_s: float = 0.0
@@ -273,7 +280,9 @@
         if self.faults.refuse > 0:
             self._refused += 1
             self.faults.refuse -= 1
-            return JSONResponse({"refused": True}, 503, {"x-not-run": "1"})
+            return JSONResponse(
+                {"refused": True}, 503, refusal_headers(self.faults.pause)
+            )
         if body.get("model") not in self._models:
             message = f"no model {body.get('model')!r}"
             return JSONResponse({"error": {"message": message}}, 404)
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,13 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from standins.common import make_parser, send_truncated, serve, set_faults
+from standins.common import (
+    make_parser,
+    refusal_headers,
+    send_truncated,
+    serve,
+    set_faults,
+)
 
 
 @dataclasses.dataclass
@@ -19,6 +25,7 @@
     Attributes:
         slow_s: Additional run time of a call, in seconds.
         refuse: Number of upcoming calls that are refused before they run.
+        pause: Value of Retry-After in these refusals; empty for none.
         drop_after: Number of upcoming calls that run but are not answered.
         leaving: Refuse all calls, as a server that is shutting down does.
         announce: Run calls, and announce the shutdown in the answers.
@@ -26,6 +33,7 @@
 
     slow_s: float = 0.0
     refuse: int = 0
+    pause: str = ""
     drop_after: int = 0
     leaving: bool = False
     announce: bool = False
@@ -122,7 +130,9 @@
             return JSONResponse({"leaving": True}, 503, headers)
         if self.faults.refuse > 0:
             self.faults.refuse -= 1
-            return JSONResponse({"refused": True}, 503, {"x-not-run": "1"})
+            return JSONResponse(
+                {"refused": True}, 503, refusal_headers(self.faults.pause)
+            )
         return None
 
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -8,6 +8,7 @@
 import anyio
 
 from jasminerelay import manifest, rendezvous
+from jasminerelay.backends import ServerStatement
 from jasminerelay.broker import REFUSED_NO_SERVER
 from jasminerelay.brokerhost import BrokerHost
 from jasminerelay.metrics import Counters, InvariantHandler
@@ -21,6 +22,7 @@
     PermitRequest,
 )
 from jasminerelay.schema.settings import Statsd
+from jasminerelay.serverpauses import ServerPauses
 from tests.fakes import release
 
 MANIFEST = """
@@ -71,6 +73,7 @@
                 counters,
                 invariants,
                 TIMEOUT_S,
+                ServerPauses(counters, lambda *_, **__: None, random.Random(1)),
             )
             for name in self.names
         }
@@ -185,6 +188,17 @@
         self.assertEqual(result.reason, REFUSED_NO_SERVER)
         self.assertEqual(self.instances.held(self.instances.broker_name), 0)
 
+    async def test_broker_does_not_know_of_a_pause(self) -> None:
+        # Guards against a request to a server that wants none of this instance
+        # by a grant of a broker that knows nothing of it.
+        statement = ServerStatement(False, True, 5.0, "")
+        self.client._pauses.on_response("s", statement)
+        with anyio.fail_after(1.0):
+            result = await self.client.acquire(permit_request("1"))
+        self.assertEqual(result.reason, REFUSED_NO_SERVER)
+        self.assertGreater(result.retry_s, 4.0)
+        self.assertEqual(self.instances.held(self.instances.broker_name), 0)
+
     async def test_former_broker_releases_permit(self) -> None:
         # The broker's instance leaves the membership and returns. The permit
         # must be reported to the new broker and released at the former one;
--- a/tests/test_serverpauses.py
+++ b/tests/test_serverpauses.py
@@ -10,11 +10,14 @@
 
 from jasminerelay import placementclient, serverpauses
 from jasminerelay.metrics import Counters
-from jasminerelay.platform.headers import MAX_PAUSE_S, PlatformDialect
+from jasminerelay.platform.headers import PlatformDialect
+from jasminerelay.retryafter import MAX_PAUSE_S
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.serverpauses import ServerPauses
+from standins.launcher import Options, call
 from standins.platformsite import SiteOptions
 from tests.platformcase import PlatformCase
+from tests.support import SystemCase, chat
 from tests.test_serverrows import RecordingLog
 
 PAUSE_S = 3.0
@@ -223,6 +226,25 @@
             self.assertGreater(float(answer.headers["retry-after"]), 1.0)
 
 
+class OwnInterfacePauseTest(SystemCase):
+    """An engine requests a pause of each of two instances."""
+
+    options = Options(daemons=2, max_engines=2, max_services=1)
+
+    def test_one_refusal_an_instance(self) -> None:
+        # Guards against requests to an engine that has asked for a pause.
+        self.system.fault("model-1", refuse=100_000, pause="30")
+        for number in range(12):
+            for daemon in self.system.daemons:
+                status, _ = chat(daemon, f"pause {number} {daemon.name}")
+                self.assertEqual(status, 200)
+        url = self.system.processes["model-1"].url + "/v1/state"
+        refused = call("GET", url)[1]["refused"]
+        self.system.fault("model-1", refuse=0)
+        self.assertGreater(refused, 0)
+        self.assertLessEqual(refused, len(self.system.daemons))
+
+
 class PauseStateTest(unittest.TestCase):
     """The state of pauses and trials."""
 
@@ -230,7 +252,7 @@
         self.now = 100.0
         self.log = RecordingLog()
         self.pauses = ServerPauses(
-            Counters(Statsd()), self.log, random.Random(1)
+            Counters(Statsd()), self.log.warn, random.Random(1)
         )
         clock = unittest.mock.patch.object(
             serverpauses.time, "monotonic", lambda: self.now
