Show the store's era, and rows that are ignored as older than those held

Cause sought: no line says that the store came back from a copy, or that a row was ignored since its version is not newer (hypotheses of the incident of the store from a copy). Change: the client of the store reads Store-Era in each answer and logs the first and each higher one (store_era); a configuration of another content and no newer version is logged (configuration_ignored), a full read of servers likewise (servers_ignored, store.older_read). Nothing is decided by it. The stand-in store can come back from a copy: versions are given out again, a read after one that it doesn't have gets 410, the operator and the servers write their rows again. 85 tests of following, instances, duties and pages pass.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -218,7 +218,7 @@
         boot = self.boot
         self.registry = Registry(decoding.catalog, decoding.server)
         self.client = HttpClient(self._watchdog, keepalive=True)
-        store = self._store = Store(self.client, boot.store)
+        store = self._store = Store(self.client, boot.store, self.log.warn)
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
             self.registry, self._freshness, self.log
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -3,7 +3,7 @@
 import base64
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -31,6 +31,9 @@
 pause after it and the next call fit into the two seconds within which a change
 must be in force."""
 
+# Rises each time the store has come back from an older copy of its data.
+_ERA = "store-era"
+
 CONDITION_FAILED = 412
 MS_PER_S = 1e3
 
@@ -108,15 +111,23 @@
     then have taken effect, or may still do so.
     """
 
-    def __init__(self, client: HttpClient, address: str):
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        warn: Callable[..., None] = lambda event, **fields: None,
+    ):
         """Creates the client.
 
         Args:
             client: HTTP client.
             address: IP:port of the store.
+            warn: Logs an event with its fields.
         """
         self._client = client
         self._base = f"http://{address}"
+        self._warn = warn
+        self._era: int | None = None
         self._max_clock_offset_s = -math.inf
 
     def latest_store_now_s(self) -> float:
@@ -243,11 +254,24 @@
 
     async def _call(self, exchange: HttpRequest) -> HttpResponse:
         try:
-            return await self._client.call(exchange)
+            reply = await self._client.call(exchange)
         except (NotSentError, IncompleteExchangeError) as exc:
             raise StoreError(
                 f"the store did not respond: {exc}", retry_s=RETRY_S
             ) from exc
+        self._record_era(reply)
+        return reply
+
+    def _record_era(self, reply: HttpResponse) -> None:
+        value = reply.headers.get(_ERA, "")
+        if not value.isdecimal():
+            if value:
+                self._warn("store_era_unreadable", found=value[:80])
+            return
+        era = int(value)
+        if self._era is None or era > self._era:
+            self._warn("store_era", era=era, before=self._era)
+            self._era = era
 
     def _update_clock_offset(self, response: _Response, sent_at: float) -> None:
         # The store read its clock after the call was sent, so the difference is
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -227,6 +227,10 @@
         self.catalog = catalog
         return True
 
+    def holds_configuration(self, data: bytes) -> bool:
+        """Returns whether this is the encoded configuration in force."""
+        return data == self._configuration[1]
+
     def apply_changes(
         self, rows: Iterable[ServerRow], version: int
     ) -> list[ServerChange]:
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -422,10 +422,25 @@
                 row_version=version,
                 source=source,
             )
+        elif not self._registry.holds_configuration(data):
+            # Its version is not newer, although its content is another one.
+            self._log.warn(
+                "configuration_ignored",
+                version=self._registry.catalog.version,
+                row_version=version,
+                held=self._registry.standing.configuration_version,
+                source=source,
+            )
 
     def apply_all_servers(self, page: TablePage) -> bool:
         """Applies a full read of the servers' rows; ignores an older one."""
         if page.version < self._registry.servers_version:
+            self._counters.incr("store.older_read")
+            self._log.info(
+                "servers_ignored",
+                read_version=page.version,
+                held=self._registry.servers_version,
+            )
             return False
         self._apply(page, self._registry.apply_full_read)
         return True
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import time
+from collections.abc import Iterable
 from urllib.parse import parse_qs
 
 from starlette.applications import Starlette
@@ -17,6 +18,19 @@
 PAGE = 500
 
 
+ERA_HEADER = "Store-Era"
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the store's data, from which it can come back."""
+
+    rows: dict
+    history: tuple
+    discarded_version: int
+    version: int
+
+
 @dataclasses.dataclass(frozen=True)
 class StoredRow:
     """A row, or the tombstone of a deleted row."""
@@ -52,11 +66,13 @@
     Attributes:
         faults: Active faults.
         calls: Number of calls so far.
+        era: Number of times that the store has come back from a copy.
     """
 
     def __init__(self) -> None:
         self.faults = Faults()
         self.calls = 0
+        self.era = 0
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
         self._history: list[StoredRow] = []
         self._discarded_version = 0
@@ -89,6 +105,42 @@
         self._history.clear()
         self._discarded_version = self._version
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the data as of now."""
+        return StoreCopy(
+            dict(self._rows),
+            tuple(self._history),
+            self._discarded_version,
+            self._version,
+        )
+
+    def restore(
+        self, copy: StoreCopy, rewritten: Iterable[str] = ("op", "servers")
+    ) -> None:
+        """Comes back from a copy; what was written since is lost.
+
+        The operator and the servers then write their rows again.
+
+        Args:
+            copy: The copy.
+            rewritten: Tables whose lost rows are written again.
+        """
+        lost = [
+            row
+            for row in self._history
+            if row.version > copy.version and row.table in rewritten
+        ]
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        self._discarded_version = copy.discarded_version
+        self._version = copy.version
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+        for row in lost:
+            self._version += 1
+            self._store(dataclasses.replace(row, version=self._version))
+
     def keys(self, table: str) -> list[str]:
         """Returns the keys of a table's rows."""
         return sorted(key for name, _, key in self._rows if name == table)
@@ -101,7 +153,7 @@
             row = self._rows.get(_row_id(item))
             if (row.version if row else 0) != item["schemaVersion"]:
                 rows = [row.to_json()] if row else []
-                return JSONResponse({"rows": rows}, 412)
+                return self._response({"rows": rows}, 412)
         self._version += 1
         for item in body["write"]:
             self._store(StoredRow(*_row_id(item), item["data"], self._version))
@@ -136,8 +188,8 @@
         after = int(query["after"][0])
         deadline = time.monotonic() + int(query["waitMs"][0]) / 1000
         while True:
-            if after < self._discarded_version:
-                return JSONResponse({}, 410)
+            if after < self._discarded_version or after > self._version:
+                return self._response({}, 410)
             rows = [
                 row.to_json()
                 for row in self._history
@@ -162,10 +214,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _response(self, body: dict) -> JSONResponse:
+    def _response(self, body: dict, status: int = 200) -> JSONResponse:
         now_ms = int(time.monotonic() * 1000)
         return JSONResponse(
-            {**body, "schemaVersion": self._version, "nowMs": now_ms}
+            {**body, "schemaVersion": self._version, "nowMs": now_ms},
+            status,
+            {ERA_HEADER: str(self.era)},
         )
 
 
