--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -218,7 +218,7 @@
         boot = self.boot
         self.registry = Registry(decoding.catalog, decoding.server)
         self.client = HttpClient(self._watchdog, keepalive=True)
-        store = self._store = Store(self.client, boot.store, self.log.warn)
+        store = self._store = Store(self.client, boot.store, self._warn)
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
             self.registry, self._freshness, self.log
@@ -276,7 +276,7 @@
         self._drains = DrainWatch(
             member_id, self.registry, self.counters, self.log, self._rng
         )
-        self._pauses = ServerPauses(self.counters, self.log.warn, self._rng)
+        self._pauses = ServerPauses(self.counters, self._warn, self._rng)
         self.dispatcher = Dispatcher(
             self.registry,
             boot.zone,
@@ -437,6 +437,9 @@
             bounds.head_bytes, bounds.head_timeout_s, bounds.idle_timeout_s
         )
 
+    def _warn(self, event: str, **fields: object) -> None:
+        self.log.warn(event, **fields)
+
     def _retry_placement(self) -> None:
         """Places queued requests once a server accepts requests again."""
         self._placement_queue.place_all()
