Order what the store says by its era, and configurations by the operator

Cause: the store came back from an older copy and gave out versions again. Every comparison took the version for a clock, so rows were older than those held until the count exceeded the old one: a configuration was dropped without a line, a full read of the servers was repeated every 0.3 s, and meanwhile others' equal versions confirmed the old data. Class: a number that is ordered only within the life of its giver, compared across lives.

An answer of another era than the version it was asked after ends in a full read, also where the store still answers; an era first seen aborts the waiting calls. Entering an era counts as an outage: rows that are missing stay in use until they had time to be written again; a server that was draining stays so, and one that had been removed gets nothing for 5 s unless its row is written again. Configurations are ordered by the operator's own version: none comes back, and an instance that starts after the return gets the newer one from the others. Messages carry the number as before, and the era and the operator's version beside it; an instance of the version before is taken for one of the first era seen: after a return nobody believes its rows or ages, and what it reads is as before.

Weighed: a reset of all state at each era. It would drop the pool and the newer configuration, and each place would need its own reset. An (era, number) class: rows, messages, ages and the lease would all need two forms.

--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -18,7 +18,7 @@
 import anyio
 import msgspec
 
-from jasminerelay import peermessages
+from jasminerelay import peermessages, storeversion
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.eventlog import EventLog
 from jasminerelay.followerroles import FollowerRole
@@ -94,9 +94,11 @@
 SNAPSHOT_PATH = "/snapshot"
 CONFIGURATION_FIELD = "configuration"
 SERVERS_FIELD = "servers"
-"""Query fields of a snapshot request: the version of the requester's
-configuration, and the store's version up to which the requester has all
-servers' rows."""
+ERA_FIELD = "era"
+CATALOG_FIELD = "catalog"
+"""Query fields of a snapshot request: the store's version of the requester's
+configuration, the store's version up to which the requester has all servers'
+rows with its era, and the operator's version of the configuration."""
 
 COMPRESSION_LEVEL = 1
 """Fastest compression level. It shrinks a configuration to a sixth, and one
@@ -438,11 +440,15 @@
         )
         if address is None:
             return
-        version = self._registry.standing.configuration_version
+        standing = self._registry.standing
+        since = self._registry.delta_base_version
         exchange = HttpRequest(
             "GET",
-            f"http://{address}{SNAPSHOT_PATH}?{CONFIGURATION_FIELD}={version}"
-            f"&{SERVERS_FIELD}={self._registry.delta_base_version}",
+            f"http://{address}{SNAPSHOT_PATH}"
+            f"?{CONFIGURATION_FIELD}={standing.configuration_version}"
+            f"&{SERVERS_FIELD}={storeversion.number_of(since)}"
+            f"&{ERA_FIELD}={storeversion.era_of(since)}"
+            f"&{CATALOG_FIELD}={standing.catalog_version}",
             timeout_s=FETCH_TIMEOUT_S,
         )
         try:
@@ -476,7 +482,7 @@
 
     def __init__(self, registry: Registry):
         self._registry = registry
-        self._compressed = (0, b"")
+        self._compressed = (b"", b"")
 
     async def __call__(self, scope, receive, send) -> None:
         """Answers one request."""
@@ -485,12 +491,18 @@
         found = scope["path"] == SNAPSHOT_PATH
         query = parse_qs(scope["query_string"].decode("latin-1"))
         receiver_version = _version(query, CONFIGURATION_FIELD)
-        since = _version(query, SERVERS_FIELD)
+        since = self._registry.version_of_request(
+            _version(query, ERA_FIELD, -1), _version(query, SERVERS_FIELD)
+        )
         body = b""
         if found:
             body = _encode(
                 self._compress(
-                    self._registry.export_snapshot(receiver_version, since)
+                    self._registry.export_snapshot(
+                        receiver_version,
+                        since,
+                        _version(query, CATALOG_FIELD, -1),
+                    )
                 )
             )
         await send(
@@ -505,9 +517,9 @@
     def _compress(self, snapshot: StoreSnapshot) -> StoreSnapshot:
         if not snapshot.configuration:
             return snapshot
-        if self._compressed[0] != snapshot.configuration_version:
+        if self._compressed[0] != snapshot.configuration:
             data = zlib.compress(snapshot.configuration, COMPRESSION_LEVEL)
-            self._compressed = (snapshot.configuration_version, data)
+            self._compressed = (snapshot.configuration, data)
         return dataclasses.replace(snapshot, configuration=self._compressed[1])
 
 
@@ -523,7 +535,7 @@
     return dataclasses.replace(snapshot, configuration=data)
 
 
-def _version(query: dict[str, list[str]], field: str) -> int:
-    """Returns a version from a snapshot request's query; 0 if there is none."""
-    value = query.get(field, ["0"])[0]
-    return int(value) if value.isdecimal() else 0
+def _version(query: dict[str, list[str]], field: str, missing: int = 0) -> int:
+    """Returns a version from a snapshot request's query."""
+    value = query.get(field, [""])[0]
+    return int(value) if value.isdecimal() else missing
--- a/src/jasminerelay/peerstatus.py
+++ b/src/jasminerelay/peerstatus.py
@@ -55,7 +55,7 @@
         if self._registry.is_behind(standing):
             self._behind_since = self._behind_since or now
             self._newer_peer = sender
-        elif standing.age_ms >= 0:
+        elif standing.age_ms >= 0 and self._registry.shares_era_with(standing):
             self._freshness.record_peer_age(standing.age_ms / 1000, at)
 
     def reports_store_loss(self, sender: str, standing: ReplicaStatus) -> bool:
@@ -75,10 +75,9 @@
 
     def newer_configuration_reported(self, now: float) -> bool:
         """Returns whether a newer configuration was reported recently."""
-        own = self._registry.standing.configuration_version
         return any(
             now - received_at < NEWER_REPORT_VALID_S
-            and standing.configuration_version > own
+            and self._registry.lacks_configuration_of(standing)
             for received_at, standing in self._reports.values()
         )
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -12,7 +12,13 @@
 
 import anyio
 
-from jasminerelay import entrylist, headlimits, ports, stopsignals
+from jasminerelay import (
+    entrylist,
+    headlimits,
+    ports,
+    stopsignals,
+    storeversion,
+)
 from jasminerelay.attempt import ForwardingContext
 from jasminerelay.catalog import Catalog, RequestLimits
 from jasminerelay.channels import ChannelPool
@@ -219,6 +225,7 @@
         self.registry = Registry(decoding.catalog, decoding.server)
         self.client = HttpClient(self._watchdog, keepalive=True)
         store = self._store = Store(self.client, boot.store, self._warn)
+        store.on_new_era = self._on_store_restored
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
             self.registry, self._freshness, self.log
@@ -483,7 +490,9 @@
         catalog: Catalog | None = self.registry.catalog
         return {
             "configuration": catalog.version if catalog else 0,
-            "servers_version": self.registry.servers_version,
+            "servers_version": storeversion.number_of(
+                self.registry.servers_version
+            ),
             "store_age_s": round(
                 time.monotonic() - self._store_state.last_answer_at, 2
             ),
@@ -575,6 +584,10 @@
         )
         self.dispatcher.measures_step_times = not self._placement_client.active
 
+    def _on_store_restored(self) -> None:
+        """Handles that the store has come back from a copy of its data."""
+        self._store_state.on_new_era()
+
     async def _discover_peers(self) -> None:
         registered = False
         while True:
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from jasminerelay import storeversion
 from jasminerelay.errors import StoreError
 from jasminerelay.freshness import now_s
 from jasminerelay.httpclient import (
@@ -108,7 +109,11 @@
     """Reads and writes tables of the platform's store.
 
     Every method raises StoreError if the store does not respond. A write may
-    then have taken effect, or may still do so.
+    then have taken effect, or may still do so. All versions tell the store's
+    eras apart (see `storeversion`).
+
+    Attributes:
+        on_new_era: Called when the store has come back from a copy of its data.
     """
 
     def __init__(
@@ -127,8 +132,29 @@
         self._client = client
         self._base = f"http://{address}"
         self._warn = warn
-        self._era: int | None = None
         self._max_clock_offset_s = -math.inf
+        self._era: int | None = None
+        self._first_era: int | None = None
+        self._era_seen_at = -math.inf
+        self.on_new_era: Callable[[], None] = lambda: None
+
+    @property
+    def has_new_era(self) -> bool:
+        """Whether the store has come back from a copy in this process."""
+        return self._era != self._first_era
+
+    @property
+    def era(self) -> int:
+        """The latest era seen; 0 before the first response."""
+        return self._era or 0
+
+    @property
+    def era_age_s(self) -> float:
+        """Time since this process has first seen the era.
+
+        Infinite in the first era that it has seen.
+        """
+        return now_s() - self._era_seen_at
 
     def latest_store_now_s(self) -> float:
         """Returns an upper bound of the store's clock at this moment.
@@ -142,6 +168,9 @@
 
         Reads the pages one after another. The returned version is that of the
         first page, so that following the changes from it misses none.
+
+        Raises:
+            StoreError: also if the store came back from a copy meanwhile.
         """
         rows: list[ServerRow] = []
         version = None
@@ -151,10 +180,18 @@
             if source:
                 query["source"] = source
             sent_at = now_s()
-            response = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
+            response, era = await self._get(
+                "/-/rows-get", query, CALL_TIMEOUT_S
+            )
             self._update_clock_offset(response, sent_at)
-            rows += [_row(item) for item in response.rows]
-            version = response.version if version is None else version
+            rows += [_row(item, era) for item in response.rows]
+            if version is None:
+                version = storeversion.make(era, response.version)
+            elif storeversion.era_of(version) != era:
+                raise StoreError(
+                    "the store came back from a copy between two pages",
+                    retry_s=RETRY_S,
+                )
             if not response.more or not response.rows:
                 return TablePage(
                     tuple(rows), version, response.now_ms / MS_PER_S
@@ -165,14 +202,22 @@
         """Waits for rows of a table that changed after a version.
 
         Raises:
-            HistoryGoneError: if the store has discarded changes since then.
+            HistoryGoneError: if the store has discarded changes since then, or
+                its version means another one now.
         """
-        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
-        response = await self._get(
+        query = {
+            "table": table,
+            "after": storeversion.number_of(after),
+            "waitMs": int(wait_s * 1000),
+        }
+        response, era = await self._get(
             "/-/rows-feed", query, wait_s + CALL_TIMEOUT_S
         )
+        if era != storeversion.era_of(after):
+            raise HistoryGoneError("the store came back from a copy")
         return TablePage(
-            tuple(_row(item) for item in response.rows), response.version
+            tuple(_row(item, era) for item in response.rows),
+            storeversion.make(era, response.version),
         )
 
     async def write(self, table: str, key: str, data: bytes) -> None:
@@ -203,11 +248,12 @@
         if reply.status != CONDITION_FAILED:
             _raise_for_status(reply)
         response = _decode(reply)
+        era = self._era_of(reply)
         self._update_clock_offset(response, sent_at)
         return CommitResult(
             reply.status != CONDITION_FAILED,
-            response.version,
-            tuple(_row(item) for item in response.rows),
+            storeversion.make(era, response.version),
+            tuple(_row(item, era) for item in response.rows),
             response.now_ms / MS_PER_S,
         )
 
@@ -220,7 +266,10 @@
         body = msgspec.json.encode(
             {
                 "expect": [
-                    {**_row_key(x.table, x.key), "schemaVersion": x.version}
+                    {
+                        **_row_key(x.table, x.key),
+                        "schemaVersion": storeversion.number_of(x.version),
+                    }
                     for x in conditions
                 ],
                 "write": [
@@ -244,13 +293,14 @@
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_s: float
-    ) -> _Response:
+    ) -> tuple[_Response, int]:
+        """Returns the response and its era."""
         url = f"{self._base}{path}?{urlencode(query)}"
         reply = await self._call(HttpRequest("GET", url, timeout_s=timeout_s))
         if reply.status == 410:
             raise HistoryGoneError("the requested changes were discarded")
         _raise_for_status(reply)
-        return _decode(reply)
+        return _decode(reply), self._era_of(reply)
 
     async def _call(self, exchange: HttpRequest) -> HttpResponse:
         try:
@@ -263,15 +313,26 @@
         return reply
 
     def _record_era(self, reply: HttpResponse) -> None:
-        value = reply.headers.get(_ERA, "")
-        if not value.isdecimal():
-            if value:
-                self._warn("store_era_unreadable", found=value[:80])
+        era = self._era_of(reply)
+        before = self._era
+        if before is not None and era <= before:
+            return
+        self._warn("store_era", era=era, before=before)
+        self._era = era
+        if before is None:
+            self._first_era = era
             return
-        era = int(value)
-        if self._era is None or era > self._era:
-            self._warn("store_era", era=era, before=self._era)
-            self._era = era
+        self._era_seen_at = now_s()
+        self.on_new_era()
+
+    def _era_of(self, reply: HttpResponse) -> int:
+        """Returns the era of a response; the latest one if it states none."""
+        value = reply.headers.get(_ERA, "")
+        if value.isdecimal():
+            return int(value)
+        if value:
+            self._warn("store_era_unreadable", found=value[:80])
+        return self.era
 
     def _update_clock_offset(self, response: _Response, sent_at: float) -> None:
         # The store read its clock after the call was sent, so the difference is
@@ -299,13 +360,14 @@
         )
 
 
-def _row(raw: _Row) -> ServerRow:
+def _row(raw: _Row, era: int) -> ServerRow:
+    version = storeversion.make(era, raw.version)
     if raw.deleted:
-        return ServerRow(raw.key, raw.version, None)
+        return ServerRow(raw.key, version, None)
     try:
         data = base64.b64decode(raw.data, validate=True)
     except ValueError:
         # One malformed row must not hide the others of its page. The decoder
         # of the row's content reports it.
         data = b""
-    return ServerRow(raw.key, raw.version, data)
+    return ServerRow(raw.key, version, data)
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -2,8 +2,9 @@
 
 This module does no I/O: it is given rows, snapshots and the time, and keeps the
 newest state of each. Updates come from the platform's store or, while that is
-unreachable, from other instances. Both carry the store's version, so the newer
-update wins whichever way it arrived.
+unreachable, from other instances. Servers' rows carry the store's version, so
+the newer update wins whichever way it arrived. Configurations are ordered by
+the operator's own version, which the store cannot lose.
 
 A missing row means either that the server has left, or that a living server
 could not renew its row because the store was unreachable. An instance that has
@@ -11,6 +12,10 @@
 server without a row there has left. An instance that lost the store keeps such
 a server until a settled list lacks it, or until the store has been reachable
 again for long enough.
+
+The store may come back from an older copy of its data, which begins a new era
+of its versions (see `storeversion`). A row that is missing there is treated as
+after an outage.
 """
 
 import collections
@@ -20,6 +25,7 @@
 
 import xxhash
 
+from jasminerelay import storeversion
 from jasminerelay.catalog import BackendServer, Catalog
 from jasminerelay.schema.messages import ReplicaStatus, ServerRow, StoreSnapshot
 
@@ -28,6 +34,11 @@
 the store is reachable again. A living server renews its row within two seconds,
 and one that has left must not receive requests for long."""
 
+RESTORED_ROW_GRACE_S = 5.0
+"""How long the row of a server that had been removed gets no requests after the
+store has come back with it. A server that has left is removed again after three
+heartbeats, less than two seconds each."""
+
 MAX_HISTORY = 1024
 """Limit on remembered incarnations that were replaced, on remembered removals
 and on remembered announcements of shutdowns. It covers a restart of each of 600
@@ -123,6 +134,10 @@
         self._unreadable_rows: dict[str, int] = {}
         self._store_contact = StoreStatus.REACHABLE
         self._store_reachable_since: float | None = None
+        self._era: int | None = None
+        self._first_era = 0
+        self._era_entered_at: float | None = float("-inf")
+        self._restored: set[str] = set()
         self._had_outage = False
         self._settled_list_version = 0
         self._digest = 0
@@ -153,12 +168,23 @@
     def standing(self) -> ReplicaStatus:
         """The versions and the digest of this registry, for other instances."""
         return ReplicaStatus(
-            self._configuration[0],
-            self._servers_version,
+            storeversion.number_of(self._configuration[0]),
+            storeversion.number_of(self._servers_version),
             self._digest,
             self._store_contact,
+            servers_era=storeversion.era_of(self._servers_version),
+            catalog_version=self._catalog_version,
         )
 
+    @property
+    def _catalog_version(self) -> int:
+        return self.catalog.version if self.catalog is not None else 0
+
+    @property
+    def configuration_row_version(self) -> int:
+        """The store's newest version of a readable configuration row."""
+        return self._configuration[0]
+
     def servers_of(self, service: str) -> list[BackendServer]:
         """Returns the servers of a service that accept new requests."""
         return self._by_service.get(service, [])
@@ -183,7 +209,10 @@
         return [held.server for held in self._entries.values()]
 
     def has_announced_drain(self, server_id: str) -> bool:
-        """Returns whether a server has announced that it shuts down."""
+        """Returns whether a server has announced that it shuts down.
+
+        In a response, or in a row that the store may have lost since.
+        """
         return server_id in self._announced_drains
 
     def announce_drain(self, server_id: str) -> ServerChange | None:
@@ -195,9 +224,7 @@
         Returns:
             The effect; None if the server is unknown or was draining already.
         """
-        self._announced_drains[server_id] = None
-        if len(self._announced_drains) > MAX_HISTORY:
-            self._announced_drains.popitem(last=False)
+        self._record_drain(server_id)
         before = self.server(server_id)
         if before is None or before.draining:
             return None
@@ -211,22 +238,58 @@
         """Applies a configuration; returns whether it replaced the current one.
 
         An older configuration is ignored: within the life of a process the
-        configuration never goes back.
+        configuration never goes back, also if the store does.
 
         Raises:
             ValueError: if it cannot be decoded.
         """
-        if version <= self._configuration[0]:
+        self._enter_era(storeversion.era_of(version))
+        held_version, held_data = self._configuration
+        newest = max(version, held_version)
+        if data == held_data:
+            self._configuration = (newest, held_data)
             return False
-        self._unreadable_configuration_version = version
+        unreadable = self._unreadable_configuration_version
+        self._unreadable_configuration_version = max(unreadable, version)
         catalog = self._decode_catalog(data)
-        self._unreadable_configuration_version = 0
-        if self.catalog is not None and catalog.version < self.catalog.version:
+        self._unreadable_configuration_version = unreadable
+        if self.catalog is not None and (
+            (catalog.version, version) <= (self.catalog.version, held_version)
+        ):
+            self._configuration = (newest, held_data)
             return False
-        self._configuration = (version, data)
+        self._configuration = (newest, data)
         self.catalog = catalog
         return True
 
+    def _enter_era(self, era: int) -> None:
+        """Records the store's era of a version.
+
+        A server whose row was written since the copy that the store came back
+        from has no row until it writes it again, as after an outage. One that
+        was draining may have an older row there.
+        """
+        if self._era is None:
+            self._era = self._first_era = era
+        if era <= self._era:
+            return
+        self._era = era
+        self._era_entered_at = None
+        self._had_outage = True
+        for held in self._entries.values():
+            if held.server.draining:
+                self._record_drain(held.server.id)
+        if self._store_contact is StoreStatus.SETTLED:
+            self._store_contact = StoreStatus.REACHABLE
+
+    def _version_at(self, era: int, number: int) -> int:
+        """Returns the version that another instance states.
+
+        An instance of a version without eras means the first one: it goes on
+        with the versions of before if the store comes back from a copy.
+        """
+        return storeversion.make(self._first_era if era < 0 else era, number)
+
     def holds_configuration(self, data: bytes) -> bool:
         """Returns whether this is the encoded configuration in force."""
         return data == self._configuration[1]
@@ -253,6 +316,8 @@
             or row.id in self._entries
             or row.version >= max(since, dropped.get(row.id, 0))
         ]
+        # A server that has written its row again is alive.
+        self._restored -= {row.id for row in current}
         return self._apply(current, version)
 
     def _apply(
@@ -277,8 +342,13 @@
             return []
         rows = list(rows)
         present = {row.id for row in rows}
-        if self._removals_complete_since is None:
+        era = storeversion.era_of(version)
+        self._enter_era(era)
+        complete_since = self._removals_complete_since
+        if complete_since is None or storeversion.era_of(complete_since) < era:
             self._removals_complete_since = version
+            # The copy may hold rows of servers that have left since.
+            self._restored = present & self._removals.keys()
         gone = [
             ServerRow(name, version, None)
             for name in self._entries
@@ -302,7 +372,18 @@
     def expire(self, now: float) -> list[BackendServer]:
         """Removes servers that did not renew their row after an outage."""
         since = self._store_reachable_since
-        if since is None or now < since + RETURN_GRACE_S:
+        if self._era_entered_at is None:
+            self._era_entered_at = now
+        if (
+            self._restored
+            and now >= self._era_entered_at + RESTORED_ROW_GRACE_S
+        ):
+            self._restored.clear()
+            self._rebuild()
+        if (
+            since is None
+            or now < max(since, self._era_entered_at) + RETURN_GRACE_S
+        ):
             return []
         self._store_contact = StoreStatus.SETTLED
         lapsed = [self._entries.pop(name) for name in self._lapsed]
@@ -315,22 +396,36 @@
 
     def is_behind(self, other: ReplicaStatus) -> bool:
         """Returns whether an instance with this standing has newer state."""
-        if other.configuration_version > self._configuration[0]:
+        if self.lacks_configuration_of(other):
             return True
-        if (
-            self._digest_mismatch
-            and other.servers_version >= self._servers_version
-        ):
+        version = self._version_at(other.servers_era, other.servers_version)
+        if self._digest_mismatch and version >= self._servers_version:
             return True
-        if (
-            other.servers_version > self._servers_version
-            and other.servers_digest != self._digest
+        if version > self._servers_version and (
+            other.servers_digest != self._digest
+            or storeversion.era_of(version) != self._era
         ):
             return True
         return other.touch == StoreStatus.SETTLED and self._needs_settled_list(
-            other.servers_version
+            version
         )
 
+    def lacks_configuration_of(self, other: ReplicaStatus) -> bool:
+        """Returns whether another instance has a newer configuration."""
+        if other.catalog_version >= 0:
+            return other.catalog_version > self._catalog_version
+        version = self._version_at(-1, other.configuration_version)
+        return version > self._configuration[0]
+
+    def shares_era_with(self, other: ReplicaStatus) -> bool:
+        """Returns whether another instance's data is of the same era.
+
+        One that has not noticed that the store came back from a copy considers
+        its data newer than all that the store accepts for a while.
+        """
+        version = self._version_at(other.servers_era, other.servers_version)
+        return storeversion.era_of(version) == (self._era or 0)
+
     @property
     def delta_base_version(self) -> int:
         """Version since which a delta is sufficient; 0 to fetch all rows.
@@ -343,7 +438,10 @@
         return self._servers_version
 
     def export_snapshot(
-        self, receiver_version: int = 0, since: int = 0
+        self,
+        receiver_version: int = 0,
+        since: int = 0,
+        receiver_catalog: int = -1,
     ) -> StoreSnapshot:
         """Returns this registry's state for another instance.
 
@@ -355,8 +453,16 @@
             since: The store's version up to which the receiver has all rows; 0
                 for a full snapshot. Of thousands of rows a few change at a
                 time.
+            receiver_catalog: The operator's version of the receiver's
+                configuration, which decides in place of `receiver_version`; -1
+                if the receiver does not state it.
         """
         version, data = self._configuration
+        number = storeversion.number_of(version)
+        if receiver_catalog >= 0:
+            is_newer = self._catalog_version > receiver_catalog
+        else:
+            is_newer = number > receiver_version
         if (
             self._removals_complete_since is None
             or since < self._removals_complete_since
@@ -364,18 +470,51 @@
             since = 0
         gone = [name for name, at in self._removals.items() if at > since]
         return StoreSnapshot(
-            version,
-            data if version > receiver_version else b"",
-            self._servers_version,
+            number,
+            data if is_newer else b"",
+            storeversion.number_of(self._servers_version),
             [
-                held.row
+                dataclasses.replace(
+                    held.row,
+                    version=storeversion.number_of(held.row.version),
+                )
                 for name, held in self._entries.items()
                 if name not in self._lapsed and held.row.version > since
             ],
             self._store_contact is StoreStatus.SETTLED,
-            since,
+            storeversion.number_of(since),
             gone if since else [],
             self._digest,
+            servers_era=storeversion.era_of(self._servers_version),
+            configuration_era=storeversion.era_of(version),
+        )
+
+    def version_of_request(self, era: int, number: int) -> int:
+        """Returns the version up to which a requester of a snapshot has rows.
+
+        Args:
+            era: The era that it states; -1 if it states none.
+            number: The number that it states; 0 for a full snapshot.
+        """
+        return self._version_at(era, number) if number else 0
+
+    def _with_eras(self, snapshot: StoreSnapshot) -> StoreSnapshot:
+        """Returns a snapshot in which numbers are replaced by versions."""
+        era = snapshot.servers_era
+        since = snapshot.since
+        return dataclasses.replace(
+            snapshot,
+            configuration_version=self._version_at(
+                snapshot.configuration_era, snapshot.configuration_version
+            ),
+            servers_version=self._version_at(era, snapshot.servers_version),
+            servers=[
+                dataclasses.replace(
+                    row, version=self._version_at(era, row.version)
+                )
+                for row in snapshot.servers
+            ],
+            since=self._version_at(era, since) if since else 0,
         )
 
     def merge_snapshot(self, snapshot: StoreSnapshot) -> list[ServerChange]:
@@ -384,10 +523,13 @@
         Raises:
             ValueError: if its configuration cannot be decoded.
         """
+        snapshot = self._with_eras(snapshot)
         if snapshot.configuration:
             self.apply_configuration(
                 snapshot.configuration_version, snapshot.configuration
             )
+        if snapshot.servers_version > self._servers_version:
+            self._enter_era(storeversion.era_of(snapshot.servers_version))
         if snapshot.since:
             return self._merge_changes(snapshot)
         changes = self._apply_settled_list(snapshot) if snapshot.settled else []
@@ -482,6 +624,11 @@
             return None
         return ServerChange(row, before, server)
 
+    def _record_drain(self, server_id: str) -> None:
+        self._announced_drains[server_id] = None
+        if len(self._announced_drains) > MAX_HISTORY:
+            self._announced_drains.popitem(last=False)
+
     def _apply_unreadable(
         self, row: ServerRow, held: _Entry | None, why: str
     ) -> ServerChange | None:
@@ -527,6 +674,7 @@
 
     def _remove(self, row: ServerRow) -> ServerChange:
         self._lapsed.discard(row.id)
+        self._restored.discard(row.id)
         self._record_removal(row.id, row.version)
         return ServerChange(row, self._entries.pop(row.id).server, None)
 
@@ -545,8 +693,13 @@
         for name in sorted(self._entries):
             held = self._entries[name]
             if name not in self._lapsed:
-                digest.update(f"{name}:{held.row.version};".encode())
-            if held.usable and not held.server.draining:
+                number = storeversion.number_of(held.row.version)
+                digest.update(f"{name}:{number};".encode())
+            if (
+                held.usable
+                and not held.server.draining
+                and name not in self._restored
+            ):
                 service = held.server.service
                 self._by_service.setdefault(service, []).append(held.server)
         self._ids = {
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -244,6 +244,8 @@
     since: int = 0
     gone: list[str] = field(default_factory=list)
     servers_digest: int = 0
+    servers_era: int = -1
+    configuration_era: int = -1
 
 
 @dataclass(frozen=True)
@@ -257,6 +259,8 @@
     servers_digest: int
     touch: int = 1
     age_ms: int = -1
+    servers_era: int = -1
+    catalog_version: int = -1
 
 
 @dataclass(frozen=True)
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from jasminerelay import storeversion
 from jasminerelay.catalog import BackendServer
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
@@ -177,6 +178,13 @@
             self._aborted_at = now
             self._abort_waiting_calls()
 
+    def on_new_era(self) -> None:
+        """Aborts waiting calls because the store came back from a copy.
+
+        They wait for changes after a version that means another one now.
+        """
+        self._abort_waiting_calls()
+
     def check(self) -> None:
         """Aborts waiting calls because another instance has lost the store.
 
@@ -410,25 +418,17 @@
             self._log.warn(
                 "configuration",
                 version=self._registry.catalog.version,
-                row_version=version,
-                source=source,
-            )
-        elif version > self._registry.standing.configuration_version:
-            # The row is newer, but its configuration is older than the one in
-            # force, which never goes back.
-            self._log.warn(
-                "configuration_passed_over",
-                version=self._registry.catalog.version,
-                row_version=version,
+                row_version=storeversion.number_of(version),
                 source=source,
             )
         elif not self._registry.holds_configuration(data):
-            # Its version is not newer, although its content is another one.
+            # The row holds an older configuration than the one in force, which
+            # never goes back.
             self._log.warn(
-                "configuration_ignored",
+                "configuration_passed_over",
                 version=self._registry.catalog.version,
-                row_version=version,
-                held=self._registry.standing.configuration_version,
+                row_version=storeversion.number_of(version),
+                era=storeversion.era_of(version),
                 source=source,
             )
 
@@ -438,8 +438,8 @@
             self._counters.incr("store.older_read")
             self._log.info(
                 "servers_ignored",
-                read_version=page.version,
-                held=self._registry.servers_version,
+                read_version=storeversion.number_of(page.version),
+                held=storeversion.number_of(self._registry.servers_version),
             )
             return False
         self._apply(page, self._registry.apply_full_read)
@@ -478,7 +478,7 @@
                 self._log.warn(
                     "server_unreadable",
                     server=change.row.id,
-                    row_version=change.row.version,
+                    row_version=storeversion.number_of(change.row.version),
                     why=change.why,
                     source=source,
                 )
@@ -490,7 +490,7 @@
                 "server",
                 server=(change.after or change.before).id,
                 state=_state(change),
-                row_version=change.row.version,
+                row_version=storeversion.number_of(change.row.version),
                 source=source,
             )
 
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -289,7 +289,7 @@
         good = base64.b64encode(msgspec.json.encode(ENTRY)).decode()
         well_formed = storeclient._Row(key="c", version=3, data=good)
         self.followed.take(
-            storeclient._row(malformed_row), storeclient._row(well_formed)
+            storeclient._row(malformed_row, 0), storeclient._row(well_formed, 0)
         )
         self.assertEqual(len(self.followed.ids()), 2)
         self.assertEqual(self.unreadable(), 1)
--- a/tests/test_staleversions.py
+++ b/tests/test_staleversions.py
@@ -50,6 +50,28 @@
         self.simulate(SEEDS[:3], 30)
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The same, where the store also comes back from older copies."""
+
+    def simulate(self, seeds, count: int) -> None:
+        """Simulates seeds with a number of instances."""
+        for seed in seeds:
+            with self.subTest(seed=seed, count=count):
+                world = World(self, seed, count, restores=True)
+                virtualtime.run(world.run, (storefollowing, followerroles))
+
+    def test_few_instances(self) -> None:
+        # Guards against changes that are passed over since their versions were
+        # given out before, and against data of before the return that counts
+        # as newer or as confirmed, at any instance and on any way.
+        self.simulate(SEEDS, 6)
+
+    def test_many_instances(self) -> None:
+        # The same where most instances hear of the return from others.
+        self.simulate(SEEDS[:2], 30)
+        self.simulate(SEEDS[:1], 200)
+
+
 class BoundTest(unittest.TestCase):
     """The bound in each case that leaves an instance without updates."""
 
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from jasminerelay import followerroles
+from jasminerelay import followerroles, storeversion
 from jasminerelay.errors import StoreError
 from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness
@@ -29,6 +29,7 @@
     INDIRECT_BATCH_PAUSE_S,
     LEADER_LONG_POLL_S,
     FollowMode,
+    HistoryGoneError,
     RegistryFeed,
     StoreMonitor,
     TableFollower,
@@ -72,15 +73,21 @@
     def __init__(self) -> None:
         self.up = True
         self.up_since = 0.0
-        self.version = 0
+        self.era = 0
+        self.number = 0
         self.configuration = 0
         self.rows: list[tuple[str, ServerRow]] = []
         self.accepted: list[tuple[float, int]] = []
         self._changed = anyio.Event()
 
-    def write_configuration(self) -> None:
-        """Accepts a new configuration."""
-        self.configuration += 1
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return storeversion.make(self.era, self.number)
+
+    def write_configuration(self, *, again: bool = False) -> None:
+        """Accepts a new configuration, or the newest one again."""
+        self.configuration += not again
         self._put("op", "config", str(self.configuration).encode())
         self.accepted.append((now(), self.configuration))
 
@@ -88,6 +95,33 @@
         """Accepts a server's row."""
         self._put("servers", name, b"pool:ready")
 
+    def restore(self, lost_s: float) -> None:
+        """Comes back in a new era, without what was accepted lately."""
+        kept_until = now() - lost_s
+        kept = [x for x in self.accepted if x[0] <= kept_until]
+        kept = kept or self.accepted[:1]
+        newest = str(kept[-1][1]).encode()
+        last = max(
+            number
+            for number, (table, row) in enumerate(self.rows)
+            if table == "op" and row.data == newest
+        )
+        self.accepted = kept
+        self.era += 1
+        self.rows = [
+            (
+                table,
+                dataclasses.replace(
+                    row,
+                    version=storeversion.make(
+                        self.era, storeversion.number_of(row.version)
+                    ),
+                ),
+            )
+            for table, row in self.rows[: last + 1]
+        ]
+        self.number = storeversion.number_of(self.rows[-1][1].version)
+
     def page(self, table: str, after: int) -> TablePage:
         """Returns the newest row of each key that changed after a version."""
         found = {
@@ -99,13 +133,16 @@
 
     async def changes(self, table: str, after: int, wait_s: float) -> TablePage:
         """Waits for a change."""
+        era = storeversion.era_of(after)
         with anyio.move_on_after(wait_s):
-            while not self.page(table, after).rows:
+            while self.era == era and not self.page(table, after).rows:
                 await self._changed.wait()
+        if after and (self.era != era or after > self.version):
+            raise HistoryGoneError("the store came back from a copy")
         return self.page(table, after)
 
     def _put(self, table: str, key: str, data: bytes) -> None:
-        self.version += 1
+        self.number += 1
         self.rows.append((table, ServerRow(key, self.version, data)))
         self._changed.set()
         self._changed = anyio.Event()
@@ -135,6 +172,7 @@
         with anyio.move_on_after(wait_s + CALL_TIMEOUT_S):
             if node.reaches_store:
                 await anyio.sleep(ANSWER_DELAY_S)
+                node.see_era(store.era)
                 page = await store.changes(self._name, after, wait_s)
                 if silent == node.unanswered_count:
                     return page
@@ -162,6 +200,7 @@
         self.linked = True
         self.linked_since = now()
         self.refused = False
+        self.era = world.store.era
         self.part = 0
         self.joined_at = now()
         self.scope = anyio.CancelScope()
@@ -220,6 +259,12 @@
             now()
         )
 
+    def see_era(self, era: int) -> None:
+        """Processes the store's era, which all its answers state."""
+        if era > self.era:
+            self.era = era
+            self.state.on_new_era()
+
     async def run(self) -> None:
         """Runs until its scope is cancelled."""
         with self.scope:
@@ -307,6 +352,8 @@
         seed: int,
         count: int,
         scenario: Callable[["World"], Awaitable[None]] | None = None,
+        *,
+        restores: bool = False,
     ):
         """Creates the world.
 
@@ -316,7 +363,9 @@
             count: Number of instances.
             scenario: Events instead of randomly drawn faults; the simulation
                 ends with it.
+            restores: Whether the store also comes back from older copies.
         """
+        self._restores = restores
         self._test = test
         self._scenario = scenario
         self._count = count
@@ -397,6 +446,7 @@
             self._cut_off,
             self._partition_zone,
             self._replace,
+            *([self._restore] * 3 if self._restores else []),
         )
         while True:
             await anyio.sleep(self.rng.uniform(1.0, 6.0))
@@ -416,6 +466,20 @@
         self.store.up_since = now()
         self.store.write_configuration()
 
+    async def _restore(self) -> None:
+        """Lets the store come back from a copy; the operator writes again."""
+        for _ in range(self.rng.choice((1, 1, 2))):
+            for node in self.nodes.values():
+                self.leave_calls_unanswered(node)
+            self.store.up = False
+            await anyio.sleep(self.rng.uniform(0.05, 3.0))
+            self.store.restore(self.rng.uniform(0.0, 8.0))
+            self.store.up = True
+            self.store.up_since = now()
+            await anyio.sleep(self.rng.uniform(0.0, 1.0))
+        self.store.write_configuration(again=True)
+        self.store.up_since = now()
+
     async def _cut_off(self) -> None:
         """Cuts some instances off from the store, mostly followers."""
         zone = f"z{self.rng.randrange(3)}"
