Write again what the store has lost, and guard the duties over its return

Change, by table: the instances write their rows again, spread over a second; the leader writes the blocked requests again; the fencing token is the version with its era, so it goes on rising; a lease in a copy, or none, counts as written when the instance first saw the era, so nobody takes it while the latest holder may still act; a write whose condition was met in another era is no lease; a usage report that may have been decided by then is not decided again (a missing report is priced, two different ones break a rule). Orders of servers keep nothing in the store. A process that first sees the store after its return, finds no lease row and becomes a coordinator takes the lease at once: suspected, not mended.

--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -379,6 +379,11 @@
             for member in members:
                 self.send(member, message)
 
+    def save_again(self) -> None:
+        """Writes all blocked requests again, since the store has lost some."""
+        for name in self.ledger.all_blocked:
+            self._request_save(name)
+
     def _request_save(self, name: str) -> None:
         self._unsaved.add(name)
         self._save_requested.set()
--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -225,6 +225,11 @@
         demand = self._demand.total(service, time.monotonic())
         return sum(item.work for item in demand)
 
+    def on_store_restored(self) -> None:
+        """Handles that the store has come back from a copy of its data."""
+        if self.reports is not None:
+            self.reports.on_store_restored()
+
     def stop(self) -> None:
         """Marks this instance as shutting down."""
         self._stopping = True
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -87,6 +87,10 @@
 """Pause between writing this instance's row and reading the others', so that
 instances that start together find each other with one read."""
 
+REGISTER_SPREAD_S = 1.0
+"""Time over which the instances write their rows again after the store has lost
+them."""
+
 INSTANCES_POLL_S = 60.0
 """Interval of reading the instances' rows again, in case no datagram between
 this instance and the others arrived at the start."""
@@ -226,6 +230,7 @@
         self.client = HttpClient(self._watchdog, keepalive=True)
         store = self._store = Store(self.client, boot.store, self._warn)
         store.on_new_era = self._on_store_restored
+        self._register_again = anyio.Event()
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
             self.registry, self._freshness, self.log
@@ -587,12 +592,18 @@
     def _on_store_restored(self) -> None:
         """Handles that the store has come back from a copy of its data."""
         self._store_state.on_new_era()
+        self._register_again.set()
+        if self._follower_role.is_leader:
+            self._crashes.save_again()
+        if self._duties is not None:
+            self._duties.on_store_restored()
 
     async def _discover_peers(self) -> None:
         registered = False
         while True:
             try:
                 if not registered:
+                    self._register_again = anyio.Event()
                     await self._instance_table.register(self.boot.peers)
                     registered = True
                     await anyio.sleep(REGISTER_PAUSE_S)
@@ -600,7 +611,11 @@
                     await self._instance_table.addresses()
                 )
                 self._store_state.succeeded("instances")
-                await anyio.sleep(INSTANCES_POLL_S)
+                with anyio.move_on_after(INSTANCES_POLL_S):
+                    await self._register_again.wait()
+                    registered = False
+                    # All instances see the new era within milliseconds.
+                    await anyio.sleep(self._rng.uniform(0.0, REGISTER_SPREAD_S))
             except StoreError as exc:
                 self._store_state.failed("instances", exc.message)
                 await anyio.sleep(self._rng.uniform(0.5, 1.5))
--- a/src/jasminerelay/platform/tables.py
+++ b/src/jasminerelay/platform/tables.py
@@ -1,11 +1,11 @@
 """Tables of the platform's store that an instance reads and writes."""
 
 import dataclasses
-import math
 import time
 
 import msgspec
 
+from jasminerelay import storeversion
 from jasminerelay.eventlog import EventLog
 from jasminerelay.fencing import LeaseRow
 from jasminerelay.platform.storeclient import Condition, NewRow, Store
@@ -107,6 +107,11 @@
     the lease is unchanged. Only the lease holder can therefore finalize a
     report, and the next holder finds the same counts.
 
+    If the store comes back from a copy, the lease there may be an older one
+    whose holder is another instance, while the latest holder still acts under
+    the one that was lost. It then counts as written just when this instance
+    has first seen the store's new era.
+
     Attributes:
         reports: Counts of the windows whose reports are final, by window.
     """
@@ -126,6 +131,10 @@
         self, expect: int, row: LeaseRow, extra: UsageReport | None = None
     ) -> tuple[bool, _StoredLease]:
         """Writes the lease and, in the same transaction, the report if any."""
+        era = self._store.era
+        if expect and storeversion.era_of(expect) != era:
+            # The number may be another write's in the store's new era.
+            return False, await self.read()
         at_ms = self._store.latest_store_now_s() * MS_PER_S
         body = msgspec.json.encode(_LeaseBody(row, at_ms))
         conditions = [Condition(DUTIES_TABLE, LEASE_KEY, expect)]
@@ -141,6 +150,10 @@
         if not done.done:
             self._record_reports(done.rows)
             return False, self._stored_lease(done.rows, done.now_s)
+        if storeversion.era_of(done.version) != era:
+            # The condition was met by a row of the new era that may have
+            # another holder.
+            return False, _StoredLease(done.version, None, 0.0)
         if extra is not None:
             self.reports[extra.window] = extra.counts
         return True, _StoredLease(done.version, row, 0.0)
@@ -167,8 +180,12 @@
         self, rows: tuple[ServerRow, ...], now_s: float
     ) -> _StoredLease:
         found = next((x for x in rows if x.id == LEASE_KEY), None)
+        max_age_s = self._store.era_age_s
         if found is None or found.data is None:
-            return _StoredLease(0, None, math.inf)
+            # The store may have lost the row of a lease that is still held.
+            new_era = self._store.has_new_era
+            absent = storeversion.make(self._store.era, 0) if new_era else 0
+            return _StoredLease(absent, None, max_age_s)
         try:
             body = msgspec.json.decode(found.data, type=_LeaseBody)
         except msgspec.MsgspecError as exc:
@@ -176,9 +193,9 @@
             self._log.warn("lease_unreadable", why=str(exc))
             return _StoredLease(found.version, None, 0.0)
         if body.row.given_up:
-            return _StoredLease(found.version, body.row, math.inf)
+            return _StoredLease(found.version, body.row, max_age_s)
         age_s = max(0.0, now_s - body.at_ms / MS_PER_S)
-        return _StoredLease(found.version, body.row, age_s)
+        return _StoredLease(found.version, body.row, min(age_s, max_age_s))
 
 
 def _report_key(window: int) -> str:
--- a/src/jasminerelay/usagereports.py
+++ b/src/jasminerelay/usagereports.py
@@ -66,6 +66,16 @@
         self._log = log
         self._sent: set[int] = set()
         self._missed: set[int] = set()
+        self._undecidable_to = -1
+
+    def on_store_restored(self) -> None:
+        """Handles that the store has come back from a copy of its data.
+
+        It may have lost reports that another holder decided and sent. Windows
+        whose reports may have been decided by now are not decided here.
+        """
+        # True time differs between instances by less than a window.
+        self._undecidable_to = self._last_due_window() + 1
 
     def on_lease_taken(self) -> None:
         """Resets the state after this instance has taken the lease."""
@@ -84,32 +94,38 @@
 
     def _due_windows(self) -> list[int]:
         """Returns the windows whose reports may be decided and are in time."""
-        now = self._true_s()
-        decide_after_s = self._late_s * DECIDE_AFTER_SHARE
-        last = int((now - decide_after_s) // self._window_s) - 1
-        first = int((now - self._late_s) // self._window_s)
+        last = self._last_due_window()
+        first = int((self._true_s() - self._late_s) // self._window_s)
         self._sent = {x for x in self._sent if x >= first}
         self._missed = {x for x in self._missed if x >= first}
         return list(range(first, last + 1))
 
+    def _last_due_window(self) -> int:
+        decide_after_s = self._late_s * DECIDE_AFTER_SHARE
+        return int((self._true_s() - decide_after_s) // self._window_s) - 1
+
     async def _decide(self, window: int) -> None:
+        if window <= self._undecidable_to:
+            self._record_miss(
+                window, "the store may have lost another holder's report"
+            )
+            return
         if not self._ledger.complete(window):
-            self._record_miss(window)
+            self._record_miss(
+                window,
+                "this instance has not received all usage of the window",
+            )
             return
         report = UsageReport(window, self._ledger.counts(window))
         if await self._caller.decide(report):
             self._counters.incr("usage.decided")
 
-    def _record_miss(self, window: int) -> None:
+    def _record_miss(self, window: int, why: str) -> None:
         if window in self._missed:
             return
         self._missed.add(window)
         self._counters.incr("usage.missed")
-        self._log.warn(
-            "usage_missed",
-            window=window,
-            why="this instance has not received all usage of the window",
-        )
+        self._log.warn("usage_missed", window=window, why=why)
 
     async def _send(self, report: UsageReport) -> None:
         done = await self._caller.report(report)
--- a/tests/test_platformduties.py
+++ b/tests/test_platformduties.py
@@ -1,10 +1,12 @@
 """Duties on the platform's interface: settings, calls, rows and reports."""
 
 import json
+import types
 import unittest
 
 import anyio
 
+from jasminerelay import storeversion
 from jasminerelay.dutycalls import CallResult
 from jasminerelay.errors import StoreError
 from jasminerelay.fencing import LeaseRow
@@ -19,7 +21,8 @@
 from jasminerelay.platform.storeclient import Store
 from jasminerelay.platform.tables import DutyTable
 from jasminerelay.scaling import ServerOrder
-from jasminerelay.usage import UsageReport
+from jasminerelay.usage import UsageLedger, UsageReport
+from jasminerelay.usagereports import UsageReporter
 from standins.platformsite import MODEL_BACKEND, SiteOptions
 from standins.platformstore import PlatformStore
 from tests.instanceworld import Quiet
@@ -211,11 +214,15 @@
             self.lose_next = False
             raise IncompleteExchangeError("lost")
         body = b"".join(item.get("body", b"") for item in sent[1:])
-        return HttpResponse(sent[0]["status"], {}, body)
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in sent[0]["headers"]
+        }
+        return HttpResponse(sent[0]["status"], headers, body)
 
 
-class DutyTableTest(unittest.IsolatedAsyncioTestCase):
-    """The lease and the decided reports in the store."""
+class DutyTableCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with the tables of two instances."""
 
     def setUp(self) -> None:
         self.store = PlatformStore()
@@ -226,6 +233,10 @@
         """Returns an instance's access to the table."""
         return DutyTable(Store(self.client, "x"), Quiet())
 
+
+class DutyTableTest(DutyTableCase):
+    """The lease and the decided reports in the store."""
+
     async def test_write_needs_the_current_version(self) -> None:
         first, second = self.tables
         await first.read()
@@ -273,6 +284,107 @@
         self.assertEqual((await second.read()).age_s, float("inf"))
 
 
+class RestoredDutyTableTest(DutyTableCase):
+    """The same table after the store has come back from a copy."""
+
+    async def test_lost_lease_is_not_free_at_once(self) -> None:
+        # Guards against a second holder while the first still acts under a
+        # lease that the store has lost.
+        first, second = self.tables
+        await second.read()
+        copy = self.store.copy()
+        await first.read()
+        await first.write(0, LeaseRow("a", "a/1", "t1"))
+        self.store.restore(copy)
+        found = await second.read()
+        self.assertNotEqual(found.version, 0)
+        self.assertLess(found.age_s, 1.0)
+        done, _ = await second.write(found.version, LeaseRow("b", "b/1", "t2"))
+        self.assertTrue(done)
+
+    async def test_older_lease_counts_from_the_return(self) -> None:
+        first, second = self.tables
+        await first.read()
+        _, held = await first.write(
+            0, LeaseRow("a", "a/1", "t1", given_up=True)
+        )
+        await second.read()
+        copy = self.store.copy()
+        await first.write(held.version, LeaseRow("a", "a/1", "t2"))
+        self.store.restore(copy)
+        self.assertLess((await second.read()).age_s, 1.0)
+
+    async def test_version_of_another_write(self) -> None:
+        # Guards against a lease that is renewed over another instance's, since
+        # that has the same number in the new era.
+        first, second = self.tables
+        await first.read()
+        copy = self.store.copy()
+        _, held = await first.write(0, LeaseRow("a", "a/1", "t1"))
+        self.store.restore(copy)
+        found = await second.read()
+        _, taken = await second.write(found.version, LeaseRow("b", "b/1", "t2"))
+        self.assertEqual(
+            storeversion.number_of(taken.version),
+            storeversion.number_of(held.version),
+        )
+        # The first learns of the era by the answer to its write.
+        done, found = await first.write(
+            held.version, LeaseRow("a", "a/1", "t3")
+        )
+        self.assertFalse(done)
+        done, _ = await first.write(found.version, LeaseRow("a", "a/1", "t4"))
+        self.assertTrue(done)
+
+    async def test_fencing_token_goes_on_rising(self) -> None:
+        first, second = self.tables
+        await first.read()
+        copy = self.store.copy()
+        for _ in range(5):
+            await first.read()
+            found = await first.read()
+            _, held = await first.write(
+                found.version, LeaseRow("a", "a/1", "t")
+            )
+        self.store.restore(copy)
+        found = await second.read()
+        _, taken = await second.write(found.version, LeaseRow("b", "b/1", "t2"))
+        self.assertGreater(taken.version, held.version)
+
+
+class RestoredUsageTest(unittest.TestCase):
+    """Usage reports that the store may have lost."""
+
+    def test_windows_due_before_the_return_are_not_decided(self) -> None:
+        # Guards against a second report of a window with other counts, since
+        # the store has lost the one that another holder decided and sent.
+        decided = []
+
+        async def decide(report) -> bool:
+            decided.append(report.window)
+            return True
+
+        now = 1000.0
+        ledger = UsageLedger()
+        ledger.mark_complete_from(0)
+        reporter = UsageReporter(
+            types.SimpleNamespace(decide=decide),
+            types.SimpleNamespace(reports={}),
+            ledger,
+            5.0,
+            10.0,
+            lambda: now,
+            Quiet(),
+            Quiet(),
+        )
+        reporter.on_store_restored()
+        anyio.run(reporter.serve)
+        self.assertEqual(decided, [])
+        now = 1010.0
+        anyio.run(reporter.serve)
+        self.assertEqual(decided, [200])
+
+
 class ReportsTest(PlatformCase):
     """Instances on the platform's interface report the requests started."""
 
