Let the randomised run announce shutdowns, request pauses and restore the store

The stand-ins could do it; the run of processes on the platform's interface now draws it, overlapping with all other faults, and checks it by what callers and servers saw: no request sent 2 s after an instance passed on an announcement reaches that server, at most two reach a server in the rest of a pause, each instance serves a new route 2 s after the store accepted it once all faults are over. Excused as on the users' page: signals and starts of the instance, and faults of the server's link for pauses. The stand-in store writes again what the operator and the servers wrote also if its history was discarded since.

--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -85,6 +85,10 @@
         journal: Requests that it ran.
         arrival_times: Times at which requests arrived, also rejected ones.
         rejection_times: Times at which requests were rejected.
+        arrivals: Times and attempts of the requests that arrived.
+        announcements: Attempts whose answers announced the shutdown.
+        pause_requests: Times and attempts of the rejections that requested a
+            pause, with its length in seconds.
         max_running: Maximum number of requests that ran at once.
         running: Number of requests that run now.
         move_count: Number of requests that were moved to another server.
@@ -97,6 +101,9 @@
         self.journal: list[ServedRequest] = []
         self.arrival_times: list[float] = []
         self.rejection_times: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.announcements: list[str] = []
+        self.pause_requests: list[tuple[float, str, float]] = []
         self.max_running = 0
         self.running = 0
         self.move_count = 0
@@ -113,7 +120,10 @@
         if body is None:
             return
         attempt = headers.get("attempt-id", "")
-        self.arrival_times.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrival_times.append(now)
+        if attempt:
+            self.arrivals.append((now, attempt))
         if scope["path"] == "/-/kv-move":
             await self._handle_move(send, json.loads(body))
         elif headers.get("expect-instance", self.name) != self.name:
@@ -235,6 +245,9 @@
         if status != 421:
             headers.append((b"not-executed", b"1"))
             if self.faults.pause:
+                now = asyncio.get_running_loop().time()
+                pause_s = float(self.faults.pause)
+                self.pause_requests.append((now, attempt, pause_s))
                 headers.append((b"retry-after", self.faults.pause))
         await send(
             {
@@ -247,6 +260,8 @@
 
     def _response_headers(self, attempt: str) -> list[tuple[bytes, bytes]]:
         limit = self.faults.limit
+        if self.faults.leaving:
+            self.announcements.append(attempt)
         return [
             (b"attempt-id", attempt.encode()),
             (b"server-signature", f"{self.name}.{attempt}".encode()),
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -132,6 +132,10 @@
         """Returns whether a server has ended or is draining."""
         return name not in self._scopes or name in self._leaving
 
+    def mark_leaving(self, name: str) -> None:
+        """Records that a server is draining, though its row does not say so."""
+        self._leaving.add(name)
+
     def write_server_row(
         self, name: str, service: str, phase: str = "ready"
     ) -> None:
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -75,6 +75,7 @@
         self.era = 0
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
         self._history: list[StoredRow] = []
+        self._written_by_others: list[StoredRow] = []
         self._discarded_version = 0
         self._version = 0
         self._changed = asyncio.Event()
@@ -92,13 +93,17 @@
         """Writes a row unconditionally, as the operator or a server does."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
         self._version += 1
-        self._store(StoredRow(table, "", key, data, self._version))
+        row = StoredRow(table, "", key, data, self._version)
+        self._written_by_others.append(row)
+        self._store(row)
 
     def delete(self, table: str, key: str) -> None:
         """Deletes a row, as when a server has shut down."""
         if (table, "", key) in self._rows:
             self._version += 1
-            self._store(StoredRow(table, "", key, "", self._version, True))
+            row = StoredRow(table, "", key, "", self._version, True)
+            self._written_by_others.append(row)
+            self._store(row)
 
     def discard_history(self) -> None:
         """Discards the change history, so that older feed positions get 410."""
@@ -127,9 +132,10 @@
         """
         lost = [
             row
-            for row in self._history
+            for row in self._written_by_others
             if row.version > copy.version and row.table in rewritten
         ]
+        self._written_by_others = []
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
         self._discarded_version = copy.discarded_version
@@ -139,7 +145,9 @@
         self._changed = asyncio.Event()
         for row in lost:
             self._version += 1
-            self._store(dataclasses.replace(row, version=self._version))
+            again = dataclasses.replace(row, version=self._version)
+            self._written_by_others.append(again)
+            self._store(again)
 
     def keys(self, table: str) -> list[str]:
         """Returns the keys of a table's rows."""
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -65,6 +65,19 @@
 """Maximum number of requests in `LIMIT_SPAN_S` from all instances to an engine
 that has published its rate limit."""
 
+DRAIN_S = 2.0
+"""Time after an instance has passed on a server's announcement of its shutdown
+within which requests sent to that instance may still reach the server."""
+
+PAUSE_S = 3.0
+PAUSE_IN_FLIGHT_S = 0.5
+MAX_IN_PAUSE = 2
+"""Requests of an instance that may reach a server in the pause that it has
+requested, after the first half second."""
+
+CHANGE_S = 2.0
+"""Time within which a configuration must be in force after all faults."""
+
 EXIT_SUCCESS = 0
 REFUSALS = (408, 421, 429, 503)
 """Statuses that guarantee that the request has not run and will not run."""
@@ -88,6 +101,9 @@
         signature: Server-Signature header field of the answer.
         content: Body of the answer, as far as it was received.
         whole: Whether the answer is complete.
+        address: Callers' address of the instance that got it.
+        sent_at: Time at which it was sent.
+        ended_at: Time at which its answer ended.
     """
 
     attempt: str
@@ -97,6 +113,9 @@
     signature: str = ""
     content: bytes = b""
     whole: bool = False
+    address: str = ""
+    sent_at: float = 0.0
+    ended_at: float = float("inf")
 
     @property
     def once(self) -> bool:
@@ -113,6 +132,7 @@
         listen: IP:port by purpose.
         popen: Handle of the current process.
         busy: Whether a fault is active on it.
+        disturbed_at: Times of signals and starts.
     """
 
     def __init__(self, path: pathlib.Path):
@@ -121,9 +141,11 @@
         self.listen = tomllib.loads(path.read_text())["listenAddrs"]
         self.popen: subprocess.Popen | None = None
         self.busy = False
+        self.disturbed_at: list[float] = []
 
     def start(self) -> None:
         """Starts a process that appends to the log file."""
+        self.disturbed_at.append(time.monotonic())
         environ = {**os.environ, "JASMINERELAY_BOOT": str(self.path)}
         with self.log.open("ab") as out:
             self.popen = subprocess.Popen(
@@ -135,6 +157,7 @@
 
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
+        self.disturbed_at.append(time.monotonic())
         self.popen.send_signal(number)
 
     async def ended(self, timeout_s: float) -> int | None:
@@ -163,6 +186,7 @@
         self._requests: list[SentRequest] = []
         self._stopped = False
         self._added_count = 0
+        self._link_faults: dict[str, list[float]] = {}
 
     async def run(self) -> None:
         """Runs load and faults, ends the faults, checks logs and journals."""
@@ -191,6 +215,8 @@
                 self._check_logs()
         self._check_answers()
         self._check_runs()
+        self._check_drains()
+        self._check_pauses()
         self._check_duties()
 
     async def _run_phases(self) -> None:
@@ -206,6 +232,7 @@
             before = len(self._requests)
             await anyio.sleep(HEAL_S / 2)
             healed = self._requests[before:]
+            await self._check_change()
             await self._check_rate_limit()
             await self._check_fatal_request()
             self._stopped = True
@@ -314,8 +341,44 @@
         del rng
         self.site.store.discard_history()
 
+    async def _store_restored(self, rng: random.Random) -> None:
+        """Lets the store come back from a copy, once or twice in series."""
+        copy = self.site.store.copy()
+        await anyio.sleep(rng.uniform(0.3, 4.0))
+        for _ in range(rng.choice((1, 1, 2))):
+            self.site.store.faults.down = True
+            await anyio.sleep(rng.uniform(0.0, 1.5))
+            self.site.store.restore(copy)
+            self.site.store.faults.down = False
+            await anyio.sleep(rng.uniform(0.0, 0.5))
+
+    async def _server_announces(self, rng: random.Random) -> None:
+        """Lets a server announce its shutdown, in its row only later."""
+        name = self._choose_server(rng)
+        if name is None:
+            return
+        service = MODEL_BACKEND if name.startswith("engine") else PLAIN_BACKEND
+        self.site.mark_leaving(name)
+        self.site.servers[name].faults.leaving = True
+        await anyio.sleep(rng.uniform(0.0, 4.0))
+        self.site.write_server_row(name, service, "draining")
+        await anyio.sleep(2.5)
+        self.site.kill_server(name)
+        self.site.store.delete("servers", name)
+        await self._add_server(name, service)
+
+    async def _server_pauses(self, rng: random.Random) -> None:
+        server = rng.choice(list(self.site.servers.values()))
+        server.faults.pause = b"%.1f" % PAUSE_S
+        server.faults.refuse = 100_000
+        await anyio.sleep(rng.uniform(1.0, 5.0))
+        server.faults.refuse = 0
+        server.faults.pause = b""
+
     async def _link(self, rng: random.Random) -> None:
-        link = rng.choice(list(self.site.links.values()))
+        name = rng.choice(list(self.site.links))
+        link = self.site.links[name]
+        self._link_faults.setdefault(name, []).append(time.monotonic())
         kind = rng.choice(("silent", "deaf", "delay_s", "reset"))
         if kind == "reset":
             link.reset()
@@ -327,6 +390,7 @@
         # which are therefore reset.
         if kind != "delay_s":
             link.reset()
+        self._link_faults[name].append(time.monotonic())
 
     async def _server_fails(self, rng: random.Random) -> None:
         server = rng.choice(list(self.site.servers.values()))
@@ -392,6 +456,35 @@
                 f"{server.name}: {received} requests are above its limit"
             )
 
+    async def _check_change(self) -> None:
+        """Adds a route; checks that each instance serves it in time."""
+        self.site.write_configuration(
+            added=[
+                {
+                    "name": "added",
+                    "prefix": "/added/",
+                    "service": PLAIN_BACKEND,
+                    "routeType": "idempotent",
+                }
+            ]
+        )
+        await anyio.sleep(CHANGE_S)
+        pool = httpcore.AsyncConnectionPool()
+        for instance in self.instances:
+            attempt = f"{self._rng.getrandbits(64):016x}"
+            request = SentRequest(attempt, "/added/x", attempt.encode())
+            self._requests.append(request)
+            with (
+                contextlib.suppress(*_CONNECTION_ERRORS),
+                anyio.move_on_after(5.0),
+            ):
+                await self._send(pool, instance.listen["front"], request)
+            if request.status in (401, 403, 404):
+                self._record_violation(
+                    f"{instance.path.stem}: a new route got {request.status}"
+                )
+        await pool.aclose()
+
     async def _check_fatal_request(self) -> None:
         """Sends a request that crashes engines; checks how many it crashes."""
         pool = httpcore.AsyncConnectionPool()
@@ -465,6 +558,8 @@
         return SentRequest(attempt, path, f"body of {attempt}".encode())
 
     async def _send(self, pool, address: str, request: SentRequest) -> None:
+        request.address = address
+        request.sent_at = time.monotonic()
         fields = {
             "Host": HOST,
             "Attempt-Id": request.attempt,
@@ -486,6 +581,7 @@
             async for part in reply.aiter_stream():
                 request.content += part
             request.whole = True
+            request.ended_at = time.monotonic()
 
     # Checks.
 
@@ -563,6 +659,76 @@
             self._record_violation(f"duties: {violation}")
         self.counts["windows reported"] = len(checker.reports)
 
+    def _disturbed(self, address: str, since: float, until: float) -> bool:
+        """Returns whether an instance was disturbed in a span."""
+        return any(
+            since <= at <= until
+            for instance in self.instances
+            if instance.listen["front"] == address
+            for at in instance.disturbed_at
+        )
+
+    def _check_drains(self) -> None:
+        """Checks that no request follows a server's announcement."""
+        sent = {request.attempt: request for request in self._requests}
+        for server in self.site.servers.values():
+            known_at: dict[str, float] = {}
+            for attempt in server.announcements:
+                request = sent.get(attempt)
+                if request is None or not request.signature.startswith(
+                    f"{server.name}."
+                ):
+                    continue
+                at = min(
+                    request.ended_at,
+                    known_at.get(request.address, float("inf")),
+                )
+                known_at[request.address] = at
+            for at, attempt in server.arrivals:
+                request = sent.get(attempt)
+                known = known_at.get(request.address) if request else None
+                if (
+                    known is not None
+                    and request.sent_at > known + DRAIN_S
+                    and not self._disturbed(request.address, known, at)
+                ):
+                    self._record_violation(
+                        f"{attempt}: reached {server.name}"
+                        f" {at - known:.2f} s after it announced its shutdown"
+                    )
+        self.counts["announcements"] = sum(
+            len(server.announcements) for server in self.site.servers.values()
+        )
+
+    def _check_pauses(self) -> None:
+        """Checks that servers get next to nothing in requested pauses."""
+        sent = {request.attempt: request for request in self._requests}
+        for server in self.site.servers.values():
+            for began, attempt, pause_s in server.pause_requests:
+                request = sent.get(attempt)
+                if request is None:
+                    continue
+                address, end = request.address, began + pause_s
+                link_faults = self._link_faults.get(server.name, ())
+                if self._disturbed(address, began, end) or any(
+                    began - PAUSE_S <= at <= end for at in link_faults
+                ):
+                    continue
+                arrived = sum(
+                    began + PAUSE_IN_FLIGHT_S < at < end
+                    and other in sent
+                    and sent[other].address == address
+                    for at, other in server.arrivals
+                )
+                if arrived > MAX_IN_PAUSE:
+                    self._record_violation(
+                        f"{server.name}: {arrived} requests of {address} in a"
+                        f" pause requested at {began:.2f}"
+                    )
+        self.counts["pauses requested"] = sum(
+            len(server.pause_requests) for server in self.site.servers.values()
+        )
+
     def _check_runs(self) -> None:
         sent = {request.attempt: request for request in self._requests}
         runs: collections.Counter[str] = collections.Counter()
@@ -619,6 +785,9 @@
     PlatformSoak._link,
     PlatformSoak._server_fails,
     PlatformSoak._server_gone,
+    PlatformSoak._server_announces,
+    PlatformSoak._server_pauses,
+    PlatformSoak._store_restored,
     PlatformSoak._configure,
 )
 
