--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -448,7 +448,7 @@
             f"?{CONFIGURATION_FIELD}={standing.configuration_version}"
             f"&{SERVERS_FIELD}={storeversion.number_of(since)}"
             f"&{ERA_FIELD}={storeversion.era_of(since)}"
-            f"&{CATALOG_FIELD}={standing.catalog_version}",
+            f"&{CATALOG_FIELD}={standing.catalog}",
             timeout_s=FETCH_TIMEOUT_S,
         )
         try:
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -172,19 +172,14 @@
             storeversion.number_of(self._servers_version),
             self._digest,
             self._store_contact,
-            servers_era=storeversion.era_of(self._servers_version),
-            catalog_version=self._catalog_version,
+            era=storeversion.era_of(self._servers_version),
+            catalog=self._catalog_version,
         )
 
     @property
     def _catalog_version(self) -> int:
         return self.catalog.version if self.catalog is not None else 0
 
-    @property
-    def configuration_row_version(self) -> int:
-        """The store's newest version of a readable configuration row."""
-        return self._configuration[0]
-
     def servers_of(self, service: str) -> list[BackendServer]:
         """Returns the servers of a service that accept new requests."""
         return self._by_service.get(service, [])
@@ -371,19 +366,13 @@
 
     def expire(self, now: float) -> list[BackendServer]:
         """Removes servers that did not renew their row after an outage."""
-        since = self._store_reachable_since
         if self._era_entered_at is None:
             self._era_entered_at = now
-        if (
-            self._restored
-            and now >= self._era_entered_at + RESTORED_ROW_GRACE_S
-        ):
-            self._restored.clear()
-            self._rebuild()
-        if (
-            since is None
-            or now < max(since, self._era_entered_at) + RETURN_GRACE_S
-        ):
+        self._expire_restored(now)
+        since = self._store_reachable_since
+        if since is None:
+            return []
+        if now < max(since, self._era_entered_at) + RETURN_GRACE_S:
             return []
         self._store_contact = StoreStatus.SETTLED
         lapsed = [self._entries.pop(name) for name in self._lapsed]
@@ -394,11 +383,19 @@
             self._rebuild()
         return [held.server for held in lapsed]
 
+    def _expire_restored(self, now: float) -> None:
+        """Uses servers that were gone before an era and still have a row."""
+        if now < self._era_entered_at + RESTORED_ROW_GRACE_S:
+            return
+        if self._restored:
+            self._restored.clear()
+            self._rebuild()
+
     def is_behind(self, other: ReplicaStatus) -> bool:
         """Returns whether an instance with this standing has newer state."""
         if self.lacks_configuration_of(other):
             return True
-        version = self._version_at(other.servers_era, other.servers_version)
+        version = self._version_at(other.era, other.servers_version)
         if self._digest_mismatch and version >= self._servers_version:
             return True
         if version > self._servers_version and (
@@ -412,8 +409,8 @@
 
     def lacks_configuration_of(self, other: ReplicaStatus) -> bool:
         """Returns whether another instance has a newer configuration."""
-        if other.catalog_version >= 0:
-            return other.catalog_version > self._catalog_version
+        if other.catalog >= 0:
+            return other.catalog > self._catalog_version
         version = self._version_at(-1, other.configuration_version)
         return version > self._configuration[0]
 
@@ -423,7 +420,7 @@
         One that has not noticed that the store came back from a copy considers
         its data newer than all that the store accepts for a while.
         """
-        version = self._version_at(other.servers_era, other.servers_version)
+        version = self._version_at(other.era, other.servers_version)
         return storeversion.era_of(version) == (self._era or 0)
 
     @property
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -259,8 +259,8 @@
     servers_digest: int
     touch: int = 1
     age_ms: int = -1
-    servers_era: int = -1
-    catalog_version: int = -1
+    era: int = -1
+    catalog: int = -1
 
 
 @dataclass(frozen=True)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -322,8 +322,8 @@
     Safeguard(
         "a list is settled only after the store was there for long enough",
         "registry",
-        "or now < max(since, self._era_entered_at) + RETURN_GRACE_S",
-        "",
+        "if now < max(since, self._era_entered_at) + RETURN_GRACE_S:",
+        "if False:",
         "test_following.SettledTest.test_list_of_a_fresh_instance_is_not_settled",
     ),
     Safeguard(
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -252,7 +252,7 @@
         former = Registry(decoding.catalog, decoding.server)
         former.apply_full_read([row(1), row(40, "gone")], 40)
         self.return_with(row(1), row(2, "b"))
-        without_eras = {"servers_era": -1, "catalog_version": -1}
+        without_eras = {"era": -1, "catalog": -1}
         standing = dataclasses.replace(former.standing, **without_eras)
         self.assertFalse(self.registry.is_behind(standing))
         self.assertFalse(self.registry.shares_era_with(standing))
@@ -266,9 +266,7 @@
         # Guards against instances that ignore each other in a rolling update.
         other = Registry(decoding.catalog, decoding.server)
         other.apply_full_read([row(1), row(3, "c")], 3)
-        standing = dataclasses.replace(
-            other.standing, servers_era=-1, catalog_version=-1
-        )
+        standing = dataclasses.replace(other.standing, era=-1, catalog=-1)
         self.assertTrue(self.registry.is_behind(standing))
         snapshot = dataclasses.replace(
             other.export_snapshot(), servers_era=-1, configuration_era=-1
