Report a server that requests a pause to the owner of its cell

Cause: among many instances the owner of a cell places the requests of all and hears only verdicts. A rejection had none, so a server that asked for pauses turned away each instance once in each: with 200 instances and a fifth of the servers that is a fifth of all first sends, which use up the retries that all may send. Change: a rejection with a pause is a bad verdict, as a failure is: the owner (and the instance itself) backs off from the server, one probe at a time, and any good end clears it, so a server that turns away one instance alone is used on by the others; what binds the sender is the pause, as before.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -277,7 +277,7 @@
             body = await response.aread()
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             if head.not_run:
-                return NotRun(f"status {head.status}", head.misdirected)
+                return _not_run(head)
             return Unknown(f"connection failed: {exc!r}")
         except httpcore.TimeoutException as exc:
             return Unknown(f"timed out: {exc!r}")
@@ -286,7 +286,7 @@
             self._context.channels.record_unexpected_data(channel.server)
         done.head = head
         if head.not_run:
-            return NotRun(f"status {head.status}", head.misdirected)
+            return _not_run(head)
         if self._sink.started:
             # The stream has started; a plain answer can't continue it.
             return Unknown(f"status {head.status}")
@@ -459,6 +459,10 @@
         await self._sink.finish()
 
 
+def _not_run(head: ResponseHead) -> NotRun:
+    return NotRun(f"status {head.status}", head.misdirected, head.pause_s > 0)
+
+
 class _StreamTimer:
     """Measures the latencies of one stream."""
 
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -139,10 +139,12 @@
     Attributes:
         why: The reason.
         misdirected: Whether another server answers at its address.
+        overloaded: Whether it has requested a pause.
     """
 
     why: str
     misdirected: bool = False
+    overloaded: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -118,6 +118,10 @@
             return None
         if isinstance(outcome, NotSent | Unknown | Interrupted):
             return Verdict.BAD
+        if isinstance(outcome, NotRun) and outcome.overloaded:
+            # It rejects at once and appears idle. The owner of its cell, to
+            # which it has said nothing, would go on placing requests there.
+            return Verdict.BAD
         if isinstance(outcome, NotRun) and outcome.misdirected:
             # The server has restarted under another id, while its old row still
             # exists. It answers at once and appears idle, so it attracted most
--- a/tests/test_serverpauses.py
+++ b/tests/test_serverpauses.py
@@ -10,11 +10,14 @@
 import anyio
 
 from jasminerelay import placementclient, serverpauses
+from jasminerelay.exchange import NotRun, NotSent
+from jasminerelay.forwarding import RequestForwarder
 from jasminerelay.metrics import Counters
 from jasminerelay.platform.headers import PlatformDialect
 from jasminerelay.retryafter import MAX_PAUSE_S
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.serverpauses import ServerPauses
+from jasminerelay.workload import Verdict
 from standins.launcher import Options, call
 from standins.platformsite import SiteOptions
 from tests.platformcase import PlatformCase
@@ -253,6 +256,14 @@
             self.assertEqual(moved.placed.server.id, "i-002")
             moved.run.end()
 
+    def test_owner_of_the_cell_hears_of_it(self) -> None:
+        # Guards against a server that turns every instance away in turn: only
+        # a verdict reaches the owner, which places the requests of all.
+        verdict = RequestForwarder._verdict
+        self.assertIs(verdict(None, NotRun("", overloaded=True)), Verdict.BAD)
+        self.assertIsNone(verdict(None, NotRun("")))
+        self.assertIsNone(verdict(None, NotSent("", withheld=True)))
+
     def test_none_left(self) -> None:
         wait = self.instance.place(make_call(), frozenset({"i-002"}))
         self.assertGreater(wait.retry_s, 4.0)
