--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -693,7 +693,7 @@
                     and not self._disturbed(request.address, known, at)
                 ):
                     self._record_violation(
-                        f"{attempt}: reached {server.name}"
+                        f"{attempt} of {request.address}: reached {server.name}"
                         f" {at - known:.2f} s after it announced its shutdown"
                     )
         self.counts["announcements"] = sum(
