--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import logging
 import pathlib
 import tempfile
@@ -44,6 +45,7 @@
         # The stand-ins abort responses on purpose, which Uvicorn would log at
         # length.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
+        self._prompts = itertools.count(1)
 
     @contextlib.asynccontextmanager
     async def site(self, count: int = 1):
@@ -75,6 +77,17 @@
             while not condition():
                 await anyio.sleep(POLL_S)
 
+    async def ask_new_prompt(self, instance: Instance, path: str) -> Answer:
+        """Sends a request with a prompt of which no server has any part."""
+        number = next(self._prompts)
+        return await self.ask(
+            instance,
+            path,
+            attempt=f"p{number}",
+            Token_Usage="100,3",
+            Prefix_Hash=f"{number:x}:60,b:40",
+        )
+
     async def ask(
         self,
         instance: Instance,
