Let the stand-in store come back from copies that overlap

A return from a copy made before an earlier return took the writes since by their versions, which that one had set back, and lost the removal of the row. The copy remembers how many writes of others it holds instead.

--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -29,6 +29,7 @@
     history: tuple
     discarded_version: int
     version: int
+    writes_by_others: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,6 +118,7 @@
             tuple(self._history),
             self._discarded_version,
             self._version,
+            len(self._written_by_others),
         )
 
     def restore(
@@ -130,12 +132,10 @@
             copy: The copy.
             rewritten: Tables whose lost rows are written again.
         """
-        lost = [
-            row
-            for row in self._written_by_others
-            if row.version > copy.version and row.table in rewritten
-        ]
-        self._written_by_others = []
+        # Versions do not order the writes: the store may have come back from a
+        # later copy since this one was made.
+        lost = self._written_by_others[copy.writes_by_others :]
+        del self._written_by_others[copy.writes_by_others :]
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
         self._discarded_version = copy.discarded_version
@@ -144,6 +144,8 @@
         self._changed.set()
         self._changed = asyncio.Event()
         for row in lost:
+            if row.table not in rewritten:
+                continue
             self._version += 1
             again = dataclasses.replace(row, version=self._version)
             self._written_by_others.append(again)
