Mend an owner that ended when a request avoided all servers of its cell

Cause: since the pauses were kept to, the dispatcher asks its registry for the ids of a service's servers also where it serves one cell, whose view of the registry has the servers only. Change: it derives the ids from the servers.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -301,7 +301,7 @@
 
         0 if there is a server that has requested no pause.
         """
-        servers = self._registry.server_ids_of(service)
+        servers = [x.id for x in self._registry.servers_of(service)]
         if not self._pauses or not servers:
             return 0.0
         return self._pauses.remaining_s(servers, time.monotonic())
@@ -573,10 +573,11 @@
         self, service: str, avoid: frozenset[str]
     ) -> list[BackendServer]:
         now = time.monotonic()
-        avoid |= self.paused(self._registry.server_ids_of(service))
+        servers = self._registry.servers_of(service)
+        avoid |= self.paused(server.id for server in servers)
         return [
             server
-            for server in self._registry.servers_of(service)
+            for server in servers
             if server.id not in avoid
             and self._allowance.may_send(server.id, now)
         ]
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -30,7 +30,11 @@
     CHECK_INTERVAL_S,
     PlacementClient,
 )
-from jasminerelay.placementmessages import FOREIGN, placement_request
+from jasminerelay.placementmessages import (
+    FOREIGN,
+    PLACED,
+    placement_request,
+)
 from jasminerelay.placementqueue import PlacementQueue, Reservation
 from jasminerelay.placing import KNOWN_PREFILL_LIMIT_S
 from jasminerelay.platform import decoding
@@ -319,6 +323,23 @@
             self.assertEqual(answers.pop().answers[0].state, FOREIGN)
         self.assertEqual(len(node.owned), 0)
 
+    def test_all_servers_avoided(self) -> None:
+        # Guards against an owner that ends with a traceback since a request
+        # must use none of its cell's servers.
+        node = Site(2, servers=4).nodes["n00"]
+        answers = []
+        node.owned.answer = lambda address, message: answers.append(message)
+        ask = placement_request(
+            1,
+            next(prompts(1)),
+            frozenset(f"i-{number:03}" for number in range(4)),
+            False,
+            time.monotonic(),
+        )
+        message = CellUpdate("n01", "n01:1", SERVICE, 0, 1, [ask], [], [], [])
+        node.owned.handle_message(message)
+        self.assertNotEqual(answers.pop().answers[0].state, PLACED)
+
     def test_unreadable(self) -> None:
         # Corrupt datagrams and those of other versions are rejected.
         ask = placement_request(1, next(prompts(1)), frozenset(), False, 0.0)
