Place requests elsewhere when all servers of their kind have crashed

Cause: rows of crashed servers last for seconds. A kind whose two servers had both crashed was sent there again and again, since a group of which every server had failed counted as usable: 74 refused connections, and urgent requests waited 0.14 s in the median, 0.9 s in the 90th percentile.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -347,14 +347,18 @@
         now = time.monotonic()
         estimate = self._output_estimate(call)
         speeds = self._speeds(call.service)
-        options = _unblock_if_all_blocked(self._options(call, group))
+        options = self._options(call, group)
+        group_failed = all(item.blocked for item in options)
+        if group_failed and self._all_blocked(call.service, servers, now):
+            options = _unblock_if_all_blocked(options)
+            group_failed = False
         placed = placing.place_model(
             call, engine, speeds, options, estimate, now
         )
         if isinstance(placed, PlacementDecision):
             return placed
         allowed_ids = self._overflow_servers(call)
-        if self._may_use_any_server(call, now):
+        if group_failed or self._may_use_any_server(call, now):
             allowed_ids |= {server.id for server in servers}
         others = [
             server
@@ -414,6 +418,11 @@
         busy = self.workload.load(server).running > 0
         return busy and health.probing(server)
 
+    def _all_blocked(
+        self, service: str, servers: list[BackendServer], now: float
+    ) -> bool:
+        return all(self._blocked(service, item.id, now) for item in servers)
+
     def _overflow_servers(self, call: Call) -> set[str]:
         """Returns other kinds' servers that a request may use at once.
 
@@ -601,6 +610,17 @@
             x for x in servers if not self._pauses.is_recovering(x.id)
         ] or servers
 
+    def _without_unavailable(
+        self, service: str, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Returns the servers that count as capacity, of some; all if none.
+
+        A kind whose few servers have all crashed would otherwise wait for them
+        until their rows expire, while other kinds' servers have capacity.
+        """
+        health = self.health(service)
+        return [x for x in servers if not health.unavailable(x.id)] or servers
+
     def needs_faster_server(
         self, call: Call, server: BackendServer, events: int
     ) -> bool:
@@ -742,7 +762,8 @@
         held = self._kind_queues.get(key)
         if held is not None and now - held.at < WAIT_ESTIMATE_MAX_AGE_S:
             return held
-        names = [item.id for item in self._group(service, kind, servers)]
+        working = self._without_unavailable(service, servers)
+        names = [item.id for item in self._group(service, kind, working)]
         # If streams can be moved, a long answer can continue at any server,
         # also one without prefill.
         engine = self.engine_of(service)
@@ -815,7 +836,8 @@
             # Servers with a rate limit get too little traffic to count as
             # capacity.
             unlimited = self._unlimited(there) or there
-            capacity = self._without_recovering(unlimited)
+            recovered = self._without_recovering(unlimited)
+            capacity = self._without_unavailable(name, recovered)
             servers = [item.id for item in capacity]
             if self.measures_step_times:
                 self._record_steps(name, servers, now)
@@ -860,7 +882,14 @@
     ) -> list[BackendServer]:
         split = self._splits.get(service)
         names = set(split.group(kind)) if split else ()
-        group = [server for server in servers if server.id in names]
+        health = self.health(service)
+        # An unavailable server belongs to no kind. After its back-off it is
+        # probed by any, or it would stay out for good.
+        group = [
+            server
+            for server in servers
+            if server.id in names or health.unavailable(server.id)
+        ]
         return group or servers
 
 
--- a/src/jasminerelay/stragglers.py
+++ b/src/jasminerelay/stragglers.py
@@ -13,6 +13,10 @@
 MAX_BACKOFF_S = 15.0
 NO_FAILURES = 0
 
+UNAVAILABLE_AFTER_FAILURES = 2
+"""Failures in a row after which a server doesn't count as capacity. A single
+one may have been the connection's."""
+
 
 @dataclasses.dataclass
 class _Health:
@@ -68,6 +72,14 @@
         """
         return self._record_of(server).failures > NO_FAILURES
 
+    def unavailable(self, server: str) -> bool:
+        """Returns whether the server doesn't count as capacity now.
+
+        Its row in the store lasts for seconds after a crash.
+        """
+        failures = self._record_of(server).failures
+        return failures >= UNAVAILABLE_AFTER_FAILURES
+
     def slowness(self, server: str) -> float:
         """Returns the step time relative to the median of its peers."""
         own = self._record_of(server).step_s
