Open the ports of an instance before its imports

Cause: deploy/instance.py imports for 0.53 to 0.56 s of a whole core before any port is open, so callers that hold its address get "connection refused". Change: platform/earlyports reads the addresses from the settings file and listens on them before anything else is imported; ports.port takes the sockets. A stop signal during the start refuses the connections that wait with 503, not run, and reads each to its end; so does a start that ends at faulty settings. Safeguard of test_starting: its text names the handler's new name.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -43,6 +43,7 @@
 from jasminerelay.platform import bootfile, decoding
 from jasminerelay.platform.bootfile import BootSettings
 from jasminerelay.platform.dutyassembly import build_duties
+from jasminerelay.platform.earlyports import SETTINGS_VARIABLE, EarlyPorts
 from jasminerelay.platform.headers import PlatformDialect
 from jasminerelay.platform.ingress import Ingress, IngressContext
 from jasminerelay.platform.statusapp import StatusApp
@@ -72,7 +73,6 @@
 from jasminerelay.telemetry import Telemetry
 from jasminerelay.watchdog import Watchdog
 
-BOOT_VARIABLE = "JASMINERELAY_BOOT"
 METRICS_VARIABLE = "JASMINERELAY_METRICS_PORT"
 EXIT_USAGE = 2
 
@@ -114,15 +114,22 @@
         running: Whether it is running; False again after a planned stop.
     """
 
-    def __init__(self, boot: BootSettings, path: pathlib.Path):
+    def __init__(
+        self,
+        boot: BootSettings,
+        path: pathlib.Path,
+        early_ports: EarlyPorts | None = None,
+    ):
         """Creates the components without starting them.
 
         Args:
             boot: Validated settings.
             path: The settings file, which is polled for changes.
+            early_ports: Sockets that listen already.
         """
         self.boot = boot
         self._path = path
+        self._early_ports = early_ports or EarlyPorts()
         self._rng = random.Random()
         self._planned_stop: PlannedShutdown | None = None
         self._ready = False
@@ -430,13 +437,20 @@
             "date_header": False,
             "http": headlimits.limited_protocol(self._request_head_bounds),
         }
-        self._callers_port = ports.port(Ingress(front), boot.callers, **options)
+        take = self._early_ports.take
+        self._callers_port = ports.port(
+            Ingress(front), boot.callers, sock=take(boot.callers), **options
+        )
         self._ports = [
             self._callers_port,
-            ports.port(status, boot.readiness, **options),
-            ports.port(status, boot.entries, **options),
+            *(
+                ports.port(status, address, sock=take(address), **options)
+                for address in (boot.readiness, boot.entries)
+            ),
             ports.port(SnapshotApp(self.registry), boot.peers, **options),
         ]
+        # The settings may have changed since the ports were opened.
+        self._early_ports.close_unused()
         metrics_port = os.environ.get(METRICS_VARIABLE)
         if metrics_port:
             address = f"{boot.ip}:{metrics_port}"
@@ -679,15 +693,21 @@
         )
 
 
-def main() -> int:
-    """Runs the instance that the settings file describes."""
-    path = pathlib.Path(os.environ.get(BOOT_VARIABLE, ""))
+def main(early_ports: EarlyPorts | None = None) -> int:
+    """Runs the instance that the settings file describes.
+
+    Args:
+        early_ports: Sockets that listen already.
+    """
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = bootfile.load(path)
     if loaded.is_err():
         for problem in loaded.unwrap_err():
             print(problem, file=sys.stderr)
+        if early_ports is not None:
+            early_ports.refuse_waiting()
         return EXIT_USAGE
-    instance = Instance(loaded.unwrap(), path)
+    instance = Instance(loaded.unwrap(), path, early_ports)
     logging.basicConfig(
         level=logging.WARNING, handlers=[EventLogHandler(instance.log)]
     )
--- a/src/jasminerelay/platform/start.py
+++ b/src/jasminerelay/platform/start.py
@@ -1,18 +1,22 @@
 """Entry point of an instance on the platform."""
 
+import os
 import signal
 
 from jasminerelay import stopsignals
+from jasminerelay.platform import earlyports
 
 
 def main() -> int:
     """Runs the instance; returns its exit status."""
-    stopsignals.exit_on_early_signal()
+    ports = earlyports.EarlyPorts()
+    stopsignals.exit_on_early_signal(ports.refuse_waiting)
     # SIGHUP's default action would end the process. Settings that change
     # during the start are found at the next periodic reload.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Imported only after the signal handlers are installed, since the import
-    # is slow and a signal may arrive during it.
+    ports.open(os.environ.get(earlyports.SETTINGS_VARIABLE, ""))
+    # Imported only after the signal handlers are installed and the ports are
+    # open, since the import is slow: signals and callers may arrive during it.
     from jasminerelay.platform.root import main as run
 
-    return run()
+    return run(ports)
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -1,6 +1,7 @@
 """The HTTP servers of an instance's ports."""
 
 import contextlib
+import socket
 
 import anyio
 import uvicorn
@@ -14,6 +15,20 @@
 class HttpServer(uvicorn.Server):
     """An HTTP server that leaves the handling of signals to the daemon."""
 
+    def __init__(self, config: uvicorn.Config, sock: socket.socket | None):
+        """Creates the server.
+
+        Args:
+            config: Its configuration.
+            sock: Socket that listens already; None to open one.
+        """
+        super().__init__(config)
+        self._sockets = [sock] if sock is not None else None
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serves until cancelled, by default on the socket of the server."""
+        await super().serve(sockets or self._sockets)
+
     async def main_loop(self) -> None:
         """Ticks once per second, as often as the date header changes.
 
@@ -29,12 +44,15 @@
         yield
 
 
-def port(app, address: str, **options) -> HttpServer:
+def port(
+    app, address: str, *, sock: socket.socket | None = None, **options
+) -> HttpServer:
     """Returns an HTTP server for an ASGI application.
 
     Args:
         app: The application.
         address: IP:port to listen on.
+        sock: Socket that listens on the address already; None to open one.
         options: Additional options of uvicorn.Config.
     """
     host, port = settings.split_address(address)
@@ -47,4 +65,4 @@
         "ws": "none",
         "timeout_keep_alive": KEEPALIVE_TIMEOUT_S,
     }
-    return HttpServer(uvicorn.Config(app, **{**defaults, **options}))
+    return HttpServer(uvicorn.Config(app, **{**defaults, **options}), sock)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -526,10 +526,31 @@
     Safeguard(
         "a stop signal is handled while the process is loading",
         "stopsignals",
-        "        signal.signal(number, _exit_on_signal)\n",
+        "        signal.signal(number, exit_on_signal)\n",
         "        pass\n",
         "test_starting.StartingTest.test_instance_on_the_platform",
     ),
+    Safeguard(
+        "ports listen before the import",
+        "platform/start",
+        '    ports.open(os.environ.get(earlyports.SETTINGS_VARIABLE, ""))\n',
+        "",
+        "test_starting.CallersDuringStartTest.test_stop_during_the_import_with_callers_waiting",
+    ),
+    Safeguard(
+        "a stop during the start refuses the callers that wait",
+        "stopsignals",
+        "            refuse_callers()\n",
+        "",
+        "test_starting.CallersDuringStartTest.test_stop_during_the_import_with_callers_waiting",
+    ),
+    Safeguard(
+        "refused connections are read to their end",
+        "platform/earlyports",
+        "            conn.shutdown(socket.SHUT_WR)\n",
+        "            self._close(number)\n",
+        "test_earlyports.RefusalTest.test_unread_body_does_not_reset_the_connection",
+    ),
     Safeguard(
         "changed settings do not end a process that is loading",
         "platform/start",
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -1,16 +1,23 @@
 """Tests stop signals that arrive while a program is still starting."""
 
+import contextlib
 import itertools
 import os
+import pathlib
+import signal
+import socket
 import subprocess
 import sys
+import tomllib
 import unittest
 
 import anyio
+import httpcore
 
+from jasminerelay.platform import earlyports
 from standins.launcher import ROOT
 from standins.platformsite import SiteOptions
-from tests.platformcase import PlatformCase
+from tests.platformcase import Answer, PlatformCase, fetch
 
 SIGNALLED_PROGRAM = """
 import os, runpy, signal, sys
@@ -38,11 +45,35 @@
 """Runs a program and sends the process signals as the program enters given
 modules or functions."""
 
+HALTED_PROGRAM = """
+import runpy, sys
+
+program, module = sys.argv[1:]
+sys.argv = [program]
+
+def halt(frame, event, argument):
+    here = frame.f_globals.get("__name__"), frame.f_code.co_qualname
+    if event == "call" and here == (module, "<module>"):
+        sys.setprofile(None)
+        print("halted", flush=True)
+        sys.stdin.readline()
+
+sys.setprofile(halt)
+runpy.run_path(program, run_name="__main__")
+"""
+"""Runs a program that halts at the import of a module until it reads a line."""
+
 STOP_TIMEOUT_S = 60.0
 MAX_PROGRAMS = 2
 
 LOADING = "<module>"
 
+FEW_CALLERS = 8
+BURST_CALLERS = earlyports.BACKLOG + 100
+CONNECT_S = 0.3
+STARTUP_FAILURE = 3
+"""Exit status of an instance that cannot listen on an address."""
+
 
 class StartingTest(PlatformCase):
     """SIGTERM at many points of the start, beginning at the first import."""
@@ -142,5 +173,137 @@
         )
 
 
+class CallersDuringStartTest(PlatformCase):
+    """Callers that hold an instance's addresses while it starts."""
+
+    options = SiteOptions(grace_s=1.0)
+
+    @contextlib.asynccontextmanager
+    async def halted(self, path: pathlib.Path, module: str = "anyio"):
+        """Runs an instance that halts during its imports; yields its process.
+
+        Args:
+            path: Its settings file.
+            module: The module whose import does not proceed.
+        """
+        with anyio.fail_after(STOP_TIMEOUT_S):
+            async with await anyio.open_process(
+                [
+                    *(sys.executable, "-c", HALTED_PROGRAM),
+                    *("deploy/instance.py", module),
+                ],
+                cwd=ROOT,
+                env={**os.environ, "JASMINERELAY_BOOT": str(path)},
+            ) as process:
+                try:
+                    await process.stdout.receive()
+                    yield process
+                finally:
+                    with contextlib.suppress(ProcessLookupError):
+                        process.kill()
+
+    async def ask_all(self, path: pathlib.Path, count: int, group) -> list:
+        """Starts requests to the instance; returns the list of their results.
+
+        A result is an answer or an error of the connection.
+        """
+        address = addresses_in(path)[0]
+        results: list[Answer | Exception] = []
+
+        async def ask(number: int) -> None:
+            fields = {"Host": "h", "Attempt-Id": f"a{number}"}
+            try:
+                results.append(
+                    await fetch(f"http://{address}/x", fields=fields)
+                )
+            except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+                results.append(exc)
+
+        for number in range(count):
+            group.start_soon(ask, number)
+        await anyio.sleep(CONNECT_S)
+        return results
+
+    def assert_refused(self, results: list, count: int) -> None:
+        """Asserts that each request got a response that it has not run."""
+        self.assertEqual(len(results), count)
+        for result in results:
+            self.assertIsInstance(result, Answer)
+            self.assertEqual((result.status, result.whole), (503, True))
+            self.assertIn("retry-after", result.headers)
+        attempts = {result.headers["attempt-id"] for result in results}
+        self.assertEqual(len(attempts), count)
+
+    async def test_stop_during_the_import_with_callers_waiting(self) -> None:
+        # Guards against callers that are cut off without a response by a stop
+        # during the start, although their requests have not run.
+        async with self.site() as (site, _):
+            path = site.settings("edge-2")
+            async with (
+                self.halted(path) as process,
+                anyio.create_task_group() as group,
+            ):
+                results = await self.ask_all(path, FEW_CALLERS, group)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(await process.wait(), 0)
+            self.assert_refused(results, FEW_CALLERS)
+
+    async def test_settings_unreadable(self) -> None:
+        # Guards against callers that are cut off without a response at a start
+        # that ends because of faulty settings, and against a fault that is no
+        # longer reported.
+        async with self.site() as (site, _):
+            path = site.settings("edge-2")
+            text = path.read_text()
+            path.write_text(text.replace("nodeName", "otherName"))
+            async with (
+                self.halted(path) as process,
+                anyio.create_task_group() as group,
+            ):
+                results = await self.ask_all(path, FEW_CALLERS, group)
+                await process.stdin.send(b"\n")
+                self.assertEqual(await process.wait(), 2)
+                fault = await process.stderr.receive()
+                self.assertIn(b"JASMINERELAY_BOOT", fault)
+            self.assert_refused(results, FEW_CALLERS)
+
+    async def test_address_taken(self) -> None:
+        # Guards against a start that no longer reports an address that another
+        # program uses, or that continues without it.
+        async with self.site() as (site, _):
+            path = site.settings("edge-2")
+            host, _, port = addresses_in(path)[1].rpartition(":")
+            with socket.create_server((host, int(port))):
+                async with self.halted(path) as process:
+                    await process.stdin.send(b"\n")
+                    self.assertEqual(await process.wait(), STARTUP_FAILURE)
+
+    async def test_burst_during_a_restart(self) -> None:
+        # Guards against callers that connect during a restart and get no
+        # response, with more of them than the backlog holds.
+        async with self.site() as (site, _):
+            path = site.settings("edge-2")
+            async with (
+                self.halted(path) as process,
+                anyio.create_task_group() as group,
+            ):
+                results = await self.ask_all(path, BURST_CALLERS, group)
+                self.assertEqual(results, [])
+                await process.stdin.send(b"\n")
+                await self.until(lambda: len(results) == BURST_CALLERS)
+                process.terminate()
+                self.assertEqual(await process.wait(), 0)
+            for result in results:
+                self.assertIsInstance(result, Answer)
+                self.assertIn(result.status, (404, 503))
+            self.assertGreater(len(results), earlyports.BACKLOG)
+
+
+def addresses_in(path: pathlib.Path) -> list[str]:
+    """Returns the addresses for callers, readiness and address resolution."""
+    listen = tomllib.loads(path.read_text())["listenAddrs"]
+    return [listen[name] for name in ("front", "readiness", "registry")]
+
+
 if __name__ == "__main__":
     unittest.main()
