Let requests wait for the first configuration

Cause: requests that reach an instance before its first configuration or list of servers get 503 at once, though these come within some hundred milliseconds.

--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -21,6 +21,7 @@
 from jasminerelay.eventlog import EventLog
 from jasminerelay.forwarding import RequestForwarder
 from jasminerelay.platform import headers
+from jasminerelay.platform.earlyrequests import EarlyRequests
 
 RETRY_S = 0.5
 """Retry-After of an instance whose configuration is missing or not current."""
@@ -57,6 +58,11 @@
 
     def __init__(self, front: IngressContext):
         self._context = front
+        self._early_requests = EarlyRequests()
+
+    def serve_early_requests(self) -> None:
+        """Serves the requests that waited for the first configuration."""
+        self._early_requests.release()
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one request."""
@@ -91,6 +97,8 @@
 
     async def _serve(self, scope, receive, sink: "AsgiResponseSink") -> None:
         arrived = time.monotonic()
+        if self._context.catalog() is None:
+            await self._wait_for_configuration(scope)
         body = await self._body(receive)
         call = self._call(scope, body, arrived)
         if not self._context.accepts(call.answer_deadline - arrived):
@@ -103,6 +111,17 @@
             await forwarder.run()
             group.cancel_scope.cancel()
 
+    async def _wait_for_configuration(self, scope) -> None:
+        """Waits for the first configuration and servers, in bounded time.
+
+        The request is served or refused afterwards as at any other time.
+        """
+        counters = self._context.forwarding.counters
+        counters.incr("start.early_requests")
+        limit_s = _stated_time_limit_s(dict(scope["headers"]))
+        if not await self._early_requests.wait(limit_s):
+            counters.incr("start.early_requests_unserved")
+
     async def _body(self, receive) -> bytes:
         catalog = self._context.catalog()
         bounds = catalog.bounds if catalog else RequestLimits()
@@ -129,7 +148,11 @@
     def _call(self, scope, body: bytes, arrived: float) -> Call:
         catalog = self._context.catalog()
         if catalog is None:
-            raise NotReadyError("no configuration yet", retry_s=RETRY_S)
+            waited_s = time.monotonic() - arrived
+            raise NotReadyError(
+                f"no configuration yet, after {waited_s:.2f} s",
+                retry_s=RETRY_S,
+            )
         fields = scope["headers"]
         by_name = dict(fields)
         host = by_name.get(b"host", b"").decode("latin-1")
@@ -278,6 +301,17 @@
     return min(limit_s, route.timeout_s)
 
 
+def _stated_time_limit_s(by_name: dict[bytes, bytes]) -> float | None:
+    """Returns the caller's time limit; None if it states none or a faulty one.
+
+    A faulty one is refused once the request's route is known.
+    """
+    try:
+        return float(by_name[headers.DEADLINE]) / headers.MS
+    except (KeyError, ValueError):
+        return None
+
+
 async def _cancel_on_disconnect(
     receive, sink: AsgiResponseSink, scope: anyio.CancelScope
 ) -> None:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -399,7 +399,7 @@
         )
         self._registry_feed.on_leaving = stream_migrator.leaving
         self._registry_feed.on_removed = self._on_server_removed
-        self._registry_feed.on_changed = self._peers.notify_dependents
+        self._registry_feed.on_changed = self._on_data_changed
         forwarding = ForwardingContext(
             self.dispatcher,
             self._placement_client,
@@ -438,8 +438,9 @@
             "http": headlimits.limited_protocol(self._request_head_bounds),
         }
         take = self._early_ports.take
+        self._ingress = Ingress(front)
         self._callers_port = ports.port(
-            Ingress(front), boot.callers, sock=take(boot.callers), **options
+            self._ingress, boot.callers, sock=take(boot.callers), **options
         )
         self._ports = [
             self._callers_port,
@@ -477,6 +478,11 @@
         self.dispatcher.gone(server)
         self._owned_cells.gone(server)
 
+    def _on_data_changed(self) -> None:
+        self._peers.notify_dependents()
+        if self.registry.complete:
+            self._ingress.serve_early_requests()
+
     def _merge_snapshot(self, snapshot: StoreSnapshot, peer: str) -> None:
         try:
             changes = self.registry.merge_snapshot(snapshot)
@@ -484,7 +490,7 @@
             self.log.warn("snapshot_unreadable", peer=peer, why=str(exc))
             return
         self._registry_feed.report_changes(changes, peer)
-        self._peers.notify_dependents()
+        self._on_data_changed()
         self.log.warn(
             "snapshot",
             peer=peer,
