--- a/bench/starting.py
+++ b/bench/starting.py
@@ -2,9 +2,9 @@
 
 Usage: python -m bench.starting [--runs N] [--tree FOLDER]
 
-Starts deploy/instance.py as the platform does, against the stand-in site, and
-sends it a request as soon as its port accepts connections. Prints the median
-and the range over the runs of:
+Starts deploy/instance.py as the platform does, with compiled bytecode, against
+the stand-in site, and sends it a request as soon as its port accepts
+connections. Prints the median and the range over the runs of:
 
 - the CPU time of the process from exec to its first response with status 200,
   and the time that has passed;
@@ -44,10 +44,21 @@
 FIELDS = {"Host": HOST, "Authorization": f"Bearer {API_KEY}"}
 
 
-def environment(tree: pathlib.Path) -> dict[str, str]:
-    """Returns variables with which a process finds a checkout's packages."""
+def environment(tree: pathlib.Path, folder: str) -> dict[str, str]:
+    """Returns the variables of a process.
+
+    Args:
+        tree: The checkout whose packages it finds.
+        folder: Where it keeps bytecode.
+    """
     packages = sysconfig.get_paths()["purelib"]
-    return {**os.environ, "PYTHONPATH": f"{tree / 'src'}:{packages}"}
+    variables = {
+        **os.environ,
+        "PYTHONPATH": f"{tree / 'src'}:{packages}",
+        "PYTHONPYCACHEPREFIX": folder,
+    }
+    variables.pop("PYTHONDONTWRITEBYTECODE", None)
+    return variables
 
 
 def cpu_s(pid: int) -> float:
@@ -88,14 +99,16 @@
         await anyio.sleep(RETRY_PAUSE_S)
 
 
-async def measure_start(tree: pathlib.Path, path: pathlib.Path) -> list[float]:
+async def measure_start(
+    tree: pathlib.Path, path: pathlib.Path, variables: dict[str, str]
+) -> list[float]:
     """Starts one instance; returns its figures in the order of the table."""
     address = tomllib.loads(path.read_text())["listenAddrs"]["front"]
     started = time.monotonic()
     process = await anyio.open_process(
         [sys.executable, "-S", str(tree / "deploy/instance.py")],
         cwd=tree,
-        env={**environment(tree), "JASMINERELAY_BOOT": str(path)},
+        env={**variables, "JASMINERELAY_BOOT": str(path)},
         stdin=subprocess.DEVNULL,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
@@ -117,11 +130,11 @@
         await process.wait()
 
 
-def measure_import(tree: pathlib.Path) -> float:
+def measure_import(variables: dict[str, str]) -> float:
     """Returns the milliseconds of CPU time of the imports."""
     done = subprocess.run(
         [sys.executable, "-S", "-c", IMPORT_PROGRAM],
-        env=environment(tree),
+        env=variables,
         capture_output=True,
         text=True,
         check=True,
@@ -130,15 +143,19 @@
 
 
 async def measure(tree: pathlib.Path, runs: int) -> list[list[float]]:
-    """Returns the figures of each run, after one that is not counted."""
+    """Returns the figures of each run.
+
+    One run before them, which writes the bytecode, is not counted.
+    """
     with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
         site = PlatformSite(SiteOptions(), pathlib.Path(folder))
+        variables = environment(tree, f"{folder}/bytecode")
         async with site.running():
             rows = []
             for number in range(runs + 1):
                 path = site.settings(f"edge-{number + 1}")
-                figures = await measure_start(tree, path)
-                rows.append([*figures, measure_import(tree)])
+                figures = await measure_start(tree, path, variables)
+                rows.append([*figures, measure_import(variables)])
             return rows[1:]
 
 
