Generate messages as frozen structs

Change: tools/generate writes msgspec structs for the schema of messages; copies with changes use msgspec.structs.replace.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -189,7 +189,9 @@
 
 
 def _restart_gossip(member: Member, beat: int):
-    changed = dataclasses.replace(member, incarnation=f"1{beat:013d}-abcdef01")
+    changed = msgspec.structs.replace(
+        member, incarnation=f"1{beat:013d}-abcdef01"
+    )
     return Gossip("ack", changed, [], [], ManifestPointer(1, "0" * 64))
 
 
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+import msgspec
+
 from jasminerelay import placing, rendezvous
 from jasminerelay.admission import WaitEstimate
 from jasminerelay.catalog import (
@@ -164,7 +166,7 @@
     def own_loads(self, now: float) -> list[ServerLoad]:
         """Returns this instance's load and decode speed at each server."""
         return [
-            dataclasses.replace(
+            msgspec.structs.replace(
                 item,
                 token_us=round(
                     US_PER_S
--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -13,6 +13,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from jasminerelay.schema.messages import (
     Gossip,
     ManifestPointer,
@@ -267,7 +269,7 @@
         self._suspects_to_probe.append(record.instance)
 
     def _update_own_record(self, state: str) -> None:
-        self.own_member = dataclasses.replace(
+        self.own_member = msgspec.structs.replace(
             self.own_member, state=state, beat=self.own_member.beat + 1
         )
 
@@ -292,7 +294,7 @@
                 self._transmissions_left.pop(name, None)
 
     def _set_state(self, name: str, state: str, now: float) -> None:
-        member = dataclasses.replace(self._peers[name].member, state=state)
+        member = msgspec.structs.replace(self._peers[name].member, state=state)
         self._peers[name] = _Peer(
             member, now, self._peers[name].last_message_at
         )
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -6,7 +6,6 @@
 missing rows from another instance.
 """
 
-import dataclasses
 import functools
 import math
 import random
@@ -299,7 +298,7 @@
             owners = self._placement_client.other_owners()
             count = min(OWNER_FANOUT, len(owners))
             chosen = self._rng.sample(owners, count) + chosen[count:]
-        message = dataclasses.replace(
+        message = msgspec.structs.replace(
             self._peer_message(None),
             samples=self._dispatcher.engine_models.take_unsent_samples(),
         )
@@ -335,7 +334,7 @@
     def _own_status(self) -> ReplicaStatus:
         age_s = self._freshness.age_s(now_s())
         age_ms = -1 if math.isinf(age_s) else int(age_s * 1000)
-        return dataclasses.replace(self._registry.standing, age_ms=age_ms)
+        return msgspec.structs.replace(self._registry.standing, age_ms=age_ms)
 
     def _send_to(self, address: str, data: bytes) -> None:
         try:
@@ -520,7 +519,9 @@
         if self._compressed[0] != snapshot.configuration:
             data = zlib.compress(snapshot.configuration, COMPRESSION_LEVEL)
             self._compressed = (snapshot.configuration, data)
-        return dataclasses.replace(snapshot, configuration=self._compressed[1])
+        return msgspec.structs.replace(
+            snapshot, configuration=self._compressed[1]
+        )
 
 
 def decompressed(snapshot: StoreSnapshot) -> StoreSnapshot:
@@ -532,7 +533,7 @@
     if not snapshot.configuration:
         return snapshot
     data = zlib.decompress(snapshot.configuration)
-    return dataclasses.replace(snapshot, configuration=data)
+    return msgspec.structs.replace(snapshot, configuration=data)
 
 
 def _version(query: dict[str, list[str]], field: str, missing: int = 0) -> int:
--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 
 import anyio
+import msgspec
 
 from jasminerelay import rendezvous
 from jasminerelay.broker import (
@@ -179,7 +180,7 @@
                 )
             avoid = sorted(closed | set(request.avoid))
             result = await self._request_permit(
-                dataclasses.replace(request, avoid=avoid)
+                msgspec.structs.replace(request, avoid=avoid)
             )
             if isinstance(result, PermitRefusal):
                 return result
@@ -562,7 +563,7 @@
 
     def _refreshed_request(self, pending: _PendingRequest) -> PermitRequest:
         waited = time.monotonic() - pending.started
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             pending.request,
             wait_s=pending.request.wait_s + waited,
             max_wait_s=max(0.0, pending.request.max_wait_s - waited),
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from typing import Any
 
 import anyio
 
@@ -432,7 +433,7 @@
             lambda: min(ENTRY_TTL_S, self.boot.entry_ttl_s),
             self.telemetry.text,
         )
-        options = {
+        options: dict[str, Any] = {
             "server_header": False,
             "date_header": False,
             "http": headlimits.limited_protocol(self._request_head_bounds),
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -23,6 +23,7 @@
 import enum
 from collections.abc import Callable, Iterable
 
+import msgspec
 import xxhash
 
 from jasminerelay import storeversion
@@ -471,7 +472,7 @@
             data if is_newer else b"",
             storeversion.number_of(self._servers_version),
             [
-                dataclasses.replace(
+                msgspec.structs.replace(
                     held.row,
                     version=storeversion.number_of(held.row.version),
                 )
@@ -499,14 +500,14 @@
         """Returns a snapshot in which numbers are replaced by versions."""
         era = snapshot.servers_era
         since = snapshot.since
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             snapshot,
             configuration_version=self._version_at(
                 snapshot.configuration_era, snapshot.configuration_version
             ),
             servers_version=self._version_at(era, snapshot.servers_version),
             servers=[
-                dataclasses.replace(
+                msgspec.structs.replace(
                     row, version=self._version_at(era, row.version)
                 )
                 for row in snapshot.servers
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -3,11 +3,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 
-@dataclass(frozen=True)
-class ManifestPointer:
+class ManifestPointer(Struct, frozen=True):
     """
     Identifies an accepted manifest.
     """
@@ -16,8 +15,7 @@
     digest: str
 
 
-@dataclass(frozen=True)
-class Member:
+class Member(Struct, frozen=True):
     """
     Membership entry of an instance.
     """
@@ -32,8 +30,7 @@
     beat: int
 
 
-@dataclass(frozen=True)
-class ServerNotice:
+class ServerNotice(Struct, frozen=True):
     """
     State of a backend server, spread by gossip.
     """
@@ -43,8 +40,7 @@
     stamp: int
 
 
-@dataclass(frozen=True)
-class Gossip:
+class Gossip(Struct, frozen=True):
     """
     A membership datagram.
     """
@@ -56,8 +52,7 @@
     manifest: ManifestPointer
 
 
-@dataclass(frozen=True)
-class PermitRequest:
+class PermitRequest(Struct, frozen=True):
     """
     Requests a permit from the broker of a cell.
     """
@@ -81,8 +76,7 @@
     resume_on: str
 
 
-@dataclass(frozen=True)
-class HeldPermit:
+class HeldPermit(Struct, frozen=True):
     """
     A permit that an instance holds, reported to a new broker.
     """
@@ -94,8 +88,7 @@
     preemptible: bool
 
 
-@dataclass(frozen=True)
-class PermitRelease:
+class PermitRelease(Struct, frozen=True):
     """
     Returns a permit, or cancels a request for one.
     """
@@ -107,8 +100,7 @@
     step_s: float
 
 
-@dataclass(frozen=True)
-class BorrowRequest:
+class BorrowRequest(Struct, frozen=True):
     """
     Requests tokens of an organisation's rate limit from its coordinator.
     """
@@ -117,8 +109,7 @@
     tokens: float
 
 
-@dataclass(frozen=True)
-class TokenLoan:
+class TokenLoan(Struct, frozen=True):
     """
     Tokens lent; fewer than requested means that the rate limit is reached.
     """
@@ -128,8 +119,7 @@
     retry_s: float
 
 
-@dataclass(frozen=True)
-class InstanceFrame:
+class InstanceFrame(Struct, frozen=True):
     """
     A message from an instance to a broker.
     """
@@ -142,8 +132,7 @@
     borrows: list[BorrowRequest]
 
 
-@dataclass(frozen=True)
-class PermitGrant:
+class PermitGrant(Struct, frozen=True):
     """
     A permit to send one request to a backend server.
     """
@@ -153,8 +142,7 @@
     server: str
 
 
-@dataclass(frozen=True)
-class PermitRefusal:
+class PermitRefusal(Struct, frozen=True):
     """
     The final answer to a permit request that is not granted.
     """
@@ -164,8 +152,7 @@
     retry_s: float
 
 
-@dataclass(frozen=True)
-class PermitRevocation:
+class PermitRevocation(Struct, frozen=True):
     """
     Revokes a permit for a request of a higher rank.
     """
@@ -173,8 +160,7 @@
     ask_id: str
 
 
-@dataclass(frozen=True)
-class BrokerFrame:
+class BrokerFrame(Struct, frozen=True):
     """
     A message from a broker to an instance.
     """
@@ -185,8 +171,7 @@
     loans: list[TokenLoan]
 
 
-@dataclass(frozen=True)
-class ManifestReply:
+class ManifestReply(Struct, frozen=True):
     """
     The newest manifest of a peer.
     """
@@ -195,8 +180,7 @@
     body: str
 
 
-@dataclass(frozen=True)
-class CacheEvent:
+class CacheEvent(Struct, frozen=True):
     """
     A change of a backend server's prefix cache.
     """
@@ -206,8 +190,7 @@
     removed: list[int]
 
 
-@dataclass(frozen=True)
-class LoadReport:
+class LoadReport(Struct, frozen=True):
     """
     Load reported by a backend server.
     """
@@ -219,8 +202,7 @@
     age_s: float
 
 
-@dataclass(frozen=True)
-class ServerRow:
+class ServerRow(Struct, frozen=True):
     """
     A backend server's row in the platform's store.
     """
@@ -230,8 +212,7 @@
     data: bytes | None
 
 
-@dataclass(frozen=True)
-class StoreSnapshot:
+class StoreSnapshot(Struct, frozen=True):
     """
     An instance's copy of the platform's store.
     """
@@ -248,8 +229,7 @@
     configuration_era: int = -1
 
 
-@dataclass(frozen=True)
-class ReplicaStatus:
+class ReplicaStatus(Struct, frozen=True):
     """
     Version and age of an instance's copy of the store.
     """
@@ -263,8 +243,7 @@
     catalog: int = -1
 
 
-@dataclass(frozen=True)
-class ServerLoad:
+class ServerLoad(Struct, frozen=True):
     """
     An instance's in-flight requests at a backend server.
     """
@@ -276,8 +255,7 @@
     token_us: int = 0
 
 
-@dataclass(frozen=True)
-class RouteDemand:
+class RouteDemand(Struct, frozen=True):
     """
     Load from callers at one instance.
     """
@@ -288,8 +266,7 @@
     rank: int
 
 
-@dataclass(frozen=True)
-class LoadColumns:
+class LoadColumns(Struct, frozen=True):
     """
     Loads of one instance in columns: repeated field names would fill most of a datagram.
     """
@@ -301,8 +278,7 @@
     token_us: list[int]
 
 
-@dataclass(frozen=True)
-class DemandColumns:
+class DemandColumns(Struct, frozen=True):
     """
     Demand at one instance, in columns.
     """
@@ -313,8 +289,7 @@
     ranks: list[int]
 
 
-@dataclass(frozen=True)
-class EngineSample:
+class EngineSample(Struct, frozen=True):
     """
     A latency measurement of a service's engines.
     """
@@ -325,8 +300,7 @@
     seconds: float
 
 
-@dataclass(frozen=True)
-class PlacementRequest:
+class PlacementRequest(Struct, frozen=True):
     """
     Requests a placement from a cell's owner.
     """
@@ -347,8 +321,7 @@
     passed: bool
 
 
-@dataclass(frozen=True)
-class InFlightReport:
+class InFlightReport(Struct, frozen=True):
     """
     An in-flight request at a server of a cell.
     """
@@ -360,8 +333,7 @@
     first_ms: int
 
 
-@dataclass(frozen=True)
-class RequestEndReport:
+class RequestEndReport(Struct, frozen=True):
     """
     The end of a request at a server.
     """
@@ -373,8 +345,7 @@
     output: int
 
 
-@dataclass(frozen=True)
-class ServerObservation:
+class ServerObservation(Struct, frozen=True):
     """
     Recent measurements of a server by one instance.
     """
@@ -385,8 +356,7 @@
     silent: bool
 
 
-@dataclass(frozen=True)
-class CellUpdate:
+class CellUpdate(Struct, frozen=True):
     """
     An instance's placement requests and in-flight requests at a cell, sent to its owner. In-flight requests that are not listed have ended.
     """
@@ -402,8 +372,7 @@
     tokens: list[ServerObservation]
 
 
-@dataclass(frozen=True)
-class PlacementAnswer:
+class PlacementAnswer(Struct, frozen=True):
     """
     A cell owner's answer to a placement request.
     """
@@ -419,8 +388,7 @@
     cell: int = -1
 
 
-@dataclass(frozen=True)
-class OwnerAnswers:
+class OwnerAnswers(Struct, frozen=True):
     """
     A cell owner's answers to one instance.
     """
@@ -431,8 +399,7 @@
     answers: list[PlacementAnswer]
 
 
-@dataclass(frozen=True)
-class CellQueue:
+class CellQueue(Struct, frozen=True):
     """
     Queueing delay for new requests of one route at a cell.
     """
@@ -443,8 +410,7 @@
     ahead_ms: int
 
 
-@dataclass(frozen=True)
-class RequestCrashes:
+class RequestCrashes(Struct, frozen=True):
     """
     Servers that have ended while running one request.
     """
@@ -455,8 +421,7 @@
     survived_ms: int
 
 
-@dataclass(frozen=True)
-class CrashReport:
+class CrashReport(Struct, frozen=True):
     """
     Requests during which servers have ended, as recorded by one instance.
     """
@@ -465,8 +430,7 @@
     requests: list[RequestCrashes]
 
 
-@dataclass(frozen=True)
-class ServerLimit:
+class ServerLimit(Struct, frozen=True):
     """
     Rate limit of a server over all instances together.
     """
@@ -476,8 +440,7 @@
     age_ms: int
 
 
-@dataclass(frozen=True)
-class LimitGrantRequest:
+class LimitGrantRequest(Struct, frozen=True):
     """
     Requests grants for requests that only rate-limited servers can take.
     """
@@ -487,8 +450,7 @@
     count: int
 
 
-@dataclass(frozen=True)
-class LimitGrant:
+class LimitGrant(Struct, frozen=True):
     """
     Permits sending requests to a rate-limited server.
     """
@@ -498,8 +460,7 @@
     trial: bool
 
 
-@dataclass(frozen=True)
-class LimitMessage:
+class LimitMessage(Struct, frozen=True):
     """
     State of rate-limited servers, exchanged between instances.
     """
@@ -510,8 +471,7 @@
     grants: list[LimitGrant]
 
 
-@dataclass(frozen=True)
-class DrainMessage:
+class DrainMessage(Struct, frozen=True):
     """
     Servers that have announced in a response that they shut down, as known by one instance.
     """
@@ -520,8 +480,7 @@
     servers: list[str]
 
 
-@dataclass(frozen=True)
-class UsageWindow:
+class UsageWindow(Struct, frozen=True):
     """
     Requests that servers began for an instance in one time window.
     """
@@ -531,8 +490,7 @@
     counts: list[int]
 
 
-@dataclass(frozen=True)
-class DutyMessage:
+class DutyMessage(Struct, frozen=True):
     """
     Exchanged between instances and the candidates for the duties.
     """
@@ -545,8 +503,7 @@
     skew_ms: int = 0
 
 
-@dataclass(frozen=True)
-class PeerMessage:
+class PeerMessage(Struct, frozen=True):
     """
     A datagram between instances of a platform.
     """
@@ -561,8 +518,7 @@
     queues: list[CellQueue] = field(default_factory=list)
 
 
-@dataclass(frozen=True)
-class Messages:
+class Messages(Struct, frozen=True):
     """
     Messages between instances.
     """
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -1,7 +1,6 @@
 """Cells of servers, their owners, and the instances that send to them."""
 
 import contextlib
-import dataclasses
 import time
 import unittest
 import unittest.mock
@@ -343,7 +342,7 @@
     def test_unreadable(self) -> None:
         # Corrupt datagrams and those of other versions are rejected.
         ask = placement_request(1, next(prompts(1)), frozenset(), False, 0.0)
-        uneven = dataclasses.replace(ask, part_tokens=[1, 2, 3])
+        uneven = msgspec.structs.replace(ask, part_tokens=[1, 2, 3])
         message = CellUpdate("a", "a:1", SERVICE, 0, 1, [uneven], [], [], [])
         for data in (
             peermessages.PLACE_TAG,
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -1,9 +1,9 @@
 """The store comes back from a copy of its data that is some seconds old."""
 
-import dataclasses
 import unittest
 
 import anyio
+import msgspec
 
 from jasminerelay import storeversion
 from jasminerelay.platform import decoding
@@ -204,7 +204,7 @@
         version = storeversion.make(1, 2)
         return self.registry.apply_full_read(
             [
-                dataclasses.replace(
+                msgspec.structs.replace(
                     item, version=storeversion.make(1, item.version)
                 )
                 for item in rows
@@ -253,10 +253,10 @@
         former.apply_full_read([row(1), row(40, "gone")], 40)
         self.return_with(row(1), row(2, "b"))
         without_eras = {"era": -1, "catalog": -1}
-        standing = dataclasses.replace(former.standing, **without_eras)
+        standing = msgspec.structs.replace(former.standing, **without_eras)
         self.assertFalse(self.registry.is_behind(standing))
         self.assertFalse(self.registry.shares_era_with(standing))
-        snapshot = dataclasses.replace(
+        snapshot = msgspec.structs.replace(
             former.export_snapshot(), servers_era=-1, configuration_era=-1
         )
         self.registry.merge_snapshot(snapshot)
@@ -266,9 +266,9 @@
         # Guards against instances that ignore each other in a rolling update.
         other = Registry(decoding.catalog, decoding.server)
         other.apply_full_read([row(1), row(3, "c")], 3)
-        standing = dataclasses.replace(other.standing, era=-1, catalog=-1)
+        standing = msgspec.structs.replace(other.standing, era=-1, catalog=-1)
         self.assertTrue(self.registry.is_behind(standing))
-        snapshot = dataclasses.replace(
+        snapshot = msgspec.structs.replace(
             other.export_snapshot(), servers_era=-1, configuration_era=-1
         )
         self.registry.merge_snapshot(snapshot)
--- a/tests/test_staleversions.py
+++ b/tests/test_staleversions.py
@@ -5,10 +5,10 @@
 retry.
 """
 
-import dataclasses
 import unittest
 
 import anyio
+import msgspec
 
 from jasminerelay import followerroles, storefollowing
 from tests import virtualtime
@@ -197,7 +197,7 @@
         async def scenario(world: World) -> None:
             node = next(iter(world.nodes.values()))
             other = list(world.nodes.values())[-1]
-            old = dataclasses.replace(other.registry.standing, age_ms=100)
+            old = msgspec.structs.replace(other.registry.standing, age_ms=100)
             self.disconnect(world, [node])
             node.scope.cancel()
             await anyio.sleep(MAX_CHANGE_DELAY_S)
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -5,13 +5,13 @@
 faults are drawn from a seed.
 """
 
-import dataclasses
 import random
 import types
 import unittest
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 
 from jasminerelay import followerroles, storeversion
 from jasminerelay.errors import StoreError
@@ -111,7 +111,7 @@
         self.rows = [
             (
                 table,
-                dataclasses.replace(
+                msgspec.structs.replace(
                     row,
                     version=storeversion.make(
                         self.era, storeversion.number_of(row.version)
@@ -285,7 +285,7 @@
     def send_status(self, members: list[Member]) -> None:
         """Sends the versions of the instance's data to others."""
         age_s = self.freshness.age_s(now())
-        standing = dataclasses.replace(
+        standing = msgspec.structs.replace(
             self.registry.standing,
             age_ms=-1 if age_s == float("inf") else int(age_s * 1000),
         )
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,12 +1,16 @@
 """Generates the data classes of jasminerelay.schema from JSON Schema."""
 
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
 
 SCHEMA_DIR = pathlib.Path(__file__).parent.parent / "src/jasminerelay/schema"
 SCHEMA_NAMES = ("settings", "manifest", "messages")
+STRUCT_NAMES = ("messages",)
+"""Schemas whose classes are structs of msgspec. An instance imports all of them
+at its start, and creating a data class takes some twenty times as long."""
 
 
 def generate(name: str) -> str:
@@ -42,7 +46,25 @@
             ],
             check=True,
         )
-        return output_path.read_text()
+        text = output_path.read_text()
+        return _with_structs(text) if name in STRUCT_NAMES else text
+
+
+def _with_structs(text: str) -> str:
+    """Returns the source with frozen structs in place of frozen data classes.
+
+    The generator's own output of structs adds a union with UnsetType to every
+    field that has a default.
+    """
+    text = text.replace(
+        "from dataclasses import dataclass, field",
+        "from msgspec import Struct, field",
+    )
+    return re.sub(
+        r"@dataclass\(frozen=True\)\nclass (\w+):",
+        r"class \1(Struct, frozen=True):",
+        text,
+    )
 
 
 def main() -> int:
