Import neither the native settings nor statsd on the platform

Change: split_address moves to addresses; Counters takes no statsd server by default and imports the client when it has one. test_docs checks addresses as a module without I/O, since manifest imports it. Result: schema.settings and statsd are no longer imported (test_earlyports).

--- a/src/jasminerelay/manifest.py
+++ b/src/jasminerelay/manifest.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from jasminerelay import validation
+from jasminerelay.addresses import split_address
 from jasminerelay.errors import ConfigProblem, ForbiddenError, NotFoundError
 from jasminerelay.schema.manifest import (
     Call,
@@ -20,7 +21,6 @@
     Service,
     ServiceClass,
 )
-from jasminerelay.settings import split_address
 
 CELL_SIZE = 8
 """Most backend servers in one cell.
--- a/src/jasminerelay/metrics.py
+++ b/src/jasminerelay/metrics.py
@@ -3,11 +3,14 @@
 import collections
 import logging
 import os
-
-import statsd
+from typing import TYPE_CHECKING
 
 from jasminerelay.errors import InvariantError
-from jasminerelay.schema.settings import Statsd
+
+if TYPE_CHECKING:
+    import statsd
+
+    from jasminerelay.schema.settings import Statsd
 
 _log = logging.getLogger(__name__)
 
@@ -17,12 +20,13 @@
 class Counters:
     """Counts events; each flush sends the increments to statsd in a batch."""
 
-    def __init__(self, cfg: Statsd):
-        self._client = (
-            statsd.StatsClient(cfg.host, cfg.port, prefix=cfg.prefix)
-            if cfg.host
-            else None
-        )
+    def __init__(self, cfg: "Statsd | None" = None):
+        """Creates the counters.
+
+        Args:
+            cfg: The statsd server; None for none.
+        """
+        self._client = _statsd_client(cfg) if cfg and cfg.host else None
         self._totals: collections.Counter[str] = collections.Counter()
         self._sent: collections.Counter[str] = collections.Counter()
 
@@ -45,6 +49,13 @@
         self._sent = self._totals.copy()
 
 
+def _statsd_client(cfg: "Statsd") -> "statsd.StatsClient":
+    # Imported here since instances on the platform have no statsd server.
+    import statsd
+
+    return statsd.StatsClient(cfg.host, cfg.port, prefix=cfg.prefix)
+
+
 class InvariantHandler:
     """Handles violated invariants."""
 
--- a/src/jasminerelay/peers.py
+++ b/src/jasminerelay/peers.py
@@ -15,6 +15,7 @@
 import itsdangerous
 import msgspec
 
+from jasminerelay.addresses import split_address
 from jasminerelay.brokerhost import BrokerHost
 from jasminerelay.membership import Membership, Send
 from jasminerelay.metrics import Counters
@@ -26,7 +27,6 @@
     ManifestReply,
 )
 from jasminerelay.schema.settings import Tls
-from jasminerelay.settings import split_address
 
 _log = logging.getLogger(__name__)
 
--- a/src/jasminerelay/platform/bootfile.py
+++ b/src/jasminerelay/platform/bootfile.py
@@ -6,7 +6,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from jasminerelay import settings, validation
+from jasminerelay import validation
+from jasminerelay.addresses import split_address
 from jasminerelay.errors import ConfigProblem
 
 USAGE_DUTY = "usage_report"
@@ -156,7 +157,7 @@
         *duty_calls,
     ):
         try:
-            settings.split_address(address)
+            split_address(address)
         except ValueError as exc:
             return Err([_problem(source, f"{address}: {exc}")])
     problems = _check_duties(raw, source)
--- a/src/jasminerelay/settings.py
+++ b/src/jasminerelay/settings.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from jasminerelay import validation
+from jasminerelay.addresses import split_address
 from jasminerelay.errors import ConfigProblem
 from jasminerelay.schema.settings import Settings
 
@@ -39,21 +40,6 @@
     return parse(text, str(path))
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits "IP:port" into its parts.
-
-    Raises:
-        ValueError: if the address does not have this form.
-    """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    ipaddress.ip_address(host)
-    number = int(port)
-    if not 0 <= number <= 65535:
-        raise ValueError(f"port {number} is out of range")
-    return host, number
-
-
 def _cross_check(settings: Settings, source: str) -> list[ConfigProblem]:
     problems = []
     tls_parts = [settings.tls.cert, settings.tls.key, settings.tls.ca]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -56,6 +56,7 @@
     """Decision modules do no I/O and import no module that does."""
 
     DECISION_MODULES = (
+        "addresses",
         "admission",
         "broker",
         "burn",
