Import uvicorn's server without its command line

Cause: uvicorn's package imports uvicorn.main with click and the supervisors, 22.7 ms of 296 ms of imports.

--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 
 import httptools
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from jasminerelay import ports
+from jasminerelay.uvicornserver import HttpToolsProtocol
 
 HEAD_TIMEOUT_S = 10.0
 """Default time limit for a request head: a slow mobile link needs some seconds
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -4,18 +4,18 @@
 import socket
 
 import anyio
-import uvicorn
 
-from jasminerelay import settings
+from jasminerelay.addresses import split_address
+from jasminerelay.uvicornserver import Config, Server
 
 KEEPALIVE_TIMEOUT_S = 30
 TICK_INTERVAL_S = 1.0
 
 
-class HttpServer(uvicorn.Server):
+class HttpServer(Server):
     """An HTTP server that leaves the handling of signals to the daemon."""
 
-    def __init__(self, config: uvicorn.Config, sock: socket.socket | None):
+    def __init__(self, config: Config, sock: socket.socket | None):
         """Creates the server.
 
         Args:
@@ -55,7 +55,7 @@
         sock: Socket that listens on the address already; None to open one.
         options: Additional options of uvicorn.Config.
     """
-    host, port = settings.split_address(address)
+    host, port = split_address(address)
     defaults = {
         "host": host,
         "port": port,
@@ -65,4 +65,4 @@
         "ws": "none",
         "timeout_keep_alive": KEEPALIVE_TIMEOUT_S,
     }
-    return HttpServer(uvicorn.Config(app, **{**defaults, **options}), sock)
+    return HttpServer(Config(app, **{**defaults, **options}), sock)
