Suspend garbage collection during the imports

Cause: the imports create 70,000 objects that stay; collections among them find nothing to free. Change: the start disables collections; the program freezes what exists and enables them. test_starting's point at uvicorn is uvicorn.server, since the package's own code no longer runs.

--- a/bench/starting.py
+++ b/bench/starting.py
@@ -1,10 +1,11 @@
 """Measures the start of an instance on the platform.
 
-Usage: python -m bench.starting [--runs N] [--tree FOLDER]
+Usage: python -m bench.starting [--runs N] [--trees FOLDER ...]
 
 Starts deploy/instance.py as the platform does, with compiled bytecode, against
 the stand-in site, and sends it a request as soon as its port accepts
-connections. Prints the median and the range over the runs of:
+connections. With several checkouts, their runs take turns, so that they meet
+the same load of the machine. Prints the median and the range over the runs of:
 
 - the CPU time of the process from exec to its first response with status 200,
   and the time that has passed;
@@ -142,32 +143,33 @@
     return float(done.stdout) * 1e3
 
 
-async def measure(tree: pathlib.Path, runs: int) -> list[list[float]]:
-    """Returns the figures of each run.
+async def measure(trees: list[pathlib.Path], runs: int) -> list[list]:
+    """Returns the figures of the runs of each checkout.
 
-    One run before them, which writes the bytecode, is not counted.
+    A run of each before them, which writes the bytecode, is not counted.
     """
+    rows: list[list] = [[] for _ in trees]
     with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
         site = PlatformSite(SiteOptions(), pathlib.Path(folder))
-        variables = environment(tree, f"{folder}/bytecode")
         async with site.running():
-            rows = []
             for number in range(runs + 1):
-                path = site.settings(f"edge-{number + 1}")
-                figures = await measure_start(tree, path, variables)
-                rows.append([*figures, measure_import(variables)])
-            return rows[1:]
+                for index, tree in enumerate(trees):
+                    variables = environment(tree, f"{folder}/bytecode")
+                    path = site.settings(f"edge-{number}-{index}")
+                    figures = await measure_start(tree, path, variables)
+                    rows[index].append([*figures, measure_import(variables)])
+    return [item[1:] for item in rows]
 
 
 def main() -> None:
-    """Prints the table of figures."""
+    """Prints a table of figures for each checkout."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--runs", type=int, default=10)
-    parser.add_argument("--tree", type=pathlib.Path, default=ROOT)
+    parser.add_argument("--trees", type=pathlib.Path, nargs="+", default=[ROOT])
     options = parser.parse_args()
     # Uvicorn logs the stand-ins' responses that end with an instance.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
-    rows = anyio.run(measure, options.tree.resolve(), options.runs)
+    trees = [tree.resolve() for tree in options.trees]
     names = (
         "CPU ms to the first response",
         "ms to the first response",
@@ -175,15 +177,15 @@
         "peak MB",
         "CPU ms of the imports",
     )
-    table = [
-        [name, statistics.median(column), min(column), max(column)]
-        for name, column in zip(names, zip(*rows, strict=True), strict=True)
-    ]
-    print(
-        tabulate.tabulate(
-            table, ["", "median", "least", "most"], "github", floatfmt=".1f"
-        )
-    )
+    for tree, rows in zip(
+        trees, anyio.run(measure, trees, options.runs), strict=True
+    ):
+        table = [
+            [name, statistics.median(column), min(column), max(column)]
+            for name, column in zip(names, zip(*rows, strict=True), strict=True)
+        ]
+        headers = [str(tree), "median", "least", "most"]
+        print(tabulate.tabulate(table, headers, "github", floatfmt=".1f"))
 
 
 if __name__ == "__main__":
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -59,7 +59,6 @@
 )
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import Member, StoreSnapshot
-from jasminerelay.schema.settings import Statsd
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
@@ -136,7 +135,7 @@
         self._ready = False
         self.running = False
         self.log = EventLog(boot.name)
-        self.counters = Counters(Statsd())
+        self.counters = Counters()
         self.telemetry = Telemetry(self.counters)
         self._watchdog = Watchdog()
         self._build_state()
@@ -724,5 +723,8 @@
     # Requests leave hardly any reference cycles, so a collection after every
     # few hundred new objects would be wasted.
     gc.set_threshold(GC_YOUNG_OBJECTS)
+    # What exists by now stays until the end and need not be searched again.
+    gc.freeze()
+    gc.enable()
     anyio.run(instance.run)
     return 0
--- a/src/jasminerelay/platform/start.py
+++ b/src/jasminerelay/platform/start.py
@@ -1,5 +1,6 @@
 """Entry point of an instance on the platform."""
 
+import gc
 import os
 import signal
 
@@ -15,6 +16,9 @@
     # during the start are found at the next periodic reload.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     ports.open(os.environ.get(earlyports.SETTINGS_VARIABLE, ""))
+    # The imports create objects that stay; collections would find nothing to
+    # free among them. The program enables them again.
+    gc.disable()
     # Imported only after the signal handlers are installed and the ports are
     # open, since the import is slow: signals and callers may arrive during it.
     from jasminerelay.platform.root import main as run
--- a/tests/test_earlyports.py
+++ b/tests/test_earlyports.py
@@ -15,6 +15,15 @@
 
 REQUEST = b"POST /a HTTP/1.1\r\nhost: h\r\nAttempt-Id: a7\r\n\r\n"
 LARGE_BODY_BYTES = 4_000_000
+UNUSED_PACKAGES = ("click", "jsonschema", "prometheus_client", "statsd")
+"""Packages that neither the start nor the first request needs."""
+
+LIST_PROGRAM_IMPORTS = """
+import sys
+import jasminerelay.platform.root
+print(*sys.modules)
+"""
+
 MAX_STOP_S = 0.3
 """Bound of the page (0.2 s), with a margin for a busy machine."""
 
@@ -76,6 +85,17 @@
         )
         self.assertEqual(done.stdout.split(), [])
 
+    def test_unused_packages_are_not_imported(self) -> None:
+        # Guards against a slow start: an instance has a fraction of a core.
+        done = subprocess.run(
+            [sys.executable, "-c", LIST_PROGRAM_IMPORTS],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        imported = set(done.stdout.split())
+        self.assertEqual(imported & {*UNUSED_PACKAGES, "uvicorn.main"}, set())
+
     def test_callers_connect_before_a_server_exists(self) -> None:
         # Guards against "connection refused" while an instance starts.
         self.open()
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -135,7 +135,7 @@
                 "deploy/instance.py",
                 (
                     ("anyio", LOADING),
-                    ("uvicorn", LOADING),
+                    ("uvicorn.server", LOADING),
                     (root, LOADING),
                     (root, "main"),
                     (root, "Instance.__init__"),
