Import the duties only where they are configured

Cause: the modules of the duties are imported by every instance. Change: root imports dutyassembly if the settings name the duties' address.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -26,7 +26,6 @@
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
-from jasminerelay.duties import Duties
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog, EventLogHandler
 from jasminerelay.followerroles import FollowerRole
@@ -43,7 +42,6 @@
 from jasminerelay.placementqueue import PlacementQueue
 from jasminerelay.platform import bootfile, decoding
 from jasminerelay.platform.bootfile import BootSettings
-from jasminerelay.platform.dutyassembly import build_duties
 from jasminerelay.platform.earlyports import SETTINGS_VARIABLE, EarlyPorts
 from jasminerelay.platform.headers import PlatformDialect
 from jasminerelay.platform.ingress import Ingress, IngressContext
@@ -73,6 +71,9 @@
 from jasminerelay.telemetry import Telemetry
 from jasminerelay.watchdog import Watchdog
 
+if TYPE_CHECKING:
+    from jasminerelay.duties import Duties
+
 METRICS_VARIABLE = "JASMINERELAY_METRICS_PORT"
 EXIT_USAGE = 2
 
@@ -377,7 +378,13 @@
         )
 
     def _build_duties(self) -> None:
-        self._duties: Duties | None = build_duties(
+        self._duties: Duties | None = None
+        if self.boot.duty_calls is None:
+            return
+        # Imported here since many deployments configure no duties.
+        from jasminerelay.platform.dutyassembly import build_duties
+
+        self._duties = build_duties(
             self.boot,
             self._peers.membership.own_member,
             self._store,
