--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -25,7 +26,6 @@
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
-from jasminerelay.duties import Duties
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog, EventLogHandler
 from jasminerelay.followerroles import FollowerRole
@@ -42,7 +42,7 @@
 from jasminerelay.placementqueue import PlacementQueue
 from jasminerelay.platform import bootfile, decoding
 from jasminerelay.platform.bootfile import BootSettings
-from jasminerelay.platform.dutyassembly import build_duties
+from jasminerelay.platform.earlyports import SETTINGS_VARIABLE, EarlyPorts
 from jasminerelay.platform.headers import PlatformDialect
 from jasminerelay.platform.ingress import Ingress, IngressContext
 from jasminerelay.platform.statusapp import StatusApp
@@ -57,7 +57,6 @@
 )
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import Member, StoreSnapshot
-from jasminerelay.schema.settings import Statsd
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
@@ -72,7 +71,9 @@
 from jasminerelay.telemetry import Telemetry
 from jasminerelay.watchdog import Watchdog
 
-BOOT_VARIABLE = "JASMINERELAY_BOOT"
+if TYPE_CHECKING:
+    from jasminerelay.duties import Duties
+
 METRICS_VARIABLE = "JASMINERELAY_METRICS_PORT"
 EXIT_USAGE = 2
 
@@ -114,21 +115,28 @@
         running: Whether it is running; False again after a planned stop.
     """
 
-    def __init__(self, boot: BootSettings, path: pathlib.Path):
+    def __init__(
+        self,
+        boot: BootSettings,
+        path: pathlib.Path,
+        early_ports: EarlyPorts | None = None,
+    ):
         """Creates the components without starting them.
 
         Args:
             boot: Validated settings.
             path: The settings file, which is polled for changes.
+            early_ports: Sockets that listen already.
         """
         self.boot = boot
         self._path = path
+        self._early_ports = early_ports or EarlyPorts()
         self._rng = random.Random()
         self._planned_stop: PlannedShutdown | None = None
         self._ready = False
         self.running = False
         self.log = EventLog(boot.name)
-        self.counters = Counters(Statsd())
+        self.counters = Counters()
         self.telemetry = Telemetry(self.counters)
         self._watchdog = Watchdog()
         self._build_state()
@@ -370,7 +378,13 @@
         )
 
     def _build_duties(self) -> None:
-        self._duties: Duties | None = build_duties(
+        self._duties: Duties | None = None
+        if self.boot.duty_calls is None:
+            return
+        # Imported here since many deployments configure no duties.
+        from jasminerelay.platform.dutyassembly import build_duties
+
+        self._duties = build_duties(
             self.boot,
             self._peers.membership.own_member,
             self._store,
@@ -392,7 +406,7 @@
         )
         self._registry_feed.on_leaving = stream_migrator.leaving
         self._registry_feed.on_removed = self._on_server_removed
-        self._registry_feed.on_changed = self._peers.notify_dependents
+        self._registry_feed.on_changed = self._on_data_changed
         forwarding = ForwardingContext(
             self.dispatcher,
             self._placement_client,
@@ -425,18 +439,26 @@
             lambda: min(ENTRY_TTL_S, self.boot.entry_ttl_s),
             self.telemetry.text,
         )
-        options = {
+        options: dict[str, Any] = {
             "server_header": False,
             "date_header": False,
             "http": headlimits.limited_protocol(self._request_head_bounds),
         }
-        self._callers_port = ports.port(Ingress(front), boot.callers, **options)
+        take = self._early_ports.take
+        self._ingress = Ingress(front)
+        self._callers_port = ports.port(
+            self._ingress, boot.callers, sock=take(boot.callers), **options
+        )
         self._ports = [
             self._callers_port,
-            ports.port(status, boot.readiness, **options),
-            ports.port(status, boot.entries, **options),
+            *(
+                ports.port(status, address, sock=take(address), **options)
+                for address in (boot.readiness, boot.entries)
+            ),
             ports.port(SnapshotApp(self.registry), boot.peers, **options),
         ]
+        # The settings may have changed since the ports were opened.
+        self._early_ports.close_unused()
         metrics_port = os.environ.get(METRICS_VARIABLE)
         if metrics_port:
             address = f"{boot.ip}:{metrics_port}"
@@ -463,6 +485,11 @@
         self.dispatcher.gone(server)
         self._owned_cells.gone(server)
 
+    def _on_data_changed(self) -> None:
+        self._peers.notify_dependents()
+        if self.registry.complete:
+            self._ingress.serve_early_requests()
+
     def _merge_snapshot(self, snapshot: StoreSnapshot, peer: str) -> None:
         try:
             changes = self.registry.merge_snapshot(snapshot)
@@ -470,7 +497,7 @@
             self.log.warn("snapshot_unreadable", peer=peer, why=str(exc))
             return
         self._registry_feed.report_changes(changes, peer)
-        self._peers.notify_dependents()
+        self._on_data_changed()
         self.log.warn(
             "snapshot",
             peer=peer,
@@ -679,15 +706,21 @@
         )
 
 
-def main() -> int:
-    """Runs the instance that the settings file describes."""
-    path = pathlib.Path(os.environ.get(BOOT_VARIABLE, ""))
+def main(early_ports: EarlyPorts | None = None) -> int:
+    """Runs the instance that the settings file describes.
+
+    Args:
+        early_ports: Sockets that listen already.
+    """
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = bootfile.load(path)
     if loaded.is_err():
         for problem in loaded.unwrap_err():
             print(problem, file=sys.stderr)
+        if early_ports is not None:
+            early_ports.refuse_waiting()
         return EXIT_USAGE
-    instance = Instance(loaded.unwrap(), path)
+    instance = Instance(loaded.unwrap(), path, early_ports)
     logging.basicConfig(
         level=logging.WARNING, handlers=[EventLogHandler(instance.log)]
     )
@@ -697,5 +730,8 @@
     # Requests leave hardly any reference cycles, so a collection after every
     # few hundred new objects would be wasted.
     gc.set_threshold(GC_YOUNG_OBJECTS)
+    # What exists by now stays until the end and need not be searched again.
+    gc.freeze()
+    gc.enable()
     anyio.run(instance.run)
     return 0
