Handle datagrams in callbacks and cache the lists of members

Cause: each datagram cost a task's wake-up and two more iterations of the event loop, and the lists of members were built 66 times a second. Change: datagrams.py receives and sends through the transport; membership keeps its lists until an instance changes, and their users recognise that by identity; the tasks that wait for newer data and for the stop signal wait for events.

--- a/src/jasminerelay/limitwatch.py
+++ b/src/jasminerelay/limitwatch.py
@@ -89,6 +89,7 @@
         self._issuers: dict[str, GrantIssuer] = {}
         self._coordinators: dict[str, str | None] = {}
         self._names: tuple[str, ...] = (own,)
+        self._live: Sequence[Member] | None = None
         self._members: dict[str, Member] = {}
         self._fleet_sizes: collections.deque[tuple[float, int]] = (
             collections.deque()
@@ -143,6 +144,9 @@
         self._fleet_sizes.append((now, max(1, known)))
         while self._fleet_sizes[0][0] < now - FLEET_SIZE_WINDOW_S:
             self._fleet_sizes.popleft()
+        if live is self._live:
+            return
+        self._live = live
         self._members = {member.instance: member for member in live}
         # Excludes this instance while it shuts down: the others no longer
         # request grants from it, and grants that it issued to itself would add
--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -104,6 +104,8 @@
         self._transmissions_left: dict[str, int] = {own.instance: FANOUT}
         self._notices: dict[str, ServerNotice] = {}
         self._notice_transmissions_left: dict[str, int] = {}
+        self._live: list[Member] | None = None
+        self._reachable_peers: list[Member] | None = None
         self.manifest_pointer = ManifestPointer(0, "")
 
     @property
@@ -114,9 +116,40 @@
             *(peer.member for peer in self._peers.values()),
         ]
 
+    @property
+    def known_count(self) -> int:
+        """Number of known instances, including failed ones and this one."""
+        return 1 + len(self._peers)
+
     def live(self) -> list[Member]:
-        """Returns the instances that may receive new work."""
-        return [member for member in self.view if member.state == ALIVE]
+        """Returns the instances that may receive new work.
+
+        The same list until an instance comes, goes or changes, so that users
+        recognise by its identity that nothing has changed. Its records may have
+        older beats than those of `view`. It must not be modified.
+        """
+        if self._live is None:
+            self._live = [
+                member for member in self.view if member.state == ALIVE
+            ]
+        return self._live
+
+    def reachable_peers(self) -> list[Member]:
+        """Returns the other instances that are alive or leaving.
+
+        Like that of `live`, the list is the same until an instance changes.
+        """
+        if self._reachable_peers is None:
+            self._reachable_peers = [
+                peer.member
+                for peer in self._peers.values()
+                if peer.member.state in (ALIVE, LEAVING)
+            ]
+        return self._reachable_peers
+
+    def is_known(self, instance: str) -> bool:
+        """Returns whether an instance has a record here."""
+        return instance in self._peers or instance == self.own_member.instance
 
     def notice_of(self, server: str) -> ServerNotice | None:
         """Returns the newest notice about a backend server."""
@@ -137,7 +170,7 @@
             if member.instance == self.own_member.instance:
                 continue
             if member.instance not in self._peers:
-                self._peers[member.instance] = _Peer(member, now)
+                self._set_peer(_Peer(member, now))
 
     def announce_leaving(self) -> list[Send]:
         """Announces that this instance accepts no new work."""
@@ -242,7 +275,7 @@
         last_message_at = (
             peer.last_message_at if peer is not None else float("-inf")
         )
-        self._peers[record.instance] = _Peer(record, since, last_message_at)
+        self._set_peer(_Peer(record, since, last_message_at))
         if changed:
             self._transmissions_left[record.instance] = self._transmissions()
             if record.state == SUSPECT:
@@ -267,10 +300,22 @@
         self._suspects_to_probe.append(record.instance)
 
     def _update_own_record(self, state: str) -> None:
+        if state != self.own_member.state:
+            self._discard_lists()
         self.own_member = dataclasses.replace(
             self.own_member, state=state, beat=self.own_member.beat + 1
         )
 
+    def _set_peer(self, peer: _Peer) -> None:
+        name = peer.member.instance
+        held = self._peers.get(name)
+        if held is None or not _equal_but_beat(held.member, peer.member):
+            self._discard_lists()
+        self._peers[name] = peer
+
+    def _discard_lists(self) -> None:
+        self._live = self._reachable_peers = None
+
     def _must_probe_again(self) -> bool:
         if self._probed_twice:
             return False
@@ -289,13 +334,12 @@
                 self._set_state(name, FAILED, now)
             elif state in (FAILED, LEAVING) and age > FORGET_AFTER_S:
                 del self._peers[name]
+                self._discard_lists()
                 self._transmissions_left.pop(name, None)
 
     def _set_state(self, name: str, state: str, now: float) -> None:
         member = dataclasses.replace(self._peers[name].member, state=state)
-        self._peers[name] = _Peer(
-            member, now, self._peers[name].last_message_at
-        )
+        self._set_peer(_Peer(member, now, self._peers[name].last_message_at))
         self._transmissions_left[name] = self._transmissions()
 
     def _next_target(self) -> str | None:
@@ -359,3 +403,14 @@
     if record.beat != held.beat:
         return record.beat > held.beat
     return _SEVERITY[record.state] > _SEVERITY[held.state]
+
+
+def _equal_but_beat(record: Member, held: Member) -> bool:
+    return (
+        record.state == held.state
+        and record.incarnation == held.incarnation
+        and record.peers == held.peers
+        and record.callers == held.callers
+        and record.operators == held.operators
+        and record.zone == held.zone
+    )
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from jasminerelay import peermessages, storeversion
+from jasminerelay.datagrams import DatagramSocket
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.eventlog import EventLog
 from jasminerelay.followerroles import FollowerRole
@@ -29,7 +30,7 @@
     IncompleteExchangeError,
     NotSentError,
 )
-from jasminerelay.membership import ALIVE, LEAVING, Membership, Send
+from jasminerelay.membership import Membership, Send
 from jasminerelay.metrics import Counters
 from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.peerstatus import PeerStatusTable
@@ -88,9 +89,6 @@
 
 FETCH_TIMEOUT_S = 1.0
 
-MAX_OUTGOING = 200
-"""Datagrams that may wait to be sent; more are dropped, as on a full link."""
-
 SNAPSHOT_PATH = "/snapshot"
 CONFIGURATION_FIELD = "configuration"
 SERVERS_FIELD = "servers"
@@ -133,11 +131,11 @@
         self._rng = rng
         self._number = 0
         self.peer_status = PeerStatusTable(registry, freshness)
+        self._behind = anyio.Event()
         self._addresses: set[str] = set()
         self._live: set[str] = set()
-        self._outbox, self._outgoing = anyio.create_memory_object_stream(
-            MAX_OUTGOING
-        )
+        self._live_members: list[Member] = []
+        self._socket = DatagramSocket(self._receive, self._on_socket_error)
         self._owned: OwnedCells | None = None
         self._placement_client: PlacementClient | None = None
         self._follower_role: FollowerRole | None = None
@@ -156,7 +154,7 @@
     @property
     def known_count(self) -> int:
         """Number of instances in the membership list, including failed ones."""
-        return len(self.membership.view)
+        return self.membership.known_count
 
     def add_addresses(self, addresses: set[str]) -> None:
         """Adds addresses at which other instances may listen."""
@@ -217,15 +215,8 @@
 
     async def run(self) -> None:
         """Exchanges messages with the other instances until cancelled."""
-        host, _, port = self.membership.own_member.peers.rpartition(":")
-        async with (
-            await anyio.create_udp_socket(
-                local_host=host, local_port=int(port)
-            ) as udp,
-            anyio.create_task_group() as group,
-        ):
-            group.start_soon(self._receive, udp)
-            group.start_soon(self._send_queued, udp)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._socket.run, self.membership.own_member.peers)
             group.start_soon(self._catch_up)
             await self._run_rounds()
 
@@ -289,11 +280,7 @@
         self._send_all(self._rng.sample(sends, count))
 
     def _send_loads(self) -> None:
-        peers = [
-            member
-            for member in self.membership.view[1:]
-            if member.state in (ALIVE, LEAVING)
-        ]
+        peers = self.membership.reachable_peers()
         chosen = self._rng.sample(peers, min(LOAD_FANOUT, len(peers)))
         if self._uses_owners:
             owners = self._placement_client.other_owners()
@@ -338,36 +325,20 @@
         return dataclasses.replace(self._registry.standing, age_ms=age_ms)
 
     def _send_to(self, address: str, data: bytes) -> None:
-        try:
-            self._outbox.send_nowait((address, data))
-        except anyio.WouldBlock:
+        if not self._socket.send(address, data):
             self._counters.incr("peer.outbox_full")
 
-    async def _send_queued(self, udp) -> None:
-        async for address, data in self._outgoing:
-            host, _, port = address.rpartition(":")
-            try:
-                await udp.sendto(data, host, int(port))
-            except (OSError, anyio.BrokenResourceError) as exc:
-                self._counters.incr("peer.send_failed")
-                self._log.info("peer_error", address=address, why=repr(exc))
+    def _on_socket_error(self, exc: Exception) -> None:
+        self._counters.incr("peer.send_failed")
+        self._log.info("peer_error", why=repr(exc))
 
-    async def _receive(self, udp) -> None:
-        while True:
-            try:
-                data, _ = await udp.receive()
-            except OSError as exc:
-                # The error of a send to an unreachable peer is raised by the
-                # next receive.
-                self._counters.incr("peer.receive_failed")
-                self._log.info("peer_error", why=repr(exc))
-                continue
-            try:
-                message = peermessages.decode(data)
-            except ValueError:
-                self._counters.incr("peer.unreadable")
-                continue
-            self._dispatch(message)
+    def _receive(self, data: bytes) -> None:
+        try:
+            message = peermessages.decode(data)
+        except ValueError:
+            self._counters.incr("peer.unreadable")
+            return
+        self._dispatch(message)
 
     @functools.singledispatchmethod
     def _dispatch(self, message: CellUpdate) -> None:
@@ -408,6 +379,8 @@
         self.peer_status.record_report(
             message.sender, message.standing, now, now_s()
         )
+        if self.peer_status.is_behind:
+            self._behind.set()
         loads = peermessages.load_rows(message.loads)
         self._dispatcher.apply_load_report(
             message.sender, message.number, loads, now
@@ -424,6 +397,9 @@
 
     async def _catch_up(self) -> None:
         while True:
+            if not self.peer_status.is_behind:
+                self._behind = anyio.Event()
+                await self._behind.wait()
             await anyio.sleep(LOAD_INTERVAL_S)
             name = self.peer_status.fetch_source(time.monotonic())
             if name is not None:
@@ -467,14 +443,17 @@
         self.on_snapshot(snapshot, name)
 
     def _note_changes(self) -> None:
-        live = {member.instance for member in self.membership.live()}
+        self.peer_status.retain(self.membership.is_known)
+        members = self.membership.live()
+        if members is self._live_members:
+            return
+        self._live_members = members
+        live = {member.instance for member in members}
         for name in live - self._live:
             self._log.info("instance_live", peer=name)
         for name in self._live - live:
             self._log.warn("instance_not_live", peer=name)
         self._live = live
-        view = self.membership.view
-        self.peer_status.retain({member.instance for member in view})
 
 
 class SnapshotApp:
--- a/src/jasminerelay/peerstatus.py
+++ b/src/jasminerelay/peerstatus.py
@@ -4,7 +4,7 @@
 which instances have lost the store, and whether a newer configuration exists.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable
 
 from jasminerelay.freshness import Freshness
 from jasminerelay.registry import Registry, StoreStatus
@@ -37,6 +37,7 @@
         self._registry = registry
         self._freshness = freshness
         self._reports: dict[str, tuple[float, ReplicaStatus]] = {}
+        self._without_store: dict[str, None] = {}
         self._behind_since: float | None = None
         self._newer_peer = ""
 
@@ -52,6 +53,10 @@
             at: Boot time at the same moment, in seconds.
         """
         self._reports[sender] = (now, standing)
+        if standing.touch == StoreStatus.UNREACHABLE:
+            self._without_store[sender] = None
+        elif self._without_store:
+            self._without_store.pop(sender, None)
         if self._registry.is_behind(standing):
             self._behind_since = self._behind_since or now
             self._newer_peer = sender
@@ -67,11 +72,7 @@
 
     def without_store(self) -> list[str]:
         """Returns the other instances that have lost the store."""
-        return [
-            name
-            for name, (_, standing) in self._reports.items()
-            if standing.touch == StoreStatus.UNREACHABLE
-        ]
+        return list(self._without_store)
 
     def newer_configuration_reported(self, now: float) -> bool:
         """Returns whether a newer configuration was reported recently."""
@@ -81,6 +82,11 @@
             for received_at, standing in self._reports.values()
         )
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether an instance has reported newer data."""
+        return self._behind_since is not None
+
     def fetch_source(self, now: float) -> str | None:
         """Returns the instance to fetch from; None if there is none now.
 
@@ -104,7 +110,8 @@
         latest = max(received_at for received_at, _ in self._reports.values())
         return now - latest > ISOLATED_S
 
-    def retain(self, names: Collection[str]) -> None:
-        """Drops the reports of all instances but the named ones."""
-        for name in [name for name in self._reports if name not in names]:
+    def retain(self, is_known: Callable[[str], bool]) -> None:
+        """Drops the reports of instances that are no longer known."""
+        for name in [name for name in self._reports if not is_known(name)]:
             del self._reports[name]
+            self._without_store.pop(name, None)
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -163,6 +163,7 @@
         self._ends: dict[Cell, list[RequestEndReport]] = {}
         self._wake = anyio.Event()
         self._live: dict[str, Member] = {}
+        self._live_list: Sequence[Member] | None = None
         self._owners: dict[Cell, Member | None] = {}
         self._owner_seen_at: dict[str, float] = {}
         self._backoff_until: dict[str, float] = {}
@@ -183,6 +184,9 @@
             live: Instances that accept requests.
         """
         self.active = known >= MIN_INSTANCES_FOR_OWNERS
+        if live is self._live_list:
+            return
+        self._live_list = live
         members = {member.instance: member for member in live}
         if members.keys() == self._live.keys():
             return
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -125,7 +125,10 @@
         self._path = path
         self._rng = random.Random()
         self._planned_stop: PlannedShutdown | None = None
+        self._stop_requested = anyio.Event()
         self._ready = False
+        self._live: list[Member] = []
+        self._role_inputs: tuple[list[str], bool] | None = None
         self.running = False
         self.log = EventLog(boot.name)
         self.counters = Counters(Statsd())
@@ -531,7 +534,9 @@
         members = membership.live()
         if not self._ready or self._planned_stop is not None:
             members = [
-                item for item in members if item is not membership.own_member
+                item
+                for item in members
+                if item.instance != membership.own_member.instance
             ]
         isolated = self._peers.peer_status.isolated(time.monotonic())
         if self._store_state.lost and isolated:
@@ -576,13 +581,18 @@
 
     def _update_instances(self) -> None:
         live = self._peers.membership.live()
+        live_changed = live is not self._live
+        self._live = live
         self._placement_client.update_instances(self._peers.known_count, live)
-        self._follower_role.update_instances(
-            live,
-            shared=self._placement_client.active,
-            without_store=self._peers.without_store(),
-        )
-        if self._duties is not None:
+        without_store = self._peers.without_store()
+        shared = self._placement_client.active
+        roles_changed = (without_store, shared) != self._role_inputs
+        if live_changed or roles_changed:
+            self._role_inputs = (without_store, shared)
+            self._follower_role.update_instances(
+                live, shared=shared, without_store=without_store
+            )
+        if live_changed and self._duties is not None:
             self._duties.update_instances(live)
         self._rate_limits.update_instances(
             live, self._peers.known_count, time.monotonic()
@@ -638,20 +648,18 @@
         self._planned_stop = PlannedShutdown(
             time.monotonic(), self.boot.grace_s
         )
+        self._stop_requested.set()
         self.log.warn("stopping", under_way=self._requests_in_flight())
         self._peers.announce_leaving()
         if self._duties is not None:
             self._duties.stop()
 
     async def _wait_for_stop(self) -> None:
-        while True:
+        await self._stop_requested.wait()
+        while not self._planned_stop.finished(
+            self._requests_in_flight(), time.monotonic()
+        ):
             await anyio.sleep(TICK_S)
-            if self._planned_stop is None:
-                continue
-            if self._planned_stop.finished(
-                self._requests_in_flight(), time.monotonic()
-            ):
-                break
         with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
             try:
                 await self._instance_table.unregister()
