Wait for requests instead of checking for them at intervals

Cause: ownedcells.run woke up 32 times a second without any cell, and placementclient.run 20 times a second without any request. Change: both wait for an event while they have nothing to report or to place. A request that waits at an idle owner is scanned after 10 ms, before within 30 ms.

--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -35,9 +35,6 @@
 answers too late; the other instances then place their requests themselves and
 overload its servers."""
 
-IDLE_CHECK_INTERVAL_S = 0.03
-"""Interval of the checks for waiting requests while none waits."""
-
 
 class OwnedCells:
     """All cells for which this instance has received placement requests."""
@@ -72,6 +69,7 @@
         self._counters = counters
         self._allowance = allowance
         self._cells: dict[tuple[str, int], CellOwner] = {}
+        self._request_waits = anyio.Event()
         self.queues = QueueEstimates()
         self.on_split: OnSplit = lambda service, groups, demand: None
         self.answer: SendAnswers = lambda address, message: None
@@ -114,6 +112,8 @@
             self._cells[key] = held
         self._counters.incr("place.heard")
         held.receive(message, now)
+        if len(held.queue):
+            self._request_waits.set()
 
     def tick(self, now: float) -> None:
         """Advances running averages and drops cells without requests."""
@@ -125,9 +125,13 @@
     async def run(self) -> None:
         """Scans for placements of all waiting requests until cancelled."""
         scanned_all_at = 0.0
-        pause_s = IDLE_CHECK_INTERVAL_S
+        paused_until = 0.0
         while True:
-            await anyio.sleep(pause_s)
+            if not self.waiting:
+                self._request_waits = anyio.Event()
+                await self._request_waits.wait()
+            left_s = paused_until - time.monotonic()
+            await anyio.sleep(max(SCAN_INTERVAL_S, left_s))
             began = time.monotonic()
             all_due = began - scanned_all_at >= PASS_INTERVAL_S
             scanned_all_at = began if all_due else scanned_all_at
@@ -135,11 +139,8 @@
                 if all_due or cell.changed:
                     cell.changed = False
                     cell.queue.place_all()
-            elapsed_s = time.monotonic() - began
-            min_pause_s = (
-                SCAN_INTERVAL_S if self.waiting else IDLE_CHECK_INTERVAL_S
-            )
-            pause_s = max(min_pause_s, elapsed_s * (1 / MAX_SCAN_SHARE - 1))
+            ended = time.monotonic()
+            paused_until = ended + (ended - began) * (1 / MAX_SCAN_SHARE - 1)
 
     def schedule_scan(self) -> None:
         """Schedules a scan for placements at all cells."""
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -162,6 +162,8 @@
         self._former_owners: dict[tuple[Cell, str], int] = {}
         self._ends: dict[Cell, list[RequestEndReport]] = {}
         self._wake = anyio.Event()
+        self._work_available = anyio.Event()
+        dispatcher.workload.on_change = self._on_load_change
         self._live: dict[str, Member] = {}
         self._live_list: Sequence[Member] | None = None
         self._owners: dict[Cell, Member | None] = {}
@@ -183,7 +185,13 @@
                 site which loses half of its instances keeps using owners.
             live: Instances that accept requests.
         """
+        was_active = self.active
         self.active = known >= MIN_INSTANCES_FOR_OWNERS
+        if self.active and not was_active:
+            # No owner has counted these requests.
+            self._dispatcher.workload.changed_servers.clear()
+            self._dispatcher.workload.ended.clear()
+            self._work_available.set()
         if live is self._live_list:
             return
         self._live_list = live
@@ -210,6 +218,7 @@
         if pending is None:
             return await self._local.reserve_server(call, avoid)
         self._pending[pending.number] = pending
+        self._work_available.set()
         self._send_update(pending.cell)
         reservation = None
         try:
@@ -258,6 +267,9 @@
         """Sends updates to owners until cancelled."""
         checked_at = 0.0
         while True:
+            if self._is_idle:
+                self._work_available = anyio.Event()
+                await self._work_available.wait()
             with anyio.move_on_after(CHECK_INTERVAL_S):
                 await self._wake.wait()
             await anyio.sleep(BATCH_S)
@@ -270,6 +282,20 @@
             for cell in due:
                 self._send_update(cell)
 
+    def _on_load_change(self) -> None:
+        if self.active:
+            self._work_available.set()
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether there is nothing to report to an owner, or to check."""
+        if self._pending or self._updates or self._former_owners:
+            return False
+        workload = self._dispatcher.workload
+        return not self.active or not (
+            workload.runs or workload.ended or workload.changed_servers
+        )
+
     def _new_pending(
         self, call: Call, avoid: frozenset[str]
     ) -> _PendingRequest | None:
@@ -385,6 +411,7 @@
 
     def _mark_due(self, cell: Cell) -> None:
         self._updates.setdefault(cell, _UpdateState()).at = float("-inf")
+        self._work_available.set()
         self._wake.set()
 
     def _changed_cells(self) -> set[Cell]:
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from jasminerelay.schema.messages import ServerLoad
 
@@ -169,6 +169,7 @@
         ended: Own ended requests that are not yet reported.
         changed_servers: Servers whose own loads changed and are not yet
             reported.
+        on_change: Called when the own loads have changed.
     """
 
     def __init__(self) -> None:
@@ -182,6 +183,7 @@
             maxlen=MAX_UNREPORTED_ENDS
         )
         self.changed_servers: set[str] = set()
+        self.on_change: Callable[[], None] = lambda: None
 
     def next_number(self) -> int:
         """Returns a number that no request of this instance has had."""
@@ -224,6 +226,7 @@
             self._own.pop(server, None)
         else:
             self._own[server] = load
+        self.on_change()
 
     def own_loads(self) -> list[ServerLoad]:
         """Returns this instance's loads, to be reported to the others."""
