Read backend servers' responses with httptools, without pausing the socket

Change: serverconnection.py, an asyncio protocol with httptools and the errors of httpcore; channels.py pools it. Request head and body go out in one write.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -28,15 +28,12 @@
     ResponseSink,
     Unknown,
 )
-from jasminerelay.httpclient import (
-    IncompleteExchangeError,
-    NotSentError,
-    body_chunks,
-)
+from jasminerelay.httpclient import IncompleteExchangeError, NotSentError
 from jasminerelay.limitwatch import LimitWatch
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
 from jasminerelay.placementqueue import RequestPlacer, Reservation
+from jasminerelay.serverconnection import ServerResponse
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
@@ -211,19 +208,16 @@
             copy=copy,
             source=reservation.placed.source,
         )
-        request = httpcore.Request(
-            self._call.method,
-            channel.url(self._call.target),
-            headers=self._context.dialect.request_headers(sending),
-            content=self._call.body or None,
-        )
+        headers = self._context.dialect.request_headers(sending)
         self._progress.maybe_ran = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
         self._context.drains.on_request(server.id)
         self._context.pauses.on_request(server.id)
         try:
-            response = await channel.send(request, self._answer_timeout_s())
+            response = await channel.send(
+                self._call, headers, self._answer_timeout_s()
+            )
         except AnswerTimeoutError as exc:
             self._report_lost()
             return Unknown(f"timed out: {exc}")
@@ -269,7 +263,7 @@
     async def _read_answer(
         self,
         channel: Channel,
-        response: httpcore.Response,
+        response: ServerResponse,
         head: ResponseHead,
         done: "_Completion",
     ) -> Outcome:
@@ -299,7 +293,7 @@
         self,
         reservation: Reservation,
         channel: Channel,
-        response: httpcore.Response,
+        response: ServerResponse,
         head: ResponseHead,
         done: "_Completion",
     ) -> Outcome:
@@ -328,7 +322,7 @@
     async def _relay_events(
         self,
         reservation: Reservation,
-        response: httpcore.Response,
+        response: ServerResponse,
         head: ResponseHead,
     ) -> Outcome:
         splitter = sse.EventSplitter()
@@ -337,7 +331,7 @@
         )
         progress = self._progress
         try:
-            async for chunk in body_chunks(response):
+            while chunk := await response.receive():
                 events = splitter.feed(chunk)
                 if events:
                     if not timer.first_at:
@@ -346,7 +340,13 @@
                     progress.pause_s = max(progress.pause_s, timer.pause_s)
                     progress.first_at = progress.first_at or timer.first_at
                     await self._send_events(head, events)
-        except (IncompleteExchangeError, ValueError) as exc:
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as exc:
+            return Interrupted(repr(exc))
+        except ValueError as exc:
             return Interrupted(str(exc))
         if splitter.has_partial_event:
             return Interrupted("the stream ended within an event")
--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -6,13 +6,18 @@
 
 import httpcore
 
-from jasminerelay.catalog import BackendServer
+from jasminerelay import serverconnection
+from jasminerelay.catalog import BackendServer, Call
 from jasminerelay.httpclient import (
     CONNECT_TIMEOUT_S,
     IncompleteExchangeError,
     NotSentError,
 )
-from jasminerelay.netstream import WatchedNetworkBackend, WatchedStream
+from jasminerelay.serverconnection import (
+    HeaderFields,
+    ServerConnection,
+    ServerResponse,
+)
 from jasminerelay.watchdog import Watchdog
 
 DEFAULT_IDLE_S = 1.5
@@ -53,38 +58,32 @@
     def __init__(
         self,
         server: BackendServer,
-        stream: WatchedStream,
-        origin: httpcore.Origin,
+        conn: ServerConnection,
     ):
         self.server = server
         self.unused = True
-        self._origin = origin
-        self._stream = stream
-        self._conn = httpcore.AsyncHTTP11Connection(origin, stream)
-
-    def url(self, target: bytes) -> httpcore.URL:
-        """Returns the URL of a path and query on the server."""
-        origin = self._origin
-        return httpcore.URL(
-            scheme=origin.scheme,
-            host=origin.host,
-            port=origin.port,
-            target=target,
-        )
+        self._conn = conn
 
     async def send(
-        self, request: httpcore.Request, timeout_s: float
-    ) -> httpcore.Response:
+        self, call: Call, headers: HeaderFields, timeout_s: float
+    ) -> ServerResponse:
         """Sends a request and reads the head of the answer.
 
+        Args:
+            call: The request.
+            headers: All its header fields.
+            timeout_s: Time limit for each read.
+
         Raises:
             IncompleteExchangeError: if the exchange failed; the request may
                 have run.
         """
         self.unused = False
-        self._stream.read_timeout_s = timeout_s
+        self._conn.timeout_s = timeout_s
         try:
-            return await self._conn.handle_async_request(request)
+            return await self._conn.send(
+                call.method, call.target, headers, call.body
+            )
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             raise IncompleteExchangeError(repr(exc)) from exc
         except httpcore.TimeoutException as exc:
@@ -93,11 +92,11 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on it."""
-        return self._conn.is_idle() and not self._conn.has_expired()
+        return self._conn.idle and not self._conn.readable
 
     async def aclose(self) -> None:
         """Closes the connection, which cancels its request on the server."""
-        await self._conn.aclose()
+        self._conn.close()
 
 
 class AnswerTimeoutError(IncompleteExchangeError):
@@ -108,7 +107,7 @@
     """Pool of the connections of an instance to backend servers."""
 
     def __init__(self, watchdog: Watchdog):
-        self._backend = WatchedNetworkBackend(watchdog, keepalive=True)
+        self._watchdog = watchdog
         self._idle: dict[str, collections.deque[_IdleChannel]] = {}
         self._no_pooling_until: dict[str, float] = {}
 
@@ -171,10 +170,9 @@
     async def _open(self, server: BackendServer) -> Channel:
         host, _, port = server.address.rpartition(":")
         try:
-            stream = await self._backend.connect_tcp(
-                host, int(port), timeout=CONNECT_TIMEOUT_S
+            conn = await serverconnection.connect(
+                host, int(port), CONNECT_TIMEOUT_S, self._watchdog
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
             raise NotSentError(repr(exc)) from exc
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
-        return Channel(server, stream, origin)
+        return Channel(server, conn)
--- a/src/jasminerelay/netstream.py
+++ b/src/jasminerelay/netstream.py
@@ -93,7 +93,7 @@
         """Returns for "is_readable" whether data can be read; else None."""
         if info == "is_readable":
             raw = self._stream.extra(SocketAttribute.raw_socket)
-            return _is_readable(raw)
+            return is_readable(raw)
         return None
 
     def _abort(self) -> None:
@@ -137,7 +137,7 @@
         except OSError as exc:
             raise httpcore.ConnectError(str(exc)) from exc
         if self._keepalive:
-            _enable_keepalive(stream.extra(SocketAttribute.raw_socket))
+            enable_keepalive(stream.extra(SocketAttribute.raw_socket))
         return WatchedStream(stream, self._watchdog)
 
     async def sleep(self, seconds: float) -> None:
@@ -145,7 +145,8 @@
         await anyio.sleep(seconds)
 
 
-def _enable_keepalive(raw: socket.socket) -> None:
+def enable_keepalive(raw: socket.socket) -> None:
+    """Enables TCP keepalive, which detects an unresponsive host."""
     # A connection may stop transmitting for good without a reset while new
     # connections work. Only an unanswered keepalive probe reveals this.
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -160,7 +161,8 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
-def _is_readable(raw: Any) -> bool:
+def is_readable(raw: Any) -> bool:
+    """Returns whether data can be read from a socket, or it has ended."""
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- /dev/null
+++ b/src/jasminerelay/serverconnection.py
@@ -0,0 +1,368 @@
+"""One HTTP/1.1 connection to a backend server, for streams of small events.
+
+It parses with httptools and leaves the socket's reading on. The connections of
+httpcore cost three times as much for each event: their parser is written in
+Python, and each read switches the socket's reading on and off again. Errors are
+those of httpcore.
+"""
+
+import asyncio
+import socket
+from collections.abc import Iterable
+
+import anyio
+import httpcore
+import httptools
+
+from jasminerelay import netstream
+from jasminerelay.watchdog import Watchdog
+
+MAX_BUFFERED_BYTES = 64 * 1024
+"""Bytes of a body that may wait for the caller before reading pauses."""
+
+MAX_HEAD_BYTES = 100 * 1024
+
+HeaderFields = list[tuple[bytes, bytes]]
+
+
+class ServerConnection(asyncio.Protocol):
+    """Carries one request at a time.
+
+    Attributes:
+        timeout_s: Maximum time without any data while a response is awaited.
+    """
+
+    def __init__(self, watchdog: Watchdog):
+        self._watchdog = watchdog
+        self._guard = watchdog.add_guard(self._expire)
+        self._transport: asyncio.Transport | None = None
+        self._response: ServerResponse | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._failure: Exception | None = None
+        self._at_end = False
+        self._unexpected_data = False
+        self.timeout_s = 0.0
+
+    @property
+    def idle(self) -> bool:
+        """Whether it is open, and no response is pending."""
+        return (
+            self._response is None
+            and self._failure is None
+            and not self._at_end
+            and not self._unexpected_data
+        )
+
+    @property
+    def readable(self) -> bool:
+        """Whether data or the end of the stream has arrived."""
+        if self._at_end or self._unexpected_data:
+            return True
+        return netstream.is_readable(self._transport.get_extra_info("socket"))
+
+    async def send(
+        self,
+        method: str,
+        target: bytes,
+        headers: Iterable[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> "ServerResponse":
+        """Sends a request and returns the response once its head has arrived.
+
+        Raises:
+            httpcore.NetworkError: if the connection fails.
+            httpcore.ProtocolError: if the request or the response is malformed.
+            httpcore.TimeoutException: if no data arrives in time.
+        """
+        data = _encoded_head(method.encode("ascii"), target, list(headers))
+        response = self._response = ServerResponse(
+            self, has_body=method != "HEAD"
+        )
+        self._parser = httptools.HttpResponseParser(response)
+        self._parser.set_dangerous_leniencies(
+            lenient_chunked_length=True,
+            lenient_data_after_close=True,
+            lenient_optional_cr_before_lf=True,
+        )
+        response.parser = self._parser
+        try:
+            if self._failure is None and not self._at_end:
+                self._transport.write(data + body)
+            while not response.has_head:
+                await self.wait()
+        except BaseException:
+            self.close()
+            raise
+        return response
+
+    async def wait(self) -> None:
+        """Waits until more of the response has arrived.
+
+        Raises the same errors as `send`.
+        """
+        if self._failure is not None:
+            raise self._failure
+        if self._at_end:
+            raise self._response.end_error()
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._guard.arm(self.timeout_s)
+        try:
+            await self._waiter
+        finally:
+            self._guard.disarm()
+            self._waiter = None
+
+    def release(self) -> None:
+        """Ends the exchange; closes the connection unless it is reusable."""
+        response, self._response = self._response, None
+        self._parser = None
+        if response is None or not response.complete or not response.keep_alive:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self._at_end = True
+        self._watchdog.release(self._guard)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stops reading until the caller has taken what has arrived."""
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        self._transport.resume_reading()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes the open connection."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parses a part of the response."""
+        response = self._response
+        if response is None or response.complete:
+            self._unexpected_data = True
+            return
+        if not response.has_head:
+            response.head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            if response.complete:
+                self._unexpected_data = True
+            else:
+                self._failure = httpcore.RemoteProtocolError(str(exc))
+        if response.extra_message:
+            self._unexpected_data = True
+        if not response.has_head and response.head_bytes > MAX_HEAD_BYTES:
+            self._failure = httpcore.RemoteProtocolError("head too large")
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Handles the end of the stream; the connection then closes."""
+        self._at_end = True
+        if self._response is not None:
+            self._response.stream_ended()
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Handles the loss of the connection."""
+        if exc is not None and self._failure is None:
+            self._failure = httpcore.ReadError(str(exc))
+        self._at_end = True
+        self._wake()
+
+    def _expire(self) -> None:
+        self._failure = httpcore.ReadTimeout("no data within the read timeout")
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class ServerResponse:
+    """A response whose body may still be arriving.
+
+    Attributes:
+        status: Status.
+        headers: Header fields as sent.
+        has_head: Whether the head is complete.
+        head_bytes: Bytes that have arrived for the head.
+        complete: Whether the body is complete.
+        keep_alive: Whether the connection may carry another request.
+        extra_message: Whether a second response has followed.
+        parser: Its parser.
+    """
+
+    def __init__(self, connection: ServerConnection, *, has_body: bool):
+        self._connection = connection
+        self._has_body = has_body
+        self._chunks: list[bytes] = []
+        self._buffered_bytes = 0
+        self._paused = False
+        self._is_framed = False
+        self.status = 0
+        self.headers: HeaderFields = []
+        self.has_head = False
+        self.head_bytes = 0
+        self.complete = False
+        self.keep_alive = False
+        self.extra_message = False
+        self.parser: httptools.HttpResponseParser | None = None
+
+    async def receive(self) -> bytes:
+        """Returns what has arrived of the body; b"" at its end.
+
+        Raises the same errors as `ServerConnection.send`.
+        """
+        while not self._chunks:
+            if self.complete:
+                return b""
+            await self._connection.wait()
+        chunks, self._chunks = self._chunks, []
+        self._buffered_bytes = 0
+        if self._paused:
+            self._paused = False
+            self._connection.resume_reading()
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+    async def aread(self) -> bytes:
+        """Returns the complete body."""
+        parts = []
+        while part := await self.receive():
+            parts.append(part)
+        return b"".join(parts)
+
+    async def aclose(self) -> None:
+        """Ends the exchange; an incomplete one closes the connection."""
+        self._connection.release()
+
+    def end_error(self) -> httpcore.RemoteProtocolError:
+        """Returns the error of a stream that ended before the response."""
+        if not self.has_head:
+            return httpcore.RemoteProtocolError(
+                "Server disconnected without sending a response."
+            )
+        return httpcore.RemoteProtocolError(
+            "peer closed connection without sending complete message body"
+        )
+
+    def stream_ended(self) -> None:
+        """Completes a body that extends to the end of the stream."""
+        if self.has_head and not self._is_framed:
+            self.complete = True
+
+    def on_message_begin(self) -> None:
+        """Handles the first byte of a response."""
+        if self.complete:
+            self.extra_message = True
+        elif not self.has_head:
+            # The previous one was informational.
+            self.headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Handles a header field or, after the body, a trailer field."""
+        if not self.has_head:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Handles the end of the head."""
+        status = self.parser.get_status_code()
+        if self.has_head or 100 <= status < 200:
+            return
+        self.status = status
+        self.has_head = True
+        for name, value in self.headers:
+            if name.lower() == b"content-length" or (
+                name.lower() == b"transfer-encoding"
+                and b"chunked" in value.lower()
+            ):
+                self._is_framed = True
+        if not self._has_body:
+            # The parser does not know that no body follows.
+            self.complete = True
+            self.keep_alive = (
+                self.parser.get_http_version() == "1.1"
+                and not self._announces_close()
+            )
+
+    def on_body(self, data: bytes) -> None:
+        """Handles a part of the body."""
+        if self.complete:
+            return
+        self._chunks.append(data)
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
+            self._paused = True
+            self._connection.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Handles the end of a response."""
+        if self.has_head and not self.complete:
+            self.complete = True
+            self.keep_alive = self.parser.should_keep_alive()
+
+    def _announces_close(self) -> bool:
+        return any(
+            name.lower() == b"connection" and b"close" in value.lower()
+            for name, value in self.headers
+        )
+
+
+async def connect(
+    host: str, port: int, timeout_s: float, watchdog: Watchdog
+) -> ServerConnection:
+    """Opens a connection with TCP keepalive.
+
+    Raises:
+        httpcore.ConnectTimeout: if it is not open in time.
+        httpcore.ConnectError: if the server can't be reached.
+    """
+    loop = asyncio.get_running_loop()
+    connection = None
+
+    def create() -> ServerConnection:
+        nonlocal connection
+        connection = ServerConnection(watchdog)
+        return connection
+
+    try:
+        with anyio.fail_after(timeout_s):
+            transport, opened = await loop.create_connection(create, host, port)
+    except BaseException as exc:
+        if connection is not None:
+            connection.close()
+        if isinstance(exc, TimeoutError):
+            raise httpcore.ConnectTimeout(f"{host}:{port}") from exc
+        if isinstance(exc, OSError):
+            raise httpcore.ConnectError(
+                "All connection attempts failed"
+            ) from exc
+        raise
+    raw: socket.socket = transport.get_extra_info("socket")
+    netstream.enable_keepalive(raw)
+    return opened
+
+
+def _encoded_head(method: bytes, target: bytes, headers: HeaderFields) -> bytes:
+    """Returns the encoded head of a request.
+
+    Raises:
+        httpcore.LocalProtocolError: if a field contains a line break, which
+            would let its sender add fields or requests.
+    """
+    lines = [b"%b %b HTTP/1.1" % (method, target)]
+    lines += [b"%b: %b" % field for field in headers]
+    data = b"\r\n".join(lines) + b"\r\n\r\n"
+    breaks = len(lines) + 1
+    if (
+        data.count(b"\n") != breaks
+        or data.count(b"\r") != breaks
+        or b"\0" in data
+    ):
+        raise httpcore.LocalProtocolError("malformed header field")
+    return data
--- /dev/null
+++ b/tests/test_serverconnection.py
@@ -0,0 +1,170 @@
+"""Connections to backend servers, over loopback sockets."""
+
+import asyncio
+import contextlib
+import unittest
+
+import httpcore
+
+from jasminerelay import serverconnection
+from jasminerelay.watchdog import Watchdog
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+TIMEOUT_S = 0.3
+SETTLE_S = 0.05
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Responses of all framings, and those that break off."""
+
+    @contextlib.asynccontextmanager
+    async def server(self, *parts: bytes | None):
+        """Runs a server that sends parts to each request; None ends it."""
+        self.received = []
+
+        async def serve(reader, writer) -> None:
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError
+            ):
+                while True:
+                    self.received.append(await reader.readuntil(b"\r\n\r\n"))
+                    for part in parts:
+                        if part is None:
+                            writer.close()
+                            return
+                        writer.write(part)
+                        await writer.drain()
+                        await asyncio.sleep(0.01)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.watchdog = Watchdog()
+        checks = asyncio.create_task(self.watchdog.run())
+        port = server.sockets[0].getsockname()[1]
+        connection = await serverconnection.connect(
+            "127.0.0.1", port, 1.0, self.watchdog
+        )
+        connection.timeout_s = TIMEOUT_S
+        try:
+            yield connection
+        finally:
+            connection.close()
+            await asyncio.sleep(SETTLE_S)
+            checks.cancel()
+            server.close()
+
+    async def send(self, connection, method: str = "GET", headers=()):
+        return await connection.send(
+            method, b"/x", [(b"host", b"h"), *headers], b""
+        )
+
+    async def test_chunked_parts_arrive_as_sent(self) -> None:
+        # Guards against events that are held back or lost between chunks.
+        parts = [
+            HEAD + b"transfer-encoding: chunked\r\n\r\n",
+            b"2\r\nab\r\n",
+            b"2\r\ncd\r\n",
+            b"0\r\n\r\n",
+        ]
+        async with self.server(*parts) as connection:
+            response = await self.send(connection)
+            self.assertEqual(await response.receive(), b"ab")
+            self.assertEqual(await response.receive(), b"cd")
+            self.assertEqual(await response.receive(), b"")
+            await response.aclose()
+            self.assertTrue(connection.idle and not connection.readable)
+
+    async def test_two_requests_on_one_connection(self) -> None:
+        # Guards against state of one exchange in the next.
+        answer = HEAD + b"content-length: 2\r\n\r\nok"
+        async with self.server(answer) as connection:
+            for _ in range(2):
+                response = await self.send(connection)
+                self.assertEqual(await response.aread(), b"ok")
+                await response.aclose()
+                self.assertTrue(connection.idle)
+
+    async def test_head_request_keeps_the_connection(self) -> None:
+        # Guards against waiting for a body that does not come.
+        answer = HEAD + b"content-length: 5\r\n\r\n"
+        async with self.server(answer) as connection:
+            for _ in range(2):
+                response = await self.send(connection, "HEAD")
+                self.assertEqual(await response.aread(), b"")
+                await response.aclose()
+                self.assertTrue(connection.idle and not connection.readable)
+
+    async def test_body_to_the_end_of_the_stream(self) -> None:
+        # Guards against an answer without a length that counts as broken off.
+        async with self.server(HEAD + b"\r\nabc", None) as connection:
+            response = await self.send(connection)
+            self.assertEqual(await response.aread(), b"abc")
+            await response.aclose()
+            self.assertFalse(connection.idle)
+
+    async def test_broken_body(self) -> None:
+        # Guards against a truncated answer that looks complete.
+        for framing in (b"content-length: 9", b"transfer-encoding: chunked"):
+            part = HEAD + framing + b"\r\n\r\n2\r\nab\r\n"
+            async with self.server(part, None) as connection:
+                response = await self.send(connection)
+                with self.assertRaises(httpcore.RemoteProtocolError):
+                    await response.aread()
+
+    async def test_no_answer(self) -> None:
+        # Guards against a wait for a server that closes without an answer.
+        async with self.server(None) as connection:
+            with self.assertRaises(httpcore.RemoteProtocolError):
+                await self.send(connection)
+
+    async def test_silent_server(self) -> None:
+        # Guards against a wait for a server that stops within a body.
+        part = HEAD + b"content-length: 9\r\n\r\nab"
+        async with self.server(part) as connection:
+            response = await self.send(connection)
+            self.assertEqual(await response.receive(), b"ab")
+            with self.assertRaises(httpcore.ReadTimeout):
+                await response.receive()
+
+    async def test_second_answer_prevents_reuse(self) -> None:
+        # Guards against reading a second answer as that of the next request.
+        answer = HEAD + b"content-length: 2\r\n\r\nok"
+        for parts in ([answer + answer], [answer, answer]):
+            async with self.server(*parts) as connection:
+                response = await self.send(connection)
+                self.assertEqual(await response.aread(), b"ok")
+                await response.aclose()
+                await asyncio.sleep(SETTLE_S)
+                self.assertFalse(connection.idle and not connection.readable)
+
+    async def test_informational_answer_is_skipped(self) -> None:
+        # Guards against taking "100 Continue" for the answer.
+        part = b"HTTP/1.1 100 Continue\r\nx: 1\r\n\r\n"
+        answer = HEAD + b"content-length: 2\r\n\r\nok"
+        async with self.server(part + answer) as connection:
+            response = await self.send(connection)
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.headers, [(b"content-length", b"2")])
+            self.assertEqual(await response.aread(), b"ok")
+
+    async def test_line_break_in_a_field_is_not_sent(self) -> None:
+        # Guards against callers that add fields or requests to a request.
+        async with self.server(HEAD) as connection:
+            with self.assertRaises(httpcore.LocalProtocolError):
+                await self.send(connection, headers=[(b"a", b"b\r\nc: d")])
+            self.assertEqual(self.received, [])
+
+    async def test_slow_caller_bounds_the_buffer(self) -> None:
+        # Guards against a body that fills the memory while its caller is slow.
+        size = 8 << 20
+        head = HEAD + b"content-length: %d\r\n\r\n" % size
+        async with self.server(head, b"x" * size) as connection:
+            response = await self.send(connection)
+            await asyncio.sleep(SETTLE_S)
+            first = await response.receive()
+            self.assertLess(len(first), size // 2)
+            rest = await response.aread()
+            self.assertEqual(len(first) + len(rest), size)
+
+
+if __name__ == "__main__":
+    unittest.main()
