Check deadlines, members and settings only when they can have changed

Cause: the watchdog woke up 5 times a second, each probe and tick went through all members and reports, and the settings file was parsed every 2 s. Change: the watchdog sleeps until the earliest deadline (still noticed within 0.2 s), membership keeps a list of those that are not alive, load reports are kept in the order of receipt, and unchanged settings are not parsed.

--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -96,6 +96,7 @@
         self._suspect_after_s = suspect_after_s
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
+        self._not_alive: dict[str, None] = {}
         self._probe_queue: list[str] = []
         self._probed: str | None = None
         self._probed_twice = False
@@ -312,6 +313,10 @@
         if held is None or not _equal_but_beat(held.member, peer.member):
             self._discard_lists()
         self._peers[name] = peer
+        if peer.member.state != ALIVE:
+            self._not_alive[name] = None
+        else:
+            self._not_alive.pop(name, None)
 
     def _discard_lists(self) -> None:
         self._live = self._reachable_peers = None
@@ -327,13 +332,15 @@
         answers = probed is None or not self._probed_twice
         if not answers and probed.member.state == ALIVE:
             self._set_state(probed.member.instance, SUSPECT, now)
-        for name, peer in list(self._peers.items()):
+        for name in list(self._not_alive):
+            peer = self._peers[name]
             age = now - peer.since
             state = peer.member.state
             if state == SUSPECT and age > self._suspect_after_s:
                 self._set_state(name, FAILED, now)
             elif state in (FAILED, LEAVING) and age > FORGET_AFTER_S:
                 del self._peers[name]
+                del self._not_alive[name]
                 self._discard_lists()
                 self._transmissions_left.pop(name, None)
 
@@ -347,8 +354,8 @@
         # time to detect a failure is bounded, not merely probable.
         failed = [
             name
-            for name, peer in self._peers.items()
-            if peer.member.state == FAILED
+            for name in self._not_alive
+            if self._peers[name].member.state == FAILED
         ]
         if failed and self._rng.random() < REVISIT_SHARE:
             return self._rng.choice(failed)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -123,6 +123,8 @@
         """
         self.boot = boot
         self._path = path
+        # Content of the settings file when it was last loaded without fault.
+        self._settings_content: bytes | None = None
         self._rng = random.Random()
         self._planned_stop: PlannedShutdown | None = None
         self._stop_requested = anyio.Event()
@@ -672,11 +674,18 @@
             self._reload("file")
 
     def _reload(self, source: str) -> None:
+        try:
+            content = self._path.read_bytes()
+        except OSError:
+            content = None
+        if content is not None and content == self._settings_content:
+            return
         loaded = bootfile.load(self._path)
         if loaded.is_err():
             problems = [str(item) for item in loaded.unwrap_err()]
             self.log.warn("settings_faulty", source=source, why=problems)
             return
+        self._settings_content = content
         boot = loaded.unwrap()
         if boot == self.boot:
             return
--- a/src/jasminerelay/watchdog.py
+++ b/src/jasminerelay/watchdog.py
@@ -13,6 +13,7 @@
 import anyio
 
 TICK_S = 0.2
+"""Minimum interval of the searches, and how late a deadline may be noticed."""
 
 
 class Guard:
@@ -25,9 +26,10 @@
         >>> guard.disarm()                             # doctest: +SKIP
     """
 
-    __slots__ = ("deadline", "expire", "expired")
+    __slots__ = ("_watchdog", "deadline", "expire", "expired")
 
-    def __init__(self, expire: Callable[[], None]):
+    def __init__(self, watchdog: "Watchdog", expire: Callable[[], None]):
+        self._watchdog = watchdog
         self.deadline = math.inf
         self.expire = expire
         self.expired = False
@@ -35,6 +37,8 @@
     def arm(self, seconds: float) -> None:
         """Starts a wait that must end within the given number of seconds."""
         self.deadline = time.monotonic() + seconds
+        if self.deadline < self._watchdog.next_check_at:
+            self._watchdog.check_sooner()
 
     def disarm(self) -> None:
         """Ends a wait."""
@@ -42,20 +46,24 @@
 
 
 class Watchdog:
-    """Owns the guards of one instance."""
+    """Owns the guards of one instance.
+
+    Attributes:
+        next_check_at: Monotonic time up to which no deadline passes.
+    """
 
     def __init__(self) -> None:
         self._guards: set[Guard] = set()
         self._wake = anyio.Event()
+        self.next_check_at = math.inf
 
     def __len__(self) -> int:
         return len(self._guards)
 
     def add_guard(self, expire: Callable[[], None]) -> Guard:
         """Returns a guard that calls `expire` when its deadline passes."""
-        guard = Guard(expire)
+        guard = Guard(self, expire)
         self._guards.add(guard)
-        self._wake.set()
         return guard
 
     def release(self, guard: Guard) -> None:
@@ -65,12 +73,21 @@
     async def run(self) -> None:
         """Checks for expired waits until cancelled."""
         while True:
-            if not self._guards:
-                self._wake = anyio.Event()
+            now = time.monotonic()
+            earliest = min(
+                (guard.deadline for guard in self._guards), default=math.inf
+            )
+            self.next_check_at = max(earliest, now + TICK_S)
+            self._wake = anyio.Event()
+            with anyio.move_on_after(self.next_check_at - now):
                 await self._wake.wait()
-            await anyio.sleep(TICK_S)
             self.check(time.monotonic())
 
+    def check_sooner(self) -> None:
+        """Plans the next check anew, for an earlier deadline."""
+        self.next_check_at = -math.inf
+        self._wake.set()
+
     def check(self, now: float) -> None:
         """Expires every wait whose deadline has passed."""
         for guard in [item for item in self._guards if item.deadline < now]:
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -254,17 +254,19 @@
             item.server: Load(item.unread, item.running, item.memory)
             for item in loads
         }
+        # Kept in the order of receipt, for `expire`.
+        self._peers.pop(instance, None)
         self._peers[instance] = _PeerLoads(number, now, by_server)
         self._update_peer_total(held.loads if held else {}, by_server)
         return True
 
     def expire(self, now: float) -> None:
         """Drops the reports of instances that have stopped sending them."""
-        expired = [
-            name
-            for name, held in self._peers.items()
-            if now - held.received_at > PEER_LOAD_MAX_AGE_S
-        ]
+        expired = []
+        for name, held in self._peers.items():
+            if now - held.received_at <= PEER_LOAD_MAX_AGE_S:
+                break
+            expired.append(name)
         for name in expired:
             self._update_peer_total(self._peers.pop(name).loads, {})
 
@@ -279,6 +281,8 @@
     ) -> None:
         # The sum is updated by differences: adding up all instances for each
         # report would make the cost of a report grow with their number.
+        if not old and not new:
+            return
         for name in old.keys() | new.keys():
             total = self._peer_total.get(name, NO_LOAD)
             total = total + new.get(name, NO_LOAD) - old.get(name, NO_LOAD)
