--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -98,6 +98,7 @@
         self._suspect_after_s = suspect_after_s
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
+        self._not_alive: dict[str, None] = {}
         self._probe_queue: list[str] = []
         self._probed: str | None = None
         self._probed_twice = False
@@ -106,6 +107,8 @@
         self._transmissions_left: dict[str, int] = {own.instance: FANOUT}
         self._notices: dict[str, ServerNotice] = {}
         self._notice_transmissions_left: dict[str, int] = {}
+        self._live: list[Member] | None = None
+        self._reachable_peers: list[Member] | None = None
         self.manifest_pointer = ManifestPointer(0, "")
 
     @property
@@ -116,9 +119,40 @@
             *(peer.member for peer in self._peers.values()),
         ]
 
+    @property
+    def known_count(self) -> int:
+        """Number of known instances, including failed ones and this one."""
+        return 1 + len(self._peers)
+
     def live(self) -> list[Member]:
-        """Returns the instances that may receive new work."""
-        return [member for member in self.view if member.state == ALIVE]
+        """Returns the instances that may receive new work.
+
+        The same list until an instance comes, goes or changes, so that users
+        recognise by its identity that nothing has changed. Its records may have
+        older beats than those of `view`. It must not be modified.
+        """
+        if self._live is None:
+            self._live = [
+                member for member in self.view if member.state == ALIVE
+            ]
+        return self._live
+
+    def reachable_peers(self) -> list[Member]:
+        """Returns the other instances that are alive or leaving.
+
+        Like that of `live`, the list is the same until an instance changes.
+        """
+        if self._reachable_peers is None:
+            self._reachable_peers = [
+                peer.member
+                for peer in self._peers.values()
+                if peer.member.state in (ALIVE, LEAVING)
+            ]
+        return self._reachable_peers
+
+    def is_known(self, instance: str) -> bool:
+        """Returns whether an instance has a record here."""
+        return instance in self._peers or instance == self.own_member.instance
 
     def notice_of(self, server: str) -> ServerNotice | None:
         """Returns the newest notice about a backend server."""
@@ -139,7 +173,7 @@
             if member.instance == self.own_member.instance:
                 continue
             if member.instance not in self._peers:
-                self._peers[member.instance] = _Peer(member, now)
+                self._set_peer(_Peer(member, now))
 
     def announce_leaving(self) -> list[Send]:
         """Announces that this instance accepts no new work."""
@@ -244,7 +278,7 @@
         last_message_at = (
             peer.last_message_at if peer is not None else float("-inf")
         )
-        self._peers[record.instance] = _Peer(record, since, last_message_at)
+        self._set_peer(_Peer(record, since, last_message_at))
         if changed:
             self._transmissions_left[record.instance] = self._transmissions()
             if record.state == SUSPECT:
@@ -269,10 +303,26 @@
         self._suspects_to_probe.append(record.instance)
 
     def _update_own_record(self, state: str) -> None:
+        if state != self.own_member.state:
+            self._discard_lists()
         self.own_member = msgspec.structs.replace(
             self.own_member, state=state, beat=self.own_member.beat + 1
         )
 
+    def _set_peer(self, peer: _Peer) -> None:
+        name = peer.member.instance
+        held = self._peers.get(name)
+        if held is None or not _equal_but_beat(held.member, peer.member):
+            self._discard_lists()
+        self._peers[name] = peer
+        if peer.member.state != ALIVE:
+            self._not_alive[name] = None
+        else:
+            self._not_alive.pop(name, None)
+
+    def _discard_lists(self) -> None:
+        self._live = self._reachable_peers = None
+
     def _must_probe_again(self) -> bool:
         if self._probed_twice:
             return False
@@ -284,20 +334,21 @@
         answers = probed is None or not self._probed_twice
         if not answers and probed.member.state == ALIVE:
             self._set_state(probed.member.instance, SUSPECT, now)
-        for name, peer in list(self._peers.items()):
+        for name in list(self._not_alive):
+            peer = self._peers[name]
             age = now - peer.since
             state = peer.member.state
             if state == SUSPECT and age > self._suspect_after_s:
                 self._set_state(name, FAILED, now)
             elif state in (FAILED, LEAVING) and age > FORGET_AFTER_S:
                 del self._peers[name]
+                del self._not_alive[name]
+                self._discard_lists()
                 self._transmissions_left.pop(name, None)
 
     def _set_state(self, name: str, state: str, now: float) -> None:
         member = msgspec.structs.replace(self._peers[name].member, state=state)
-        self._peers[name] = _Peer(
-            member, now, self._peers[name].last_message_at
-        )
+        self._set_peer(_Peer(member, now, self._peers[name].last_message_at))
         self._transmissions_left[name] = self._transmissions()
 
     def _next_target(self) -> str | None:
@@ -305,8 +356,8 @@
         # time to detect a failure is bounded, not merely probable.
         failed = [
             name
-            for name, peer in self._peers.items()
-            if peer.member.state == FAILED
+            for name in self._not_alive
+            if self._peers[name].member.state == FAILED
         ]
         if failed and self._rng.random() < REVISIT_SHARE:
             return self._rng.choice(failed)
@@ -361,3 +412,14 @@
     if record.beat != held.beat:
         return record.beat > held.beat
     return _SEVERITY[record.state] > _SEVERITY[held.state]
+
+
+def _equal_but_beat(record: Member, held: Member) -> bool:
+    return (
+        record.state == held.state
+        and record.incarnation == held.incarnation
+        and record.peers == held.peers
+        and record.callers == held.callers
+        and record.operators == held.operators
+        and record.zone == held.zone
+    )
