Pause longer and call once while the store fails all or some

Cause: while the store rejects all, each instance retries two tables, its own row and the blocked requests every 0.2 to 1.5 s, and coordinators read the lease; one that the store rejects alone does the same although others keep its data recent. Change: storebackoff decides on the pause by the reports that instances exchange; storeturns lets one kind of call try the store for the others; a reported loss is checked by one call, and no lease is read while the store is lost. A response with 410 counts as an answer. versionworld has the instances decide by the real reports and counts the store's calls.

--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -359,6 +359,9 @@
         rank = self._coordinator_rank
         if rank is None or self._stopping or self._backing_off(now):
             return False
+        if self._registry.standing.touch is StoreStatus.UNREACHABLE:
+            # The calls for the tables show when the store answers again.
+            return False
         timeout_s = HOLDER_TIMEOUT_S + TIMEOUT_STEP_S * rank
         if now - self._holder_seen_at < timeout_s:
             return False
--- a/src/jasminerelay/followerroles.py
+++ b/src/jasminerelay/followerroles.py
@@ -32,6 +32,10 @@
 those next in the order, which step in for it. More senders would repeat the
 same messages."""
 
+FIRST_CALLERS = 3
+"""Instances that call a store that is lost for all often, in the order of all
+instances whether they reach it or not, so that all agree on them."""
+
 LEADER_POLL_AGE_S = 1.3
 """Age of the data above which the leader aborts its waiting calls. A call that
 waits 0.9 s and returns late from a slow store is not aborted."""
@@ -64,6 +68,7 @@
         self._last_update: tuple = ()
         self._others: list[Member] = []
         self._order: list[str] = []
+        self._first_callers: list[str] = []
         self._followers_by_zone: dict[str, list[Member]] = {}
         self._last_message_at = float("-inf")
         self._shared = False
@@ -74,6 +79,7 @@
         *,
         shared: bool,
         without_store: Collection[str] = (),
+        starting: Collection[str] = (),
     ) -> None:
         """Updates the list of instances.
 
@@ -82,9 +88,15 @@
             shared: Whether the platform is so large that a few instances follow
                 the store for all.
             without_store: Names of the instances that cannot reach the store.
+            starting: Names of instances that do not accept callers yet.
         """
         members = {item.instance: item for item in live}
-        update = (frozenset(members), shared, frozenset(without_store))
+        update = (
+            frozenset(members),
+            shared,
+            frozenset(without_store),
+            frozenset(starting),
+        )
         if update == self._last_update:
             return
         self._last_update = update
@@ -94,6 +106,10 @@
         ]
         with_store = [name for name in members if name not in without_store]
         self._order = rendezvous.rank("store", with_store or members)
+        # While the store is lost for all, those next in the order call it in
+        # place of a leader that has failed.
+        callers = {*members, *starting}
+        self._first_callers = rendezvous.rank("store", callers)[:FIRST_CALLERS]
         zones: dict[str, list[Member]] = {}
         for member in members.values():
             zones.setdefault(member.zone, []).append(member)
@@ -114,6 +130,11 @@
         """Whether this instance has the store confirm the data for all."""
         return self._position == 0
 
+    @property
+    def is_first_caller(self) -> bool:
+        """Whether this instance calls a store that is lost for all often."""
+        return self._own in self._first_callers
+
     @property
     def _position(self) -> int:
         if self._own in self._order:
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -276,6 +276,14 @@
             lost.append(self.membership.own_member.instance)
         return lost
 
+    def starting(self) -> list[str]:
+        """Returns the instances that do not accept callers yet or any more."""
+        return [
+            member.instance
+            for member in self.membership.view
+            if member.state == LEAVING
+        ]
+
     def _send_status(self, members: list[Member]) -> None:
         if not members:
             return
--- a/src/jasminerelay/peerstatus.py
+++ b/src/jasminerelay/peerstatus.py
@@ -4,7 +4,7 @@
 which instances have lost the store, and whether a newer configuration exists.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from jasminerelay.freshness import Freshness
 from jasminerelay.registry import Registry, StoreStatus
@@ -40,6 +40,11 @@
         self._behind_since: float | None = None
         self._newer_peer = ""
 
+    @property
+    def reports(self) -> Mapping[str, tuple[float, ReplicaStatus]]:
+        """Monotonic time and content of each other instance's last report."""
+        return self._reports
+
     def record_report(
         self, sender: str, standing: ReplicaStatus, now: float, at: float
     ) -> None:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -17,6 +17,7 @@
     headlimits,
     ports,
     stopsignals,
+    storebackoff,
     storeversion,
 )
 from jasminerelay.attempt import ForwardingContext
@@ -56,7 +57,11 @@
     TableSource,
 )
 from jasminerelay.registry import Registry
-from jasminerelay.schema.messages import Member, StoreSnapshot
+from jasminerelay.schema.messages import (
+    Member,
+    RequestCrashes,
+    StoreSnapshot,
+)
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
@@ -205,8 +210,8 @@
                 group.start_soon(part)
             group.start_soon(
                 self._crashes.run,
-                self._crash_table.save,
-                self._crash_table.read,
+                self._save_crashes,
+                self._read_crashes,
                 lambda: self._follower_role.is_leader,
             )
             group.start_soon(
@@ -233,8 +238,9 @@
         self._register_again = anyio.Event()
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
-            self.registry, self._freshness, self.log
+            self.registry, self._freshness, self.log, self._rng
         )
+        self._store_state.outage = self._classify_outage
         self._registry_feed = RegistryFeed(
             self.registry, CONFIGURATION_KEY, self.counters, self.log
         )
@@ -581,6 +587,7 @@
             live,
             shared=self._placement_client.active,
             without_store=self._peers.without_store(),
+            starting=self._peers.starting(),
         )
         if self._duties is not None:
             self._duties.update_instances(live)
@@ -589,6 +596,15 @@
         )
         self.dispatcher.measures_step_times = not self._placement_client.active
 
+    def _classify_outage(self) -> storebackoff.Outage:
+        return storebackoff.classify(
+            self._peers.peer_status.reports,
+            self._store_state.lost_since,
+            time.monotonic(),
+            age_s=self._freshness.age_s(now_s()),
+            is_first_caller=self._follower_role.is_first_caller,
+        )
+
     def _on_store_restored(self) -> None:
         """Handles that the store has come back from a copy of its data."""
         self._store_state.on_new_era()
@@ -598,9 +614,18 @@
         if self._duties is not None:
             self._duties.on_store_restored()
 
+    async def _save_crashes(self, crashes: RequestCrashes) -> None:
+        await self._store_state.turns.answered()
+        await self._crash_table.save(crashes)
+
+    async def _read_crashes(self) -> list[RequestCrashes]:
+        await self._store_state.turns.answered()
+        return await self._crash_table.read()
+
     async def _discover_peers(self) -> None:
         registered = False
         while True:
+            await self._store_state.turns.take("instances")
             try:
                 if not registered:
                     self._register_again = anyio.Event()
@@ -618,7 +643,6 @@
                     await anyio.sleep(self._rng.uniform(0.0, REGISTER_SPREAD_S))
             except StoreError as exc:
                 self._store_state.failed("instances", exc.message)
-                await anyio.sleep(self._rng.uniform(0.5, 1.5))
 
     async def _handle_signals(self) -> None:
         try:
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -17,6 +17,8 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.registry import Registry, ServerChange
 from jasminerelay.schema.messages import ServerRow
+from jasminerelay.storebackoff import Outage, RetryBackoff
+from jasminerelay.storeturns import RetryTurns
 
 LONG_POLL_S = 25.0
 """How long the store holds a call until there is a change; it allows half a
@@ -33,8 +35,9 @@
 
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 0.6
-"""Pause after a failed call, randomised so that the instances do not retry at
-the same moment. A change must be in force within two seconds."""
+"""Pause after a failed call of an instance that no other one helps, randomised
+so that the instances do not retry at the same moment. A change must be in force
+within two seconds. `storebackoff` decides on the other pauses."""
 
 BATCH_PAUSE_S = 0.4
 """Pause after a change before the next call. Servers that start together or are
@@ -88,29 +91,48 @@
 
     Attributes:
         last_answer_at: Monotonic time of the store's last answer to any call.
+        lost_since: Monotonic time at which the store was lost the last time.
         on_confirmed_or_lost: Called when the store itself has confirmed the
             data up to a later moment, and when the store becomes unreachable.
+        outage: Returns what the other instances' reports say about the loss.
+        turns: Decides which call tries a store that does not answer, and when.
     """
 
-    def __init__(self, registry: Registry, freshness: Freshness, log: EventLog):
+    def __init__(
+        self,
+        registry: Registry,
+        freshness: Freshness,
+        log: EventLog,
+        rng: random.Random | None = None,
+    ):
         self._registry = registry
         self._freshness = freshness
         self._log = log
         self._failing_calls: set[str] = set()
-        self._abort_waits = anyio.Event()
+        self._abort_waits: dict[str, anyio.Event] = {}
         self._aborted_at = float("-inf")
         self.last_answer_at = float("-inf")
+        self.lost_since = float("-inf")
         self.on_confirmed_or_lost: Callable[[], None] = lambda: None
+        self.outage: Callable[[], Outage] = lambda: Outage.UNCONFIRMED
+        self.turns = RetryTurns(
+            RetryBackoff(rng or random.Random()),
+            lambda: self.outage(),
+            lambda: (RETRY_MIN_S, RETRY_MAX_S),
+        )
 
     @property
     def lost(self) -> bool:
         """Whether the last call of any kind failed."""
         return bool(self._failing_calls)
 
-    @property
-    def abort_waits(self) -> anyio.Event:
-        """Set when waiting calls may never be answered and must be aborted."""
-        return self._abort_waits
+    def abort_waits(self, call: str) -> anyio.Event:
+        """Returns an event that is set when a waiting call must be aborted.
+
+        Args:
+            call: The kind of call.
+        """
+        return self._abort_waits.setdefault(call, anyio.Event())
 
     def failed(self, call: str, why: str) -> None:
         """Records a failed call.
@@ -122,7 +144,9 @@
         first = not self._failing_calls
         self._failing_calls.add(call)
         self._registry.mark_store_unreachable()
+        self.turns.failed(call)
         if first:
+            self.lost_since = time.monotonic()
             self._log.warn(
                 "dependency_lost",
                 name="store",
@@ -143,6 +167,7 @@
         self.last_answer_at = now
         was_lost = bool(self._failing_calls)
         self._failing_calls.discard(call)
+        self.turns.succeeded(call)
         if self._failing_calls:
             return
         self._registry.mark_store_reachable(now)
@@ -186,23 +211,26 @@
         self._abort_waiting_calls()
 
     def check(self) -> None:
-        """Aborts waiting calls because another instance has lost the store.
+        """Aborts a waiting call because another instance has lost the store.
 
         Waiting calls may show an outage only after seconds. Meanwhile the
         lapsed rows of living servers would be taken for removals here, and
         through this instance's list also at the others: the pool would be empty
         until the servers are back, up to two seconds after the store's return.
+        One call shows it; the others are aborted if that one fails.
         """
         if (
             self._failing_calls
             or time.monotonic() - self.last_answer_at < MIN_RECHECK_AGE_S
         ):
             return
-        self._abort_waiting_calls()
+        for call in sorted(self._abort_waits)[:1]:
+            self._abort_waits.pop(call).set()
 
     def _abort_waiting_calls(self) -> None:
-        self._abort_waits.set()
-        self._abort_waits = anyio.Event()
+        aborted, self._abort_waits = self._abort_waits, {}
+        for event in aborted.values():
+            event.set()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -269,6 +297,8 @@
         wait_s = 0.0
         while True:
             try:
+                if after is None or not wait_s:
+                    await self._state.turns.take(self._name)
                 if after is None:
                     after = await self._read_all(apply_all)
                     continue
@@ -280,13 +310,13 @@
                 newest_at = _newest_at(page, asked_at, wait_s)
                 wait_s = self._mode().wait_s
             except HistoryGoneError:
+                self._state.succeeded(self._name)
                 after = None
                 continue
             except StoreError as exc:
                 wait_s = 0.0
                 self._counters.incr("store.failed")
                 self._state.failed(self._name, exc.message)
-                await anyio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
                 continue
             self._succeeded()
             after = max(after, page.version)
@@ -309,7 +339,8 @@
             return await self._source.changes(after, wait_s)
         page = failure = None
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_when, self._state.abort_waits, group)
+            abort_waits = self._state.abort_waits(self._name)
+            group.start_soon(_cancel_when, abort_waits, group)
             try:
                 page = await self._source.changes(after, wait_s)
             except StoreError as exc:
@@ -327,7 +358,7 @@
         shortened once the instances that forward changes have become
         unresponsive.
         """
-        abort_waits = self._state.abort_waits
+        abort_waits = self._state.abort_waits(self._name)
         began = time.monotonic()
         while not abort_waits.is_set():
             left_s = began + self._mode().batch_pause_s - time.monotonic()
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from jasminerelay import followerroles, storeversion
+from jasminerelay import followerroles, storebackoff, storeversion
 from jasminerelay.errors import StoreError
 from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness
@@ -68,7 +68,11 @@
 
 
 class Store:
-    """Two tables with one version, and the times of their changes."""
+    """Two tables with one version, and the times of their changes.
+
+    Attributes:
+        calls: Time and instance of each call, answered or not.
+    """
 
     def __init__(self) -> None:
         self.up = True
@@ -78,6 +82,7 @@
         self.configuration = 0
         self.rows: list[tuple[str, ServerRow]] = []
         self.accepted: list[tuple[float, int]] = []
+        self.calls: list[tuple[float, str]] = []
         self._changed = anyio.Event()
 
     @property
@@ -166,6 +171,7 @@
     async def changes(self, after: int, wait_s: float) -> TablePage:
         """Waits for a change, while the store answers."""
         node, store = self._node, self._node.world.store
+        store.calls.append((now(), node.name))
         if not node.reaches_store and node.refused:
             raise StoreError("refused")
         silent = node.unanswered_count
@@ -211,7 +217,8 @@
         self.peer_status = PeerStatusTable(self.registry, self.freshness)
         self.followers = FollowerRole(member.instance, member.zone)
         log, counters = silent_log(), Counters(Statsd())
-        self.state = StoreMonitor(self.registry, self.freshness, log)
+        self.state = StoreMonitor(self.registry, self.freshness, log, world.rng)
+        self.state.outage = self._classify_outage
         self.state.on_confirmed_or_lost = lambda: self.send_status(
             self.followers.confirmation_recipients()
         )
@@ -300,6 +307,15 @@
         if standing.touch:
             self.followers.record_message(sender.name, now())
 
+    def _classify_outage(self) -> storebackoff.Outage:
+        return storebackoff.classify(
+            self.peer_status.reports,
+            self.state.lost_since,
+            now(),
+            age_s=self.freshness.age_s(now()),
+            is_first_caller=self.followers.is_first_caller,
+        )
+
     def _mode(self, leader_mode: FollowMode) -> FollowMode:
         if self.followers.is_leader:
             return leader_mode
