--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -18,6 +18,7 @@
     headlimits,
     ports,
     stopsignals,
+    storebackoff,
     storeversion,
 )
 from jasminerelay.attempt import ForwardingContext
@@ -56,7 +57,11 @@
     TableSource,
 )
 from jasminerelay.registry import Registry
-from jasminerelay.schema.messages import Member, StoreSnapshot
+from jasminerelay.schema.messages import (
+    Member,
+    RequestCrashes,
+    StoreSnapshot,
+)
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
@@ -138,7 +143,7 @@
         self._stop_requested = anyio.Event()
         self._ready = False
         self._live: list[Member] = []
-        self._role_inputs: tuple[list[str], bool] | None = None
+        self._role_inputs: tuple[list[str], list[str], bool] | None = None
         self.running = False
         self.log = EventLog(boot.name)
         self.counters = Counters()
@@ -218,8 +223,8 @@
                 group.start_soon(part)
             group.start_soon(
                 self._crashes.run,
-                self._crash_table.save,
-                self._crash_table.read,
+                self._save_crashes,
+                self._read_crashes,
                 lambda: self._follower_role.is_leader,
             )
             group.start_soon(
@@ -246,8 +251,9 @@
         self._register_again = anyio.Event()
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
-            self.registry, self._freshness, self.log
+            self.registry, self._freshness, self.log, self._rng
         )
+        self._store_state.outage = self._classify_outage
         self._registry_feed = RegistryFeed(
             self.registry, CONFIGURATION_KEY, self.counters, self.log
         )
@@ -614,12 +620,16 @@
         self._live = live
         self._placement_client.update_instances(self._peers.known_count, live)
         without_store = self._peers.without_store()
+        starting = self._peers.starting()
         shared = self._placement_client.active
-        roles_changed = (without_store, shared) != self._role_inputs
-        if live_changed or roles_changed:
-            self._role_inputs = (without_store, shared)
+        role_inputs = (without_store, starting, shared)
+        if live_changed or role_inputs != self._role_inputs:
+            self._role_inputs = role_inputs
             self._follower_role.update_instances(
-                live, shared=shared, without_store=without_store
+                live,
+                shared=shared,
+                without_store=without_store,
+                starting=starting,
             )
         if live_changed and self._duties is not None:
             self._duties.update_instances(live)
@@ -628,6 +638,15 @@
         )
         self.dispatcher.measures_step_times = not self._placement_client.active
 
+    def _classify_outage(self) -> storebackoff.Outage:
+        return storebackoff.classify(
+            self._peers.peer_status.reports,
+            self._store_state.lost_since,
+            time.monotonic(),
+            age_s=self._freshness.age_s(now_s()),
+            is_first_caller=self._follower_role.is_first_caller,
+        )
+
     def _on_store_restored(self) -> None:
         """Handles that the store has come back from a copy of its data."""
         self._store_state.on_new_era()
@@ -637,9 +656,18 @@
         if self._duties is not None:
             self._duties.on_store_restored()
 
+    async def _save_crashes(self, crashes: RequestCrashes) -> None:
+        await self._store_state.turns.answered()
+        await self._crash_table.save(crashes)
+
+    async def _read_crashes(self) -> list[RequestCrashes]:
+        await self._store_state.turns.answered()
+        return await self._crash_table.read()
+
     async def _discover_peers(self) -> None:
         registered = False
         while True:
+            await self._store_state.turns.take("instances")
             try:
                 if not registered:
                     self._register_again = anyio.Event()
@@ -657,7 +685,6 @@
                     await anyio.sleep(self._rng.uniform(0.0, REGISTER_SPREAD_S))
             except StoreError as exc:
                 self._store_state.failed("instances", exc.message)
-                await anyio.sleep(self._rng.uniform(0.5, 1.5))
 
     async def _handle_signals(self) -> None:
         try:
