Move the fair-share counter out of the permit queue

Cause: the placement queue needs the same start-time fair queueing as the permit queue, which had it inside Tier. Change: FairShares in scheduling/fairshare.py; Tier uses it. The weight is passed with each charge, since a correction may come after the record was dropped. The layer test covers scheduling/.

--- a/src/jasminerelay/fairqueue.py
+++ b/src/jasminerelay/fairqueue.py
@@ -11,6 +11,7 @@
 
 from sortedcontainers import SortedKeyList
 
+from jasminerelay.scheduling.fairshare import FairShares
 from jasminerelay.schema.messages import PermitRequest
 
 
@@ -93,8 +94,7 @@
 
     def __init__(self) -> None:
         self._queues: dict[str, SortedKeyList] = {}
-        self._normalized_usage: dict[str, float] = {}
-        self._virtual_time = 0.0
+        self._shares = FairShares()
         self._size = 0
 
     def __len__(self) -> int:
@@ -113,12 +113,7 @@
                 key=lambda item: (item.deadline, item.arrived_at, item.ask_id)
             )
             self._queues[name] = queue
-            # An organisation that was idle starts at the tier's virtual
-            # time; otherwise it could save up its share and then starve the
-            # others.
-            self._normalized_usage[name] = max(
-                self._normalized_usage.get(name, 0.0), self._virtual_time
-            )
+            self._shares.activate(name)
         queue.add(waiting)
         self._size += 1
 
@@ -129,6 +124,7 @@
         self._size -= 1
         if not queue:
             del self._queues[waiting.organisation]
+            self._shares.deactivate(waiting.organisation)
 
     def peek(self) -> QueuedRequest | None:
         """Returns the request to grant next, without removing it."""
@@ -137,7 +133,7 @@
         name = min(
             self._queues,
             key=lambda name: (
-                self._normalized_usage[name],
+                self._shares.usage(name),
                 len(self._queues[name]),
                 name,
             ),
@@ -171,23 +167,4 @@
                 be negative.
             weight: Fair-share weight of the organisation.
         """
-        usage = (
-            self._normalized_usage.get(organisation, self._virtual_time)
-            + tokens / weight
-        )
-        self._normalized_usage[organisation] = usage
-        waiting = [self._normalized_usage[name] for name in self._queues]
-        self._virtual_time = max(
-            self._virtual_time, min(waiting, default=usage)
-        )
-        self._prune_idle()
-
-    def _prune_idle(self) -> None:
-        # Bounds the state: an idle organisation at or below the virtual time
-        # needs no record, since add() would raise it to that anyway.
-        if len(self._normalized_usage) > 2 * len(self._queues) + 64:
-            self._normalized_usage = {
-                name: usage
-                for name, usage in self._normalized_usage.items()
-                if name in self._queues or usage > self._virtual_time
-            }
+        self._shares.charge(organisation, tokens, weight)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -93,6 +93,10 @@
         "trueclock",
         "usage",
         "workload",
+        *(
+            f"scheduling/{path.stem}"
+            for path in (ROOT / "src/jasminerelay/scheduling").glob("*.py")
+        ),
     )
     IO_PACKAGES = (
         "anyio",
@@ -117,6 +121,7 @@
             allowed = {
                 *self.DECISION_MODULES,
                 "errors",
+                "scheduling",
                 "settings",
                 "validation",
             }
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -97,7 +97,7 @@
             tier.add(item)
             tier.remove(item)
             tier.charge(item.organisation, 1.0, 1.0)
-        self.assertLess(len(tier._normalized_usage), 100)
+        self.assertLess(len(tier._shares), 100)
 
     def test_sheds_from_organisation_with_burst(self) -> None:
         tier = Tier()
