Share capacity among the organisations that wait at a rank

Cause: the placement queue ordered by arrival within a rank, so an organisation with many times its usual load took the capacity of all others. Change: within rank, route rank and lateness, requests are ordered by the usage of their organisation plus the work that it has queued before them; at equal usage the one with fewer requests goes first. Each placement charges its organisation, and the end of the request corrects the charge. Wait estimates follow this order. A refusal of an organisation over its share says so, with the waiting work and the time to its turn. PlacementRequest carries the organisation (default ""). Where several instances place, an organisation with a backlog and more than the mean of recent work leaves 4% of the capacity free, and 12% at an instance that has more than its part of the requests in flight: an instance sees at once only what it frees itself and would hand it to its own backlog. With one organisation the order and the estimates are those of a plain sort (test_one_organisation_as_before).

--- a/src/jasminerelay/cellowner.py
+++ b/src/jasminerelay/cellowner.py
@@ -14,6 +14,7 @@
 from jasminerelay.catalog import Call
 from jasminerelay.cells import CellServers, QueueEstimates
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.metrics import Counters
 from jasminerelay.placementmessages import (
     ELSEWHERE,
     FOREIGN,
@@ -37,7 +38,7 @@
     ServerLoad,
     ServerObservation,
 )
-from jasminerelay.workload import InFlightRequest
+from jasminerelay.workload import InFlightRequest, Verdict
 
 SENDER_TIMEOUT_S = 3.0
 """Silence of an instance after which its requests are dropped. An instance with
@@ -105,6 +106,7 @@
         response_monitor: PeerResponseMonitor,
         queues: QueueEstimates,
         answer: SendAnswers,
+        counters: Counters | None = None,
     ):
         """Creates the owner of a cell without any known requests.
 
@@ -117,6 +119,7 @@
             response_monitor: The dispatcher's record of unresponsive servers.
             queues: Queue estimates of other cells.
             answer: Sends answers.
+            counters: Counts events; None for none.
         """
         self._own = own
         self._service = service
@@ -134,6 +137,8 @@
             dispatcher.reserve,
             dispatcher.first_s,
             frequent_passes=True,
+            actual_busy=dispatcher.actual_busy_s,
+            counters=counters,
         )
         self.changed = False
 
@@ -344,10 +349,16 @@
             elif item.bad:
                 health.failed(item.server, now)
             request = sender.requests.get(item.number)
-            if item.output and request is not None and request.call:
+            if request is None:
+                continue
+            if item.output and request.call:
                 self._dispatcher.lengths.observe(
                     request.call.route.name, item.output
                 )
+            if request.run is not None:
+                # Before the request is dropped, since only this report tells
+                # the work that its organisation used.
+                request.run.end(_verdict(item), item.output)
 
     def _record_observations(
         self, tokens: Iterable[ServerObservation], now: float
@@ -375,3 +386,9 @@
             sender.peers,
             OwnerAnswers(self._own, self._service, self._cell, answers),
         )
+
+
+def _verdict(report: RequestEndReport) -> Verdict | None:
+    if report.good:
+        return Verdict.GOOD
+    return Verdict.BAD if report.bad else None
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -31,6 +31,7 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import ResponseMonitor
+from jasminerelay.scheduling.fairshare import Headroom
 from jasminerelay.schema.messages import EngineSample, RouteDemand, ServerLoad
 from jasminerelay.serverlimits import Allowance
 from jasminerelay.serverpauses import ServerPauses
@@ -231,6 +232,14 @@
             return call.route.objective_s / 4
         return self._need_time_s(call.service, self._resource_need(call))
 
+    def actual_busy_s(self, call: Call, output: int) -> float:
+        """Returns how long a request with some output occupied a server."""
+        if call.prompt is None:
+            return self.busy_s(call)
+        prompt = call.prompt
+        need = ResourceNeed(prompt.own_tokens, output, prompt.tokens + output)
+        return self._need_time_s(call.service, need)
+
     def first_s(self, call: Call) -> float:
         """Returns the expected time from placement to the first event."""
         if call.prompt is None:
@@ -240,6 +249,30 @@
             call.prompt.own_tokens
         )
 
+    def headroom(self, call: Call) -> Headroom:
+        """Returns the capacity at the servers of a request's kind.
+
+        Pending prefill is not counted: it is done within a second, while slots
+        and cache are occupied for a whole answer.
+        """
+        servers = self._registry.servers_of(call.service)
+        engine = self.engine_of(call.service)
+        if call.prompt is not None and engine is not None:
+            servers = self._group(call.service, call.route.name, servers)
+        free = 0.0
+        running = own = 0
+        for server in servers:
+            load = self.workload.load(server.id)
+            running += load.running
+            own += self.workload.own_running(server.id)
+            if call.prompt is None or engine is None:
+                free += placing.free_plain(server, load)
+            else:
+                output = self._output_estimate(call).output
+                memory = call.prompt.tokens + output
+                free += placing.free_requests(engine, load, memory)
+        return Headroom(free, free + running, own, self._instances())
+
     def place(
         self, call: Call, avoid: frozenset[str]
     ) -> PlacementDecision | Wait:
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -189,4 +189,5 @@
             response_monitor,
             self.queues,
             lambda address, message: self.answer(address, message),
+            self._counters,
         )
--- a/src/jasminerelay/placementmessages.py
+++ b/src/jasminerelay/placementmessages.py
@@ -65,6 +65,7 @@
         parts=[part_hash(part.id) for part in shared],
         part_tokens=[part.tokens for part in shared],
         passed=passed,
+        organisation=call.organisation,
     )
 
 
@@ -85,7 +86,7 @@
         service=service,
         rank=request.rank,
         urgent=False,
-        organisation="",
+        organisation=request.organisation,
         method="",
         host="",
         target=b"",
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -12,8 +12,14 @@
 from jasminerelay.admission import WaitEstimate
 from jasminerelay.catalog import Call
 from jasminerelay.errors import NoCapacityError
+from jasminerelay.metrics import Counters
 from jasminerelay.placing import PlacementDecision, Wait
-from jasminerelay.workload import InFlightRequest
+from jasminerelay.scheduling.fairshare import (
+    FairShares,
+    Headroom,
+    RecentWork,
+)
+from jasminerelay.workload import InFlightRequest, RequestEnd, Verdict
 
 MAX_FAILED_ATTEMPTS = 8
 """Failed placement attempts per kind in one pass; the rest of the kind is left
@@ -33,6 +39,11 @@
 """Interval of placement passes without any event. Load reports of other
 instances, which can also show free capacity, come about as often."""
 
+WITHHELD = Wait("the last capacity is left to other organisations")
+
+OVER_SHARE = "over its share"
+"""Words of a refusal by which logs are searched for this cause."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Reservation:
@@ -60,6 +71,8 @@
         busy_s: Engine time that it needs.
         first_s: Expected time from its placement to its first event.
         settled: Called once when the request is placed or refused.
+        shares: Shares of the organisations at its rank.
+        recent: Recent work of the organisations at its rank.
         reservation: The reservation, once there is one.
         refused: The error, if it was refused.
     """
@@ -69,11 +82,13 @@
     busy_s: float
     first_s: float = 0.0
     settled: Callable[["QueueEntry"], None] = lambda entry: None
+    shares: FairShares = dataclasses.field(default_factory=FairShares)
+    recent: RecentWork = dataclasses.field(default_factory=RecentWork)
     reservation: Reservation | None = None
     refused: NoCapacityError | None = None
 
     def sort_key(self, now: float) -> tuple[int, int, bool, float]:
-        """Returns its sort key in the queue; the lowest is placed first.
+        """Returns its sort key among the requests of its organisation.
 
         First by rank; within a rank by the route's rank; then requests that can
         still meet their objective, since further delay costs little to one that
@@ -81,7 +96,12 @@
         """
         call = self.call
         late = now + self.first_s - call.arrived_at > call.route.objective_s
-        return (call.rank, call.route.rank, late, call.arrived_at)
+        return (
+            call.rank,
+            call.route.rank,
+            late,
+            call.arrived_at,
+        )
 
 
 class RequestPlacer(Protocol):
@@ -112,6 +132,9 @@
         first: Callable[[Call], float] = lambda call: 0.0,
         *,
         frequent_passes: bool = False,
+        actual_busy: Callable[[Call, int], float] | None = None,
+        headroom: Callable[[Call], Headroom] | None = None,
+        counters: Counters | None = None,
     ):
         """Creates an empty queue.
 
@@ -125,6 +148,11 @@
             frequent_passes: Whether placement passes run every few
                 milliseconds, so that a request behind others of its kind needs
                 no pass of its own.
+            actual_busy: Returns how long a request with a given number of
+                output tokens occupied an engine; None to keep the estimate.
+            headroom: Returns the free capacity, where other instances place
+                requests at the same servers; None where none does.
+            counters: Counts events; None for none.
         """
         self._place = place
         self._expect = expect
@@ -132,6 +160,12 @@
         self._reserve = reserve
         self._first_event_time = first
         self._frequent_passes = frequent_passes
+        self._actual_busy_time = actual_busy
+        self._headroom = headroom
+        self._counters = counters
+        self._ranks: dict[
+            tuple[str, int, int], tuple[FairShares, RecentWork]
+        ] = {}
         self._queue: list[QueueEntry] = []
         self._not_empty = anyio.Event()
 
@@ -177,11 +211,13 @@
             self._busy_time(call),
             self._first_event_time(call),
             settled,
+            *self._rank_of(call),
         )
         behind = self._frequent_passes and any(
             item.call.route.name == call.route.name for item in self._queue
         )
         self._queue.append(entry)
+        entry.shares.activate(call.organisation)
         if not behind:
             self._place_queued(call.service)
         if entry in self._queue:
@@ -195,7 +231,7 @@
         ended would occupy capacity at the server for good.
         """
         if entry in self._queue:
-            self._queue.remove(entry)
+            self._remove(entry)
         if entry.reservation is not None:
             entry.reservation.run.end()
 
@@ -228,48 +264,222 @@
         now = time.monotonic()
         waiting = [x for x in self._queue if x.call.service == service]
         waiting.sort(key=lambda item: item.sort_key(now))
-        failed_attempts: collections.Counter[str] = collections.Counter()
-        queued_ahead_s: dict[str, float] = {}
+        if _has_competition(waiting):
+            waiting = _in_fair_order(waiting, now)
+        scan = _Scan(now)
         for item in waiting:
             kind = item.call.route.name
-            if failed_attempts[kind] < MAX_FAILED_ATTEMPTS:
-                placed = self._place(item.call, item.avoid)
+            if scan.failed_attempts[kind] < MAX_FAILED_ATTEMPTS:
+                placed = self._try_place(item, scan)
                 if isinstance(placed, PlacementDecision):
-                    reservation = Reservation(
-                        placed, self._reserve(item.call, placed)
-                    )
-                    self._settle(item, reservation=reservation)
+                    self._settle_placed(item, placed, now)
                     continue
                 if placed.retry_s > MAX_PAUSE_WAIT_S:
-                    self._settle(
-                        item, refused=_pause_refusal(item.call, placed)
-                    )
+                    self._refuse(item, _pause_refusal(item.call, placed))
                     continue
-                failed_attempts[kind] += FULL_ATTEMPT_COST if placed.full else 1
-            work_ahead_s = queued_ahead_s.get(kind, 0.0)
+            work_ahead_s = scan.queued_ahead_s.get(kind, 0.0)
             estimate = self._expect(item.call, work_ahead_s)
             if estimate.too_late:
-                self._settle(item, refused=_refusal(item.call, estimate))
+                excess = self._over_share(item)
+                refused = _refusal(item.call, estimate, excess)
+                self._refuse(item, refused)
                 continue
-            queued_ahead_s[kind] = work_ahead_s + item.busy_s
-
-    def _settle(
-        self,
-        item: QueueEntry,
-        reservation: Reservation | None = None,
-        refused: NoCapacityError | None = None,
+            scan.queued_ahead_s[kind] = work_ahead_s + item.busy_s
+
+    def _try_place(
+        self, item: QueueEntry, scan: "_Scan"
+    ) -> PlacementDecision | Wait:
+        if self._is_withheld(item, scan):
+            return WITHHELD
+        placed = self._place(item.call, item.avoid)
+        if isinstance(placed, Wait) and placed.retry_s <= MAX_PAUSE_WAIT_S:
+            cost = FULL_ATTEMPT_COST if placed.full else 1
+            scan.failed_attempts[item.call.route.name] += cost
+        return placed
+
+    def _settle_placed(
+        self, item: QueueEntry, placed: PlacementDecision, now: float
     ) -> None:
-        item.reservation = reservation
+        run = self._reserve(item.call, placed)
+        item.reservation = Reservation(placed, run)
+        self._remove(item)
+        # Charged before the next request is chosen, and corrected at its end.
+        item.shares.charge(item.call.organisation, item.busy_s)
+        item.recent.record(item.call.organisation, item.busy_s, now)
+        run.on_end = lambda end: self._correct(item, end)
+        item.settled(item)
+
+    def _refuse(self, item: QueueEntry, refused: NoCapacityError) -> None:
         item.refused = refused
-        self._queue.remove(item)
+        self._remove(item)
         item.settled(item)
 
+    def _remove(self, item: QueueEntry) -> None:
+        self._queue.remove(item)
+        item.shares.deactivate(item.call.organisation)
+
+    def _correct(self, item: QueueEntry, end: RequestEnd) -> None:
+        """Replaces the estimate that was charged by the work that was done."""
+        if end.output and self._actual_busy_time is not None:
+            work_s = self._actual_busy_time(item.call, end.output)
+        elif (
+            end.verdict is Verdict.BAD and item.reservation.run.first_s is None
+        ):
+            # The server did not run it, which is no usage of its organisation.
+            work_s = 0.0
+        else:
+            return
+        item.shares.charge(item.call.organisation, work_s - item.busy_s)
+
+    def _rank_of(self, call: Call) -> tuple[FairShares, RecentWork]:
+        key = (call.service, call.rank, call.route.rank)
+        found = self._ranks.get(key)
+        if found is None:
+            found = self._ranks[key] = (FairShares(), RecentWork())
+        return found
+
+    def _is_withheld(self, item: QueueEntry, scan: "_Scan") -> bool:
+        """Returns whether a request leaves capacity to other organisations.
+
+        It does if its organisation has a backlog here and had more than the
+        mean of those that compete with it.
+        """
+        call = item.call
+        if (
+            self._headroom is None
+            or item.shares.waiting(call.organisation) < 2
+            or not item.recent.exceeds_mean(call.organisation, scan.now)
+        ):
+            return False
+        kind = call.route.name
+        # Once for each kind: the requests behind it would find no more.
+        if kind not in scan.withheld:
+            headroom = self._headroom(call)
+            if headroom.allows_over_share(_spread(call)):
+                return False
+            scan.withheld.add(kind)
+        return True
+
+    def _over_share(self, item: QueueEntry) -> "_ShareExcess | None":
+        """Returns by how much an organisation exceeds its share, if it does.
+
+        It does if others compete with it and it has at least the mean of their
+        waiting work.
+        """
+        call = item.call
+        work_s: collections.Counter[str] = collections.Counter()
+        for other in self._queue:
+            if other.shares is item.shares:
+                work_s[other.call.organisation] += other.busy_s
+        own_s = work_s[call.organisation]
+        total_s = work_s.total()
+        if len(work_s) < 2 or own_s * len(work_s) < total_s:
+            return None
+        self._count("queue.over_share")
+        return _ShareExcess(call.organisation, own_s, total_s, len(work_s))
+
+    def _count(self, name: str) -> None:
+        if self._counters is not None:
+            self._counters.incr(name)
+
+
+@dataclasses.dataclass
+class _Scan:
+    """State of one placement pass.
+
+    Attributes:
+        now: Monotonic time of the pass.
+        failed_attempts: Failed placement attempts by kind.
+        withheld: Kinds of which organisations over their share get no more.
+        queued_ahead_s: Engine time of the waiting requests before the current
+            one, by kind.
+    """
 
-def _refusal(call: Call, estimate: WaitEstimate) -> NoCapacityError:
-    return NoCapacityError(
+    now: float
+    failed_attempts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    withheld: set[str] = dataclasses.field(default_factory=set)
+    queued_ahead_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class _ShareExcess:
+    """Waiting work of one rank when a request over its share is refused.
+
+    Attributes:
+        organisation: The organisation over its share.
+        own_s: Engine time of its waiting requests.
+        total_s: Engine time of all waiting requests.
+        organisations: Number of organisations that wait.
+    """
+
+    organisation: str
+    own_s: float
+    total_s: float
+    organisations: int
+
+
+def _has_competition(waiting: list[QueueEntry]) -> bool:
+    """Returns whether requests of several organisations wait."""
+    if not waiting:
+        return False
+    first = waiting[0].call.organisation
+    return any(item.call.organisation != first for item in waiting)
+
+
+def _in_fair_order(waiting: list[QueueEntry], now: float) -> list[QueueEntry]:
+    """Returns sorted requests in the order of their organisations' shares.
+
+    Each is ordered by its organisation's usage plus the work that the
+    organisation has queued before it, which is the usage that it will find if
+    the requests are placed in this order. At equal usage the organisation with
+    fewer requests goes first, since an organisation that was idle starts at the
+    lowest usage of those that wait.
+    """
+    queued_s: dict[tuple[FairShares, str, str], float] = {}
+    keyed = []
+    for number, item in enumerate(waiting):
+        organisation = item.call.organisation
+        shares = item.shares
+        key = (shares, organisation, item.call.route.name)
+        before_s = queued_s.get(key, 0.0)
+        queued_s[key] = before_s + item.busy_s
+        rank, route_rank, late, _ = item.sort_key(now)
+        usage = shares.usage(organisation) + before_s
+        keyed.append(
+            (
+                rank,
+                route_rank,
+                late,
+                usage,
+                shares.waiting(organisation),
+                # The position in the order by arrival.
+                number,
+                item,
+            )
+        )
+    keyed.sort()
+    return [entry[-1] for entry in keyed]
+
+
+def _refusal(
+    call: Call, estimate: WaitEstimate, excess: _ShareExcess | None
+) -> NoCapacityError:
+    why = (
         f"no capacity in time: {estimate.queue_delay_s:.2f} s queueing delay,"
         f" {estimate.service_s:.2f} s service time,"
-        f" {estimate.remaining_s:.2f} s left",
+        f" {estimate.remaining_s:.2f} s left"
+    )
+    if excess is not None:
+        why += (
+            f"; organisation {excess.organisation!r} is {OVER_SHARE}:"
+            f" {excess.own_s:.2f} s of {excess.total_s:.2f} s of waiting work"
+            f" of {excess.organisations} organisations,"
+            f" its turn comes in {estimate.overrun_s:.2f} s"
+        )
+    return NoCapacityError(
+        why,
         retry_s=admission.retry_after_s(estimate, _spread(call)),
     )
 
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -281,6 +281,24 @@
     return item.load.memory + memory <= engine.cache_tokens * CACHE_SHARE
 
 
+def free_requests(engine: Engine, load: Load, memory: int) -> int:
+    """Returns for how many more requests a server has slots and cache.
+
+    Args:
+        engine: Capacity of the server.
+        load: Load there.
+        memory: Tokens of KV cache of one request.
+    """
+    slots = max(1, int(engine.slots * SLOT_SHARE)) - load.running
+    cache = engine.cache_tokens * CACHE_SHARE - load.memory
+    return max(0, min(slots, int(cache // max(1, memory))))
+
+
+def free_plain(server: BackendServer, load: Load) -> float:
+    """Returns how many more requests a plain service's server gets at once."""
+    return max(0.0, REQUESTS_PER_SLOT * max(1, server.slots) - load.running)
+
+
 def with_prefill_at_most(
     options: Sequence[PlacementCandidate], tokens: float
 ) -> list[PlacementCandidate]:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -321,6 +321,9 @@
             self.dispatcher.expect,
             self.dispatcher.busy_s,
             self.dispatcher.reserve,
+            actual_busy=self.dispatcher.actual_busy_s,
+            headroom=self.dispatcher.headroom,
+            counters=self.counters,
         )
         self._build_cells(member_id)
         self._crashes = CrashWatch(
--- a/src/jasminerelay/scheduling/fairshare.py
+++ b/src/jasminerelay/scheduling/fairshare.py
@@ -11,8 +11,26 @@
 therefore free for the others, who owe nothing for it later.
 """
 
+import collections
+import dataclasses
+import math
+
 MIN_RECORDS_BEFORE_PRUNING = 64
 
+WINDOW_S = 2.0
+"""Time after which an organisation without placements no longer competes; up to
+twice as long, since whole windows are counted."""
+
+RESERVED_SHARE = 0.04
+"""Share of the capacity that organisations over their share leave free where
+several instances place requests, for requests of others at any instance. The
+aim is to use 0.95 of the capacity."""
+
+UNEVEN_RESERVED_SHARE = 0.12
+"""Share that they leave free at an instance that has more than its part of the
+requests in flight. Were it as small as the other, instances that do not know
+each other's latest placements would all take the same free slot."""
+
 
 class FairShares:
     """Usage of the organisations that share one kind of capacity.
@@ -100,3 +118,73 @@
         }
         # Doubling bounds the mean cost of a charge if few can be dropped.
         self._prune_at = max(MIN_RECORDS_BEFORE_PRUNING, 2 * len(self._usage))
+
+
+class RecentWork:
+    """Work of each organisation in the last seconds."""
+
+    def __init__(self) -> None:
+        self._window = -1
+        self._previous: collections.Counter[str] = collections.Counter()
+        self._current: collections.Counter[str] = collections.Counter()
+
+    def record(self, organisation: str, work: float, now: float) -> None:
+        """Records work that an organisation was given."""
+        self._advance(now)
+        self._current[organisation] += work
+
+    def exceeds_mean(self, organisation: str, now: float) -> bool:
+        """Returns whether an organisation had more work than the mean of all.
+
+        False if no other organisation had any.
+        """
+        self._advance(now)
+        names = self._previous.keys() | self._current.keys()
+        own = self._previous[organisation] + self._current[organisation]
+        total = self._previous.total() + self._current.total()
+        return len(names) > 1 and own * len(names) > total
+
+    def _advance(self, now: float) -> None:
+        window = int(now / WINDOW_S)
+        if window == self._window:
+            return
+        ended = self._current if window == self._window + 1 else None
+        self._previous = ended or collections.Counter()
+        self._current = collections.Counter()
+        self._window = window
+
+
+@dataclasses.dataclass(frozen=True)
+class Headroom:
+    """Capacity for one kind of request, in requests.
+
+    Attributes:
+        free: Number of further requests for which there is capacity.
+        total: Number of requests that the capacity is for.
+        own: Number in flight of this instance.
+        instances: Number of instances that share the capacity.
+    """
+
+    free: float
+    total: float
+    own: int
+    instances: int
+
+    def allows_over_share(self, spread: float) -> bool:
+        """Returns whether an organisation over its share may use one more.
+
+        An instance sees at once what it frees itself, and what others free
+        only with their load reports. Without a limit it would hand all that it
+        frees to its own backlog, and an organisation under its share would wait
+        at the instances that have few requests in flight.
+
+        Args:
+            spread: Number from 0 to 1 that rounds the instance's part up or
+                down, since with few slots a part has a large fraction.
+        """
+        # Rounded: of few slots, one would be too large a part.
+        reserved = round(self.total * RESERVED_SHARE)
+        part = (self.total - reserved) / max(1, self.instances)
+        if self.own + 1 <= math.floor(part + spread):
+            return self.free - 1 >= reserved
+        return self.free - 1 >= self.total * UNEVEN_RESERVED_SHARE
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -345,6 +345,7 @@
     parts: list[int]
     part_tokens: list[int]
     passed: bool
+    organisation: str = ''
 
 
 @dataclass(frozen=True)
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from jasminerelay.schema.messages import ServerLoad
 
@@ -67,6 +67,7 @@
         unread: Its own prompt tokens not yet known to be prefilled.
         memory: Tokens of KV cache that it occupies or will occupy.
         first_s: Time from sending to its first event; None before that.
+        on_end: Called once at its end; None for nothing.
 
     Example:
         >>> workload = Workload()
@@ -93,6 +94,7 @@
         self.unread = unread
         self.memory = memory
         self.first_s: float | None = None
+        self.on_end: Callable[[RequestEnd], None] | None = None
         self._workload = workload
         self._ended = False
 
@@ -119,9 +121,12 @@
         self._workload.add_load(
             self.server, Load(-self.unread, -1, -self.memory)
         )
-        self._workload.close(
-            RequestEnd(self.number, self.server, verdict, output)
-        )
+        end = RequestEnd(self.number, self.server, verdict, output)
+        self._workload.close(end)
+        # Cleared, since it may refer back to this record.
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(end)
 
 
 class Verdict(enum.Enum):
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -182,6 +182,8 @@
             self.dispatcher.expect,
             self.dispatcher.busy_s,
             self.dispatcher.reserve,
+            actual_busy=self.dispatcher.actual_busy_s,
+            headroom=self.dispatcher.headroom,
         )
         self.owned = OwnedCells(
             name,
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -1,8 +1,48 @@
 """Capacity shares of organisations that compete within one rank."""
 
+import collections
+import itertools
+import random
+import sys
+import time
+import types
 import unittest
+import unittest.mock
+from collections.abc import Callable
 
-from jasminerelay.scheduling.fairshare import FairShares
+import anyio
+
+from jasminerelay import placementqueue
+from jasminerelay.admission import WaitEstimate
+from jasminerelay.catalog import Call
+from jasminerelay.errors import NoCapacityError
+from jasminerelay.placementmessages import call_of, placement_request
+from jasminerelay.placementqueue import (
+    OVER_SHARE,
+    PlacementQueue,
+    QueueEntry,
+)
+from jasminerelay.placing import PlacementDecision, Wait
+from jasminerelay.scheduling.fairshare import FairShares, Headroom
+from jasminerelay.workload import Workload
+from tests import virtualtime
+from tests.test_placing import call, option, route
+
+SLOTS = 48
+SERVICE_S = 1.0
+CAPACITY = SLOTS / SERVICE_S
+TIME_LIMIT_S = 6.0
+ROUTE = route(timeout_s=TIME_LIMIT_S)
+LOAD_S = 15.0
+SCAN_INTERVAL_S = 0.005
+REPORT_INTERVAL_S = 0.1
+SERVER = "s"
+
+CALM = {f"org{number}": 0.1 for number in range(7)}
+"""Offered load of each organisation, as a share of the capacity."""
+
+OVERLOAD = {**CALM, "org0": 2.0}
+SMALL = [name for name in CALM if name != "org0"]
 
 
 def serve(
@@ -92,5 +132,290 @@
         self.assertLess(len(shares), 100)
 
 
+class QueueOrderTest(unittest.TestCase):
+    """Order and wait estimates of requests while no server is free."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.seen: list[tuple[str, float]] = []
+        self.refused: dict[str, NoCapacityError] = {}
+        self.busy: dict[str, float] = {}
+        self.remaining_s = 1000.0
+        self.queue = PlacementQueue(
+            lambda item, avoid: Wait("full", full=True),
+            self.expect,
+            lambda item: self.busy.get(item.id, 1.0),
+            lambda item, placed: None,
+        )
+        clock = unittest.mock.patch.object(time, "monotonic", lambda: self.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+
+    def expect(self, item: Call, ahead_s: float) -> WaitEstimate:
+        self.seen.append((item.id, ahead_s))
+        return WaitEstimate(ahead_s, 0.0, self.remaining_s)
+
+    def add(self, name: str, organisation: str, **fields) -> None:
+        item = call(name, organisation=organisation, **fields)
+
+        def settled(entry: QueueEntry) -> None:
+            self.refused[name] = entry.refused
+
+        self.queue.enqueue(item, frozenset(), settled)
+
+    def scan(self) -> list[tuple[str, float]]:
+        """Returns ids and work ahead in the order of one placement pass."""
+        self.seen.clear()
+        self.queue.place_all()
+        return list(self.seen)
+
+    def test_one_organisation_as_before(self) -> None:
+        # Guards against a change where no organisations compete: order and
+        # estimates are those of a plain sort by rank, lateness and arrival.
+        rng = random.Random(3)
+        routes = (route(name="a", rank=0), route(name="b", rank=1))
+        items = []
+        for number in range(60):
+            name = f"c{number}"
+            self.busy[name] = rng.uniform(0.1, 2.0)
+            fields = {
+                "arrived_at": self.now - rng.uniform(0.0, 4.0),
+                "route": rng.choice(routes),
+                "rank": rng.randrange(3),
+            }
+            self.add(name, "only", **fields)
+            items.append(call(name, **fields))
+        items.sort(
+            key=lambda item: (
+                item.rank,
+                item.route.rank,
+                self.now - item.arrived_at > item.route.objective_s,
+                item.arrived_at,
+            )
+        )
+        ahead_s: dict[str, float] = {}
+        expected = []
+        for item in items:
+            before_s = ahead_s.get(item.route.name, 0.0)
+            expected.append((item.id, before_s))
+            ahead_s[item.route.name] = before_s + self.busy[item.id]
+        self.assertEqual(self.scan(), expected)
+
+    def test_small_organisation_waits_for_no_queue(self) -> None:
+        for number in range(4):
+            self.add(f"large{number}", "large", arrived_at=self.now)
+        self.add("small", "small", arrived_at=self.now)
+        self.assertEqual(self.scan()[0], ("small", 0.0))
+
+    def test_organisations_alternate(self) -> None:
+        # Each request counts as charged for those behind it.
+        for number in range(3):
+            self.add(f"a{number}", "a", arrived_at=self.now)
+        for number in range(3):
+            self.add(f"b{number}", "b", arrived_at=self.now)
+        order = [name[0] for name, _ in self.scan()]
+        self.assertEqual(order, ["a", "b"] * 3)
+
+    def test_rank_comes_before_share(self) -> None:
+        self.add("low", "small", arrived_at=self.now, rank=1)
+        for number in range(3):
+            self.add(f"high{number}", "large", arrived_at=self.now, rank=0)
+        self.assertEqual(self.scan()[-1], ("low", 3.0))
+
+    def test_organisation_over_its_share_is_refused_first(self) -> None:
+        # Guards against refusals of the organisation whose request came last,
+        # and against a Retry-After that does not count the own work ahead.
+        for number in range(4):
+            self.add(f"large{number}", "large", arrived_at=self.now)
+        self.remaining_s = 4.0
+        self.add("small", "small", arrived_at=self.now)
+        self.scan()
+        self.assertEqual(list(self.refused), ["large3"])
+        refused = self.refused["large3"]
+        self.assertIn(OVER_SHARE, refused.message)
+        self.assertIn("'large'", refused.message)
+        self.assertGreater(refused.retry_s, 0.25)
+
+
+def as_received(item: Call) -> Call:
+    """Returns a request as the owner of a cell gets it."""
+    now = time.monotonic()
+    message = placement_request(1, item, frozenset(), False, now)
+    catalog = types.SimpleNamespace(routes=(ROUTE,))
+    return call_of(message, item.service, catalog, now)
+
+
+class Instance:
+    """One instance, which knows the others' requests from load reports."""
+
+    def __init__(self, instances: int, *, owner: bool):
+        self.workload = Workload()
+        self._instances = instances
+        self.queue = PlacementQueue(
+            self._place,
+            lambda item, ahead_s: WaitEstimate(
+                ahead_s * instances / SLOTS,
+                SERVICE_S,
+                item.answer_deadline - time.monotonic(),
+            ),
+            lambda item: SERVICE_S,
+            lambda item, placed: self.workload.start(placed.server.id, 0, 0),
+            frequent_passes=owner,
+            headroom=None if owner else self._headroom,
+        )
+
+    def _place(self, item: Call, avoid) -> PlacementDecision | Wait:
+        if self.workload.load(SERVER).running >= SLOTS:
+            return Wait("full", full=True)
+        return PlacementDecision(option(SERVER).server, 0, 0)
+
+    def _headroom(self, item: Call) -> Headroom:
+        load = self.workload.load(SERVER)
+        own = self.workload.own_running(SERVER)
+        return Headroom(SLOTS - load.running, SLOTS, own, self._instances)
+
+
+class Deployment:
+    """Instances that place requests at one server, in virtual time.
+
+    Attributes:
+        offered: Number of requests by organisation.
+        latencies: Latencies of the served requests by organisation.
+        busy_s: Time for which slots were in use while the load was offered.
+    """
+
+    def __init__(self, instances: int, *, owner: bool = False):
+        """Creates idle instances, or one owner that places all requests."""
+        self.offered: collections.Counter[str] = collections.Counter()
+        self.latencies: dict[str, list[float]] = collections.defaultdict(list)
+        self.busy_s = 0.0
+        self._owner = owner
+        self._rng = random.Random(7)
+        self._instances = [
+            Instance(instances, owner=owner) for _ in range(instances)
+        ]
+
+    def run(
+        self, shares: dict[str, float], pauses: dict[str, float] | None = None
+    ) -> "Deployment":
+        """Offers a load and waits for the last request.
+
+        Args:
+            shares: Offered load by organisation.
+            pauses: Pauses of organisations that ignore Retry-After.
+        """
+
+        async def main() -> None:
+            self._slots = anyio.Semaphore(SLOTS)
+            async with anyio.create_task_group() as rounds:
+                rounds.start_soon(self._run_passes)
+                rounds.start_soon(self._send_reports)
+                async with anyio.create_task_group() as group:
+                    for name, share in shares.items():
+                        pause_s = (pauses or {}).get(name)
+                        group.start_soon(
+                            self._offer, group, name, share, pause_s
+                        )
+                rounds.cancel_scope.cancel()
+
+        virtualtime.run(main, (placementqueue, sys.modules[__name__]))
+        return self
+
+    async def _run_passes(self) -> None:
+        interval_s = placementqueue.PASS_INTERVAL_S
+        while True:
+            await anyio.sleep(SCAN_INTERVAL_S if self._owner else interval_s)
+            for instance in self._instances:
+                instance.queue.place_all()
+
+    async def _send_reports(self) -> None:
+        for number in itertools.count(1):
+            await anyio.sleep(REPORT_INTERVAL_S)
+            for sender in self._instances:
+                loads = sender.workload.own_loads()
+                for instance in self._instances:
+                    if instance is not sender:
+                        instance.workload.apply_report(
+                            str(id(sender)), number, loads, time.monotonic()
+                        )
+
+    async def _offer(
+        self, group, name: str, share: float, pause_s: float | None
+    ) -> None:
+        while time.monotonic() < LOAD_S:
+            await anyio.sleep(self._rng.expovariate(share * CAPACITY))
+            self.offered[name] += 1
+            group.start_soon(self._call, name, pause_s)
+
+    async def _call(self, name: str, pause_s: float | None) -> None:
+        """Sends one request, again after each refusal while there is time."""
+        began = time.monotonic()
+        number = self.offered[name]
+        attempts = itertools.count(1)
+        while time.monotonic() < began + TIME_LIMIT_S:
+            item = call(
+                f"{name}-{number}-{next(attempts)}",
+                time.monotonic(),
+                route=ROUTE,
+                organisation=name,
+                answer_deadline=began + TIME_LIMIT_S,
+            )
+            try:
+                await self._serve(item)
+            except NoCapacityError as exc:
+                await anyio.sleep(pause_s or exc.retry_s)
+            else:
+                self.latencies[name].append(time.monotonic() - began)
+                return
+
+    async def _serve(self, item: Call) -> None:
+        if self._owner:
+            item = as_received(item)
+        instance = self._rng.choice(self._instances)
+        reservation = await instance.queue.reserve_server(item, frozenset())
+        # Instances that don't know of each other's latest placements may send
+        # more than the server's slots; it queues the rest.
+        async with self._slots:
+            began = time.monotonic()
+            await anyio.sleep(SERVICE_S * self._rng.uniform(0.5, 1.5))
+            self.busy_s += max(0.0, min(time.monotonic(), LOAD_S) - began)
+        reservation.run.end()
+        instance.queue.capacity_freed(item.service)
+
+    def served(self, names: list[str]) -> float:
+        """Returns the share of the requests that were served."""
+        count = sum(len(self.latencies[name]) for name in names)
+        return count / sum(self.offered[name] for name in names)
+
+    def latency_s(self, names: list[str]) -> float:
+        """Returns the 95th percentile of the latency of served requests."""
+        found = sorted(x for name in names for x in self.latencies[name])
+        return found[int(0.95 * len(found))]
+
+    def utilisation(self) -> float:
+        """Returns the share of the capacity that was in use."""
+        return self.busy_s / (SLOTS * LOAD_S)
+
+
+class OverloadTest(unittest.TestCase):
+    """One organisation asks for twice the capacity, six for a tenth each."""
+
+    def check(self, create: Callable[[], Deployment]) -> None:
+        calm = create().run(CALM)
+        overload = create().run(OVERLOAD)
+        self.assertGreaterEqual(overload.served(SMALL), 0.98)
+        self.assertLess(overload.latency_s(SMALL), 2 * calm.latency_s(SMALL))
+        self.assertGreaterEqual(overload.utilisation(), 0.95)
+
+    def test_3_instances(self) -> None:
+        self.check(lambda: Deployment(3))
+
+    def test_8_instances(self) -> None:
+        self.check(lambda: Deployment(8))
+
+    def test_owner(self) -> None:
+        self.check(lambda: Deployment(1, owner=True))
+
+
 if __name__ == "__main__":
     unittest.main()
