Keep the age of callers that come back when told

Cause: a caller that waited as told was ordered behind all requests that came meanwhile, so that waiting cost it its place. A retry that comes no earlier than told is ordered by its first arrival; an earlier one counts as new and the record is dropped. Lateness still counts from the present attempt. Counters queue.returned and queue.over_share.

--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -19,6 +19,11 @@
     Headroom,
     RecentWork,
 )
+from jasminerelay.scheduling.returningcallers import (
+    ReturningCallers,
+    request_key,
+)
+from jasminerelay.schema.settings import Statsd
 from jasminerelay.workload import InFlightRequest, RequestEnd, Verdict
 
 MAX_FAILED_ATTEMPTS = 8
@@ -73,6 +78,7 @@
         settled: Called once when the request is placed or refused.
         shares: Shares of the organisations at its rank.
         recent: Recent work of the organisations at its rank.
+        age_s: Time from the arrival of its first attempt to that of this one.
         reservation: The reservation, once there is one.
         refused: The error, if it was refused.
     """
@@ -84,6 +90,7 @@
     settled: Callable[["QueueEntry"], None] = lambda entry: None
     shares: FairShares = dataclasses.field(default_factory=FairShares)
     recent: RecentWork = dataclasses.field(default_factory=RecentWork)
+    age_s: float = 0.0
     reservation: Reservation | None = None
     refused: NoCapacityError | None = None
 
@@ -92,7 +99,8 @@
 
         First by rank; within a rank by the route's rank; then requests that can
         still meet their objective, since further delay costs little to one that
-        is late already; then by arrival.
+        is late already; then by arrival. The objective counts from the arrival
+        of this attempt: a caller that came back when it was told is not late.
         """
         call = self.call
         late = now + self.first_s - call.arrived_at > call.route.objective_s
@@ -100,7 +108,7 @@
             call.rank,
             call.route.rank,
             late,
-            call.arrived_at,
+            call.arrived_at - self.age_s,
         )
 
 
@@ -162,10 +170,11 @@
         self._frequent_passes = frequent_passes
         self._actual_busy_time = actual_busy
         self._headroom = headroom
-        self._counters = counters
+        self._counters = counters or Counters(Statsd())
         self._ranks: dict[
             tuple[str, int, int], tuple[FairShares, RecentWork]
         ] = {}
+        self._returning = ReturningCallers()
         self._queue: list[QueueEntry] = []
         self._not_empty = anyio.Event()
 
@@ -212,6 +221,7 @@
             self._first_event_time(call),
             settled,
             *self._rank_of(call),
+            self._age_s(call),
         )
         behind = self._frequent_passes and any(
             item.call.route.name == call.route.name for item in self._queue
@@ -275,14 +285,14 @@
                     self._settle_placed(item, placed, now)
                     continue
                 if placed.retry_s > MAX_PAUSE_WAIT_S:
-                    self._refuse(item, _pause_refusal(item.call, placed))
+                    self._refuse(item, _pause_refusal(item.call, placed), now)
                     continue
             work_ahead_s = scan.queued_ahead_s.get(kind, 0.0)
             estimate = self._expect(item.call, work_ahead_s)
             if estimate.too_late:
                 excess = self._over_share(item)
                 refused = _refusal(item.call, estimate, excess)
-                self._refuse(item, refused)
+                self._refuse(item, refused, now)
                 continue
             scan.queued_ahead_s[kind] = work_ahead_s + item.busy_s
 
@@ -309,9 +319,12 @@
         run.on_end = lambda end: self._correct(item, end)
         item.settled(item)
 
-    def _refuse(self, item: QueueEntry, refused: NoCapacityError) -> None:
+    def _refuse(
+        self, item: QueueEntry, refused: NoCapacityError, now: float
+    ) -> None:
         item.refused = refused
         self._remove(item)
+        self._remember(item, refused, now)
         item.settled(item)
 
     def _remove(self, item: QueueEntry) -> None:
@@ -360,6 +373,31 @@
             scan.withheld.add(kind)
         return True
 
+    def _age_s(self, call: Call) -> float:
+        """Returns how long ago the first attempt of a request came."""
+        if not self._returning:
+            return 0.0
+        first = self._returning.first_arrival(
+            request_key(call), call.arrived_at
+        )
+        if first < call.arrived_at:
+            self._counters.incr("queue.returned")
+        return call.arrived_at - first
+
+    def _remember(
+        self, item: QueueEntry, refused: NoCapacityError, now: float
+    ) -> None:
+        # Only where all attempts come here. Of several instances, a caller
+        # that retries often would soon find one whose time is over, while one
+        # that waits as told would rarely come back to the same instance.
+        if self._headroom is None:
+            self._returning.record_refusal(
+                request_key(item.call),
+                item.call.arrived_at - item.age_s,
+                now + (refused.retry_s or 0.0),
+                now,
+            )
+
     def _over_share(self, item: QueueEntry) -> "_ShareExcess | None":
         """Returns by how much an organisation exceeds its share, if it does.
 
@@ -375,13 +413,9 @@
         total_s = work_s.total()
         if len(work_s) < 2 or own_s * len(work_s) < total_s:
             return None
-        self._count("queue.over_share")
+        self._counters.incr("queue.over_share")
         return _ShareExcess(call.organisation, own_s, total_s, len(work_s))
 
-    def _count(self, name: str) -> None:
-        if self._counters is not None:
-            self._counters.incr(name)
-
 
 @dataclasses.dataclass
 class _Scan:
--- a/src/jasminerelay/scheduling/fairshare.py
+++ b/src/jasminerelay/scheduling/fairshare.py
@@ -182,9 +182,11 @@
             spread: Number from 0 to 1 that rounds the instance's part up or
                 down, since with few slots a part has a large fraction.
         """
+        if self.instances <= 1:
+            return True
         # Rounded: of few slots, one would be too large a part.
         reserved = round(self.total * RESERVED_SHARE)
-        part = (self.total - reserved) / max(1, self.instances)
+        part = (self.total - reserved) / self.instances
         if self.own + 1 <= math.floor(part + spread):
             return self.free - 1 >= reserved
         return self.free - 1 >= self.total * UNEVEN_RESERVED_SHARE
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -67,6 +67,7 @@
         "lengthestimate",
         "explain",
         "fencing",
+        "fingerprint",
         "groups",
         "outputlengths",
         "limits",
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -14,7 +14,7 @@
 
 from jasminerelay import placementqueue
 from jasminerelay.admission import WaitEstimate
-from jasminerelay.catalog import Call
+from jasminerelay.catalog import Call, Prompt, PromptPart
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.placementmessages import call_of, placement_request
 from jasminerelay.placementqueue import (
@@ -24,6 +24,11 @@
 )
 from jasminerelay.placing import PlacementDecision, Wait
 from jasminerelay.scheduling.fairshare import FairShares, Headroom
+from jasminerelay.scheduling.returningcallers import (
+    MAX_RECORDS,
+    ReturningCallers,
+    request_key,
+)
 from jasminerelay.workload import Workload
 from tests import virtualtime
 from tests.test_placing import call, option, route
@@ -236,6 +241,24 @@
         self.assertIn("'large'", refused.message)
         self.assertGreater(refused.retry_s, 0.25)
 
+    def test_returning_caller_comes_before_new_ones(self) -> None:
+        # Guards against a caller that waits as told and is overtaken by new
+        # requests of its organisation each time.
+        self.remaining_s = -1.0
+        self.add("try-1", "a", arrived_at=self.now, prompt=prompt(1))
+        self.remaining_s = 1000.0
+        self.now += 1.0
+        self.add("new", "a", arrived_at=self.now, prompt=prompt(2))
+        self.now += self.refused["try-1"].retry_s
+        self.add("try-2", "a", arrived_at=self.now, prompt=prompt(1))
+        self.assertEqual([name for name, _ in self.scan()], ["try-2", "new"])
+
+
+def prompt(number: int) -> Prompt:
+    """Returns a prompt that each attempt of one request has."""
+    parts = (PromptPart("start", 5000), PromptPart("own", 1000 + number))
+    return Prompt(parts, 6000 + number, 1000, 400)
+
 
 def as_received(item: Call) -> Call:
     """Returns a request as the owner of a cell gets it."""
@@ -357,8 +380,9 @@
                 f"{name}-{number}-{next(attempts)}",
                 time.monotonic(),
                 route=ROUTE,
-                organisation=name,
+                organisation=name.partition("/")[0],
                 answer_deadline=began + TIME_LIMIT_S,
+                prompt=prompt(number),
             )
             try:
                 await self._serve(item)
@@ -417,5 +441,72 @@
         self.check(lambda: Deployment(1, owner=True))
 
 
+class RetryTest(unittest.TestCase):
+    """Callers that wait as told beside callers that retry at once."""
+
+    SAMPLING_ERROR = 0.05
+    """Two standard errors of the difference between two groups of 700."""
+
+    def check(self, waiting: str, retrying: str, found: Deployment) -> None:
+        found.run({waiting: 1.0, retrying: 1.0}, {retrying: 0.1})
+        self.assertLessEqual(
+            found.served([retrying]),
+            found.served([waiting]) + self.SAMPLING_ERROR,
+        )
+
+    def test_same_organisation(self) -> None:
+        # Guards against callers that gain from retrying often over others of
+        # their organisation.
+        self.check("a/wait", "a/retry", Deployment(1, owner=True))
+
+    def test_other_organisation(self) -> None:
+        # Guards against an organisation that gets more capacity by retrying.
+        self.check("a", "b", Deployment(1, owner=True))
+
+    def test_other_organisation_at_8_instances(self) -> None:
+        self.check("a", "b", Deployment(8))
+
+
+class ReturningCallersTest(unittest.TestCase):
+    """Which attempts count from the arrival of the first."""
+
+    def setUp(self) -> None:
+        self.memory = ReturningCallers()
+
+    def test_comes_when_told(self) -> None:
+        self.memory.record_refusal("k", 1.0, retry_at=3.0, now=2.0)
+        self.assertEqual(self.memory.first_arrival("k", 3.0), 1.0)
+
+    def test_comes_earlier(self) -> None:
+        # Guards against callers that keep their age although they retry at
+        # once, and against a later retry that gets it nevertheless.
+        self.memory.record_refusal("k", 1.0, retry_at=3.0, now=2.0)
+        self.assertEqual(self.memory.first_arrival("k", 2.9), 2.9)
+        self.assertEqual(self.memory.first_arrival("k", 3.1), 3.1)
+
+    def test_state_is_bounded(self) -> None:
+        for number in range(3 * MAX_RECORDS):
+            self.memory.record_refusal(str(number), 0.0, 1.0, now=0.0)
+        self.assertEqual(len(self.memory), MAX_RECORDS)
+        self.memory.record_refusal("k", 31.0, 32.0, now=31.0)
+        self.assertEqual(len(self.memory), 1)
+
+    def test_expires(self) -> None:
+        self.memory.record_refusal("k", 0.0, 1.0, now=0.0)
+        self.assertEqual(self.memory.first_arrival("k", 30.1), 30.1)
+
+    def test_key_survives_a_new_attempt(self) -> None:
+        # An owner knows a request's own part only under the id of the attempt.
+        first = as_received(call("try-1", prompt=prompt(1)))
+        again = as_received(call("try-2", prompt=prompt(1)))
+        other = as_received(call("try-3", prompt=prompt(2)))
+        foreign = as_received(
+            call("try-4", prompt=prompt(1), organisation="other")
+        )
+        keys = {request_key(x) for x in (first, other, foreign)}
+        self.assertEqual(len(keys), 3)
+        self.assertEqual(request_key(again), request_key(first))
+
+
 if __name__ == "__main__":
     unittest.main()
