--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -190,4 +190,5 @@
             response_monitor,
             self.queues,
             lambda address, message: self.answer(address, message),
+            self._counters,
         )
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -319,6 +319,7 @@
     parts: list[int]
     part_tokens: list[int]
     passed: bool
+    organisation: str = ''
 
 
 class InFlightReport(Struct, frozen=True):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -68,6 +68,7 @@
         "lengthestimate",
         "explain",
         "fencing",
+        "fingerprint",
         "groups",
         "outputlengths",
         "limits",
@@ -94,6 +95,10 @@
         "trueclock",
         "usage",
         "workload",
+        *(
+            f"scheduling/{path.stem}"
+            for path in (ROOT / "src/jasminerelay/scheduling").glob("*.py")
+        ),
     )
     IO_PACKAGES = (
         "anyio",
@@ -118,6 +123,7 @@
             allowed = {
                 *self.DECISION_MODULES,
                 "errors",
+                "scheduling",
                 "settings",
                 "validation",
             }
