--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -29,7 +29,7 @@
     IncompleteExchangeError,
     NotSentError,
 )
-from jasminerelay.membership import Membership, Send
+from jasminerelay.membership import LEAVING, Membership, Send
 from jasminerelay.metrics import Counters
 from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.peerstatus import PeerStatusTable
--- a/src/jasminerelay/peerstatus.py
+++ b/src/jasminerelay/peerstatus.py
@@ -4,7 +4,7 @@
 which instances have lost the store, and whether a newer configuration exists.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 
 from jasminerelay.freshness import Freshness
 from jasminerelay.registry import Registry, StoreStatus
