Count the time in the backlog towards a request's limit

Cause: a request that waits in the backlog of a starting instance has less time left than it states, and its caller may have left. Requests of callers that had left took the places of those that wait for the first configuration. Change: for connections that waited 50 ms or more, arrivals reads from the kernel how long their bytes lay unread and whether they were closed; headlimits drops closed ones and marks requests with the time, and ingress counts it.

--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -3,7 +3,8 @@
 The fast HTTP parser that uvicorn uses stores header fields without any limit
 and waits indefinitely for the rest of a head, so one caller could exhaust an
 instance's memory with an endless head, or its file descriptors with idle
-connections.
+connections. Requests that waited in the backlog are marked with the time for
+which they waited, and those whose callers have left meanwhile are dropped.
 """
 
 import asyncio
@@ -12,13 +13,21 @@
 
 import httptools
 
-from jasminerelay import ports
+from jasminerelay import arrivals, ports
 from jasminerelay.uvicornserver import HttpToolsProtocol
 
 HEAD_TIMEOUT_S = 10.0
 """Default time limit for a request head: a slow mobile link needs some seconds
 for a large one."""
 
+MIN_BACKLOG_WAIT_S = 0.05
+"""Wait in the backlog above which a connection is examined. A running instance
+accepts connections within a few milliseconds."""
+
+UNREAD_S = "jasminerelay.unread_s"
+"""Key in the scope of a request that waited in the backlog: the seconds between
+its arrival and the time at which it was read."""
+
 _TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"content-type: text/plain; charset=utf-8\r\n"
@@ -67,6 +76,7 @@
             self._received_bytes = 0
             self._bounds = bounds()
             self._timeout_timer: asyncio.TimerHandle | None = None
+            self._waited_in_backlog = False
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
@@ -76,6 +86,13 @@
             self.timeout_keep_alive_task = self.loop.call_later(
                 self._bounds.idle_timeout_s, self.timeout_keep_alive_handler
             )
+            sock = transport.get_extra_info("socket")
+            if arrivals.unread_s(sock) < MIN_BACKLOG_WAIT_S:
+                return
+            self._waited_in_backlog = True
+            if arrivals.peer_has_closed(sock):
+                # Nobody would receive the response.
+                transport.abort()
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._head_ended()
@@ -97,6 +114,10 @@
                 self._bounds.head_timeout_s, self._reject_too_slow
             )
             super().on_message_begin()
+            if self._waited_in_backlog:
+                self._waited_in_backlog = False
+                sock = self.transport.get_extra_info("socket")
+                self.scope[UNREAD_S] = arrivals.unread_s(sock)
 
         def on_header(self, name: bytes, value: bytes) -> None:
             self._field_bytes += len(name) + len(value)
--- a/src/jasminerelay/platform/earlyrequests.py
+++ b/src/jasminerelay/platform/earlyrequests.py
@@ -28,7 +28,7 @@
         """Waits for the release, for at most a share of the request's time.
 
         Args:
-            limit_s: Time limit of the request; None if it has none of its own.
+            limit_s: Time that the request has left; None if it states no limit.
 
         Returns:
             Whether the release came in time; False at once if too many wait.
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from jasminerelay import headlimits
 from jasminerelay.attempt import ForwardingContext
 from jasminerelay.catalog import Call, Catalog, RequestLimits, Route
 from jasminerelay.errors import (
@@ -96,9 +97,9 @@
             )
 
     async def _serve(self, scope, receive, sink: "AsgiResponseSink") -> None:
-        arrived = time.monotonic()
+        arrived = time.monotonic() - scope.get(headlimits.UNREAD_S, 0.0)
         if self._context.catalog() is None:
-            await self._wait_for_configuration(scope)
+            await self._wait_for_configuration(scope, arrived)
         body = await self._body(receive)
         call = self._call(scope, body, arrived)
         if not self._context.accepts(call.answer_deadline - arrived):
@@ -111,7 +112,7 @@
             await forwarder.run()
             group.cancel_scope.cancel()
 
-    async def _wait_for_configuration(self, scope) -> None:
+    async def _wait_for_configuration(self, scope, arrived: float) -> None:
         """Waits for the first configuration and servers, in bounded time.
 
         The request is served or refused afterwards as at any other time.
@@ -119,6 +120,8 @@
         counters = self._context.forwarding.counters
         counters.incr("start.early_requests")
         limit_s = _stated_time_limit_s(dict(scope["headers"]))
+        if limit_s is not None:
+            limit_s -= time.monotonic() - arrived
         if not await self._early_requests.wait(limit_s):
             counters.incr("start.early_requests_unserved")
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -544,6 +544,27 @@
         "",
         "test_starting.CallersDuringStartTest.test_stop_during_the_import_with_callers_waiting",
     ),
+    Safeguard(
+        "requests whose callers left during the start are dropped",
+        "headlimits",
+        "                transport.abort()\n",
+        "                pass\n",
+        "test_starting.CallersDuringStartTest.test_callers_that_left_during_the_start",
+    ),
+    Safeguard(
+        "time in the backlog counts towards a request's limit",
+        "headlimits",
+        "self.scope[UNREAD_S] = arrivals.unread_s(sock)",
+        "self.scope[UNREAD_S] = 0.0",
+        "test_starting.CallersDuringStartTest.test_time_in_the_backlog_counts",
+    ),
+    Safeguard(
+        "few requests wait for the first configuration",
+        "platform/earlyrequests",
+        "        if self._waiting >= MAX_REQUESTS:\n            return False\n",
+        "",
+        "test_earlyrequests.EarlyRequestsTest.test_number_is_bounded",
+    ),
     Safeguard(
         "refused connections are read to their end",
         "platform/earlyports",
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -15,8 +15,9 @@
 import httpcore
 
 from jasminerelay.platform import earlyports
+from jasminerelay.platform.earlyrequests import MAX_REQUESTS
 from standins.launcher import ROOT
-from standins.platformsite import SiteOptions
+from standins.platformsite import API_KEY, HOST, SiteOptions
 from tests.platformcase import Answer, PlatformCase, fetch
 
 SIGNALLED_PROGRAM = """
@@ -68,6 +69,7 @@
 
 LOADING = "<module>"
 
+KEY = {"Authorization": f"Bearer {API_KEY}"}
 FEW_CALLERS = 8
 BURST_CALLERS = earlyports.BACKLOG + 100
 CONNECT_S = 0.3
@@ -202,20 +204,21 @@
                     with contextlib.suppress(ProcessLookupError):
                         process.kill()
 
-    async def ask_all(self, path: pathlib.Path, count: int, group) -> list:
+    async def ask_all(
+        self, settings: pathlib.Path, count: int, group, path="/x", **fields
+    ) -> list:
         """Starts requests to the instance; returns the list of their results.
 
         A result is an answer or an error of the connection.
         """
-        address = addresses_in(path)[0]
+        address = addresses_in(settings)[0]
         results: list[Answer | Exception] = []
 
         async def ask(number: int) -> None:
-            fields = {"Host": "h", "Attempt-Id": f"a{number}"}
+            sent = {"Host": "h", "Attempt-Id": f"a{number}", **fields}
+            url = f"http://{address}{path}"
             try:
-                results.append(
-                    await fetch(f"http://{address}/x", fields=fields)
-                )
+                results.append(await fetch(url, "POST", sent))
             except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
                 results.append(exc)
 
@@ -298,6 +301,63 @@
                 self.assertIn(result.status, (404, 503))
             self.assertGreater(len(results), earlyports.BACKLOG)
 
+    async def test_callers_that_left_during_the_start(self) -> None:
+        # Guards against a refused caller because requests whose callers have
+        # left take the places of those that wait for the configuration, and
+        # against such requests being run.
+        async with self.site() as (site, _):
+            path = site.settings("edge-2")
+            host, _, port = addresses_in(path)[0].rpartition(":")
+            async with (
+                self.halted(path) as process,
+                anyio.create_task_group() as group,
+            ):
+                for number in range(MAX_REQUESTS + 10):
+                    with socket.create_connection((host, int(port))) as conn:
+                        conn.sendall(request_bytes(f"left{number}"))
+                results = await self.ask_all(
+                    path, 1, group, path="/confirm/x", Host=HOST, **KEY
+                )
+                await process.stdin.send(b"\n")
+                await self.until(lambda: len(results) == 1)
+                process.terminate()
+                self.assertEqual(await process.wait(), 0)
+            self.assertEqual(results[0].status, 200)
+            journals = [server.journal for server in site.servers.values()]
+            self.assertEqual([len(item) for item in journals if item], [1])
+
+    async def test_time_in_the_backlog_counts(self) -> None:
+        # Guards against requests that a server is given more time for than
+        # their callers wait.
+        async with self.site() as (site, _):
+            path = site.settings("edge-2")
+            async with (
+                self.halted(path) as process,
+                anyio.create_task_group() as group,
+            ):
+                fields = {"Host": HOST, "Deadline-Ms": "2500", **KEY}
+                results = await self.ask_all(
+                    path, 1, group, path="/confirm/x", **fields
+                )
+                await process.stdin.send(b"\n")
+                await self.until(lambda: len(results) == 1)
+                process.terminate()
+                self.assertEqual(await process.wait(), 0)
+            self.assertEqual(results[0].status, 200)
+            (ran,) = itertools.chain.from_iterable(
+                server.journal for server in site.servers.values()
+            )
+            left_ms = int(ran.headers["deadline-ms"])
+            self.assertLessEqual(left_ms, 2500 - CONNECT_S * 1e3)
+
+
+def request_bytes(attempt: str) -> bytes:
+    """Returns a request that may run once, as a caller writes it."""
+    return (
+        f"POST /confirm/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
+        f"Authorization: {KEY['Authorization']}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
 
 def addresses_in(path: pathlib.Path) -> list[str]:
     """Returns the addresses for callers, readiness and address resolution."""
