Defer modules that libraries import for unused features

Cause: httpcore imports certifi, with importlib.resources, for TLS, and uvicorn logging.config, with handlers, pickle and socketserver, for its own logs. Ruled out: importlib.util.LazyLoader, whose modules are executed by the next import statement for them; python -OO, which gained nothing.

--- a/src/jasminerelay/platform/start.py
+++ b/src/jasminerelay/platform/start.py
@@ -4,9 +4,12 @@
 import os
 import signal
 
-from jasminerelay import stopsignals
+from jasminerelay import lazymodules, stopsignals
 from jasminerelay.platform import earlyports
 
+_DEFERRED_MODULES = ("certifi", "logging.config")
+"""Modules that httpcore and uvicorn import for TLS and for their own logs."""
+
 
 def main() -> int:
     """Runs the instance; returns its exit status."""
@@ -19,6 +22,8 @@
     # The imports create objects that stay; collections would find nothing to
     # free among them. The program enables them again.
     gc.disable()
+    for name in _DEFERRED_MODULES:
+        lazymodules.defer(name)
     # Imported only after the signal handlers are installed and the ports are
     # open, since the import is slow: signals and callers may arrive during it.
     from jasminerelay.platform.root import main as run
--- a/tests/test_earlyports.py
+++ b/tests/test_earlyports.py
@@ -15,13 +15,29 @@
 
 REQUEST = b"POST /a HTTP/1.1\r\nhost: h\r\nAttempt-Id: a7\r\n\r\n"
 LARGE_BODY_BYTES = 4_000_000
-UNUSED_PACKAGES = ("click", "jsonschema", "prometheus_client", "statsd")
-"""Packages that neither the start nor the first request needs."""
+UNUSED_MODULES = (
+    "click",
+    "importlib.resources",
+    "jsonschema",
+    "logging.handlers",
+    "prometheus_client",
+    "statsd",
+    "uvicorn.main",
+)
+"""Modules that neither the start nor the first request needs."""
 
 LIST_PROGRAM_IMPORTS = """
 import sys
-import jasminerelay.platform.root
-print(*sys.modules)
+from jasminerelay.platform import start
+
+def list_modules(frame, event, argument):
+    here = frame.f_globals.get("__name__"), frame.f_code.co_name
+    if event == "call" and here == ("jasminerelay.platform.root", "main"):
+        print(*sys.modules)
+        sys.exit()
+
+sys.setprofile(list_modules)
+start.main()
 """
 
 MAX_STOP_S = 0.3
@@ -94,7 +110,7 @@
             check=True,
         )
         imported = set(done.stdout.split())
-        self.assertEqual(imported & {*UNUSED_PACKAGES, "uvicorn.main"}, set())
+        self.assertEqual(imported & {*UNUSED_MODULES}, set())
 
     def test_callers_connect_before_a_server_exists(self) -> None:
         # Guards against "connection refused" while an instance starts.
