--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -1,10 +1,11 @@
 """Starts one jasminerelay instance on the platform from a checkout."""
 
-import pathlib
+import os
 import sys
 
-_ROOT = pathlib.Path(__file__).parent.parent
-sys.path[:0] = [str(_ROOT / "src"), str(_ROOT / "target" / "deps")]
+# os.path rather than pathlib, whose import would delay the ports.
+_ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path[:0] = [f"{_ROOT}/src", f"{_ROOT}/target/deps"]
 
 from jasminerelay.platform.start import main  # noqa: E402
 
--- a/src/jasminerelay/platform/earlyports.py
+++ b/src/jasminerelay/platform/earlyports.py
@@ -65,19 +65,16 @@
         Args:
             path: The settings file.
         """
-        opened: dict[str, socket.socket] = {}
         try:
             for address in _read_addresses(path):
-                if address not in opened:
-                    opened[address] = _bind(address)
+                if address not in self._sockets:
+                    self._sockets[address] = _bind(address)
             # No caller may connect before it is certain that all ports stay.
-            for sock in opened.values():
+            for sock in self._sockets.values():
                 sock.listen(BACKLOG)
         except _OPEN_ERRORS:
-            for sock in opened.values():
-                sock.close()
-            return
-        self._sockets = opened
+            self.close_unused()
+            self._sockets.clear()
 
     def take(self, address: str) -> socket.socket | None:
         """Returns the socket that listens on an address, once.
