Follow the store for others from 12 instances on, without waiting calls

Cause: each changed server's row ends a waiting call at all instances; with fewer than 24 all follow the store, and with more also those to which others forward changes. Changes in series left these behind each report, so that none confirmed their data and they called every 1.6 s. Change: from 12 instances on three of each zone follow the store; the others call it every 20 to 30 s without waiting, fetch a reported change at once, and adopt the age of the data that they have fetched. Instances that call a lost store often pause 0.4 to 0.8 s, and one report of a loss that no answer contradicts is enough.

--- a/src/jasminerelay/followerroles.py
+++ b/src/jasminerelay/followerroles.py
@@ -6,9 +6,9 @@
 recent as its own. An instance whose data still becomes too old asks the store
 itself.
 
-In a small platform all instances follow the store. In a large one three
-instances of each availability zone do, and forward changes to the others of
-their zone.
+In a small platform all instances follow the store. From
+MIN_INSTANCES_FOR_FOLLOWERS on three instances of each availability zone do, and
+forward changes to the others of their zone.
 """
 
 import time
@@ -17,6 +17,10 @@
 from jasminerelay import rendezvous
 from jasminerelay.schema.messages import Member
 
+MIN_INSTANCES_FOR_FOLLOWERS = 12
+"""Number of instances from which some follow the store for all. With fewer,
+three of each of three zones would be nearly all."""
+
 FOLLOWERS_PER_ZONE = 3
 """Instances of each availability zone that follow the store closely and notify
 the others of their zone. Two may fail at once; the followers of other zones
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -473,6 +473,7 @@
             return
         self._counters.incr("peer.fetched")
         self.on_snapshot(snapshot, name)
+        self.peer_status.record_fetch(now_s())
 
     def _note_changes(self) -> None:
         live = {member.instance for member in self.membership.live()}
--- a/src/jasminerelay/peerstatus.py
+++ b/src/jasminerelay/peerstatus.py
@@ -25,7 +25,12 @@
 
 
 class PeerStatusTable:
-    """The other instances' latest reports, compared with the local registry."""
+    """The other instances' latest reports, compared with the local registry.
+
+    Attributes:
+        fetches_at_once: Whether other instances forward changes to this one, so
+            that it does not wait for the store before it fetches.
+    """
 
     def __init__(self, registry: Registry, freshness: Freshness):
         """Creates the state of an instance that has received no message.
@@ -39,6 +44,8 @@
         self._reports: dict[str, tuple[float, ReplicaStatus]] = {}
         self._behind_since: float | None = None
         self._newer_peer = ""
+        self._newer_report: tuple[float, ReplicaStatus] | None = None
+        self.fetches_at_once = False
 
     @property
     def reports(self) -> Mapping[str, tuple[float, ReplicaStatus]]:
@@ -60,8 +67,32 @@
         if self._registry.is_behind(standing):
             self._behind_since = self._behind_since or now
             self._newer_peer = sender
-        elif standing.age_ms >= 0 and self._registry.shares_era_with(standing):
-            self._freshness.record_peer_age(standing.age_ms / 1000, at)
+            self._newer_report = (at, standing)
+        else:
+            self._record_age(standing, 0.0, at)
+
+    def record_fetch(self, at: float) -> None:
+        """Records that another instance's newer data has been merged.
+
+        If changes come in series, this instance is behind each report when it
+        arrives. Its data is then as recent as that of the sender was.
+
+        Args:
+            at: Boot time, in seconds.
+        """
+        if self._newer_report is None:
+            return
+        received_at, standing = self._newer_report
+        if not self._registry.is_behind(standing):
+            self._newer_report = None
+            self._record_age(standing, at - received_at, at)
+
+    def _record_age(
+        self, standing: ReplicaStatus, elapsed_s: float, at: float
+    ) -> None:
+        if standing.age_ms >= 0 and self._registry.shares_era_with(standing):
+            age_s = standing.age_ms / 1000 + elapsed_s
+            self._freshness.record_peer_age(age_s, at)
 
     def reports_store_loss(self, sender: str, standing: ReplicaStatus) -> bool:
         """Returns whether a sender newly reports that it has lost the store."""
@@ -91,10 +122,8 @@
 
         There is one once this instance has been behind for long enough.
         """
-        if (
-            self._behind_since is None
-            or now - self._behind_since < FETCH_DELAY_S
-        ):
+        delay_s = 0.0 if self.fetches_at_once else FETCH_DELAY_S
+        if self._behind_since is None or now - self._behind_since < delay_s:
             return None
         self._behind_since = None
         report = self._reports.get(self._newer_peer)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -14,6 +14,7 @@
 
 from jasminerelay import (
     entrylist,
+    followerroles,
     headlimits,
     ports,
     stopsignals,
@@ -67,7 +68,7 @@
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
 from jasminerelay.storefollowing import (
-    INDIRECT_BATCH_PAUSE_S,
+    INDIRECT_MODE,
     LEADER_LONG_POLL_S,
     FollowMode,
     RegistryFeed,
@@ -259,7 +260,6 @@
         self, store: Store, table: str, *, leader_mode: FollowMode
     ) -> TableFollower:
         close_mode = FollowMode()
-        relaxed_mode = FollowMode(batch_pause_s=INDIRECT_BATCH_PAUSE_S)
 
         def current_mode() -> FollowMode:
             if self._follower_role.is_leader:
@@ -267,7 +267,7 @@
             return (
                 close_mode
                 if self._follower_role.follows_closely()
-                else relaxed_mode
+                else INDIRECT_MODE
             )
 
         return TableFollower(
@@ -585,10 +585,13 @@
         self._placement_client.update_instances(self._peers.known_count, live)
         self._follower_role.update_instances(
             live,
-            shared=self._placement_client.active,
+            shared=self._has_followers(),
             without_store=self._peers.without_store(),
             starting=self._peers.starting(),
         )
+        self._peers.peer_status.fetches_at_once = (
+            not self._follower_role.follows_closely()
+        )
         if self._duties is not None:
             self._duties.update_instances(live)
         self._rate_limits.update_instances(
@@ -596,6 +599,14 @@
         )
         self.dispatcher.measures_step_times = not self._placement_client.active
 
+    def _has_followers(self) -> bool:
+        """Returns whether some instances follow the store for all."""
+        known = self._peers.known_count
+        return (
+            self._placement_client.active
+            or known >= followerroles.MIN_INSTANCES_FOR_FOLLOWERS
+        )
+
     def _classify_outage(self) -> storebackoff.Outage:
         return storebackoff.classify(
             self._peers.peer_status.reports,
--- a/src/jasminerelay/storebackoff.py
+++ b/src/jasminerelay/storebackoff.py
@@ -22,9 +22,9 @@
 """Maximum fraction by which a long pause is extended at random."""
 
 SHARED_MIN_S = 0.4
-SHARED_MAX_S = 0.6
+SHARED_MAX_S = 0.8
 """Pause of each of the instances that call a store that is lost for all. There
-are three of them, so the store's return is noticed within a fifth of a second
+are three of them, so the store's return is noticed within a quarter of a second
 on average."""
 
 CONFIRMED_AGE_S = 1.4
@@ -38,10 +38,6 @@
 """Time after this instance's loss of the store within which others may still
 report that they reach it, since their calls have not failed yet."""
 
-MIN_LOSS_REPORTS = 3
-"""Number of other instances that must report the loss for it to count as one
-for all; all others where there are fewer."""
-
 
 class Outage(enum.Enum):
     """What an instance that has lost the store knows about the others."""
@@ -84,11 +80,11 @@
     ]
     if not recent:
         return Outage.UNCONFIRMED
-    losses = sum(not reaches for _, reaches in recent)
+    lost_by_others = any(not reaches for _, reaches in recent)
     answered = any(
         reaches and at > lost_since + LOSS_NOTICE_S for at, reaches in recent
     )
-    if not answered and losses >= min(MIN_LOSS_REPORTS, len(reports)):
+    if lost_by_others and not answered:
         return Outage.SHARED_CALLER if is_first_caller else Outage.SHARED
     if age_s <= CONFIRMED_AGE_S:
         return Outage.CONFIRMED
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -44,9 +44,12 @@
 replaced change in series, and one call then returns several rows. The pause
 delays the news of a leaving server, which must be known within two seconds."""
 
-INDIRECT_BATCH_PAUSE_S = 5.0
-"""The same pause on an instance to which other instances forward changes.
-Servers that start one after the other cause changes for about this long."""
+INDIRECT_PAUSE_S = 25.0
+INDIRECT_SPREAD = 0.2
+"""Pause between two calls on an instance to which other instances forward
+changes, and the fraction by which it varies at random. It waits for no changes
+at the store. The pause ends early once those instances are silent, or the data
+becomes too old."""
 
 MIN_RECHECK_AGE_S = 1.0
 """Minimum age of the store's last answer before it is asked again because
@@ -240,12 +243,19 @@
     Attributes:
         wait_s: How long a call waits for a change.
         batch_pause_s: Pause after a change before the next call.
+        indirect: Whether other instances forward changes, so that calls wait
+            for none and the pause precedes each of them.
     """
 
     wait_s: float = LONG_POLL_S
     batch_pause_s: float = dataclasses.field(
         default_factory=lambda: BATCH_PAUSE_S
     )
+    indirect: bool = False
+
+
+INDIRECT_MODE = FollowMode(batch_pause_s=INDIRECT_PAUSE_S, indirect=True)
+"""How an instance to which others forward changes follows a table."""
 
 
 class TableFollower:
@@ -267,7 +277,7 @@
             source: The table.
             state: Records failed and successful calls.
             counters: Counts calls.
-            rng: Randomises the retry pauses.
+            rng: Randomises the pauses where changes are forwarded.
             mode: Returns how to follow the table from now on.
         """
         self._mode = mode
@@ -308,7 +318,8 @@
                     wait_s = 0.0
                     continue
                 newest_at = _newest_at(page, asked_at, wait_s)
-                wait_s = self._mode().wait_s
+                mode = self._mode()
+                wait_s = 0.0 if mode.indirect else mode.wait_s
             except HistoryGoneError:
                 self._state.succeeded(self._name)
                 after = None
@@ -323,7 +334,8 @@
             if page.rows:
                 apply_changes(page)
             self._state.record_answer(self._name, page.version, newest_at)
-            if page.rows and await self._pause_aborted():
+            pauses = page.rows or mode.indirect
+            if pauses and await self._pause_aborted():
                 wait_s = 0.0
 
     async def _changes(self, after: int, wait_s: float) -> TablePage | None:
@@ -351,7 +363,7 @@
         return page
 
     async def _pause_aborted(self) -> bool:
-        """Pauses after a change; returns whether the pause was aborted.
+        """Pauses between calls; returns whether the pause was aborted.
 
         An outage that begins in a long pause would not be noticed here, and
         rows that lapse in it would be taken for removals. The pause is
@@ -360,8 +372,11 @@
         """
         abort_waits = self._state.abort_waits(self._name)
         began = time.monotonic()
+        spread = self._rng.uniform(1 - INDIRECT_SPREAD, 1 + INDIRECT_SPREAD)
         while not abort_waits.is_set():
-            left_s = began + self._mode().batch_pause_s - time.monotonic()
+            mode = self._mode()
+            pause_s = mode.batch_pause_s * (spread if mode.indirect else 1.0)
+            left_s = began + pause_s - time.monotonic()
             if left_s <= 0:
                 break
             with anyio.move_on_after(min(left_s, BATCH_PAUSE_S)):
--- a/tests/test_storecalls.py
+++ b/tests/test_storecalls.py
@@ -4,14 +4,17 @@
 which also checks at every step that no instance lags behind the store.
 """
 
+import dataclasses
 import random
 import unittest
 
 import anyio
 
 from jasminerelay import followerroles, storefollowing
-from jasminerelay.registry import StoreStatus
-from jasminerelay.schema.messages import ReplicaStatus
+from jasminerelay.freshness import Freshness
+from jasminerelay.peerstatus import PeerStatusTable
+from jasminerelay.registry import Registry, StoreStatus
+from jasminerelay.schema.messages import ReplicaStatus, ServerRow
 from jasminerelay.storebackoff import (
     LONG_PAUSE_S,
     LOSS_NOTICE_S,
@@ -22,7 +25,14 @@
 )
 from jasminerelay.storeturns import RetryTurns
 from tests import virtualtime
-from tests.versionworld import MAX_DELAY_AFTER_RETURN_S, World, now
+from tests.test_following import decode
+from tests.versionworld import (
+    MAX_CHANGE_DELAY_S,
+    MAX_DELAY_AFTER_RETURN_S,
+    Node,
+    World,
+    now,
+)
 
 SEEDS = range(1, 5)
 INSTANCES = 17
@@ -286,5 +296,96 @@
         self.simulate(scenario)
 
 
+class ForwardedChangesTest(unittest.TestCase):
+    """Calls of instances to which others forward changes."""
+
+    def simulate(self, scenario) -> None:
+        """Runs a scenario with the checks of `versionworld` at every step."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = World(self, seed, INSTANCES, scenario)
+                virtualtime.run(world.run, (storefollowing, followerroles))
+
+    @staticmethod
+    def indirect(world: World) -> list[Node]:
+        """Returns the instances that do not follow the store closely."""
+        nodes = world.nodes.values()
+        return [node for node in nodes if not node.followers.follows_closely()]
+
+    def test_each_change_is_read_by_few(self) -> None:
+        # Guards against a call of every instance for each server that starts,
+        # leaves or is replaced.
+        async def scenario(world: World) -> None:
+            names = {node.name for node in self.indirect(world)}
+            self.assertGreater(len(names), INSTANCES / 3)
+            began = now()
+            for number in range(40):
+                world.store.write_server_row(f"s{number % 4}")
+                await anyio.sleep(0.3)
+            calls = [name for at, name in world.store.calls if at >= began]
+            mine = sum(name in names for name in calls)
+            self.assertLessEqual(mine, 2 * len(names))
+            await anyio.sleep(1.0)
+            versions = {
+                n.registry.servers_version for n in world.nodes.values()
+            }
+            self.assertEqual(versions, {world.store.version})
+
+        self.simulate(scenario)
+
+    def test_all_that_forward_die(self) -> None:
+        # Guards against a change that nobody forwards: all instances of a zone
+        # that follow the store closely die at once.
+        async def scenario(world: World) -> None:
+            zone = self.indirect(world)[0].member.zone
+            for node in list(world.nodes.values()):
+                if node.member.zone == zone and (
+                    node.followers.follows_closely()
+                ):
+                    world.nodes.pop(node.name).scope.cancel()
+            await anyio.sleep(0.1)
+            world.store.write_configuration()
+            await anyio.sleep(MAX_CHANGE_DELAY_S)
+            for node in world.nodes.values():
+                self.assertEqual(node.version, world.store.configuration)
+
+        self.simulate(scenario)
+
+    def test_data_is_confirmed_though_changes_come_in_series(self) -> None:
+        # Guards against calls of an instance that is behind each report when
+        # it arrives, so that no report confirms its data.
+        registry = Registry(lambda data: None, decode)
+        freshness = Freshness(["servers"])
+        for tick in (9.0, 9.4, 9.8):
+            freshness.tick(tick)
+        table = PeerStatusTable(registry, freshness)
+        other = Registry(lambda data: None, decode)
+        other.apply_full_read([ServerRow("s", 5, b"pool:ready")], 5)
+        standing = dataclasses.replace(other.standing, age_ms=200)
+        table.record_report("i2", standing, 10.0, 10.0)
+        self.assertEqual(freshness.age_s(10.0), float("inf"))
+        registry.merge_snapshot(other.export_snapshot())
+        table.record_fetch(10.1)
+        self.assertAlmostEqual(freshness.age_s(10.1), 0.3)
+
+    def test_snapshot_that_lacks_reported_data(self) -> None:
+        # Guards against an age that is confirmed by a report whose data has
+        # not arrived.
+        registry = Registry(lambda data: None, decode)
+        freshness = Freshness(["servers"])
+        for tick in (9.0, 9.4, 9.8):
+            freshness.tick(tick)
+        table = PeerStatusTable(registry, freshness)
+        other = Registry(lambda data: None, decode)
+        other.apply_full_read([ServerRow("s", 5, b"pool:ready")], 5)
+        before = other.export_snapshot()
+        other.apply_changes([ServerRow("s", 6, b"pool:leaving")], 6)
+        standing = dataclasses.replace(other.standing, age_ms=200)
+        table.record_report("i2", standing, 10.0, 10.0)
+        registry.merge_snapshot(before)
+        table.record_fetch(10.1)
+        self.assertEqual(freshness.age_s(10.1), float("inf"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -26,7 +26,7 @@
 from jasminerelay.schema.messages import Member, ServerRow
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.storefollowing import (
-    INDIRECT_BATCH_PAUSE_S,
+    INDIRECT_MODE,
     LEADER_LONG_POLL_S,
     FollowMode,
     HistoryGoneError,
@@ -320,11 +320,7 @@
         if self.followers.is_leader:
             return leader_mode
         follows_closely = self.followers.follows_closely()
-        return (
-            FollowMode()
-            if follows_closely
-            else FollowMode(batch_pause_s=INDIRECT_BATCH_PAUSE_S)
-        )
+        return FollowMode() if follows_closely else INDIRECT_MODE
 
     async def _tick(self) -> None:
         rounds = 0
@@ -339,6 +335,9 @@
             self.followers.update_instances(
                 live, shared=self.world.shared, without_store=lost
             )
+            self.peer_status.fetches_at_once = (
+                not self.followers.follows_closely()
+            )
             lags = self.freshness.versions_differ
             self.state.abort_waits_if_older(
                 self.followers.poll_age_s(lags=lags)
@@ -357,6 +356,7 @@
             return
         await anyio.sleep(ANSWER_DELAY_S)
         self.registry.merge_snapshot(other.registry.export_snapshot())
+        self.peer_status.record_fetch(now())
 
 
 class World:
@@ -386,7 +386,7 @@
         self._scenario = scenario
         self._count = count
         self.rng = random.Random(seed)
-        self.shared = count >= 24
+        self.shared = count >= followerroles.MIN_INSTANCES_FOR_FOLLOWERS
         self.store = Store()
         self.nodes: dict[str, Node] = {}
         self._group = None
