Let the leader's calls for both tables return while one lags

Cause: the store's version counts all tables, so each renewal of the duties' lease left one followed table behind, and the leader aborted both waiting calls up to twice a second and called both without waiting.

--- a/src/jasminerelay/followerroles.py
+++ b/src/jasminerelay/followerroles.py
@@ -49,6 +49,13 @@
 another. The waiting call on the older table returns the change in milliseconds,
 unless it hangs."""
 
+LAG_ABORT_PERIOD_S = 1.0
+ALL_TABLES_S = 5.0
+"""How long that lower limit holds after a lag has begun, and how long the
+leader then has the store confirm all tables in place of one. Writes to other
+tables raise the store's version, too, such as renewals of a lease several times
+a second; each would otherwise abort the waiting calls."""
+
 POLL_AGE_STEP_S = 0.1
 MAX_POLL_AGE_S = 1.6
 """How much the limit rises with each position in the order, and its maximum.
@@ -76,6 +83,8 @@
         self._followers_by_zone: dict[str, list[Member]] = {}
         self._last_message_at = float("-inf")
         self._shared = False
+        self._lag_began_at = float("-inf")
+        self._lagged_at = float("-inf")
 
     def update_instances(
         self,
@@ -145,6 +154,25 @@
             return self._order.index(self._own)
         return len(self._order)
 
+    def record_lag(self, now: float, *, versions_differ: bool) -> bool:
+        """Records whether a table lags; returns whether to ask the store soon.
+
+        Args:
+            now: Monotonic time.
+            versions_differ: Whether one table is confirmed up to an older
+                version than another.
+        """
+        if not versions_differ:
+            return False
+        if not self.polls_all_tables(now):
+            self._lag_began_at = now
+        self._lagged_at = now
+        return now - self._lag_began_at < LAG_ABORT_PERIOD_S
+
+    def polls_all_tables(self, now: float) -> bool:
+        """Returns whether the leader has the store confirm each table."""
+        return now - self._lagged_at < ALL_TABLES_S
+
     def poll_age_s(self, *, lags: bool) -> float:
         """Returns the age of the data above which to ask the store.
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 import anyio
 
@@ -250,19 +251,24 @@
         self._configuration_follower = self._new_follower(
             store,
             OPERATOR_TABLE,
-            leader_mode=FollowMode(wait_s=LEADER_LONG_POLL_S),
+            leader_polls=lambda: True,
         )
         self._servers_follower = self._new_follower(
-            store, SERVERS_TABLE, leader_mode=FollowMode()
+            store,
+            SERVERS_TABLE,
+            leader_polls=lambda: self._follower_role.polls_all_tables(
+                time.monotonic()
+            ),
         )
 
     def _new_follower(
-        self, store: Store, table: str, *, leader_mode: FollowMode
+        self, store: Store, table: str, *, leader_polls: Callable[[], bool]
     ) -> TableFollower:
         close_mode = FollowMode()
+        leader_mode = FollowMode(wait_s=LEADER_LONG_POLL_S)
 
         def current_mode() -> FollowMode:
-            if self._follower_role.is_leader:
+            if self._follower_role.is_leader and leader_polls():
                 return leader_mode
             return (
                 close_mode
@@ -562,7 +568,9 @@
             self._update_instances()
             self._store_state.abort_waits_if_older(
                 self._follower_role.poll_age_s(
-                    lags=self._freshness.versions_differ
+                    lags=self._follower_role.record_lag(
+                        now, versions_differ=self._freshness.versions_differ
+                    )
                 )
             )
             self._retry_budget.record_instance_count(
--- a/tests/test_storecalls.py
+++ b/tests/test_storecalls.py
@@ -11,6 +11,7 @@
 import anyio
 
 from jasminerelay import followerroles, storefollowing
+from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness
 from jasminerelay.peerstatus import PeerStatusTable
 from jasminerelay.registry import Registry, StoreStatus
@@ -186,6 +187,31 @@
         self.run_in_virtual_time(main)
 
 
+class LagTest(unittest.TestCase):
+    """One table is confirmed up to an older version than another."""
+
+    def test_other_tables_change_all_the_time(self) -> None:
+        # Guards against waiting calls of the leader that are aborted each time
+        # the duties' lease is renewed.
+        role = FollowerRole("i1", "z")
+        asked = [
+            role.record_lag(tick / 10, versions_differ=tick % 4 != 0)
+            for tick in range(1, 200)
+        ]
+        self.assertTrue(asked[0])
+        self.assertLess(sum(asked), 11)
+        self.assertTrue(role.polls_all_tables(20.0))
+
+    def test_single_change(self) -> None:
+        # Guards against a change that waits for a call which hangs: after some
+        # quiet time the older table is asked at once again.
+        role = FollowerRole("i1", "z")
+        for at in (1.0, 20.0):
+            self.assertTrue(role.record_lag(at, versions_differ=True))
+            self.assertFalse(role.record_lag(at + 0.1, versions_differ=False))
+            self.assertFalse(role.polls_all_tables(at + 10.0))
+
+
 class OutageCallsTest(unittest.TestCase):
     """Calls while the store rejects or does not answer."""
 
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -226,10 +226,6 @@
         self.feed.on_changed = lambda: self.send_status(
             self.followers.change_recipients()
         )
-        leader_mode = {
-            "op": FollowMode(wait_s=LEADER_LONG_POLL_S),
-            "servers": FollowMode(),
-        }
         self._followers = {
             table: TableFollower(
                 table,
@@ -237,7 +233,7 @@
                 self.state,
                 counters,
                 world.rng,
-                lambda table=table: self._mode(leader_mode[table]),
+                lambda table=table: self._mode(table),
             )
             for table in TABLES
         }
@@ -316,9 +312,10 @@
             is_first_caller=self.followers.is_first_caller,
         )
 
-    def _mode(self, leader_mode: FollowMode) -> FollowMode:
-        if self.followers.is_leader:
-            return leader_mode
+    def _mode(self, table: str) -> FollowMode:
+        polls = table == "op" or self.followers.polls_all_tables(now())
+        if self.followers.is_leader and polls:
+            return FollowMode(wait_s=LEADER_LONG_POLL_S)
         follows_closely = self.followers.follows_closely()
         return FollowMode() if follows_closely else INDIRECT_MODE
 
@@ -338,7 +335,9 @@
             self.peer_status.fetches_at_once = (
                 not self.followers.follows_closely()
             )
-            lags = self.freshness.versions_differ
+            lags = self.followers.record_lag(
+                now(), versions_differ=self.freshness.versions_differ
+            )
             self.state.abort_waits_if_older(
                 self.followers.poll_age_s(lags=lags)
             )
