--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -448,6 +448,7 @@
             return
         self._counters.incr("peer.fetched")
         self.on_snapshot(snapshot, name)
+        self.peer_status.record_fetch(now_s())
 
     def _note_changes(self) -> None:
         self.peer_status.retain(self.membership.is_known)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -9,12 +9,14 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import anyio
 
 from jasminerelay import (
     entrylist,
+    followerroles,
     headlimits,
     ports,
     stopsignals,
@@ -66,7 +68,7 @@
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
 from jasminerelay.storefollowing import (
-    INDIRECT_BATCH_PAUSE_S,
+    INDIRECT_MODE,
     LEADER_LONG_POLL_S,
     FollowMode,
     RegistryFeed,
@@ -262,25 +264,29 @@
         self._configuration_follower = self._new_follower(
             store,
             OPERATOR_TABLE,
-            leader_mode=FollowMode(wait_s=LEADER_LONG_POLL_S),
+            leader_polls=lambda: True,
         )
         self._servers_follower = self._new_follower(
-            store, SERVERS_TABLE, leader_mode=FollowMode()
+            store,
+            SERVERS_TABLE,
+            leader_polls=lambda: self._follower_role.polls_all_tables(
+                time.monotonic()
+            ),
         )
 
     def _new_follower(
-        self, store: Store, table: str, *, leader_mode: FollowMode
+        self, store: Store, table: str, *, leader_polls: Callable[[], bool]
     ) -> TableFollower:
         close_mode = FollowMode()
-        relaxed_mode = FollowMode(batch_pause_s=INDIRECT_BATCH_PAUSE_S)
+        leader_mode = FollowMode(wait_s=LEADER_LONG_POLL_S)
 
         def current_mode() -> FollowMode:
-            if self._follower_role.is_leader:
+            if self._follower_role.is_leader and leader_polls():
                 return leader_mode
             return (
                 close_mode
                 if self._follower_role.follows_closely()
-                else relaxed_mode
+                else INDIRECT_MODE
             )
 
         return TableFollower(
@@ -599,7 +605,9 @@
             self._update_instances()
             self._store_state.abort_waits_if_older(
                 self._follower_role.poll_age_s(
-                    lags=self._freshness.versions_differ
+                    lags=self._follower_role.record_lag(
+                        now, versions_differ=self._freshness.versions_differ
+                    )
                 )
             )
             self._retry_budget.record_instance_count(
@@ -624,7 +632,7 @@
         self._placement_client.update_instances(self._peers.known_count, live)
         without_store = self._peers.without_store()
         starting = self._peers.starting()
-        shared = self._placement_client.active
+        shared = self._has_followers()
         role_inputs = (without_store, starting, shared)
         if live_changed or role_inputs != self._role_inputs:
             self._role_inputs = role_inputs
@@ -634,6 +642,9 @@
                 without_store=without_store,
                 starting=starting,
             )
+        self._peers.peer_status.fetches_at_once = (
+            not self._follower_role.follows_closely()
+        )
         if live_changed and self._duties is not None:
             self._duties.update_instances(live)
         self._rate_limits.update_instances(
@@ -641,6 +652,14 @@
         )
         self.dispatcher.measures_step_times = not self._placement_client.active
 
+    def _has_followers(self) -> bool:
+        """Returns whether some instances follow the store for all."""
+        known = self._peers.known_count
+        return (
+            self._placement_client.active
+            or known >= followerroles.MIN_INSTANCES_FOR_FOLLOWERS
+        )
+
     def _classify_outage(self) -> storebackoff.Outage:
         return storebackoff.classify(
             self._peers.peer_status.reports,
--- a/tests/test_storecalls.py
+++ b/tests/test_storecalls.py
@@ -4,14 +4,18 @@
 which also checks at every step that no instance lags behind the store.
 """
 
+import dataclasses
 import random
 import unittest
 
 import anyio
 
 from jasminerelay import followerroles, storefollowing
-from jasminerelay.registry import StoreStatus
-from jasminerelay.schema.messages import ReplicaStatus
+from jasminerelay.followerroles import FollowerRole
+from jasminerelay.freshness import Freshness
+from jasminerelay.peerstatus import PeerStatusTable
+from jasminerelay.registry import Registry, StoreStatus
+from jasminerelay.schema.messages import ReplicaStatus, ServerRow
 from jasminerelay.storebackoff import (
     LONG_PAUSE_S,
     LOSS_NOTICE_S,
@@ -22,7 +26,14 @@
 )
 from jasminerelay.storeturns import RetryTurns
 from tests import virtualtime
-from tests.versionworld import MAX_DELAY_AFTER_RETURN_S, World, now
+from tests.test_following import decode
+from tests.versionworld import (
+    MAX_CHANGE_DELAY_S,
+    MAX_DELAY_AFTER_RETURN_S,
+    Node,
+    World,
+    now,
+)
 
 SEEDS = range(1, 5)
 INSTANCES = 17
@@ -176,6 +187,31 @@
         self.run_in_virtual_time(main)
 
 
+class LagTest(unittest.TestCase):
+    """One table is confirmed up to an older version than another."""
+
+    def test_other_tables_change_all_the_time(self) -> None:
+        # Guards against waiting calls of the leader that are aborted each time
+        # the duties' lease is renewed.
+        role = FollowerRole("i1", "z")
+        asked = [
+            role.record_lag(tick / 10, versions_differ=tick % 4 != 0)
+            for tick in range(1, 200)
+        ]
+        self.assertTrue(asked[0])
+        self.assertLess(sum(asked), 11)
+        self.assertTrue(role.polls_all_tables(20.0))
+
+    def test_single_change(self) -> None:
+        # Guards against a change that waits for a call which hangs: after some
+        # quiet time the older table is asked at once again.
+        role = FollowerRole("i1", "z")
+        for at in (1.0, 20.0):
+            self.assertTrue(role.record_lag(at, versions_differ=True))
+            self.assertFalse(role.record_lag(at + 0.1, versions_differ=False))
+            self.assertFalse(role.polls_all_tables(at + 10.0))
+
+
 class OutageCallsTest(unittest.TestCase):
     """Calls while the store rejects or does not answer."""
 
@@ -286,5 +322,96 @@
         self.simulate(scenario)
 
 
+class ForwardedChangesTest(unittest.TestCase):
+    """Calls of instances to which others forward changes."""
+
+    def simulate(self, scenario) -> None:
+        """Runs a scenario with the checks of `versionworld` at every step."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = World(self, seed, INSTANCES, scenario)
+                virtualtime.run(world.run, (storefollowing, followerroles))
+
+    @staticmethod
+    def indirect(world: World) -> list[Node]:
+        """Returns the instances that do not follow the store closely."""
+        nodes = world.nodes.values()
+        return [node for node in nodes if not node.followers.follows_closely()]
+
+    def test_each_change_is_read_by_few(self) -> None:
+        # Guards against a call of every instance for each server that starts,
+        # leaves or is replaced.
+        async def scenario(world: World) -> None:
+            names = {node.name for node in self.indirect(world)}
+            self.assertGreater(len(names), INSTANCES / 3)
+            began = now()
+            for number in range(40):
+                world.store.write_server_row(f"s{number % 4}")
+                await anyio.sleep(0.3)
+            calls = [name for at, name in world.store.calls if at >= began]
+            mine = sum(name in names for name in calls)
+            self.assertLessEqual(mine, 2 * len(names))
+            await anyio.sleep(1.0)
+            versions = {
+                n.registry.servers_version for n in world.nodes.values()
+            }
+            self.assertEqual(versions, {world.store.version})
+
+        self.simulate(scenario)
+
+    def test_all_that_forward_die(self) -> None:
+        # Guards against a change that nobody forwards: all instances of a zone
+        # that follow the store closely die at once.
+        async def scenario(world: World) -> None:
+            zone = self.indirect(world)[0].member.zone
+            for node in list(world.nodes.values()):
+                if node.member.zone == zone and (
+                    node.followers.follows_closely()
+                ):
+                    world.nodes.pop(node.name).scope.cancel()
+            await anyio.sleep(0.1)
+            world.store.write_configuration()
+            await anyio.sleep(MAX_CHANGE_DELAY_S)
+            for node in world.nodes.values():
+                self.assertEqual(node.version, world.store.configuration)
+
+        self.simulate(scenario)
+
+    def test_data_is_confirmed_though_changes_come_in_series(self) -> None:
+        # Guards against calls of an instance that is behind each report when
+        # it arrives, so that no report confirms its data.
+        registry = Registry(lambda data: None, decode)
+        freshness = Freshness(["servers"])
+        for tick in (9.0, 9.4, 9.8):
+            freshness.tick(tick)
+        table = PeerStatusTable(registry, freshness)
+        other = Registry(lambda data: None, decode)
+        other.apply_full_read([ServerRow("s", 5, b"pool:ready")], 5)
+        standing = dataclasses.replace(other.standing, age_ms=200)
+        table.record_report("i2", standing, 10.0, 10.0)
+        self.assertEqual(freshness.age_s(10.0), float("inf"))
+        registry.merge_snapshot(other.export_snapshot())
+        table.record_fetch(10.1)
+        self.assertAlmostEqual(freshness.age_s(10.1), 0.3)
+
+    def test_snapshot_that_lacks_reported_data(self) -> None:
+        # Guards against an age that is confirmed by a report whose data has
+        # not arrived.
+        registry = Registry(lambda data: None, decode)
+        freshness = Freshness(["servers"])
+        for tick in (9.0, 9.4, 9.8):
+            freshness.tick(tick)
+        table = PeerStatusTable(registry, freshness)
+        other = Registry(lambda data: None, decode)
+        other.apply_full_read([ServerRow("s", 5, b"pool:ready")], 5)
+        before = other.export_snapshot()
+        other.apply_changes([ServerRow("s", 6, b"pool:leaving")], 6)
+        standing = dataclasses.replace(other.standing, age_ms=200)
+        table.record_report("i2", standing, 10.0, 10.0)
+        registry.merge_snapshot(before)
+        table.record_fetch(10.1)
+        self.assertEqual(freshness.age_s(10.1), float("inf"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -26,7 +26,7 @@
 from jasminerelay.schema.messages import Member, ServerRow
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.storefollowing import (
-    INDIRECT_BATCH_PAUSE_S,
+    INDIRECT_MODE,
     LEADER_LONG_POLL_S,
     FollowMode,
     HistoryGoneError,
@@ -226,10 +226,6 @@
         self.feed.on_changed = lambda: self.send_status(
             self.followers.change_recipients()
         )
-        leader_mode = {
-            "op": FollowMode(wait_s=LEADER_LONG_POLL_S),
-            "servers": FollowMode(),
-        }
         self._followers = {
             table: TableFollower(
                 table,
@@ -237,7 +233,7 @@
                 self.state,
                 counters,
                 world.rng,
-                lambda table=table: self._mode(leader_mode[table]),
+                lambda table=table: self._mode(table),
             )
             for table in TABLES
         }
@@ -316,15 +312,12 @@
             is_first_caller=self.followers.is_first_caller,
         )
 
-    def _mode(self, leader_mode: FollowMode) -> FollowMode:
-        if self.followers.is_leader:
-            return leader_mode
+    def _mode(self, table: str) -> FollowMode:
+        polls = table == "op" or self.followers.polls_all_tables(now())
+        if self.followers.is_leader and polls:
+            return FollowMode(wait_s=LEADER_LONG_POLL_S)
         follows_closely = self.followers.follows_closely()
-        return (
-            FollowMode()
-            if follows_closely
-            else FollowMode(batch_pause_s=INDIRECT_BATCH_PAUSE_S)
-        )
+        return FollowMode() if follows_closely else INDIRECT_MODE
 
     async def _tick(self) -> None:
         rounds = 0
@@ -339,7 +332,12 @@
             self.followers.update_instances(
                 live, shared=self.world.shared, without_store=lost
             )
-            lags = self.freshness.versions_differ
+            self.peer_status.fetches_at_once = (
+                not self.followers.follows_closely()
+            )
+            lags = self.followers.record_lag(
+                now(), versions_differ=self.freshness.versions_differ
+            )
             self.state.abort_waits_if_older(
                 self.followers.poll_age_s(lags=lags)
             )
@@ -357,6 +355,7 @@
             return
         await anyio.sleep(ANSWER_DELAY_S)
         self.registry.merge_snapshot(other.registry.export_snapshot())
+        self.peer_status.record_fetch(now())
 
 
 class World:
@@ -386,7 +385,7 @@
         self._scenario = scenario
         self._count = count
         self.rng = random.Random(seed)
-        self.shared = count >= 24
+        self.shared = count >= followerroles.MIN_INSTANCES_FOR_FOLLOWERS
         self.store = Store()
         self.nodes: dict[str, Node] = {}
         self._group = None
