--- a/bench/requestcost.py
+++ b/bench/requestcost.py
@@ -10,8 +10,8 @@
 
 Options:
   --rounds=N      Rounds of each measurement [default: 3].
-  --profile=FILE  Writes cProfiles among 80 instances instead: FILE.idle and
-                  FILE.streams.
+  --profile=FILE  Writes cProfiles among 80 instances instead: FILE.idle,
+                  FILE.streams and FILE.plain.
   --only=CASE     Measures one case only: "alone" or "among".
 """
 
@@ -278,9 +278,11 @@
 async def _profile(profile: str) -> None:
     async with running_instance(INSTANCES, profile) as run:
         await _profiled(run, f"{profile}.idle", asyncio.sleep(2 * IDLE_S))
-        stream = Requests(run).stream
-        work = _paced(2 * STREAMS, STREAM_INTERVAL_S, stream)
+        requests = Requests(run)
+        work = _paced(2 * STREAMS, STREAM_INTERVAL_S, requests.stream)
         await _profiled(run, f"{profile}.streams", work)
+        work = _paced(2 * REQUESTS, PLAIN_INTERVAL_S, requests.plain)
+        await _profiled(run, f"{profile}.plain", work)
 
 
 async def _profiled(run: Run, profile: str, work: Awaitable[None]) -> None:
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -12,7 +12,7 @@
 import random
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
 
 import anyio
@@ -139,6 +139,7 @@
         self._owned: OwnedCells | None = None
         self._placement_client: PlacementClient | None = None
         self._follower_role: FollowerRole | None = None
+        self.on_round: Callable[[], Awaitable[None]] = _do_nothing
         self.on_snapshot: Callable[[StoreSnapshot, str], None] = lambda *_: None
         self.on_store_lost: Callable[[], None] = lambda: None
         self.on_crashes: Callable[[CrashReport], None] = lambda message: None
@@ -225,6 +226,7 @@
         last_tried_at = float("-inf")
         began = time.monotonic()
         while True:
+            await self.on_round()
             now = time.monotonic()
             is_early = now - began < EARLY_JOIN_PERIOD_S
             if now - last_tried_at > (
@@ -514,6 +516,10 @@
     return dataclasses.replace(snapshot, configuration=data)
 
 
+async def _do_nothing() -> None:
+    """Does nothing."""
+
+
 def _version(query: dict[str, list[str]], field: str, missing: int = 0) -> int:
     """Returns a version from a snapshot request's query."""
     value = query.get(field, [""])[0]
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -164,6 +164,9 @@
         self._wake = anyio.Event()
         self._work_available = anyio.Event()
         dispatcher.workload.on_change = self._on_load_change
+        self._server_cells: dict[
+            str, tuple[tuple[str, ...], dict[str, Cell]]
+        ] = {}
         self._live: dict[str, Member] = {}
         self._live_list: Sequence[Member] | None = None
         self._owners: dict[Cell, Member | None] = {}
@@ -578,9 +581,24 @@
         server = self._registry.server(name)
         if server is None or not self._has_owners(server.service):
             return None
-        ids = self._registry.server_ids_of(server.service)
-        number = cells.cell_number(name, ids)
-        return None if number is None else (server.service, number)
+        return self._cells_by_server(server.service).get(name)
+
+    def _cells_by_server(self, service: str) -> dict[str, Cell]:
+        """Returns the cells of a service's servers.
+
+        Cached until the list of servers changes; the sorting and hashing of all
+        servers for each lookup cost more than the rest of an update.
+        """
+        ids = self._registry.server_ids_of(service)
+        held = self._server_cells.get(service)
+        if held is None or held[0] is not ids:
+            by_server = {
+                name: (service, number)
+                for number, cell in enumerate(cells.cells_of(ids))
+                for name in cell
+            }
+            held = self._server_cells[service] = (ids, by_server)
+        return held[1]
 
     def _observations(
         self, servers: Iterable[str], now: float
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -80,7 +80,7 @@
 """Time for which callers cache an entry list; a crashed instance is detected
 within it."""
 
-TICK_S = 0.1
+STOP_CHECK_INTERVAL_S = 0.1
 CHANNEL_CLEANUP_TICKS = 10
 SETTINGS_POLL_S = 2.0
 REGISTER_PAUSE_S = 0.4
@@ -129,6 +129,7 @@
         self._planned_stop: PlannedShutdown | None = None
         self._stop_requested = anyio.Event()
         self._ready = False
+        self._ticks = 0
         self._live: list[Member] = []
         self._role_inputs: tuple[list[str], bool] | None = None
         self.running = False
@@ -202,7 +203,6 @@
                 self._owned_cells.run,
                 self._rate_limits.run,
                 self._drains.run,
-                self._tick,
                 self._discover_peers,
                 self._watch_settings,
                 *([self._duties.run] if self._duties else []),
@@ -316,6 +316,7 @@
             self._rng,
         )
         self._peers.add_addresses(set(boot.seeds))
+        self._peers.on_round = self._tick
         self._peers.on_snapshot = self._merge_snapshot
         self._peers.on_store_lost = self._store_state.check
         self._store_state.on_confirmed_or_lost = (
@@ -552,34 +553,28 @@
         return len(self._callers_port.server_state.tasks)
 
     async def _tick(self) -> None:
-        ticks = 0
-        while True:
-            await anyio.sleep(TICK_S)
-            now = time.monotonic()
-            self._freshness.tick(now_s())
-            self._registry_feed.expire(now)
-            self.dispatcher.tick(now)
-            self._owned_cells.tick(now)
-            self._update_instances()
-            self._store_state.abort_waits_if_older(
-                self._follower_role.poll_age_s(
-                    lags=self._freshness.versions_differ
-                )
-            )
-            self._retry_budget.record_instance_count(
-                self._peers.known_count, now
-            )
-            ticks += 1
-            if ticks % CHANNEL_CLEANUP_TICKS == 0:
-                await self._channels.close_expired()
-            if (
-                self._planned_stop is None
-                and not self._ready
-                and self.registry.complete
-            ):
-                self._ready = True
-                self.log.warn("ready", **self._versions())
-                self._peers.announce_ready()
+        """Runs before each round of messages, in the same wake-up."""
+        now = time.monotonic()
+        self._freshness.tick(now_s())
+        self._registry_feed.expire(now)
+        self.dispatcher.tick(now)
+        self._owned_cells.tick(now)
+        self._update_instances()
+        self._store_state.abort_waits_if_older(
+            self._follower_role.poll_age_s(lags=self._freshness.versions_differ)
+        )
+        self._retry_budget.record_instance_count(self._peers.known_count, now)
+        self._ticks += 1
+        if self._ticks % CHANNEL_CLEANUP_TICKS == 0:
+            await self._channels.close_expired()
+        if (
+            self._planned_stop is None
+            and not self._ready
+            and self.registry.complete
+        ):
+            self._ready = True
+            self.log.warn("ready", **self._versions())
+            self._peers.announce_ready()
 
     def _update_instances(self) -> None:
         live = self._peers.membership.live()
@@ -661,7 +656,7 @@
         while not self._planned_stop.finished(
             self._requests_in_flight(), time.monotonic()
         ):
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(STOP_CHECK_INTERVAL_S)
         with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
             try:
                 await self._instance_table.unregister()
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -1,6 +1,7 @@
 """The HTTP servers of an instance's ports."""
 
 import contextlib
+import time
 
 import anyio
 import uvicorn
@@ -18,10 +19,13 @@
         """Ticks once per second, as often as the date header changes.
 
         Ten ticks per second, uvicorn's default, cost an idle instance more
-        CPU time than all its messages.
+        CPU time than all its messages. All servers tick at the same moments, so
+        that they wake the process up only once.
         """
         while not await self.on_tick(0):
-            await anyio.sleep(TICK_INTERVAL_S)
+            await anyio.sleep(
+                TICK_INTERVAL_S - time.monotonic() % TICK_INTERVAL_S
+            )
 
     @contextlib.contextmanager
     def capture_signals(self):
