Read datagrams and connections with a buffer of 64 KB

Cause: asyncio's default of 256 KB is allocated by a system call for each read: 15 to 18 us for a datagram of 200 bytes, 2.5 us with 64 KB (5,000 reads). Change: the transports of datagrams, servers and callers get 64 KB.

--- a/src/jasminerelay/datagrams.py
+++ b/src/jasminerelay/datagrams.py
@@ -15,6 +15,11 @@
 """Bytes that may wait to be sent; more are dropped, as on a full link."""
 
 
+READ_BYTES = 64 * 1024
+"""Size of the buffer of each read. asyncio's default of 256 KB is allocated by
+a system call, which costs six times as much as the read."""
+
+
 class DatagramSocket(asyncio.DatagramProtocol):
     """Sends datagrams, and calls a handler with each one received."""
 
@@ -51,6 +56,7 @@
             lambda: self, local_addr=_host_and_port(address)
         )
         transport.set_write_buffer_limits(high=MAX_WAITING_BYTES)
+        transport.max_size = READ_BYTES
         self._transport = transport
         try:
             while self._waiting:
--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -14,6 +14,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from jasminerelay import ports
+from jasminerelay.datagrams import READ_BYTES
 
 HEAD_TIMEOUT_S = 10.0
 """Default time limit for a request head: a slow mobile link needs some seconds
@@ -70,6 +71,7 @@
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
+            transport.max_size = READ_BYTES
             # uvicorn starts its keep-alive timer only after the first response:
             # a connection on which nothing is ever sent would stay open for
             # good.
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -15,6 +15,7 @@
 import httptools
 
 from jasminerelay import netstream
+from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.watchdog import Watchdog
 
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -137,6 +138,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the open connection."""
+        transport.max_size = READ_BYTES
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
