--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -14,6 +14,7 @@
 import httptools
 
 from jasminerelay import arrivals, ports
+from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.uvicornserver import HttpToolsProtocol
 
 HEAD_TIMEOUT_S = 10.0
@@ -80,6 +81,7 @@
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
+            transport.max_size = READ_BYTES
             # uvicorn starts its keep-alive timer only after the first response:
             # a connection on which nothing is ever sent would stay open for
             # good.
