--- /dev/null
+++ b/src/jasminerelay/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions without input or output."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -93,6 +93,9 @@
         "trueclock",
         "usage",
         "workload",
+        "scheduling/concurrencylimit",
+        "scheduling/servercapacity",
+        "scheduling/serverspeeds",
     )
     IO_PACKAGES = (
         "anyio",
@@ -117,6 +120,7 @@
             allowed = {
                 *self.DECISION_MODULES,
                 "errors",
+                "scheduling",
                 "settings",
                 "validation",
             }
