Decode the load that servers state in their responses

Cause: the field Instance-Load was dropped unread.

Change: ResponseHead.load, with three or four figures; a malformed field is kept as load_fault and otherwise ignored.

Result: python -m tests.run tests.test_adapter passes.

--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -31,6 +31,24 @@
     source: BackendServer | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerLoadStatement:
+    """A server's statement about its load in a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it can run at once.
+        slowdown: How long work takes on its machine at this moment, 1.0 is
+            usual; None if not stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of a server's answer.
@@ -51,6 +69,8 @@
         pause_s: Time for which the server requests a pause from this instance;
             0 if it requests none.
         pause_fault: The requested pause, if it can't be parsed.
+        load: The server's statement about its load; None if not given.
+        load_fault: The statement, if it can't be parsed.
     """
 
     status: int
@@ -65,6 +85,8 @@
     leaving: bool = False
     pause_s: float = 0.0
     pause_fault: str = ""
+    load: ServerLoadStatement | None = None
+    load_fault: str = ""
 
 
 class Dialect(Protocol):
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from jasminerelay.catalog import BackendServer, Call, Prompt, PromptPart
-from jasminerelay.exchange import OutgoingRequest, ResponseHead
+from jasminerelay.exchange import (
+    OutgoingRequest,
+    ResponseHead,
+    ServerLoadStatement,
+)
 from jasminerelay.httpclient import HttpRequest, HttpResponse
 from jasminerelay.migration import MOVE_TIMEOUT_S, KvCacheCopy
 from jasminerelay.retryafter import parse_pause
@@ -29,6 +33,9 @@
 _NOT_RUN = b"not-executed"
 # Requests per second that the server accepts from all instances together.
 _RATE_LIMIT = b"server-limit"
+# Requests running, requests waiting, slots and, optionally, how long work takes
+# on the server's machine at this moment in percent, separated by commas.
+_LOAD = b"instance-load"
 # "1" in the responses of a server that shuts down.
 _LEAVING = b"server-leaving"
 # Address and handle of the KV cache copy from which the request resumes.
@@ -81,7 +88,7 @@
 
 _NOT_RETURNED = _HOP_BY_HOP | {
     b"content-length",
-    b"instance-load",
+    _LOAD,
     _NOT_RUN,
     _RATE_LIMIT,
     _LEAVING,
@@ -92,6 +99,10 @@
 MAX_RATE_LIMIT = 1e6
 """Highest valid rate limit in requests per second; a higher one is a fault."""
 
+MAX_LOAD_DIGITS = 6
+PERCENT = 100
+"""Longest valid figure of a stated load, and its unit of the slowdown."""
+
 HeaderFields = list[tuple[bytes, bytes]]
 
 
@@ -174,6 +185,7 @@
         fields = {name.lower(): value for name, value in headers}
         connection = fields.get(b"connection", b"").lower()
         limit, limit_fault = _parse_rate_limit(fields.get(_RATE_LIMIT))
+        load, load_fault = _parse_load(fields.get(_LOAD))
         pause = fields.get(_RETRY_AFTER)
         pause_s, pause_fault = parse_pause(
             status, None if pause is None else pause.decode("latin-1")
@@ -193,6 +205,8 @@
             fields.get(_LEAVING, b"0").strip() not in (b"", b"0"),
             pause_s,
             pause_fault,
+            load,
+            load_fault,
         )
 
     def move(
@@ -252,6 +266,24 @@
     return None, value[:80].decode("latin-1")
 
 
+def _parse_load(
+    value: bytes | None,
+) -> tuple[ServerLoadStatement | None, str]:
+    """Returns the stated load, and the field's text if it is not valid."""
+    if value is None:
+        return None, ""
+    figures = [item.strip() for item in value.split(b",")]
+    # `isdigit` of bytes accepts ASCII digits only; `int` would accept "1_0".
+    if len(figures) in (3, 4) and all(
+        item.isdigit() and len(item) <= MAX_LOAD_DIGITS for item in figures
+    ):
+        running, waiting, slots, *rest = (int(item) for item in figures)
+        if slots and (not rest or rest[0]):
+            slowdown = rest[0] / PERCENT if rest else None
+            return ServerLoadStatement(running, waiting, slots, slowdown), ""
+    return None, value[:80].decode("latin-1")
+
+
 def _keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,7 +10,7 @@
 
 from jasminerelay.catalog import BackendServer, RepeatPolicy
 from jasminerelay.eventlog import EventLog
-from jasminerelay.exchange import OutgoingRequest
+from jasminerelay.exchange import OutgoingRequest, ServerLoadStatement
 from jasminerelay.httpclient import HttpResponse
 from jasminerelay.platform import bootfile, decoding, deployfile, headers
 from standins.launcher import ROOT
@@ -272,6 +272,41 @@
         self.assertEqual(head.idle_timeout_s, 5.0)
         self.assertEqual(head.headers, ((b"Server-Signature", b"s"),))
 
+    def test_stated_load(self) -> None:
+        dialect = headers.PlatformDialect()
+        cases = {
+            b"3,1,8": ServerLoadStatement(3, 1, 8),
+            b" 3, 1 ,8,250": ServerLoadStatement(3, 1, 8, 2.5),
+        }
+        for value, expected in cases.items():
+            head = dialect.head(200, [(b"Instance-Load", value)])
+            self.assertEqual(head.load, expected)
+            self.assertEqual(head.load_fault, "")
+            self.assertEqual(head.headers, ())
+        self.assertIsNone(dialect.head(200, []).load)
+
+    def test_malformed_load(self) -> None:
+        # Guards against a statement that can't be parsed and fails the request,
+        # or is taken for a load.
+        dialect = headers.PlatformDialect()
+        for value in (
+            b"",
+            b"1,2",
+            b"1,2,3,4,5",
+            b"1,2,x",
+            b"-1,2,8",
+            b"1_0,2,8",
+            b"1,2,0",
+            b"1,2,8,0",
+            b"1,2,8,nan",
+            b"1,2,8,1e3",
+            b"1,2,8,99999999999999",
+            b"\xff,\xb2,8",
+        ):
+            head = dialect.head(200, [(b"instance-load", value)])
+            self.assertIsNone(head.load, value)
+            self.assertEqual(head.load_fault, value.decode("latin-1"))
+
     def test_source_of_the_cached_prefix(self) -> None:
         # Guards against a caller that chooses the server from which the
         # prompt's prefix is copied: it could make servers copy any data.
