Place requests by the speed of the servers

Cause: on servers of 0.7, 0.7 and 1.7 times the usual speed, wait estimates and limits of pending prefill counted each server as one, the engine model was fitted to the fastest, and plain requests went to slow servers as often as to fast ones.

Change: placing multiplies first events by a server's slowness and divides the prefill limit by it; slots by the learned limit; wait estimates use the sum of speeds; model samples are divided by the lasting factor; instances pass statements and rejections on to owners (new fields of ServerObservation with defaults); one request in 32 may try a server that looks slow and has not responded for a second. Requests no longer wait for a server that is the best only because it is fast.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -26,6 +26,7 @@
     OutgoingRequest,
     ResponseHead,
     ResponseSink,
+    ServerLoadStatement,
     Unknown,
 )
 from jasminerelay.httpclient import (
@@ -37,6 +38,7 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
 from jasminerelay.placementqueue import RequestPlacer, Reservation
+from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
@@ -164,6 +166,7 @@
         self._progress = progress
         self._move_ended: anyio.Event | None = None
         self._sent_at = 0.0
+        self._running_at_send = 0
         self._continues_run = False
 
     async def run(self, reservation: Reservation) -> Outcome:
@@ -220,6 +223,8 @@
         self._progress.maybe_ran = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
+        workload = self._context.dispatcher.workload
+        self._running_at_send = workload.load(server.id).running
         self._context.drains.on_request(server.id)
         self._context.pauses.on_request(server.id)
         try:
@@ -240,6 +245,7 @@
             self._context.limits.on_response(server.id, head)
             self._context.drains.on_response(server.id, head)
             self._context.pauses.on_response(server.id, head)
+            self._record_statement(server, head)
         if answered_id != self._call.id:
             self._context.channels.record_unexpected_data(server)
             self._context.counters.incr("backend.crossed")
@@ -252,6 +258,26 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    def _record_statement(
+        self, server: BackendServer, head: ResponseHead
+    ) -> None:
+        """Records what a response states about the server's capacity."""
+        dispatcher = self._context.dispatcher
+        service = self._call.service
+        capacities = dispatcher.capacities.of(service)
+        now = time.monotonic()
+        if head.load_fault:
+            self._context.counters.incr("speed.malformed")
+        if head.load is not None:
+            known = dispatcher.workload.load(server.id).running
+            stated = _stated_load(head.load, known, now)
+            dispatcher.record_statement(service, server.id, stated, now)
+            capacities.keep_unsent(server.id, stated)
+        if _rejected_for_load(head):
+            self._context.counters.incr("speed.rejected")
+            dispatcher.record_rejection(service, server.id, now)
+            capacities.keep_unsent_rejection(server.id)
+
     def _report_started(self, ago_s: float) -> None:
         # A moved run was reported when it started.
         if not self._continues_run:
@@ -292,6 +318,13 @@
             return Unknown(f"status {head.status}")
         if head.status >= SERVER_ERROR:
             return Failed(head, body)
+        if head.status == OK and not self._call.route.streaming:
+            self._context.dispatcher.record_answer(
+                self._call,
+                channel.server,
+                self._running_at_send,
+                time.monotonic() - self._sent_at,
+            )
         await self.send_answer(head, body)
         return Delivered(head.status)
 
@@ -463,6 +496,29 @@
     return NotRun(f"status {head.status}", head.misdirected, head.pause_s > 0)
 
 
+def _rejected_for_load(head: ResponseHead) -> bool:
+    """Returns whether a server rejected a request without another reason."""
+    return (
+        head.not_run
+        and not head.misdirected
+        and not head.leaving
+        and not head.pause_s
+        and head.limit is None
+    )
+
+
+def _stated_load(
+    load: ServerLoadStatement, known: int, now: float
+) -> StatedLoad:
+    """Returns a statement as kept, with the requests that nobody knew of.
+
+    Only a server at which requests wait counts: otherwise it has free slots,
+    and the difference is that of two moments.
+    """
+    unknown = max(0, load.running + load.waiting - known) if load.waiting else 0
+    return StatedLoad(now, load.slowdown or 0.0, load.waiting, unknown)
+
+
 class _StreamTimer:
     """Measures the latencies of one stream."""
 
--- a/src/jasminerelay/cellowner.py
+++ b/src/jasminerelay/cellowner.py
@@ -25,6 +25,7 @@
 )
 from jasminerelay.placementqueue import PlacementQueue, QueueEntry
 from jasminerelay.responsemonitor import PeerResponseMonitor
+from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.schema.messages import (
     CellQueue,
     CellUpdate,
@@ -48,6 +49,13 @@
 """Time that a redirected request must save, beyond the repeated prefill of its
 shared prefix. Allows for the age of the other cells' queue estimates."""
 
+MAX_REJECTED = 100
+"""Largest valid number of rejections in one update, which covers at most a
+second."""
+
+PERCENT = 100
+"""Unit of a stated slowdown in messages."""
+
 SendAnswers = Callable[[str, OwnerAnswers], None]
 """Sends answers to an address."""
 
@@ -363,6 +371,23 @@
                 self._dispatcher.record_step_time(
                     self._service, item.server, item.step_us / US, now
                 )
+            if item.slowdown_pct > 0 or item.waiting > 0:
+                self._record_statement(item, now)
+            if 0 < item.rejected <= MAX_REJECTED:
+                self._dispatcher.record_rejection(
+                    self._service, item.server, now, item.rejected
+                )
+
+    def _record_statement(self, item: ServerObservation, now: float) -> None:
+        # Clocks of instances differ, so messages carry the age, not the time.
+        at = now - max(0, item.stated_age_ms) / MS
+        # The owner places all requests at the server, so none is unknown.
+        stated = StatedLoad(
+            at, max(0, item.slowdown_pct) / PERCENT, item.waiting
+        )
+        self._dispatcher.record_statement(
+            self._service, item.server, stated, now
+        )
 
     def _drop(self, request: _Request) -> None:
         if request.queue_entry is not None:
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+import xxhash
+
 from jasminerelay import placing, rendezvous
 from jasminerelay.admission import WaitEstimate
 from jasminerelay.catalog import (
@@ -31,6 +33,13 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import ResponseMonitor
+from jasminerelay.scheduling.servercapacity import (
+    FIRST_EVENT,
+    CapacityRecords,
+    ServerCapacities,
+    StatedLoad,
+)
+from jasminerelay.scheduling.serverspeeds import SpeedEstimate
 from jasminerelay.schema.messages import EngineSample, RouteDemand, ServerLoad
 from jasminerelay.serverlimits import Allowance
 from jasminerelay.serverpauses import ServerPauses
@@ -44,6 +53,13 @@
 
 US_PER_S = 1e6
 
+TRIAL_INTERVAL = 32
+TRIAL_SLOWNESS = 0.5
+"""One of this many requests prefers servers that look slow and have not
+responded of late, by that slowness. They are thus measured again also where the
+others could serve all requests. A share of the requests does not grow with the
+number of instances, as a fixed interval would."""
+
 MIN_RATE = 0.01
 """Lower bound on the requests per second that rate-limited servers are assumed
 to accept, in wait estimates."""
@@ -84,6 +100,9 @@
     [str, Mapping[str, tuple[str, ...]], Sequence[RouteDemand]], None
 ]
 
+OnSpeedChange = Callable[[str, str, SpeedEstimate], None]
+"""Called with service, server and estimate when a lasting factor changes."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _KindQueue:
@@ -91,8 +110,8 @@
 
     Attributes:
         at: Monotonic time of the estimate.
-        prefill_delay_s: Mean time of pending prefill at a server.
-        share: Number of instances per server.
+        prefill_delay_s: Mean time of pending prefill at a server, by speed.
+        share: Number of instances per server of usual speed.
         token_s: Time per token in seconds at the fastest server where the
             stream may continue.
     """
@@ -160,6 +179,8 @@
         self._kind_queues: dict[tuple[str, str], _KindQueue] = {}
         self.measures_step_times = True
         self.on_split_change: OnSplit = lambda service, groups, demand: None
+        self.capacities = CapacityRecords()
+        self.on_speed_change: OnSpeedChange = lambda *found: None
 
     def own_loads(self, now: float) -> list[ServerLoad]:
         """Returns this instance's load and decode speed at each server."""
@@ -200,6 +221,56 @@
         own = self.workload.own_running(server)
         return self._response_monitor.silent(server, own, now)
 
+    def record_statement(
+        self, service: str, server: str, stated: StatedLoad, now: float
+    ) -> None:
+        """Records what a server states about itself, here or to an instance."""
+        running = self.workload.load(server).running
+        capacities = self.capacities.of(service)
+        capacities.record_statement(server, stated, running, now)
+
+    def record_rejection(
+        self, service: str, server: str, now: float, count: int = 1
+    ) -> None:
+        """Records that a server rejected requests for lack of capacity."""
+        self.capacities.of(service).record_rejection(
+            server,
+            self._slots_of(service, server),
+            self.workload.load(server).running,
+            now,
+            count,
+        )
+
+    def record_answer(
+        self, call: Call, server: BackendServer, running: int, seconds: float
+    ) -> None:
+        """Records the response time of a plain server.
+
+        Args:
+            call: The request.
+            server: The server.
+            running: Concurrent requests there when it was sent, itself
+                included.
+            seconds: Time from sending to the complete answer.
+        """
+        if self.engine_of(call.service) is not None:
+            return
+        self.capacities.of(call.service).record_answer(
+            server.id,
+            call.route.name,
+            server.slots,
+            running,
+            seconds,
+            time.monotonic(),
+        )
+
+    def _slots_of(self, service: str, server: str) -> int:
+        engine = self.engine_of(service)
+        if engine is not None:
+            return engine.slots
+        held = self._registry.server(server)
+        return held.slots if held is not None else 1
+
     def health(self, service: str) -> Stragglers:
         """Returns the failure records of a service's servers."""
         return self._health.setdefault(service, Stragglers())
@@ -379,6 +450,16 @@
         )
         shared = call.prompt.shared_parts if call.prompt is not None else ()
         part_hashes = tuple(part_hash(part.id) for part in shared)
+        engine = self.engine_of(call.service)
+        capacities = self.capacities.of(call.service)
+        slowness = [capacities.slowness(server.id, now) for server in servers]
+        if max(slowness, default=1.0) > 1.0 and _is_trial(call):
+            slowness = [
+                TRIAL_SLOWNESS
+                if item > 1.0 and capacities.trial_due(server.id, now)
+                else item
+                for item, server in zip(slowness, servers, strict=True)
+            ]
         return [
             PlacementCandidate(
                 server,
@@ -388,8 +469,13 @@
                 comparison.token_s[server.id],
                 self._blocked(call.service, server.id, now),
                 self._caches is not None,
+                server_slowness,
+                capacities.limit(
+                    server.id, engine.slots if engine else server.slots, now
+                ),
+                capacities.unknown_requests(server.id, now),
             )
-            for server in servers
+            for server, server_slowness in zip(servers, slowness, strict=True)
         ]
 
     def _cached_tokens(
@@ -484,14 +570,32 @@
             ahead: Tokens pending prefill at the server before its own.
             seconds: Time since it was sent.
         """
+        if not placed.prefill_known:
+            return
+        now = time.monotonic()
+        tokens = ahead + placed.unread
+        server = placed.server.id
+        capacities = self.capacities.of(call.service)
+        model = self.engine_models.of(call.service)
+        capacities.record_work_time(
+            server,
+            FIRST_EVENT,
+            self._slots_of(call.service, server),
+            self.workload.load(server).running,
+            seconds / max(1, tokens),
+            now,
+        )
         # Part of the tokens ahead is already prefilled, and the number comes
         # from other instances' reports, so they must not dominate the
         # measurement.
-        if not placed.prefill_known or ahead > placed.unread * AHEAD_SHARE:
+        if ahead > placed.unread * AHEAD_SHARE:
             return
-        tokens = ahead + placed.unread
+        expected_s = model.speeds().first_s(tokens)
+        if model.prefill_measured and expected_s > 0:
+            capacities.record_first_event(server, seconds / expected_s, now)
+        seconds /= capacities.speeds.lasting(server, now)
         sample = EngineSample(call.service, True, tokens, seconds)
-        self.engine_models.add_local_sample(sample, time.monotonic())
+        self.engine_models.add_local_sample(sample, now)
 
     def reserve(
         self, call: Call, placed: PlacementDecision, number: int | None = None
@@ -690,7 +794,8 @@
         if not servers:
             return self._expect_limited(call, ahead_s, left_s)
         if call.prompt is None:
-            queue_delay_s = ahead_s * self._instances() / _slots(servers)
+            slots = _slots(servers, self.capacities.of(call.service), now)
+            queue_delay_s = ahead_s * self._instances() / slots
             return WaitEstimate(
                 queue_delay_s, call.route.objective_s / 3, left_s
             )
@@ -750,14 +855,16 @@
         decoding = [item.id for item in servers] if moves else names
         unread = sum(self.workload.load(name).unread for name in names)
         speeds = self._speeds(service)
-        token_times = (self.token_times.token_s(name, now) for name in decoding)
+        capacities = self.capacities.of(service)
+        speed_sum = capacities.speed_sum(names, now)
         self._kind_queues[key] = _KindQueue(
             now,
-            speeds.prefill_s(unread) / len(names),
-            self._instances() / len(names),
+            speeds.prefill_s(unread) / speed_sum,
+            self._instances() / speed_sum,
             min(
-                seconds_per_token or speeds.step_s
-                for seconds_per_token in token_times
+                self.token_times.token_s(name, now)
+                or speeds.step_s * capacities.slowness(name, now)
+                for name in decoding
             ),
         )
         return self._kind_queues[key]
@@ -770,6 +877,7 @@
         if self._caches is not None:
             self._caches.forget(server)
         self.token_times.forget(server)
+        self.capacities.forget(server)
         self._response_monitor.forget(server)
 
     def tick(self, now: float) -> None:
@@ -780,6 +888,8 @@
         self._splits_updated_at = now
         self.demand_meter.tick(now)
         self._update_splits(now)
+        for service, server, estimate in self.capacities.take_changes(now):
+            self.on_speed_change(service, server, estimate)
 
     def own_demand(self) -> list[RouteDemand]:
         """Returns the demand of this instance's callers, to be shared."""
@@ -844,6 +954,12 @@
         prefill_s = self._speeds(service).prefill_s(load.unread)
         if not load.running or prefill_s > UNDISTURBED_PREFILL_S:
             return
+        capacities = self.capacities.of(service)
+        model = self.engine_models.of(service)
+        expected_s = model.speeds().token_s(load.running)
+        if model.steps_measured and expected_s > 0:
+            capacities.record_step(server, step_s / expected_s, now)
+        step_s /= capacities.speeds.lasting(server, now)
         sample = EngineSample(service, False, load.running, step_s)
         self.engine_models.add_local_sample(sample, now)
 
@@ -864,6 +980,11 @@
         return group or servers
 
 
+def _is_trial(call: Call) -> bool:
+    """Returns whether a request may try a server that looks slow."""
+    return xxhash.xxh32_intdigest(call.id.encode()) % TRIAL_INTERVAL == 0
+
+
 def _unblock_if_all_blocked(
     options: list[PlacementCandidate],
 ) -> list[PlacementCandidate]:
@@ -874,5 +995,14 @@
     return options
 
 
-def _slots(servers: list[BackendServer]) -> int:
-    return max(1, sum(server.slots for server in servers))
+def _slots(
+    servers: list[BackendServer], capacities: ServerCapacities, now: float
+) -> float:
+    """Returns the slots of servers, counted by speed."""
+    return max(
+        1.0,
+        sum(
+            server.slots / capacities.slowness(server.id, now)
+            for server in servers
+        ),
+    )
--- a/src/jasminerelay/enginemodel.py
+++ b/src/jasminerelay/enginemodel.py
@@ -202,6 +202,16 @@
         self._step_samples.append((running, token_s))
         self._count_sample(len(self._step_samples))
 
+    @property
+    def prefill_measured(self) -> bool:
+        """Whether the time to a first event is measured, not assumed."""
+        return len(self._prefill_samples) >= MIN_SAMPLES
+
+    @property
+    def steps_measured(self) -> bool:
+        """Whether the step time is measured, not assumed."""
+        return len(self._step_samples) >= MIN_SAMPLES
+
     def speeds(self) -> EngineSpeeds:
         """Returns the present estimate."""
         if self._speeds is None:
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -6,7 +6,7 @@
 
 from jasminerelay.cellowner import CellOwner, SendAnswers
 from jasminerelay.cells import CellServers, QueueEstimates
-from jasminerelay.dispatcher import Dispatcher, OnSplit
+from jasminerelay.dispatcher import Dispatcher, OnSpeedChange, OnSplit
 from jasminerelay.enginemodel import EngineModels
 from jasminerelay.metrics import Counters
 from jasminerelay.outputlengths import OutputLengths
@@ -74,6 +74,7 @@
         self._cells: dict[tuple[str, int], CellOwner] = {}
         self.queues = QueueEstimates()
         self.on_split: OnSplit = lambda service, groups, demand: None
+        self.on_speed: OnSpeedChange = lambda *found: None
         self.answer: SendAnswers = lambda address, message: None
 
     def __len__(self) -> int:
@@ -180,6 +181,7 @@
             self._allowance,
         )
         dispatcher.on_split_change = lambda *found: self.on_split(*found)
+        dispatcher.on_speed_change = lambda *found: self.on_speed(*found)
         return CellOwner(
             self._own,
             service,
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -68,6 +68,9 @@
 """How long first events and ends of requests are batched before the owner gets
 them. Its counts of tokens pending prefill lag by that much."""
 
+PERCENT = 100
+"""Unit of a stated slowdown in messages."""
+
 EMPTY_UPDATE_REPEATS = 2
 """Number of times that an update without any entries is repeated. If the only
 one were lost, the owner would go on counting requests that have ended."""
@@ -480,7 +483,7 @@
             ],
             [in_flight_report(run) for run in runs],
             self._ends.pop(cell, []),
-            self._observations({run.server for run in runs}, now),
+            self._observations(cell, {run.server for run in runs}, now),
         )
         self._counters.incr("place.told")
         self.send(owner, message)
@@ -552,18 +555,42 @@
         return None if number is None else (server.service, number)
 
     def _observations(
-        self, servers: Iterable[str], now: float
+        self, cell: Cell, servers: Iterable[str], now: float
     ) -> list[ServerObservation]:
         observations = []
-        token_times = self._dispatcher.token_times
-        for name in servers:
+        for name in self._servers_of(cell):
+            observation = self._observation(cell[0], name, name in servers, now)
+            if observation is not None:
+                observations.append(observation)
+        return observations
+
+    def _observation(
+        self, service: str, name: str, used: bool, now: float
+    ) -> ServerObservation | None:
+        """Returns what is new about a server; None if nothing is."""
+        token_s = step_s = 0.0
+        silent = False
+        if used:
+            token_times = self._dispatcher.token_times
             token_s = token_times.own_token_s(name, now) or 0.0
             step_s = token_times.step_time_s(name) or 0.0
             silent = self._dispatcher.silent(name, now)
-            if token_s or step_s or silent:
-                observations.append(
-                    ServerObservation(
-                        name, round(US * token_s), round(US * step_s), silent
-                    )
-                )
-        return observations
+        capacities = self._dispatcher.capacities.of(service)
+        stated, rejected = capacities.take_unsent(name, now)
+        if not (token_s or step_s or silent or stated or rejected):
+            return None
+        observation = ServerObservation(
+            name,
+            round(US * token_s),
+            round(US * step_s),
+            silent,
+            rejected=rejected,
+        )
+        if stated is None:
+            return observation
+        return dataclasses.replace(
+            observation,
+            slowdown_pct=round(PERCENT * stated.slowdown),
+            stated_age_ms=round(MS * (now - stated.at)),
+            waiting=stated.waiting,
+        )
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -85,13 +85,18 @@
         load: Load of all instances there.
         cached_tokens: Leading shared tokens of the prompt that are in its KV
             cache.
-        slowness: Its time per token relative to its peers'; 1 is typical.
+        slowness: Its time per token relative to its peers'; 1 is typical. It
+            depends on the load there.
         token_s: Time per token of its streams in seconds; None if unknown.
         blocked: Whether it is excluded after a failure.
         cache_known: Whether the number of cached tokens is exact; otherwise
             other instances may have sent more of the prefix there, which is the
             more likely the earlier the server comes in the prompt's order of
             servers.
+        server_slowness: Its expected times under any load relative to those of
+            a usual server.
+        limit: Concurrent requests that it is given; 0 if only its slots count.
+        unknown: Requests there beyond those in `load`, as the server states.
     """
 
     server: BackendServer
@@ -101,6 +106,9 @@
     token_s: float | None = None
     blocked: bool = False
     cache_known: bool = False
+    server_slowness: float = 1.0
+    limit: int = 0
+    unknown: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -189,7 +197,11 @@
     if best.available and (all_known or best.placed.server.id == first_choice):
         return best.placed
     left_s = call.arrived_at + call.route.objective_s - now
-    if not best.available and best.first_s < left_s * CACHE_WAIT_SHARE:
+    if (
+        not best.available
+        and best.first_s < left_s * CACHE_WAIT_SHARE
+        and _waiting_saves_prefill(best, scored, candidates)
+    ):
         return Wait("the server with the cached prompt prefix is full")
     with_capacity = [item for item in scored if item.available]
     if not with_capacity:
@@ -223,6 +235,25 @@
     seconds: float
 
 
+def _waiting_saves_prefill(
+    best: _Scored,
+    scored: Sequence[_Scored],
+    candidates: Sequence[PlacementCandidate],
+) -> bool:
+    """Returns whether waiting for the best server saves repeated prefill.
+
+    Among servers of different speed a full one can be the best only because it
+    is faster; requests that wait for it leave the others idle.
+    """
+    if all(item.server_slowness == 1.0 for item in candidates):
+        return True
+    return all(
+        best.placed.unread < item.placed.unread
+        for item in scored
+        if item.available
+    )
+
+
 def _score(
     call: Call,
     engine: Engine,
@@ -244,12 +275,15 @@
     first_s = first_event_s(speeds, item, unread)
     if not available:
         first_s += FULL_SERVER_PENALTY_S
+    # Without the server's slowness: a server of twice the speed that gets twice
+    # the requests ends them in half the time, so evenly loaded servers have
+    # equal numbers of streams, whatever their speed.
     decode_s = estimate.output * speeds.token_s(item.load.running)
     seconds = first_s + DECODE_WEIGHT * decode_s
     seconds += RECOMPUTE_WEIGHT * speeds.prefill_s(unread - 1)
     if copied_tokens:
         seconds += RECOMPUTE_WEIGHT * copy_s
-    if item.slowness >= SLOW_FACTOR:
+    if item.slowness >= SLOW_FACTOR * item.server_slowness:
         seconds += SLOW_SERVER_PENALTY_S
     unknown_tokens = call.prompt.shared_tokens - item.cached_tokens
     prefill_known = (
@@ -270,10 +304,12 @@
 ) -> bool:
     """Returns whether a server has capacity for a request now."""
     slots = max(1, int(engine.slots * SLOT_SHARE))
+    if item.limit:
+        slots = min(slots, item.limit)
     if item.load.running >= slots:
         return False
     limit_s = KNOWN_PREFILL_LIMIT_S if item.cache_known else PREFILL_LIMIT_S
-    if speeds.prefill_s(item.load.unread) > limit_s:
+    if speeds.prefill_s(item.load.unread) * item.server_slowness > limit_s:
         return False
     if not item.load.running:
         # A request that exceeds the cache share must run somewhere, too.
@@ -296,7 +332,7 @@
         item
         for item in options
         if not item.blocked
-        and item.load.running < REQUESTS_PER_SLOT * max(1, item.server.slots)
+        and item.load.running + item.unknown < _max_plain_requests(item)
     ]
     if not usable:
         return Wait("no capacity at the service's servers")
@@ -306,8 +342,10 @@
     ranks = rendezvous.rank(call.id, [item.server.id for item in usable])
 
     def score(item: PlacementCandidate) -> tuple[float, bool, int]:
-        busy = (item.load.running + 1) / max(1, item.server.slots)
+        running = item.load.running + item.unknown
+        busy = (running + 1) / max(1, item.server.slots)
         weighted = busy * min(item.slowness, MAX_SLOWNESS)
+        weighted *= item.server_slowness
         other_zone = item.server.zone != zone
         return (round(weighted, 2), other_zone, ranks.index(item.server.id))
 
@@ -319,7 +357,21 @@
 ) -> float:
     """Returns the expected time to the first event of a request sent now."""
     prefill_s = speeds.prefill_s(item.load.unread + unread)
-    return speeds.first_event_s + prefill_s * item.slowness
+    if item.server_slowness == 1.0:
+        return speeds.first_event_s + prefill_s * item.slowness
+    # The time per token, too, shows a slow or fast server, so the two are not
+    # multiplied; it alone shows a fast server that is overloaded.
+    slowness = max(item.server_slowness, item.slowness)
+    return speeds.first_event_s * item.server_slowness + prefill_s * slowness
+
+
+def _max_plain_requests(item: PlacementCandidate) -> float:
+    """Returns how many requests a plain server is given at once."""
+    slots = max(1, item.server.slots)
+    if item.limit:
+        slots = min(slots, item.limit)
+    # A slow server keeps its slots in use with less queued behind them.
+    return slots * max(1.0, REQUESTS_PER_SLOT / max(1.0, item.server_slowness))
 
 
 def _too_slow(
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -297,6 +297,7 @@
             pauses=self._pauses,
         )
         self.dispatcher.on_split_change = self._log_split
+        self.dispatcher.on_speed_change = self._log_speed
         member = Member(
             member_id, "", boot.zone, boot.callers, "", boot.peers, LEAVING, 0
         )
@@ -364,6 +365,7 @@
             self.counters,
         )
         self._owned_cells.on_split = self._log_split
+        self._owned_cells.on_speed = self._log_speed
         self._follower_role = FollowerRole(member_id, boot.zone)
         self._peers.connect_components(
             self._owned_cells, self._placement_client, self._follower_role
@@ -478,6 +480,15 @@
             servers_version=snapshot.servers_version,
         )
 
+    def _log_speed(self, service, server, estimate) -> None:
+        self.counters.incr("speed.changed")
+        self.log.info(
+            "server_speed",
+            service=service,
+            server=server,
+            **estimate.log_fields(),
+        )
+
     def _log_split(self, service, groups, demand) -> None:
         self.log.info(
             "split",
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -383,6 +383,10 @@
     token_us: int
     step_us: int
     silent: bool
+    slowdown_pct: int = 0
+    stated_age_ms: int = 0
+    waiting: int = 0
+    rejected: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -20,6 +20,7 @@
 from jasminerelay.platform import decoding
 from jasminerelay.prefix import CacheView
 from jasminerelay.registry import Registry
+from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.schema.messages import (
     PeerMessage,
     ReplicaStatus,
@@ -272,6 +273,81 @@
         self.assertIsInstance(self.place_request("check", 1), Wait)
 
 
+class ServerSpeedTest(unittest.TestCase):
+    """Use of the speed estimates."""
+
+    def setUp(self) -> None:
+        self.instance = dispatcher(3)
+        self.capacities = self.instance.capacities.of(SERVICE)
+        self.now = time.monotonic()
+
+    def slow_down(self, server: str) -> None:
+        """Lets a server state that it works at half the usual speed."""
+        self.instance.record_statement(
+            SERVICE, server, StatedLoad(self.now, 2.0, 0), self.now
+        )
+
+    def test_wait_estimates_use_the_sum_of_speeds(self) -> None:
+        clock = unittest.mock.patch.object(time, "monotonic", lambda: self.now)
+        with clock:
+            before_s = self.instance.queue_delay_s(SERVICE, "long", 3.0)
+            for number in range(3):
+                self.slow_down(f"i-{number:03}")
+            self.instance._kind_queues.clear()
+            after_s = self.instance.queue_delay_s(SERVICE, "long", 3.0)
+        self.assertAlmostEqual(after_s, 2 * before_s)
+
+    def test_model_holds_samples_of_a_usual_server(self) -> None:
+        # Guards against an engine model that mixes servers of different speed.
+        model = self.instance.engine_models.of(SERVICE)
+        self.instance.workload.start("i-000", 0, 10_000)
+        with unittest.mock.patch.object(
+            self.capacities.speeds, "lasting", lambda server, now: 2.0
+        ):
+            for _ in range(MIN_SAMPLES):
+                self.instance.record_step_time(SERVICE, "i-000", 0.02, self.now)
+        self.assertAlmostEqual(model.speeds().token_s(1), 0.01)
+
+    def test_server_that_has_ended(self) -> None:
+        # Guards against a server that starts again under its name with what was
+        # learned about its former life.
+        self.slow_down("i-000")
+        self.instance.record_rejection(SERVICE, "i-000", self.now)
+        self.assertGreater(self.capacities.slowness("i-000", self.now), 1.5)
+        self.assertGreater(self.capacities.limit("i-000", 32, self.now), 0)
+        self.instance.gone("i-000")
+        self.assertEqual(self.capacities.slowness("i-000", self.now), 1.0)
+        self.assertEqual(self.capacities.limit("i-000", 32, self.now), 0)
+
+    def test_slow_server_is_tried_again(self) -> None:
+        # Guards against a wrong estimate that starves a server: while the
+        # others have capacity, it would get nothing and never be measured.
+        self.instance.engine_of = lambda service: None
+        counts = collections.Counter()
+        with unittest.mock.patch.object(
+            self.capacities.speeds,
+            "slowness",
+            lambda server, now: 4.0 if server == "i-000" else 1.0,
+        ):
+            for number in range(600):
+                request = call(f"c{number}", prompt=None)
+                placed = self.instance.place(request, frozenset())
+                counts[placed.server.id] += 1
+        self.assertGreater(counts["i-000"], 0)
+        self.assertLess(counts["i-000"], 40)
+
+    def test_change_of_speed_is_told(self) -> None:
+        told = []
+        self.instance.on_speed_change = lambda *found: told.append(found)
+        with unittest.mock.patch.object(
+            self.capacities.speeds, "lasting", lambda server, now: 1.43
+        ):
+            self.slow_down("i-000")
+            self.instance.tick(self.now)
+            self.instance.tick(self.now + SPLIT_INTERVAL_S)
+        self.assertEqual([item[:2] for item in told], [(SERVICE, "i-000")])
+
+
 class PlacementPassCostTest(unittest.TestCase):
     """Processor cost of a placement pass over the queue."""
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -282,6 +282,108 @@
         self.assertIsInstance(placed, Wait)
 
 
+class ServerSpeedTest(unittest.TestCase):
+    """Placement on servers of different speed.
+
+    Load: servers of 0.7, 0.7 and 1.7 times the usual speed.
+    """
+
+    def model_place(self, *options: PlacementCandidate):
+        """Places a request where the contents of all caches are known."""
+        known = [
+            dataclasses.replace(item, cache_known=True) for item in options
+        ]
+        return placing.place_model(call(), ENGINE, SPEEDS, known, ESTIMATE, 0.0)
+
+    def test_faster_server_first(self) -> None:
+        placed = self.model_place(
+            option("a", server_slowness=1.43), option("b", server_slowness=0.59)
+        )
+        self.assertEqual(placed.server.id, "b")
+
+    def test_loaded_fast_server_comes_after_an_idle_one(self) -> None:
+        # Guards against all requests at the server that looks fastest.
+        load = Load(unread=10_000, running=40, memory=100_000)
+        placed = self.model_place(
+            option("a"), option("b", load, server_slowness=0.59)
+        )
+        self.assertEqual(placed.server.id, "a")
+
+    def test_no_wait_for_the_faster_server(self) -> None:
+        # Guards against requests that wait for the fastest server while others
+        # are idle. Only repeated prefill is worth a wait.
+        ahead = int(placing.KNOWN_PREFILL_LIMIT_S / SPEEDS.read_token_s / 0.25)
+        full = Load(ahead + 1, 1, 10_000)
+        placed = self.model_place(
+            option("a", server_slowness=2.5),
+            option("b", full, server_slowness=0.25),
+        )
+        self.assertEqual(placed.server.id, "a")
+
+    def test_pending_prefill_is_bounded_by_time(self) -> None:
+        half = int(placing.KNOWN_PREFILL_LIMIT_S / SPEEDS.read_token_s / 2)
+        for slowness, fits in ((1.0, True), (2.5, False), (0.59, True)):
+            item = option("a", Load(half, 1, 10_000), server_slowness=slowness)
+            item = dataclasses.replace(item, cache_known=True)
+            found = placing.has_capacity(ENGINE, SPEEDS, item, 11_000)
+            self.assertEqual(found, fits, slowness)
+
+    def test_learned_limit(self) -> None:
+        load = Load(running=20, memory=200_000)
+        for limit, fits in ((0, True), (20, False), (21, True)):
+            item = option("a", load, limit=limit)
+            found = placing.has_capacity(ENGINE, SPEEDS, item, 11_000)
+            self.assertEqual(found, fits, limit)
+
+    def test_lasting_slowness_is_no_straggler(self) -> None:
+        # Guards against a slow machine that pays twice: by its expected times
+        # and by the penalty for servers that are slower than they should be.
+        scores = [
+            placing._score(
+                call(),
+                ENGINE,
+                SPEEDS,
+                option("a", slowness=2.0, server_slowness=slowness),
+                "a",
+                (),
+                ESTIMATE,
+            ).seconds
+            for slowness in (1.0, 2.0)
+        ]
+        penalty_s = scores[0] - scores[1]
+        self.assertAlmostEqual(
+            penalty_s, placing.SLOW_SERVER_PENALTY_S, delta=0.05
+        )
+
+    def test_plain_requests_by_speed(self) -> None:
+        plain = call(prompt=None)
+        options = [
+            option("a", Load(running=3), server_slowness=1.43),
+            option("b", Load(running=4), server_slowness=0.59),
+        ]
+        placed = placing.place_plain(plain, options, "z")
+        self.assertEqual(placed.server.id, "b")
+
+    def test_plain_server_with_unknown_requests(self) -> None:
+        # Guards against a server that is busy with requests that no instance
+        # knows of.
+        plain = call(prompt=None)
+        options = [option("a", unknown=4.0), option("b", Load(running=2))]
+        placed = placing.place_plain(plain, options, "z")
+        self.assertEqual(placed.server.id, "b")
+        full = [option("a", Load(running=6), unknown=6.0)]
+        self.assertIsInstance(placing.place_plain(plain, full, "z"), Wait)
+
+    def test_slow_plain_server_keeps_its_slots(self) -> None:
+        # Guards against a wrong estimate that starves a server: however slow it
+        # looks, it gets requests when the others are busy.
+        plain = call(prompt=None)
+        for running, fits in ((5, True), (6, False)):
+            options = [option("a", Load(running=running), server_slowness=4.0)]
+            placed = placing.place_plain(plain, options, "z")
+            self.assertEqual(isinstance(placed, PlacementDecision), fits)
+
+
 class CallTest(unittest.TestCase):
     """The request type."""
 
