--- a/standins/engine.py
+++ b/standins/engine.py
@@ -32,6 +32,9 @@
 CHARS_PER_TOKEN = 4
 ABANDONED_STREAM_TTL_S = 10.0
 MAX_EVENTS = 1000
+NEARLY_FULL = 0.85
+"""Share of the slots in use above which `--full-factor` applies."""
+
 _ANSWER_TOKENS = re.compile(r"(?: t[0-9a-f]{4})+$")
 _LENGTH_MARKER = re.compile(r"\[len=(\d+)\]")
 
@@ -128,6 +131,8 @@
         *,
         checks_fencing: bool,
         weights: str,
+        speed: float = 1.0,
+        full_factor: float = 1.0,
     ):
         self._weights = weights
         self.faults = EngineFaults()
@@ -138,6 +143,8 @@
         self._prefill_s_per_token = prefill_s_per_token
         self._cache_blocks = cache_blocks
         self._checks_fencing = checks_fencing
+        self._speed = speed
+        self._full_factor = full_factor
         self._fence = 0
         self._state = {"model": "", "version": "", "adapter": "", "role": ""}
         self._orders: list[dict] = []
@@ -404,7 +411,9 @@
         for stream in self._running:
             duration_s += stream.prefill_remaining_s
             stream.prefill_remaining_s = 0
-        return duration_s * self.faults.slow_factor
+        if len(self._running) > NEARLY_FULL * self._slots:
+            duration_s *= self._full_factor
+        return duration_s * self.faults.slow_factor / self._speed
 
     def _step(self, duration_s: float) -> None:
         for stream in list(self._running):
@@ -569,6 +578,8 @@
     args.add_argument("--prefill-ms-per-token", type=float, default=0.02)
     args.add_argument("--cache-blocks", type=int, default=500)
     args.add_argument("--checks-fencing", action="store_true")
+    args.add_argument("--speed", type=float, default=1.0)
+    args.add_argument("--full-factor", type=float, default=1.0)
     args.add_argument("--weights", default="", help="URL of the weight store")
     options = args.parse_args()
     engine = Engine(
@@ -580,6 +591,8 @@
         options.cache_blocks,
         checks_fencing=options.checks_fencing,
         weights=options.weights,
+        speed=options.speed,
+        full_factor=options.full_factor,
     )
     serve(engine, options.address)
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 EVENT_INTERVAL_S = 0.01
+NEARLY_FULL = 0.85
 
 
 @dataclasses.dataclass
@@ -35,6 +36,14 @@
         leaving: Whether responses announce that the server shuts down.
         pause: Value of the Retry-After header field of rejections, in seconds;
             empty for no such field.
+        speed: Lasting speed of the machine; 1.0 is usual.
+        slowdown: How long work takes there at this moment, beyond its lasting
+            speed; 1.0 is usual.
+        slots: Requests that it runs well at once, as it states.
+        full_factor: Slowdown while more than `NEARLY_FULL` of the slots are in
+            use.
+        states_slowdown: Whether responses state the slowdown.
+        load: Value of the Instance-Load header field, if not the true one.
     """
 
     refuse: int = 0
@@ -50,6 +59,12 @@
     limit: bytes = b""
     leaving: bool = False
     pause: bytes = b""
+    speed: float = 1.0
+    slowdown: float = 1.0
+    slots: int = 8
+    full_factor: float = 1.0
+    states_slowdown: bool = False
+    load: bytes = b""
 
 
 @dataclasses.dataclass
@@ -180,7 +195,7 @@
         if scope["path"].endswith("/stream"):
             await self._send_stream(send, ran)
             return
-        await asyncio.sleep(EVENT_INTERVAL_S)
+        await asyncio.sleep(EVENT_INTERVAL_S * self._work_factor())
         await self._send_complete(
             send, 200, ran, b"answer to " + ran.attempt.encode()
         )
@@ -199,7 +214,7 @@
         events = int(ran.headers.get("token-usage", "1,5").split(",")[1])
         first = int(ran.headers.get("last-event-id", "0")) + 1
         for number in range(first, events + 1):
-            await asyncio.sleep(self.faults.tick_s)
+            await asyncio.sleep(self.faults.tick_s * self._work_factor())
             if ran.moved:
                 return
             if number > self.faults.fatal_after and self._is_fatal(ran):
@@ -258,6 +273,23 @@
         )
         await send({"type": "http.response.body", "body": b""})
 
+    def _work_factor(self) -> float:
+        """Returns how long work takes, relative to a usual server."""
+        faults = self.faults
+        full = self.running > NEARLY_FULL * faults.slots
+        factor = faults.slowdown / faults.speed
+        return factor * faults.full_factor if full else factor
+
+    def _load(self) -> bytes:
+        """Returns the statement about the load."""
+        if self.faults.load or not self.faults.states_slowdown:
+            return self.faults.load or b"1,0,8"
+        slots = self.faults.slots
+        waiting = max(0, self.running - slots)
+        percent = round(100 * self.faults.slowdown)
+        running = self.running - waiting
+        return b"%d,%d,%d,%d" % (running, waiting, slots, percent)
+
     def _response_headers(self, attempt: str) -> list[tuple[bytes, bytes]]:
         limit = self.faults.limit
         if self.faults.leaving:
@@ -265,7 +297,7 @@
         return [
             (b"attempt-id", attempt.encode()),
             (b"server-signature", f"{self.name}.{attempt}".encode()),
-            (b"instance-load", b"1,0,8"),
+            (b"instance-load", self._load()),
             *([(b"server-limit", limit)] if limit else []),
             *([(b"server-leaving", b"1")] if self.faults.leaving else []),
         ]
