--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -355,6 +355,10 @@
     token_us: int
     step_us: int
     silent: bool
+    slowdown_pct: int = 0
+    stated_age_ms: int = 0
+    waiting: int = 0
+    rejected: int = 0
 
 
 class CellUpdate(Struct, frozen=True):
