--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 import anyio
+import msgspec
 
 from jasminerelay import cells
 from jasminerelay.catalog import Call
@@ -637,7 +638,7 @@
         )
         if stated is None:
             return observation
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             observation,
             slowdown_pct=round(PERCENT * stated.slowdown),
             stated_age_ms=round(MS * (now - stated.at)),
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -1,7 +1,6 @@
 """Capacity shares of organisations that compete within one rank."""
 
 import collections
-import dataclasses
 import itertools
 import random
 import re
@@ -543,7 +542,7 @@
         received = call_of(old.asks[0], "pool", catalog, 0.0)
         self.assertEqual(received.organisation, "")
         self.assertEqual(
-            dataclasses.replace(old.asks[0], organisation="o"), ask
+            msgspec.structs.replace(old.asks[0], organisation="o"), ask
         )
 
     def test_store_unavailable(self) -> None:
--- a/tests/test_unevenservers.py
+++ b/tests/test_unevenservers.py
@@ -1,6 +1,5 @@
 """Tests placements on backend servers of different speed."""
 
-import dataclasses
 import random
 import unittest
 import unittest.mock
@@ -194,7 +193,7 @@
         )
         message = msgspec.convert(old, ServerObservation)
         self.assertEqual(message.slowdown_pct, 0)
-        update = dataclasses.replace(
+        update = msgspec.structs.replace(
             peermessages.decode(data), tokens=[message]
         )
         node.owned.handle_message(update)
