Round the servers of the most urgent kind up under overload

Cause: with more work than servers, a kind of the first rank that needs 2.6 servers of ten got two, and hysteresis kept it there: its requests waited in the instances while long prompts held six servers. Change: under overload the first rank is rounded up from a fifth of a server, at the next update of the split.

--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -28,6 +28,11 @@
 from its present count before a boundary moves; with less, groups flap with
 every small fluctuation."""
 
+URGENT_ROUND_UP = 0.2
+"""Fraction of a server that the first rank must lack, under overload, to get
+that server whole. Rounded down, its few servers are the only ones that are
+overloaded for the most urgent requests."""
+
 RISE_TIME_CONSTANT_S = 1.0
 FALL_TIME_CONSTANT_S = 6.0
 """Time constants of the average when the measured rate rises or falls. A burst
@@ -213,8 +218,9 @@
         valid = set(present) == set(targets) and sum(present.values()) == len(
             servers
         )
-        if not valid or _exceeds_hysteresis(present, targets):
-            self._counts = _rounded_counts(targets, len(servers))
+        urgent = _overloaded_first_rank(len(servers), kinds)
+        if not valid or _exceeds_hysteresis(present, targets, urgent):
+            self._counts = _rounded_counts(targets, len(servers), urgent)
         before = self._groups
         self._groups = _contiguous_groups(
             sorted(servers), [item.kind for item in kinds], self._counts
@@ -259,21 +265,44 @@
     return targets
 
 
+def _overloaded_first_rank(
+    count: int, kinds: Sequence[RouteDemand]
+) -> frozenset[str]:
+    """Returns the kinds of the first rank if all kinds need more servers."""
+    needed = sum(item.work for item in kinds) / TARGET_UTILISATION
+    if not count or needed <= count:
+        return frozenset()
+    first = min(item.rank for item in kinds)
+    return frozenset(item.kind for item in kinds if item.rank == first)
+
+
 def _exceeds_hysteresis(
-    present: Mapping[str, int], targets: Mapping[str, float]
+    present: Mapping[str, int],
+    targets: Mapping[str, float],
+    urgent: frozenset[str],
 ) -> bool:
     return any(
         abs(targets[kind] - present[kind]) > 0.5 + HYSTERESIS
         for kind in targets
-    )
+    ) or any(targets[kind] - present[kind] > URGENT_ROUND_UP for kind in urgent)
 
 
-def _rounded_counts(targets: Mapping[str, float], count: int) -> dict[str, int]:
+def _rounded_counts(
+    targets: Mapping[str, float], count: int, urgent: frozenset[str]
+) -> dict[str, int]:
+    """Returns whole numbers of servers, the nearest ones that add up.
+
+    Kinds in `urgent` are rounded up first.
+    """
     counts = {kind: int(share + 1e-9) for kind, share in targets.items()}
     spare = count - sum(counts.values())
-    order = sorted(
-        targets, key=lambda kind: (counts[kind] - targets[kind], kind)
-    )
+
+    def order_key(kind: str) -> tuple[bool, float, str]:
+        missing = targets[kind] - counts[kind]
+        rounds_up = kind in urgent and missing > URGENT_ROUND_UP
+        return (not rounds_up, -missing, kind)
+
+    order = sorted(targets, key=order_key)
     for kind in order[:spare]:
         counts[kind] += 1
     return counts
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -47,6 +47,27 @@
         self.assertGreaterEqual(long, 2)
         self.assertEqual(mid, 1)
 
+    def test_urgent_kind_is_rounded_up_under_overload(self) -> None:
+        # Guards against the most urgent kind on two servers that need 2.6,
+        # beside a burst of long prompts that more than fills the rest.
+        servers = tuple(f"s{number}" for number in range(10))
+        split = ServerSplit()
+        split.update(servers, kinds(19.2, 2.3, 2.2))
+        self.assertEqual(len(split.group("short")), 3)
+        # The burst ends: the third server goes back where it is needed.
+        split.update(servers, kinds(6.0, 0.8, 0.5))
+        self.assertEqual(len(split.group("short")), 1)
+
+    def test_urgent_burst_gets_its_server_within_one_update(self) -> None:
+        # Guards against a burst of the urgent kind that is served by too few
+        # servers for as long as its need is less than 0.7 of one more.
+        servers = tuple(f"s{number}" for number in range(10))
+        split = ServerSplit()
+        split.update(servers, kinds(19.2, 2.3, 1.7))
+        self.assertEqual(len(split.group("short")), 2)
+        split.update(servers, kinds(19.2, 2.3, 2.2))
+        self.assertEqual(len(split.group("short")), 3)
+
     def test_small_fluctuations_change_nothing(self) -> None:
         split = ServerSplit()
         split.update(SERVERS, kinds(2.0, 0.4, 0.6))
