Start from another instance's data in place of reading the tables

Cause: an instance that starts reads three tables and the blocked requests, writes its row, and calls both followed tables once more before it waits for changes: 9 calls at once, by each instance that starts. When many start at once, three of each zone read and the others wait up to 0.6 s. The messages of others confirm its data from its start, not only 0.3 s after its first tick. The log line store_retry says how an instance pauses while the store fails its calls.

--- a/src/jasminerelay/followerroles.py
+++ b/src/jasminerelay/followerroles.py
@@ -229,5 +229,19 @@
     return rendezvous.rank(f"store/{zone}", instances)[:FOLLOWERS_PER_ZONE]
 
 
+def reads_at_start(own: Member, known: Iterable[Member]) -> bool:
+    """Returns whether a starting instance reads the tables for others, too.
+
+    Args:
+        own: The instance.
+        known: All instances that it knows, also those that are starting.
+    """
+    members = {member.instance: member for member in (own, *known)}
+    if len(members) < MIN_INSTANCES_FOR_FOLLOWERS:
+        return True
+    zone = [name for name, item in members.items() if item.zone == own.zone]
+    return own.instance in followers_of_zone(own.zone, zone)
+
+
 def _names(members: Iterable[Member]) -> list[str]:
     return [member.instance for member in members]
--- a/src/jasminerelay/freshness.py
+++ b/src/jasminerelay/freshness.py
@@ -103,6 +103,13 @@
             return
         self._advance_to(now - age_s)
 
+    def start(self, now: float) -> None:
+        """Records that the process begins to run; no stall precedes this.
+
+        Messages that arrive from now on may confirm the data at once.
+        """
+        self._ticked_at = now
+
     def tick(self, now: float) -> None:
         """Records that the process is running; called ten times a second."""
         if self._was_stalled(now):
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -88,6 +88,9 @@
 
 FETCH_TIMEOUT_S = 1.0
 
+START_FETCH_S = 0.02
+"""Interval at which an instance without data looks for one to fetch from."""
+
 MAX_OUTGOING = 200
 """Datagrams that may wait to be sent; more are dropped, as on a full link."""
 
@@ -134,6 +137,7 @@
         self._number = 0
         self.peer_status = PeerStatusTable(registry, freshness)
         self._addresses: set[str] = set()
+        self._has_new_addresses = False
         self._live: set[str] = set()
         self._outbox, self._outgoing = anyio.create_memory_object_stream(
             MAX_OUTGOING
@@ -160,7 +164,15 @@
 
     def add_addresses(self, addresses: set[str]) -> None:
         """Adds addresses at which other instances may listen."""
-        self._addresses |= addresses - {self.membership.own_member.peers}
+        added = addresses - {self.membership.own_member.peers}
+        if added - self._addresses:
+            self._addresses |= added
+            self._has_new_addresses = True
+
+    @property
+    def has_addresses(self) -> bool:
+        """Whether any address of another instance is known."""
+        return bool(self._addresses)
 
     def announce_ready(self) -> None:
         """Announces that this instance accepts callers."""
@@ -236,9 +248,9 @@
         while True:
             now = time.monotonic()
             is_early = now - began < EARLY_JOIN_PERIOD_S
-            if now - last_tried_at > (
-                EARLY_JOIN_INTERVAL_S if is_early else JOIN_INTERVAL_S
-            ):
+            interval_s = EARLY_JOIN_INTERVAL_S if is_early else JOIN_INTERVAL_S
+            if self._has_new_addresses or now - last_tried_at > interval_s:
+                self._has_new_addresses = False
                 last_tried_at = now
                 self._try_addresses()
             if rounds % PROBE_ROUNDS == 0:
@@ -432,7 +444,8 @@
 
     async def _catch_up(self) -> None:
         while True:
-            await anyio.sleep(LOAD_INTERVAL_S)
+            complete = self._registry.complete
+            await anyio.sleep(LOAD_INTERVAL_S if complete else START_FETCH_S)
             name = self.peer_status.fetch_source(time.monotonic())
             if name is not None:
                 await self._fetch(name)
--- a/src/jasminerelay/peerstatus.py
+++ b/src/jasminerelay/peerstatus.py
@@ -122,7 +122,8 @@
 
         There is one once this instance has been behind for long enough.
         """
-        delay_s = 0.0 if self.fetches_at_once else FETCH_DELAY_S
+        at_once = self.fetches_at_once or not self._registry.complete
+        delay_s = 0.0 if at_once else FETCH_DELAY_S
         if self._behind_since is None or now - self._behind_since < delay_s:
             return None
         self._behind_since = None
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -94,6 +94,15 @@
 """Pause between writing this instance's row and reading the others', so that
 instances that start together find each other with one read."""
 
+START_WAIT_S = 0.3
+INDIRECT_START_WAIT_S = 0.6
+"""How long an instance that starts waits for other instances' data before it
+reads the tables itself; the latter if others that start with it follow the
+store closely."""
+
+START_STEP_S = 0.02
+"""Interval at which it looks whether the data has come."""
+
 REGISTER_SPREAD_S = 1.0
 """Time over which the instances write their rows again after the store has lost
 them."""
@@ -190,6 +199,7 @@
             signals: Whether to handle SIGTERM, SIGINT and SIGHUP.
         """
         self.running = True
+        self._freshness.start(now_s())
         self.log.warn("start", settings=dataclasses.asdict(self.boot))
         async with anyio.create_task_group() as group:
             for port in self._ports:
@@ -206,6 +216,7 @@
                 self._drains.run,
                 self._tick,
                 self._discover_peers,
+                self._await_peer_data,
                 self._watch_settings,
                 *([self._duties.run] if self._duties else []),
             ):
@@ -220,11 +231,13 @@
                 self._configuration_follower.run,
                 self._registry_feed.apply_operator_rows,
                 self._registry_feed.apply_operator_rows,
+                self._configuration_start,
             )
             group.start_soon(
                 self._servers_follower.run,
                 self._registry_feed.apply_all_servers,
                 self._registry_feed.apply_server_changes,
+                self._servers_start,
             )
             await self._wait_for_stop()
             group.cancel_scope.cancel()
@@ -238,6 +251,9 @@
         store = self._store = Store(self.client, boot.store, self._warn)
         store.on_new_era = self._on_store_restored
         self._register_again = anyio.Event()
+        self._peer_data_awaited = anyio.Event()
+        self._has_peer_data = False
+        self._logged_outage: tuple[float, storebackoff.Outage] | None = None
         self._freshness = Freshness((OPERATOR_TABLE, SERVERS_TABLE))
         self._store_state = StoreMonitor(
             self.registry, self._freshness, self.log, self._rng
@@ -595,7 +611,8 @@
             live,
             shared=self._has_followers(),
             without_store=self._peers.without_store(),
-            starting=self._peers.starting(),
+            # Only the order of calls to a lost store depends on them.
+            starting=self._peers.starting() if self._store_state.lost else (),
         )
         self._peers.peer_status.fetches_at_once = (
             not self._follower_role.follows_closely()
@@ -616,13 +633,26 @@
         )
 
     def _classify_outage(self) -> storebackoff.Outage:
-        return storebackoff.classify(
+        now = time.monotonic()
+        lost_since = self._store_state.lost_since
+        age_s = self._freshness.age_s(now_s())
+        outage = storebackoff.classify(
             self._peers.peer_status.reports,
-            self._store_state.lost_since,
-            time.monotonic(),
-            age_s=self._freshness.age_s(now_s()),
+            lost_since,
+            now,
+            age_s=age_s,
             is_first_caller=self._follower_role.is_first_caller,
         )
+        if self._logged_outage != (lost_since, outage):
+            self._logged_outage = (lost_since, outage)
+            self.log.info(
+                "store_retry",
+                kind=outage.name.lower(),
+                lost_s=round(now - lost_since, 2),
+                knowledge_age_s=round(age_s, 2),
+                instances=self._peers.count,
+            )
+        return outage
 
     def _on_store_restored(self) -> None:
         """Handles that the store has come back from a copy of its data."""
@@ -641,27 +671,80 @@
         await self._store_state.turns.answered()
         return await self._crash_table.read()
 
+    async def _await_peer_data(self) -> None:
+        """Waits for other instances' data, which saves reading the tables.
+
+        If all instances start at once, those that follow the store closely read
+        the tables, and the others wait somewhat longer.
+        """
+        began = time.monotonic()
+        if not self._peers.has_addresses:
+            with anyio.move_on_after(START_WAIT_S):
+                await self._find_peers()
+        while self._peers.has_addresses and not self.registry.complete:
+            known = self._peers.membership.view
+            reads = followerroles.reads_at_start(known[0], known)
+            limit_s = START_WAIT_S if reads else INDIRECT_START_WAIT_S
+            if time.monotonic() - began > limit_s:
+                break
+            await anyio.sleep(START_STEP_S)
+        self._has_peer_data = self.registry.complete
+        # Decides whether this instance leads before it follows the tables.
+        self._update_instances()
+        self._peer_data_awaited.set()
+
+    async def _configuration_start(self) -> int | None:
+        """Returns the version from which to follow the configuration."""
+        await self._peer_data_awaited.wait()
+        version = self.registry.configuration_version
+        return version if self._has_peer_data else None
+
+    async def _servers_start(self) -> int | None:
+        """Returns the version from which to follow the servers."""
+        await self._peer_data_awaited.wait()
+        return self.registry.servers_version if self._has_peer_data else None
+
+    async def _find_peers(self) -> bool:
+        """Reads the other instances' addresses; returns whether it could."""
+        try:
+            self._peers.add_addresses(await self._instance_table.addresses())
+        except StoreError as exc:
+            self._store_state.failed("instances", exc.message)
+            return False
+        self._store_state.succeeded("instances")
+        return True
+
+    async def _register(self) -> bool:
+        """Writes this instance's row; returns whether it could."""
+        self._register_again = anyio.Event()
+        try:
+            await self._instance_table.register(self.boot.peers)
+        except StoreError as exc:
+            self._store_state.failed("instances", exc.message)
+            return False
+        self._store_state.succeeded("instances")
+        return True
+
     async def _discover_peers(self) -> None:
         registered = False
+        knows_peers = False
         while True:
             await self._store_state.turns.take("instances")
-            try:
+            if not registered:
+                registered = await self._register()
                 if not registered:
-                    self._register_again = anyio.Event()
-                    await self._instance_table.register(self.boot.peers)
-                    registered = True
-                    await anyio.sleep(REGISTER_PAUSE_S)
-                self._peers.add_addresses(
-                    await self._instance_table.addresses()
-                )
-                self._store_state.succeeded("instances")
-                with anyio.move_on_after(INSTANCES_POLL_S):
-                    await self._register_again.wait()
-                    registered = False
-                    # All instances see the new era within milliseconds.
-                    await anyio.sleep(self._rng.uniform(0.0, REGISTER_SPREAD_S))
-            except StoreError as exc:
-                self._store_state.failed("instances", exc.message)
+                    continue
+                await anyio.sleep(REGISTER_PAUSE_S)
+                # The instance that sent the data knows the others.
+                knows_peers = self._has_peer_data
+            if not knows_peers and not await self._find_peers():
+                continue
+            knows_peers = False
+            with anyio.move_on_after(INSTANCES_POLL_S):
+                await self._register_again.wait()
+                registered = False
+                # All instances see the new era within milliseconds.
+                await anyio.sleep(self._rng.uniform(0.0, REGISTER_SPREAD_S))
 
     async def _handle_signals(self) -> None:
         try:
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -159,6 +159,11 @@
         """Whether a newer configuration exists that cannot be decoded here."""
         return self._unreadable_configuration_version > self._configuration[0]
 
+    @property
+    def configuration_version(self) -> int:
+        """The store's version of the configuration in force."""
+        return self._configuration[0]
+
     @property
     def servers_version(self) -> int:
         """The store's version that the list of servers reflects."""
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -291,6 +291,7 @@
         self,
         apply_all: Callable[[TablePage], bool],
         apply_changes: Callable[[TablePage], None],
+        start: Callable[[], Awaitable[int | None]] | None = None,
     ) -> None:
         """Follows the table.
 
@@ -298,13 +299,15 @@
             apply_all: Applies a full read; returns false if it is older than
                 the data applied before.
             apply_changes: Applies changed rows.
+            start: Returns the version from which to follow the table; None to
+                read all rows first.
         """
-        after: int | None = None
+        after = await start() if start is not None else None
         # The first call after a failure does not wait for a change. Otherwise
         # the store's return would be noticed only with the next change, and if
         # that change were a removed row, it would be taken for one that lapsed
         # during the outage.
-        wait_s = 0.0
+        wait_s = 0.0 if after is None else await self._next_wait_s()
         while True:
             try:
                 if after is None or not wait_s:
@@ -318,8 +321,6 @@
                     wait_s = 0.0
                     continue
                 newest_at = _newest_at(page, asked_at, wait_s)
-                mode = self._mode()
-                wait_s = 0.0 if mode.indirect else mode.wait_s
             except HistoryGoneError:
                 self._state.succeeded(self._name)
                 after = None
@@ -334,9 +335,19 @@
             if page.rows:
                 apply_changes(page)
             self._state.record_answer(self._name, page.version, newest_at)
-            pauses = page.rows or mode.indirect
-            if pauses and await self._pause_aborted():
-                wait_s = 0.0
+            wait_s = await self._next_wait_s(changed=bool(page.rows))
+
+    async def _next_wait_s(self, *, changed: bool = False) -> float:
+        """Pauses if needed; returns how long the next call waits for changes.
+
+        Args:
+            changed: Whether the last call returned changes.
+        """
+        mode = self._mode()
+        pauses = changed or mode.indirect
+        if pauses and await self._pause_aborted():
+            return 0.0
+        return 0.0 if mode.indirect else mode.wait_s
 
     async def _changes(self, after: int, wait_s: float) -> TablePage | None:
         """Waits for changes; returns None if the wait was aborted.
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -20,7 +20,7 @@
 from jasminerelay.membership import ALIVE
 from jasminerelay.metrics import Counters
 from jasminerelay.peerstatus import PeerStatusTable
-from jasminerelay.platform.root import MAX_CONFIRMED_AGE_S
+from jasminerelay.platform.root import MAX_CONFIRMED_AGE_S, START_WAIT_S
 from jasminerelay.platform.storeclient import CALL_TIMEOUT_S
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import Member, ServerRow
@@ -277,14 +277,25 @@
                     self._followers["op"].run,
                     feed.apply_operator_rows,
                     feed.apply_operator_rows,
+                    lambda: self._start(
+                        lambda: self.registry.configuration_version
+                    ),
                 )
                 group.start_soon(
                     self._followers["servers"].run,
                     feed.apply_all_servers,
                     feed.apply_server_changes,
+                    lambda: self._start(lambda: self.registry.servers_version),
                 )
                 group.start_soon(self._tick)
 
+    async def _start(self, version: Callable[[], int]) -> int | None:
+        """Waits for other instances' data as an instance does at its start."""
+        with anyio.move_on_after(START_WAIT_S):
+            while not self.registry.complete:
+                await anyio.sleep(STEP_S)
+        return version() if self.registry.complete else None
+
     def send_status(self, members: list[Member]) -> None:
         """Sends the versions of the instance's data to others."""
         age_s = self.freshness.age_s(now())
