--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -88,6 +88,9 @@
 
 FETCH_TIMEOUT_S = 1.0
 
+START_FETCH_S = 0.02
+"""Interval at which an instance without data looks for one to fetch from."""
+
 SNAPSHOT_PATH = "/snapshot"
 CONFIGURATION_FIELD = "configuration"
 SERVERS_FIELD = "servers"
@@ -132,6 +135,7 @@
         self.peer_status = PeerStatusTable(registry, freshness)
         self._behind = anyio.Event()
         self._addresses: set[str] = set()
+        self._has_new_addresses = False
         self._live: set[str] = set()
         self._live_members: list[Member] = []
         self._socket = DatagramSocket(self._receive, self._on_socket_error)
@@ -158,7 +162,15 @@
 
     def add_addresses(self, addresses: set[str]) -> None:
         """Adds addresses at which other instances may listen."""
-        self._addresses |= addresses - {self.membership.own_member.peers}
+        added = addresses - {self.membership.own_member.peers}
+        if added - self._addresses:
+            self._addresses |= added
+            self._has_new_addresses = True
+
+    @property
+    def has_addresses(self) -> bool:
+        """Whether any address of another instance is known."""
+        return bool(self._addresses)
 
     def announce_ready(self) -> None:
         """Announces that this instance accepts callers."""
@@ -228,9 +240,9 @@
             await self.on_round()
             now = time.monotonic()
             is_early = now - began < EARLY_JOIN_PERIOD_S
-            if now - last_tried_at > (
-                EARLY_JOIN_INTERVAL_S if is_early else JOIN_INTERVAL_S
-            ):
+            interval_s = EARLY_JOIN_INTERVAL_S if is_early else JOIN_INTERVAL_S
+            if self._has_new_addresses or now - last_tried_at > interval_s:
+                self._has_new_addresses = False
                 last_tried_at = now
                 self._try_addresses()
             if rounds % PROBE_ROUNDS == 0:
@@ -409,7 +421,8 @@
             if not self.peer_status.is_behind:
                 self._behind = anyio.Event()
                 await self._behind.wait()
-            await anyio.sleep(LOAD_INTERVAL_S)
+            complete = self._registry.complete
+            await anyio.sleep(LOAD_INTERVAL_S if complete else START_FETCH_S)
             name = self.peer_status.fetch_source(time.monotonic())
             if name is not None:
                 await self._fetch(name)
