Accompany requests with plain tasks, and check slow streams together

Change: backgroundtasks.py in ingress.py and attempt.py; the checks of all streams fall on the same moments, at most 0.25 s apart as before.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -9,6 +9,7 @@
 import httpcore
 
 from jasminerelay import sse
+from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
 from jasminerelay.crashwatch import CrashWatch
@@ -54,6 +55,9 @@
 SLOW_CHECK_INTERVAL_S = 0.25
 """Interval of the checks whether a stream can end in time on its server."""
 
+_SLOW_CHECK_PHASE_S = random.uniform(0.0, SLOW_CHECK_INTERVAL_S)
+"""Keeps the instances of a machine from checking at the same moments."""
+
 MAX_MOVES = 2
 """Maximum moves per request; each pauses it while its KV cache is copied."""
 
@@ -300,7 +304,7 @@
         server = channel.server
         leaving_event = self._context.stream_migrator.attach(server.id)
         try:
-            async with anyio.create_task_group() as group:
+            with BackgroundTasks() as group:
                 group.start_soon(self._move_when_leaving, server, leaving_event)
                 group.start_soon(self._move_when_slow, server)
                 outcome = await self._relay_events(reservation, response, head)
@@ -308,7 +312,6 @@
                 if move_ended is not None:
                     # The stream may end before the reply to the move order.
                     await move_ended.wait()
-                group.cancel_scope.cancel()
         finally:
             self._context.stream_migrator.detach(server.id, leaving_event)
         if isinstance(outcome, Delivered):
@@ -377,7 +380,13 @@
     async def _move_when_slow(self, server: BackendServer) -> None:
         dispatcher = self._context.dispatcher
         while self._progress.moves < MAX_MOVES:
-            await anyio.sleep(SLOW_CHECK_INTERVAL_S)
+            # At the same moments for all streams, so that their checks need
+            # only one wake-up of the process.
+            await anyio.sleep(
+                SLOW_CHECK_INTERVAL_S
+                - (time.monotonic() + _SLOW_CHECK_PHASE_S)
+                % SLOW_CHECK_INTERVAL_S
+            )
             if not self._sink.started or not dispatcher.needs_faster_server(
                 self._call, server, self._progress.events
             ):
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -8,6 +8,7 @@
 import anyio
 
 from jasminerelay.attempt import ForwardingContext
+from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import Call, Catalog, RequestLimits, Route
 from jasminerelay.errors import (
     BadRequestError,
@@ -96,12 +97,9 @@
         if not self._context.accepts(call.answer_deadline - arrived):
             raise NotReadyError("this instance is shutting down", retry_s=0.05)
         forwarder = RequestForwarder(self._context.forwarding, call, sink)
-        async with anyio.create_task_group() as group:
-            group.start_soon(
-                _cancel_on_disconnect, receive, sink, group.cancel_scope
-            )
+        with anyio.CancelScope() as scope, BackgroundTasks() as group:
+            group.start_soon(_cancel_on_disconnect, receive, sink, scope)
             await forwarder.run()
-            group.cancel_scope.cancel()
 
     async def _body(self, receive) -> bytes:
         catalog = self._context.catalog()
--- a/tests/test_idlework.py
+++ b/tests/test_idlework.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.datagrams import MAX_WAITING, DatagramSocket
 from jasminerelay.freshness import Freshness
 from jasminerelay.membership import ALIVE, SUSPECT, Membership
@@ -183,5 +184,34 @@
             await socket.run(address)
 
 
+class BackgroundTasksTest(unittest.IsolatedAsyncioTestCase):
+    """Tasks that accompany a request."""
+
+    async def test_ends_with_the_context(self) -> None:
+        # Guards against tasks that outlive the requests that they watch.
+        ended = anyio.Event()
+
+        async def watch() -> None:
+            try:
+                await anyio.sleep(60.0)
+            finally:
+                ended.set()
+
+        with BackgroundTasks() as tasks:
+            tasks.start_soon(watch)
+            await anyio.sleep(0)
+        with anyio.fail_after(1.0):
+            await ended.wait()
+
+    async def test_failure_of_a_task_is_raised(self) -> None:
+        # Guards against faults that nobody sees.
+        async def fail() -> None:
+            raise RuntimeError
+
+        with self.assertRaises(RuntimeError), BackgroundTasks() as tasks:
+            tasks.start_soon(fail)
+            await anyio.sleep(0)
+
+
 if __name__ == "__main__":
     unittest.main()
