Test the correction of charged work at the end of a request

Cause: nothing failed if a charge kept the estimate. Change: tests of shorter and longer answers, of a request that its server did not run, of a caller that left, and of an owner that learns of the end in the update that drops the request. Result: five tests pass; no source changed.

--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -32,10 +32,11 @@
     ReturningCallers,
     request_key,
 )
-from jasminerelay.schema.messages import CellUpdate
-from jasminerelay.workload import Workload
+from jasminerelay.schema.messages import CellUpdate, RequestEndReport
+from jasminerelay.workload import InFlightRequest, Verdict, Workload
 from standins.launcher import ROOT
 from tests import virtualtime
+from tests.test_cells import SERVICE, Site, prompts
 from tests.test_placing import call, option, route
 
 SOURCE = ROOT / "src/jasminerelay"
@@ -293,6 +294,92 @@
         self.assertEqual(self.come_back(), ["new", "try-2"])
 
 
+class CorrectionTest(unittest.TestCase):
+    """Work charged to an organisation at a placement and at its end."""
+
+    def setUp(self) -> None:
+        self.workload = Workload()
+        self.free = True
+        self.seen: list[str] = []
+        self.queue = PlacementQueue(
+            self.place,
+            self.expect,
+            lambda item: 1.0,
+            lambda item, placed: self.workload.start("s", 0, 0),
+            actual_busy=lambda item, output: output / 100,
+        )
+
+    def place(self, item: Call, avoid) -> PlacementDecision | Wait:
+        if self.free:
+            return PlacementDecision(option("s").server, 0, 0)
+        return Wait("full", full=True)
+
+    def expect(self, item: Call, ahead_s: float) -> WaitEstimate:
+        self.seen.append(item.organisation)
+        return WaitEstimate(0.0, 0.0, 1000.0)
+
+    def order_after(self, verdict: Verdict | None, output: int) -> list[str]:
+        """Returns the order of two organisations after a request has ended.
+
+        Each has a request placed and one that waits; the placed one of the
+        organisation "ended" ends.
+        """
+        runs = [self.add(name) for name in ("other", "ended")]
+        self.free = False
+        for name in ("other", "ended"):
+            self.add(name)
+        runs[-1].end(verdict, output)
+        self.seen.clear()
+        self.queue.place_all()
+        return self.seen
+
+    def add(self, organisation: str) -> InFlightRequest | None:
+        item = call("c", organisation=organisation)
+        entry = self.queue.enqueue(item, frozenset(), lambda entry: None)
+        reservation = entry.reservation
+        return reservation.run if reservation is not None else None
+
+    def test_shorter_answer(self) -> None:
+        # Guards against an organisation that pays for estimates and not for
+        # work, since its answers are shorter than those of others.
+        self.assertEqual(self.order_after(Verdict.GOOD, 10)[0], "ended")
+
+    def test_longer_answer(self) -> None:
+        self.assertEqual(self.order_after(Verdict.GOOD, 900)[0], "other")
+
+    def test_server_did_not_run_it(self) -> None:
+        # Guards against an organisation that pays for failures of servers.
+        self.assertEqual(self.order_after(Verdict.BAD, 0)[0], "ended")
+
+    def test_caller_left(self) -> None:
+        # Guards against callers that leave and come back to be served for free.
+        self.assertEqual(self.order_after(None, 0)[0], "other")
+
+    def test_owner_learns_of_the_work(self) -> None:
+        # Guards against an owner that drops a request's record before the
+        # report of its end has corrected the charge.
+        owned = Site(2, servers=4).nodes["n00"].owned
+        now = time.monotonic()
+        item = next(prompts(1))
+        ask = placement_request(1, item, frozenset(), False, now)
+        for number, asks, ends in (
+            (1, [ask], []),
+            (2, [], [RequestEndReport(1, "i-000", True, False, 4000)]),
+        ):
+            owned.handle_message(
+                CellUpdate(
+                    "n01", "n01:1", SERVICE, 0, number, asks, [], ends, []
+                )
+            )
+            (cell,) = owned._cells.values()
+            (rank,) = cell.queue._ranks.values()
+            usage_s = rank[0].usage(item.organisation)
+            if number == 1:
+                estimate_s = usage_s
+        self.assertGreater(estimate_s, 0.0)
+        self.assertGreater(usage_s, estimate_s)
+
+
 def prompt(number: int) -> Prompt:
     """Returns a prompt that each attempt of one request has."""
     parts = (PromptPart("start", 5000), PromptPart("own", 1000 + number))
