Bound growth beyond an instance's part by what is free

Cause: beyond its part of the requests in flight, an instance made requests of an organisation over its share wait 0.15 s. Change: beyond its part an instance grows by at most its part of the free capacity, but by one, in each report interval of 0.1 s; it may replace what ends at once. Tests of the engines' headroom and of this bound.

--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -16,6 +16,7 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.placing import PlacementDecision, Wait
 from jasminerelay.scheduling.fairshare import (
+    REPORT_INTERVAL_S,
     FairShares,
     Headroom,
     RecentWork,
@@ -172,6 +173,7 @@
         self._ranks: dict[
             tuple[str, int, int], tuple[FairShares, RecentWork]
         ] = {}
+        self._own_before: dict[str, tuple[int, int]] = {}
         self._returning = ReturningCallers()
         self._queue: list[QueueEntry] = []
         self._not_empty = anyio.Event()
@@ -371,12 +373,20 @@
         # Once for each kind: the requests behind it would find no more.
         if kind not in scan.withheld:
             headroom = self._headroom(call)
-            waited_s = scan.now - call.arrived_at
-            if headroom.allows_over_share(_spread(call), waited_s):
+            grown = self._growth(kind, headroom.own, scan.now)
+            if headroom.allows_over_share(_spread(call), grown):
                 return False
             scan.withheld.add(kind)
         return True
 
+    def _growth(self, kind: str, own: int, now: float) -> int:
+        """Returns by how much the requests in flight grew in this interval."""
+        interval = int(now / REPORT_INTERVAL_S)
+        before = self._own_before.get(kind)
+        if before is None or before[0] != interval:
+            before = self._own_before[kind] = (interval, own)
+        return own - before[1]
+
     def _age_s(self, call: Call) -> float:
         """Returns how long ago the first attempt of a request came."""
         if not self._returning:
--- a/src/jasminerelay/scheduling/fairshare.py
+++ b/src/jasminerelay/scheduling/fairshare.py
@@ -36,10 +36,9 @@
 requests in flight. Were it as small as the other, instances that do not know
 each other's latest placements would all take the same free slot."""
 
-UNEVEN_WAIT_S = 0.15
-"""Time that their requests wait before an instance exceeds its part. Load
-reports come every 0.1 s; in a burst at all instances at once, each would
-otherwise take all of the capacity that was free before."""
+REPORT_INTERVAL_S = 0.1
+"""Interval of load reports, in which instances do not know each other's latest
+placements."""
 
 
 class FairShares:
@@ -189,7 +188,7 @@
     own: int
     instances: int
 
-    def allows_over_share(self, spread: float, waited_s: float) -> bool:
+    def allows_over_share(self, spread: float, grown: int) -> bool:
         """Returns whether an organisation over its share may use one more.
 
         An instance sees at once what it frees itself, and what others free
@@ -197,10 +196,15 @@
         frees to its own backlog, and an organisation under its share would wait
         at the instances that have few requests in flight.
 
+        Beyond its part an instance grows by its part of what is free in each
+        report interval: in a burst at all instances at once, each would
+        otherwise take all that was free before.
+
         Args:
             spread: Number from 0 to 1 that rounds the instance's part up or
                 down, since with few slots a part has a large fraction.
-            waited_s: Time since the request arrived.
+            grown: By how much the number in flight of this instance has grown
+                in the report interval.
         """
         if self.instances <= 1:
             return True
@@ -209,6 +213,6 @@
         part = (self.total - reserved) / self.instances
         if self.own + 1 <= math.floor(part + spread):
             return self.free - 1 >= reserved
-        if waited_s < UNEVEN_WAIT_S:
+        if grown + 1 > max(1.0, self.free / self.instances):
             return False
         return self.free - 1 >= self.total * UNEVEN_RESERVED_SHARE
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -920,9 +920,9 @@
         "test_fairshare.HeadroomTest.test_last_capacity_is_left",
     ),
     Safeguard(
-        "a burst waits for load reports before it exceeds an instance's part",
+        "an instance grows beyond its part by its part of what is free",
         "scheduling/fairshare",
-        "if waited_s < UNEVEN_WAIT_S:",
+        "if grown + 1 > max(1.0, self.free / self.instances):",
         "if False:",
         "test_fairshare.FailureTest"
         ".test_organisation_appears_at_all_instances_at_once",
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -19,6 +19,7 @@
 from jasminerelay import peermessages, placementqueue
 from jasminerelay.admission import OVER_SHARE, WaitEstimate
 from jasminerelay.catalog import Call, Prompt, PromptPart
+from jasminerelay.enginemodel import SLOT_SHARE
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.placementmessages import call_of, placement_request
 from jasminerelay.placementqueue import (
@@ -37,6 +38,7 @@
 from standins.launcher import ROOT
 from tests import virtualtime
 from tests.test_cells import SERVICE, Site, prompts
+from tests.test_cells import SLOTS as ENGINE_SLOTS
 from tests.test_placing import call, option, route
 
 SOURCE = ROOT / "src/jasminerelay"
@@ -150,17 +152,32 @@
     def test_last_capacity_is_left(self) -> None:
         # Guards against an instance that hands each slot that it frees to its
         # own backlog while others wait at other instances.
-        self.assertTrue(Headroom(3, 48, 5, 8).allows_over_share(0.9, 0.0))
-        self.assertFalse(Headroom(2, 48, 5, 8).allows_over_share(0.9, 0.0))
+        self.assertTrue(Headroom(3, 48, 5, 8).allows_over_share(0.9, 0))
+        self.assertFalse(Headroom(2, 48, 5, 8).allows_over_share(0.9, 0))
 
     def test_uneven_traffic(self) -> None:
         # Guards against capacity left idle where one instance has all requests.
-        full = Headroom(6, 48, 42, 8)
-        self.assertTrue(Headroom(8, 48, 40, 8).allows_over_share(0.0, 1.0))
-        self.assertFalse(full.allows_over_share(0.0, 1.0))
+        self.assertTrue(Headroom(8, 48, 40, 8).allows_over_share(0.0, 0))
+        self.assertFalse(Headroom(6, 48, 42, 8).allows_over_share(0.0, 0))
+
+    def test_growth_between_load_reports(self) -> None:
+        # Guards against instances that all take what was free before.
+        self.assertTrue(Headroom(20, 48, 7, 8).allows_over_share(0.0, 1))
+        self.assertFalse(Headroom(20, 48, 8, 8).allows_over_share(0.0, 2))
 
     def test_one_instance_leaves_nothing(self) -> None:
-        self.assertTrue(Headroom(1, 48, 47, 1).allows_over_share(0.0, 0.0))
+        self.assertTrue(Headroom(1, 48, 47, 1).allows_over_share(0.0, 9))
+
+    def test_headroom_of_engines(self) -> None:
+        # Guards against capacity counted by slots where the cache is smaller.
+        node = Site(2, servers=4).nodes["n00"]
+        item = next(prompts(1))
+        slots = int(SLOT_SHARE * ENGINE_SLOTS)
+        found = node.dispatcher.headroom(item)
+        self.assertEqual(found, Headroom(4 * slots, 4 * slots, 0, 2))
+        node.dispatcher.workload.start("i-000", 0, 1_000_000)
+        found = node.dispatcher.headroom(item)
+        self.assertEqual(found, Headroom(3 * slots, 3 * slots + 1, 1, 2))
 
 
 class QueueOrderTest(unittest.TestCase):
