--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -16,12 +16,12 @@
 import msgspec
 
 from jasminerelay import peermessages, placementqueue
-from jasminerelay.admission import WaitEstimate
+from jasminerelay.admission import OVER_SHARE, WaitEstimate
 from jasminerelay.catalog import Call, Prompt, PromptPart
+from jasminerelay.enginemodel import SLOT_SHARE
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.placementmessages import call_of, placement_request
 from jasminerelay.placementqueue import (
-    OVER_SHARE,
     PlacementQueue,
     QueueEntry,
 )
@@ -32,10 +32,12 @@
     ReturningCallers,
     request_key,
 )
-from jasminerelay.schema.messages import CellUpdate
-from jasminerelay.workload import Workload
+from jasminerelay.schema.messages import CellUpdate, RequestEndReport
+from jasminerelay.workload import InFlightRequest, Verdict, Workload
 from standins.launcher import ROOT
 from tests import virtualtime
+from tests.test_cells import SERVICE, Site, prompts
+from tests.test_cells import SLOTS as ENGINE_SLOTS
 from tests.test_placing import call, option, route
 
 SOURCE = ROOT / "src/jasminerelay"
@@ -149,17 +151,32 @@
     def test_last_capacity_is_left(self) -> None:
         # Guards against an instance that hands each slot that it frees to its
         # own backlog while others wait at other instances.
-        self.assertTrue(Headroom(3, 48, 5, 8).allows_over_share(0.9, 0.0))
-        self.assertFalse(Headroom(2, 48, 5, 8).allows_over_share(0.9, 0.0))
+        self.assertTrue(Headroom(3, 48, 5, 8).allows_over_share(0.9, 0))
+        self.assertFalse(Headroom(2, 48, 5, 8).allows_over_share(0.9, 0))
 
     def test_uneven_traffic(self) -> None:
         # Guards against capacity left idle where one instance has all requests.
-        full = Headroom(6, 48, 42, 8)
-        self.assertTrue(Headroom(8, 48, 40, 8).allows_over_share(0.0, 1.0))
-        self.assertFalse(full.allows_over_share(0.0, 1.0))
+        self.assertTrue(Headroom(8, 48, 40, 8).allows_over_share(0.0, 0))
+        self.assertFalse(Headroom(6, 48, 42, 8).allows_over_share(0.0, 0))
+
+    def test_growth_between_load_reports(self) -> None:
+        # Guards against instances that all take what was free before.
+        self.assertTrue(Headroom(20, 48, 7, 8).allows_over_share(0.0, 1))
+        self.assertFalse(Headroom(20, 48, 8, 8).allows_over_share(0.0, 2))
 
     def test_one_instance_leaves_nothing(self) -> None:
-        self.assertTrue(Headroom(1, 48, 47, 1).allows_over_share(0.0, 0.0))
+        self.assertTrue(Headroom(1, 48, 47, 1).allows_over_share(0.0, 9))
+
+    def test_headroom_of_engines(self) -> None:
+        # Guards against capacity counted by slots where the cache is smaller.
+        node = Site(2, servers=4).nodes["n00"]
+        item = next(prompts(1))
+        slots = int(SLOT_SHARE * ENGINE_SLOTS)
+        found = node.dispatcher.headroom(item)
+        self.assertEqual(found, Headroom(4 * slots, 4 * slots, 0, 2))
+        node.dispatcher.workload.start("i-000", 0, 1_000_000)
+        found = node.dispatcher.headroom(item)
+        self.assertEqual(found, Headroom(3 * slots, 3 * slots + 1, 1, 2))
 
 
 class QueueOrderTest(unittest.TestCase):
@@ -171,15 +188,19 @@
         self.refused: dict[str, NoCapacityError] = {}
         self.busy: dict[str, float] = {}
         self.remaining_s = 1000.0
-        self.queue = PlacementQueue(
+        self.queue = self.new_queue(None)
+        clock = unittest.mock.patch.object(time, "monotonic", lambda: self.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+
+    def new_queue(self, headroom) -> PlacementQueue:
+        return PlacementQueue(
             lambda item, avoid: Wait("full", full=True),
             self.expect,
             lambda item: self.busy.get(item.id, 1.0),
             lambda item, placed: None,
+            headroom=headroom,
         )
-        clock = unittest.mock.patch.object(time, "monotonic", lambda: self.now)
-        clock.start()
-        self.addCleanup(clock.stop)
 
     def expect(self, item: Call, ahead_s: float) -> WaitEstimate:
         self.seen.append((item.id, ahead_s))
@@ -266,9 +287,8 @@
         self.assertIn("'large'", refused.message)
         self.assertGreater(refused.retry_s, 0.25)
 
-    def test_returning_caller_comes_before_new_ones(self) -> None:
-        # Guards against a caller that waits as told and is overtaken by new
-        # requests of its organisation each time.
+    def come_back(self) -> list[str]:
+        """Returns the order after a refused request comes back when told."""
         self.remaining_s = -1.0
         self.add("try-1", "a", arrived_at=self.now, prompt=prompt(1))
         self.remaining_s = 1000.0
@@ -276,7 +296,104 @@
         self.add("new", "a", arrived_at=self.now, prompt=prompt(2))
         self.now += self.refused["try-1"].retry_s
         self.add("try-2", "a", arrived_at=self.now, prompt=prompt(1))
-        self.assertEqual([name for name, _ in self.scan()], ["try-2", "new"])
+        return [name for name, _ in self.scan()]
+
+    def test_returning_caller_comes_before_new_ones(self) -> None:
+        # Guards against a caller that waits as told and is overtaken by new
+        # requests of its organisation each time.
+        self.assertEqual(self.come_back(), ["try-2", "new"])
+
+    def test_no_age_at_one_of_several_instances(self) -> None:
+        # Guards against callers that retry often and find an instance whose
+        # time is over: at 8 instances they were served 0.83, others 0.50.
+        self.queue = self.new_queue(lambda item: Headroom(0, 48, 6, 8))
+        self.assertEqual(self.come_back(), ["new", "try-2"])
+
+
+class CorrectionTest(unittest.TestCase):
+    """Work charged to an organisation at a placement and at its end."""
+
+    def setUp(self) -> None:
+        self.workload = Workload()
+        self.free = True
+        self.seen: list[str] = []
+        self.queue = PlacementQueue(
+            self.place,
+            self.expect,
+            lambda item: 1.0,
+            lambda item, placed: self.workload.start("s", 0, 0),
+            actual_busy=lambda item, output: output / 100,
+        )
+
+    def place(self, item: Call, avoid) -> PlacementDecision | Wait:
+        if self.free:
+            return PlacementDecision(option("s").server, 0, 0)
+        return Wait("full", full=True)
+
+    def expect(self, item: Call, ahead_s: float) -> WaitEstimate:
+        self.seen.append(item.organisation)
+        return WaitEstimate(0.0, 0.0, 1000.0)
+
+    def order_after(self, verdict: Verdict | None, output: int) -> list[str]:
+        """Returns the order of two organisations after a request has ended.
+
+        Each has a request placed and one that waits; the placed one of the
+        organisation "ended" ends.
+        """
+        runs = [self.add(name) for name in ("other", "ended")]
+        self.free = False
+        for name in ("other", "ended"):
+            self.add(name)
+        runs[-1].end(verdict, output)
+        self.seen.clear()
+        self.queue.place_all()
+        return self.seen
+
+    def add(self, organisation: str) -> InFlightRequest | None:
+        item = call("c", organisation=organisation)
+        entry = self.queue.enqueue(item, frozenset(), lambda entry: None)
+        reservation = entry.reservation
+        return reservation.run if reservation is not None else None
+
+    def test_shorter_answer(self) -> None:
+        # Guards against an organisation that pays for estimates and not for
+        # work, since its answers are shorter than those of others.
+        self.assertEqual(self.order_after(Verdict.GOOD, 10)[0], "ended")
+
+    def test_longer_answer(self) -> None:
+        self.assertEqual(self.order_after(Verdict.GOOD, 900)[0], "other")
+
+    def test_server_did_not_run_it(self) -> None:
+        # Guards against an organisation that pays for failures of servers.
+        self.assertEqual(self.order_after(Verdict.BAD, 0)[0], "ended")
+
+    def test_caller_left(self) -> None:
+        # Guards against callers that leave and come back to be served for free.
+        self.assertEqual(self.order_after(None, 0)[0], "other")
+
+    def test_owner_learns_of_the_work(self) -> None:
+        # Guards against an owner that drops a request's record before the
+        # report of its end has corrected the charge.
+        owned = Site(2, servers=4).nodes["n00"].owned
+        now = time.monotonic()
+        item = next(prompts(1))
+        ask = placement_request(1, item, frozenset(), False, now)
+        for number, asks, ends in (
+            (1, [ask], []),
+            (2, [], [RequestEndReport(1, "i-000", True, False, 4000)]),
+        ):
+            owned.handle_message(
+                CellUpdate(
+                    "n01", "n01:1", SERVICE, 0, number, asks, [], ends, []
+                )
+            )
+            (cell,) = owned._cells.values()
+            (rank,) = cell.queue._ranks.values()
+            usage_s = rank[0].usage(item.organisation)
+            if number == 1:
+                estimate_s = usage_s
+        self.assertGreater(estimate_s, 0.0)
+        self.assertGreater(usage_s, estimate_s)
 
 
 def prompt(number: int) -> Prompt:
