--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -35,6 +35,7 @@
 from jasminerelay.responsemonitor import ResponseMonitor
 from jasminerelay.scheduling.servercapacity import (
     FIRST_EVENT,
+    USUAL_SERVER,
     CapacityRecords,
     ServerCapacities,
     StatedLoad,
@@ -452,13 +453,18 @@
         part_hashes = tuple(part_hash(part.id) for part in shared)
         engine = self.engine_of(call.service)
         capacities = self.capacities.of(call.service)
-        slowness = [capacities.slowness(server.id, now) for server in servers]
-        if max(slowness, default=1.0) > 1.0 and _is_trial(call):
-            slowness = [
-                TRIAL_SLOWNESS
-                if item > 1.0 and capacities.trial_due(server.id, now)
-                else item
-                for item, server in zip(slowness, servers, strict=True)
+        views = [
+            capacities.view(
+                server.id, engine.slots if engine else server.slots, now
+            )
+            for server in servers
+        ]
+        if views.count(USUAL_SERVER) < len(views) and _is_trial(call):
+            views = [
+                dataclasses.replace(view, slowness=TRIAL_SLOWNESS)
+                if view.slowness > 1.0 and capacities.trial_due(server.id, now)
+                else view
+                for view, server in zip(views, servers, strict=True)
             ]
         return [
             PlacementCandidate(
@@ -469,13 +475,11 @@
                 comparison.token_s[server.id],
                 self._blocked(call.service, server.id, now),
                 self._caches is not None,
-                server_slowness,
-                capacities.limit(
-                    server.id, engine.slots if engine else server.slots, now
-                ),
-                capacities.unknown_requests(server.id, now),
+                view.slowness,
+                view.limit,
+                view.unknown,
             )
-            for server, server_slowness in zip(servers, slowness, strict=True)
+            for server, view in zip(servers, views, strict=True)
         ]
 
     def _cached_tokens(
--- a/src/jasminerelay/scheduling/servercapacity.py
+++ b/src/jasminerelay/scheduling/servercapacity.py
@@ -11,6 +11,7 @@
 
 from jasminerelay.scheduling.concurrencylimit import ConcurrencyLimit
 from jasminerelay.scheduling.serverspeeds import (
+    CACHE_S,
     STATEMENT_HALF_LIFE_S,
     STATEMENT_MAX_AGE_S,
     ServerSpeeds,
@@ -45,10 +46,29 @@
     unknown: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerView:
+    """What placements take into account of one server.
+
+    Attributes:
+        slowness: Its expected times relative to a usual server's.
+        limit: Concurrent requests that it is given; 0 if not limited.
+        unknown: Requests there beyond those known to the instances.
+    """
+
+    slowness: float = 1.0
+    limit: int = 0
+    unknown: float = 0.0
+
+
+USUAL_SERVER = ServerView()
+
+
 class ServerCapacities:
     """Speeds, limits and stated loads of the servers of one service."""
 
     def __init__(self) -> None:
+        self._views: dict[str, tuple[float, ServerView]] = {}
         self.speeds = ServerSpeeds()
         self.limits = ConcurrencyLimit()
         self._stated: dict[str, StatedLoad] = {}
@@ -64,10 +84,12 @@
             ratio: The time relative to the one expected of a usual server.
             now: Monotonic time.
         """
+        self._views.pop(server, None)
         self.speeds.record_response(server, FIRST_EVENT, ratio, now)
 
     def record_step(self, server: str, ratio: float, now: float) -> None:
         """Records a time per token relative to that of a usual server."""
+        self._views.pop(server, None)
         self.speeds.record_response(server, STEP, ratio, now)
 
     def record_work_time(
@@ -91,6 +113,7 @@
         """
         # A slowdown by neighbours on the machine has another cause than the
         # number of requests.
+        self._views.pop(server, None)
         seconds /= self.speeds.stated(server, now)
         self.limits.record_response(server, kind, slots, running, seconds, now)
 
@@ -133,6 +156,7 @@
         held = self._stated.get(server)
         if held is not None and held.at > stated.at:
             return
+        self._views.pop(server, None)
         self._stated[server] = stated
         if stated.slowdown:
             age_s = now - stated.at
@@ -143,9 +167,28 @@
         self, server: str, slots: int, running: int, now: float, count: int = 1
     ) -> None:
         """Records that a server rejected requests for lack of capacity."""
+        self._views.pop(server, None)
         for _ in range(count):
             self.limits.record_rejection(server, slots, running, now)
 
+    def view(self, server: str, slots: int, now: float) -> ServerView:
+        """Returns what placements take into account of a server.
+
+        It is computed again at intervals, and when anything is recorded.
+        """
+        held = self._views.get(server)
+        if held is not None and 0 <= now - held[0] < CACHE_S:
+            return held[1]
+        view = ServerView(
+            self.speeds.slowness(server, now),
+            self.limit(server, slots, now),
+            self.unknown_requests(server, now),
+        )
+        if view == USUAL_SERVER:
+            view = USUAL_SERVER
+        self._views[server] = (now, view)
+        return view
+
     def slowness(self, server: str, now: float) -> float:
         """Returns a server's expected times relative to a usual server's."""
         return self.speeds.slowness(server, now)
@@ -213,6 +256,7 @@
         self.speeds.forget(server)
         self.limits.forget(server)
         for held in (
+            self._views,
             self._stated,
             self._unsent,
             self._rejections,
