Count servers by speed when they are split among kinds

Cause: a kind whose contiguous range held the slow servers got half of the servers and a quarter of the capacity.

Change: boundaries lie where the capacity before them is nearest to that of the kinds before; speeds are taken over when one changes by more than 0.15, and each kind keeps a server. With equal speeds nothing changes.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -936,7 +936,8 @@
             demand = self.demand.total(name, now)
             self._kinds[name] = demand
             split = self._splits.setdefault(name, ServerSplit())
-            if split.update(servers, demand):
+            capacities = self.capacities.of(name)
+            if split.update(servers, demand, capacities.uneven_speeds(now)):
                 self.on_split_change(name, split.groups, demand)
 
     def record_step_time(
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -9,10 +9,13 @@
 Every instance computes the same split from the same demand reports: kinds in
 order of prompt size, servers in order of id, each kind a contiguous range of
 servers proportional to its share of the work. When a boundary moves by one,
-only one server changes its group, so the others keep their caches.
+only one server changes its group, so the others keep their caches. Servers of
+different speed count by speed: a boundary lies where the capacity before it is
+nearest to that of the kinds before it.
 """
 
 import dataclasses
+import itertools
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -28,6 +31,10 @@
 from its present count before a boundary moves; with less, groups flap with
 every small fluctuation."""
 
+SPEED_HYSTERESIS = 0.15
+"""Change of a server's speed by which it must differ from the one that the
+split is made with; estimates vary by some percent all the time."""
+
 RISE_TIME_CONSTANT_S = 1.0
 FALL_TIME_CONSTANT_S = 6.0
 """Time constants of the average when the measured rate rises or falls. A burst
@@ -192,6 +199,7 @@
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
         self._groups: dict[str, tuple[str, ...]] = {}
+        self._speeds: dict[str, float] = {}
 
     @property
     def groups(self) -> Mapping[str, tuple[str, ...]]:
@@ -199,14 +207,19 @@
         return self._groups
 
     def update(
-        self, servers: Sequence[str], demand: Sequence[RouteDemand]
+        self,
+        servers: Sequence[str],
+        demand: Sequence[RouteDemand],
+        speeds: Mapping[str, float] | None = None,
     ) -> bool:
         """Recomputes the split; returns whether it has changed.
 
         Args:
             servers: Ids of the servers in use.
             demand: Demand by kind.
+            speeds: Speeds of servers that differ from the usual 1.0.
         """
+        self._hold_speeds(speeds or {})
         kinds = sorted(demand, key=lambda item: (-item.size, item.kind))
         targets = _target_counts(len(servers), kinds)
         present = self._counts
@@ -217,10 +230,23 @@
             self._counts = _rounded_counts(targets, len(servers))
         before = self._groups
         self._groups = _contiguous_groups(
-            sorted(servers), [item.kind for item in kinds], self._counts
+            sorted(servers),
+            [item.kind for item in kinds],
+            self._counts,
+            self._speeds,
         )
         return self._groups != before
 
+    def _hold_speeds(self, speeds: Mapping[str, float]) -> None:
+        """Takes over new speeds if one has changed notably."""
+        names = self._speeds.keys() | speeds.keys()
+        if any(
+            abs(speeds.get(name, 1.0) - self._speeds.get(name, 1.0))
+            > SPEED_HYSTERESIS
+            for name in names
+        ):
+            self._speeds = dict(speeds)
+
     def group(self, kind: str) -> tuple[str, ...]:
         """Returns the servers of a kind; empty if it has had no demand."""
         return self._groups.get(kind, ())
@@ -279,9 +305,45 @@
     return counts
 
 
+def _counts_by_speed(
+    servers: Sequence[str],
+    kinds: Sequence[str],
+    counts: Mapping[str, int],
+    speeds: Mapping[str, float],
+) -> dict[str, int]:
+    """Returns the counts with boundaries at the same share of the capacity.
+
+    Each kind that has a server keeps at least one.
+    """
+    capacity = [speeds.get(name, 1.0) for name in servers]
+    mean = sum(capacity) / len(capacity)
+    before = list(itertools.accumulate(capacity, initial=0.0))
+    found = {}
+    start = wanted = 0
+    later = sum(1 for kind in kinds if counts.get(kind, 0))
+    for kind in kinds:
+        count = counts.get(kind, 0)
+        if not count:
+            found[kind] = 0
+            continue
+        wanted += count
+        later -= 1
+        last = len(servers) - later
+        ends = range(start + 1, last + 1) if later else (last,)
+        end = min(ends, key=lambda end: abs(before[end] - wanted * mean))
+        found[kind] = end - start
+        start = end
+    return found
+
+
 def _contiguous_groups(
-    servers: Sequence[str], kinds: Sequence[str], counts: Mapping[str, int]
+    servers: Sequence[str],
+    kinds: Sequence[str],
+    counts: Mapping[str, int],
+    speeds: Mapping[str, float],
 ) -> dict[str, tuple[str, ...]]:
+    if any(speeds.get(name, 1.0) != 1.0 for name in servers):
+        counts = _counts_by_speed(servers, kinds, counts, speeds)
     groups: dict[str, tuple[str, ...]] = {}
     start = 0
     for kind in kinds:
--- a/src/jasminerelay/scheduling/servercapacity.py
+++ b/src/jasminerelay/scheduling/servercapacity.py
@@ -206,6 +206,14 @@
         """Returns the capacity of servers as a number of usual ones."""
         return sum(1 / self.speeds.slowness(name, now) for name in servers)
 
+    def uneven_speeds(self, now: float) -> dict[str, float]:
+        """Returns the lasting speeds of servers that are not usual ones."""
+        found = {
+            server: 1 / self.speeds.lasting(server, now)
+            for server in self.speeds.servers
+        }
+        return {name: speed for name, speed in found.items() if speed != 1.0}
+
     def unknown_requests(self, server: str, now: float) -> float:
         """Returns the requests at a server beyond those that are known.
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -57,6 +57,37 @@
             )
         self.assertEqual(split.groups, before)
 
+    def test_servers_count_by_speed(self) -> None:
+        # Guards against a kind that gets half of the servers and a quarter of
+        # the capacity, since its servers are the slow ones.
+        servers = tuple(f"s{number}" for number in range(8))
+        speeds = {"s0": 0.5, "s1": 0.5, "s2": 0.5, "s3": 0.5}
+        demand = [
+            RouteDemand("long", 3.0, 6600.0, 1),
+            RouteDemand("short", 3.0, 630.0, 0),
+        ]
+        split = ServerSplit()
+        split.update(servers, demand)
+        self.assertEqual(split.group("long"), servers[:4])
+        split.update(servers, demand, speeds)
+        self.assertEqual(split.group("long"), servers[:5])
+        self.assertEqual(split.group("short"), servers[5:])
+
+    def test_uneven_speeds_leave_no_kind_without_a_server(self) -> None:
+        for slow in SERVERS:
+            split = ServerSplit()
+            split.update(SERVERS, kinds(2.0, 0.4, 0.6), {slow: 0.25})
+            groups = [split.group(k) for k in ("long", "mid", "short")]
+            self.assertTrue(all(groups))
+            self.assertEqual(sum(map(len, groups)), len(SERVERS))
+
+    def test_small_changes_of_speed_change_nothing(self) -> None:
+        split = ServerSplit()
+        split.update(SERVERS, kinds(2.0, 0.4, 0.6), {"s0": 0.5})
+        for speed in (0.45, 0.55, 0.6):
+            changed = split.update(SERVERS, kinds(2.0, 0.4, 0.6), {"s0": speed})
+            self.assertFalse(changed)
+
     def test_added_server_changes_few_groups(self) -> None:
         split = ServerSplit()
         split.update(SERVERS, kinds(2.0, 0.4, 0.6))
