--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -904,4 +904,55 @@
         "test_platformduties.RestoredUsageTest"
         ".test_windows_due_before_the_return_are_not_decided",
     ),
+    Safeguard(
+        "first events are expected by the server's speed",
+        "placing",
+        "    slowness = max(item.server_slowness, item.slowness)\n",
+        "    return speeds.first_event_s + prefill_s\n",
+        "test_placing.ServerSpeedTest.test_faster_server_first",
+    ),
+    Safeguard(
+        "no request waits for a server only because it is faster",
+        "placing",
+        "        and _waiting_saves_prefill(best, scored, candidates)\n",
+        "",
+        "test_placing.ServerSpeedTest.test_no_wait_for_the_faster_server",
+    ),
+    Safeguard(
+        "statements that responses contradict lose their weight",
+        "scheduling/serverspeeds",
+        "self.trust *= CONTRADICTED_SHARE",
+        "pass",
+        "test_serverspeeds.MomentaryFactorTest.test_lying_server",
+    ),
+    Safeguard(
+        "a server that looks slow is tried",
+        "dispatcher",
+        "% TRIAL_INTERVAL == 0",
+        "% TRIAL_INTERVAL < 0",
+        "test_dispatcher.ServerSpeedTest.test_slow_server_is_tried_again",
+    ),
+    Safeguard(
+        "what is common to all servers slows none of them",
+        "scheduling/serverspeeds",
+        "shared = statistics.median(common) if common else 0.0",
+        "shared = 0.0",
+        "test_serverspeeds.LastingFactorTest.test_slowdown_of_all_servers",
+    ),
+    Safeguard(
+        "a lasting factor is beyond the scatter of responses",
+        "scheduling/serverspeeds",
+        "if not weights or abs(total) < MIN_ERRORS * math.sqrt(variance):",
+        "if not weights:",
+        "test_serverspeeds.LastingFactorTest"
+        ".test_equal_servers_with_scattered_times",
+    ),
+    Safeguard(
+        "a constant statement does not count twice",
+        "scheduling/serverspeeds",
+        "self._usual = statistics.median(self._history)",
+        "pass",
+        "test_serverspeeds.MomentaryFactorTest"
+        ".test_same_statement_all_the_time",
+    ),
 )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -315,8 +315,8 @@
         ahead = int(placing.KNOWN_PREFILL_LIMIT_S / SPEEDS.read_token_s / 0.25)
         full = Load(ahead + 1, 1, 10_000)
         placed = self.model_place(
-            option("a", server_slowness=2.5),
-            option("b", full, server_slowness=0.25),
+            option("a", slowness=2.5, server_slowness=2.5),
+            option("b", full, slowness=0.25, server_slowness=0.25),
         )
         self.assertEqual(placed.server.id, "a")
 
--- a/tests/test_serverspeeds.py
+++ b/tests/test_serverspeeds.py
@@ -12,11 +12,12 @@
 class Evidence:
     """Responses of servers, six a second of each, with scattered times."""
 
-    def __init__(self, factors: dict[str, float], seed: int = 1):
+    def __init__(self, factors: dict[str, float], scatter: float = 0.25):
         self.speeds = ServerSpeeds()
         self.factors = factors
         self.now = 100.0
-        self._rng = random.Random(seed)
+        self._scatter = scatter
+        self._rng = random.Random(1)
 
     def run(self, seconds: float, **momentary: float) -> None:
         """Adds the responses of some seconds.
@@ -29,7 +30,7 @@
         while self.now < end:
             self.now += 1 / 6
             for server, factor in self.factors.items():
-                scatter = self._rng.lognormvariate(0.0, 0.25)
+                scatter = self._rng.lognormvariate(0.0, self._scatter)
                 ratio = factor * momentary.get(server, 1.0) * scatter
                 self.speeds.record_response(server, "first", ratio, self.now)
 
@@ -58,14 +59,25 @@
             found = {evidence.slowness(server) for server in "abcdefgh"}
             self.assertEqual(found, {1.0})
 
+    def test_equal_servers_with_scattered_times(self) -> None:
+        evidence = Evidence(dict.fromkeys("abcdefgh", 1.0), scatter=0.5)
+        for _ in range(300):
+            evidence.run(0.2)
+            for server in "abcdefgh":
+                found = evidence.speeds.lasting(server, evidence.now)
+                self.assertEqual(found, 1.0)
+
     def test_slowdown_of_all_servers(self) -> None:
         # A burst, or a new fit of the model of the engines, makes the responses
         # of all servers longer; none of them is slower than its peers.
         evidence = Evidence(dict.fromkeys("abcd", 1.0))
         evidence.run(10.0)
-        evidence.run(10.0, a=2.0, b=2.0, c=2.0, d=2.0)
-        for server in "abcd":
-            self.assertEqual(evidence.speeds.lasting(server, evidence.now), 1.0)
+        for _ in range(20):
+            evidence.run(0.5, a=2.0, b=2.0, c=2.0, d=2.0)
+            # The responses of the first moments are not yet those of all.
+            if evidence.now > 112.5:
+                found = {evidence.slowness(server) for server in "abcd"}
+                self.assertEqual(found, {1.0})
 
     def test_single_slow_responses(self) -> None:
         evidence = Evidence(dict.fromkeys("abcd", 1.0))
@@ -177,6 +189,8 @@
             evidence.speeds.record_statement("a", 1.43, 0.0, evidence.now)
             evidence.run(0.3)
         self.assertLess(evidence.slowness("a"), 1.43 * 1.25)
+        later = evidence.now + serverspeeds.STATEMENT_MAX_AGE_S
+        self.assertGreater(evidence.speeds.slowness("a", later), 1.25)
 
     def test_recent_responses_without_statements(self) -> None:
         self.evidence.run(1.0, a=2.5)
