Spread plain requests over servers by their speed

Cause: multiplied by the slowness, an idle plain service sent every request to its fastest server, and a loaded one gave servers numbers of requests in proportion to their speed, which they end in inverse proportion to it.

Change: idle servers win ties as often as their speed says (weighted rendezvous hashing by the request's id); from 1.5 times on a server's load counts for more. With equal servers the order is the same.

--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -52,6 +52,11 @@
 SLOW_SERVER_PENALTY_S = 0.5
 """Delay added to the score of a server that is much slower than its peers."""
 
+CLEAR_SLOWNESS = 1.5
+"""Slowness from which a plain server's load counts for more. Below it, servers
+of different speed are evenly loaded if equal numbers of requests are there: a
+faster one ends them sooner, and gets more for that reason alone."""
+
 FULL_SERVER_PENALTY_S = 0.15
 """Delay added to the score of a server without capacity: about the time in
 which one of its requests ends or completes prefill."""
@@ -338,14 +343,18 @@
         return Wait("no capacity at the service's servers")
 
     # Ties are broken by the request's id: by the order of the servers' ids all
-    # instances would send their ties to the same server.
-    ranks = rendezvous.rank(call.id, [item.server.id for item in usable])
+    # instances would send their ties to the same server. Servers win ties as
+    # often as their speed says.
+    ranks = rendezvous.weighted_rank(
+        call.id, {item.server.id: 1 / item.server_slowness for item in usable}
+    )
 
     def score(item: PlacementCandidate) -> tuple[float, bool, int]:
         running = item.load.running + item.unknown
         busy = (running + 1) / max(1, item.server.slots)
         weighted = busy * min(item.slowness, MAX_SLOWNESS)
-        weighted *= item.server_slowness
+        if item.server_slowness >= CLEAR_SLOWNESS:
+            weighted *= item.server_slowness
         other_zone = item.server.zone != zone
         return (round(weighted, 2), other_zone, ranks.index(item.server.id))
 
