--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -37,6 +37,7 @@
 from jasminerelay.scheduling.fairshare import Headroom
 from jasminerelay.scheduling.servercapacity import (
     FIRST_EVENT,
+    USUAL_SERVER,
     CapacityRecords,
     ServerCapacities,
     StatedLoad,
@@ -490,13 +491,18 @@
         part_hashes = tuple(part_hash(part.id) for part in shared)
         engine = self.engine_of(call.service)
         capacities = self.capacities.of(call.service)
-        slowness = [capacities.slowness(server.id, now) for server in servers]
-        if max(slowness, default=1.0) > 1.0 and _is_trial(call):
-            slowness = [
-                TRIAL_SLOWNESS
-                if item > 1.0 and capacities.trial_due(server.id, now)
-                else item
-                for item, server in zip(slowness, servers, strict=True)
+        views = [
+            capacities.view(
+                server.id, engine.slots if engine else server.slots, now
+            )
+            for server in servers
+        ]
+        if views.count(USUAL_SERVER) < len(views) and _is_trial(call):
+            views = [
+                dataclasses.replace(view, slowness=TRIAL_SLOWNESS)
+                if view.slowness > 1.0 and capacities.trial_due(server.id, now)
+                else view
+                for view, server in zip(views, servers, strict=True)
             ]
         return [
             PlacementCandidate(
@@ -507,13 +513,11 @@
                 comparison.token_s[server.id],
                 self._blocked(call.service, server.id, now),
                 self._caches is not None,
-                server_slowness,
-                capacities.limit(
-                    server.id, engine.slots if engine else server.slots, now
-                ),
-                capacities.unknown_requests(server.id, now),
+                view.slowness,
+                view.limit,
+                view.unknown,
             )
-            for server, server_slowness in zip(servers, slowness, strict=True)
+            for server, view in zip(servers, views, strict=True)
         ]
 
     def _cached_tokens(
@@ -988,7 +992,8 @@
             demand = self.demand.total(name, now)
             self._kinds[name] = demand
             split = self._splits.setdefault(name, ServerSplit())
-            if split.update(servers, demand):
+            capacities = self.capacities.of(name)
+            if split.update(servers, demand, capacities.uneven_speeds(now)):
                 self.on_split_change(name, split.groups, demand)
 
     def record_step_time(
