Prove the safeguards of the store's calls, and of a reported loss

Change: the proof is a test in which the report alone can show it; the former test stays. Seven safeguards of the pauses, turns, confirmations and starts have entries. Tests of a start of all at once, with the store up and down, and of a lost response to an instance's own row.

--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -574,7 +574,7 @@
         "            self.on_store_lost()\n",
         "            pass\n",
         "test_platforminstances.UnnoticedOutageTest"
-        ".test_another_instance_has_lost_the_store",
+        ".test_only_a_report_shows_the_loss",
     ),
     Safeguard(
         "a late row of a former incarnation is ignored",
@@ -686,6 +686,60 @@
         "        return False\n",
         "test_following.FollowerTest.test_store_loss_ends_a_long_pause",
     ),
+    Safeguard(
+        "a store that is lost for all is called often by few",
+        "storebackoff",
+        "if lost_by_others and not answered:",
+        "if False:",
+        "test_storecalls.OutageCallsTest.test_store_rejects_all",
+    ),
+    Safeguard(
+        "only recent data allows long pauses between failed calls",
+        "storebackoff",
+        "if age_s <= CONFIRMED_AGE_S:",
+        "if True:",
+        "test_storecalls.ClassifyTest.test_data_has_become_old",
+    ),
+    Safeguard(
+        "one kind of call at a time tries a lost store",
+        "storeturns",
+        "        if self._prober not in (None, call):\n"
+        "            self._waiting[call]",
+        "        if False:\n            self._waiting[call]",
+        "test_storecalls.OutageCallsTest.test_store_rejects_all",
+    ),
+    Safeguard(
+        "a failed call passes its turn on",
+        "storeturns",
+        "if self._prober == call and self._waiting:",
+        "if False:",
+        "test_storecalls.TurnsTest.test_calls_alternate_until_one_is_answered",
+    ),
+    Safeguard(
+        "fetched data is as recent as the sender's",
+        "peerstatus",
+        "        if not self._registry.is_behind(standing):\n"
+        "            self._newer_report",
+        "        if False:\n            self._newer_report",
+        "test_storecalls.ForwardedChangesTest"
+        ".test_data_is_confirmed_though_changes_come_in_series",
+    ),
+    Safeguard(
+        "a snapshot that lacks reported data does not confirm it",
+        "peerstatus",
+        "        if not self._registry.is_behind(standing):\n"
+        "            self._newer_report",
+        "        if True:\n            self._newer_report",
+        "test_storecalls.ForwardedChangesTest"
+        ".test_snapshot_that_lacks_reported_data",
+    ),
+    Safeguard(
+        "an instance that starts uses another's data",
+        "platform/root",
+        "self._has_peer_data = self.registry.complete",
+        "self._has_peer_data = False",
+        "test_storestarts.StartCallsTest.test_seed_answers",
+    ),
     Safeguard(
         "updates without requests are repeated to owners",
         "placementclient",
--- a/tests/test_platforminstances.py
+++ b/tests/test_platforminstances.py
@@ -7,12 +7,12 @@
 import anyio
 from anyio.abc import SocketAttribute
 
-from jasminerelay import peerlink
+from jasminerelay import followerroles, peerlink
 from jasminerelay.httpclient import NotSentError
 from jasminerelay.platform import root
 from jasminerelay.platform.root import REGISTER_PAUSE_S
 from jasminerelay.registry import StoreStatus
-from jasminerelay.storefollowing import MIN_RECHECK_AGE_S
+from jasminerelay.storefollowing import LONG_POLL_S, MIN_RECHECK_AGE_S
 from standins.platformsite import API_KEY, HOST, PLAIN_BACKEND, SiteOptions
 from tests.platformcase import WAIT_S, PlatformCase, events, fetch
 
@@ -175,6 +175,26 @@
                 answer = await self.ask(instance, "/confirm/x")
                 self.assertEqual(answer.status, 200)
 
+    @unittest.mock.patch.object(root, "LEADER_LONG_POLL_S", LONG_POLL_S)
+    @unittest.mock.patch.object(
+        followerroles.FollowerRole, "poll_age_s", lambda *_, **__: 1e9
+    )
+    async def test_only_a_report_shows_the_loss(self) -> None:
+        # The same where neither the age of the data nor the leader's calls
+        # would show it: the report alone must cause a call.
+        async with self.site(2) as (site, (first, second)):
+            await self.until(lambda: first.live_instance_count == 2)
+            await self.until(lambda: second.live_instance_count == 2)
+            await anyio.sleep(2 * MIN_RECHECK_AGE_S)
+            site.store.faults.down = True
+            site.links["edge-1"].reset()
+            for instance in (first, second):
+                await self.until(
+                    lambda i=instance: (
+                        i.registry.standing.touch == StoreStatus.UNREACHABLE
+                    )
+                )
+
 
 class DiscoveryTest(PlatformCase):
     """Instances that start without addresses of each other."""
--- a/tests/test_storecalls.py
+++ b/tests/test_storecalls.py
@@ -11,7 +11,7 @@
 import anyio
 
 from jasminerelay import followerroles, storefollowing
-from jasminerelay.followerroles import FollowerRole
+from jasminerelay.followerroles import FOLLOWERS_PER_ZONE, FollowerRole
 from jasminerelay.freshness import Freshness
 from jasminerelay.peerstatus import PeerStatusTable
 from jasminerelay.registry import Registry, StoreStatus
@@ -322,6 +322,42 @@
         self.simulate(scenario)
 
 
+class SimultaneousStartTest(unittest.TestCase):
+    """All instances start at once."""
+
+    def simulate(self, scenario, *, up: bool = True) -> None:
+        """Runs a scenario, with a store that answers at the start or not."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = World(self, seed, INSTANCES, scenario)
+                world.store.up = up
+                virtualtime.run(world.run, (storefollowing, followerroles))
+
+    def test_few_read_the_tables(self) -> None:
+        # Guards against reads of both tables by every instance at once after a
+        # power loss.
+        async def scenario(world: World) -> None:
+            readers = set(world.store.readers)
+            self.assertLessEqual(len(readers), 3 * FOLLOWERS_PER_ZONE)
+            self.assertTrue(all(n.version for n in world.nodes.values()))
+
+        self.simulate(scenario)
+
+    def test_store_is_unavailable(self) -> None:
+        # Guards against reads several times a second by every instance, and
+        # against data that comes late, where the store is down at the start.
+        async def scenario(world: World) -> None:
+            await anyio.sleep(OUTAGE_S - now())
+            self.assertLess(len(world.store.calls), MAX_CALLS)
+            world.store.up, world.store.up_since = True, now()
+            world.store.write_configuration()
+            await anyio.sleep(MAX_DELAY_AFTER_RETURN_S)
+            versions = {node.version for node in world.nodes.values()}
+            self.assertEqual(versions, {world.store.configuration})
+
+        self.simulate(scenario, up=False)
+
+
 class ForwardedChangesTest(unittest.TestCase):
     """Calls of instances to which others forward changes."""
 
--- a/tests/test_storestarts.py
+++ b/tests/test_storestarts.py
@@ -145,6 +145,20 @@
                 site.write_configuration()
                 await self.until(lambda: instance.version == site.version)
 
+    async def test_response_to_the_own_row_is_lost(self) -> None:
+        # Guards against an instance that others cannot find: it writes its row
+        # again if it does not know whether the store has it.
+        async with self.site(1) as (site, others):
+            await self.settled(others)
+            site.store.faults.lose_acks = 1
+            seed = others[0].boot.peers
+            async with self.started(site, others, seed) as (instance, urls):
+                await self.until(
+                    lambda: sum("rows-tx" in url for url in urls) == 2
+                )
+                rows = site.store.keys("jasminerelay_instances")
+                self.assertIn(instance.boot.ip, rows)
+
 
 class SimultaneousStartTest(unittest.TestCase):
     """All instances start at once."""
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -20,7 +20,11 @@
 from jasminerelay.membership import ALIVE
 from jasminerelay.metrics import Counters
 from jasminerelay.peerstatus import PeerStatusTable
-from jasminerelay.platform.root import MAX_CONFIRMED_AGE_S, START_WAIT_S
+from jasminerelay.platform.root import (
+    INDIRECT_START_WAIT_S,
+    MAX_CONFIRMED_AGE_S,
+    START_WAIT_S,
+)
 from jasminerelay.platform.storeclient import CALL_TIMEOUT_S
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import Member, ServerRow
@@ -72,6 +76,7 @@
 
     Attributes:
         calls: Time and instance of each call, answered or not.
+        readers: Instance of each call for all rows of a table.
     """
 
     def __init__(self) -> None:
@@ -83,6 +88,7 @@
         self.rows: list[tuple[str, ServerRow]] = []
         self.accepted: list[tuple[float, int]] = []
         self.calls: list[tuple[float, str]] = []
+        self.readers: list[str] = []
         self._changed = anyio.Event()
 
     @property
@@ -166,6 +172,7 @@
 
     async def read(self) -> TablePage:
         """Returns all rows."""
+        self._node.world.store.readers.append(self._node.name)
         return await self.changes(0, 0.0)
 
     async def changes(self, after: int, wait_s: float) -> TablePage:
@@ -291,7 +298,10 @@
 
     async def _start(self, version: Callable[[], int]) -> int | None:
         """Waits for other instances' data as an instance does at its start."""
-        with anyio.move_on_after(START_WAIT_S):
+        known = self.world.seen_by(self)
+        reads = followerroles.reads_at_start(self.member, known)
+        limit_s = START_WAIT_S if reads else INDIRECT_START_WAIT_S
+        with anyio.move_on_after(limit_s):
             while not self.registry.complete:
                 await anyio.sleep(STEP_S)
         return version() if self.registry.complete else None
