--- a/bench/instancepeers.py
+++ b/bench/instancepeers.py
@@ -20,17 +20,21 @@
     OWNER_FANOUT,
     PROBE_ROUNDS,
 )
-from jasminerelay.placementmessages import PLACED
+from jasminerelay.placementclient import EMPTY_UPDATE_REPEATS
+from jasminerelay.placementmessages import NO_VALUE, PLACED
 from jasminerelay.schema.messages import (
     CellQueue,
     CellUpdate,
     Gossip,
+    InFlightReport,
     ManifestPointer,
     Member,
     OwnerAnswers,
     PeerMessage,
     PlacementAnswer,
+    PlacementRequest,
     ReplicaStatus,
+    RequestEndReport,
     RouteDemand,
     ServerLoad,
 )
@@ -39,6 +43,8 @@
 """Instances that own a cell of eight servers, with one server per instance."""
 
 SERVERS_PER_CELL = 8
+EVENTS = 42
+FIRST_EVENT_S = 0.09
 ZONES = ("north", "south", "west")
 DATA_AGE_MS = 150
 """Age of the data that followers report; keeps the instance from asking the
@@ -82,6 +88,7 @@
             for index, item in enumerate(self._sockets)
         ]
         self._own = ""
+        self._placed: dict[int, asyncio.Future[PlacementAnswer]] = {}
         self._standing: ReplicaStatus | None = None
         self.servers: list[str] = []
         self.received = 0
@@ -123,6 +130,55 @@
         )
         self._send(index, message)
 
+    async def place_at_owner(self, index: int) -> None:
+        """Has the real instance place a request, and reports its course."""
+        number = next(self._numbers)
+        placed = self._placed[number] = (
+            asyncio.get_running_loop().create_future()
+        )
+        request = PlacementRequest(
+            number,
+            f"call-{number}",
+            "chat",
+            0,
+            True,
+            1,
+            3000,
+            [],
+            40,
+            EVENTS,
+            NO_VALUE,
+            [number],
+            [60],
+            False,
+        )
+        self._update(index, asks=[request])
+        answer = await placed
+        run = InFlightReport(number, answer.server, 100, answer.memory, 90)
+        await asyncio.sleep(FIRST_EVENT_S)
+        self._update(index, runs=[run])
+        await asyncio.sleep(FIRST_EVENT_S)
+        end = RequestEndReport(number, answer.server, True, False, EVENTS)
+        self._update(index, ended=[end])
+        for _ in range(EMPTY_UPDATE_REPEATS):
+            await asyncio.sleep(LOAD_INTERVAL_S)
+            self._update(index)
+
+    def _update(self, index: int, asks=(), runs=(), ended=()) -> None:
+        member = self._members[index]
+        message = CellUpdate(
+            member.instance,
+            member.peers,
+            self._service,
+            0,
+            next(self._numbers),
+            list(asks),
+            list(runs),
+            list(ended),
+            [],
+        )
+        self._send(index, message)
+
     def _send_round(self, round_number: int) -> None:
         if self._standing is None:
             return
@@ -161,6 +217,10 @@
                 self._send_gossip(index, ACK)
         elif isinstance(message, CellUpdate) and message.asks:
             self._place(index, message)
+        elif isinstance(message, OwnerAnswers):
+            for answer in message.answers:
+                if answer.state == PLACED and answer.number in self._placed:
+                    self._placed.pop(answer.number).set_result(answer)
 
     def _place(self, index: int, message: CellUpdate) -> None:
         answers = [
--- a/bench/requestcost.py
+++ b/bench/requestcost.py
@@ -4,14 +4,15 @@
 
 One instance runs in a process of its own against the stand-in site. Prints the
 CPU time of an idle second, a plain request and a stream of 42 events, alone and
-among 80 instances, and of a peer message received. Each figure is the minimum
+among 80 instances, and of a peer message received and a placement as the owner
+of a cell. Each figure is the minimum
 of several rounds; the idle CPU time of the same case is deducted from those of
 requests and messages.
 
 Options:
   --rounds=N      Rounds of each measurement [default: 3].
   --profile=FILE  Writes cProfiles among 80 instances instead: FILE.idle,
-                  FILE.streams and FILE.plain.
+                  FILE.streams, FILE.owner and FILE.plain.
   --only=CASE     Measures one case only: "alone" or "among".
 """
 
@@ -56,6 +57,8 @@
 STREAM_INTERVAL_S = 0.05
 MESSAGES = 500
 MESSAGE_INTERVAL_S = 0.004
+PLACEMENTS = 80
+PLACEMENT_INTERVAL_S = 0.025
 READY_TIMEOUT_S = 20.0
 PROFILE_WRITE_S = 0.5
 
@@ -249,7 +252,7 @@
     requests = Requests(run)
     await requests.plain()
     await requests.stream()
-    plain, streams, messages = [], [], []
+    plain, streams, messages, placements = [], [], [], []
     for _ in range(rounds):
         work = _paced(REQUESTS, PLAIN_INTERVAL_S, requests.plain)
         plain.append(await _cost_us(run, share, REQUESTS, work))
@@ -258,6 +261,8 @@
         if run.peers is not None:
             work = _send_messages(run.peers)
             messages.append(await _cost_us(run, share, MESSAGES, work))
+            work = _place(run.peers)
+            placements.append(await _cost_us(run, share, PLACEMENTS, work))
     found = {
         "idle, % of a core": round(100 * share, 2),
         "wake-ups/s": round(wakes, 1),
@@ -266,6 +271,7 @@
     }
     if messages:
         found["message received, us"] = round(min(messages))
+        found["placement as owner, ms"] = round(min(placements) / 1e3, 2)
     return found
 
 
@@ -275,12 +281,22 @@
         await asyncio.sleep(MESSAGE_INTERVAL_S)
 
 
+async def _place(peers: InstancePeers) -> None:
+    numbers = itertools.cycle(range(INSTANCES - 1))
+    await _paced(
+        PLACEMENTS,
+        PLACEMENT_INTERVAL_S,
+        lambda: peers.place_at_owner(next(numbers)),
+    )
+
+
 async def _profile(profile: str) -> None:
     async with running_instance(INSTANCES, profile) as run:
         await _profiled(run, f"{profile}.idle", asyncio.sleep(2 * IDLE_S))
         requests = Requests(run)
         work = _paced(2 * STREAMS, STREAM_INTERVAL_S, requests.stream)
         await _profiled(run, f"{profile}.streams", work)
+        await _profiled(run, f"{profile}.owner", _place(run.peers))
         work = _paced(2 * REQUESTS, PLAIN_INTERVAL_S, requests.plain)
         await _profiled(run, f"{profile}.plain", work)
 
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -131,6 +131,8 @@
         self._rng = rng
         self._number = 0
         self.peer_status = PeerStatusTable(registry, freshness)
+        # Looked up once: each access to the method creates it anew.
+        self._dispatch_message = self._dispatch
         self._behind = anyio.Event()
         self._addresses: set[str] = set()
         self._live: set[str] = set()
@@ -340,7 +342,7 @@
         except ValueError:
             self._counters.incr("peer.unreadable")
             return
-        self._dispatch(message)
+        self._dispatch_message(message)
 
     @functools.singledispatchmethod
     def _dispatch(self, message: CellUpdate) -> None:
