--- a/src/jasminerelay/datagrams.py
+++ b/src/jasminerelay/datagrams.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import functools
 from collections.abc import Callable
 
 MAX_WAITING = 200
@@ -42,7 +43,6 @@
             collections.deque()
         )
         self._full = False
-        self._targets: dict[str, tuple[str, int]] = {}
 
     async def run(self, address: str) -> None:
         """Sends and receives until cancelled.
@@ -75,10 +75,7 @@
             return True
         if self._full:
             return False
-        target = self._targets.get(address)
-        if target is None:
-            target = self._targets[address] = _host_and_port(address)
-        self._transport.sendto(data, target)
+        self._transport.sendto(data, _host_and_port(address))
         return True
 
     def datagram_received(self, data: bytes, addr: object) -> None:
@@ -108,6 +105,7 @@
             self._closed.set_exception(exc)
 
 
+@functools.lru_cache(maxsize=1024)
 def _host_and_port(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
