--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -133,6 +133,8 @@
         self._rng = rng
         self._number = 0
         self.peer_status = PeerStatusTable(registry, freshness)
+        # Looked up once: each access to the method creates it anew.
+        self._dispatch_message = self._dispatch
         self._behind = anyio.Event()
         self._addresses: set[str] = set()
         self._has_new_addresses = False
@@ -359,7 +361,7 @@
         except ValueError:
             self._counters.incr("peer.unreadable")
             return
-        self._dispatch(message)
+        self._dispatch_message(message)
 
     @functools.singledispatchmethod
     def _dispatch(self, message: CellUpdate) -> None:
@@ -466,7 +468,7 @@
         self.peer_status.record_fetch(now_s())
 
     def _note_changes(self) -> None:
-        self.peer_status.retain(self.membership.is_known)
+        self.peer_status.retain(self.membership.peer_names)
         members = self.membership.live()
         if members is self._live_members:
             return
