--- a/tests/test_unevenservers.py
+++ b/tests/test_unevenservers.py
@@ -1,16 +1,21 @@
 """Tests placements on backend servers of different speed."""
 
+import contextlib
 import dataclasses
 import random
 import unittest
 import unittest.mock
+from collections.abc import Iterator
 
 import anyio
 import msgspec
 
 from jasminerelay import peermessages, placementclient
 from jasminerelay.dispatcher import Dispatcher
-from jasminerelay.scheduling.concurrencylimit import ConcurrencyLimit
+from jasminerelay.scheduling.servercapacity import (
+    USUAL_SERVER,
+    ServerCapacities,
+)
 from jasminerelay.scheduling.serverspeeds import ServerSpeeds
 from jasminerelay.schema.messages import CellUpdate, ServerObservation
 from standins.platformsite import SiteOptions
@@ -22,6 +27,19 @@
 """Requests per second at which the uneven servers are about two thirds busy."""
 
 
+@contextlib.contextmanager
+def without_estimates() -> Iterator[None]:
+    """Places requests as if nothing were known about any server."""
+    with (
+        unittest.mock.patch.object(
+            ServerCapacities, "view", lambda *args: USUAL_SERVER
+        ),
+        unittest.mock.patch.object(ServerSpeeds, "slowness", lambda *args: 1.0),
+        unittest.mock.patch.object(ServerSpeeds, "lasting", lambda *args: 1.0),
+    ):
+        yield
+
+
 class UnevenServersTest(unittest.TestCase):
     """Placement on servers of different speed, some of them slowed in turn.
 
@@ -84,21 +102,20 @@
         for instances in (1, 3):
             with self.subTest(instances=instances):
                 found = self.placements(instances)
-                with (
-                    unittest.mock.patch.object(
-                        ServerSpeeds, "slowness", lambda *args: 1.0
-                    ),
-                    unittest.mock.patch.object(
-                        ServerSpeeds, "lasting", lambda *args: 1.0
-                    ),
-                    unittest.mock.patch.object(
-                        ConcurrencyLimit,
-                        "limit",
-                        lambda self, server, slots, now: slots,
-                    ),
-                ):
+                with without_estimates():
                     self.assertEqual(found, self.placements(instances))
 
+    def test_same_times_at_plain_servers(self) -> None:
+        # Guards against the same at plain services: the times of all answers
+        # are equal only if all placements are.
+        for rate in (40.0, 300.0):
+            with self.subTest(rate=rate):
+                found = PlainWorld(EVEN, 3, rate).run(20.0, 1.0)
+                self.assertGreater(len(found.total_s), 500)
+                with without_estimates():
+                    other = PlainWorld(EVEN, 3, rate).run(20.0, 1.0)
+                self.assertEqual(found.total_s, other.total_s)
+
     def placements(self, instances: int) -> list[str]:
         """Returns the servers that the requests get."""
         world = SpeedWorld(EVEN, instances, rate=RATE).run(30.0)
