--- a/bench/instancepeers.py
+++ b/bench/instancepeers.py
@@ -10,6 +10,8 @@
 import random
 import socket
 
+import msgspec
+
 from jasminerelay import followerroles, peermessages
 from jasminerelay.membership import ACK, ALIVE, PROBE
 from jasminerelay.peerlink import (
