Read the tables sooner when all instances start at once

Cause: with no instance that has data, those that read the tables for all waited 0.3 s for others first, and callers with them. Change: 0.1 s without an answer of an instance that accepts callers.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -36,7 +36,7 @@
 from jasminerelay.headlimits import HeadLimits
 from jasminerelay.httpclient import HttpClient
 from jasminerelay.limitwatch import LimitWatch
-from jasminerelay.membership import LEAVING
+from jasminerelay.membership import ALIVE, LEAVING
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import StreamMigrator
 from jasminerelay.ownedcells import OwnedCells
@@ -99,7 +99,11 @@
 INDIRECT_START_WAIT_S = 0.6
 """How long an instance that starts waits for other instances' data before it
 reads the tables itself; the latter if others that start with it follow the
-store closely."""
+store closely. They start within some 0.3 s of each other."""
+
+FIRST_CONTACT_S = 0.1
+"""How long those others wait while no instance is known that accepts callers:
+after a power loss none has data, and all callers wait for them."""
 
 START_STEP_S = 0.02
 """Interval at which it looks whether the data has come."""
@@ -728,17 +732,14 @@
         """Waits for other instances' data, which saves reading the tables.
 
         If all instances start at once, those that follow the store closely read
-        the tables, and the others wait somewhat longer.
+        the tables soon, and the others wait for them.
         """
         if not self._peers.has_addresses:
             with anyio.move_on_after(START_WAIT_S):
                 await self._find_peers()
         began = time.monotonic()
         while self._peers.has_addresses and not self.registry.complete:
-            known = self._peers.membership.view
-            reads = followerroles.reads_at_start(known[0], known)
-            limit_s = START_WAIT_S if reads else INDIRECT_START_WAIT_S
-            if time.monotonic() - began > limit_s:
+            if time.monotonic() - began > self._start_wait_s():
                 break
             await anyio.sleep(START_STEP_S)
         self._has_peer_data = self.registry.complete
@@ -746,6 +747,14 @@
         self._update_instances()
         self._peer_data_awaited.set()
 
+    def _start_wait_s(self) -> float:
+        known = self._peers.membership.view
+        if any(member.state == ALIVE for member in known[1:]):
+            return START_WAIT_S
+        if followerroles.reads_at_start(known[0], known):
+            return FIRST_CONTACT_S
+        return INDIRECT_START_WAIT_S
+
     async def _configuration_start(self) -> int | None:
         """Returns the version from which to follow the configuration."""
         await self._peer_data_awaited.wait()
--- a/tests/test_storestarts.py
+++ b/tests/test_storestarts.py
@@ -94,6 +94,7 @@
             )
 
     @unittest.mock.patch.object(root, "START_WAIT_S", BUSY_WAIT_S)
+    @unittest.mock.patch.object(root, "FIRST_CONTACT_S", BUSY_WAIT_S)
     async def test_seed_answers(self) -> None:
         # Guards against starts that read all tables though others have them:
         # a rolling restart of many instances loads the store.
@@ -109,6 +110,7 @@
                 await self.until(lambda: instance.version == site.version)
 
     @unittest.mock.patch.object(root, "START_WAIT_S", BUSY_WAIT_S)
+    @unittest.mock.patch.object(root, "FIRST_CONTACT_S", BUSY_WAIT_S)
     async def test_without_seeds(self) -> None:
         # The same where the instance finds the others by their rows.
         async with self.site(2) as (site, others):
--- a/tests/versionworld.py
+++ b/tests/versionworld.py
@@ -21,9 +21,9 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.peerstatus import PeerStatusTable
 from jasminerelay.platform.root import (
+    FIRST_CONTACT_S,
     INDIRECT_START_WAIT_S,
     MAX_CONFIRMED_AGE_S,
-    START_WAIT_S,
 )
 from jasminerelay.platform.storeclient import CALL_TIMEOUT_S
 from jasminerelay.registry import Registry
@@ -300,7 +300,7 @@
         """Waits for other instances' data as an instance does at its start."""
         known = self.world.seen_by(self)
         reads = followerroles.reads_at_start(self.member, known)
-        limit_s = START_WAIT_S if reads else INDIRECT_START_WAIT_S
+        limit_s = FIRST_CONTACT_S if reads else INDIRECT_START_WAIT_S
         with anyio.move_on_after(limit_s):
             while not self.registry.complete:
                 await anyio.sleep(STEP_S)
