--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1088,4 +1088,34 @@
         "test_serverspeeds.MomentaryFactorTest"
         ".test_same_statement_all_the_time",
     ),
+    Safeguard(
+        "a kind whose servers have all failed uses others",
+        "dispatcher",
+        "if group_failed or self._may_use_any_server(call, now):",
+        "if self._may_use_any_server(call, now):",
+        "test_crashedgroups.CrashedGroupTest"
+        ".test_short_requests_use_other_kinds_servers_at_once",
+    ),
+    Safeguard(
+        "servers that failed twice in a row are no capacity",
+        "stragglers",
+        "return failures >= UNAVAILABLE_AFTER_FAILURES",
+        "return False",
+        "test_crashedgroups.CrashedGroupTest"
+        ".test_crashed_servers_are_no_capacity",
+    ),
+    Safeguard(
+        "an unavailable server is probed",
+        "dispatcher",
+        "if server.id in names or health.unavailable(server.id)",
+        "if server.id in names",
+        "test_crashedgroups.CrashedGroupTest.test_unavailable_server_is_probed",
+    ),
+    Safeguard(
+        "the most urgent kind is rounded up under overload",
+        "groups",
+        "rounds_up = kind in urgent and missing > URGENT_ROUND_UP",
+        "rounds_up = False",
+        "test_groups.SplitTest.test_urgent_kind_is_rounded_up_under_overload",
+    ),
 )
