--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -133,7 +133,6 @@
         self._base = f"http://{address}"
         self._warn = warn
         self._max_clock_offset_s = -math.inf
-        self._call_failed = False
         self._era: int | None = None
         self._first_era: int | None = None
         self._era_seen_at = -math.inf
@@ -304,18 +303,12 @@
         return _decode(reply), self._era_of(reply)
 
     async def _call(self, exchange: HttpRequest) -> HttpResponse:
-        if self._call_failed:
-            # All pooled connections may be dead, and each of them would fail
-            # another call, seconds apart.
-            exchange = dataclasses.replace(exchange, new_connection=True)
         try:
             reply = await self._client.call(exchange)
         except (NotSentError, IncompleteExchangeError) as exc:
-            self._call_failed = True
             raise StoreError(
                 f"the store did not respond: {exc}", retry_s=RETRY_S
             ) from exc
-        self._call_failed = False
         self._record_era(reply)
         return reply
 
