Announce the prompt prefixes that placements bring to servers

Cause: with fewer than 24 instances each knows only its own placements. When the first server of a prefix is full, each instance brings the prefix to another server, or copies it from one that does not have it.

Change: from 12 instances on, the periodic datagram carries the shared parts that a placement brings to a server, twice. Receivers add them to their index.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -44,7 +44,16 @@
     StatedLoad,
 )
 from jasminerelay.scheduling.serverspeeds import SpeedEstimate
-from jasminerelay.schema.messages import EngineSample, RouteDemand, ServerLoad
+from jasminerelay.scheduling.sharedprefixes import (
+    MIN_INSTANCES_TO_ANNOUNCE,
+    PrefixAnnouncements,
+)
+from jasminerelay.schema.messages import (
+    CachedParts,
+    EngineSample,
+    RouteDemand,
+    ServerLoad,
+)
 from jasminerelay.serverlimits import Allowance
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.stragglers import Stragglers
@@ -130,6 +139,7 @@
     """Chooses servers for requests; opens no connections.
 
     Attributes:
+        announcements: Prompt parts to report to the other instances.
         measures_step_times: Whether step times are measured from the streams of
             this instance; otherwise cell owners receive them in reports.
     """
@@ -173,6 +183,7 @@
         self._splits_updated_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._prefixes = PrefixIndex()
+        self.announcements = PrefixAnnouncements()
         self._caches = caches
         self._allowance = Allowance() if allowance is None else allowance
         self._pauses = pauses
@@ -216,6 +227,11 @@
                     item.server, item.token_us / US_PER_S, now
                 )
 
+    def apply_cached_parts(self, cached: Iterable[CachedParts]) -> None:
+        """Records prompt parts that other instances have brought to servers."""
+        for item in cached:
+            self._prefixes.add(item.server, tuple(item.parts))
+
     def record_response(self, server: str, now: float) -> None:
         """Records that a server sent some response, whatever it was."""
         self._response_monitor.record_response(server, now)
@@ -679,6 +695,10 @@
         part_hashes = [part_hash(part.id) for part in parts]
         engine = self.engine_of(call.service)
         if self._caches is None or engine is None:
+            if self._instances() >= MIN_INSTANCES_TO_ANNOUNCE:
+                shared = part_hashes[: len(call.prompt.shared_parts)]
+                known = self._prefixes.matched(server, shared)
+                self.announcements.record(server, shared[known:])
             self._prefixes.add(server, tuple(part_hashes))
             return
         tokens = [part.tokens for part in parts]
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -313,6 +313,7 @@
         message = msgspec.structs.replace(
             self._peer_message(None),
             samples=self._dispatcher.engine_models.take_unsent_samples(),
+            cached=self._dispatcher.announcements.take_unsent(),
         )
         data = peermessages.encode(message)
         for member in chosen:
@@ -412,6 +413,7 @@
         demand = peermessages.demand_rows(message.demand)
         self._dispatcher.demand.update(message.sender, demand, now)
         self._dispatcher.engine_models.add_peer_samples(message.samples, now)
+        self._dispatcher.apply_cached_parts(message.cached)
         if self._owned is not None:
             self._owned.queues.update(message.queues, now)
             if message.standing.touch != StoreStatus.UNREACHABLE:
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -300,6 +300,15 @@
     seconds: float
 
 
+class CachedParts(Struct, frozen=True):
+    """
+    Shared parts of prompts that a backend server has recently been sent.
+    """
+
+    server: str
+    parts: list[int]
+
+
 class PlacementRequest(Struct, frozen=True):
     """
     Requests a placement from a cell's owner.
@@ -521,6 +530,7 @@
     demand: DemandColumns
     samples: list[EngineSample] = field(default_factory=list)
     queues: list[CellQueue] = field(default_factory=list)
+    cached: list[CachedParts] = field(default_factory=list)
 
 
 class Messages(Struct, frozen=True):
