Copy a prompt prefix from any server that has it

Cause: the source of a copy was one of the servers that the request could be placed on. After a change of the split, or where a request overflows to the servers of another kind, the server that has the prefix is not among them, and the prefix was prefilled again, or "copied" from a server without it.

Change: servers that are known to have the last shared part count as sources, whatever their kind and load. PrefixIndex and CacheView find them by part.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -82,6 +82,10 @@
 burst dozens of requests are queued and examined thirty times a second;
 computing it for each would take most of the processor."""
 
+MAX_COPY_SOURCES = 4
+"""Servers examined as the source of a prefix's copy. The latest ones are the
+least likely to have evicted it."""
+
 CURRENT_SERVER_SHARE = 0.85
 """Share of the time left that the rest of an answer may take at its present
 engine before the stream is moved to a faster one."""
@@ -478,7 +482,13 @@
             options = _unblock_if_all_blocked(options)
             group_failed = False
         placed = placing.place_model(
-            call, engine, speeds, options, estimate, now
+            call,
+            engine,
+            speeds,
+            options,
+            estimate,
+            now,
+            self._other_prefix_holders(call, servers, group),
         )
         if isinstance(placed, PlacementDecision):
             return placed
@@ -497,7 +507,38 @@
         options = placing.with_prefill_at_most(
             self._options(call, others), allowed
         )
-        return placing.place_model(call, engine, speeds, options, estimate, now)
+        return placing.place_model(
+            call,
+            engine,
+            speeds,
+            options,
+            estimate,
+            now,
+            self._other_prefix_holders(call, servers, others),
+        )
+
+    def _other_prefix_holders(
+        self,
+        call: Call,
+        servers: list[BackendServer],
+        candidates: list[BackendServer],
+    ) -> list[PlacementCandidate]:
+        """Returns servers besides the candidates that have the prefix cached.
+
+        They are no choice for the request, but its prefix can be copied from
+        them. A kind with few servers finds its prefixes at those of other kinds
+        after each change of the split.
+        """
+        shared = call.prompt.shared_parts
+        if not shared:
+            return []
+        view = self._prefixes if self._caches is None else self._caches
+        names = view.holders(part_hash(shared[-1].id))[:MAX_COPY_SOURCES]
+        names = set(names) - {server.id for server in candidates}
+        if not names:
+            return []
+        others = [server for server in servers if server.id in names]
+        return [x for x in self._options(call, others) if not x.blocked]
 
     def _options(
         self, call: Call, servers: list[BackendServer]
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -174,6 +174,7 @@
     options: Sequence[PlacementCandidate],
     estimate: OutputEstimate,
     now: float,
+    other_holders: Sequence[PlacementCandidate] = (),
 ) -> PlacementDecision | Wait:
     """Places a model request on one of its group's servers.
 
@@ -184,13 +185,15 @@
         options: The servers.
         estimate: Expected output length of the request.
         now: Monotonic time.
+        other_holders: Further servers, from which the prompt's prefix can be
+            copied.
     """
     candidates = [item for item in options if not item.blocked]
     if not candidates:
         return Wait("service has no usable server")
     first_choice, *next_choices = _preference_order(call, candidates)
     prefix_holders = _likely_prefix_holders(
-        candidates, [first_choice, *next_choices]
+        [*candidates, *other_holders], [first_choice, *next_choices]
     )
     scored = [
         _score(
@@ -451,7 +454,10 @@
     positions = {name: place for place, name in enumerate(ranked)}
     return sorted(
         options,
-        key=lambda item: (-item.cached_tokens, positions[item.server.id]),
+        key=lambda item: (
+            -item.cached_tokens,
+            positions.get(item.server.id, len(positions)),
+        ),
     )[:2]
 
 
--- a/src/jasminerelay/prefix.py
+++ b/src/jasminerelay/prefix.py
@@ -49,6 +49,7 @@
         self._entries: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
+        self._holders: dict[int, dict[str, None]] = {}
         self._sequence: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -59,8 +60,11 @@
         for block in hashes:
             self._entries[server, block] = None
             self._entries.move_to_end((server, block))
+            holders = self._holders.setdefault(block, {})
+            holders.pop(server, None)
+            holders[server] = None
         while len(self._entries) > self._capacity:
-            self._entries.popitem(last=False)
+            self._remove(*next(iter(self._entries)))
 
     def event(
         self,
@@ -83,14 +87,25 @@
         if sequence > expected:
             self.forget(server)
         for block in removed:
-            self._entries.pop((server, block), None)
+            self._remove(server, block)
         self.add(server, stored)
 
     def forget(self, server: str) -> None:
         """Deletes all entries of a server."""
         stale = [key for key in self._entries if key[0] == server]
         for key in stale:
-            del self._entries[key]
+            self._remove(*key)
+
+    def holders(self, block: int) -> list[str]:
+        """Returns the servers that probably have a block, the latest first."""
+        return list(reversed(self._holders.get(block, {})))
+
+    def _remove(self, server: str, block: int) -> None:
+        self._entries.pop((server, block), None)
+        holders = self._holders.get(block, {})
+        holders.pop(server, None)
+        if not holders:
+            self._holders.pop(block, None)
 
     def matched(self, server: str, hashes: tuple[int, ...]) -> int:
         """Returns how many leading blocks a server probably has cached."""
@@ -144,6 +159,10 @@
             _, tokens = held.popitem(last=False)
             self._tokens[server] -= tokens
 
+    def holders(self, part: int) -> list[str]:
+        """Returns the servers that have a part cached."""
+        return [name for name, held in self._parts.items() if part in held]
+
     def matched(self, server: str, hashes: Sequence[int]) -> int:
         """Returns how many leading parts a server has cached."""
         held = self._parts.get(server, {})
