Read long responses and send long bodies at the other side's pace

Cause: a connection to a server could only be read whole or up to 128 KB ahead, and a body over 64 KB was copied with its head and once more into the transport's buffer.

Change: ServerResponse.pace reads only as far as asked, with a bounded receive buffer of the kernel; read_up_to reads the beginning; bodies over 64 KB go to the transport in pieces. A response that ends before the body was sent closes the connection. Small bodies and responses are as before.

--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -21,6 +21,14 @@
 MAX_BUFFERED_BYTES = 64 * 1024
 """Bytes of a body that may wait for the caller before reading pauses."""
 
+PACED_BUFFER_BYTES = 64 * 1024
+"""Receive buffer requested for the rest of a long response. The kernel would
+let it grow to megabytes, which count as memory of the instance."""
+
+SEND_PIECE_BYTES = 64 * 1024
+"""Size of the pieces in which a body is handed to the transport, which copies
+what its socket does not accept at once."""
+
 MAX_HEAD_BYTES = 100 * 1024
 
 HeaderFields = list[tuple[bytes, bytes]]
@@ -43,6 +51,8 @@
         self._failure: Exception | None = None
         self._at_end = False
         self._unexpected_data = False
+        self._unsent = memoryview(b"")
+        self._write_paused = False
         self.timeout_s = 0.0
 
     @property
@@ -89,7 +99,7 @@
         response.parser = self._parser
         try:
             if self._failure is None and not self._at_end:
-                self._transport.write(data + body)
+                self._write(data, body)
             while not response.has_head:
                 await self.wait()
         except BaseException:
@@ -118,16 +128,50 @@
         """Ends the exchange; closes the connection unless it is reusable."""
         response, self._response = self._response, None
         self._parser = None
-        if response is None or not response.complete or not response.keep_alive:
+        if (
+            response is None
+            or not response.complete
+            or not response.keep_alive
+            or self._unsent
+        ):
             self.close()
 
     def close(self) -> None:
         """Closes the connection at once."""
         self._at_end = True
+        self._unsent = memoryview(b"")
         self._watchdog.release(self._guard)
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of the request that the transport holds."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether data or the end of the stream waits in the socket."""
+        return not self._transport.is_closing() and netstream.is_readable(
+            self._transport.get_extra_info("socket")
+        )
+
+    def limit_receive_buffer(self) -> None:
+        """Keeps the kernel from enlarging the socket's receive buffer."""
+        if not self._transport.is_closing():
+            self._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, PACED_BUFFER_BYTES
+            )
+
+    def pause_writing(self) -> None:
+        """Stops sending the body until the server has read some of it."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Sends more of the body."""
+        self._write_paused = False
+        self._write_more()
+
     def pause_reading(self) -> None:
         """Stops reading until the caller has taken what has arrived."""
         self._transport.pause_reading()
@@ -177,6 +221,24 @@
         self._at_end = True
         self._wake()
 
+    def _write(self, head: bytes, body: bytes) -> None:
+        if len(body) <= SEND_PIECE_BYTES:
+            self._transport.write(head + body)
+            return
+        self._transport.write(head)
+        self._unsent = memoryview(body)
+        self._write_more()
+
+    def _write_more(self) -> None:
+        while (
+            self._unsent
+            and not self._write_paused
+            and not self._transport.is_closing()
+        ):
+            piece = self._unsent[:SEND_PIECE_BYTES]
+            self._unsent = self._unsent[SEND_PIECE_BYTES:]
+            self._transport.write(piece)
+
     def _expire(self) -> None:
         self._failure = httpcore.ReadTimeout("no data within the read timeout")
         self._wake()
@@ -192,6 +254,7 @@
     Attributes:
         status: Status.
         headers: Header fields as sent.
+        length: Length of the body as its head states it; None if it does not.
         has_head: Whether the head is complete.
         head_bytes: Bytes that have arrived for the head.
         complete: Whether the body is complete.
@@ -206,9 +269,11 @@
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
         self._paused = False
+        self._max_buffered = MAX_BUFFERED_BYTES
         self._is_framed = False
         self.status = 0
         self.headers: HeaderFields = []
+        self.length: int | None = None
         self.has_head = False
         self.head_bytes = 0
         self.complete = False
@@ -224,12 +289,12 @@
         while not self._chunks:
             if self.complete:
                 return b""
+            self._resume()
             await self._connection.wait()
         chunks, self._chunks = self._chunks, []
         self._buffered_bytes = 0
-        if self._paused:
-            self._paused = False
-            self._connection.resume_reading()
+        if self._max_buffered or self.complete:
+            self._resume()
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
     async def aread(self) -> bytes:
@@ -239,6 +304,41 @@
             parts.append(part)
         return b"".join(parts)
 
+    async def read_up_to(self, count: int) -> tuple[bytes, bool]:
+        """Returns the body up to some bytes, and whether that is all of it.
+
+        A body that its head announces as longer is returned from its first
+        part on.
+        """
+        parts = []
+        size = 0
+        while part := await self.receive():
+            parts.append(part)
+            size += len(part)
+            if size > count or (self.length or 0) > count:
+                return b"".join(parts), self.complete and not self._chunks
+        return b"".join(parts), True
+
+    def pace(self, timeout_s: float) -> None:
+        """From now on reads the body only as far as `receive` asks for it.
+
+        Args:
+            timeout_s: Maximum time without any data from now on.
+        """
+        self._max_buffered = 0
+        self._connection.timeout_s = timeout_s
+        self._connection.limit_receive_buffer()
+
+    @property
+    def held_up(self) -> bool:
+        """Whether the server has sent data that has not been read."""
+        return self._paused and self._connection.has_unread
+
+    def _resume(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._connection.resume_reading()
+
     async def aclose(self) -> None:
         """Ends the exchange; an incomplete one closes the connection."""
         self._connection.release()
@@ -278,12 +378,18 @@
             return
         self.status = status
         self.has_head = True
+        is_chunked = False
         for name, value in self.headers:
-            if name.lower() == b"content-length" or (
+            if name.lower() == b"content-length":
+                self._is_framed = True
+                self.length = int(value) if value.isdigit() else None
+            elif (
                 name.lower() == b"transfer-encoding"
                 and b"chunked" in value.lower()
             ):
-                self._is_framed = True
+                self._is_framed = is_chunked = True
+        if is_chunked or not self._has_body:
+            self.length = None
         if not self._has_body:
             # The parser does not know that no body follows.
             self.complete = True
@@ -298,7 +404,7 @@
             return
         self._chunks.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
+        if self._buffered_bytes > self._max_buffered and not self._paused:
             self._paused = True
             self._connection.pause_reading()
 
--- a/tests/test_serverconnection.py
+++ b/tests/test_serverconnection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import unittest
 
 import httpcore
@@ -36,6 +38,12 @@
                         await writer.drain()
                         await asyncio.sleep(0.01)
 
+        async with self.server_of(serve) as connection:
+            yield connection
+
+    @contextlib.asynccontextmanager
+    async def server_of(self, serve):
+        """Runs a server with a connection handler; yields a connection."""
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.watchdog = Watchdog()
         checks = asyncio.create_task(self.watchdog.run())
@@ -101,6 +109,95 @@
             await response.aclose()
             self.assertFalse(connection.idle)
 
+    async def test_unframed_body_cut_by_a_reset(self) -> None:
+        # Guards against a truncated answer that looks complete: one without a
+        # length is complete only if the server closed in order.
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"\r\n" + bytes(200_000))
+            await writer.drain()
+            await asyncio.sleep(SETTLE_S)
+            raw = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        async with self.server_of(serve) as connection:
+            response = await self.send(connection)
+            _, whole = await response.read_up_to(64 * 1024)
+            self.assertFalse(whole)
+            response.pace(TIMEOUT_S)
+            with self.assertRaises(httpcore.NetworkError):
+                while await response.receive():
+                    await asyncio.sleep(SETTLE_S)
+
+    async def test_long_body_is_read_as_asked(self) -> None:
+        # Guards against reading a long answer faster than its caller does.
+        size = 8 << 20
+        head = HEAD + b"content-length: %d\r\n\r\n" % size
+        async with self.server(head + bytes(size)) as connection:
+            response = await self.send(connection)
+            first, whole = await response.read_up_to(64 * 1024)
+            self.assertFalse(whole)
+            response.pace(TIMEOUT_S)
+            received = len(first)
+            await asyncio.sleep(SETTLE_S)
+            self.assertTrue(response.held_up)
+            while part := await response.receive():
+                self.assertLessEqual(len(part), 64 * 1024)
+                received += len(part)
+            self.assertEqual(received, size)
+            await response.aclose()
+            self.assertTrue(connection.idle)
+
+    async def test_short_body_is_whole(self) -> None:
+        answer = HEAD + b"content-length: 2\r\n\r\nok"
+        async with self.server(answer) as connection:
+            response = await self.send(connection)
+            found = await response.read_up_to(64 * 1024)
+            self.assertEqual(found, (b"ok", True))
+
+    async def test_long_request_to_a_slow_server(self) -> None:
+        # Guards against a second copy of a body that its server reads slowly,
+        # and against a lost or doubled piece.
+        body = bytes(range(256)) * (20 << 12)
+        received = bytearray()
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(2 * SETTLE_S)
+            while len(received) < len(body):
+                received.extend(await reader.read(1 << 20))
+            writer.write(HEAD + b"content-length: 2\r\n\r\nok")
+
+        async with self.server_of(serve) as connection:
+            connection.timeout_s = 5.0
+            sending = asyncio.create_task(
+                connection.send("POST", b"/x", [(b"host", b"h")], body)
+            )
+            await asyncio.sleep(SETTLE_S)
+            self.assertLess(connection.unsent_bytes, 256 * 1024)
+            response = await sending
+            self.assertEqual(await response.aread(), b"ok")
+            self.assertEqual(bytes(received), body)
+            await response.aclose()
+            self.assertTrue(connection.idle)
+
+    async def test_answer_before_the_body_was_read(self) -> None:
+        # Guards against reusing a connection on which a body is incomplete.
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"content-length: 2\r\n\r\nok")
+            await asyncio.sleep(SETTLE_S)
+
+        async with self.server_of(serve) as connection:
+            response = await connection.send(
+                "POST", b"/x", [(b"host", b"h")], bytes(20 << 20)
+            )
+            self.assertEqual(await response.aread(), b"ok")
+            await response.aclose()
+            self.assertFalse(connection.idle)
+
     async def test_broken_body(self) -> None:
         # Guards against a truncated answer that looks complete.
         for framing in (b"content-length: 9", b"transfer-encoding: chunked"):
