Read the instance's memory limit from its settings

Cause: memoryMb under [limits] of the platform's settings file was ignored.

Change: BootSettings.memory_mb, None if it is not there; a faulty value is reported with its field, value, what is expected and the remedy.

--- a/src/jasminerelay/platform/bootfile.py
+++ b/src/jasminerelay/platform/bootfile.py
@@ -1,7 +1,9 @@
 """Reads the settings file that the platform writes for each process."""
 
 import dataclasses
+import math
 import pathlib
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -38,6 +40,12 @@
     usage_late_s: float = msgspec.field(name="usageLateS", default=10)
 
 
+class _Limits(msgspec.Struct):
+    # Memory in MB above which the platform kills the process; any type, so
+    # that a faulty one is reported by its name.
+    memory_mb: Any = msgspec.field(name="memoryMb", default=None)
+
+
 class _Platform(msgspec.Struct):
     address: str
 
@@ -66,6 +74,7 @@
     # Addresses of some instances, which may be stale.
     seeds: list[str] = msgspec.field(name="seedNodes", default_factory=list)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,6 +124,7 @@
             counted.
         duty_calls: Settings of the duties; None if there are none.
         first_start: Whether the system as a whole starts for the first time.
+        memory_mb: Memory limit of the process in MB; None if not known.
     """
 
     name: str
@@ -134,6 +144,7 @@
     retry_window_s: float
     duty_calls: DutySettings | None = None
     first_start: bool = False
+    memory_mb: float | None = None
 
 
 def parse(text: str, source: str) -> Result[BootSettings, list[ConfigProblem]]:
@@ -160,7 +171,7 @@
             split_address(address)
         except ValueError as exc:
             return Err([_problem(source, f"{address}: {exc}")])
-    problems = _check_duties(raw, source)
+    problems = _check_duties(raw, source) + _check_memory(raw, source)
     return Err(problems) if problems else Ok(_boot(raw))
 
 
@@ -188,6 +199,24 @@
     ]
 
 
+def _check_memory(raw: _BootFile, source: str) -> list[ConfigProblem]:
+    """Returns the fault of the memory limit, if it has one."""
+    limit = raw.limits.memory_mb
+    is_number = isinstance(limit, int | float) and not isinstance(limit, bool)
+    if limit is None or (is_number and 0 < limit < math.inf):
+        return []
+    return [
+        ConfigProblem(
+            source,
+            "limits.memoryMb",
+            repr(limit),
+            "a number of MB above 0",
+            "mend the field, or remove it; without it the bytes that the"
+            " instance holds have no bound",
+        )
+    ]
+
+
 def load(path: pathlib.Path) -> Result[BootSettings, list[ConfigProblem]]:
     """Reads and checks the settings file."""
     try:
@@ -229,6 +258,7 @@
         raw.bounds.retry_window_s,
         _duty_calls(raw),
         raw.bootstrap,
+        raw.limits.memory_mb,
     )
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -84,6 +84,20 @@
             problems = bootfile.parse(text, "x").unwrap_err()
             self.assertTrue(problems[0].remedy)
 
+    def test_memory_limit(self) -> None:
+        self.assertIsNone(bootfile.parse(BOOT, "x").unwrap().memory_mb)
+        boot = bootfile.parse(f"{BOOT}[limits]\nmemoryMb = 160\n", "x").unwrap()
+        self.assertEqual(boot.memory_mb, 160)
+
+    def test_faulty_memory_limit(self) -> None:
+        # Guards against a limit that is ignored without a word.
+        for value in ("0", "-1", '"much"', "true", "inf", "nan"):
+            text = f"{BOOT}[limits]\nmemoryMb = {value}\n"
+            (problem,) = bootfile.parse(text, "x").unwrap_err()
+            self.assertEqual(problem.key, "limits.memoryMb")
+            self.assertIn("MB", problem.expected)
+            self.assertTrue(problem.remedy)
+
     def test_missing_file(self) -> None:
         missing = bootfile.load(pathlib.Path("/nowhere/settings.toml"))
         self.assertIn("JASMINERELAY_BOOT", str(missing.unwrap_err()[0]))
