Send long responses at their callers' pace and end stalled ones

Cause: a plain response was read whole before its first byte was sent, so a caller that never read cost an instance the size of the response. A stream whose caller stopped kept its engine's slot until the time limit, and the stall counted as a pause of the engine, which could start a move.

Change: a plain response over 64 KB is sent in pieces (callerpace), with read-ahead bounded by heldbytes; a caller that accepts nothing for 2.5 s while its server waits is disconnected, without a verdict on the server. A server that breaks off after the head ends the caller's response without an end. callerconnection paces the caller's connection and watches what is unsent after a response. Responses up to 64 KB take the path as before.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: a request at one backend server, and the relay of its answer."""
 
 import dataclasses
+import math
 import random
 import time
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 
 from jasminerelay import sse
 from jasminerelay.backgroundtasks import BackgroundTasks
+from jasminerelay.callerpace import CallerPace, CallerStalledError
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
 from jasminerelay.crashwatch import CrashWatch
@@ -17,6 +19,8 @@
 from jasminerelay.drainwatch import DrainWatch
 from jasminerelay.eventlog import EventLog
 from jasminerelay.exchange import (
+    BrokenOff,
+    CallerStalled,
     Delivered,
     Dialect,
     Failed,
@@ -35,6 +39,13 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
 from jasminerelay.placementqueue import RequestPlacer, Reservation
+from jasminerelay.scheduling.heldbytes import (
+    BROKE_OFF,
+    MAX_AHEAD_BYTES,
+    SMALL_BYTES,
+    HeldBytes,
+    Hold,
+)
 from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.serverconnection import ServerResponse
 from jasminerelay.serverpauses import ServerPauses
@@ -92,6 +103,7 @@
             organisation and the seconds since then.
         versions: Returns the versions of the data behind decisions, for the
             log.
+        held: Counts the bytes that the instance holds.
     """
 
     dispatcher: Dispatcher
@@ -110,6 +122,7 @@
     rng: random.Random
     on_started: Callable[[str, float], None]
     versions: Callable[[], dict[str, float]]
+    held: HeldBytes
 
 
 @dataclasses.dataclass
@@ -129,6 +142,8 @@
         copy: Copy of the KV cache to continue from, after a move.
         moves: Number of attempted moves.
         output: Tokens of a complete stream; 0 before its end.
+        time_limit: Ends the request at its deadline.
+        holds: Bytes held until the end of the request.
     """
 
     last_event_id: str
@@ -143,6 +158,8 @@
     copy: KvCacheCopy | None = None
     moves: int = 0
     output: int = 0
+    time_limit: anyio.CancelScope | None = None
+    holds: list[Hold] = dataclasses.field(default_factory=list)
 
     def may_repeat(self, route: Route) -> bool:
         """Returns whether one more server may run it after the current one."""
@@ -169,6 +186,7 @@
         self._sent_at = 0.0
         self._running_at_send = 0
         self._continues_run = False
+        self._pace: CallerPace | None = None
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
@@ -219,6 +237,7 @@
         self._progress.maybe_ran = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
+        self._pace = None
         workload = self._context.dispatcher.workload
         self._running_at_send = workload.load(server.id).running
         self._context.drains.on_request(server.id)
@@ -298,17 +317,20 @@
         done: "_Completion",
     ) -> Outcome:
         try:
-            body = await response.aread()
+            body, whole = await response.read_up_to(SMALL_BYTES)
+            if not whole and head.status >= SERVER_ERROR and not head.not_run:
+                body, whole = await self._read_failure(response, body)
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             if head.not_run:
                 return _not_run(head)
             return Unknown(f"connection failed: {exc!r}")
         except httpcore.TimeoutException as exc:
             return Unknown(f"timed out: {exc!r}")
-        await response.aclose()
-        if not channel.reusable and not head.closing:
-            self._context.channels.record_unexpected_data(channel.server)
-        done.head = head
+        if not whole and head.not_run:
+            return _not_run(head)
+        if not whole and not self._sink.started:
+            return await self._relay_answer(channel, response, head, body, done)
+        await self._complete(channel, response, head, done)
         if head.not_run:
             return _not_run(head)
         if self._sink.started:
@@ -316,16 +338,124 @@
             return Unknown(f"status {head.status}")
         if head.status >= SERVER_ERROR:
             return Failed(head, body)
+        self._record_answer(channel.server, head)
+        await self.send_answer(head, body)
+        return Delivered(head.status)
+
+    async def _complete(
+        self,
+        channel: Channel,
+        response: ServerResponse,
+        head: ResponseHead,
+        done: "_Completion",
+    ) -> None:
+        """Ends an exchange whose response is not needed any further."""
+        if not response.complete:
+            await channel.aclose()
+            return
+        await response.aclose()
+        if not channel.reusable and not head.closing:
+            self._context.channels.record_unexpected_data(channel.server)
+        done.head = head
+
+    def _record_answer(self, server: BackendServer, head: ResponseHead) -> None:
         if head.status == OK and not self._call.route.streaming:
             self._context.dispatcher.record_answer(
                 self._call,
-                channel.server,
+                server,
                 self._running_at_send,
                 time.monotonic() - self._sent_at,
             )
-        await self.send_answer(head, body)
+
+    async def _read_failure(
+        self, response: ServerResponse, begun: bytes
+    ) -> tuple[bytes, bool]:
+        """Reads the body of a server's failure as far as there is room.
+
+        Returns:
+            What was read, and whether it is all.
+        """
+        held = self._context.held
+        hold = held.hold(self._call.organisation)
+        self._progress.holds.append(hold)
+        parts = [begun]
+        size = len(begun)
+        while size <= MAX_AHEAD_BYTES and held.admits(
+            self._call.organisation, SMALL_BYTES
+        ):
+            part = await response.receive()
+            if not part:
+                return b"".join(parts), True
+            parts.append(part)
+            size += len(part)
+            hold.set(size)
+        return b"".join(parts), False
+
+    async def _relay_answer(
+        self,
+        channel: Channel,
+        response: ServerResponse,
+        head: ResponseHead,
+        first: bytes,
+        done: "_Completion",
+    ) -> Outcome:
+        """Sends a long answer in pieces, at the pace of its caller."""
+        # Time in which the caller holds the server up does not count: a
+        # caller that goes on reading is not cut off at the deadline.
+        left_s = self._call.answer_deadline - time.monotonic()
+        self._progress.time_limit.deadline = math.inf
+        self._progress.status = head.status
+        self._context.counters.incr("held.paced")
+        pace = self._new_pace(channel.server)
+        try:
+            # No other server can continue it, so an early timeout is no use.
+            response.pace(NO_TIMEOUT_S)
+            fields = head.headers
+            if response.length is not None:
+                length = str(response.length).encode()
+                fields = (*fields, (b"content-length", length))
+            await self._sink.start(head.status, fields)
+            part = first
+            while part:
+                await self._sink.send(part)
+                pace.sent += len(part)
+                if not response.complete:
+                    await pace.wait_for_room(response)
+                began = time.monotonic()
+                with anyio.fail_after(left_s):
+                    part = await response.receive()
+                now = time.monotonic()
+                left_s -= now - began
+                self._context.dispatcher.record_response(channel.server.id, now)
+            if not pace.waited:
+                self._record_answer(channel.server, head)
+            await self._complete(channel, response, head, done)
+            # The connection takes what is unsent; the server is released.
+            self._sink.pace(math.inf)
+            await self._sink.finish()
+        except CallerStalledError as exc:
+            self._sink.reset()
+            return CallerStalled(str(exc))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            return BrokenOff(f"{BROKE_OFF}: {exc!r}", pace.held_up)
+        except (httpcore.TimeoutException, TimeoutError) as exc:
+            return BrokenOff(f"{BROKE_OFF}, timed out: {exc!r}", pace.held_up)
+        finally:
+            pace.close()
         return Delivered(head.status)
 
+    def _new_pace(self, server: BackendServer) -> CallerPace:
+        context = self._context
+        return CallerPace(
+            context.held,
+            context.dispatcher,
+            context.counters,
+            context.log,
+            self._call,
+            self._sink,
+            server,
+        )
+
     async def _relay_stream(
         self,
         reservation: Reservation,
@@ -345,7 +475,12 @@
                 if move_ended is not None:
                     # The stream may end before the reply to the move order.
                     await move_ended.wait()
+        except CallerStalledError as exc:
+            self._sink.reset()
+            return CallerStalled(str(exc))
         finally:
+            if self._pace is not None:
+                self._pace.close()
             self._context.stream_migrator.detach(server.id, leaving_event)
         if isinstance(outcome, Delivered):
             await response.aclose()
@@ -362,6 +497,7 @@
         head: ResponseHead,
     ) -> Outcome:
         splitter = sse.EventSplitter()
+        server = reservation.placed.server
         timer = _StreamTimer(
             self._context, self._call, reservation, self._sent_at
         )
@@ -376,12 +512,16 @@
                     progress.pause_s = max(progress.pause_s, timer.pause_s)
                     progress.first_at = progress.first_at or timer.first_at
                     await self._send_events(head, events)
+                    if self._sink.blocked:
+                        await self._wait_for_caller(response, server)
+                        timer.skip_interval()
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as exc:
-            return Interrupted(repr(exc))
+            held_up = self._pace is not None and self._pace.held_up
+            return Interrupted(repr(exc), held_up)
         except ValueError as exc:
             return Interrupted(str(exc))
         if splitter.has_partial_event:
@@ -393,6 +533,14 @@
         )
         return Delivered(head.status)
 
+    async def _wait_for_caller(
+        self, response: ServerResponse, server: BackendServer
+    ) -> None:
+        """Waits for a caller that reads slower than its stream arrives."""
+        if self._pace is None:
+            self._pace = self._new_pace(server)
+        await self._pace.wait_until_writable(response)
+
     async def _move_when_leaving(
         self, server: BackendServer, leaving_event: anyio.Event
     ) -> None:
@@ -420,6 +568,9 @@
                 - (time.monotonic() + _SLOW_CHECK_PHASE_S)
                 % SLOW_CHECK_INTERVAL_S
             )
+            if self._pace is not None:
+                # The caller is slow, which no server mends.
+                return
             if not self._sink.started or not dispatcher.needs_faster_server(
                 self._call, server, self._progress.events
             ):
@@ -559,7 +710,7 @@
             self._record_prefill(now)
             self._reservation.run.read(now - self._sent_at)
             self._context.queue.capacity_freed(self._call.service)
-        else:
+        elif self._last_event_at:
             self._context.dispatcher.token_times.observe(
                 self._reservation.placed.server.id,
                 count * self.event_tokens,
@@ -569,6 +720,10 @@
             self.pause_s = max(self.pause_s, now - self._last_event_at)
         self._last_event_at = now
 
+    def skip_interval(self) -> None:
+        """Leaves out the time to the next events, which the caller delayed."""
+        self._last_event_at = 0.0
+
     def _record_prefill(self, now: float) -> None:
         reservation = self._reservation
         self._context.dispatcher.record_first_event(
--- /dev/null
+++ b/src/jasminerelay/callerconnection.py
@@ -0,0 +1,184 @@
+"""Connections of callers, with the bytes that they have not accepted.
+
+Extends the HTTP server's protocol by what relaying at the caller's pace needs,
+and accounts for the end of a response that is complete for the server while its
+caller has not read it.
+"""
+
+import array
+import asyncio
+import fcntl
+import socket
+import struct
+import termios
+import time
+from collections.abc import Callable
+
+import anyio
+
+from jasminerelay.metrics import Counters
+from jasminerelay.scheduling.heldbytes import (
+    STALL_S,
+    CallerStall,
+    HeldBytes,
+    Hold,
+)
+from jasminerelay.uvicornserver import HttpToolsProtocol
+
+CONNECTION = "jasminerelay.connection"
+"""Key in the scope of a request for its caller's connection."""
+
+MAX_KERNEL_BYTES = 64 * 1024
+"""Bytes that the kernel keeps unsent for one caller. By itself it would let its
+buffer grow to megabytes, which count as memory of the instance. What is on its
+way to the caller is not limited, so distant callers are as fast as before."""
+
+MAX_PAUSE_BYTES = 64 * 1024
+MIN_PAUSE_BYTES = 16 * 1024
+"""Unsent bytes above which writers wait, and those from which on they continue,
+unless a response is paced; as asyncio has them."""
+
+LINGER_CHECK_S = 0.5
+"""Interval of the checks whether a caller reads the end of its response."""
+
+_NO_LINGER = struct.pack("ii", 1, 0)
+"""Option of a socket whose closing resets the connection, so that the kernel
+does not keep its unsent bytes for a caller that does not read."""
+
+
+def with_flow_control(
+    base: type[HttpToolsProtocol],
+    held: HeldBytes,
+    idle_timeout_s: Callable[[], float],
+    counters: Counters,
+) -> type[HttpToolsProtocol]:
+    """Returns a protocol class whose connections can be paced.
+
+    Args:
+        base: Protocol class to extend.
+        held: Counts the bytes that the instance holds.
+        idle_timeout_s: Returns the time after which a caller that does not read
+            the end of its response is disconnected.
+        counters: Counts events.
+    """
+
+    class CallerConnection(base):
+        """One caller's connection."""
+
+        def connection_made(self, transport) -> None:
+            super().connection_made(transport)
+            transport.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_KERNEL_BYTES
+            )
+            self._is_paced = False
+            self._organisation = ""
+            self._lingering: Hold | None = None
+            self._linger_timer: asyncio.TimerHandle | None = None
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self._end_lingering()
+            super().connection_lost(exc)
+
+        def on_message_begin(self) -> None:
+            # What a new response adds cannot be told from what was unsent.
+            self._end_lingering()
+            super().on_message_begin()
+            self.scope[CONNECTION] = self
+
+        def on_response_complete(self) -> None:
+            if self._is_paced:
+                self._set_pause(MAX_PAUSE_BYTES, MIN_PAUSE_BYTES)
+                self._is_paced = False
+            super().on_response_complete()
+            self.watch_unsent(self._organisation)
+            self._organisation = ""
+
+        @property
+        def unsent_bytes(self) -> int:
+            """Bytes that the socket has not accepted."""
+            return self.transport.get_write_buffer_size()
+
+        @property
+        def unacknowledged_bytes(self) -> int:
+            """Bytes that the caller's host has not acknowledged."""
+            raw: socket.socket = self.transport.get_extra_info("socket")
+            count = array.array("i", [0])
+            if raw is not None and raw.fileno() >= 0:
+                fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, count)
+            return self.unsent_bytes + count[0]
+
+        @property
+        def blocked(self) -> bool:
+            """Whether writers wait for the caller."""
+            return self.flow.write_paused
+
+        def pace(self, ahead: float, organisation: str) -> None:
+            """Sets the number of unsent bytes above which writers wait."""
+            self._organisation = organisation
+            self._is_paced = True
+            self._set_pause(ahead, ahead)
+            # The transport reports a change only after its next write.
+            if self.unsent_bytes > ahead:
+                self.flow.pause_writing()
+            else:
+                self.flow.resume_writing()
+
+        async def wait_accepted(self, timeout_s: float) -> None:
+            """Waits until writers need not wait, at most for some time."""
+            with anyio.move_on_after(timeout_s):
+                await self.flow.drain()
+
+        def watch_unsent(self, organisation: str) -> None:
+            """Counts what is unsent after a response, until it is accepted.
+
+            A caller that accepts nothing for the idle timeout is disconnected,
+            earlier if memory is short.
+            """
+            if self._lingering is not None or not self.unsent_bytes:
+                return
+            self._lingering = held.hold(organisation)
+            self._stall = CallerStall(
+                time.monotonic(), self.unacknowledged_bytes
+            )
+            self._check_unsent()
+
+        def reset(self) -> None:
+            """Closes the connection at once and frees the kernel's buffers."""
+            raw: socket.socket = self.transport.get_extra_info("socket")
+            if raw is not None and raw.fileno() >= 0:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            self.transport.abort()
+
+        def _set_pause(self, high: float, low: float) -> None:
+            self.transport.set_write_buffer_limits(high=high, low=low)
+
+        def _check_unsent(self) -> None:
+            unsent = self.unsent_bytes
+            if not unsent:
+                self._end_lingering()
+                return
+            self._lingering.set(unsent)
+            stalled_s = self._stall.stalled_s(
+                time.monotonic(),
+                self.unacknowledged_bytes,
+                server_waits=True,
+            )
+            limit_s = STALL_S if held.short else idle_timeout_s()
+            if stalled_s > limit_s:
+                counters.incr("held.unread")
+                self._end_lingering()
+                self.reset()
+                return
+            self._linger_timer = self.loop.call_later(
+                LINGER_CHECK_S, self._check_unsent
+            )
+
+        def _end_lingering(self) -> None:
+            if self._linger_timer is not None:
+                self._linger_timer.cancel()
+                self._linger_timer = None
+            if self._lingering is not None:
+                self._lingering.close()
+                self._lingering = None
+
+    return CallerConnection
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -118,12 +118,33 @@
     async def send(self, data: bytes) -> None:
         """Sends a part of the body."""
 
+    @property
+    def blocked(self) -> bool:
+        """Whether `send` would wait for the caller."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the caller's socket has not accepted."""
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Bytes that the caller's host has not acknowledged."""
+
+    def pace(self, ahead: float) -> None:
+        """Sets the number of unsent bytes above which `send` waits."""
+
+    async def wait_accepted(self, timeout_s: float) -> None:
+        """Waits until `send` would not wait, at most for some time."""
+
     async def finish(self) -> None:
         """Completes the answer."""
 
     async def abort(self) -> None:
         """Aborts the answer so that it can't appear complete."""
 
+    def reset(self) -> None:
+        """Closes the caller's connection at once, without what is unsent."""
+
     async def refuse(
         self, status: int, why: str, retry_s: float | None
     ) -> None:
@@ -191,9 +212,46 @@
 
 @dataclasses.dataclass(frozen=True)
 class Interrupted:
-    """A stream broke off after its head was sent to the caller."""
+    """A stream broke off after its head was sent to the caller.
+
+    Attributes:
+        why: The reason.
+        held_up: Whether the caller had held up the server before, so that it
+            says nothing about the server.
+    """
+
+    why: str
+    held_up: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class BrokenOff:
+    """A plain answer broke off after its head was sent to the caller.
+
+    Attributes:
+        why: The reason.
+        held_up: Whether the caller had held up the server before, so that it
+            says nothing about the server.
+    """
+
+    why: str
+    held_up: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerStalled:
+    """The caller stopped reading and held up the server."""
 
     why: str
 
 
-Outcome = Delivered | NotSent | NotRun | Failed | Unknown | Interrupted
+Outcome = (
+    Delivered
+    | NotSent
+    | NotRun
+    | Failed
+    | Unknown
+    | Interrupted
+    | BrokenOff
+    | CallerStalled
+)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -10,6 +10,8 @@
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy
 from jasminerelay.errors import CrashingRequestError, NoCapacityError
 from jasminerelay.exchange import (
+    BrokenOff,
+    CallerStalled,
     Delivered,
     Failed,
     Interrupted,
@@ -61,11 +63,14 @@
             with anyio.move_on_after(
                 call.answer_deadline - time.monotonic()
             ) as scope:
+                self._progress.time_limit = scope
                 await self._serve()
             if scope.cancelled_caught:
                 await self._handle_timeout()
             ended = "done"
         finally:
+            for hold in self._progress.holds:
+                hold.close()
             self._log(ended)
 
     async def _serve(self) -> None:
@@ -103,7 +108,9 @@
         try:
             outcome = await self._attempt.run(reservation)
             verdict = self._verdict(outcome)
-            self._log_fingerprint |= isinstance(outcome, Unknown | Interrupted)
+            self._log_fingerprint |= isinstance(
+                outcome, Unknown | Interrupted | BrokenOff
+            )
             return outcome
         finally:
             reservation.run.end(verdict, self._progress.output)
@@ -114,9 +121,11 @@
             return Verdict.GOOD
         if isinstance(outcome, Interrupted) and self.moved:
             return None
+        if isinstance(outcome, Interrupted | BrokenOff) and outcome.held_up:
+            return None
         if isinstance(outcome, NotSent) and outcome.withheld:
             return None
-        if isinstance(outcome, NotSent | Unknown | Interrupted):
+        if isinstance(outcome, NotSent | Unknown | Interrupted | BrokenOff):
             return Verdict.BAD
         if isinstance(outcome, NotRun) and outcome.overloaded:
             # It rejects at once and appears idle. The owner of its cell, to
@@ -142,7 +151,11 @@
     ) -> None:
         if isinstance(outcome, Delivered | Failed):
             self._context.crashes.record_completion(self._call)
-        elif isinstance(outcome, Unknown | Interrupted) and not self.moved:
+        elif (
+            isinstance(outcome, Unknown | Interrupted | BrokenOff)
+            and self._verdict(outcome) is Verdict.BAD
+            and not self.moved
+        ):
             await self._context.crashes.on_connection_lost(self._call, server)
 
     @property
@@ -381,3 +394,18 @@
         return True
     await forwarder.give_up()
     return False
+
+
+@next_step.register
+async def _(outcome: BrokenOff, forwarder: RequestForwarder) -> bool:
+    # The caller has a part of the answer, which no other server continues.
+    forwarder.note(outcome.why)
+    await forwarder.give_up()
+    return False
+
+
+@next_step.register
+async def _(outcome: CallerStalled, forwarder: RequestForwarder) -> bool:
+    forwarder.note(outcome.why)
+    await forwarder.give_up()
+    return False
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from jasminerelay import headlimits
+from jasminerelay import callerconnection, headlimits
 from jasminerelay.attempt import ForwardingContext
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import Call, Catalog, RequestLimits, Route
@@ -71,7 +71,10 @@
         if scope["type"] != "http":
             return
         sink = AsgiResponseSink(
-            send, _attempt_id_of(scope), self._context.stopping
+            send,
+            _attempt_id_of(scope),
+            self._context.stopping,
+            scope[callerconnection.CONNECTION],
         )
         try:
             await self._serve(scope, receive, sink)
@@ -103,6 +106,7 @@
             await self._wait_for_configuration(scope, arrived)
         body = await self._body(receive)
         call = self._call(scope, body, arrived)
+        sink.organisation = call.organisation
         if not self._context.accepts(call.answer_deadline - arrived):
             raise NotReadyError("this instance is shutting down", retry_s=0.05)
         forwarder = RequestForwarder(self._context.forwarding, call, sink)
@@ -209,14 +213,31 @@
 
     Attributes:
         attempt_id: The caller's id of the attempt.
+        organisation: For whom the response is; "" if not known.
         started: Whether the response's head was sent.
         finished: Whether the response was completed.
     """
 
-    def __init__(self, send, attempt_id: bytes, stopping: Callable[[], bool]):
+    def __init__(
+        self,
+        send,
+        attempt_id: bytes,
+        stopping: Callable[[], bool],
+        connection,
+    ):
+        """Creates a sink for one response.
+
+        Args:
+            send: Sends an ASGI message.
+            attempt_id: The caller's id of the attempt.
+            stopping: Returns whether the instance is shutting down.
+            connection: The caller's connection, see `callerconnection`.
+        """
         self._send = send
         self._stopping = stopping
+        self._connection = connection
         self.attempt_id = attempt_id
+        self.organisation = ""
         self.started = False
         self.finished = False
 
@@ -242,6 +263,29 @@
             {"type": "http.response.body", "body": data, "more_body": True}
         )
 
+    @property
+    def blocked(self) -> bool:
+        """Whether `send` would wait for the caller."""
+        return self._connection.blocked
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the caller's socket has not accepted."""
+        return self._connection.unsent_bytes
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Bytes that the caller's host has not acknowledged."""
+        return self._connection.unacknowledged_bytes
+
+    def pace(self, ahead: float) -> None:
+        """Sets the number of unsent bytes above which `send` waits."""
+        self._connection.pace(ahead, self.organisation)
+
+    async def wait_accepted(self, timeout_s: float) -> None:
+        """Waits until `send` would not wait, at most for some time."""
+        await self._connection.wait_accepted(timeout_s)
+
     async def finish(self) -> None:
         """Completes the response."""
         self.finished = True
@@ -253,6 +297,11 @@
         When the application returns before the end of a response, the HTTP
         server closes the connection, so the caller sees a truncated response.
         """
+        self._connection.watch_unsent(self.organisation)
+
+    def reset(self) -> None:
+        """Closes the caller's connection at once, without what is unsent."""
+        self._connection.reset()
 
     async def refuse(
         self, status: int, why: str, retry_s: float | None
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -15,6 +15,7 @@
 import anyio
 
 from jasminerelay import (
+    callerconnection,
     entrylist,
     followerroles,
     headlimits,
@@ -59,6 +60,7 @@
     TableSource,
 )
 from jasminerelay.registry import Registry
+from jasminerelay.scheduling.heldbytes import HeldBounds, HeldBytes
 from jasminerelay.schema.messages import (
     Member,
     RequestCrashes,
@@ -133,6 +135,7 @@
     Attributes:
         boot: Its settings, as last loaded.
         running: Whether it is running; False again after a planned stop.
+        held: Counts the bytes that it holds for callers and servers.
     """
 
     def __init__(
@@ -165,6 +168,7 @@
         self.counters = Counters()
         self.telemetry = Telemetry(self.counters)
         self._watchdog = Watchdog()
+        self.held = HeldBytes(HeldBounds.of_memory(boot.memory_mb))
         self._build_state()
         self._build_request_path()
         self._build_duties()
@@ -467,6 +471,7 @@
             self._rng,
             self._duties.record_start if self._duties else lambda *_: None,
             self._versions,
+            self.held,
         )
         front = IngressContext(
             forwarding,
@@ -489,8 +494,17 @@
         }
         take = self._early_ports.take
         self._ingress = Ingress(front)
+        caller_protocol = callerconnection.with_flow_control(
+            options["http"],
+            self.held,
+            lambda: self._request_head_bounds().idle_timeout_s,
+            self.counters,
+        )
         self._callers_port = ports.port(
-            self._ingress, boot.callers, sock=take(boot.callers), **options
+            self._ingress,
+            boot.callers,
+            sock=take(boot.callers),
+            **{**options, "http": caller_protocol},
         )
         self._ports = [
             self._callers_port,
@@ -866,6 +880,7 @@
         if boot == self.boot:
             return
         self.boot = boot
+        self.held.bounds = HeldBounds.of_memory(boot.memory_mb)
         self._peers.add_addresses(set(boot.seeds))
         self.log.warn(
             "reload", source=source, settings=dataclasses.asdict(boot)
--- a/src/jasminerelay/scheduling/heldbytes.py
+++ b/src/jasminerelay/scheduling/heldbytes.py
@@ -56,6 +56,7 @@
 callers on mobile links pause for a second or two when they change cells."""
 
 STALLED = "the caller accepted no data"
+BROKE_OFF = "the response broke off"
 MEMORY_SHORT = "memory for large requests is short"
 """Texts in the reasons of requests that were ended or refused; `explain` knows
 them by these."""
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -11,6 +11,7 @@
 
 EVENT_INTERVAL_S = 0.01
 NEARLY_FULL = 0.85
+PIECE_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass
@@ -44,6 +45,11 @@
             use.
         states_slowdown: Whether responses state the slowdown.
         load: Value of the Instance-Load header field, if not the true one.
+        body_bytes: Size of long answers.
+        framed: Whether long answers state their length.
+        cut_after: Bytes after which a long answer breaks off; 0 disables the
+            fault.
+        event_bytes: Size of the data of each event; 0 for a few bytes.
     """
 
     refuse: int = 0
@@ -65,6 +71,10 @@
     full_factor: float = 1.0
     states_slowdown: bool = False
     load: bytes = b""
+    body_bytes: int = 1 << 20
+    framed: bool = True
+    cut_after: int = 0
+    event_bytes: int = 0
 
 
 @dataclasses.dataclass
@@ -92,7 +102,8 @@
     """A backend server, from its start to its end.
 
     The answer to a path that ends in "/stream" has as many events as the output
-    tokens in the `Token-Usage` header field; other answers are a short text.
+    tokens in the `Token-Usage` header field, and one to a path that ends in
+    "/long" has the `body_bytes` of the faults. Other answers are a short text.
 
     Attributes:
         name: Name of the server.
@@ -196,6 +207,9 @@
             await self._send_stream(send, ran)
             return
         await asyncio.sleep(EVENT_INTERVAL_S * self._work_factor())
+        if scope["path"].endswith("/long"):
+            await self._send_long(send, ran)
+            return
         await self._send_complete(
             send, 200, ran, b"answer to " + ran.attempt.encode()
         )
@@ -227,13 +241,36 @@
                 if self.faults.torn:
                     await _send_chunk(send, b"id: %d\ndata: to" % number)
                 return
-            await _send_chunk(send, b"id: %d\ndata: t%d\n\n" % (number, number))
+            data = b"t%d" % number + b"." * self.faults.event_bytes
+            await _send_chunk(send, b"id: %d\ndata: %b\n\n" % (number, data))
         await send({"type": "http.response.body", "body": b""})
         ran.ended = True
 
     def _is_fatal(self, ran: ServedRequest) -> bool:
         return bool(self.faults.fatal) and ran.body == self.faults.fatal
 
+    async def _send_long(self, send, ran: ServedRequest) -> None:
+        faults = self.faults
+        size = faults.body_bytes
+        length = [(b"content-length", str(size).encode())]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    *(length if faults.framed else []),
+                    *self._response_headers(ran.attempt),
+                ],
+            }
+        )
+        end = faults.cut_after or size
+        for start in range(0, end, PIECE_BYTES):
+            await _send_chunk(send, bytes(min(PIECE_BYTES, end - start)))
+        if faults.cut_after:
+            return
+        await send({"type": "http.response.body", "body": b""})
+        ran.ended = True
+
     async def _send_complete(
         self, send, status: int, ran: ServedRequest, body: bytes
     ) -> None:
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -46,6 +46,8 @@
         window_s: Length of a usage window.
         usage_late_s: Time from the end of a window to its report.
         scaling: Autoscaling configuration of the model servers; empty for none.
+        memory_mb: Memory limit of the instances in MB; 0 for none.
+        slots: Slots of each server.
     """
 
     engines: int = 2
@@ -60,6 +62,8 @@
     window_s: float = 2.0
     usage_late_s: float = 6.0
     scaling: dict = dataclasses.field(default_factory=dict)
+    memory_mb: float = 0
+    slots: int = 8
 
 
 class PlatformSite:
@@ -150,7 +154,7 @@
                 "address": self.addresses[name],
                 "zone": "north",
                 "version": "v1",
-                "slotCount": 8,
+                "slotCount": self.options.slots,
                 "phase": phase,
                 "coldRemainingMs": 0,
                 "callSeq": 0,
@@ -252,6 +256,11 @@
             "dutyPerS = 50.0",
         ]
 
+    def _memory_settings(self) -> list[str]:
+        """Returns the lines of an instance's settings with its memory limit."""
+        limit = self.options.memory_mb
+        return ["[limits]", f"memoryMb = {limit}"] if limit else []
+
     def settings(self, name: str, zone: str = "north") -> pathlib.Path:
         """Writes an instance's settings file; returns its path."""
         listen = {
@@ -276,6 +285,7 @@
             "[platform]",
             f'address = "{self._through_link(name, self.store_address)}"',
             *self._duty_settings(name),
+            *self._memory_settings(),
         ]
         path = self._folder / f"{name}.toml"
         if self.options.links:
