Refuse large requests while the bytes held are near the bound

Cause: bodies were received whole whatever else the instance held, so a few dozen callers with large bodies could exceed its memory limit.

Change: bodies are counted for their organisation until their request ends. A large one is refused with 503 and Retry-After by its Content-Length, before 100 Continue, or while it arrives; its figures are in the refusal. Small requests, and instances without memoryMb, are served as before.

--- a/src/jasminerelay/errors.py
+++ b/src/jasminerelay/errors.py
@@ -198,6 +198,14 @@
         self.ticket = ticket
 
 
+class MemoryShortError(RelayError):
+    """The instance has no memory for a large request."""
+
+    status = 503
+    code = "memory_short"
+    remedy = "Wait for the number of seconds in Retry-After, then retry."
+
+
 class StoreError(RelayError):
     """The platform's store did not answer or refused the call."""
 
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -15,6 +15,7 @@
     BadRequestError,
     BodyTooLargeError,
     InvalidCredentialsError,
+    MemoryShortError,
     NotFoundError,
     NotReadyError,
     RelayError,
@@ -24,6 +25,12 @@
 from jasminerelay.forwarding import RequestForwarder
 from jasminerelay.platform import headers
 from jasminerelay.platform.earlyrequests import EarlyRequests
+from jasminerelay.scheduling.heldbytes import (
+    MEMORY_SHORT,
+    SMALL_BYTES,
+    HeldBytes,
+    Hold,
+)
 
 RETRY_S = 0.5
 """Retry-After of an instance whose configuration is missing or not current."""
@@ -104,10 +111,23 @@
         arrived = time.monotonic() - scope.get(headlimits.UNREAD_S, 0.0)
         if self._context.catalog() is None:
             await self._wait_for_configuration(scope, arrived)
-        body = await self._body(receive)
-        call = self._call(scope, body, arrived)
-        sink.organisation = call.organisation
-        if not self._context.accepts(call.answer_deadline - arrived):
+        held = self._context.forwarding.held
+        body, hold = await self._body(scope, receive, held)
+        try:
+            call = self._call(scope, body, arrived)
+            sink.organisation = call.organisation
+            if body and hold is None:
+                hold = held.hold(call.organisation)
+                hold.set(len(body))
+            await self._forward(receive, sink, call)
+        finally:
+            if hold is not None:
+                hold.close()
+
+    async def _forward(
+        self, receive, sink: "AsgiResponseSink", call: Call
+    ) -> None:
+        if not self._context.accepts(call.answer_deadline - call.arrived_at):
             raise NotReadyError("this instance is shutting down", retry_s=0.05)
         forwarder = RequestForwarder(self._context.forwarding, call, sink)
         with anyio.CancelScope() as scope, BackgroundTasks() as group:
@@ -127,28 +147,100 @@
         if not await self._early_requests.wait(limit_s):
             counters.incr("start.early_requests_unserved")
 
-    async def _body(self, receive) -> bytes:
-        catalog = self._context.catalog()
-        bounds = catalog.bounds if catalog else RequestLimits()
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            with anyio.move_on_after(bounds.idle_timeout_s) as scope:
-                message = await receive()
-            if scope.cancelled_caught:
-                raise RequestTimeoutError(
-                    f"no data received for {bounds.idle_timeout_s:g} s"
-                )
-            if message["type"] == "http.disconnect":
-                raise CallerDisconnectedError
+    async def _body_part(self, receive) -> dict:
+        """Returns the next message with a part of the body."""
+        bounds = self._bounds
+        with anyio.move_on_after(bounds.idle_timeout_s) as scope:
+            message = await receive()
+        if scope.cancelled_caught:
+            raise RequestTimeoutError(
+                f"no data received for {bounds.idle_timeout_s:g} s"
+            )
+        if message["type"] == "http.disconnect":
+            raise CallerDisconnectedError
+        size = len(message.get("body", b""))
+        self._require_allowed(size)
+        return message
+
+    async def _body(
+        self, scope, receive, held: HeldBytes
+    ) -> tuple[bytes, Hold | None]:
+        """Reads the body; a large one is refused if memory is short.
+
+        Returns:
+            The body, and what counts it if it did not arrive at once.
+        """
+        if held.short and _content_length(scope) > SMALL_BYTES:
+            self._require_memory(
+                self._organisation(scope), _content_length(scope)
+            )
+        message = await self._body_part(receive)
+        body = message.get("body", b"")
+        if not message.get("more_body") and len(body) <= SMALL_BYTES:
+            return body, None
+        hold = held.hold(self._organisation(scope))
+        try:
+            return await self._long_body(scope, receive, message, hold), hold
+        except BaseException:
+            hold.close()
+            raise
+
+    async def _long_body(
+        self, scope, receive, message: dict, hold: Hold
+    ) -> bytes:
+        parts = [message.get("body", b"")]
+        size = len(parts[0])
+        announced = max(_content_length(scope), size)
+        if announced > SMALL_BYTES:
+            self._require_memory(hold.organisation, announced)
+        hold.set(size)
+        while message.get("more_body"):
+            message = await self._body_part(receive)
             parts.append(message.get("body", b""))
             size += len(parts[-1])
-            if size > bounds.body_bytes:
-                raise BodyTooLargeError(
-                    f"the body is larger than {bounds.body_bytes} bytes"
-                )
-            if not message.get("more_body"):
-                return b"".join(parts)
+            self._require_allowed(size)
+            hold.set(size)
+            if size > SMALL_BYTES:
+                self._require_memory(hold.organisation, 0)
+        return b"".join(parts)
+
+    @property
+    def _bounds(self) -> RequestLimits:
+        catalog = self._context.catalog()
+        return catalog.bounds if catalog else RequestLimits()
+
+    def _require_allowed(self, size: int) -> None:
+        allowed = self._bounds.body_bytes
+        if size > allowed:
+            raise BodyTooLargeError(f"the body is larger than {allowed} bytes")
+
+    def _require_memory(self, organisation: str, more: int) -> None:
+        """Refuses a large request for which there is no memory.
+
+        Args:
+            organisation: For whom the request is.
+            more: Bytes of it that are not counted yet.
+        """
+        context = self._context.forwarding
+        held = context.held
+        if held.admits(organisation, more):
+            return
+        context.counters.incr("held.refused")
+        raise MemoryShortError(
+            f"{MEMORY_SHORT}: {held.total} bytes held,"
+            f" {held.of(organisation)} of them for this organisation, and"
+            f" {more} more, of at most {held.bounds.admitted:.0f}",
+            retry_s=round(held.retry_s(context.rng.random()), 2),
+        )
+
+    def _organisation(self, scope) -> str:
+        """Returns the organisation that a request's key belongs to, if any."""
+        catalog = self._context.catalog()
+        if catalog is None:
+            return ""
+        key = headers.bearer_key(dict(scope["headers"]))
+        holder = catalog.key_holders.get(key or "")
+        return holder.name if holder else ""
 
     def _call(self, scope, body: bytes, arrived: float) -> Call:
         catalog = self._context.catalog()
@@ -327,6 +419,14 @@
     return b""
 
 
+def _content_length(scope) -> int:
+    """Returns the stated length of a request's body; 0 if there is none."""
+    for name, value in scope["headers"]:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
 def _prompt(by_name: dict[bytes, bytes], route: Route):
     if not route.model:
         return None
--- a/tests/test_slowcallers.py
+++ b/tests/test_slowcallers.py
@@ -15,6 +15,7 @@
 from jasminerelay.platform.root import Instance
 from jasminerelay.scheduling import heldbytes
 from jasminerelay.scheduling.heldbytes import (
+    MEMORY_SHORT,
     SMALL_BYTES,
     STALLED,
     HeldBounds,
@@ -367,5 +368,66 @@
             self.assertEqual(len(line["servers"]), 1)
 
 
+class LargeBodiesTest(SlowCallersCase):
+    """Large bodies while memory is short."""
+
+    async def test_slow_body_while_memory_gets_short(self) -> None:
+        # Guards against slow bodies that fill the memory of an instance, and
+        # against a refused request that has run.
+        async with self.long_site() as (site, instance):
+            instance.held.bounds = HeldBounds(1_000_000)
+            head = request_head("/confirm/x", 400_000)
+            async with self.caller(instance, head) as caller:
+                await caller.conn.send(bytes(200_000))
+                await self.until(lambda: instance.held.total == 200_000)
+                other = instance.held.hold("oak")
+                other.set(700_000)
+                await caller.conn.send(bytes(10_000))
+                await caller.read_head()
+                self.assertIn(b" 503 ", caller.head)
+                self.assertIn(b"retry-after: ", caller.head)
+            self.assertEqual(instance.held.total, 700_000)
+            self.assertEqual(self.journal(site), [])
+            (line,) = self.events_named("refused")
+            self.assertIn(MEMORY_SHORT, line["why"])
+            small = await self.ask(instance, "/confirm/x", body=b"x" * 1000)
+            self.assertEqual(small.status, 200)
+            other.close()
+            large = await self.ask(instance, "/confirm/x", body=bytes(400_000))
+            self.assertEqual(large.status, 200)
+            await self.assert_released(site, instance)
+
+    async def test_large_body_is_refused_by_its_length(self) -> None:
+        # Guards against receiving a body for which there is no memory.
+        async with self.long_site() as (site, instance):
+            instance.held.bounds = HeldBounds(1_000_000)
+            other = instance.held.hold("oak")
+            other.set(900_000)
+            head = request_head("/confirm/x", 70_000, Expect="100-continue")
+            async with self.caller(instance, head) as caller:
+                await caller.read_head()
+                self.assertTrue(caller.head.startswith(b"HTTP/1.1 503 "))
+            self.assertEqual(self.journal(site), [])
+            self.assertEqual(instance.counters.snapshot()["held.refused"], 1)
+
+    async def test_without_memory_limit_nothing_is_refused(self) -> None:
+        # Guards against new refusals in deployments that state no limit.
+        async with self.long_site() as (_, instance):
+            instance.held.hold("oak").set(1 << 40)
+            answer = await self.ask(
+                instance, "/confirm/x", body=bytes(1_000_000)
+            )
+            self.assertEqual(answer.status, 200)
+
+    async def test_caller_that_leaves_within_its_body(self) -> None:
+        # Guards against a count that stays after its request.
+        async with self.long_site() as (_, instance):
+            head = request_head("/confirm/x", 400_000)
+            async with self.caller(instance, head) as caller:
+                await caller.conn.send(bytes(200_000))
+                await self.until(lambda: instance.held.total == 200_000)
+            await self.until(lambda: instance.held.total == 0)
+
+
 if __name__ == "__main__":
     unittest.main()
