Explain stalled callers and refusals for lack of memory

Cause: a response ended for its caller's stall, or cut by its server after the head, counted as 'server answered 200'; refusals while a body arrives have no request line and were not counted at all.

Change: explain and losses know these three causes.

Measured: tests.test_explain passes with three more tests.

--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -12,6 +12,11 @@
 import msgspec
 
 from jasminerelay.admission import OVER_SHARE
+from jasminerelay.scheduling.heldbytes import (
+    BROKE_OFF,
+    MEMORY_SHORT,
+    STALLED,
+)
 
 CONTEXT_S = 15.0
 """How long before a request's arrival context events are included."""
@@ -186,6 +191,13 @@
     total: collections.Counter[str] = collections.Counter()
     unserved: dict[tuple[str, str], list[str]] = {}
     for event in events:
+        if event.name == "refused" and MEMORY_SHORT in _why(event):
+            # It was refused while its body arrived, before its route counted.
+            route = str(event.fields.get("path", "?"))
+            total[route] += 1
+            cause = "refused: no memory for large requests"
+            ids = unserved.setdefault((route, cause), [])
+            ids.append(str(event.fields.get("id", "?")))
         if event.name != "request":
             continue
         route = str(event.fields.get("route", "?"))
@@ -201,6 +213,10 @@
     return dict(total), losses
 
 
+def _why(event: Event) -> str:
+    return str(event.fields.get("why", ""))
+
+
 def _loss_cause(fields: dict[str, Any]) -> str:
     """Describes why a request was not served."""
     status, begun = fields.get("status"), bool(fields.get("events"))
@@ -212,6 +228,10 @@
         return "caller left before the answer" + (
             "" if sent else ", not yet placed"
         )
+    if STALLED in why:
+        return "caller stopped reading the answer"
+    if BROKE_OFF in why:
+        return "server connection lost during the answer"
     if "time was over" in why:
         return "time limit exceeded" + (" during the answer" if begun else "")
     if status == 503 and OVER_SHARE in why:
@@ -239,10 +259,22 @@
 def _causes(event: Event) -> list[str]:
     fields = event.fields
     if event.name == "refused":
-        return [
+        causes = [
             f"refused with {fields.get('status')} before it was placed:"
             f" {fields.get('why')}"
         ]
+        if MEMORY_SHORT in _why(event):
+            causes.append(
+                "the instance held too many bytes for slow callers and large"
+                " bodies; the request did not run"
+            )
+        return causes
+    if event.name == "caller_stalled":
+        return [
+            f"its caller read nothing for {fields.get('stalled_s')} s, with"
+            f" {fields.get('unacknowledged')} bytes on the way to it, while the"
+            " server waited; no server is at fault"
+        ]
     if event.name != "request":
         return []
     causes = []
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -8,6 +8,11 @@
 import unittest
 
 from jasminerelay import cli, explain
+from jasminerelay.scheduling.heldbytes import (
+    BROKE_OFF,
+    MEMORY_SHORT,
+    STALLED,
+)
 from standins.launcher import ROOT
 
 
@@ -101,6 +106,53 @@
             losses[0].cause, "refused: organisation over its share"
         )
 
+    def test_caller_that_stops_reading(self) -> None:
+        # Guards against a response ended for its caller's stall that looks
+        # like a failure of the server.
+        log = [
+            line(
+                2.0, "e", "caller_stalled", id="x", stalled_s=2.5,
+                unacknowledged=70_000,
+            ),
+            line(
+                2.0, "e", "request", id="x", route="r", ended="done",
+                status=200, why=f"{STALLED} for 2.50 s", servers=["s"],
+                total_s=4.0,
+            ),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = " ".join(explain.explain("x", events).causes)
+        self.assertIn("read nothing for 2.5 s", causes)
+        _, (loss,) = explain.summarize(events)
+        self.assertEqual(loss.cause, "caller stopped reading the answer")
+
+    def test_plain_response_that_broke_off(self) -> None:
+        log = [
+            line(
+                2.0, "e", "request", id="x", route="r", ended="done",
+                status=200, why=f"{BROKE_OFF}: ReadError('')", servers=["s"],
+            ),
+        ]  # fmt: skip
+        _, (loss,) = explain.summarize(explain.read(log)[0])
+        self.assertEqual(loss.cause, "server connection lost during the answer")
+
+    def test_refusal_for_lack_of_memory(self) -> None:
+        # Guards against refusals that `losses` does not count, since they have
+        # no `request` line.
+        log = [
+            line(
+                1.0, "e", "refused", id="x", path="/up/1", status=503,
+                why=f"{MEMORY_SHORT}: 9 bytes held",
+            ),
+            line(1.0, "e", "refused", id="y", path="/", status=401, why="key"),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = " ".join(explain.explain("x", events).causes)
+        self.assertIn("did not run", causes)
+        total, (loss,) = explain.summarize(events)
+        self.assertEqual(total, {"/up/1": 1})
+        self.assertEqual(loss.cause, "refused: no memory for large requests")
+
     def test_refusal_and_retry(self) -> None:
         log = [
             line(1.0, "e", "refused", id="x", status=401, why="no such key"),
