Keep the tokens that a preempted request's engine still computes

Cause: a preempted stream was dropped at the revocation and its engine told to cancel. The engine computes until the cancellation arrives, and these tokens were computed again by the next attempt.

Change: the stream is read until the engine has ended it, at most for the time limit of the cancellation, and what arrives is delivered. The permit is released then, as the slot is in use until then.

The test counted preemptions since the start of the system, also those of earlier tests, and could pass without one of its own. It now counts its own.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -13,6 +13,7 @@
 from jasminerelay import burn
 from jasminerelay.answercontext import AnswerContext, AnswerEvent, RequestPolicy
 from jasminerelay.backends import (
+    CANCEL_TIMEOUT_S,
     AttemptError,
     Chunk,
     EngineAttempt,
@@ -88,6 +89,7 @@
         self._finished = False
         self._preemptions = 0
         self._preempted_on = ""
+        self._cancelled_attempt = ""
         self.outcome = Outcome(self._id)
 
     async def events(self) -> AsyncIterator[AnswerEvent]:
@@ -142,6 +144,7 @@
             self.outcome.dispatched()
             tokens_before = self._delivered_tokens
             error: AttemptError | None = None
+            late_events: list[AnswerEvent] = []
             try:
                 chunks = self._context.engines.run(attempt)
                 stream = self._events_with_resumes(
@@ -151,6 +154,7 @@
                     async for event in events:
                         yield event
                         if self._check_preempted(permit_request, server):
+                            late_events = await self._cancel(attempt, events)
                             break
                     else:
                         self._finished = True
@@ -162,13 +166,15 @@
                 # outlast its return.
                 failed = error is not None and not error.leaving
                 self._release(permit_request, new_tokens, failed=failed)
-                if not self._finished:
+                if not self._finished and self._cancelled_attempt != attempt.id:
                     # The caller has disconnected, or another engine continues
                     # the answer. Without a cancellation this engine would go
                     # on computing an answer that is not used.
                     self._context.spawn(
                         self._context.engines.cancel, server, attempt.id
                     )
+            for event in late_events:
+                yield event
             if self._finished:
                 return
             if error is not None:
@@ -181,6 +187,30 @@
                 yield self._length_limit_event()
                 return
 
+    async def _cancel(
+        self, attempt: EngineAttempt, events: AsyncIterator[AnswerEvent]
+    ) -> list[AnswerEvent]:
+        """Cancels a preempted attempt; returns the events that still arrive.
+
+        The engine computes until the cancellation arrives. Tokens of that time
+        are kept, as the next attempt would have to compute them again. They
+        are returned, not yielded: the permit is released when the stream has
+        ended, also if the caller reads slowly.
+        """
+        self._cancelled_attempt = attempt.id
+        self._context.spawn(
+            self._context.engines.cancel, attempt.server, attempt.id
+        )
+        late_events: list[AnswerEvent] = []
+        with anyio.move_on_after(CANCEL_TIMEOUT_S):
+            try:
+                async for event in events:
+                    late_events.append(event)
+            except AttemptError:
+                # A cancelled stream ends without [DONE].
+                return late_events
+        return late_events
+
     async def _acquire_permit(
         self, permit_request: PermitRequest
     ) -> PermitGrant:
@@ -215,6 +245,7 @@
             except AttemptError as exc:
                 can_resume = (
                     attempt.server.resume
+                    and self._cancelled_attempt != attempt.id
                     and exc.execution_status is ExecutionStatus.MAY_HAVE_RUN
                     and number < MAX_RESUMES
                 )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -59,6 +59,7 @@
         drop_events: Leave out cache events; their sequence numbers are used
             up all the same.
         stall: Stop computing steps.
+        cancel_delay_s: Time until a cancellation takes effect.
     """
 
     slow_factor: float = 1.0
@@ -74,6 +75,7 @@
     crossed_frames: bool = False
     drop_events: bool = False
     stall: bool = False
+    cancel_delay_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -211,6 +213,7 @@
 
     async def cancel(self, request: Request) -> JSONResponse:
         """Cancels a stream."""
+        await asyncio.sleep(self.faults.cancel_delay_s)
         stream = self._streams.get(request.path_params["id"])
         if stream is not None:
             self._end_stream(stream, "cancelled")
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -208,10 +208,28 @@
         # Long run sheets occupy every slot and are preempted by chats. They
         # must continue later from the tokens delivered: each caller gets its
         # complete answer, and no token is computed twice.
+        self.check_preempted_sheets("sheet")
+
+    def test_tokens_until_the_cancellation_are_kept(self) -> None:
+        # The same where cancellations take effect late, as beside other load:
+        # the engine computes a score of tokens meanwhile. Guards against
+        # discarding these tokens and computing them again.
+        for name in ("model-1", "model-2"):
+            self.system.fault(name, cancel_delay_s=0.1)
+            self.addCleanup(self.system.fault, name, cancel_delay_s=0.0)
+        self.check_preempted_sheets("late sheet")
+
+    def check_preempted_sheets(self, name: str) -> None:
+        """Has chats preempt long requests; checks their answers and tokens.
+
+        Args:
+            name: Start of the prompts.
+        """
+        preemptions_before = self.preemptions()
         before = {
             item["id"] for item in self.system.journal("model", "attempts")
         }
-        prompts = [f"sheet {number} [len=120]" for number in range(6)]
+        prompts = [f"{name} {number} [len=120]" for number in range(6)]
         sheets = [
             Background(
                 stream,
@@ -221,12 +239,15 @@
             )
             for number, prompt in enumerate(prompts)
         ]
-        wait_for(lambda: self.preemptions() > 0 or self.burst())
+        wait_for(
+            lambda: self.preemptions() > preemptions_before or self.burst()
+        )
         for sheet, prompt in zip(sheets, prompts, strict=True):
             streamed = sheet.result()
             self.assertTrue(streamed.whole, streamed.error)
             self.assertEqual(streamed.text, answer_to(prompt))
-        self.assertGreater(self.preemptions(), 0)
+        preemptions = self.preemptions() - preemptions_before
+        self.assertGreater(preemptions, 0)
         sheet_tokens = sum(
             item["tokens"]
             for item in self.system.journal("model", "attempts")
@@ -234,7 +255,7 @@
             and item["prompt"] in {prompt_hash(prompt) for prompt in prompts}
         )
         # At each preemption one token may be computed but not delivered.
-        self.assertLessEqual(sheet_tokens, 6 * 120 + 3 * self.preemptions())
+        self.assertLessEqual(sheet_tokens, 6 * 120 + 3 * preemptions)
 
     def preemptions(self) -> int:
         return sum(
