Decide a usage window once every instance has reported after its end

Cause: a window was decided 5 s after its end, although all counts are there after some two seconds. A store that failed in between cost the window: of the windows due in 60 s with the store down from 18 s to 26 s, the one that ended at 15 s was missed.

Change: scheduling/reportprogress follows the reports of each instance that was live in a window. The holder decides it 1.2 s after its end at the earliest, once each has sent a report made 0.5 s (MAX_SKEW_S) after the end. Reports state the age of the oldest plain request without a response: such a request is counted later, in the window in which it was sent. Reports of the previous version do not state it, and are waited for as before, until half of the time until due. So are reports of instances that disappeared without a final one, for one more window than they were seen in, since they may be cut off; and windows that overlap a gap of over 3.2 s in an instance's reports. A store restored from a copy may have lost early decisions, too, so these windows are not decided again.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -1,5 +1,6 @@
 """One attempt: a request at one backend server, and the relay of its answer."""
 
+import contextlib
 import dataclasses
 import random
 import time
@@ -40,6 +41,7 @@
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
+from jasminerelay.usage import PendingStarts
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
 MIN_IDEMPOTENT_TIMEOUT_S = 0.5
@@ -92,6 +94,7 @@
             organisation and the seconds since then.
         versions: Returns the versions of the data behind decisions, for the
             log.
+        pending_starts: Plain requests whose start is not known yet.
     """
 
     dispatcher: Dispatcher
@@ -110,6 +113,9 @@
     rng: random.Random
     on_started: Callable[[str, float], None]
     versions: Callable[[], dict[str, float]]
+    pending_starts: PendingStarts = dataclasses.field(
+        default_factory=PendingStarts
+    )
 
 
 @dataclasses.dataclass
@@ -224,9 +230,10 @@
         self._context.drains.on_request(server.id)
         self._context.pauses.on_request(server.id)
         try:
-            response = await channel.send(
-                self._call, headers, self._answer_timeout_s()
-            )
+            with self._awaiting_start():
+                response = await channel.send(
+                    self._call, headers, self._answer_timeout_s()
+                )
         except AnswerTimeoutError as exc:
             self._report_lost()
             return Unknown(f"timed out: {exc}")
@@ -256,6 +263,13 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    def _awaiting_start(self) -> contextlib.AbstractContextManager[None]:
+        """Returns a context in which this request's start may be unknown."""
+        if self._call.route.streaming:
+            # A stream is counted at its first event, in the current window.
+            return contextlib.nullcontext()
+        return self._context.pending_starts.track(self._sent_at)
+
     def _record_statement(
         self, server: BackendServer, head: ResponseHead
     ) -> None:
--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -7,6 +7,7 @@
 the holder becomes unresponsive.
 """
 
+import math
 import time
 from collections.abc import Callable, Sequence
 
@@ -22,6 +23,7 @@
 from jasminerelay.leasing import LeaseManager
 from jasminerelay.metrics import Counters
 from jasminerelay.registry import Registry, StoreStatus
+from jasminerelay.scheduling.reportprogress import ReportProgress
 from jasminerelay.schema.messages import (
     DutyMessage,
     Member,
@@ -30,7 +32,7 @@
 )
 from jasminerelay.serverorders import Autoscaler
 from jasminerelay.trueclock import MAX_SKEW_S, TrueClock, median_skew_s
-from jasminerelay.usage import LocalUsage, UsageLedger
+from jasminerelay.usage import LocalUsage, PendingStarts, UsageLedger
 from jasminerelay.usagereports import UsageReporter
 
 MS_PER_S = 1e3
@@ -129,6 +131,7 @@
         self._skews: dict[str, float] = {}
         self._coordinators: list[Member] = []
         self._members: dict[str, Member] = {}
+        self._progress = ReportProgress(usage.window_s, self.true_s())
 
         self._coordinator_since: dict[str, float] = {}
         self._holder_seen_at = now_s()
@@ -148,6 +151,15 @@
         """Whether this instance holds the lease and performs the duties."""
         return self._lease_manager.holds
 
+    @property
+    def pending_starts(self) -> PendingStarts:
+        """Requests that may still have to be counted."""
+        return self._usage.pending
+
+    def missing_reports(self, window: int) -> list[str]:
+        """Returns the instances whose usage of a window may be missing."""
+        return self._progress.missing(window)
+
     def true_s(self) -> float:
         """Returns the true time, in seconds since 1970."""
         return self._clock.at(now_s())
@@ -169,6 +181,7 @@
         if members.keys() == self._members.keys():
             return
         self._members = members
+        self._progress.update_live(members, self.true_s())
         # Includes instances that have lost the store: they cannot perform the
         # duties, but go on receiving reports, and are complete once they reach
         # the store again.
@@ -206,6 +219,13 @@
             message.clock_ms / MS_PER_S - self.true_s()
         )
         self._ledger.merge(message.sender, message.usage)
+        if message.pending_ms >= 0:
+            self._progress.record_report(
+                message.sender,
+                message.clock_ms / MS_PER_S,
+                message.pending_ms / MS_PER_S,
+                self.true_s(),
+            )
         demand = peermessages.demand_rows(message.demand)
         if demand:
             # The holder's heartbeats have none.
@@ -256,6 +276,7 @@
     def _update_clock_and_expire(self, now: float) -> None:
         self._clock.update(now, time.time())
         self._ledger.expire(self._usage.window_at(self.true_s()))
+        self._progress.expire(self.true_s())
         for name, at in list(self._received_at.items()):
             if now - at > MESSAGE_TTL_S:
                 del self._received_at[name]
@@ -265,6 +286,7 @@
         """Reports to the coordinators; the holder also sends heartbeats."""
         demand = self._dispatcher.own_demand() if report_due else []
         steady = time.monotonic()
+        pending_ms = math.ceil(self._usage.pending.oldest_s(steady) * MS_PER_S)
         for coordinator in self._coordinators:
             full = (
                 now - self._coordinator_since[coordinator.instance]
@@ -275,7 +297,9 @@
                 if report_due
                 else []
             )
-            message = self._make_message(usage, demand)
+            message = self._make_message(
+                usage, demand, pending_ms=pending_ms if report_due else -1
+            )
             if coordinator.instance == self._own.instance:
                 if report_due:
                     self.handle_message(message)
@@ -287,6 +311,7 @@
         usage: Sequence[UsageWindow] = (),
         demand: Sequence[RouteDemand] = (),
         skew_s: float = 0.0,
+        pending_ms: int = -1,
     ) -> DutyMessage:
         return DutyMessage(
             self._own.instance,
@@ -295,6 +320,7 @@
             list(usage),
             peermessages.demand_columns(demand),
             round(skew_s * MS_PER_S),
+            pending_ms,
         )
 
     def _check_clocks(self) -> None:
--- a/src/jasminerelay/platform/dutyassembly.py
+++ b/src/jasminerelay/platform/dutyassembly.py
@@ -86,6 +86,7 @@
             counters,
             log,
         )
+        duties.reports.missing = duties.missing_reports
     if options.servers:
         duties.orders = Autoscaler(
             caller, registry, duties.work, now_s, counters, log
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -76,6 +76,7 @@
     TableFollower,
 )
 from jasminerelay.telemetry import Telemetry
+from jasminerelay.usage import PendingStarts
 from jasminerelay.watchdog import Watchdog
 
 if TYPE_CHECKING:
@@ -467,6 +468,7 @@
             self._rng,
             self._duties.record_start if self._duties else lambda *_: None,
             self._versions,
+            self._duties.pending_starts if self._duties else PendingStarts(),
         )
         front = IngressContext(
             forwarding,
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -515,6 +515,7 @@
     usage: list[UsageWindow]
     demand: DemandColumns
     skew_ms: int = 0
+    pending_ms: int = -1
 
 
 class PeerMessage(Struct, frozen=True):
--- a/src/jasminerelay/usagereports.py
+++ b/src/jasminerelay/usagereports.py
@@ -6,7 +6,7 @@
 if after the write, the successor sends the decided counts again.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 from jasminerelay.eventlog import EventLog
@@ -19,6 +19,14 @@
 of instances that were unreachable may arrive until then; the remaining time is
 left for a new holder."""
 
+EARLIEST_S = 1.2
+"""Time after a window's end before which it is not decided, even if all known
+instances have reported. An instance that has just started makes itself known
+with its first report, at most a second after its first request."""
+
+MAX_NAMES = 5
+"""Instances named in a log line."""
+
 
 class DecidedReports(Protocol):
     """Store of decided reports.
@@ -31,7 +39,12 @@
 
 
 class UsageReporter:
-    """Decides and sends reports while this instance holds the lease."""
+    """Decides and sends reports while this instance holds the lease.
+
+    Attributes:
+        missing: Returns the instances whose requests of a window may be
+            missing. If there are none, the window is decided early.
+    """
 
     def __init__(
         self,
@@ -67,6 +80,7 @@
         self._sent: set[int] = set()
         self._missed: set[int] = set()
         self._undecidable_to = -1
+        self.missing: Callable[[int], Sequence[str]] = lambda window: ("all",)
 
     def on_store_restored(self) -> None:
         """Handles that the store has come back from a copy of its data.
@@ -75,7 +89,7 @@
         whose reports may have been decided by now are not decided here.
         """
         # True time differs between instances by less than a window.
-        self._undecidable_to = self._last_due_window() + 1
+        self._undecidable_to = self._last_window(EARLIEST_S) + 1
 
     def on_lease_taken(self) -> None:
         """Resets the state after this instance has taken the lease."""
@@ -95,14 +109,30 @@
     def _due_windows(self) -> list[int]:
         """Returns the windows whose reports may be decided and are in time."""
         last = self._last_due_window()
+        early = range(last + 1, self._last_window(EARLIEST_S) + 1)
         first = int((self._true_s() - self._late_s) // self._window_s)
         self._sent = {x for x in self._sent if x >= first}
         self._missed = {x for x in self._missed if x >= first}
-        return list(range(first, last + 1))
+        return [
+            *range(first, last + 1),
+            *(x for x in early if self._may_decide_early(x)),
+        ]
+
+    def _may_decide_early(self, window: int) -> bool:
+        if window in self._decided.reports:
+            return True
+        return (
+            window > self._undecidable_to
+            and self._ledger.complete(window)
+            and not self.missing(window)
+        )
 
     def _last_due_window(self) -> int:
-        decide_after_s = self._late_s * DECIDE_AFTER_SHARE
-        return int((self._true_s() - decide_after_s) // self._window_s) - 1
+        return self._last_window(self._late_s * DECIDE_AFTER_SHARE)
+
+    def _last_window(self, ended_s: float) -> int:
+        """Returns the last window that ended at least so long ago."""
+        return int((self._true_s() - ended_s) // self._window_s) - 1
 
     async def _decide(self, window: int) -> None:
         if window <= self._undecidable_to:
@@ -117,8 +147,19 @@
             )
             return
         report = UsageReport(window, self._ledger.counts(window))
-        if await self._caller.decide(report):
-            self._counters.incr("usage.decided")
+        missing = self.missing(window)
+        if not await self._caller.decide(report):
+            return
+        self._counters.incr("usage.decided")
+        if window <= self._last_due_window():
+            self._counters.incr("usage.decided_late")
+            self._log.info(
+                "usage_awaited",
+                window=window,
+                after_end_s=round(self._age_s(window), 2),
+                missing=len(missing),
+                instances=list(missing[:MAX_NAMES]),
+            )
 
     def _record_miss(self, window: int, why: str) -> None:
         if window in self._missed:
@@ -129,16 +170,19 @@
 
     async def _send(self, report: UsageReport) -> None:
         done = await self._caller.report(report)
-        age_s = self._true_s() - (report.window + 1) * self._window_s
         self._log.info(
             "usage_report",
             window=report.window,
             requests=sum(report.counts.values()),
             organisations=len(report.counts),
-            after_end_s=round(age_s, 2),
+            after_end_s=round(self._age_s(report.window), 2),
             fence=self._caller.fence,
             done=done,
         )
         if done:
             self._sent.add(report.window)
             self._counters.incr("usage.reported")
+
+    def _age_s(self, window: int) -> float:
+        """Returns the time since a window's end."""
+        return self._true_s() - (window + 1) * self._window_s
--- a/tests/dutyworld.py
+++ b/tests/dutyworld.py
@@ -304,6 +304,7 @@
             Quiet(),
             Quiet(),
         )
+        watch.reports.missing = watch.missing_reports
         watch.orders = RepeatedOrders(caller)
         watch.first_start = self._first_start
         watch.rows = rows
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -251,6 +251,20 @@
         "if False:",
         "test_duties.DutySimulationTest.test_no_report_after_loss_of_counts",
     ),
+    Safeguard(
+        "a window with requests in flight is not decided early",
+        "scheduling/reportprogress",
+        "progress.made_at >= end + MAX_SKEW_S and progress.counted_to >= end",
+        "progress.made_at >= end + MAX_SKEW_S",
+        "test_earlywindows.ReportProgressTest.test_plain_request_in_flight",
+    ),
+    Safeguard(
+        "an early decision that the store may have lost is not made again",
+        "usagereports",
+        "self._undecidable_to = self._last_window(EARLIEST_S) + 1",
+        "self._undecidable_to = self._last_due_window()",
+        "test_earlywindows.EarlyDecisionTest.test_restored_store",
+    ),
     Safeguard(
         "a failed server gets no requests until a probe succeeds",
         "broker",
--- a/tests/test_platformduties.py
+++ b/tests/test_platformduties.py
@@ -1,6 +1,8 @@
 """Duties on the platform's interface: settings, calls, rows and reports."""
 
+import functools
 import json
+import time
 import types
 import unittest
 
@@ -422,6 +424,23 @@
             await self.until(lambda: place in checker.servers)
             self.assertEqual(checker.violations, [])
 
+    async def test_plain_request_without_response_is_pending(self) -> None:
+        # Guards against a window that is decided before a plain request sent
+        # in it is counted.
+        async with self.site(1) as (site, (instance,)):
+            pending = instance._duties.pending_starts
+            site.servers["plain-1"].faults.mute = 1
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    functools.partial(
+                        self.ask, instance, "/lookup/x", method="GET"
+                    )
+                )
+                await self.until(
+                    lambda: pending.oldest_s(time.monotonic()) > 0.05
+                )
+            self.assertEqual(pending.oldest_s(time.monotonic()), 0.0)
+
     def reported(self, checker) -> int:
         """Returns the number of requests in all reports."""
         return sum(sum(counts.values()) for counts in checker.reports.values())
