Deliver the totals of an instance that stops before it exits

Cause: an instance that stops reported once a second like others. Requests that servers began for it after its last report were lost, and windows waited for an instance that had ended.

Change: before it exits, it sends all its totals as a final report to each coordinator, every 0.1 s until they confirm it, for at most 0.3 s, while it removes its row. A final report ends the wait of windows for the instance. Coordinators of the previous version take it as a usual report and confirm nothing.

Measured: in virtual time (8 instances, three of which stop) all windows are reported with exact counts within 3 s of their end, also where the first final reports to all three coordinators are lost.

--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -87,7 +87,14 @@
 others."""
 
 
-DEPARTED_S = 10.0
+FINAL_REPORT_S = 0.3
+"""How long an instance that stops tries to deliver its last report. It exits
+0.6 s before it would be killed."""
+
+FINAL_RETRY_S = 0.1
+"""Pause between two attempts; several times a round trip between zones."""
+
+DEPARTED_S = 60.0
 """How long the address of an instance that is no longer live is kept: it may
 request totals, hand them over, or send its last report, while it stops."""
 
@@ -149,6 +156,7 @@
         self._departed: dict[str, tuple[Member, float]] = {}
         self._has_departed = False
         self._former_coordinators: dict[str, float] = {}
+        self._unconfirmed: set[str] = set()
         self._handover: HandoverIntake | None = None
         self._former_claim = (math.inf, float("-inf"))
         self._progress = ReportProgress(usage.window_s, self.true_s())
@@ -269,7 +277,12 @@
                 message.clock_ms / MS_PER_S,
                 message.pending_ms / MS_PER_S,
                 self.true_s(),
+                final=message.final,
             )
+        if message.confirms:
+            self._unconfirmed.discard(message.sender)
+        if message.final:
+            self._confirm_final(message.sender)
         demand = peermessages.demand_rows(message.demand)
         if demand:
             # The holder's heartbeats have none.
@@ -340,6 +353,35 @@
         """Marks this instance as shutting down."""
         self._stopping = True
 
+    async def send_final_report(self) -> None:
+        """Sends all totals to the coordinators before this instance exits.
+
+        Repeats it until each has confirmed it, for at most `FINAL_REPORT_S`.
+        """
+        coordinators = {
+            member.instance: member
+            for member in self._coordinators
+            if member.instance != self._own.instance
+        }
+        self._unconfirmed = set(coordinators)
+        steady = time.monotonic()
+        usage = self._usage.windows_to_send(steady, full=True)
+        started = now_s()
+        while self._unconfirmed and now_s() - started < FINAL_REPORT_S:
+            message = self._make_message(usage, pending_ms=0, final=True)
+            for name in sorted(self._unconfirmed):
+                self.send(coordinators[name], message)
+            await anyio.sleep(FINAL_RETRY_S)
+        if self._unconfirmed:
+            self._counters.incr("usage.final_unconfirmed")
+        self._log.info(
+            "usage_final",
+            windows=len(usage),
+            requests=sum(sum(item.counts) for item in usage),
+            unconfirmed=sorted(self._unconfirmed),
+            took_s=round(now_s() - started, 2),
+        )
+
     async def run(self) -> None:
         """Reports, and performs the duties under the lease, forever."""
         async with anyio.create_task_group() as group:
@@ -369,6 +411,12 @@
                 del self._received_at[name]
                 self._skews.pop(name, None)
 
+    def _confirm_final(self, sender: str) -> None:
+        self._counters.incr("usage.final_received")
+        member = self._member(sender)
+        if member is not None:
+            self.send(member, self._make_message(confirms=True))
+
     def _record_departed(self, members: dict[str, Member]) -> None:
         now = now_s()
         self._departed = {
@@ -472,6 +520,9 @@
         demand: Sequence[RouteDemand] = (),
         skew_s: float = 0.0,
         pending_ms: int = -1,
+        *,
+        final: bool = False,
+        confirms: bool = False,
     ) -> DutyMessage:
         return DutyMessage(
             self._own.instance,
@@ -481,6 +532,8 @@
             peermessages.demand_columns(demand),
             round(skew_s * MS_PER_S),
             pending_ms,
+            final,
+            confirms,
         )
 
     def _check_clocks(self) -> None:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -840,6 +840,12 @@
             self._requests_in_flight(), time.monotonic()
         ):
             await anyio.sleep(STOP_CHECK_INTERVAL_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._unregister)
+            if self._duties is not None:
+                group.start_soon(self._duties.send_final_report)
+
+    async def _unregister(self) -> None:
         with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
             try:
                 await self._instance_table.unregister()
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -516,6 +516,8 @@
     demand: DemandColumns
     skew_ms: int = 0
     pending_ms: int = -1
+    final: bool = False
+    confirms: bool = False
 
 
 class HandoverRequest(Struct, frozen=True):
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -272,6 +272,21 @@
         "if False:",
         "test_dutyhandover.HandoverIntakeTest.test_donor_without_all_totals",
     ),
+    Safeguard(
+        "a planned stop sends the last totals",
+        "platform/root",
+        "group.start_soon(self._duties.send_final_report)",
+        "pass",
+        "test_platformduties.ReportsTest"
+        ".test_planned_stop_sends_a_final_report",
+    ),
+    Safeguard(
+        "a final report is repeated until it is confirmed",
+        "duties",
+        "while self._unconfirmed and now_s() - started < FINAL_REPORT_S:",
+        "for _ in range(1):",
+        "test_dutyhandover.FinalReportTest.test_final_reports_are_lost",
+    ),
     Safeguard(
         "a failed server gets no requests until a probe succeeds",
         "broker",
--- a/tests/test_dutyhandover.py
+++ b/tests/test_dutyhandover.py
@@ -5,7 +5,11 @@
 import anyio
 
 from jasminerelay import peermessages, rendezvous
-from jasminerelay.duties import COORDINATOR_COUNT
+from jasminerelay.duties import (
+    COORDINATOR_COUNT,
+    FINAL_REPORT_S,
+    FINAL_RETRY_S,
+)
 from jasminerelay.scheduling import dutyhandover
 from jasminerelay.scheduling.dutyhandover import HandoverIntake
 from jasminerelay.schema.messages import (
@@ -17,7 +21,7 @@
 )
 from jasminerelay.usage import UsageLedger
 from tests import virtualtime
-from tests.dutyworld import DutySimulation
+from tests.dutyworld import WINDOW_S, DutySimulation
 from tests.instanceworld import Node
 from tests.test_duties import MODULES
 
@@ -142,12 +146,14 @@
         received: Highest total that any coordinator received, by window,
             sender and organisation.
         lose: Returns whether a message is lost.
+        final_s: How long each stop took to deliver the final report.
     """
 
     def __init__(self, count: int):
         super().__init__(5, count, faults=False)
         self.received: dict[tuple[int, str, str], int] = {}
         self.lose = lambda message: False
+        self.final_s: list[float] = []
         self._leaving: set[str] = set()
 
     def members(self, node: Node) -> list[Member]:
@@ -176,8 +182,16 @@
             node.watch.stop()
         await anyio.sleep(grace_s)
         for node in nodes:
+            node.requests.cancel()
+            began = anyio.current_time()
+            await node.watch.send_final_report()
+            self.final_s.append(anyio.current_time() - began)
             self.end_node(node)
 
+    async def _start_requests(self, node: Node) -> None:
+        with anyio.CancelScope() as node.requests:
+            await super()._start_requests(node)
+
     def known(self, window: int) -> dict[str, int]:
         """Returns the counts of a window that any coordinator received."""
         counts: dict[str, int] = {}
@@ -297,5 +311,71 @@
         self.assertNotIn(2, self.simulation.checker.reports)
 
 
+class FinalReportTest(unittest.TestCase):
+    """Last reports of instances that stop in order."""
+
+    def setUp(self) -> None:
+        self.simulation = _Simulation(8)
+
+    async def stop_three(self) -> None:
+        """Stops instances just after requests that they have not reported."""
+        for _ in range(3):
+            await anyio.sleep(7.3)
+            nodes = self.simulation.coordinators()
+            other = next(x for x in self.simulation.alive if x not in nodes)
+            await self.simulation.stop_in_order([other], 1.0)
+
+    def run_stops(self) -> None:
+        """Stops three instances; checks that no window waits for them."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.stop_three)
+                await self.simulation.run()
+                group.cancel_scope.cancel()
+
+        virtualtime.run(run, MODULES)
+        checker = self.simulation.checker
+        self.assertEqual(checker.violations, [])
+        for window in range(1, 8):
+            self.assertEqual(
+                checker.reports[window], dict(self.simulation.truth[window])
+            )
+
+    def test_no_count_is_lost_and_no_window_waits(self) -> None:
+        # Guards against the loss of the counts since the last report, up to a
+        # second of them, and against windows that wait for ended instances.
+        self.run_stops()
+        checker = self.simulation.checker
+        for window in range(1, 8):
+            at = checker.first_report_times[window]
+            self.assertLess(at - (window + 1) * WINDOW_S, 3.0)
+
+    def test_final_reports_are_lost(self) -> None:
+        lost = []
+
+        def lose(message: object) -> bool:
+            if not isinstance(message, DutyMessage) or not message.final:
+                return False
+            lost.append(message)
+            # The first ones to the three coordinators.
+            return len(lost) <= 3
+
+        self.simulation.lose = lose
+        self.run_stops()
+        self.assertLess(max(self.simulation.final_s), FINAL_REPORT_S)
+
+    def test_coordinators_of_the_previous_version(self) -> None:
+        # Guards against a stop that waits for confirmations until the process
+        # is killed.
+        self.simulation.lose = lambda message: (
+            isinstance(message, DutyMessage) and message.confirms
+        )
+        self.run_stops()
+        self.assertLessEqual(
+            max(self.simulation.final_s), FINAL_REPORT_S + FINAL_RETRY_S
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platformduties.py
+++ b/tests/test_platformduties.py
@@ -424,6 +424,16 @@
             await self.until(lambda: place in checker.servers)
             self.assertEqual(checker.violations, [])
 
+    async def test_planned_stop_sends_a_final_report(self) -> None:
+        # Guards against the loss of counts since the last report, and against
+        # windows that wait for an instance that has ended.
+        async with self.site(2) as (_, (first, second)):
+            await self.until(lambda: first.live_instance_count == 2)
+            second.stop()
+            await self.until(lambda: not second.running)
+            counts = first.counters.snapshot()
+            self.assertGreaterEqual(counts.get("usage.final_received", 0), 1)
+
     async def test_plain_request_without_response_is_pending(self) -> None:
         # Guards against a window that is decided before a plain request sent
         # in it is counted.
