--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -1,5 +1,6 @@
 """One attempt: a request at one backend server, and the relay of its answer."""
 
+import contextlib
 import dataclasses
 import math
 import random
@@ -51,6 +52,7 @@
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
+from jasminerelay.usage import PendingStarts
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
 MIN_IDEMPOTENT_TIMEOUT_S = 0.5
@@ -104,6 +106,7 @@
         versions: Returns the versions of the data behind decisions, for the
             log.
         held: Counts the bytes that the instance holds.
+        pending_starts: Plain requests whose start is not known yet.
     """
 
     dispatcher: Dispatcher
@@ -123,6 +126,9 @@
     on_started: Callable[[str, float], None]
     versions: Callable[[], dict[str, float]]
     held: HeldBytes
+    pending_starts: PendingStarts = dataclasses.field(
+        default_factory=PendingStarts
+    )
 
 
 @dataclasses.dataclass
@@ -243,9 +249,10 @@
         self._context.drains.on_request(server.id)
         self._context.pauses.on_request(server.id)
         try:
-            response = await channel.send(
-                self._call, headers, self._answer_timeout_s()
-            )
+            with self._awaiting_start():
+                response = await channel.send(
+                    self._call, headers, self._answer_timeout_s()
+                )
         except AnswerTimeoutError as exc:
             self._report_lost()
             return Unknown(f"timed out: {exc}")
@@ -275,6 +282,13 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    def _awaiting_start(self) -> contextlib.AbstractContextManager[None]:
+        """Returns a context in which this request's start may be unknown."""
+        if self._call.route.streaming:
+            # A stream is counted at its first event, in the current window.
+            return contextlib.nullcontext()
+        return self._context.pending_starts.track(self._sent_at)
+
     def _record_statement(
         self, server: BackendServer, head: ResponseHead
     ) -> None:
--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -7,6 +7,8 @@
 the holder becomes unresponsive.
 """
 
+import functools
+import math
 import time
 from collections.abc import Callable, Sequence
 
@@ -22,15 +24,25 @@
 from jasminerelay.leasing import LeaseManager
 from jasminerelay.metrics import Counters
 from jasminerelay.registry import Registry, StoreStatus
+from jasminerelay.scheduling import dutyhandover
+from jasminerelay.scheduling.dutyhandover import HandoverIntake
+from jasminerelay.scheduling.reportprogress import ReportProgress
 from jasminerelay.schema.messages import (
     DutyMessage,
+    HandoverRequest,
+    HandoverTotals,
     Member,
     RouteDemand,
     UsageWindow,
 )
 from jasminerelay.serverorders import Autoscaler
 from jasminerelay.trueclock import MAX_SKEW_S, TrueClock, median_skew_s
-from jasminerelay.usage import LocalUsage, UsageLedger
+from jasminerelay.usage import (
+    KEPT_WINDOWS,
+    LocalUsage,
+    PendingStarts,
+    UsageLedger,
+)
 from jasminerelay.usagereports import UsageReporter
 
 MS_PER_S = 1e3
@@ -75,6 +87,18 @@
 others."""
 
 
+FINAL_REPORT_S = 0.3
+"""How long an instance that stops tries to deliver its last report. It exits
+0.6 s before it would be killed."""
+
+FINAL_RETRY_S = 0.1
+"""Pause between two attempts; several times a round trip between zones."""
+
+DEPARTED_S = 60.0
+"""How long the address of an instance that is no longer live is kept: it may
+request totals, hand them over, or send its last report, while it stops."""
+
+
 class Duties:
     """Reports of one instance, and the duties if it holds the lease.
 
@@ -129,6 +153,13 @@
         self._skews: dict[str, float] = {}
         self._coordinators: list[Member] = []
         self._members: dict[str, Member] = {}
+        self._departed: dict[str, tuple[Member, float]] = {}
+        self._has_departed = False
+        self._former_coordinators: dict[str, float] = {}
+        self._unconfirmed: set[str] = set()
+        self._handover: HandoverIntake | None = None
+        self._former_claim = (math.inf, float("-inf"))
+        self._progress = ReportProgress(usage.window_s, self.true_s())
 
         self._coordinator_since: dict[str, float] = {}
         self._holder_seen_at = now_s()
@@ -138,9 +169,11 @@
         self.first_start = False
         self._backoff_until = float("-inf")
         self._stopping = False
-        self.send: Callable[[Member, DutyMessage], None] = lambda to, message: (
-            None
-        )
+        self.send: Callable[
+            [Member, DutyMessage | HandoverRequest | HandoverTotals], None
+        ] = lambda to, message: None
+        # Looked up once: each access to the method creates it anew.
+        self._dispatch_message = self._dispatch
         lease_manager.on_taken = self._on_lease_taken
 
     @property
@@ -148,6 +181,15 @@
         """Whether this instance holds the lease and performs the duties."""
         return self._lease_manager.holds
 
+    @property
+    def pending_starts(self) -> PendingStarts:
+        """Requests that may still have to be counted."""
+        return self._usage.pending
+
+    def missing_reports(self, window: int) -> list[str]:
+        """Returns the instances whose usage of a window may be missing."""
+        return self._progress.missing(window)
+
     def true_s(self) -> float:
         """Returns the true time, in seconds since 1970."""
         return self._clock.at(now_s())
@@ -168,7 +210,9 @@
         members = {member.instance: member for member in live}
         if members.keys() == self._members.keys():
             return
+        self._record_departed(members)
         self._members = members
+        self._progress.update_live(members, self.true_s())
         # Includes instances that have lost the store: they cannot perform the
         # duties, but go on receiving reports, and are complete once they reach
         # the store again.
@@ -180,20 +224,41 @@
         was_coordinator = self._coordinator_rank is not None
         self._coordinators = [members[name] for name in ranked]
         now = now_s()
+        for name in self._coordinator_since:
+            if name not in ranked:
+                self._former_coordinators[name] = now
         self._coordinator_since = {
             name: self._coordinator_since.get(name, now) for name in ranked
         }
         if self._coordinator_rank is None:
+            if was_coordinator:
+                self._former_claim = (self._ledger.complete_from, now)
+            self._handover = None
             self._ledger.mark_incomplete()
         elif not was_coordinator:
             # While all instances start for the first time, a new coordinator
-            # receives everything that was counted.
-            first = self.first_start and now - self._started_at < STARTUP_S
+            # receives everything that was counted, unless an instance has
+            # ended: its totals may be known to other coordinators only.
+            first = (
+                self.first_start
+                and not self._has_departed
+                and now - self._started_at < STARTUP_S
+            )
             window = self._usage.window_at(self.true_s()) + 1
             self._ledger.mark_complete_from(0 if first else window)
+            self._handover = HandoverIntake(
+                self._own.instance, window - KEPT_WINDOWS, window - 1, now
+            )
+        self._request_totals(now)
 
-    def handle_message(self, message: DutyMessage) -> None:
+    def handle_message(
+        self, message: DutyMessage | HandoverRequest | HandoverTotals
+    ) -> None:
         """Handles another instance's message."""
+        self._dispatch_message(message)
+
+    @functools.singledispatchmethod
+    def _dispatch(self, message: DutyMessage) -> None:
         now = now_s()
         if message.skew_ms and now - self._corrected_at > CORRECTION_INTERVAL_S:
             self._corrected_at = now
@@ -206,11 +271,65 @@
             message.clock_ms / MS_PER_S - self.true_s()
         )
         self._ledger.merge(message.sender, message.usage)
+        if message.pending_ms >= 0:
+            self._progress.record_report(
+                message.sender,
+                message.clock_ms / MS_PER_S,
+                message.pending_ms / MS_PER_S,
+                self.true_s(),
+                final=message.final,
+            )
+        if message.confirms:
+            self._unconfirmed.discard(message.sender)
+        if message.final:
+            self._confirm_final(message.sender)
         demand = peermessages.demand_rows(message.demand)
         if demand:
             # The holder's heartbeats have none.
             self._demand.update(message.sender, demand, time.monotonic())
 
+    @_dispatch.register
+    def _(self, message: HandoverRequest) -> None:
+        receiver = self._member(message.sender)
+        if receiver is None:
+            self._counters.incr("usage.handover_unknown")
+            return
+        self._counters.incr("usage.handover_sent")
+        self.send(
+            receiver,
+            dutyhandover.totals_message(
+                self._own.instance,
+                self._ledger,
+                self._complete_from(message.last),
+                message,
+            ),
+        )
+
+    @_dispatch.register
+    def _(self, message: HandoverTotals) -> None:
+        for sender, window in zip(
+            message.instances, message.windows, strict=True
+        ):
+            self._ledger.merge(sender, [window])
+        if self._handover is None:
+            return
+        now = now_s()
+        result = self._handover.receive(message, now)
+        if isinstance(result, int):
+            self._ledger.mark_complete_from(result)
+            self._counters.incr("usage.handover_received")
+            self._log.info(
+                "usage_handover",
+                source=message.sender,
+                complete_from=result,
+                totals=self._handover.rows,
+                requests=self._handover.requests,
+                after_s=round(self._handover.age_s(now), 2),
+            )
+            self._request_totals(now)
+        elif result is not None:
+            self._send_request(*result)
+
     def work(self, service: str) -> float | None:
         """Returns how many servers a service's requests occupy.
 
@@ -234,6 +353,35 @@
         """Marks this instance as shutting down."""
         self._stopping = True
 
+    async def send_final_report(self) -> None:
+        """Sends all totals to the coordinators before this instance exits.
+
+        Repeats it until each has confirmed it, for at most `FINAL_REPORT_S`.
+        """
+        coordinators = {
+            member.instance: member
+            for member in self._coordinators
+            if member.instance != self._own.instance
+        }
+        self._unconfirmed = set(coordinators)
+        steady = time.monotonic()
+        usage = self._usage.windows_to_send(steady, full=True)
+        started = now_s()
+        while self._unconfirmed and now_s() - started < FINAL_REPORT_S:
+            message = self._make_message(usage, pending_ms=0, final=True)
+            for name in sorted(self._unconfirmed):
+                self.send(coordinators[name], message)
+            await anyio.sleep(FINAL_RETRY_S)
+        if self._unconfirmed:
+            self._counters.incr("usage.final_unconfirmed")
+        self._log.info(
+            "usage_final",
+            windows=len(usage),
+            requests=sum(sum(item.counts) for item in usage),
+            unconfirmed=sorted(self._unconfirmed),
+            took_s=round(now_s() - started, 2),
+        )
+
     async def run(self) -> None:
         """Reports, and performs the duties under the lease, forever."""
         async with anyio.create_task_group() as group:
@@ -246,6 +394,7 @@
             await anyio.sleep(TICK_S)
             now = now_s()
             self._update_clock_and_expire(now)
+            self._request_totals(now)
             report_due = now - reported_at >= REPORT_INTERVAL_S
             if report_due:
                 reported_at = now
@@ -256,15 +405,96 @@
     def _update_clock_and_expire(self, now: float) -> None:
         self._clock.update(now, time.time())
         self._ledger.expire(self._usage.window_at(self.true_s()))
+        self._progress.expire(self.true_s())
         for name, at in list(self._received_at.items()):
             if now - at > MESSAGE_TTL_S:
                 del self._received_at[name]
                 self._skews.pop(name, None)
 
+    def _confirm_final(self, sender: str) -> None:
+        self._counters.incr("usage.final_received")
+        member = self._member(sender)
+        if member is not None:
+            self.send(member, self._make_message(confirms=True))
+
+    def _record_departed(self, members: dict[str, Member]) -> None:
+        now = now_s()
+        self._departed = {
+            name: (member, at)
+            for name, (member, at) in self._departed.items()
+            if now - at < DEPARTED_S and name not in members
+        }
+        for name, member in self._members.items():
+            if name not in members:
+                self._departed[name] = (member, now)
+                self._has_departed = True
+
+    def _member(self, name: str) -> Member | None:
+        """Returns an instance that is live, or was until recently."""
+        if name in self._members:
+            return self._members[name]
+        member, _ = self._departed.get(name, (None, 0.0))
+        return member
+
+    def _complete_from(self, last: int) -> float:
+        """Returns the first window whose totals this instance can hand over.
+
+        Args:
+            last: Last window that the receiver lacks.
+        """
+        if self._coordinator_rank is not None:
+            return self._ledger.complete_from
+        complete_from, until = self._former_claim
+        ago_s = now_s() - until
+        if ago_s > dutyhandover.FORMER_S:
+            return math.inf
+        received_to_s = self.true_s() - ago_s + dutyhandover.VIEW_LAG_S
+        if self._usage.window_at(received_to_s) < last:
+            # Later reports went to another coordinator.
+            return math.inf
+        return complete_from
+
+    def _request_totals(self, now: float) -> None:
+        """Requests the totals that a new coordinator lacks, if that is due."""
+        handover = self._handover
+        if handover is None:
+            return
+        if handover.ended(self._ledger.complete_from, now):
+            if handover.age_s(now) > dutyhandover.HANDOVER_S:
+                self._counters.incr("usage.handover_failed")
+                self._log.info(
+                    "usage_handover_failed",
+                    requests=handover.requests,
+                    complete_from=self._ledger.complete_from,
+                    after_s=round(handover.age_s(now), 2),
+                )
+            self._handover = None
+            return
+        self._former_coordinators = {
+            name: at
+            for name, at in self._former_coordinators.items()
+            if now - at < dutyhandover.HANDOVER_S
+        }
+        donors = [coordinator.instance for coordinator in self._coordinators]
+        donors += [x for x in self._former_coordinators if x not in donors]
+        handover.update_donors(
+            [name for name in donors if self._member(name) is not None]
+        )
+        request = handover.request(now)
+        if request is not None:
+            self._send_request(*request)
+
+    def _send_request(self, donor: str, request: HandoverRequest) -> None:
+        self._counters.incr("usage.handover_requested")
+        member = self._member(donor)
+        if member is not None:
+            self.send(member, request)
+
     def _send_reports(self, now: float, report_due: bool) -> None:
         """Reports to the coordinators; the holder also sends heartbeats."""
         demand = self._dispatcher.own_demand() if report_due else []
         steady = time.monotonic()
+        pending_ms = math.ceil(self._usage.pending.oldest_s(steady) * MS_PER_S)
         for coordinator in self._coordinators:
             full = (
                 now - self._coordinator_since[coordinator.instance]
@@ -275,7 +505,9 @@
                 if report_due
                 else []
             )
-            message = self._make_message(usage, demand)
+            message = self._make_message(
+                usage, demand, pending_ms=pending_ms if report_due else -1
+            )
             if coordinator.instance == self._own.instance:
                 if report_due:
                     self.handle_message(message)
@@ -287,6 +519,10 @@
         usage: Sequence[UsageWindow] = (),
         demand: Sequence[RouteDemand] = (),
         skew_s: float = 0.0,
+        pending_ms: int = -1,
+        *,
+        final: bool = False,
+        confirms: bool = False,
     ) -> DutyMessage:
         return DutyMessage(
             self._own.instance,
@@ -295,6 +531,9 @@
             list(usage),
             peermessages.demand_columns(demand),
             round(skew_s * MS_PER_S),
+            pending_ms,
+            final,
+            confirms,
         )
 
     def _check_clocks(self) -> None:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -78,6 +78,7 @@
     TableFollower,
 )
 from jasminerelay.telemetry import Telemetry
+from jasminerelay.usage import PendingStarts
 from jasminerelay.watchdog import Watchdog
 
 if TYPE_CHECKING:
@@ -472,6 +473,7 @@
             self._duties.record_start if self._duties else lambda *_: None,
             self._versions,
             self.held,
+            self._duties.pending_starts if self._duties else PendingStarts(),
         )
         front = IngressContext(
             forwarding,
@@ -852,6 +854,12 @@
             self._requests_in_flight(), time.monotonic()
         ):
             await anyio.sleep(STOP_CHECK_INTERVAL_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._unregister)
+            if self._duties is not None:
+                group.start_soon(self._duties.send_final_report)
+
+    async def _unregister(self) -> None:
         with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
             try:
                 await self._instance_table.unregister()
--- a/src/jasminerelay/usage.py
+++ b/src/jasminerelay/usage.py
@@ -7,9 +7,11 @@
 """
 
 import collections
+import contextlib
 import dataclasses
+import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from jasminerelay.schema.messages import UsageWindow
 
@@ -43,8 +45,44 @@
     changed_at: float = -math.inf
 
 
+class PendingStarts:
+    """Requests sent of which it is not known yet whether a server began them.
+
+    A plain request is counted when its response begins, in the window in which
+    it was sent.
+    """
+
+    def __init__(self) -> None:
+        self._keys = itertools.count()
+        self._sent_at: dict[int, float] = {}
+
+    @contextlib.contextmanager
+    def track(self, sent_at: float) -> Iterator[None]:
+        """Counts a request as pending while the context is open.
+
+        Args:
+            sent_at: Monotonic time at which it was sent.
+        """
+        key = next(self._keys)
+        self._sent_at[key] = sent_at
+        try:
+            yield
+        finally:
+            del self._sent_at[key]
+
+    def oldest_s(self, now: float) -> float:
+        """Returns the age of the oldest pending request; 0 if there is none."""
+        # Requests are added in the order in which they are sent.
+        sent_at = next(iter(self._sent_at.values()), now)
+        return max(0.0, now - sent_at)
+
+
 class LocalUsage:
-    """Requests that servers started for one instance."""
+    """Requests that servers started for one instance.
+
+    Attributes:
+        pending: Requests that may still have to be counted.
+    """
 
     def __init__(self, window_s: float):
         """Creates empty counts.
@@ -54,6 +92,12 @@
         """
         self._window_s = window_s
         self._windows: dict[int, _WindowCounts] = {}
+        self.pending = PendingStarts()
+
+    @property
+    def window_s(self) -> float:
+        """Length of a window."""
+        return self._window_s
 
     def window_at(self, true_s: float) -> int:
         """Returns the number of the window that contains a time."""
@@ -99,7 +143,8 @@
     """Totals of all instances, at an instance that may report them."""
 
     def __init__(self) -> None:
-        self._windows: dict[int, dict[tuple[str, str], int]] = {}
+        # Counts by window, sender and organisation.
+        self._windows: dict[int, dict[str, dict[str, int]]] = {}
         self._complete_from = math.inf
 
     def mark_complete_from(self, first: int) -> None:
@@ -110,6 +155,11 @@
         """Marks all windows as incomplete: totals are no longer received."""
         self._complete_from = math.inf
 
+    @property
+    def complete_from(self) -> float:
+        """First window of which the totals are complete; infinity if none."""
+        return self._complete_from
+
     def complete(self, number: int) -> bool:
         """Returns whether the totals of a window may be complete."""
         return number >= self._complete_from
@@ -123,17 +173,37 @@
         """
         for item in usage:
             window = self._windows.setdefault(item.number, {})
+            counts = window.setdefault(sender, {})
             for name, count in zip(
                 item.organisations, item.counts, strict=True
             ):
-                key = (sender, name)
-                window[key] = max(window.get(key, 0), count)
+                counts[name] = max(counts.get(name, 0), count)
+
+    def totals_after(
+        self, after: tuple[int, str], first: int, last: int
+    ) -> Iterator[tuple[str, UsageWindow]]:
+        """Yields the totals of each instance, by window and instance.
+
+        Args:
+            after: Window and instance after which to begin.
+            first: First window.
+            last: Last window.
+        """
+        for number in sorted(x for x in self._windows if first <= x <= last):
+            for sender, counts in sorted(self._windows[number].items()):
+                if (number, sender) > after:
+                    yield (
+                        sender,
+                        UsageWindow(
+                            number, list(counts), list(counts.values())
+                        ),
+                    )
 
     def counts(self, number: int) -> dict[str, int]:
         """Returns the requests of each organisation in a window."""
         total: collections.Counter[str] = collections.Counter()
-        for (_, name), count in self._windows.get(number, {}).items():
-            total[name] += count
+        for counts in self._windows.get(number, {}).values():
+            total.update(counts)
         return dict(sorted(total.items()))
 
     def expire(self, current: int) -> None:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -251,6 +251,42 @@
         "if False:",
         "test_duties.DutySimulationTest.test_no_report_after_loss_of_counts",
     ),
+    Safeguard(
+        "a window with requests in flight is not decided early",
+        "scheduling/reportprogress",
+        "progress.made_at >= end + MAX_SKEW_S and progress.counted_to >= end",
+        "progress.made_at >= end + MAX_SKEW_S",
+        "test_earlywindows.ReportProgressTest.test_plain_request_in_flight",
+    ),
+    Safeguard(
+        "an early decision that the store may have lost is not made again",
+        "usagereports",
+        "self._undecidable_to = self._last_window(EARLIEST_S) + 1",
+        "self._undecidable_to = self._last_due_window()",
+        "test_earlywindows.EarlyDecisionTest.test_restored_store",
+    ),
+    Safeguard(
+        "a coordinator without all totals hands over no claim to have them",
+        "scheduling/dutyhandover",
+        "if self._complete_from > self._last:",
+        "if False:",
+        "test_dutyhandover.HandoverIntakeTest.test_donor_without_all_totals",
+    ),
+    Safeguard(
+        "a planned stop sends the last totals",
+        "platform/root",
+        "group.start_soon(self._duties.send_final_report)",
+        "pass",
+        "test_platformduties.ReportsTest"
+        ".test_planned_stop_sends_a_final_report",
+    ),
+    Safeguard(
+        "a final report is repeated until it is confirmed",
+        "duties",
+        "while self._unconfirmed and now_s() - started < FINAL_REPORT_S:",
+        "for _ in range(1):",
+        "test_dutyhandover.FinalReportTest.test_final_reports_are_lost",
+    ),
     Safeguard(
         "a failed server gets no requests until a probe succeeds",
         "broker",
