--- a/bench/starting.py
+++ b/bench/starting.py
@@ -2,10 +2,11 @@
 
 Usage: python -m bench.starting [--runs N] [--trees FOLDER ...]
 
-Starts deploy/instance.py as the platform does, with compiled bytecode, against
-the stand-in site, and sends it a request as soon as its port accepts
-connections. With several checkouts, their runs take turns, so that they meet
-the same load of the machine. Prints the median and the range over the runs of:
+Starts deploy/instance.py as the platform does, with compiled bytecode and a new
+bundle of compiled code, against the stand-in site, and sends it a request as
+soon as its port accepts connections. With several checkouts, their runs take
+turns, so that they meet the same load of the machine. Prints the median and the
+range over the runs of:
 
 - the CPU time of the process from exec to its first response with status 200,
   and the time that has passed;
@@ -62,6 +63,15 @@
     return variables
 
 
+def build_bundle(tree: pathlib.Path, variables: dict[str, str]) -> None:
+    """Writes a checkout's bundle of compiled code, if it has one."""
+    program = tree / "deploy/bundle.py"
+    if program.exists():
+        subprocess.run(
+            [sys.executable, "-S", str(program)], env=variables, check=True
+        )
+
+
 def cpu_s(pid: int) -> float:
     """Returns the CPU time that all threads of a process have used."""
     total_ns = 0
@@ -150,6 +160,8 @@
     """
     rows: list[list] = [[] for _ in trees]
     with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
+        for tree in trees:
+            build_bundle(tree, environment(tree, f"{folder}/bytecode"))
         site = PlatformSite(SiteOptions(), pathlib.Path(folder))
         async with site.running():
             for number in range(runs + 1):
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -872,11 +872,15 @@
         )
 
 
-def main(early_ports: EarlyPorts | None = None) -> int:
+def main(
+    early_ports: EarlyPorts | None = None, bundle_use: dict | None = None
+) -> int:
     """Runs the instance that the settings file describes.
 
     Args:
         early_ports: Sockets that listen already.
+        bundle_use: How far the program was imported from the bundle of compiled
+            code, for the log.
     """
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = bootfile.load(path)
@@ -890,6 +894,8 @@
     logging.basicConfig(
         level=logging.WARNING, handlers=[EventLogHandler(instance.log)]
     )
+    if bundle_use is not None:
+        instance.log.warn("code_bundle", **bundle_use)
     # Uvicorn logs every response that is left incomplete on purpose; the event
     # log's line of the request covers these.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
