Load OpenSSL's libraries only in instances that use TLS

Cause: asyncio, uvicorn, httpcore and anyio import ssl, and hashlib loads libcrypto, though an instance uses neither TLS nor any hash of OpenSSL's.

Change: both modules and asyncio.sslproto are deferred. `lazymodules.defer` takes names that can be used before the module's code is executed, does not execute it for "from module import name", and can register a module of a package that is not imported yet. Where TLS is used, the modules load as before.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -18,8 +18,6 @@
 
 import codebundle  # noqa: E402
 
-from jasminerelay import lazymodules  # noqa: E402
-
 PROGRAM = "jasminerelay.platform.root"
 
 
@@ -101,8 +99,7 @@
     expressions = record_expressions()
     snippets = record_snippets()
     start = importlib.import_module("jasminerelay.platform.start")
-    for name in start.DEFERRED_MODULES:
-        lazymodules.defer(name)
+    start.defer_modules()
     for name in (PROGRAM, *start.LATER_MODULES):
         importlib.import_module(name)
     modules = {}
--- a/src/jasminerelay/lazymodules.py
+++ b/src/jasminerelay/lazymodules.py
@@ -8,10 +8,11 @@
 import importlib.util
 import sys
 import types
+from importlib.machinery import ModuleSpec
 from typing import Any
 
 
-def defer(name: str) -> types.ModuleType:
+def defer(name: str, **known: Any) -> types.ModuleType:
     """Registers a module without executing its code; returns it.
 
     Import statements then find the module; its code is executed when a name is
@@ -19,25 +20,45 @@
     without that. Returns the module unchanged if it is loaded already.
 
     Args:
-        name: Full name of the module. Its package is imported at once.
+        name: Full name of the module.
+        **known: Names that can be used before its code is executed, with
+            values that serve as well as its own.
     """
     if name in sys.modules:
         return sys.modules[name]
-    spec = importlib.util.find_spec(name)
+    spec = _find_spec(name)
     if spec is None or spec.loader is None:
         raise ModuleNotFoundError(f"No module named {name!r}", name=name)
     module = importlib.util.module_from_spec(spec)
 
     def load_attribute(attribute: str) -> Any:
+        if attribute == "__path__":
+            # Asked for by "from module import name"; packages have it.
+            raise AttributeError(attribute)
         # Removed first, so that a name that does not exist raises the usual
         # error.
         del module.__dict__["__getattr__"]
         spec.loader.exec_module(module)
         return getattr(module, attribute)
 
-    module.__dict__["__getattr__"] = load_attribute
+    module.__dict__.update(known, __getattr__=load_attribute)
     sys.modules[name] = module
     package, _, child = name.rpartition(".")
-    if package:
+    if package in sys.modules:
         setattr(sys.modules[package], child, module)
     return module
+
+
+def _find_spec(name: str) -> ModuleSpec | None:
+    """Returns where a module is, without importing its package."""
+    package = name.rpartition(".")[0]
+    if not package or package in sys.modules:
+        return importlib.util.find_spec(name)
+    found = _find_spec(package)
+    if found is None:
+        return None
+    for finder in sys.meta_path:
+        spec = finder.find_spec(name, found.submodule_search_locations)
+        if spec is not None:
+            return spec
+    return None
--- a/src/jasminerelay/platform/start.py
+++ b/src/jasminerelay/platform/start.py
@@ -1,16 +1,40 @@
 """Entry point of an instance on the platform."""
 
+import _blake2
 import gc
 import importlib
 import os
 import signal
 from collections.abc import Callable
+from typing import Any
 
 from jasminerelay import lazymodules, stopsignals
 from jasminerelay.platform import earlyports
 
-DEFERRED_MODULES = ("certifi", "logging.config")
-"""Modules that httpcore and uvicorn import for TLS and for their own logs."""
+
+class _NotLoaded:
+    """Stands for a class of which no object exists before it is loaded."""
+
+
+DEFERRED_MODULES: dict[str, dict[str, Any]] = {
+    "certifi": {},
+    "logging.config": {},
+    # Loads OpenSSL's libraries, as `hashlib` does: 6 MB. Asyncio checks each
+    # socket that it connects for SSLSocket; other classes are named in
+    # annotations. The constants are defaults of parameters.
+    "ssl": {
+        "CERT_NONE": 0,
+        "PROTOCOL_TLS_CLIENT": 16,
+        "PROTOCOL_TLS_SERVER": 17,
+        "SSLContext": _NotLoaded,
+        "SSLSocket": _NotLoaded,
+        "TLSVersion": _NotLoaded,
+    },
+    "asyncio.sslproto": {},
+    "hashlib": {"blake2b": _blake2.blake2b},
+}
+"""Modules that libraries import for TLS and for their own logs, which an
+instance does not use, with the names that are used nevertheless."""
 
 LATER_MODULES = (
     "anyio._backends._asyncio",
@@ -21,6 +45,12 @@
 response. They are imported while the bundle is open."""
 
 
+def defer_modules() -> None:
+    """Defers modules that an instance does not need."""
+    for name, known in DEFERRED_MODULES.items():
+        lazymodules.defer(name, **known)
+
+
 def main(close_bundle: Callable[[], dict] | None = None) -> int:
     """Runs the instance; returns its exit status.
 
@@ -37,8 +67,7 @@
     # The imports create objects that stay; collections would find nothing to
     # free among them. The program enables them again.
     gc.disable()
-    for name in DEFERRED_MODULES:
-        lazymodules.defer(name)
+    defer_modules()
     # Imported only after the signal handlers are installed and the ports are
     # open, since the import is slow: signals and callers may arrive during it.
     from jasminerelay.platform.root import main as run
--- a/tests/test_codebundle.py
+++ b/tests/test_codebundle.py
@@ -38,11 +38,9 @@
 what the program has found."""
 
 IMPORT_ALL = """
-from jasminerelay import lazymodules
 from jasminerelay.platform import start
 
-for name in start.DEFERRED_MODULES:
-    lazymodules.defer(name)
+start.defer_modules()
 import jasminerelay.platform.root
 """
 
@@ -348,6 +346,14 @@
                 fields={"Host": HOST, "Authorization": f"Bearer {API_KEY}"},
             )
             self.assertEqual(answer.status, 200)
+            # Guards against 6 MB for libraries that an instance does not use.
+            libraries = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
+            loaded = [
+                name
+                for name in ("_asyncio", "libcrypto", "libssl")
+                if name in libraries
+            ]
+            self.assertEqual(loaded, ["_asyncio"])
             process.send_signal(signal.SIGTERM)
             output = b"".join([data async for data in process.stdout])
             self.assertEqual(await process.wait(), 0)
--- a/tests/test_earlyports.py
+++ b/tests/test_earlyports.py
@@ -16,6 +16,8 @@
 REQUEST = b"POST /a HTTP/1.1\r\nhost: h\r\nAttempt-Id: a7\r\n\r\n"
 LARGE_BODY_BYTES = 4_000_000
 UNUSED_MODULES = (
+    "_hashlib",
+    "_ssl",
     "click",
     "importlib.resources",
     "jsonschema",
--- a/tests/test_lazymodules.py
+++ b/tests/test_lazymodules.py
@@ -1,11 +1,14 @@
 """Tests of modules whose code is executed at the first use."""
 
+import hashlib
 import pathlib
+import ssl
 import subprocess
 import sys
 import tempfile
 import unittest
 
+from jasminerelay.platform import start
 from standins.launcher import ROOT
 
 PROGRAM = """
@@ -31,6 +34,23 @@
     print(exc)
 """
 
+KNOWN_NAMES_PROGRAM = """
+import sys
+sys.path[:0] = sys.argv[1:]
+from jasminerelay import lazymodules
+
+lazymodules.defer("deferred.part", KNOWN="known")
+lazymodules.defer("single", NAME="replaced later")
+from single import NAME
+import deferred.other
+from deferred import part
+print(part.KNOWN, NAME)
+print(part.NAME)
+import single
+print(single.NAME)
+print(single.OTHER, single.NAME)
+"""
+
 
 class LazyModulesTest(unittest.TestCase):
     """Modules that libraries import for features that are not used."""
@@ -65,6 +85,52 @@
             ],
         )
 
+    def test_names_known_before_the_code_is_executed(self) -> None:
+        # Guards against a module that is executed for a name that was given,
+        # by "from module import name", or by the import of its package, and
+        # against given names that hide the module's own.
+        with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
+            package = pathlib.Path(folder) / "deferred"
+            package.mkdir()
+            for name in ("__init__", "part", "other"):
+                (package / f"{name}.py").write_text(
+                    f"print('executed {name}')\nNAME = 'name of {name}'\n"
+                )
+            (pathlib.Path(folder) / "single.py").write_text(
+                "print('executed single')\nNAME = 'own'\nOTHER = 'other'\n"
+            )
+            done = subprocess.run(
+                [
+                    *(sys.executable, "-c", KNOWN_NAMES_PROGRAM),
+                    *(str(ROOT / "src"), folder),
+                ],
+                capture_output=True,
+                text=True,
+                check=True,
+            )
+        self.assertEqual(
+            done.stdout.splitlines(),
+            [
+                "executed __init__",
+                "executed other",
+                "known replaced later",
+                "executed part",
+                "name of part",
+                "replaced later",
+                "executed single",
+                "other own",
+            ],
+        )
+
+    def test_names_given_for_an_instance(self) -> None:
+        # Guards against constants that differ from those of the modules, or
+        # that these no longer have.
+        for name, module in (("ssl", ssl), ("hashlib", hashlib)):
+            for known, value in start.DEFERRED_MODULES[name].items():
+                own = getattr(module, known)
+                if not isinstance(value, type) or name == "hashlib":
+                    self.assertEqual(value, own)
+
 
 if __name__ == "__main__":
     unittest.main()
