--- a/src/jasminerelay/platform/start.py
+++ b/src/jasminerelay/platform/start.py
@@ -12,12 +12,21 @@
 from jasminerelay.platform import earlyports
 
 
-class _NotLoaded:
+class NotLoaded:
     """Stands for a class of which no object exists before it is loaded."""
 
 
+def _system() -> str:
+    """Returns what `platform.system` returns, on the systems supported."""
+    return os.uname().sysname
+
+
 DEFERRED_MODULES: dict[str, dict[str, Any]] = {
+    "calendar": {},
     "certifi": {},
+    "configparser": {"RawConfigParser": NotLoaded},
+    "json": {},
+    "locale": {},
     "logging.config": {},
     # Loads OpenSSL's libraries, as `hashlib` does: 6 MB. Asyncio checks each
     # socket that it connects for SSLSocket; other classes are named in
@@ -26,15 +35,18 @@
         "CERT_NONE": 0,
         "PROTOCOL_TLS_CLIENT": 16,
         "PROTOCOL_TLS_SERVER": 17,
-        "SSLContext": _NotLoaded,
-        "SSLSocket": _NotLoaded,
-        "TLSVersion": _NotLoaded,
+        "SSLContext": NotLoaded,
+        "SSLSocket": NotLoaded,
+        "TLSVersion": NotLoaded,
     },
     "asyncio.sslproto": {},
+    # An instance starts no processes. Asyncio's defaults name the constants.
+    "subprocess": {"DEVNULL": -3, "PIPE": -1, "STDOUT": -2},
+    "platform": {"system": _system},
     "hashlib": {"blake2b": _blake2.blake2b},
 }
-"""Modules that libraries import for TLS and for their own logs, which an
-instance does not use, with the names that are used nevertheless."""
+"""Modules that libraries import for what an instance does not use, such as
+TLS, processes and their own logs, with the names that are used nevertheless."""
 
 LATER_MODULES = (
     "anyio._backends._asyncio",
--- a/tests/test_codebundle.py
+++ b/tests/test_codebundle.py
@@ -28,6 +28,7 @@
 sys.path.insert(0, f"{root}/deploy")
 import codebundle
 
+before = {*sys.modules}
 sys.path[:0] = [f"{root}/src", f"{root}/target/deps"]
 bundle = codebundle.Bundle(root, f"{root}/{codebundle.PATH}")
 bundle.install()
@@ -161,11 +162,11 @@
             IMPORT_ALL
             + "found = {'usual': [name for name, module in sys.modules.items()"
             " if getattr(getattr(module, '__spec__', None), 'has_location', 0)"
-            " and name not in bundle._modules]}"
+            " and name not in {*before, *bundle._modules}]}"
         )
         self.assertEqual(
             (found["state"], found["changed"], found["usual"]),
-            ("used", [], ["codebundle"]),
+            ("used", [], []),
         )
         self.assertGreater(found["modules"], 300)
 
--- a/tests/test_earlyports.py
+++ b/tests/test_earlyports.py
@@ -17,9 +17,11 @@
 LARGE_BODY_BYTES = 4_000_000
 UNUSED_MODULES = (
     "_hashlib",
+    "_posixsubprocess",
     "_ssl",
     "click",
     "importlib.resources",
+    "json.decoder",
     "jsonschema",
     "logging.handlers",
     "prometheus_client",
--- a/tests/test_lazymodules.py
+++ b/tests/test_lazymodules.py
@@ -1,11 +1,11 @@
 """Tests of modules whose code is executed at the first use."""
 
-import hashlib
+import importlib
 import pathlib
-import ssl
 import subprocess
 import sys
 import tempfile
+import types
 import unittest
 
 from jasminerelay.platform import start
@@ -125,10 +125,15 @@
     def test_names_given_for_an_instance(self) -> None:
         # Guards against constants that differ from those of the modules, or
         # that these no longer have.
-        for name, module in (("ssl", ssl), ("hashlib", hashlib)):
-            for known, value in start.DEFERRED_MODULES[name].items():
-                own = getattr(module, known)
-                if not isinstance(value, type) or name == "hashlib":
+        for name, names in start.DEFERRED_MODULES.items():
+            for known, value in names.items():
+                own = getattr(importlib.import_module(name), known)
+                if isinstance(value, types.FunctionType):
+                    self.assertEqual(value(), own())
+                elif isinstance(own, type) and own is not value:
+                    # Stands for a class without objects.
+                    self.assertEqual(value, start.NotLoaded)
+                else:
                     self.assertEqual(value, own)
 
 
