Report crashed servers to the other instances where there are few

Cause: with fewer than 24 instances each places its own requests, and each lost requests to a crashed server until it noticed by itself.

Change: an instance that is refused a connection by a server, or loses two requests to it within 0.5 s, broadcasts this after 0.15 s, unless another server fails at it as well. Receivers count it as one failure (back-off of 1 s, then a probe) if they have none of their own and the server has not responded to them since, once in 30 s; a response ends the back-off. The probe of crashwatch counts as a refused connection. Explanations of requests show the reports about their servers.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -13,6 +13,7 @@
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
+from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
@@ -94,6 +95,7 @@
             organisation and the seconds since then.
         versions: Returns the versions of the data behind decisions, for the
             log.
+        crash_notices: Reports of crashed servers.
         pending_starts: Plain requests whose start is not known yet.
     """
 
@@ -113,6 +115,7 @@
     rng: random.Random
     on_started: Callable[[str, float], None]
     versions: Callable[[], dict[str, float]]
+    crash_notices: CrashNotices
     pending_starts: PendingStarts = dataclasses.field(
         default_factory=PendingStarts
     )
@@ -182,7 +185,7 @@
         try:
             channel = await self._context.channels.acquire(server)
         except NotSentError as exc:
-            return NotSent(str(exc))
+            return NotSent(str(exc), refused=_is_refused(exc))
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
@@ -239,7 +242,7 @@
             return Unknown(f"timed out: {exc}")
         except IncompleteExchangeError as exc:
             self._report_lost()
-            return Unknown(str(exc))
+            return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
         head = self._context.dialect.head(response.status, response.headers)
         # A faulty server may send a second answer to an earlier request. On a
@@ -250,6 +253,7 @@
             self._context.limits.on_response(server.id, head)
             self._context.drains.on_response(server.id, head)
             self._context.pauses.on_response(server.id, head)
+            self._context.crash_notices.on_response(server)
             self._record_statement(server, head)
         if answered_id != self._call.id:
             self._context.channels.record_unexpected_data(server)
@@ -316,7 +320,7 @@
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             if head.not_run:
                 return _not_run(head)
-            return Unknown(f"connection failed: {exc!r}")
+            return Unknown(f"connection failed: {exc!r}", broken=True)
         except httpcore.TimeoutException as exc:
             return Unknown(f"timed out: {exc!r}")
         await response.aclose()
@@ -395,7 +399,8 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as exc:
-            return Interrupted(repr(exc))
+            broken = not isinstance(exc, httpcore.TimeoutException)
+            return Interrupted(repr(exc), broken=broken)
         except ValueError as exc:
             return Interrupted(str(exc))
         if splitter.has_partial_event:
@@ -601,3 +606,11 @@
     """
 
     head: ResponseHead | None = None
+
+
+def _is_refused(error: NotSentError) -> bool:
+    """Returns whether a connection failed since nothing listens."""
+    cause: BaseException | None = error
+    while cause is not None and not isinstance(cause, ConnectionRefusedError):
+        cause = cause.__cause__
+    return cause is not None
--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -111,6 +111,8 @@
         ledger: Crashes by request.
         members: Returns the live instances.
         send: Sends a message to an instance, without confirmation.
+        on_refused: Called with a server that broke off a request and then
+            refused a connection.
     """
 
     def __init__(
@@ -150,6 +152,7 @@
         self._probing: anyio.abc.TaskGroup | None = None
         self.members: Callable[[], Sequence[Member]] = lambda: ()
         self.send: Callable[[Member, CrashReport], None] = lambda to, _: None
+        self.on_refused: Callable[[str], None] = lambda server: None
 
     def is_blocked(self, call: Call) -> bool:
         """Returns whether a request must not be sent to any server."""
@@ -275,6 +278,7 @@
     def _record_server_crash(self, server: str, probe: _Probe) -> None:
         probe.crashed_at = time.monotonic()
         self._counters.incr("crash.server_ended")
+        self.on_refused(server)
         self._log.warn("server_ended", server=server)
         for name in probe.lost_requests:
             self._record_crash(name, server)
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -148,10 +148,12 @@
         why: The reason.
         withheld: Whether this instance decided not to send it, so that it says
             nothing about the server.
+        refused: Whether nothing listens at the server's address.
     """
 
     why: str
     withheld: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -184,16 +186,28 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unknown:
-    """The answer did not arrive completely; the request may have run."""
+    """The answer did not arrive completely; the request may have run.
+
+    Attributes:
+        why: The reason.
+        broken: Whether the server's end of the connection closed.
+    """
 
     why: str
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
 class Interrupted:
-    """A stream broke off after its head was sent to the caller."""
+    """A stream broke off after its head was sent to the caller.
+
+    Attributes:
+        why: The reason.
+        broken: Whether the server's end of the connection closed.
+    """
 
     why: str
+    broken: bool = False
 
 
 Outcome = Delivered | NotSent | NotRun | Failed | Unknown | Interrupted
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -32,6 +32,8 @@
         "request_blocked",
         "request_released",
         "server",
+        "server_crash_heard",
+        "server_crash_told",
         "server_ended",
         "snapshot",
         "start",
@@ -40,7 +42,16 @@
     }
 )
 
-_SERVER_EVENTS = frozenset({"server", "server_ended", "move", "move_failed"})
+_SERVER_EVENTS = frozenset(
+    {
+        "move",
+        "move_failed",
+        "server",
+        "server_crash_heard",
+        "server_crash_told",
+        "server_ended",
+    }
+)
 _BLOCKING_EVENTS = frozenset({"request_blocked", "request_released"})
 """Included only if they carry the request's fingerprint."""
 
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -136,6 +136,12 @@
             health.succeeded(server.id)
         elif verdict is Verdict.BAD:
             health.failed(server.id, time.monotonic())
+            if isinstance(outcome, NotSent | Unknown | Interrupted):
+                self._context.crash_notices.on_failure(
+                    server,
+                    refused=isinstance(outcome, NotSent) and outcome.refused,
+                    broken=not isinstance(outcome, NotSent) and outcome.broken,
+                )
 
     async def _record_crash(
         self, server: BackendServer, outcome: Outcome
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -37,6 +37,7 @@
 from jasminerelay.registry import Registry, StoreStatus
 from jasminerelay.schema.messages import (
     CellUpdate,
+    CrashedServers,
     CrashReport,
     DrainMessage,
     DutyMessage,
@@ -154,6 +155,9 @@
         self.on_duty: Callable[
             [DutyMessage | HandoverRequest | HandoverTotals], None
         ] = lambda message: None
+        self.on_crashed_servers: Callable[[CrashedServers], None] = (
+            lambda message: None
+        )
         self.on_drains: Callable[[DrainMessage], None] = lambda message: None
 
     @property
@@ -216,6 +220,7 @@
             | DrainMessage
             | HandoverRequest
             | HandoverTotals
+            | CrashedServers
         ),
     ) -> None:
         """Sends a message to another instance."""
@@ -396,6 +401,10 @@
     def _(self, message: DutyMessage) -> None:
         self.on_duty(message)
 
+    @_dispatch.register
+    def _(self, message: CrashedServers) -> None:
+        self.on_crashed_servers(message)
+
     @_dispatch.register
     def _(self, message: HandoverRequest) -> None:
         self.on_duty(message)
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -13,6 +13,7 @@
 
 from jasminerelay.schema.messages import (
     CellUpdate,
+    CrashedServers,
     CrashReport,
     DemandColumns,
     DrainMessage,
@@ -36,6 +37,7 @@
 DRAIN_TAG = b"\x06"
 HANDOVER_REQUEST_TAG = b"\x07"
 HANDOVER_TOTALS_TAG = b"\x08"
+CRASHED_SERVERS_TAG = b"\x09"
 """First bytes that distinguish the kinds of datagrams. The periodic message to
 other instances has none; it starts with the first byte of a map."""
 
@@ -49,6 +51,7 @@
     | DrainMessage
     | HandoverRequest
     | HandoverTotals
+    | CrashedServers
 )
 
 _encode = msgspec.msgpack.encode
@@ -59,6 +62,7 @@
 _decode_limit = msgspec.msgpack.Decoder(LimitMessage).decode
 _decode_duty = msgspec.msgpack.Decoder(DutyMessage).decode
 _decode_drain = msgspec.msgpack.Decoder(DrainMessage).decode
+_decode_crashed_servers = msgspec.msgpack.Decoder(CrashedServers).decode
 _decode_handover_request = msgspec.msgpack.Decoder(HandoverRequest).decode
 _decode_handover_totals = msgspec.msgpack.Decoder(HandoverTotals).decode
 
@@ -109,6 +113,11 @@
     return HANDOVER_TOTALS_TAG + _encode(message)
 
 
+@encode.register
+def _(message: CrashedServers) -> bytes:
+    return CRASHED_SERVERS_TAG + _encode(message)
+
+
 def decode(data: bytes) -> Message:
     """Decodes a datagram.
 
@@ -132,6 +141,8 @@
         return _decode_handover_request(data[1:])
     if mark == HANDOVER_TOTALS_TAG:
         return _checked_handover(_decode_handover_totals(data[1:]))
+    if mark == CRASHED_SERVERS_TAG:
+        return _checked_crashed(_decode_crashed_servers(data[1:]))
     return _checked_peer(_decode_peer(data))
 
 
@@ -154,6 +165,11 @@
     return message
 
 
+def _checked_crashed(message: CrashedServers) -> CrashedServers:
+    _check_equal_lengths(message.servers, message.sources, message.ages_ms)
+    return message
+
+
 def _checked_handover(message: HandoverTotals) -> HandoverTotals:
     _check_equal_lengths(message.instances, message.windows)
     _check_usage(message.windows)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -26,6 +26,7 @@
 from jasminerelay.attempt import ForwardingContext
 from jasminerelay.catalog import Catalog, RequestLimits
 from jasminerelay.channels import ChannelPool
+from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
@@ -233,6 +234,7 @@
                 self._owned_cells.run,
                 self._rate_limits.run,
                 self._drains.run,
+                self._crash_notices.run,
                 self._discover_peers,
                 self._await_peer_data,
                 self._watch_settings,
@@ -377,6 +379,10 @@
         self._crashes = CrashWatch(
             member_id, self.registry, self.counters, self.log, self._rng
         )
+        self._crash_notices = CrashNotices(
+            member_id, self.registry, self.counters, self.log, self._rng
+        )
+        self._connect_crash_notices()
         self._crashes.members = self._peers.membership.live
         self._crashes.send = self._peers.send_message
         self._peers.on_crashes = self._crashes.handle_message
@@ -395,6 +401,25 @@
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
         )
 
+    def _connect_crash_notices(self) -> None:
+        notices = self._crash_notices
+        notices.members = self._peers.membership.live
+        notices.send = self._peers.send_message
+        notices.enabled = lambda: not self._placement_client.active
+        notices.on_crash = lambda server: self.dispatcher.health(
+            server.service
+        ).report_failed(server.id, time.monotonic())
+        notices.on_refuted = lambda server: self.dispatcher.health(
+            server.service
+        ).succeeded(server.id)
+        self._peers.on_crashed_servers = notices.handle_message
+        self._crashes.on_refused = self._on_server_refused
+
+    def _on_server_refused(self, server_id: str) -> None:
+        server = self.registry.server(server_id)
+        if server is not None:
+            self._crash_notices.on_failure(server, refused=True)
+
     def _build_cells(self, member_id: str) -> None:
         boot = self.boot
         self._owned_cells = OwnedCells(
@@ -468,6 +493,7 @@
             self._rng,
             self._duties.record_start if self._duties else lambda *_: None,
             self._versions,
+            self._crash_notices,
             self._duties.pending_starts if self._duties else PendingStarts(),
         )
         front = IngressContext(
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -520,6 +520,17 @@
     confirms: bool = False
 
 
+class CrashedServers(Struct, frozen=True):
+    """
+    Servers that refuse connections or broke off several requests at once.
+    """
+
+    sender: str
+    servers: list[str]
+    sources: list[str]
+    ages_ms: list[int]
+
+
 class HandoverRequest(Struct, frozen=True):
     """
     Requests the next totals of all instances from another coordinator of the duties.
@@ -581,5 +592,6 @@
     limit_word: LimitMessage | None = None
     duty_word: DutyMessage | None = None
     drain_message: DrainMessage | None = None
+    crashed_servers: CrashedServers | None = None
     handover_request: HandoverRequest | None = None
     handover_totals: HandoverTotals | None = None
--- a/src/jasminerelay/stragglers.py
+++ b/src/jasminerelay/stragglers.py
@@ -61,6 +61,15 @@
         backoff = FAILURE_BACKOFF_S * 2 ** (health.failures - 1)
         health.blocked_until = now + min(backoff, MAX_BACKOFF_S)
 
+    def report_failed(self, server: str, now: float) -> None:
+        """Records a failure that another instance reports.
+
+        It counts only for a server without own failures: it never lengthens a
+        back-off, and never makes a server count as no capacity.
+        """
+        if self._record_of(server).failures == NO_FAILURES:
+            self.failed(server, now)
+
     def blocked(self, server: str, now: float) -> bool:
         """Returns whether the server is in back-off after a failure."""
         return now < self._record_of(server).blocked_until
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -287,6 +287,20 @@
         "for _ in range(1):",
         "test_dutyhandover.FinalReportTest.test_final_reports_are_lost",
     ),
+    Safeguard(
+        "an instance that is cut off reports no crashed servers",
+        "scheduling/servercrashes",
+        "if due and len(failing) > 1:",
+        "if False:",
+        "test_crashnotices.CrashNoticesTest.test_instance_that_is_cut_off",
+    ),
+    Safeguard(
+        "reports of others never add up to more than one failure",
+        "stragglers",
+        "if self._record_of(server).failures == NO_FAILURES:",
+        "if True:",
+        "test_crashnotices.ReportedFailureTest.test_reports_never_add_up",
+    ),
     Safeguard(
         "a failed server gets no requests until a probe succeeds",
         "broker",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -80,6 +80,17 @@
         self.assertIn("f1", str(found.context[0]))
         self.assertIn("not sent again", " ".join(found.causes))
 
+    def test_reported_crash_of_a_server(self) -> None:
+        log = [
+            line(11.0, "edge-1", "server_crash_heard", server="s1", source="x"),
+            line(11.0, "edge-1", "server_crash_heard", server="s2", source="x"),
+            *LOG,
+        ]
+        events, left_out = explain.read(log)
+        context = explain.explain("a1", events, left_out).context
+        crashes = [x for x in context if x.name == "server_crash_heard"]
+        self.assertEqual([x.fields["server"] for x in crashes], ["s1"])
+
     def test_unknown_request(self) -> None:
         events, _ = explain.read(LOG)
         self.assertIsNone(explain.explain("nobody", events))
