Move pending starts out of the module of usage

Cause: attempt imports PendingStarts, and with it the data classes of usage, at each start, also where no duties are configured.

Change: PendingStarts has a module of its own, without data classes.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -36,13 +36,13 @@
 from jasminerelay.limitwatch import LimitWatch
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
+from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementqueue import RequestPlacer, Reservation
 from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.serverconnection import ServerResponse
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
-from jasminerelay.usage import PendingStarts
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
 MIN_IDEMPOTENT_TIMEOUT_S = 0.5
--- a/src/jasminerelay/duties.py
+++ b/src/jasminerelay/duties.py
@@ -23,6 +23,7 @@
 from jasminerelay.groups import TotalDemand
 from jasminerelay.leasing import LeaseManager
 from jasminerelay.metrics import Counters
+from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.registry import Registry, StoreStatus
 from jasminerelay.scheduling import dutyhandover
 from jasminerelay.scheduling.dutyhandover import HandoverIntake
@@ -40,7 +41,6 @@
 from jasminerelay.usage import (
     KEPT_WINDOWS,
     LocalUsage,
-    PendingStarts,
     UsageLedger,
 )
 from jasminerelay.usagereports import UsageReporter
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -42,6 +42,7 @@
 from jasminerelay.migration import StreamMigrator
 from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.peerlink import PeerLink, SnapshotApp
+from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementclient import PlacementClient
 from jasminerelay.placementqueue import PlacementQueue
 from jasminerelay.platform import bootfile, decoding
@@ -77,7 +78,6 @@
     TableFollower,
 )
 from jasminerelay.telemetry import Telemetry
-from jasminerelay.usage import PendingStarts
 from jasminerelay.watchdog import Watchdog
 
 if TYPE_CHECKING:
--- a/src/jasminerelay/usage.py
+++ b/src/jasminerelay/usage.py
@@ -7,12 +7,11 @@
 """
 
 import collections
-import contextlib
 import dataclasses
-import itertools
 import math
 from collections.abc import Iterable, Iterator
 
+from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.schema.messages import UsageWindow
 
 KEPT_WINDOWS = 6
@@ -45,38 +44,6 @@
     changed_at: float = -math.inf
 
 
-class PendingStarts:
-    """Requests sent of which it is not known yet whether a server began them.
-
-    A plain request is counted when its response begins, in the window in which
-    it was sent.
-    """
-
-    def __init__(self) -> None:
-        self._keys = itertools.count()
-        self._sent_at: dict[int, float] = {}
-
-    @contextlib.contextmanager
-    def track(self, sent_at: float) -> Iterator[None]:
-        """Counts a request as pending while the context is open.
-
-        Args:
-            sent_at: Monotonic time at which it was sent.
-        """
-        key = next(self._keys)
-        self._sent_at[key] = sent_at
-        try:
-            yield
-        finally:
-            del self._sent_at[key]
-
-    def oldest_s(self, now: float) -> float:
-        """Returns the age of the oldest pending request; 0 if there is none."""
-        # Requests are added in the order in which they are sent.
-        sent_at = next(iter(self._sent_at.values()), now)
-        return max(0.0, now - sent_at)
-
-
 class LocalUsage:
     """Requests that servers started for one instance.
 
--- a/tests/test_earlywindows.py
+++ b/tests/test_earlywindows.py
@@ -5,9 +5,10 @@
 
 import anyio
 
+from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.scheduling.reportprogress import ReportProgress
 from jasminerelay.trueclock import MAX_SKEW_S
-from jasminerelay.usage import RESEND_FOR_S, PendingStarts, UsageLedger
+from jasminerelay.usage import RESEND_FOR_S, UsageLedger
 from jasminerelay.usagereports import EARLIEST_S, UsageReporter
 from tests import virtualtime
 from tests.dutyworld import DURATION_S, LATE_S, WINDOW_S, DutySimulation
