--- a/tests/test_dutyhandover.py
+++ b/tests/test_dutyhandover.py
@@ -311,6 +311,43 @@
         self.assertNotIn(2, self.simulation.checker.reports)
 
 
+class ClockTest(unittest.TestCase):
+    """Instances whose clock is wrong until others correct it."""
+
+    def simulate(self, skew_s: float, *, coordinator: bool) -> _Simulation:
+        """Simulates an instance that starts with a wrong clock at 13 s."""
+        simulation = _Simulation(8)
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(simulation.run)
+                await anyio.sleep(13.0)
+                nodes = simulation.coordinators()
+                if not coordinator:
+                    others = simulation.alive
+                    nodes = [x for x in others if x not in nodes]
+                nodes[0].watch._clock.correct(-skew_s)
+                await anyio.sleep(35.0)
+                group.cancel_scope.cancel()
+
+        virtualtime.run(run, MODULES)
+        return simulation
+
+    def test_decided_counts_are_final(self) -> None:
+        # Guards against a window that is decided early, and to which requests
+        # are added once the clock of an instance is corrected.
+        for skew_s in (-3.0, -0.6, -0.4, 0.4, 0.6, 3.0):
+            for coordinator in (False, True):
+                with self.subTest(skew_s=skew_s, coordinator=coordinator):
+                    simulation = self.simulate(skew_s, coordinator=coordinator)
+                    self.assertEqual(simulation.checker.violations, [])
+                    for window in range(1, 7):
+                        self.assertEqual(
+                            simulation.checker.reports.get(window),
+                            simulation.known(window),
+                        )
+
+
 class FinalReportTest(unittest.TestCase):
     """Last reports of instances that stop in order."""
 
