Count a usage window as missed only late in its time

Cause: a holder that lacked totals recorded a window as missed half-way to its deadline, although a handover may bring them a moment later.

Change: it records the miss at 0.8 of the time, and decides if the totals have come.

--- a/src/jasminerelay/usagereports.py
+++ b/src/jasminerelay/usagereports.py
@@ -19,6 +19,10 @@
 of instances that were unreachable may arrive until then; the remaining time is
 left for a new holder."""
 
+MISS_AFTER_SHARE = 0.8
+"""Fraction after which a window counts as missed by an instance that lacks
+totals of it. A handover may still bring them before."""
+
 EARLIEST_S = 1.2
 """Time after a window's end before which it is not decided, even if all known
 instances have reported. An instance that has just started makes itself known
@@ -141,10 +145,11 @@
             )
             return
         if not self._ledger.complete(window):
-            self._record_miss(
-                window,
-                "this instance has not received all usage of the window",
-            )
+            if self._age_s(window) >= self._late_s * MISS_AFTER_SHARE:
+                self._record_miss(
+                    window,
+                    "this instance has not received all usage of the window",
+                )
             return
         report = UsageReport(window, self._ledger.counts(window))
         missing = self.missing(window)
--- a/tests/test_earlywindows.py
+++ b/tests/test_earlywindows.py
@@ -5,11 +5,16 @@
 
 import anyio
 
+from jasminerelay.metrics import Counters
 from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.scheduling.reportprogress import ReportProgress
 from jasminerelay.trueclock import MAX_SKEW_S
 from jasminerelay.usage import RESEND_FOR_S, UsageLedger
-from jasminerelay.usagereports import EARLIEST_S, UsageReporter
+from jasminerelay.usagereports import (
+    EARLIEST_S,
+    MISS_AFTER_SHARE,
+    UsageReporter,
+)
 from tests import virtualtime
 from tests.dutyworld import DURATION_S, LATE_S, WINDOW_S, DutySimulation
 from tests.instanceworld import Quiet
@@ -41,6 +46,9 @@
         # Guards against a window decided without the last second of counts.
         self.report("b", END - 0.1)
         self.assertEqual(self.progress.missing(WINDOW), ["b"])
+        # The sender's clock may be ahead by almost as much.
+        self.report("b", END + MAX_SKEW_S - 0.1)
+        self.assertEqual(self.progress.missing(WINDOW), ["b"])
         self.report("b", END + MAX_SKEW_S)
         self.assertEqual(self.progress.missing(WINDOW), [])
 
@@ -188,6 +196,21 @@
         self.ledger.mark_incomplete()
         self.assertEqual(self.serve_at(END + LATE_S), [])
 
+    def test_totals_that_are_handed_over_late(self) -> None:
+        # Guards against a window that is recorded as missed, and then decided.
+        counters = self.reporter._counters = Counters()
+        self.ledger.mark_incomplete()
+        self.serve_at(END + LATE_S * 0.6)
+        self.assertEqual(counters.snapshot().get("usage.missed", 0), 0)
+        self.ledger.mark_complete_from(WINDOW)
+        self.assertEqual(self.serve_at(END + LATE_S * 0.65)[0], WINDOW)
+
+    def test_totals_that_are_never_handed_over(self) -> None:
+        counters = self.reporter._counters = Counters()
+        self.ledger.mark_incomplete()
+        self.serve_at(END + LATE_S * MISS_AFTER_SHARE + 0.1)
+        self.assertEqual(counters.snapshot()["usage.missed"], 1)
+
     def test_restored_store(self) -> None:
         # Guards against a second report of a window with other counts: the
         # store has lost the early decision of another holder.
