Check that pendingstarts does no input or output

usage, a decision module, imports it since it is a module of its own, so the check of these modules failed. The list of checked modules now has it, too.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -79,6 +79,7 @@
         "outcome",
         "tokentimes",
         "placing",
+        "pendingstarts",
         "prefix",
         "registry",
         "rendezvous",
