--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -15,6 +15,7 @@
 from jasminerelay.callerpace import CallerPace, CallerStalledError
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
+from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
@@ -39,6 +40,7 @@
 from jasminerelay.limitwatch import LimitWatch
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
+from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementqueue import RequestPlacer, Reservation
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
@@ -52,7 +54,6 @@
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
-from jasminerelay.usage import PendingStarts
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
 MIN_IDEMPOTENT_TIMEOUT_S = 0.5
@@ -106,6 +107,7 @@
         versions: Returns the versions of the data behind decisions, for the
             log.
         held: Counts the bytes that the instance holds.
+        crash_notices: Reports of crashed servers.
         pending_starts: Plain requests whose start is not known yet.
     """
 
@@ -126,6 +128,7 @@
     on_started: Callable[[str, float], None]
     versions: Callable[[], dict[str, float]]
     held: HeldBytes
+    crash_notices: CrashNotices
     pending_starts: PendingStarts = dataclasses.field(
         default_factory=PendingStarts
     )
@@ -200,7 +203,7 @@
         try:
             channel = await self._context.channels.acquire(server)
         except NotSentError as exc:
-            return NotSent(str(exc))
+            return NotSent(str(exc), refused=_is_refused(exc))
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
@@ -258,7 +261,7 @@
             return Unknown(f"timed out: {exc}")
         except IncompleteExchangeError as exc:
             self._report_lost()
-            return Unknown(str(exc))
+            return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
         head = self._context.dialect.head(response.status, response.headers)
         # A faulty server may send a second answer to an earlier request. On a
@@ -269,6 +272,7 @@
             self._context.limits.on_response(server.id, head)
             self._context.drains.on_response(server.id, head)
             self._context.pauses.on_response(server.id, head)
+            self._context.crash_notices.on_response(server)
             self._record_statement(server, head)
         if answered_id != self._call.id:
             self._context.channels.record_unexpected_data(server)
@@ -337,7 +341,7 @@
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             if head.not_run:
                 return _not_run(head)
-            return Unknown(f"connection failed: {exc!r}")
+            return Unknown(f"connection failed: {exc!r}", broken=True)
         except httpcore.TimeoutException as exc:
             return Unknown(f"timed out: {exc!r}")
         if not whole and head.not_run:
@@ -535,7 +539,11 @@
             httpcore.TimeoutException,
         ) as exc:
             held_up = self._pace is not None and self._pace.held_up
-            return Interrupted(repr(exc), held_up)
+            # A server may cut off what its caller has left unread.
+            broken = not held_up and not isinstance(
+                exc, httpcore.TimeoutException
+            )
+            return Interrupted(repr(exc), held_up, broken)
         except ValueError as exc:
             return Interrupted(str(exc))
         if splitter.has_partial_event:
@@ -756,3 +764,11 @@
     """
 
     head: ResponseHead | None = None
+
+
+def _is_refused(error: NotSentError) -> bool:
+    """Returns whether a connection failed since nothing listens."""
+    cause: BaseException | None = error
+    while cause is not None and not isinstance(cause, ConnectionRefusedError):
+        cause = cause.__cause__
+    return cause is not None
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -169,10 +169,12 @@
         why: The reason.
         withheld: Whether this instance decided not to send it, so that it says
             nothing about the server.
+        refused: Whether nothing listens at the server's address.
     """
 
     why: str
     withheld: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -205,9 +207,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unknown:
-    """The answer did not arrive completely; the request may have run."""
+    """The answer did not arrive completely; the request may have run.
+
+    Attributes:
+        why: The reason.
+        broken: Whether the server's end of the connection closed.
+    """
 
     why: str
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -218,10 +226,12 @@
         why: The reason.
         held_up: Whether the caller had held up the server before, so that it
             says nothing about the server.
+        broken: Whether the server's end of the connection closed.
     """
 
     why: str
     held_up: bool = False
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
