--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -329,7 +329,12 @@
         if not whole and head.not_run:
             return _not_run(head)
         if not whole and not self._sink.started:
-            return await self._relay_answer(channel, response, head, body, done)
+            # Without a reference here, which would last as long as the relay.
+            first = [body]
+            del body
+            return await self._relay_answer(
+                channel, response, head, first, done
+            )
         await self._complete(channel, response, head, done)
         if head.not_run:
             return _not_run(head)
@@ -396,10 +401,18 @@
         channel: Channel,
         response: ServerResponse,
         head: ResponseHead,
-        first: bytes,
+        first: list[bytes],
         done: "_Completion",
     ) -> Outcome:
-        """Sends a long answer in pieces, at the pace of its caller."""
+        """Sends a long answer in pieces, at the pace of its caller.
+
+        Args:
+            channel: Connection to the server.
+            response: The response, which is not complete.
+            head: Its head.
+            first: What was read of its body; emptied once it is sent.
+            done: Notes the end of the exchange.
+        """
         # Time in which the caller holds the server up does not count: a
         # caller that goes on reading is not cut off at the deadline.
         left_s = self._call.answer_deadline - time.monotonic()
@@ -415,10 +428,12 @@
                 length = str(response.length).encode()
                 fields = (*fields, (b"content-length", length))
             await self._sink.start(head.status, fields)
-            part = first
+            part = first.pop()
             while part:
                 await self._sink.send(part)
                 pace.sent += len(part)
+                # Only the caller's connection holds it while it waits.
+                part = b""
                 if not response.complete:
                     await pace.wait_for_room(response)
                 began = time.monotonic()
--- a/src/jasminerelay/callerpace.py
+++ b/src/jasminerelay/callerpace.py
@@ -15,9 +15,12 @@
 )
 from jasminerelay.serverconnection import ServerResponse
 
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.5
 """Interval of the checks whether a caller reads, and whether there is room to
-read further ahead of it."""
+read further ahead of it. A server without a response for 0.8 s gets no more
+requests; one that waits for a caller must not count as such."""
+
+MIN_CHECK_S = 0.01
 
 MIN_HELD_UP_S = 1.0
 """Time for which a caller must have held up its server for the end of the
@@ -101,9 +104,11 @@
             self._counters.incr("held.waited")
         self.waited = True
         stall = CallerStall(time.monotonic(), sink.unacknowledged_bytes)
+        stalled_s = 0.0
         try:
             while True:
-                await sink.wait_accepted(CHECK_INTERVAL_S)
+                left_s = max(STALL_S - stalled_s, MIN_CHECK_S)
+                await sink.wait_accepted(min(CHECK_INTERVAL_S, left_s))
                 if is_paced:
                     self._set_read_ahead()
                 else:
--- a/src/jasminerelay/scheduling/heldbytes.py
+++ b/src/jasminerelay/scheduling/heldbytes.py
@@ -45,7 +45,7 @@
 """What one response may have read ahead at most, which releases the server of a
 response of this size before its caller has read it."""
 
-ACCEPTED_SHARE = 0.5
+ACCEPTED_SHARE = 0.25
 """Read-ahead of a response as a share of what its caller has accepted so far. A
 caller that never reads causes next to none, which would waste the instance's
 link as well as its memory."""
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -390,6 +390,9 @@
                 self._is_framed = is_chunked = True
         if is_chunked or not self._has_body:
             self.length = None
+        if self.length is not None and self.length > MAX_BUFFERED_BYTES:
+            # Long responses that begin at once would take 128 KB each.
+            self._max_buffered = 0
         if not self._has_body:
             # The parser does not know that no body follows.
             self.complete = True
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -266,6 +266,8 @@
         end = faults.cut_after or size
         for start in range(0, end, PIECE_BYTES):
             await _send_chunk(send, bytes(min(PIECE_BYTES, end - start)))
+            # After a disconnect `send` does nothing and does not wait.
+            await asyncio.sleep(0)
         if faults.cut_after:
             return
         await send({"type": "http.response.body", "body": b""})
