Release an engine before its caller has read the end of a stream

Cause: a stream whose last events had arrived waited for its caller to take them, with the engine's reservation, and was cut at the deadline.

Change: once a stream is complete, what is left goes to the caller's connection at once, which watches it as after any response.

Measured: tests.test_slowcallers.StreamsTest, 3 tests pass; the new one fails without the change.

--- a/src/jasminerelay/callerpace.py
+++ b/src/jasminerelay/callerpace.py
@@ -1,5 +1,6 @@
 """Relays responses at the pace at which callers read them."""
 
+import math
 import time
 
 from jasminerelay.catalog import BackendServer, Call
@@ -89,9 +90,12 @@
         Raises:
             CallerStalledError: if the caller has stopped reading.
         """
-        if self._sink.blocked:
+        if self._sink.blocked and not response.complete:
             await self._wait(response, is_paced=False)
             self._hold.close()
+        if self._sink.blocked:
+            # The rest has arrived; its server need not wait for the caller.
+            self._sink.pace(math.inf)
 
     def _set_read_ahead(self) -> None:
         unsent = self._sink.unsent_bytes
@@ -113,7 +117,7 @@
                     self._set_read_ahead()
                 else:
                     self._hold.set(sink.unsent_bytes)
-                if not sink.blocked:
+                if not sink.blocked or response.complete:
                     return
                 now = time.monotonic()
                 server_waits = response.held_up
--- a/tests/test_slowcallers.py
+++ b/tests/test_slowcallers.py
@@ -339,6 +339,29 @@
                 [k for k in counts if k.startswith(("stream.", "crash."))], []
             )
 
+    async def test_end_that_is_not_read(self) -> None:
+        # Guards against an engine's slot that is occupied until its caller has
+        # read the end of a stream, and against cutting this end off.
+        async with self.long_site(event_bytes=64_000, tick_s=0.002) as (
+            site,
+            instance,
+        ):
+            head = request_head("/chat/1/stream", Token_Usage="100,6")
+            async with self.caller(instance, head) as caller:
+                await caller.read_head()
+                await self.until(lambda: self.events_named("request"))
+                (line,) = self.events_named("request")
+                self.assertTrue(line["whole"])
+                self.assertLess(line["total_s"], STALL_S)
+                self.assertFalse(
+                    any(item.running for item in site.servers.values())
+                )
+                self.assertGreater(instance.held.total, 0)
+                await anyio.sleep(2 * STALL_S)
+                while not caller.tail.endswith(b"0\r\n\r\n"):
+                    self.assertTrue(await caller.read(1 << 20))
+            self.assertEqual(self.events_named("caller_stalled"), [])
+
     async def test_pause_of_the_caller(self) -> None:
         # Guards against a caller's pause that counts as one of the server, in
         # the pause, the token times and the moves.
