Bound a long response behind one that its caller has not read

Cause: on a connection with an unread response, the next long one had no time limit any more before its head was sent, and its first piece waited without the check for a stall.

Change: the time limit is lifted after the head, and the first piece waits as the others do.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -416,7 +416,6 @@
         # Time in which the caller holds the server up does not count: a
         # caller that goes on reading is not cut off at the deadline.
         left_s = self._call.answer_deadline - time.monotonic()
-        self._progress.time_limit.deadline = math.inf
         self._progress.status = head.status
         self._context.counters.incr("held.paced")
         pace = self._new_pace(channel.server)
@@ -428,6 +427,10 @@
                 length = str(response.length).encode()
                 fields = (*fields, (b"content-length", length))
             await self._sink.start(head.status, fields)
+            self._progress.time_limit.deadline = math.inf
+            if self._sink.blocked:
+                # An earlier response on the connection is not read yet.
+                await pace.wait_for_room(response)
             part = first.pop()
             while part:
                 await self._sink.send(part)
--- a/tests/processcase.py
+++ b/tests/processcase.py
@@ -14,7 +14,7 @@
 
 from standins.launcher import ROOT
 from tests.platformcase import PlatformCase
-from tests.test_slowcallers import request_head
+from tests.slowcallercase import request_head
 
 REQUEST_INTERVAL_S = 0.02
 START_S = 20.0
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1135,7 +1135,7 @@
     Safeguard(
         "a caller that goes on reading is not cut at its deadline",
         "attempt",
-        "        self._progress.time_limit.deadline = math.inf\n",
+        "            self._progress.time_limit.deadline = math.inf\n",
         "",
         "test_slowcallers.PlainResponsesTest.test_slow_reader_goes_on",
     ),
@@ -1144,14 +1144,14 @@
         "attempt",
         "                        timer.skip_interval()\n",
         "",
-        "test_slowcallers.StreamsTest.test_pause_of_the_caller",
+        "test_slowstreams.StreamsTest.test_pause_of_the_caller",
     ),
     Safeguard(
         "the end of a stream does not wait for its caller",
         "callerpace",
         "            self._sink.pace(math.inf)\n",
         "            pass\n",
-        "test_slowcallers.StreamsTest.test_end_that_is_not_read",
+        "test_slowstreams.StreamsTest.test_end_that_is_not_read",
     ),
     Safeguard(
         "an end that nobody reads is not kept for good",
@@ -1165,7 +1165,7 @@
         "platform/ingress",
         "                self._require_memory(hold.organisation, 0)\n",
         "                pass\n",
-        "test_slowcallers.LargeBodiesTest.test_slow_body_while_memory_gets_short",
+        "test_slowstreams.LargeBodiesTest.test_slow_body_while_memory_gets_short",
     ),
     Safeguard(
         "writes to callers are not delayed",
--- a/tests/test_heldmemory.py
+++ b/tests/test_heldmemory.py
@@ -11,7 +11,7 @@
 from jasminerelay.scheduling.heldbytes import STALL_S
 from standins.platformsite import SiteOptions
 from tests.processcase import ProcessCase, resident_mb
-from tests.test_slowcallers import request_head
+from tests.slowcallercase import request_head
 
 MEMORY_MB = 160
 MAX_RESIDENT_MB = 80
--- a/tests/test_slowstop.py
+++ b/tests/test_slowstop.py
@@ -10,7 +10,7 @@
 
 from standins.platformsite import SiteOptions
 from tests.processcase import ProcessCase
-from tests.test_slowcallers import request_head
+from tests.slowcallercase import request_head
 
 LONG_BYTES = 96 << 20
 GRACE_S = 8.0
