--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -347,7 +347,12 @@
         if not whole and head.not_run:
             return _not_run(head)
         if not whole and not self._sink.started:
-            return await self._relay_answer(channel, response, head, body, done)
+            # Without a reference here, which would last as long as the relay.
+            first = [body]
+            del body
+            return await self._relay_answer(
+                channel, response, head, first, done
+            )
         await self._complete(channel, response, head, done)
         if head.not_run:
             return _not_run(head)
@@ -414,14 +419,21 @@
         channel: Channel,
         response: ServerResponse,
         head: ResponseHead,
-        first: bytes,
+        first: list[bytes],
         done: "_Completion",
     ) -> Outcome:
-        """Sends a long answer in pieces, at the pace of its caller."""
+        """Sends a long answer in pieces, at the pace of its caller.
+
+        Args:
+            channel: Connection to the server.
+            response: The response, which is not complete.
+            head: Its head.
+            first: What was read of its body; emptied once it is sent.
+            done: Notes the end of the exchange.
+        """
         # Time in which the caller holds the server up does not count: a
         # caller that goes on reading is not cut off at the deadline.
         left_s = self._call.answer_deadline - time.monotonic()
-        self._progress.time_limit.deadline = math.inf
         self._progress.status = head.status
         self._context.counters.incr("held.paced")
         pace = self._new_pace(channel.server)
@@ -433,10 +445,16 @@
                 length = str(response.length).encode()
                 fields = (*fields, (b"content-length", length))
             await self._sink.start(head.status, fields)
-            part = first
+            self._progress.time_limit.deadline = math.inf
+            if self._sink.blocked:
+                # An earlier response on the connection is not read yet.
+                await pace.wait_for_room(response)
+            part = first.pop()
             while part:
                 await self._sink.send(part)
                 pace.sent += len(part)
+                # Only the caller's connection holds it while it waits.
+                part = b""
                 if not response.complete:
                     await pace.wait_for_room(response)
                 began = time.monotonic()
--- a/src/jasminerelay/callerpace.py
+++ b/src/jasminerelay/callerpace.py
@@ -1,5 +1,6 @@
 """Relays responses at the pace at which callers read them."""
 
+import math
 import time
 
 from jasminerelay.catalog import BackendServer, Call
@@ -15,9 +16,12 @@
 )
 from jasminerelay.serverconnection import ServerResponse
 
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.5
 """Interval of the checks whether a caller reads, and whether there is room to
-read further ahead of it."""
+read further ahead of it. A server without a response for 0.8 s gets no more
+requests; one that waits for a caller must not count as such."""
+
+MIN_CHECK_S = 0.01
 
 MIN_HELD_UP_S = 1.0
 """Time for which a caller must have held up its server for the end of the
@@ -86,9 +90,12 @@
         Raises:
             CallerStalledError: if the caller has stopped reading.
         """
-        if self._sink.blocked:
+        if self._sink.blocked and not response.complete:
             await self._wait(response, is_paced=False)
             self._hold.close()
+        if self._sink.blocked:
+            # The rest has arrived; its server need not wait for the caller.
+            self._sink.pace(math.inf)
 
     def _set_read_ahead(self) -> None:
         unsent = self._sink.unsent_bytes
@@ -101,14 +108,16 @@
             self._counters.incr("held.waited")
         self.waited = True
         stall = CallerStall(time.monotonic(), sink.unacknowledged_bytes)
+        stalled_s = 0.0
         try:
             while True:
-                await sink.wait_accepted(CHECK_INTERVAL_S)
+                left_s = max(STALL_S - stalled_s, MIN_CHECK_S)
+                await sink.wait_accepted(min(CHECK_INTERVAL_S, left_s))
                 if is_paced:
                     self._set_read_ahead()
                 else:
                     self._hold.set(sink.unsent_bytes)
-                if not sink.blocked:
+                if not sink.blocked or response.complete:
                     return
                 now = time.monotonic()
                 server_waits = response.held_up
