Do not move a stream back to an engine that was too slow for it

Cause: a stream that could not end in time moved to a faster engine. When that one slowed down, the stream moved back: the first engine's time per token was no longer known, or never had been, and an unknown time counts as faster than any. Traced in test_answer_that_cannot_end_goes_on_elsewhere beside 36 busy processes and seven other runs: left engine-2 (0.1 s per token) after event 1, left engine-1 (0.038 s) after event 117 for engine-2, broke off after event 164 at its limit. In a run of the whole suite it broke off after event 95.

Change: the move avoids all servers that the request has used, as moves from leaving servers do.

The new test needs no load: three runs in place of two without the change.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -426,9 +426,10 @@
                 continue
             if self._move_ended is not None or self._progress.copy is not None:
                 return
-            avoid = frozenset((server.id,))
+            # A server that the stream has left was too slow for it, also if
+            # its time per token is no longer known.
             reservation = dispatcher.reserve_faster_server(
-                self._call, server, avoid
+                self._call, server, self._tried_servers()
             )
             if reservation is not None:
                 await self._move(server, reservation)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from jasminerelay import stragglers
+from jasminerelay import stragglers, tokentimes
 from standins.platformserver import ServerFaults
 from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, PLAIN_BACKEND
 from tests.platformcase import PlatformCase, events, fetch
@@ -350,6 +350,24 @@
             moves = sum(server.move_count for server in site.servers.values())
             self.assertEqual(moves, 1)
 
+    async def test_stream_does_not_return_to_a_slow_server(self) -> None:
+        # A stream has left a slow engine before its time per token was known.
+        # Then its new engine becomes too slow as well. Guards against a move
+        # back to the first one, which would be taken for faster than any.
+        self.enterContext(
+            unittest.mock.patch.object(tokentimes, "MAX_AGE_S", 0.0)
+        )
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.tick_s = 0.1
+            answers = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.ask_long_stream, instance, answers)
+                await self.until(lambda: self.runs(site) == 2)
+                await anyio.sleep(1.0)
+                group.cancel_scope.cancel()
+            self.assertEqual(self.runs(site), 2)
+
     async def test_refused_move_is_no_second_run(self) -> None:
         # A server drains during a stream that must run at most once, and the
         # other server rejects the moved request. Sending it without the KV
