Load the bundle's code in two groups instead of module by module

Cause: unmarshalling is the largest part of the imports that remain, 22 ms of 75. Code objects have many names and constants in common, which were read and interned once for each module and for each method of a data class. The bundle also had the code of modules that are deferred.

Change: the code is stored in two groups, that up to the opening of the ports and the rest. Deferred modules have no code in it.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -18,6 +18,8 @@
 
 import codebundle  # noqa: E402
 
+from jasminerelay import lazymodules  # noqa: E402
+
 PROGRAM = "jasminerelay.platform.root"
 
 
@@ -67,48 +69,74 @@
     return snippets
 
 
-def entry_of(module: types.ModuleType) -> tuple | None:
-    """Returns a module's entry in the bundle; None if it has no file."""
+def file_of(module: types.ModuleType) -> str | None:
+    """Returns the file that a module was loaded from."""
     spec = getattr(module, "__spec__", None)
     if spec is None or not spec.has_location or spec.origin is None:
         return None
-    file = os.path.abspath(spec.origin)
-    with open(file, "rb") as opened:
-        data = opened.read()
-        status = os.fstat(opened.fileno())
-    if file.startswith(f"{_ROOT}/"):
-        path = os.path.relpath(file, _ROOT)
-    else:
-        path = file
-    checksum = code = None
-    if file.endswith(".py"):
-        checksum = codebundle.digest(data)
-        code = compile(data, file, "exec", dont_inherit=True)
+    return os.path.abspath(spec.origin)
+
+
+def entry_of(module: types.ModuleType, group: int) -> tuple:
+    """Returns a module's entry in the bundle."""
+    file = file_of(module)
+    status = os.stat(file)
     return (
-        path,
+        os.path.relpath(file, _ROOT) if file.startswith(f"{_ROOT}/") else file,
         status.st_mtime_ns,
         status.st_size,
-        checksum,
-        spec.submodule_search_locations is not None,
-        code,
+        codebundle.digest(read(file)) if file.endswith(".py") else None,
+        hasattr(module, "__path__"),
+        group,
     )
 
 
+def code_of(module: types.ModuleType) -> types.CodeType | None:
+    """Returns a module's code; None if it is not used in a start."""
+    file = file_of(module)
+    if not file.endswith(".py") or lazymodules.is_deferred(module):
+        return None
+    return compile(read(file), file, "exec", dont_inherit=True)
+
+
+def read(file: str) -> bytes:
+    """Returns the content of a file."""
+    with open(file, "rb") as opened:
+        return opened.read()
+
+
 def main() -> None:
     """Writes the bundle."""
     expressions = record_expressions()
     snippets = record_snippets()
     start = importlib.import_module("jasminerelay.platform.start")
+    # The ports are opened once these are imported.
+    early = {*sys.modules}
     start.defer_modules()
     for name in (PROGRAM, *start.LATER_MODULES):
         importlib.import_module(name)
-    modules = {}
-    for name, module in sorted(sys.modules.items()):
-        entry = entry_of(module)
+    found = {
+        name: module
+        for name, module in sorted(sys.modules.items())
         # An instance imports these two before it has the bundle.
-        if name not in ("__main__", "codebundle") and entry is not None:
-            modules[name] = entry
-    data = codebundle.pack(modules, snippets, expressions)
+        if file_of(module) and name not in ("__main__", "codebundle")
+    }
+    modules = {
+        name: entry_of(module, int(name not in early))
+        for name, module in found.items()
+    }
+    codes: tuple[dict, dict] = {}, {}
+    for name, module in found.items():
+        code = code_of(module)
+        if code is not None:
+            codes[int(name not in early)][name] = code
+    methods = {
+        codebundle.digest(source.encode()): code
+        for source, code in snippets.items()
+    }
+    data = codebundle.pack(
+        modules, expressions, [(codes[0], {}), (codes[1], methods)]
+    )
     path = f"{_ROOT}/{codebundle.PATH}"
     os.makedirs(os.path.dirname(path), exist_ok=True)
     # Renamed, so that an instance never reads half of it.
--- a/deploy/codebundle.py
+++ b/deploy/codebundle.py
@@ -41,33 +41,21 @@
     return digest(repr(INTERPRETER).encode())
 
 
-def pack(modules: dict, snippets: dict, expressions: dict) -> bytes:
+def pack(modules: dict, expressions: dict, groups: list) -> bytes:
     """Returns the bytes of a bundle.
 
     Args:
         modules: For each name the path, time, size and checksum of the source,
-            whether it is a package, and the code; see `Bundle.find_spec`. The
-            checksum and the code of an extension module are None.
-        snippets: Code of data classes' methods by source.
+            whether it is a package, and the number of the group that has its
+            code; see `Bundle.find_spec`. The checksum of an extension module is
+            None.
         expressions: Arguments for `_sre.compile` by pattern and flags.
+        groups: What is loaded at once, in the order of its use, since objects
+            that code has in common are then read once: the code of modules by
+            name, and of data classes' methods by the checksum of the source.
     """
-    parts: list[bytes] = []
-    end = 0
-
-    def place(code) -> tuple[int, int]:
-        nonlocal end
-        parts.append(b"" if code is None else marshal.dumps(code))
-        start, end = end, end + len(parts[-1])
-        return start, end
-
-    places = {
-        name: (*entry, *place(code)) for name, (*entry, code) in modules.items()
-    }
-    snippet_places = {
-        digest(source.encode()): place(code)
-        for source, code in snippets.items()
-    }
-    index = marshal.dumps((places, snippet_places, expressions))
+    parts = [marshal.dumps(group) for group in groups]
+    index = marshal.dumps((modules, expressions, [*map(len, parts)]))
     size = len(index).to_bytes(WORD_BYTES, "little")
     data = b"".join([size, index, *parts])
     return header() + digest(data) + data
@@ -81,7 +69,7 @@
     content = memoryview(data)[2 * WORD_BYTES :]
     checksum = data[WORD_BYTES : 2 * WORD_BYTES]
     if data[:WORD_BYTES] != header() or digest(content) != checksum:
-        return {}, {}, {}, b""
+        return {}, {}, [], b""
     end = WORD_BYTES + int.from_bytes(content[:WORD_BYTES], "little")
     return *marshal.loads(content[WORD_BYTES:end]), content[end:]
 
@@ -114,9 +102,10 @@
         except OSError:
             data = b""
             self.state = "absent"
-        self._modules, self._snippets, self._expressions, self._code = unpack(
-            data
-        )
+        self._modules, self._expressions, self._sizes, self._code = unpack(data)
+        self._loaded_groups = 0
+        self._codes: dict = {}
+        self._snippets: dict = {}
         if self._modules:
             self.state = "used"
 
@@ -139,8 +128,9 @@
                 setattr(module, name, value)
         self._replaced = []
         self._modules = {}
-        self._snippets = {}
         self._expressions = {}
+        self._codes = {}
+        self._snippets = {}
         # Large enough for a mapping of its own, which is returned to the
         # system.
         self._code = b""
@@ -155,7 +145,7 @@
         entry = self._modules.get(name)
         if entry is None:
             return None
-        file, modified_ns, size, checksum, is_package, *_ = entry
+        file, modified_ns, size, checksum, is_package, _ = entry
         file = os.path.join(self._root, file)
         if not unchanged(file, modified_ns, size, checksum):
             self.changed.append(name)
@@ -172,9 +162,20 @@
         )
 
     def take_code(self, name: str):
-        """Returns a module's code; None if the bundle is closed."""
+        """Returns a module's code; None if there is none, or none any more."""
         entry = self._modules.get(name)
-        return entry and self._load(*entry[-2:])
+        while entry is not None and self._loaded_groups <= entry[-1]:
+            self._load_group()
+        return self._codes.pop(name, None)
+
+    def _load_group(self) -> None:
+        """Loads the next group of code objects."""
+        start = sum(self._sizes[: self._loaded_groups])
+        end = start + self._sizes[self._loaded_groups]
+        self._loaded_groups += 1
+        codes, snippets = marshal.loads(self._code[start:end])
+        self._codes.update(codes)
+        self._snippets.update(snippets)
 
     def executed(self, module) -> None:
         """Lets a module that compiles code at run time use the bundle."""
@@ -188,12 +189,8 @@
 
     def _execute(self, source: str, *namespaces: dict) -> None:
         """Executes source code as `exec` does."""
-        place = self._snippets.get(digest(source.encode()))
-        exec(self._load(*place) if place else source, *namespaces)
-
-    def _load(self, start: int, end: int):
-        """Returns a code object of the bundle."""
-        return marshal.loads(self._code[start:end])
+        code = self._snippets.get(digest(source.encode()))
+        exec(code or source, *namespaces)
 
     def _expression_compiler(self, compile_expression):
         """Returns a function that compiles regular expressions.
--- a/src/jasminerelay/lazymodules.py
+++ b/src/jasminerelay/lazymodules.py
@@ -49,6 +49,12 @@
     return module
 
 
+def is_deferred(module: types.ModuleType) -> bool:
+    """Returns whether a module's code is still to be executed."""
+    load = vars(module).get("__getattr__")
+    return getattr(load, "__module__", None) == __name__
+
+
 def _find_spec(name: str) -> ModuleSpec | None:
     """Returns where a module is, without importing its package."""
     package = name.rpartition(".")[0]
