Take compiled annotations and named tuples from the bundle

Cause: importing the program compiles 251 annotations that are written as text (typing.ForwardRef) and some 20 named tuples.

Change: the bundle has their code, found by the source text like that of the methods of data classes.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -20,6 +20,8 @@
 
 from jasminerelay import lazymodules  # noqa: E402
 
+FILENAME = codebundle.FILENAME
+
 PROGRAM = "jasminerelay.platform.root"
 
 
@@ -54,18 +56,33 @@
     return expressions
 
 
-def record_snippets() -> dict[str, types.CodeType]:
-    """Returns the compiled code of data classes' methods by its source.
+def record_snippets() -> dict[bytes, types.CodeType]:
+    """Returns the code that modules compile when they are imported, by key.
 
-    Methods of data classes that are created later are added.
+    What modules that are imported later compile is added.
     """
-    snippets: dict[str, types.CodeType] = {}
+    snippets: dict[bytes, types.CodeType] = {}
+
+    def compile_and_record(source: str, filename: str, mode: str) -> Any:
+        code = compile(source, filename, mode)
+        if filename == FILENAME:
+            snippets[codebundle.snippet_key(source, mode)] = code
+        return code
 
     def execute(source: str, *namespaces: dict) -> None:
-        snippets[source] = compile(source, "<string>", "exec")
-        exec(snippets[source], *namespaces)
+        exec(compile_and_record(source, FILENAME, "exec"), *namespaces)
+
+    def evaluate(source: str, *namespaces: dict) -> Any:
+        return eval(compile_and_record(source, FILENAME, "eval"), *namespaces)
 
-    importlib.import_module("dataclasses").exec = execute
+    functions = {
+        "compile": compile_and_record,
+        "exec": execute,
+        "eval": evaluate,
+    }
+    for name, function in codebundle.COMPILING_FUNCTIONS.items():
+        module = importlib.import_module(name)
+        setattr(module, function, functions[function])
     return snippets
 
 
@@ -130,12 +147,8 @@
         code = code_of(module)
         if code is not None:
             codes[int(name not in early)][name] = code
-    methods = {
-        codebundle.digest(source.encode()): code
-        for source, code in snippets.items()
-    }
     data = codebundle.pack(
-        modules, expressions, [(codes[0], {}), (codes[1], methods)]
+        modules, expressions, [(codes[0], {}), (codes[1], snippets)]
     )
     path = f"{_ROOT}/{codebundle.PATH}"
     os.makedirs(os.path.dirname(path), exist_ok=True)
--- a/deploy/codebundle.py
+++ b/deploy/codebundle.py
@@ -3,7 +3,8 @@
 An ordinary import searches several folders, reads the module's cached bytecode
 and checks its source, in ten or more system calls. With a bundle it takes one:
 the check that the source has not changed. The bundle also holds what importing
-the modules compiles: the methods of data classes and regular expressions.
+the modules compiles: methods of data classes, named tuples, annotations and
+regular expressions.
 
 `bundle.py` writes the file. Nothing depends on it: a module that is missing
 from it or has changed since, and every module if the file is absent, damaged or
@@ -24,6 +25,17 @@
 WORD_BYTES = 8
 """Size of a checksum and of the length of the index."""
 
+COMPILING_FUNCTIONS = {
+    "collections": "eval",
+    "dataclasses": "exec",
+    "typing": "compile",
+}
+"""Built-in functions by which modules compile named tuples, methods of data
+classes and annotations."""
+
+FILENAME = "<string>"
+"""File name of the code that these functions compile."""
+
 LOGGED_NAMES = 10
 """Number of modules named in the log, in case every source has changed."""
 
@@ -36,6 +48,11 @@
     return _imp.source_hash(external._RAW_MAGIC_NUMBER, data)
 
 
+def snippet_key(source: str, mode: str) -> bytes:
+    """Returns the key of source code that is compiled in a start."""
+    return digest(f"{mode} {source}".encode())
+
+
 def header() -> bytes:
     """Returns the first bytes of a bundle of this interpreter."""
     return digest(repr(INTERPRETER).encode())
@@ -52,7 +69,7 @@
         expressions: Arguments for `_sre.compile` by pattern and flags.
         groups: What is loaded at once, in the order of its use, since objects
             that code has in common are then read once: the code of modules by
-            name, and of data classes' methods by the checksum of the source.
+            name, and of source code that is compiled in a start by its key.
     """
     parts = [marshal.dumps(group) for group in groups]
     index = marshal.dumps((modules, expressions, [*map(len, parts)]))
@@ -179,18 +196,29 @@
 
     def executed(self, module) -> None:
         """Lets a module that compiles code at run time use the bundle."""
-        if module.__name__ == "dataclasses":
+        if module.__name__ in COMPILING_FUNCTIONS:
             # Hides the built-in function; `close` removes it.
-            self._replaced.append((module, "exec", None))
-            module.exec = self._execute
+            function = COMPILING_FUNCTIONS[module.__name__]
+            self._replaced.append((module, function, None))
+            setattr(module, function, getattr(self, f"_{function}"))
         elif module.__name__ == "re._compiler":
             self._replaced.append((module, "compile", module.compile))
             module.compile = self._expression_compiler(module.compile)
 
-    def _execute(self, source: str, *namespaces: dict) -> None:
+    def _exec(self, source: str, *namespaces: dict) -> None:
         """Executes source code as `exec` does."""
-        code = self._snippets.get(digest(source.encode()))
-        exec(code or source, *namespaces)
+        exec(self._compile(source, FILENAME, "exec"), *namespaces)
+
+    def _eval(self, source: str, *namespaces: dict):
+        """Evaluates an expression as `eval` does."""
+        return eval(self._compile(source, FILENAME, "eval"), *namespaces)
+
+    def _compile(self, source: str, filename: str, mode: str):
+        """Compiles source code as `compile` does."""
+        code = self._snippets.get(snippet_key(source, mode))
+        if code is None or filename != FILENAME:
+            return compile(source, filename, mode)
+        return code
 
     def _expression_compiler(self, compile_expression):
         """Returns a function that compiles regular expressions.
--- a/tests/test_codebundle.py
+++ b/tests/test_codebundle.py
@@ -49,8 +49,13 @@
 from jasminerelay.platform import root
 import dataclasses, inspect, re
 
-classes, patterns = {}, {}
+classes, patterns, tuples = {}, {}, {}
 for module_name, module in sorted(sys.modules.items()):
+    for name, value in sorted(vars(module).items()):
+        if not isinstance(value, type) or not issubclass(value, tuple):
+            continue
+        if hasattr(value, "_fields"):
+            tuples[f"{module_name}.{name}"] = str(inspect.signature(value))
     if module_name.partition(".")[0] not in ("jasminerelay", "h11", "tomllib"):
         continue
     for name, value in sorted(vars(module).items()):
@@ -66,7 +71,7 @@
                 str(value.pattern), value.flags, value.groups,
                 dict(value.groupindex),
             ]
-found = {"classes": classes, "patterns": patterns}
+found = {"classes": classes, "patterns": patterns, "tuples": tuples}
 """
 """Describes what the modules compile when they are imported."""
 
@@ -281,7 +286,8 @@
         usual = self.use(DESCRIBE)
         self.assertGreater(len(found["classes"]), 80)
         self.assertGreater(len(found["patterns"]), 10)
-        for name in ("classes", "patterns"):
+        self.assertGreater(len(found["tuples"]), 20)
+        for name in ("classes", "patterns", "tuples"):
             self.assertEqual(found[name], usual[name])
 
 
