--- a/src/jasminerelay/lazymodules.py
+++ b/src/jasminerelay/lazymodules.py
@@ -19,6 +19,9 @@
     used that it does not have yet. Submodules of a package can be imported
     without that. Returns the module unchanged if it is loaded already.
 
+    A module whose package is imported only later is found by import statements,
+    also by "from package import module", but is no attribute of the package.
+
     Args:
         name: Full name of the module.
         **known: Names that can be used before its code is executed, with
--- a/tests/test_codebundle.py
+++ b/tests/test_codebundle.py
@@ -259,6 +259,23 @@
         )
         self.assertEqual(found["name"], "jasminerelay.stopping")
 
+    def test_deferred_modules_after_its_end(self) -> None:
+        # Guards against a deferred module that cannot be loaded once the
+        # bundle is closed, or that keeps the names given in its place.
+        found = self.use(
+            IMPORT_ALL
+            + "bundle.close()\n"
+            + "import hashlib, ssl, subprocess\nfrom asyncio import sslproto\n"
+            + "found = {'values': [subprocess.list2cmdline(['a b']),"
+            " hashlib.sha256(b'').hexdigest()[:4], ssl.SSLError.__name__,"
+            " issubclass(ssl.SSLSocket, start.NotLoaded),"
+            " sslproto.SSLAgainErrors[0].__name__]}"
+        )
+        self.assertEqual(
+            found["values"],
+            ['"a b"', "e3b0", "SSLError", False, "SSLWantReadError"],
+        )
+
     def test_traceback(self) -> None:
         # Guards against tracebacks without the files, lines and sources, also
         # where the checkout was moved after the build.
