--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -18,6 +18,10 @@
 
 import codebundle  # noqa: E402
 
+from jasminerelay import lazymodules  # noqa: E402
+
+FILENAME = codebundle.FILENAME
+
 PROGRAM = "jasminerelay.platform.root"
 
 
@@ -52,63 +56,100 @@
     return expressions
 
 
-def record_snippets() -> dict[str, types.CodeType]:
-    """Returns the compiled code of data classes' methods by its source.
+def record_snippets() -> dict[bytes, types.CodeType]:
+    """Returns the code that modules compile when they are imported, by key.
 
-    Methods of data classes that are created later are added.
+    What modules that are imported later compile is added.
     """
-    snippets: dict[str, types.CodeType] = {}
+    snippets: dict[bytes, types.CodeType] = {}
 
-    def execute(source: str, *namespaces: dict) -> None:
-        snippets[source] = compile(source, "<string>", "exec")
-        exec(snippets[source], *namespaces)
+    def compile_and_record(source: str, filename: str, mode: str) -> Any:
+        code = compile(source, filename, mode)
+        if filename == FILENAME:
+            snippets[codebundle.snippet_key(source, mode)] = code
+        return code
 
-    importlib.import_module("dataclasses").exec = execute
+    def execute(source: str, *namespaces: dict) -> None:
+        exec(compile_and_record(source, FILENAME, "exec"), *namespaces)
+
+    def evaluate(source: str, *namespaces: dict) -> Any:
+        return eval(compile_and_record(source, FILENAME, "eval"), *namespaces)
+
+    functions = {
+        "compile": compile_and_record,
+        "exec": execute,
+        "eval": evaluate,
+    }
+    for name, function in codebundle.COMPILING_FUNCTIONS.items():
+        module = importlib.import_module(name)
+        setattr(module, function, functions[function])
     return snippets
 
 
-def entry_of(module: types.ModuleType) -> tuple | None:
-    """Returns a module's entry in the bundle; None if it has no file."""
+def file_of(module: types.ModuleType) -> str | None:
+    """Returns the file that a module was loaded from."""
     spec = getattr(module, "__spec__", None)
     if spec is None or not spec.has_location or spec.origin is None:
         return None
-    file = os.path.abspath(spec.origin)
-    with open(file, "rb") as opened:
-        data = opened.read()
-        status = os.fstat(opened.fileno())
-    if file.startswith(f"{_ROOT}/"):
-        path = os.path.relpath(file, _ROOT)
-    else:
-        path = file
-    checksum = code = None
-    if file.endswith(".py"):
-        checksum = codebundle.digest(data)
-        code = compile(data, file, "exec", dont_inherit=True)
+    return os.path.abspath(spec.origin)
+
+
+def entry_of(module: types.ModuleType, group: int) -> tuple:
+    """Returns a module's entry in the bundle."""
+    file = file_of(module)
+    status = os.stat(file)
     return (
-        path,
+        os.path.relpath(file, _ROOT) if file.startswith(f"{_ROOT}/") else file,
         status.st_mtime_ns,
         status.st_size,
-        checksum,
-        spec.submodule_search_locations is not None,
-        code,
+        codebundle.digest(read(file)) if file.endswith(".py") else None,
+        hasattr(module, "__path__"),
+        group,
     )
 
 
+def code_of(module: types.ModuleType) -> types.CodeType | None:
+    """Returns a module's code; None if it is not used in a start."""
+    file = file_of(module)
+    if not file.endswith(".py") or lazymodules.is_deferred(module):
+        return None
+    return compile(read(file), file, "exec", dont_inherit=True)
+
+
+def read(file: str) -> bytes:
+    """Returns the content of a file."""
+    with open(file, "rb") as opened:
+        return opened.read()
+
+
 def main() -> None:
     """Writes the bundle."""
     expressions = record_expressions()
     snippets = record_snippets()
     start = importlib.import_module("jasminerelay.platform.start")
+    # The ports are opened once these are imported.
+    early = {*sys.modules}
     start.defer_modules()
     for name in (PROGRAM, *start.LATER_MODULES):
         importlib.import_module(name)
-    modules = {}
-    for name, module in sorted(sys.modules.items()):
-        entry = entry_of(module)
+    found = {
+        name: module
+        for name, module in sorted(sys.modules.items())
         # An instance imports these two before it has the bundle.
-        if name not in ("__main__", "codebundle") and entry is not None:
-            modules[name] = entry
-    data = codebundle.pack(modules, snippets, expressions)
+        if file_of(module) and name not in ("__main__", "codebundle")
+    }
+    modules = {
+        name: entry_of(module, int(name not in early))
+        for name, module in found.items()
+    }
+    codes: tuple[dict, dict] = {}, {}
+    for name, module in found.items():
+        code = code_of(module)
+        if code is not None:
+            codes[int(name not in early)][name] = code
+    data = codebundle.pack(
+        modules, expressions, [(codes[0], {}), (codes[1], snippets)]
+    )
     path = f"{_ROOT}/{codebundle.PATH}"
     os.makedirs(os.path.dirname(path), exist_ok=True)
     # Renamed, so that an instance never reads half of it.
--- a/src/jasminerelay/lazymodules.py
+++ b/src/jasminerelay/lazymodules.py
@@ -19,6 +19,9 @@
     used that it does not have yet. Submodules of a package can be imported
     without that. Returns the module unchanged if it is loaded already.
 
+    A module whose package is imported only later is found by import statements,
+    also by "from package import module", but is no attribute of the package.
+
     Args:
         name: Full name of the module.
         **known: Names that can be used before its code is executed, with
@@ -49,6 +52,12 @@
     return module
 
 
+def is_deferred(module: types.ModuleType) -> bool:
+    """Returns whether a module's code is still to be executed."""
+    load = vars(module).get("__getattr__")
+    return getattr(load, "__module__", None) == __name__
+
+
 def _find_spec(name: str) -> ModuleSpec | None:
     """Returns where a module is, without importing its package."""
     package = name.rpartition(".")[0]
--- a/tests/test_codebundle.py
+++ b/tests/test_codebundle.py
@@ -49,8 +49,13 @@
 from jasminerelay.platform import root
 import dataclasses, inspect, re
 
-classes, patterns = {}, {}
+classes, patterns, tuples = {}, {}, {}
 for module_name, module in sorted(sys.modules.items()):
+    for name, value in sorted(vars(module).items()):
+        if not isinstance(value, type) or not issubclass(value, tuple):
+            continue
+        if hasattr(value, "_fields"):
+            tuples[f"{module_name}.{name}"] = str(inspect.signature(value))
     if module_name.partition(".")[0] not in ("jasminerelay", "h11", "tomllib"):
         continue
     for name, value in sorted(vars(module).items()):
@@ -66,7 +71,7 @@
                 str(value.pattern), value.flags, value.groups,
                 dict(value.groupindex),
             ]
-found = {"classes": classes, "patterns": patterns}
+found = {"classes": classes, "patterns": patterns, "tuples": tuples}
 """
 """Describes what the modules compile when they are imported."""
 
@@ -254,6 +259,23 @@
         )
         self.assertEqual(found["name"], "jasminerelay.stopping")
 
+    def test_deferred_modules_after_its_end(self) -> None:
+        # Guards against a deferred module that cannot be loaded once the
+        # bundle is closed, or that keeps the names given in its place.
+        found = self.use(
+            IMPORT_ALL
+            + "bundle.close()\n"
+            + "import hashlib, ssl, subprocess\nfrom asyncio import sslproto\n"
+            + "found = {'values': [subprocess.list2cmdline(['a b']),"
+            " hashlib.sha256(b'').hexdigest()[:4], ssl.SSLError.__name__,"
+            " issubclass(ssl.SSLSocket, start.NotLoaded),"
+            " sslproto.SSLAgainErrors[0].__name__]}"
+        )
+        self.assertEqual(
+            found["values"],
+            ['"a b"', "e3b0", "SSLError", False, "SSLWantReadError"],
+        )
+
     def test_traceback(self) -> None:
         # Guards against tracebacks without the files, lines and sources, also
         # where the checkout was moved after the build.
@@ -281,7 +303,8 @@
         usual = self.use(DESCRIBE)
         self.assertGreater(len(found["classes"]), 80)
         self.assertGreater(len(found["patterns"]), 10)
-        for name in ("classes", "patterns"):
+        self.assertGreater(len(found["tuples"]), 20)
+        for name in ("classes", "patterns", "tuples"):
             self.assertEqual(found[name], usual[name])
 
 
