Forecast each kind's demand under overload from the last 0.3 s

Cause: the split of servers follows an average with a time constant of 1 s on the rise, computed every 0.5 s. A burst of five seconds is half over before the urgent kind has its servers.

Change: scheduling/demandforecast (pure) uses the rate of the last 0.3 s in place of the average where it exceeds it by more than chance explains and the servers cannot do all of the work. Demand reports carry the recent work and the number of requests (fields with defaults; of an instance that is silent they count for 1 s, the average for 3 s as before). A kind that begins to rise has the split computed at once. A new kind takes part once its average has settled (3 s). Demand within the capacity has its average as its forecast.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -34,6 +34,8 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import ResponseMonitor
+from jasminerelay.scheduling import demandforecast
+from jasminerelay.scheduling.demandforecast import DemandForecast
 from jasminerelay.scheduling.fairshare import Headroom
 from jasminerelay.scheduling.servercapacity import (
     FIRST_EVENT,
@@ -63,6 +65,8 @@
 SPLIT_INTERVAL_S = 0.5
 """Interval at which the assignment of servers to kinds is computed again."""
 
+FORECAST_INTERVAL_S = 0.1
+"""Interval at which demand is examined for a kind that has begun to rise."""
 
 US_PER_S = 1e6
 
@@ -179,8 +183,9 @@
         self.demand_meter = DemandMeter()
         self.demand = TotalDemand()
         self._splits: dict[str, ServerSplit] = {}
-        self._kinds: dict[str, list[RouteDemand]] = {}
-        self._splits_updated_at = float("-inf")
+        self._kinds: dict[str, Sequence[RouteDemand]] = {}
+        self._forecasts: dict[str, DemandForecast] = {}
+        self._splits_updated_at = self._forecast_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._prefixes = PrefixIndex()
         self.announcements = PrefixAnnouncements()
@@ -313,10 +318,13 @@
             model.set_initial_estimate(engine, call.route, call.prompt.tokens)
         kind = call.route.name
         resources = self._resource_need(call)
-        self.demand_meter.record(call.service, kind, call.route.rank, resources)
+        now = time.monotonic()
+        self.demand_meter.record(
+            call.service, kind, call.route.rank, resources, now
+        )
         split = self._splits.get(call.service)
         if split is None or not split.group(kind):
-            self._update_splits(time.monotonic())
+            self._update_splits(now)
 
     def busy_s(self, call: Call) -> float:
         """Returns how long a request occupies a server."""
@@ -970,6 +978,8 @@
         """Updates moving averages and, at intervals, the server split."""
         self.workload.expire(now)
         if now - self._splits_updated_at < SPLIT_INTERVAL_S:
+            if now - self._forecast_at >= FORECAST_INTERVAL_S:
+                self._update_rising(now)
             return
         self._splits_updated_at = now
         self.demand_meter.tick(now)
@@ -979,7 +989,7 @@
 
     def own_demand(self) -> list[RouteDemand]:
         """Returns the demand of this instance's callers, to be shared."""
-        return self.demand_meter.demand(self._need_time_s)
+        return self.demand_meter.demand(self._need_time_s, time.monotonic())
 
     def _resource_need(self, call: Call) -> ResourceNeed:
         output = self._output_estimate(call).output
@@ -1007,22 +1017,45 @@
         self.demand.update("", self.own_demand(), now)
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
-            there = self._registry.servers_of(name)
-            # Servers with a rate limit get too little traffic to count as
-            # capacity.
-            unlimited = self._unlimited(there) or there
-            recovered = self._without_recovering(unlimited)
-            capacity = self._without_unavailable(name, recovered)
-            servers = [item.id for item in capacity]
+            servers = self._capacity_of(name)
             if self.measures_step_times:
                 self._record_steps(name, servers, now)
-            demand = self.demand.total(name, now)
-            self._kinds[name] = demand
+            found = self._forecast(name, servers, now)
+            self._forecasts[name] = found
+            self._kinds[name] = demand = found.demand
             split = self._splits.setdefault(name, ServerSplit())
             capacities = self.capacities.of(name)
             if split.update(servers, demand, capacities.uneven_speeds(now)):
                 self.on_split_change(name, split.groups, demand)
 
+    def _capacity_of(self, service: str) -> list[str]:
+        """Returns the servers that count as capacity of a service."""
+        there = self._registry.servers_of(service)
+        # Servers with a rate limit get too little traffic to count as
+        # capacity.
+        unlimited = self._unlimited(there) or there
+        recovered = self._without_recovering(unlimited)
+        capacity = self._without_unavailable(service, recovered)
+        return [item.id for item in capacity]
+
+    def _forecast(
+        self, service: str, servers: Sequence[str], now: float
+    ) -> DemandForecast:
+        capacity = self.capacities.of(service).speed_sum(servers, now)
+        return demandforecast.forecast(
+            self.demand.total(service, now), capacity
+        )
+
+    def _update_rising(self, now: float) -> None:
+        """Updates the splits at once if the demand of another kind rises."""
+        self._forecast_at = now
+        self.demand.update("", self.own_demand(), now)
+        for name, held in self._forecasts.items():
+            servers = self._capacity_of(name)
+            if self._forecast(name, servers, now).rising - held.rising:
+                self._update_splits(now)
+                return
+
     def record_step_time(
         self, service: str, server: str, step_s: float, now: float
     ) -> None:
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -19,6 +19,11 @@
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from jasminerelay.scheduling.demandforecast import (
+    MAX_AGE_S,
+    WINDOW_S,
+    RecentArrivals,
+)
 from jasminerelay.schema.messages import RouteDemand
 
 FLOOR_SHARE = 0.7
@@ -56,6 +61,10 @@
 PEER_DEMAND_MAX_AGE_S = 3.0
 """Age up to which another instance's demand report is used."""
 
+SETTLING_TIME_S = 3.0
+"""Time for which the average of a new kind only approaches its rate, so that
+its recent arrivals are not compared with it."""
+
 TARGET_UTILISATION = 0.85
 """Target utilisation of a server by its kind; above it, queueing delays grow
 faster than the load."""
@@ -95,6 +104,8 @@
     rate: float
     need: ResourceNeed
     count: int = 0
+    settled_at: float = math.inf
+    recent: RecentArrivals = dataclasses.field(default_factory=RecentArrivals)
 
 
 class DemandMeter:
@@ -110,15 +121,32 @@
         self._last_tick: float | None = None
 
     def record(
-        self, service: str, kind: str, rank: int, need: ResourceNeed
+        self,
+        service: str,
+        kind: str,
+        rank: int,
+        need: ResourceNeed,
+        now: float | None = None,
     ) -> None:
-        """Records a request."""
+        """Records a request.
+
+        Args:
+            service: Its service.
+            kind: Its kind.
+            rank: Priority of the kind.
+            need: What it needs.
+            now: Monotonic time; None to count it in the average only.
+        """
         key = (service, kind)
         if key not in self._meters:
             self._meters[key] = _KindMeter(rank, INITIAL_RATE, need)
         meter = self._meters[key]
         meter.count += 1
         meter.need = meter.need.blended_with(need, NEED_WEIGHT)
+        if now is not None:
+            if meter.settled_at == math.inf:
+                meter.settled_at = now + SETTLING_TIME_S
+            meter.recent.record(now)
 
     def tick(self, now: float) -> None:
         """Updates the averages with the requests since the last tick."""
@@ -140,7 +168,9 @@
             meter.rate += (rate - meter.rate) * (1 - math.exp(-span / constant))
 
     def demand(
-        self, busy_s: Callable[[str, ResourceNeed], float]
+        self,
+        busy_s: Callable[[str, ResourceNeed], float],
+        now: float | None = None,
     ) -> list[RouteDemand]:
         """Returns the measured demand by kind, to be reported.
 
@@ -148,17 +178,28 @@
 
         Args:
             busy_s: Returns how long a request occupies an engine of a service.
+            now: Monotonic time; None to report the average only.
         """
-        found = [
-            RouteDemand(
-                f"{service}/{kind}",
-                round(meter.rate * busy_s(service, meter.need), 4),
-                round(meter.need.unread),
-                meter.rank,
+        found = []
+        for (service, kind), meter in self._meters.items():
+            request_s = busy_s(service, meter.need)
+            settled = now is not None and now >= meter.settled_at
+            requests = meter.recent.count(now) if settled else 0
+            found.append(
+                RouteDemand(
+                    f"{service}/{kind}",
+                    round(meter.rate * request_s, 4),
+                    round(meter.need.unread),
+                    meter.rank,
+                    round(requests / WINDOW_S * request_s, 4),
+                    requests,
+                )
             )
-            for (service, kind), meter in self._meters.items()
+        return [
+            item
+            for item in found
+            if item.work > MIN_WORK / 10 or item.recent > MIN_WORK / 10
         ]
-        return [item for item in found if item.work > MIN_WORK / 10]
 
 
 class TotalDemand:
@@ -178,6 +219,8 @@
         work: dict[str, float] = {}
         weighted_size: dict[str, float] = {}
         rank: dict[str, int] = {}
+        recent: dict[str, float] = {}
+        requests: dict[str, int] = {}
         prefix = f"{service}/"
         for name, (received_at, demand) in list(self._reports.items()):
             if now - received_at > PEER_DEMAND_MAX_AGE_S:
@@ -191,8 +234,18 @@
                         weighted_size.get(kind, 0.0) + item.work * item.size
                     )
                     rank[kind] = item.rank
+                    if now - received_at <= MAX_AGE_S:
+                        recent[kind] = recent.get(kind, 0.0) + item.recent
+                        requests[kind] = requests.get(kind, 0) + item.requests
         return [
-            RouteDemand(kind, total, weighted_size[kind] / total, rank[kind])
+            RouteDemand(
+                kind,
+                total,
+                weighted_size[kind] / total,
+                rank[kind],
+                recent.get(kind, 0.0),
+                requests.get(kind, 0),
+            )
             for kind, total in sorted(work.items())
             if total > MIN_WORK
         ]
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -149,6 +149,8 @@
 
 def _check_demand(demand: DemandColumns) -> None:
     _check_equal_lengths(demand.kinds, demand.work, demand.size, demand.ranks)
+    if demand.recent or demand.requests:
+        _check_equal_lengths(demand.kinds, demand.recent, demand.requests)
 
 
 def load_columns(loads: Iterable[ServerLoad]) -> LoadColumns:
@@ -186,11 +188,14 @@
         columns.work.append(item.work)
         columns.size.append(item.size)
         columns.ranks.append(item.rank)
+        columns.recent.append(item.recent)
+        columns.requests.append(item.requests)
     return columns
 
 
 def demand_rows(columns: DemandColumns) -> list[RouteDemand]:
     """Converts lists of fields back to demand."""
+    none = [0] * len(columns.kinds)
     return [
         RouteDemand(*row)
         for row in zip(
@@ -198,6 +203,8 @@
             columns.work,
             columns.size,
             columns.ranks,
+            columns.recent or none,
+            columns.requests or none,
             strict=True,
         )
     ]
--- a/tests/test_urgentload.py
+++ b/tests/test_urgentload.py
@@ -1,5 +1,6 @@
 """Urgent kinds beside long requests: steady demand, bursts and crashes."""
 
+import dataclasses
 import unittest
 
 from tests.urgentworld import Burst, Crash, Kind, UrgentWorld
@@ -8,6 +9,9 @@
 CHECK = Kind("check", 1, 8.0, 1800, 40, 0.52, 3.1)
 SUMMARY = Kind("summary", 2, 10.5, 12_000, 150, 2.0, 12.3)
 KINDS = (QUERY, CHECK, SUMMARY)
+STEADY = (QUERY, CHECK, dataclasses.replace(SUMMARY, rate=7.0))
+"""Two thirds of what ten servers can do."""
+
 SPEEDS = (0.7, 0.7, 1.7) + 7 * (1.0,)
 SEEDS = (1, 2, 3)
 
--- a/tests/urgentworld.py
+++ b/tests/urgentworld.py
@@ -110,6 +110,7 @@
 
     Attributes:
         outcomes: The requests that came after the warm-up.
+        placed: Id and server of each placement, in order.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         self.nodes = [self._node(instances) for _ in range(instances)]
         self.outcomes: list[Outcome] = []
         self._by_call: dict[str, Outcome] = {}
+        self.placed: list[tuple[str, str]] = []
         self._failed_calls: list[tuple[Node, Call, frozenset[str]]] = []
 
     def _node(self, instances: int) -> Node:
@@ -233,6 +235,7 @@
             return
         number = int(entry.reservation.placed.server.id[2:])
         outcome.placements += 1
+        self.placed.append((entry.call.id, entry.reservation.placed.server.id))
         if self.crashed(number) or len(self.sent[number]) >= SLOTS:
             self._failed(node, entry)
             return
