Give urgent kinds the servers they need first under overload

With six instances and two servers left of four the urgent kind had one server and waited for it until its time was over, while requests of fifteen times its size began at the other.

Change: scheduling/urgentload (pure). Under overload, or in a burst of an urgent kind whose requests wait, a kind whose servers cannot do its expected work borrows servers of the least urgent kinds. At these, and at its own, less urgent requests begin only while no prefill is pending, slots for its next requests are free and no more urgent request waits 0.2 s at any instance; a prompt too long for its objective only in the part that it does not need. A twentieth of each kind, chosen by id, is exempt (floor). Several instances divide the free slots among themselves in each report interval. An urgent kind's time per token counts no more than prefill explains under the present load: measured under a load that had gone, it kept servers idle.

Demand reports say whether a kind waits (a field with a default). Counters urgent.borrowed and urgent.deferred, log line urgent_servers. Overload is recognised by a level of the recent arrivals; the average, biased upward, showed it at two thirds of the capacity.

Placements with steady demand are the same as without it.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -16,7 +16,7 @@
     Engine,
     PromptPart,
 )
-from jasminerelay.enginemodel import EngineModels, EngineSpeeds
+from jasminerelay.enginemodel import SLOT_SHARE, EngineModels, EngineSpeeds
 from jasminerelay.groups import (
     DemandMeter,
     ResourceNeed,
@@ -34,8 +34,11 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import ResponseMonitor
-from jasminerelay.scheduling import demandforecast
-from jasminerelay.scheduling.demandforecast import DemandForecast
+from jasminerelay.scheduling.demandforecast import (
+    WINDOW_S,
+    DemandForecast,
+    DemandForecaster,
+)
 from jasminerelay.scheduling.fairshare import Headroom
 from jasminerelay.scheduling.servercapacity import (
     FIRST_EVENT,
@@ -50,6 +53,17 @@
     MIN_INSTANCES_TO_ANNOUNCE,
     PrefixAnnouncements,
 )
+from jasminerelay.scheduling.urgentload import (
+    LONG_WAIT_S,
+    NONE_BORROWED,
+    BorrowedServers,
+    PlacementPace,
+    UrgentKind,
+    borrow,
+    slots_needed,
+    spread,
+    unreported_slots,
+)
 from jasminerelay.schema.messages import (
     CachedParts,
     EngineSample,
@@ -60,7 +74,7 @@
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.tokentimes import TokenTimes
-from jasminerelay.workload import InFlightRequest, Workload
+from jasminerelay.workload import InFlightRequest, Load, Workload
 
 SPLIT_INTERVAL_S = 0.5
 """Interval at which the assignment of servers to kinds is computed again."""
@@ -113,6 +127,11 @@
 """Share of the longest allowed pause that may pass in the engine; the rest is
 for the network."""
 
+PREFILL_SLOWDOWN = 5.0
+"""Times per token during continuous prefill relative to those without. A longer
+one was measured under a load that has gone. Urgent requests that waited for it
+to be measured again would leave idle servers unused under overload."""
+
 OnSplit = Callable[
     [str, Mapping[str, tuple[str, ...]], Sequence[RouteDemand]], None
 ]
@@ -120,6 +139,9 @@
 OnSpeedChange = Callable[[str, str, SpeedEstimate], None]
 """Called with service, server and estimate when a lasting factor changes."""
 
+OnBorrow = Callable[[str, BorrowedServers, DemandForecast], None]
+"""Called when kinds borrow other servers than before."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _KindQueue:
@@ -184,7 +206,10 @@
         self.demand = TotalDemand()
         self._splits: dict[str, ServerSplit] = {}
         self._kinds: dict[str, Sequence[RouteDemand]] = {}
+        self._forecasters: dict[str, DemandForecaster] = {}
         self._forecasts: dict[str, DemandForecast] = {}
+        self._borrowed: dict[str, BorrowedServers] = {}
+        self._pace = PlacementPace()
         self._splits_updated_at = self._forecast_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._prefixes = PrefixIndex()
@@ -201,6 +226,7 @@
         self.on_split_change: OnSplit = lambda service, groups, demand: None
         self.capacities = CapacityRecords()
         self.on_speed_change: OnSpeedChange = lambda *found: None
+        self.on_borrow: OnBorrow = lambda *found: None
 
     def own_loads(self, now: float) -> list[ServerLoad]:
         """Returns this instance's load and decode speed at each server."""
@@ -469,6 +495,16 @@
 
     def _place_among(
         self, call: Call, servers: list[BackendServer]
+    ) -> PlacementDecision | Wait:
+        placed = self._place_by_kind(call, servers)
+        now = time.monotonic()
+        waited_s = now - call.arrived_at
+        if isinstance(placed, Wait) and waited_s > LONG_WAIT_S:
+            self.demand_meter.record_wait(call.service, call.route.name, now)
+        return placed
+
+    def _place_by_kind(
+        self, call: Call, servers: list[BackendServer]
     ) -> PlacementDecision | Wait:
         engine = self.engine_of(call.service)
         if call.prompt is None or engine is None:
@@ -476,18 +512,15 @@
             return placing.place_plain(
                 call, _unblock_if_all_blocked(options), self._zone
             )
-        group = self._group(call.service, call.route.name, servers)
+        group = self._group_with_borrowed(call, servers)
         now = time.monotonic()
         estimate = self._output_estimate(call)
-        speeds = self._speeds(call.service)
         options = self._options(call, group)
         group_failed = all(item.blocked for item in options)
         if group_failed and self._all_blocked(call.service, servers, now):
             options = _unblock_if_all_blocked(options)
             group_failed = False
-        placed = placing.place_model(
-            call, engine, speeds, options, estimate, now
-        )
+        placed = self._place_leaving_room(call, engine, options, estimate, now)
         if isinstance(placed, PlacementDecision):
             return placed
         allowed_ids = self._overflow_servers(call)
@@ -505,6 +538,90 @@
         options = placing.with_prefill_at_most(
             self._options(call, others), allowed
         )
+        return self._place_leaving_room(call, engine, options, estimate, now)
+
+    def _group_with_borrowed(
+        self, call: Call, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Returns the servers of a request's kind and those it borrows."""
+        kind = call.route.name
+        group = self._group(call.service, kind, servers)
+        borrowed = self._borrowed.get(call.service, NONE_BORROWED)
+        names = borrowed.by_kind.get(kind)
+        if not names:
+            return group
+        return group + [
+            server
+            for server in servers
+            if server.id in names and server not in group
+        ]
+
+    def _slots_left(
+        self,
+        call: Call,
+        engine: Engine,
+        item: PlacementCandidate,
+        borrowed: BorrowedServers,
+        now: float,
+    ) -> int | None:
+        """Returns the slots that a request leaves free at a server.
+
+        None if it must not begin there now.
+        """
+        held = borrowed.servers.get(item.server.id)
+        instances = self._instances()
+        margin = unreported_slots(engine.slots, instances)
+        if held is None or held.rank >= call.route.rank:
+            if call.route.name not in borrowed.urgent:
+                return 0
+            free = int(engine.slots * SLOT_SHARE) - margin - item.load.running
+            within = self._pace.allows(
+                item.server.id, call.id, free, instances, now
+            )
+            return margin if within else None
+        speeds = self._speeds(call.service)
+        slowness = item.server_slowness
+        admitted = held.admits(
+            item.load.running,
+            speeds.prefill_s(item.load.unread) * slowness,
+            speeds.prefill_s(call.prompt.own_tokens) * slowness,
+            spread(call.id),
+            waiting=borrowed.waiting_rank < call.route.rank,
+        )
+        if not admitted or not self._pace.has_turn(
+            item.server.id, call.id, instances, now
+        ):
+            return None
+        return margin + held.slots
+
+    def _place_leaving_room(
+        self,
+        call: Call,
+        engine: Engine,
+        options: list[PlacementCandidate],
+        estimate: OutputEstimate,
+        now: float,
+    ) -> PlacementDecision | Wait:
+        """Places a request where it leaves more urgent ones their room."""
+        speeds = self._speeds(call.service)
+        borrowed = self._borrowed.get(call.service, NONE_BORROWED)
+        if call.route.name in borrowed.urgent:
+            options = [
+                dataclasses.replace(
+                    item,
+                    token_s=_bounded_token_s(item.token_s, speeds, item.load),
+                )
+                for item in options
+            ]
+        if borrowed.urgent:
+            kept = []
+            for item in options:
+                reserved = self._slots_left(call, engine, item, borrowed, now)
+                if reserved is not None:
+                    kept.append(dataclasses.replace(item, reserved=reserved))
+            if not kept:
+                return placing.LEFT_TO_URGENT
+            options = kept
         return placing.place_model(call, engine, speeds, options, estimate, now)
 
     def _options(
@@ -692,6 +809,8 @@
             self._allowance.use_grant(name, time.monotonic())
         if self._pauses is not None:
             self._pauses.record_placement(name, time.monotonic())
+        if call.service in self._borrowed:
+            self._pace.record(name, call.id, time.monotonic())
         idle = not self.workload.own_running(name)
         self._response_monitor.record_request(name, idle, time.monotonic())
         if call.prompt is not None:
@@ -942,6 +1061,10 @@
             return held
         working = self._without_unavailable(service, servers)
         names = [item.id for item in self._group(service, kind, working)]
+        borrowed = self._borrowed.get(service, NONE_BORROWED)
+        if kind in borrowed.by_kind:
+            more = borrowed.by_kind[kind].difference(names)
+            names += [item.id for item in working if item.id in more]
         # If streams can be moved, a long answer can continue at any server,
         # also one without prefill.
         engine = self.engine_of(service)
@@ -956,13 +1079,22 @@
             speeds.prefill_s(unread) / speed_sum,
             self._instances() / speed_sum,
             min(
-                self.token_times.token_s(name, now)
+                self._token_s(service, name, kind in borrowed.urgent, now)
                 or speeds.step_s * capacities.slowness(name, now)
                 for name in decoding
             ),
         )
         return self._kind_queues[key]
 
+    def _token_s(
+        self, service: str, server: str, urgent: bool, now: float
+    ) -> float | None:
+        token_s = self.token_times.token_s(server, now)
+        if not urgent:
+            return token_s
+        load = self.workload.load(server)
+        return _bounded_token_s(token_s, self._speeds(service), load)
+
     def gone(self, server: str) -> None:
         """Deletes all state about a server that has ended."""
         for health in self._health.values():
@@ -972,6 +1104,7 @@
             self._caches.forget(server)
         self.token_times.forget(server)
         self.capacities.forget(server)
+        self._pace.forget(server)
         self._response_monitor.forget(server)
 
     def tick(self, now: float) -> None:
@@ -1025,8 +1158,47 @@
             self._kinds[name] = demand = found.demand
             split = self._splits.setdefault(name, ServerSplit())
             capacities = self.capacities.of(name)
-            if split.update(servers, demand, capacities.uneven_speeds(now)):
+            speeds = capacities.uneven_speeds(now)
+            if split.update(servers, demand, speeds):
                 self.on_split_change(name, split.groups, demand)
+            self._update_borrowed(name, found, now)
+
+    def _update_borrowed(
+        self, service: str, found: DemandForecast, now: float
+    ) -> None:
+        before = self._borrowed.get(service, NONE_BORROWED)
+        borrowed = self._borrowed[service] = self._borrow(service, found, now)
+        if borrowed.by_kind != before.by_kind:
+            self.on_borrow(service, borrowed, found)
+
+    def _borrow(
+        self, service: str, found: DemandForecast, now: float
+    ) -> BorrowedServers:
+        """Returns the servers that kinds of a service need beyond their own."""
+        split = self._splits[service]
+        speeds = self.capacities.of(service).uneven_speeds(now)
+        engine = self.engine_of(service)
+        if not found.overloaded or engine is None:
+            return NONE_BORROWED
+        routes = {route.name: route for route in self._registry.catalog.routes}
+        kinds = {}
+        for item in found.demand:
+            route = routes.get(item.kind)
+            if route is None:
+                continue
+            request_s = self.lengths.typical(item.kind, 0) * self._speeds(
+                service
+            ).token_s(engine.slots)
+            kinds[item.kind] = UrgentKind(
+                route.objective_s,
+                slots_needed(
+                    item.requests / WINDOW_S,
+                    len(split.group(item.kind)),
+                    request_s,
+                    engine.slots,
+                ),
+            )
+        return borrow(found, split.groups, speeds, kinds)
 
     def _capacity_of(self, service: str) -> list[str]:
         """Returns the servers that count as capacity of a service."""
@@ -1042,9 +1214,12 @@
         self, service: str, servers: Sequence[str], now: float
     ) -> DemandForecast:
         capacity = self.capacities.of(service).speed_sum(servers, now)
-        return demandforecast.forecast(
-            self.demand.total(service, now), capacity
-        )
+        if not self.engine_models.of(service).prefill_measured:
+            # The initial estimate of the speeds is a slow one, by which nearly
+            # any demand exceeds the capacity.
+            capacity = math.inf
+        forecaster = self._forecasters.setdefault(service, DemandForecaster())
+        return forecaster.update(self.demand.total(service, now), capacity, now)
 
     def _update_rising(self, now: float) -> None:
         """Updates the splits at once if the demand of another kind rises."""
@@ -1052,9 +1227,12 @@
         self.demand.update("", self.own_demand(), now)
         for name, held in self._forecasts.items():
             servers = self._capacity_of(name)
-            if self._forecast(name, servers, now).rising - held.rising:
+            found = self._forecast(name, servers, now)
+            if found.rising - held.rising:
                 self._update_splits(now)
                 return
+            if found.overloaded or held.overloaded:
+                self._update_borrowed(name, found, now)
 
     def record_step_time(
         self, service: str, server: str, step_s: float, now: float
@@ -1108,6 +1286,15 @@
         return group or servers
 
 
+def _bounded_token_s(
+    measured_s: float | None, speeds: EngineSpeeds, load: Load
+) -> float | None:
+    """Returns a measured time per token, bounded by the present load."""
+    if measured_s is None:
+        return None
+    return min(measured_s, PREFILL_SLOWDOWN * speeds.token_s(load.running))
+
+
 def _is_trial(call: Call) -> bool:
     """Returns whether a request may try a server that looks slow."""
     return xxhash.xxh32_intdigest(call.id.encode()) % TRIAL_INTERVAL == 0
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -58,6 +58,10 @@
 NEED_WEIGHT = 0.1
 """Weight of one request in the moving average of its kind's resource needs."""
 
+WAITING_MAX_AGE_S = 0.15
+"""Time for which a kind counts as waiting after an attempt to place one of its
+requests; attempts come several times as often."""
+
 PEER_DEMAND_MAX_AGE_S = 3.0
 """Age up to which another instance's demand report is used."""
 
@@ -105,6 +109,7 @@
     need: ResourceNeed
     count: int = 0
     settled_at: float = math.inf
+    waited_at: float = -math.inf
     recent: RecentArrivals = dataclasses.field(default_factory=RecentArrivals)
 
 
@@ -148,6 +153,12 @@
                 meter.settled_at = now + SETTLING_TIME_S
             meter.recent.record(now)
 
+    def record_wait(self, service: str, kind: str, now: float) -> None:
+        """Records that a request goes on waiting for a server."""
+        meter = self._meters.get((service, kind))
+        if meter is not None:
+            meter.waited_at = now
+
     def tick(self, now: float) -> None:
         """Updates the averages with the requests since the last tick."""
         if self._last_tick is None:
@@ -193,6 +204,10 @@
                     meter.rank,
                     round(requests / WINDOW_S * request_s, 4),
                     requests,
+                    int(
+                        now is not None
+                        and now - meter.waited_at <= WAITING_MAX_AGE_S
+                    ),
                 )
             )
         return [
@@ -221,6 +236,7 @@
         rank: dict[str, int] = {}
         recent: dict[str, float] = {}
         requests: dict[str, int] = {}
+        waiting: dict[str, int] = {}
         prefix = f"{service}/"
         for name, (received_at, demand) in list(self._reports.items()):
             if now - received_at > PEER_DEMAND_MAX_AGE_S:
@@ -237,6 +253,7 @@
                     if now - received_at <= MAX_AGE_S:
                         recent[kind] = recent.get(kind, 0.0) + item.recent
                         requests[kind] = requests.get(kind, 0) + item.requests
+                        waiting[kind] = waiting.get(kind, 0) + item.waiting
         return [
             RouteDemand(
                 kind,
@@ -245,6 +262,7 @@
                 rank[kind],
                 recent.get(kind, 0.0),
                 requests.get(kind, 0),
+                waiting.get(kind, 0),
             )
             for kind, total in sorted(work.items())
             if total > MIN_WORK
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -149,8 +149,10 @@
 
 def _check_demand(demand: DemandColumns) -> None:
     _check_equal_lengths(demand.kinds, demand.work, demand.size, demand.ranks)
-    if demand.recent or demand.requests:
-        _check_equal_lengths(demand.kinds, demand.recent, demand.requests)
+    if demand.recent or demand.requests or demand.waiting:
+        _check_equal_lengths(
+            demand.kinds, demand.recent, demand.requests, demand.waiting
+        )
 
 
 def load_columns(loads: Iterable[ServerLoad]) -> LoadColumns:
@@ -190,6 +192,7 @@
         columns.ranks.append(item.rank)
         columns.recent.append(item.recent)
         columns.requests.append(item.requests)
+        columns.waiting.append(item.waiting)
     return columns
 
 
@@ -205,6 +208,7 @@
             columns.ranks,
             columns.recent or none,
             columns.requests or none,
+            columns.waiting or none,
             strict=True,
         )
     ]
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -14,7 +14,7 @@
 from jasminerelay.catalog import Call
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.metrics import Counters
-from jasminerelay.placing import PlacementDecision, Wait
+from jasminerelay.placing import LEFT_TO_URGENT, PlacementDecision, Wait
 from jasminerelay.scheduling.fairshare import (
     REPORT_INTERVAL_S,
     FairShares,
@@ -301,6 +301,8 @@
         if self._is_withheld(item, scan):
             return WITHHELD
         placed = self._place(item.call, item.avoid)
+        if placed is LEFT_TO_URGENT:
+            self._counters.incr("urgent.deferred")
         if isinstance(placed, Wait) and placed.retry_s <= MAX_PAUSE_WAIT_S:
             cost = FULL_ATTEMPT_COST if placed.full else 1
             scan.failed_attempts[item.call.route.name] += cost
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -59,6 +59,7 @@
     TableSource,
 )
 from jasminerelay.registry import Registry
+from jasminerelay.scheduling import urgentload
 from jasminerelay.schema.messages import (
     Member,
     RequestCrashes,
@@ -343,6 +344,7 @@
         )
         self.dispatcher.on_split_change = self._log_split
         self.dispatcher.on_speed_change = self._log_speed
+        self.dispatcher.on_borrow = self._log_borrowed
         member = Member(
             member_id, "", boot.zone, boot.callers, "", boot.peers, LEAVING, 0
         )
@@ -415,6 +417,7 @@
         )
         self._owned_cells.on_split = self._log_split
         self._owned_cells.on_speed = self._log_speed
+        self._owned_cells.on_borrow = self._log_borrowed
         self._follower_role = FollowerRole(member_id, boot.zone)
         self._peers.connect_components(
             self._owned_cells, self._placement_client, self._follower_role
@@ -557,6 +560,14 @@
             **estimate.log_fields(),
         )
 
+    def _log_borrowed(self, service, borrowed, forecast) -> None:
+        self.counters.incr("urgent.borrowed")
+        self.log.info(
+            "urgent_servers",
+            service=service,
+            **urgentload.log_fields(borrowed, forecast),
+        )
+
     def _log_split(self, service, groups, demand) -> None:
         self.log.info(
             "split",
--- a/src/jasminerelay/scheduling/demandforecast.py
+++ b/src/jasminerelay/scheduling/demandforecast.py
@@ -43,6 +43,19 @@
 work. Few requests vary by more than their standard deviation says."""
 
 
+LEVEL_TIME_CONSTANT_S = 1.5
+"""Time constant of the level of demand by which overload is recognised. At two
+thirds of the capacity, with a few dozen requests a second, a shorter one would
+exceed the capacity by chance."""
+
+BURST_HOLD_S = 1.0
+"""Time for which a burst of an urgent kind counts as overload. By then either
+the average has risen or the burst is over."""
+
+UNLOADED_SHARE = 0.85
+"""Share of the capacity below which overload has ended."""
+
+
 class RecentArrivals:
     """Counts the arrivals of one kind in the window before now."""
 
@@ -76,7 +89,8 @@
     Attributes:
         demand: Expected demand by kind.
         rising: Kinds whose forecast exceeds their average.
-        overloaded: Whether it needs more servers than there are.
+        overloaded: Whether all kinds together, or an urgent one in a burst,
+            need more servers than they have.
     """
 
     demand: tuple[RouteDemand, ...] = ()
@@ -84,37 +98,74 @@
     overloaded: bool = False
 
 
-def forecast(
-    measured: Sequence[RouteDemand], capacity: float
-) -> DemandForecast:
-    """Returns the expected demand.
+class DemandForecaster:
+    """Forecasts the demand on one service.
 
-    Args:
-        measured: Average and recent demand by kind, of all instances.
-        capacity: Work that the servers can do, in servers of usual speed.
+    Whether there is too much work is decided by a level that follows the recent
+    arrivals in both directions alike. The average rises faster than it falls,
+    so with random arrivals it is higher than the demand.
     """
-    clear = [
-        _expected_work(item, CLEAR_RISE, CLEAR_RISE_MARGIN) for item in measured
-    ]
-    if sum(clear) <= capacity:
-        return DemandForecast(tuple(measured))
-    expected = [_expected_work(item, RISE) for item in measured]
-    found = tuple(
-        item if work == item.work else msgspec.structs.replace(item, work=work)
-        for item, work in zip(measured, expected, strict=True)
-    )
-    rising = frozenset(
-        item.kind
-        for item, work in zip(measured, expected, strict=True)
-        if work > item.work
+
+    def __init__(self) -> None:
+        self._levels: dict[str, float] = {}
+        self._updated_at = self._burst_at = -math.inf
+        self._overloaded = False
+
+    def update(
+        self, measured: Sequence[RouteDemand], capacity: float, now: float
+    ) -> DemandForecast:
+        """Returns the expected demand.
+
+        Args:
+            measured: Average and recent demand by kind, of all instances.
+            capacity: Work that the servers can do, in servers of usual speed.
+            now: Monotonic time.
+        """
+        self._follow(measured, now)
+        clear = sum(
+            item.recent
+            if _has_risen(item, CLEAR_RISE, CLEAR_RISE_MARGIN)
+            else self._levels[item.kind]
+            for item in measured
+        )
+        if _urgent_burst(measured):
+            self._burst_at = now
+        limit = capacity * (UNLOADED_SHARE if self._overloaded else 1.0)
+        self._overloaded = clear > limit or now - self._burst_at <= BURST_HOLD_S
+        if not self._overloaded:
+            return DemandForecast(tuple(measured))
+        rising = frozenset(x.kind for x in measured if _has_risen(x, RISE))
+        expected = tuple(
+            msgspec.structs.replace(x, work=x.recent) if x.kind in rising else x
+            for x in measured
+        )
+        return DemandForecast(expected, rising, overloaded=True)
+
+    def _follow(self, measured: Sequence[RouteDemand], now: float) -> None:
+        span_s = now - self._updated_at
+        self._updated_at = now
+        weight = 1 - math.exp(-max(0.0, span_s) / LEVEL_TIME_CONSTANT_S)
+        levels = {}
+        for item in measured:
+            level = self._levels.get(item.kind, 0.0)
+            levels[item.kind] = level + weight * (item.recent - level)
+        self._levels = levels
+
+
+def _urgent_burst(measured: Sequence[RouteDemand]) -> bool:
+    """Returns whether a kind that is not the last by rank has risen and waits.
+
+    Its servers are then overloaded, whether or not all servers are.
+    """
+    last = max((item.rank for item in measured), default=0)
+    return any(
+        item.rank < last and item.waiting and _has_risen(item, RISE)
+        for item in measured
     )
-    return DemandForecast(found, rising, overloaded=True)
 
 
-def _expected_work(
-    item: RouteDemand, rise: float, margin: float = 0.0
-) -> float:
-    """Returns the work of the recent requests if it has risen, or the average.
+def _has_risen(item: RouteDemand, rise: float, margin: float = 0.0) -> bool:
+    """Returns whether recent requests exceed the usual ones not by chance.
 
     Args:
         item: Demand of one kind.
@@ -122,8 +173,6 @@
         margin: Requests by which they must exceed them in addition.
     """
     if item.recent <= item.work:
-        return item.work
+        return False
     usual = item.requests * item.work / item.recent
-    if item.requests - usual <= rise * math.sqrt(usual) + margin:
-        return item.work
-    return item.recent
+    return item.requests - usual > rise * math.sqrt(usual) + margin
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -266,6 +266,7 @@
     rank: int
     recent: float = 0
     requests: int = 0
+    waiting: int = 0
 
 
 class LoadColumns(Struct, frozen=True):
@@ -291,6 +292,7 @@
     ranks: list[int]
     recent: list[float] = field(default_factory=list)
     requests: list[int] = field(default_factory=list)
+    waiting: list[int] = field(default_factory=list)
 
 
 class EngineSample(Struct, frozen=True):
--- a/tests/test_demandforecast.py
+++ b/tests/test_demandforecast.py
@@ -8,11 +8,10 @@
 
 from jasminerelay import peermessages
 from jasminerelay.groups import DemandMeter, ResourceNeed, TotalDemand
-from jasminerelay.scheduling import demandforecast
 from jasminerelay.scheduling.demandforecast import (
     DemandForecast,
+    DemandForecaster,
     RecentArrivals,
-    forecast,
 )
 from jasminerelay.schema.messages import DemandColumns, RouteDemand
 from tests.test_urgentload import SPEEDS, STEADY
@@ -35,8 +34,10 @@
     def __init__(self, count: int, seed: int = 1):
         self.meters = [DemandMeter() for _ in range(count)]
         self.total = TotalDemand()
+        self.forecaster = DemandForecaster()
         self.silent: set[int] = set()
         self._rng = random.Random(seed)
+        self.forecast = DemandForecast()
         self.now = self._next_at = self._ticked_at = 100.0
 
     def run(self, seconds: float, rate: float, capacity: float) -> list[bool]:
@@ -58,13 +59,12 @@
                 if number not in self.silent:
                     demand = meter.demand(busy_s, self.now)
                     self.total.update(str(number), demand, self.now)
-            found.append(bool(self.forecast(capacity).rising))
+            self.forecast = self.forecaster.update(
+                self.total.total("pool", self.now), capacity, self.now
+            )
+            found.append(bool(self.forecast.rising))
         return found
 
-    def forecast(self, capacity: float) -> DemandForecast:
-        """Returns the present forecast."""
-        return forecast(self.total.total("pool", self.now), capacity)
-
 
 class ForecastTest(unittest.TestCase):
     """When the forecast exceeds the average; a request takes 0.1 s."""
@@ -77,7 +77,7 @@
             group.run(20.0, RATE, 100.0)
             rising = group.run(0.3, 2.8 * RATE, CAPACITY)
             self.assertTrue(any(rising), seed)
-            (item,) = group.forecast(CAPACITY).demand
+            (item,) = group.forecast.demand
             self.assertGreater(item.work, 1.5 * RATE * REQUEST_S)
 
     def test_steady_demand_has_its_average(self) -> None:
@@ -92,7 +92,7 @@
         group = Instances(2)
         group.run(20.0, RATE, 100.0)
         group.run(0.5, 4 * RATE, 1.0)
-        with_both = group.forecast(1.0).demand[0]
+        with_both = group.forecast.demand[0]
         group.silent = {1}
         group.run(1.1, RATE, 1.0)
         later = group.total.total("pool", group.now)[0]
@@ -137,14 +137,14 @@
     def test_decisions_are_the_same(self) -> None:
         # Guards against placements that depend on the forecast while the
         # servers have capacity for all.
-        def average(measured, capacity) -> DemandForecast:
+        def average(forecaster, measured, capacity, now) -> DemandForecast:
             return DemandForecast(tuple(measured))
 
         for instances in (1, 3):
             with self.subTest(instances=instances):
                 found = UrgentWorld(STEADY, SPEEDS, instances, load_s=20).play()
                 with unittest.mock.patch.object(
-                    demandforecast, "forecast", average
+                    DemandForecaster, "update", average
                 ):
                     plain = UrgentWorld(STEADY, SPEEDS, instances, load_s=20)
                     plain.play()
