Refuse early what would be late behind a long queue under overload

Cause: under overload newer requests that can be in time go before late ones of their kind. A late request waited until it was hopeless, up to 6.0 s, although that was clear long before; the queueing delay counted servers that more urgent kinds use, and callers whose time to come back was cut to their patience came back at the same moment.

Change: under overload a request of the least urgent kinds that will be late is refused if its turn is over 4 s away (LATE_BACKLOG_S). Wait estimates count what more urgent kinds leave of the servers. Wait estimates of urgent kinds assume that less urgent prompts stop coming to their servers: after a crash they were refused by a margin of some tenths. Counter queue.refused_early; the refusal states its figures.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from jasminerelay import placing, rendezvous
-from jasminerelay.admission import WaitEstimate
+from jasminerelay.admission import LATE_BACKLOG_S, WaitEstimate
 from jasminerelay.catalog import (
     BackendServer,
     Call,
@@ -132,6 +132,11 @@
 one was measured under a load that has gone. Urgent requests that waited for it
 to be measured again would leave idle servers unused under overload."""
 
+URGENT_SLOWDOWN = 2.5
+"""The same for the rest of an urgent answer under overload, in wait estimates:
+less urgent prompts stop coming to its server. An urgent request that is refused
+by mistake costs more than one that ends late."""
+
 OnSplit = Callable[
     [str, Mapping[str, tuple[str, ...]], Sequence[RouteDemand]], None
 ]
@@ -1018,8 +1023,18 @@
         idle_timeout_s = (
             call.arrived_at + call.route.caller_idle_timeout_s - now
         )
+        found = self._forecasts.get(call.service)
+        borrowed = self._borrowed.get(call.service, NONE_BORROWED)
+        last = call.route.name not in borrowed.urgent
+        surplus = found is not None and found.overloaded and last
         return WaitEstimate(
-            queue_delay_s, own_s, left_s, first_s, idle_timeout_s
+            queue_delay_s,
+            own_s,
+            left_s,
+            first_s,
+            idle_timeout_s,
+            call.arrived_at + call.route.objective_s - now,
+            LATE_BACKLOG_S if surplus else math.inf,
         )
 
     def _expect_limited(
@@ -1074,10 +1089,11 @@
         speeds = self._speeds(service)
         capacities = self.capacities.of(service)
         speed_sum = capacities.speed_sum(names, now)
+        left = borrowed.share_left(kind, names)
         self._kind_queues[key] = _KindQueue(
             now,
             speeds.prefill_s(unread) / speed_sum,
-            self._instances() / speed_sum,
+            self._instances() / (speed_sum * left),
             min(
                 self._token_s(service, name, kind in borrowed.urgent, now)
                 or speeds.step_s * capacities.slowness(name, now)
@@ -1093,7 +1109,8 @@
         if not urgent:
             return token_s
         load = self.workload.load(server)
-        return _bounded_token_s(token_s, self._speeds(service), load)
+        speeds = self._speeds(service)
+        return _bounded_token_s(token_s, speeds, load, URGENT_SLOWDOWN)
 
     def gone(self, server: str) -> None:
         """Deletes all state about a server that has ended."""
@@ -1287,12 +1304,15 @@
 
 
 def _bounded_token_s(
-    measured_s: float | None, speeds: EngineSpeeds, load: Load
+    measured_s: float | None,
+    speeds: EngineSpeeds,
+    load: Load,
+    slowdown: float = PREFILL_SLOWDOWN,
 ) -> float | None:
     """Returns a measured time per token, bounded by the present load."""
     if measured_s is None:
         return None
-    return min(measured_s, PREFILL_SLOWDOWN * speeds.token_s(load.running))
+    return min(measured_s, slowdown * speeds.token_s(load.running))
 
 
 def _is_trial(call: Call) -> bool:
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -291,6 +291,8 @@
             if estimate.too_late:
                 excess = self._over_share(item)
                 refused = _refusal(item.call, estimate, excess)
+                if estimate.is_surplus:
+                    self._counters.incr("queue.refused_early")
                 self._refuse(item, refused, now)
                 continue
             queued_ahead_s[kind] = work_ahead_s + item.busy_s
@@ -518,6 +520,12 @@
         f" {estimate.service_s:.2f} s service time,"
         f" {estimate.remaining_s:.2f} s left"
     )
+    if estimate.is_surplus:
+        why += (
+            f"; {admission.EARLY}: it would be late, and newer requests that"
+            f" can be in time go first; the queue has room in"
+            f" {estimate.retry_s:.2f} s"
+        )
     if excess is not None:
         why += (
             f"; organisation {excess.organisation!r} is {admission.OVER_SHARE}:"
--- a/src/jasminerelay/scheduling/urgentload.py
+++ b/src/jasminerelay/scheduling/urgentload.py
@@ -106,12 +106,26 @@
         urgent: Kinds that compete with less urgent ones under overload.
         waiting_rank: Highest rank (lowest number) of which requests wait for a
             server at some instance.
+        ranks: Rank of each kind.
     """
 
     servers: Mapping[str, BorrowedServer]
     by_kind: Mapping[str, frozenset[str]]
     urgent: frozenset[str] = frozenset()
     waiting_rank: float = math.inf
+    ranks: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+    def share_left(self, kind: str, servers: Sequence[str]) -> float:
+        """Returns the share of some servers that more urgent kinds leave."""
+        rank = self.ranks.get(kind)
+        if rank is None or not servers:
+            return 1.0
+        left = 0.0
+        for name in servers:
+            held = self.servers.get(name)
+            taken = held is not None and held.rank < rank
+            left += max(FLOOR_SHARE, held.spare) if taken else 1.0
+        return left / len(servers)
 
 
 NONE_BORROWED = BorrowedServers({}, {})
@@ -191,7 +205,11 @@
     urgent = frozenset(item.kind for item in by_rank if item.rank < last)
     waiting = [item.rank for item in by_rank if item.waiting]
     return BorrowedServers(
-        servers, by_kind, urgent, min(waiting, default=math.inf)
+        servers,
+        by_kind,
+        urgent,
+        min(waiting, default=math.inf),
+        {item.kind: item.rank for item in by_rank},
     )
 
 
