--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -65,10 +65,6 @@
 PEER_DEMAND_MAX_AGE_S = 3.0
 """Age up to which another instance's demand report is used."""
 
-SETTLING_TIME_S = 3.0
-"""Time for which the average of a new kind only approaches its rate, so that
-its recent arrivals are not compared with it."""
-
 TARGET_UTILISATION = 0.85
 """Target utilisation of a server by its kind; above it, queueing delays grow
 faster than the load."""
@@ -108,7 +104,6 @@
     rate: float
     need: ResourceNeed
     count: int = 0
-    settled_at: float = math.inf
     waited_at: float = -math.inf
     recent: RecentArrivals = dataclasses.field(default_factory=RecentArrivals)
 
@@ -149,8 +144,6 @@
         meter.count += 1
         meter.need = meter.need.blended_with(need, NEED_WEIGHT)
         if now is not None:
-            if meter.settled_at == math.inf:
-                meter.settled_at = now + SETTLING_TIME_S
             meter.recent.record(now)
 
     def record_wait(self, service: str, kind: str, now: float) -> None:
@@ -194,8 +187,7 @@
         found = []
         for (service, kind), meter in self._meters.items():
             request_s = busy_s(service, meter.need)
-            settled = now is not None and now >= meter.settled_at
-            requests = meter.recent.count(now) if settled else 0
+            requests = meter.recent.count(now) if now is not None else 0
             found.append(
                 RouteDemand(
                     f"{service}/{kind}",
--- a/src/jasminerelay/scheduling/demandforecast.py
+++ b/src/jasminerelay/scheduling/demandforecast.py
@@ -52,6 +52,10 @@
 """Time for which a burst of an urgent kind counts as overload. By then either
 the average has risen or the burst is over."""
 
+SETTLING_TIME_S = 3.0
+"""Time for which the average of a new kind only approaches its rate, so that
+its recent arrivals are not compared with it."""
+
 UNLOADED_SHARE = 0.85
 """Share of the capacity below which overload has ended."""
 
@@ -108,6 +112,7 @@
 
     def __init__(self) -> None:
         self._levels: dict[str, float] = {}
+        self._settled_at: dict[str, float] = {}
         self._updated_at = self._burst_at = -math.inf
         self._overloaded = False
 
@@ -122,22 +127,27 @@
             now: Monotonic time.
         """
         self._follow(measured, now)
-        clear = sum(
-            item.recent
+        settled = [x for x in measured if now >= self._settled_at[x.kind]]
+        clear = sum(self._levels.values()) + sum(
+            item.recent - self._levels[item.kind]
+            for item in settled
             if _has_risen(item, CLEAR_RISE, CLEAR_RISE_MARGIN)
-            else self._levels[item.kind]
-            for item in measured
         )
-        if _urgent_burst(measured):
+        if _urgent_burst(settled):
             self._burst_at = now
         limit = capacity * (UNLOADED_SHARE if self._overloaded else 1.0)
         self._overloaded = clear > limit or now - self._burst_at <= BURST_HOLD_S
         if not self._overloaded:
             return DemandForecast(tuple(measured))
-        rising = frozenset(x.kind for x in measured if _has_risen(x, RISE))
+        rising = frozenset(x.kind for x in settled if _has_risen(x, RISE))
         expected = tuple(
-            msgspec.structs.replace(x, work=x.recent) if x.kind in rising else x
-            for x in measured
+            msgspec.structs.replace(
+                item,
+                work=item.recent
+                if item.kind in rising
+                else max(item.work, self._levels[item.kind]),
+            )
+            for item in measured
         )
         return DemandForecast(expected, rising, overloaded=True)
 
@@ -149,6 +159,7 @@
         for item in measured:
             level = self._levels.get(item.kind, 0.0)
             levels[item.kind] = level + weight * (item.recent - level)
+            self._settled_at.setdefault(item.kind, now + SETTLING_TIME_S)
         self._levels = levels
 
 
--- a/tests/test_urgentload.py
+++ b/tests/test_urgentload.py
@@ -30,12 +30,14 @@
 LONG = Kind("long", 2, 3.0, 6000, 150, 2.0, 12.3)
 
 
-def overload(seed: int) -> UrgentWorld:
+def overload(
+    seed: int, instances: int = 6, world: type[UrgentWorld] = UrgentWorld
+) -> UrgentWorld:
     """Both kinds in a burst at once at four servers, of which two crash."""
-    return UrgentWorld(
+    return world(
         (SHORT, LONG),
         4 * (1.0,),
-        6,
+        instances,
         load_s=30.0,
         bursts=(Burst("long", 4.0, 16.0, 3.0), Burst("query", 4.0, 12.0, 6.0)),
         crashes=(Crash((2, 3), 6.0, 9.0),),
--- a/tests/urgentworld.py
+++ b/tests/urgentworld.py
@@ -333,11 +333,15 @@
         served = [x for x in self.of(kind) if x.served]
         return sum(x.in_time for x in served) / len(served)
 
-    def displaced(self, kind: str) -> float:
+    def displaced(self, kind: str, since_s: float = 0.0) -> float:
         """Returns the largest share of a kind that was lost in a window.
 
         Only windows of five seconds count in which less urgent requests of
         over twice the size began.
+
+        Args:
+            kind: The kind.
+            since_s: Time from which windows begin.
         """
         own = self.of(kind)
         begun = [
@@ -349,6 +353,8 @@
         end = max(x.sent_s for x in own)
         for step in range(int(2 * (end - TIER_WINDOW_S))):
             start = step / 2
+            if start < since_s:
+                continue
             window = (start, start + TIER_WINDOW_S)
             there = [x for x in own if window[0] <= x.sent_s < window[1]]
             size = max((x.tokens for x in there), default=0)
