--- a/src/jasminerelay/scheduling/demandforecast.py
+++ b/src/jasminerelay/scheduling/demandforecast.py
@@ -114,6 +114,7 @@
         self._levels: dict[str, float] = {}
         self._settled_at: dict[str, float] = {}
         self._updated_at = self._burst_at = -math.inf
+        self._started_at = math.inf
         self._overloaded = False
 
     def update(
@@ -126,6 +127,7 @@
             capacity: Work that the servers can do, in servers of usual speed.
             now: Monotonic time.
         """
+        self._started_at = min(self._started_at, now)
         self._follow(measured, now)
         settled = [x for x in measured if now >= self._settled_at[x.kind]]
         clear = sum(self._levels.values()) + sum(
@@ -152,7 +154,8 @@
         return DemandForecast(expected, rising, overloaded=True)
 
     def _follow(self, measured: Sequence[RouteDemand], now: float) -> None:
-        span_s = now - self._updated_at
+        # From nothing: the first window alone shows a start as overload.
+        span_s = now - max(self._updated_at, self._started_at)
         self._updated_at = now
         weight = 1 - math.exp(-max(0.0, span_s) / LEVEL_TIME_CONSTANT_S)
         levels = {}
