Take back the part about urgent kinds

Ruled out: nothing yet. The meter of overload and the borrowed servers act also where engines differ in speed and 17 instances place at them; its world has at most six instances and equal engines.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -9,14 +9,14 @@
 import xxhash
 
 from jasminerelay import placing, rendezvous
-from jasminerelay.admission import LATE_BACKLOG_S, WaitEstimate
+from jasminerelay.admission import WaitEstimate
 from jasminerelay.catalog import (
     BackendServer,
     Call,
     Engine,
     PromptPart,
 )
-from jasminerelay.enginemodel import SLOT_SHARE, EngineModels, EngineSpeeds
+from jasminerelay.enginemodel import EngineModels, EngineSpeeds
 from jasminerelay.groups import (
     DemandMeter,
     ResourceNeed,
@@ -34,11 +34,6 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import ResponseMonitor
-from jasminerelay.scheduling.demandforecast import (
-    WINDOW_S,
-    DemandForecast,
-    DemandForecaster,
-)
 from jasminerelay.scheduling.fairshare import Headroom
 from jasminerelay.scheduling.servercapacity import (
     FIRST_EVENT,
@@ -53,17 +48,6 @@
     MIN_INSTANCES_TO_ANNOUNCE,
     PrefixAnnouncements,
 )
-from jasminerelay.scheduling.urgentload import (
-    LONG_WAIT_S,
-    NONE_BORROWED,
-    BorrowedServers,
-    PlacementPace,
-    UrgentKind,
-    borrow,
-    slots_needed,
-    spread,
-    unreported_slots,
-)
 from jasminerelay.schema.messages import (
     CachedParts,
     EngineSample,
@@ -74,13 +58,11 @@
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.stragglers import Stragglers
 from jasminerelay.tokentimes import TokenTimes
-from jasminerelay.workload import InFlightRequest, Load, Workload
+from jasminerelay.workload import InFlightRequest, Workload
 
 SPLIT_INTERVAL_S = 0.5
 """Interval at which the assignment of servers to kinds is computed again."""
 
-FORECAST_INTERVAL_S = 0.1
-"""Interval at which demand is examined for a kind that has begun to rise."""
 
 US_PER_S = 1e6
 
@@ -131,16 +113,6 @@
 """Share of the longest allowed pause that may pass in the engine; the rest is
 for the network."""
 
-PREFILL_SLOWDOWN = 5.0
-"""Times per token during continuous prefill relative to those without. A longer
-one was measured under a load that has gone. Urgent requests that waited for it
-to be measured again would leave idle servers unused under overload."""
-
-URGENT_SLOWDOWN = 2.5
-"""The same for the rest of an urgent answer under overload, in wait estimates:
-less urgent prompts stop coming to its server. An urgent request that is refused
-by mistake costs more than one that ends late."""
-
 OnSplit = Callable[
     [str, Mapping[str, tuple[str, ...]], Sequence[RouteDemand]], None
 ]
@@ -148,9 +120,6 @@
 OnSpeedChange = Callable[[str, str, SpeedEstimate], None]
 """Called with service, server and estimate when a lasting factor changes."""
 
-OnBorrow = Callable[[str, BorrowedServers, DemandForecast], None]
-"""Called when kinds borrow other servers than before."""
-
 
 @dataclasses.dataclass(frozen=True)
 class _KindQueue:
@@ -214,12 +183,8 @@
         self.demand_meter = DemandMeter()
         self.demand = TotalDemand()
         self._splits: dict[str, ServerSplit] = {}
-        self._kinds: dict[str, Sequence[RouteDemand]] = {}
-        self._forecasters: dict[str, DemandForecaster] = {}
-        self._forecasts: dict[str, DemandForecast] = {}
-        self._borrowed: dict[str, BorrowedServers] = {}
-        self._pace = PlacementPace()
-        self._splits_updated_at = self._forecast_at = float("-inf")
+        self._kinds: dict[str, list[RouteDemand]] = {}
+        self._splits_updated_at = float("-inf")
         self._health: dict[str, Stragglers] = {}
         self._prefixes = PrefixIndex()
         self.announcements = PrefixAnnouncements()
@@ -235,7 +200,6 @@
         self.on_split_change: OnSplit = lambda service, groups, demand: None
         self.capacities = CapacityRecords()
         self.on_speed_change: OnSpeedChange = lambda *found: None
-        self.on_borrow: OnBorrow = lambda *found: None
 
     def own_loads(self, now: float) -> list[ServerLoad]:
         """Returns this instance's load and decode speed at each server."""
@@ -353,13 +317,10 @@
             model.set_initial_estimate(engine, call.route, call.prompt.tokens)
         kind = call.route.name
         resources = self._resource_need(call)
-        now = time.monotonic()
-        self.demand_meter.record(
-            call.service, kind, call.route.rank, resources, now
-        )
+        self.demand_meter.record(call.service, kind, call.route.rank, resources)
         split = self._splits.get(call.service)
         if split is None or not split.group(kind):
-            self._update_splits(now)
+            self._update_splits(time.monotonic())
 
     def busy_s(self, call: Call) -> float:
         """Returns how long a request occupies a server."""
@@ -504,16 +465,6 @@
 
     def _place_among(
         self, call: Call, servers: list[BackendServer]
-    ) -> PlacementDecision | Wait:
-        placed = self._place_by_kind(call, servers)
-        now = time.monotonic()
-        waited_s = now - call.arrived_at
-        if isinstance(placed, Wait) and waited_s > LONG_WAIT_S:
-            self.demand_meter.record_wait(call.service, call.route.name, now)
-        return placed
-
-    def _place_by_kind(
-        self, call: Call, servers: list[BackendServer]
     ) -> PlacementDecision | Wait:
         engine = self.engine_of(call.service)
         if call.prompt is None or engine is None:
@@ -521,17 +472,19 @@
             return placing.place_plain(
                 call, _unblock_if_all_blocked(options), self._zone
             )
-        group = self._group_with_borrowed(call, servers)
+        group = self._group(call.service, call.route.name, servers)
         now = time.monotonic()
         estimate = self._output_estimate(call)
+        speeds = self._speeds(call.service)
         options = self._options(call, group)
         group_failed = all(item.blocked for item in options)
         if group_failed and self._all_blocked(call.service, servers, now):
             options = _unblock_if_all_blocked(options)
             group_failed = False
-        placed = self._place_leaving_room(
+        placed = placing.place_model(
             call,
             engine,
+            speeds,
             options,
             estimate,
             now,
@@ -554,9 +507,10 @@
         options = placing.with_prefill_at_most(
             self._options(call, others), allowed
         )
-        return self._place_leaving_room(
+        return placing.place_model(
             call,
             engine,
+            speeds,
             options,
             estimate,
             now,
@@ -586,93 +540,6 @@
         others = [server for server in servers if server.id in names]
         return [x for x in self._options(call, others) if not x.blocked]
 
-    def _group_with_borrowed(
-        self, call: Call, servers: list[BackendServer]
-    ) -> list[BackendServer]:
-        """Returns the servers of a request's kind and those it borrows."""
-        kind = call.route.name
-        group = self._group(call.service, kind, servers)
-        borrowed = self._borrowed.get(call.service, NONE_BORROWED)
-        names = borrowed.by_kind.get(kind)
-        if not names:
-            return group
-        return group + [
-            server
-            for server in servers
-            if server.id in names and server not in group
-        ]
-
-    def _slots_left(
-        self,
-        call: Call,
-        engine: Engine,
-        item: PlacementCandidate,
-        borrowed: BorrowedServers,
-        now: float,
-    ) -> int | None:
-        """Returns the slots that a request leaves free at a server.
-
-        None if it must not begin there now.
-        """
-        held = borrowed.servers.get(item.server.id)
-        instances = self._instances()
-        margin = unreported_slots(engine.slots, instances)
-        if held is None or held.rank >= call.route.rank:
-            if call.route.name not in borrowed.urgent:
-                return 0
-            free = int(engine.slots * SLOT_SHARE) - margin - item.load.running
-            within = self._pace.allows(
-                item.server.id, call.id, free, instances, now
-            )
-            return margin if within else None
-        speeds = self._speeds(call.service)
-        slowness = item.server_slowness
-        admitted = held.admits(
-            item.load.running,
-            speeds.prefill_s(item.load.unread) * slowness,
-            speeds.prefill_s(call.prompt.own_tokens) * slowness,
-            spread(call.id),
-            waiting=borrowed.waiting_rank < call.route.rank,
-        )
-        if not admitted or not self._pace.has_turn(
-            item.server.id, call.id, instances, now
-        ):
-            return None
-        return margin + held.slots
-
-    def _place_leaving_room(
-        self,
-        call: Call,
-        engine: Engine,
-        options: list[PlacementCandidate],
-        estimate: OutputEstimate,
-        now: float,
-        other_holders: list[PlacementCandidate],
-    ) -> PlacementDecision | Wait:
-        """Places a request where it leaves more urgent ones their room."""
-        speeds = self._speeds(call.service)
-        borrowed = self._borrowed.get(call.service, NONE_BORROWED)
-        if call.route.name in borrowed.urgent:
-            options = [
-                dataclasses.replace(
-                    item,
-                    token_s=_bounded_token_s(item.token_s, speeds, item.load),
-                )
-                for item in options
-            ]
-        if borrowed.urgent:
-            kept = []
-            for item in options:
-                reserved = self._slots_left(call, engine, item, borrowed, now)
-                if reserved is not None:
-                    kept.append(dataclasses.replace(item, reserved=reserved))
-            if not kept:
-                return placing.LEFT_TO_URGENT
-            options = kept
-        return placing.place_model(
-            call, engine, speeds, options, estimate, now, other_holders
-        )
-
     def _options(
         self, call: Call, servers: list[BackendServer]
     ) -> list[PlacementCandidate]:
@@ -858,8 +725,6 @@
             self._allowance.use_grant(name, time.monotonic())
         if self._pauses is not None:
             self._pauses.record_placement(name, time.monotonic())
-        if call.service in self._borrowed:
-            self._pace.record(name, call.id, time.monotonic())
         idle = not self.workload.own_running(name)
         self._response_monitor.record_request(name, idle, time.monotonic())
         if call.prompt is not None:
@@ -1067,18 +932,8 @@
         idle_timeout_s = (
             call.arrived_at + call.route.caller_idle_timeout_s - now
         )
-        found = self._forecasts.get(call.service)
-        borrowed = self._borrowed.get(call.service, NONE_BORROWED)
-        last = call.route.name not in borrowed.urgent
-        surplus = found is not None and found.overloaded and last
         return WaitEstimate(
-            queue_delay_s,
-            own_s,
-            left_s,
-            first_s,
-            idle_timeout_s,
-            call.arrived_at + call.route.objective_s - now,
-            LATE_BACKLOG_S if surplus else math.inf,
+            queue_delay_s, own_s, left_s, first_s, idle_timeout_s
         )
 
     def _expect_limited(
@@ -1120,10 +975,6 @@
             return held
         working = self._without_unavailable(service, servers)
         names = [item.id for item in self._group(service, kind, working)]
-        borrowed = self._borrowed.get(service, NONE_BORROWED)
-        if kind in borrowed.by_kind:
-            more = borrowed.by_kind[kind].difference(names)
-            names += [item.id for item in working if item.id in more]
         # If streams can be moved, a long answer can continue at any server,
         # also one without prefill.
         engine = self.engine_of(service)
@@ -1133,29 +984,18 @@
         speeds = self._speeds(service)
         capacities = self.capacities.of(service)
         speed_sum = capacities.speed_sum(names, now)
-        left = borrowed.share_left(kind, names)
         self._kind_queues[key] = _KindQueue(
             now,
             speeds.prefill_s(unread) / speed_sum,
-            self._instances() / (speed_sum * left),
+            self._instances() / speed_sum,
             min(
-                self._token_s(service, name, kind in borrowed.urgent, now)
+                self.token_times.token_s(name, now)
                 or speeds.step_s * capacities.slowness(name, now)
                 for name in decoding
             ),
         )
         return self._kind_queues[key]
 
-    def _token_s(
-        self, service: str, server: str, urgent: bool, now: float
-    ) -> float | None:
-        token_s = self.token_times.token_s(server, now)
-        if not urgent:
-            return token_s
-        load = self.workload.load(server)
-        speeds = self._speeds(service)
-        return _bounded_token_s(token_s, speeds, load, URGENT_SLOWDOWN)
-
     def gone(self, server: str) -> None:
         """Deletes all state about a server that has ended."""
         for health in self._health.values():
@@ -1165,15 +1005,12 @@
             self._caches.forget(server)
         self.token_times.forget(server)
         self.capacities.forget(server)
-        self._pace.forget(server)
         self._response_monitor.forget(server)
 
     def tick(self, now: float) -> None:
         """Updates moving averages and, at intervals, the server split."""
         self.workload.expire(now)
         if now - self._splits_updated_at < SPLIT_INTERVAL_S:
-            if now - self._forecast_at >= FORECAST_INTERVAL_S:
-                self._update_rising(now)
             return
         self._splits_updated_at = now
         self.demand_meter.tick(now)
@@ -1183,7 +1020,7 @@
 
     def own_demand(self) -> list[RouteDemand]:
         """Returns the demand of this instance's callers, to be shared."""
-        return self.demand_meter.demand(self._need_time_s, time.monotonic())
+        return self.demand_meter.demand(self._need_time_s)
 
     def _resource_need(self, call: Call) -> ResourceNeed:
         output = self._output_estimate(call).output
@@ -1211,89 +1048,21 @@
         self.demand.update("", self.own_demand(), now)
         catalog = self._registry.catalog
         for name in catalog.services if catalog else ():
-            servers = self._capacity_of(name)
+            there = self._registry.servers_of(name)
+            # Servers with a rate limit get too little traffic to count as
+            # capacity.
+            unlimited = self._unlimited(there) or there
+            recovered = self._without_recovering(unlimited)
+            capacity = self._without_unavailable(name, recovered)
+            servers = [item.id for item in capacity]
             if self.measures_step_times:
                 self._record_steps(name, servers, now)
-            found = self._forecast(name, servers, now)
-            self._forecasts[name] = found
-            self._kinds[name] = demand = found.demand
+            demand = self.demand.total(name, now)
+            self._kinds[name] = demand
             split = self._splits.setdefault(name, ServerSplit())
             capacities = self.capacities.of(name)
-            speeds = capacities.uneven_speeds(now)
-            if split.update(servers, demand, speeds):
+            if split.update(servers, demand, capacities.uneven_speeds(now)):
                 self.on_split_change(name, split.groups, demand)
-            self._update_borrowed(name, found, now)
-
-    def _update_borrowed(
-        self, service: str, found: DemandForecast, now: float
-    ) -> None:
-        before = self._borrowed.get(service, NONE_BORROWED)
-        borrowed = self._borrowed[service] = self._borrow(service, found, now)
-        if borrowed.by_kind != before.by_kind:
-            self.on_borrow(service, borrowed, found)
-
-    def _borrow(
-        self, service: str, found: DemandForecast, now: float
-    ) -> BorrowedServers:
-        """Returns the servers that kinds of a service need beyond their own."""
-        split = self._splits[service]
-        speeds = self.capacities.of(service).uneven_speeds(now)
-        engine = self.engine_of(service)
-        if not found.overloaded or engine is None:
-            return NONE_BORROWED
-        routes = {route.name: route for route in self._registry.catalog.routes}
-        kinds = {}
-        for item in found.demand:
-            route = routes.get(item.kind)
-            if route is None:
-                continue
-            request_s = self.lengths.typical(item.kind, 0) * self._speeds(
-                service
-            ).token_s(engine.slots)
-            kinds[item.kind] = UrgentKind(
-                route.objective_s,
-                slots_needed(
-                    item.requests / WINDOW_S,
-                    len(split.group(item.kind)),
-                    request_s,
-                    engine.slots,
-                ),
-            )
-        return borrow(found, split.groups, speeds, kinds)
-
-    def _capacity_of(self, service: str) -> list[str]:
-        """Returns the servers that count as capacity of a service."""
-        there = self._registry.servers_of(service)
-        # Servers with a rate limit get too little traffic to count as
-        # capacity.
-        unlimited = self._unlimited(there) or there
-        recovered = self._without_recovering(unlimited)
-        capacity = self._without_unavailable(service, recovered)
-        return [item.id for item in capacity]
-
-    def _forecast(
-        self, service: str, servers: Sequence[str], now: float
-    ) -> DemandForecast:
-        capacity = self.capacities.of(service).speed_sum(servers, now)
-        if not self.engine_models.of(service).prefill_measured:
-            # The initial estimate of the speeds is a slow one, by which nearly
-            # any demand exceeds the capacity.
-            capacity = math.inf
-        forecaster = self._forecasters.setdefault(service, DemandForecaster())
-        return forecaster.update(self.demand.total(service, now), capacity, now)
-
-    def _update_rising(self, now: float) -> None:
-        """Updates the splits at once if the demand of another kind rises."""
-        self._forecast_at = now
-        self.demand.update("", self.own_demand(), now)
-        for name, held in self._forecasts.items():
-            servers = self._capacity_of(name)
-            found = self._forecast(name, servers, now)
-            if found.rising - held.rising:
-                self._update_splits(now)
-                return
-            if found.overloaded or held.overloaded:
-                self._update_borrowed(name, found, now)
 
     def record_step_time(
         self, service: str, server: str, step_s: float, now: float
@@ -1347,18 +1116,6 @@
         return group or servers
 
 
-def _bounded_token_s(
-    measured_s: float | None,
-    speeds: EngineSpeeds,
-    load: Load,
-    slowdown: float = PREFILL_SLOWDOWN,
-) -> float | None:
-    """Returns a measured time per token, bounded by the present load."""
-    if measured_s is None:
-        return None
-    return min(measured_s, slowdown * speeds.token_s(load.running))
-
-
 def _is_trial(call: Call) -> bool:
     """Returns whether a request may try a server that looks slow."""
     return xxhash.xxh32_intdigest(call.id.encode()) % TRIAL_INTERVAL == 0
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from jasminerelay.admission import EARLY, OVER_SHARE
+from jasminerelay.admission import OVER_SHARE
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
     MEMORY_SHORT,
@@ -247,8 +247,6 @@
         return "time limit exceeded" + (" during the answer" if begun else "")
     if status == 503 and OVER_SHARE in why:
         return "refused: organisation over its share"
-    if status == 503 and EARLY in why:
-        return "refused early: it would have been late"
     if status == 503:
         return "refused: " + (
             "servers did not run it" if sent else "no capacity"
@@ -317,11 +315,6 @@
                 "its organisation had more waiting work than the mean of those"
                 " that competed with it; the last error says when its turn came"
             )
-        if EARLY in str(fields.get("why", "")):
-            causes.append(
-                "it came under overload and would have been late behind newer"
-                " requests of its kind; the last error says when there was room"
-            )
     elif status == 500 and not fields.get("servers"):
         causes.append("answered 500: it did not run and is not sent again")
     elif status in (502, 504):
--- a/src/jasminerelay/groups.py
+++ b/src/jasminerelay/groups.py
@@ -19,11 +19,6 @@
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-from jasminerelay.scheduling.demandforecast import (
-    MAX_AGE_S,
-    WINDOW_S,
-    RecentArrivals,
-)
 from jasminerelay.schema.messages import RouteDemand
 
 FLOOR_SHARE = 0.7
@@ -58,10 +53,6 @@
 NEED_WEIGHT = 0.1
 """Weight of one request in the moving average of its kind's resource needs."""
 
-WAITING_MAX_AGE_S = 0.15
-"""Time for which a kind counts as waiting after an attempt to place one of its
-requests; attempts come several times as often."""
-
 PEER_DEMAND_MAX_AGE_S = 3.0
 """Age up to which another instance's demand report is used."""
 
@@ -104,8 +95,6 @@
     rate: float
     need: ResourceNeed
     count: int = 0
-    waited_at: float = -math.inf
-    recent: RecentArrivals = dataclasses.field(default_factory=RecentArrivals)
 
 
 class DemandMeter:
@@ -121,36 +110,15 @@
         self._last_tick: float | None = None
 
     def record(
-        self,
-        service: str,
-        kind: str,
-        rank: int,
-        need: ResourceNeed,
-        now: float | None = None,
+        self, service: str, kind: str, rank: int, need: ResourceNeed
     ) -> None:
-        """Records a request.
-
-        Args:
-            service: Its service.
-            kind: Its kind.
-            rank: Priority of the kind.
-            need: What it needs.
-            now: Monotonic time; None to count it in the average only.
-        """
+        """Records a request."""
         key = (service, kind)
         if key not in self._meters:
             self._meters[key] = _KindMeter(rank, INITIAL_RATE, need)
         meter = self._meters[key]
         meter.count += 1
         meter.need = meter.need.blended_with(need, NEED_WEIGHT)
-        if now is not None:
-            meter.recent.record(now)
-
-    def record_wait(self, service: str, kind: str, now: float) -> None:
-        """Records that a request goes on waiting for a server."""
-        meter = self._meters.get((service, kind))
-        if meter is not None:
-            meter.waited_at = now
 
     def tick(self, now: float) -> None:
         """Updates the averages with the requests since the last tick."""
@@ -172,9 +140,7 @@
             meter.rate += (rate - meter.rate) * (1 - math.exp(-span / constant))
 
     def demand(
-        self,
-        busy_s: Callable[[str, ResourceNeed], float],
-        now: float | None = None,
+        self, busy_s: Callable[[str, ResourceNeed], float]
     ) -> list[RouteDemand]:
         """Returns the measured demand by kind, to be reported.
 
@@ -182,31 +148,17 @@
 
         Args:
             busy_s: Returns how long a request occupies an engine of a service.
-            now: Monotonic time; None to report the average only.
         """
-        found = []
-        for (service, kind), meter in self._meters.items():
-            request_s = busy_s(service, meter.need)
-            requests = meter.recent.count(now) if now is not None else 0
-            found.append(
-                RouteDemand(
-                    f"{service}/{kind}",
-                    round(meter.rate * request_s, 4),
-                    round(meter.need.unread),
-                    meter.rank,
-                    round(requests / WINDOW_S * request_s, 4),
-                    requests,
-                    int(
-                        now is not None
-                        and now - meter.waited_at <= WAITING_MAX_AGE_S
-                    ),
-                )
+        found = [
+            RouteDemand(
+                f"{service}/{kind}",
+                round(meter.rate * busy_s(service, meter.need), 4),
+                round(meter.need.unread),
+                meter.rank,
             )
-        return [
-            item
-            for item in found
-            if item.work > MIN_WORK / 10 or item.recent > MIN_WORK / 10
+            for (service, kind), meter in self._meters.items()
         ]
+        return [item for item in found if item.work > MIN_WORK / 10]
 
 
 class TotalDemand:
@@ -226,9 +178,6 @@
         work: dict[str, float] = {}
         weighted_size: dict[str, float] = {}
         rank: dict[str, int] = {}
-        recent: dict[str, float] = {}
-        requests: dict[str, int] = {}
-        waiting: dict[str, int] = {}
         prefix = f"{service}/"
         for name, (received_at, demand) in list(self._reports.items()):
             if now - received_at > PEER_DEMAND_MAX_AGE_S:
@@ -242,20 +191,8 @@
                         weighted_size.get(kind, 0.0) + item.work * item.size
                     )
                     rank[kind] = item.rank
-                    if now - received_at <= MAX_AGE_S:
-                        recent[kind] = recent.get(kind, 0.0) + item.recent
-                        requests[kind] = requests.get(kind, 0) + item.requests
-                        waiting[kind] = waiting.get(kind, 0) + item.waiting
         return [
-            RouteDemand(
-                kind,
-                total,
-                weighted_size[kind] / total,
-                rank[kind],
-                recent.get(kind, 0.0),
-                requests.get(kind, 0),
-                waiting.get(kind, 0),
-            )
+            RouteDemand(kind, total, weighted_size[kind] / total, rank[kind])
             for kind, total in sorted(work.items())
             if total > MIN_WORK
         ]
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -6,12 +6,7 @@
 
 from jasminerelay.cellowner import CellOwner, SendAnswers
 from jasminerelay.cells import CellServers, QueueEstimates
-from jasminerelay.dispatcher import (
-    Dispatcher,
-    OnBorrow,
-    OnSpeedChange,
-    OnSplit,
-)
+from jasminerelay.dispatcher import Dispatcher, OnSpeedChange, OnSplit
 from jasminerelay.enginemodel import EngineModels
 from jasminerelay.metrics import Counters
 from jasminerelay.outputlengths import OutputLengths
@@ -78,7 +73,6 @@
         self.queues = QueueEstimates()
         self.on_split: OnSplit = lambda service, groups, demand: None
         self.on_speed: OnSpeedChange = lambda *found: None
-        self.on_borrow: OnBorrow = lambda *found: None
         self.answer: SendAnswers = lambda address, message: None
 
     def __len__(self) -> int:
@@ -189,7 +183,6 @@
         )
         dispatcher.on_split_change = lambda *found: self.on_split(*found)
         dispatcher.on_speed_change = lambda *found: self.on_speed(*found)
-        dispatcher.on_borrow = lambda *found: self.on_borrow(*found)
         return CellOwner(
             self._own,
             service,
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -198,10 +198,6 @@
 
 def _check_demand(demand: DemandColumns) -> None:
     _check_equal_lengths(demand.kinds, demand.work, demand.size, demand.ranks)
-    if demand.recent or demand.requests or demand.waiting:
-        _check_equal_lengths(
-            demand.kinds, demand.recent, demand.requests, demand.waiting
-        )
 
 
 def load_columns(loads: Iterable[ServerLoad]) -> LoadColumns:
@@ -239,15 +235,11 @@
         columns.work.append(item.work)
         columns.size.append(item.size)
         columns.ranks.append(item.rank)
-        columns.recent.append(item.recent)
-        columns.requests.append(item.requests)
-        columns.waiting.append(item.waiting)
     return columns
 
 
 def demand_rows(columns: DemandColumns) -> list[RouteDemand]:
     """Converts lists of fields back to demand."""
-    none = [0] * len(columns.kinds)
     return [
         RouteDemand(*row)
         for row in zip(
@@ -255,9 +247,6 @@
             columns.work,
             columns.size,
             columns.ranks,
-            columns.recent or none,
-            columns.requests or none,
-            columns.waiting or none,
             strict=True,
         )
     ]
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -14,7 +14,7 @@
 from jasminerelay.catalog import Call
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.metrics import Counters
-from jasminerelay.placing import LEFT_TO_URGENT, PlacementDecision, Wait
+from jasminerelay.placing import PlacementDecision, Wait
 from jasminerelay.scheduling.fairshare import (
     REPORT_INTERVAL_S,
     FairShares,
@@ -291,8 +291,6 @@
             if estimate.too_late:
                 excess = self._over_share(item)
                 refused = _refusal(item.call, estimate, excess)
-                if estimate.is_surplus:
-                    self._counters.incr("queue.refused_early")
                 self._refuse(item, refused, now)
                 continue
             queued_ahead_s[kind] = work_ahead_s + item.busy_s
@@ -303,8 +301,6 @@
         if self._is_withheld(item, scan):
             return WITHHELD
         placed = self._place(item.call, item.avoid)
-        if placed is LEFT_TO_URGENT:
-            self._counters.incr("urgent.deferred")
         if isinstance(placed, Wait) and placed.retry_s <= MAX_PAUSE_WAIT_S:
             cost = FULL_ATTEMPT_COST if placed.full else 1
             scan.failed_attempts[item.call.route.name] += cost
@@ -520,12 +516,6 @@
         f" {estimate.service_s:.2f} s service time,"
         f" {estimate.remaining_s:.2f} s left"
     )
-    if estimate.is_surplus:
-        why += (
-            f"; {admission.EARLY}: it would be late, and newer requests that"
-            f" can be in time go first; the queue has room in"
-            f" {estimate.retry_s:.2f} s"
-        )
     if excess is not None:
         why += (
             f"; organisation {excess.organisation!r} is {admission.OVER_SHARE}:"
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -103,7 +103,6 @@
             a usual server.
         limit: Concurrent requests that it is given; 0 if only its slots count.
         unknown: Requests there beyond those in `load`, as the server states.
-        reserved: Slots that are left free for more urgent requests.
     """
 
     server: BackendServer
@@ -116,7 +115,6 @@
     server_slowness: float = 1.0
     limit: int = 0
     unknown: float = 0.0
-    reserved: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,11 +154,6 @@
     retry_s: float = 0.0
 
 
-LEFT_TO_URGENT = Wait(
-    "the free capacity is left to more urgent requests", full=True
-)
-
-
 @dataclasses.dataclass(frozen=True)
 class OutputEstimate:
     """Expected output length of a model request.
@@ -319,7 +312,7 @@
     engine: Engine, speeds: EngineSpeeds, item: PlacementCandidate, memory: int
 ) -> bool:
     """Returns whether a server has capacity for a request now."""
-    slots = max(1, int(engine.slots * SLOT_SHARE) - item.reserved)
+    slots = max(1, int(engine.slots * SLOT_SHARE))
     if item.limit:
         slots = min(slots, item.limit)
     if item.load.running >= slots:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -62,7 +62,6 @@
     TableSource,
 )
 from jasminerelay.registry import Registry
-from jasminerelay.scheduling import urgentload
 from jasminerelay.scheduling.heldbytes import HeldBounds, HeldBytes
 from jasminerelay.schema.messages import (
     Member,
@@ -351,7 +350,6 @@
         )
         self.dispatcher.on_split_change = self._log_split
         self.dispatcher.on_speed_change = self._log_speed
-        self.dispatcher.on_borrow = self._log_borrowed
         member = Member(
             member_id, "", boot.zone, boot.callers, "", boot.peers, LEAVING, 0
         )
@@ -447,7 +445,6 @@
         )
         self._owned_cells.on_split = self._log_split
         self._owned_cells.on_speed = self._log_speed
-        self._owned_cells.on_borrow = self._log_borrowed
         self._follower_role = FollowerRole(member_id, boot.zone)
         self._peers.connect_components(
             self._owned_cells, self._placement_client, self._follower_role
@@ -602,14 +599,6 @@
             **estimate.log_fields(),
         )
 
-    def _log_borrowed(self, service, borrowed, forecast) -> None:
-        self.counters.incr("urgent.borrowed")
-        self.log.info(
-            "urgent_servers",
-            service=service,
-            **urgentload.log_fields(borrowed, forecast),
-        )
-
     def _log_split(self, service, groups, demand) -> None:
         self.log.info(
             "split",
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -264,9 +264,6 @@
     work: float
     size: float
     rank: int
-    recent: float = 0
-    requests: int = 0
-    waiting: int = 0
 
 
 class LoadColumns(Struct, frozen=True):
@@ -290,9 +287,6 @@
     work: list[float]
     size: list[float]
     ranks: list[int]
-    recent: list[float] = field(default_factory=list)
-    requests: list[int] = field(default_factory=list)
-    waiting: list[int] = field(default_factory=list)
 
 
 class EngineSample(Struct, frozen=True):
