Do not take a cancelled stream's end for the end of the answer

The stream of a preempted request is read until its engine ends it. An engine that states the cancellation as finish reason would have ended the caller's answer there. Only the finish reasons of complete answers end it now.

The test of late cancellations has its engines send such a reason and [DONE]; it fails without the change and passes with it (python -m tests.run tests.test_coordination.OverloadTest.test_tokens_until_the_cancellation_are_kept).

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -52,6 +52,12 @@
 DIGEST_CHARS = 16
 """Length of the request digest's prefix in the signed resume point."""
 
+_FINISH_REASONS = frozenset(
+    ("stop", "length", "tool_calls", "function_call", "content_filter")
+)
+"""Finish reasons of a complete answer. An engine may give another one for a
+cancelled attempt."""
+
 WASTE_REDONE = "redone"
 WASTE_DROPPED = "dropped"
 WASTE_CANCELLED = "cancelled"
@@ -205,12 +211,24 @@
         with anyio.move_on_after(CANCEL_TIMEOUT_S):
             try:
                 async for event in events:
+                    self._ignore_end_by_cancellation(event)
                     late_events.append(event)
             except AttemptError:
                 # A cancelled stream ends without [DONE].
                 return late_events
         return late_events
 
+    def _ignore_end_by_cancellation(self, event: AnswerEvent) -> None:
+        """Removes a finish reason that states that the attempt was cancelled.
+
+        Otherwise the answer would look complete.
+        """
+        for choice in event.data.get("choices") or []:
+            reason = choice.get("finish_reason")
+            if reason and reason not in _FINISH_REASONS:
+                choice["finish_reason"] = None
+                self._finished = False
+
     async def _acquire_permit(
         self, permit_request: PermitRequest
     ) -> PermitGrant:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -60,6 +60,7 @@
             up all the same.
         stall: Stop computing steps.
         cancel_delay_s: Time until a cancellation takes effect.
+        cancel_reason: Finish reason sent after a cancellation; empty for none.
     """
 
     slow_factor: float = 1.0
@@ -76,6 +77,7 @@
     drop_events: bool = False
     stall: bool = False
     cancel_delay_s: float = 0.0
+    cancel_reason: str = ""
 
 
 @dataclasses.dataclass
@@ -374,6 +376,10 @@
                     yield b"data: [DONE]\n\n"
                     return
                 await changed.wait()
+            if self.faults.cancel_reason:
+                reason = self.faults.cancel_reason
+                yield _token_frame(stream, offset, "", reason)
+                yield b"data: [DONE]\n\n"
         finally:
             stream.readers -= 1
             stream.unread_since = time.monotonic()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -213,10 +213,13 @@
     def test_tokens_until_the_cancellation_are_kept(self) -> None:
         # The same where cancellations take effect late, as beside other load:
         # the engine computes a score of tokens meanwhile. Guards against
-        # discarding these tokens and computing them again.
+        # discarding these tokens and computing them again, and against taking
+        # the end of a cancelled stream for the end of the answer.
         for name in ("model-1", "model-2"):
-            self.system.fault(name, cancel_delay_s=0.1)
-            self.addCleanup(self.system.fault, name, cancel_delay_s=0.0)
+            self.system.fault(name, cancel_delay_s=0.1, cancel_reason="abort")
+            self.addCleanup(
+                self.system.fault, name, cancel_delay_s=0.0, cancel_reason=""
+            )
         self.check_preempted_sheets("late sheet")
 
     def check_preempted_sheets(self, name: str) -> None:
