List the slowest tests after a run

Of the whole suite only the total was known, so what to shorten was a guess. tests.run now prints the ten slowest tests with their times; its last line stays the same.

--- a/tests/run.py
+++ b/tests/run.py
@@ -6,19 +6,32 @@
 
 import pathlib
 import sys
+import time
 import unittest
 
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_KNOWN_FAILURES = 3
+SLOWEST_COUNT = 10
+"""Number of tests that are listed with their times."""
 
 
 class _Result(unittest.TextTestResult):
-    """Records the tests that passed."""
+    """Records the tests that passed, and the time that each one took."""
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.passed: list[str] = []
+        self.durations_s: dict[str, float] = {}
+        self._started_at = 0.0
+
+    def startTest(self, test) -> None:  # noqa: N802 (unittest's name)
+        super().startTest(test)
+        self._started_at = time.monotonic()
+
+    def stopTest(self, test) -> None:  # noqa: N802 (unittest's name)
+        super().stopTest(test)
+        self.durations_s[test.id()] = time.monotonic() - self._started_at
 
     def addSuccess(self, test) -> None:  # noqa: N802 (unittest's name)
         super().addSuccess(test)
@@ -48,6 +61,9 @@
         resultclass=_Result, verbosity=2, stream=sys.stdout
     )
     result = runner.run(suite)
+    slowest = sorted(result.durations_s.items(), key=lambda item: -item[1])
+    for name, duration_s in slowest[:SLOWEST_COUNT]:
+        print(f"{duration_s:6.1f} s  {name}")
     known_failures = read_known_failures()
     failed_ids = {test.id() for test, _ in result.failures + result.errors}
     failed_ids |= {test.id() for test in result.unexpectedSuccesses}
