--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -613,8 +613,19 @@
         good = sum(item.status == 200 and item.whole for item in requests_after)
         self.counts["after healing"] = len(requests_after)
         if not requests_after or good < GOOD_SHARE * len(requests_after):
+            rest = collections.Counter(
+                (
+                    item.path.split("/")[1],
+                    item.address,
+                    item.status,
+                    "whole" if item.whole else "not whole",
+                )
+                for item in requests_after
+                if item.status != 200 or not item.whole
+            )
             self._record_violation(
-                f"served after healing: {good} of {len(requests_after)}"
+                f"served after healing: {good} of {len(requests_after)};"
+                f" others by path, instance and status: {dict(rest)}"
             )
 
     def _check_logs(self) -> None:
