Test the source of a prefix's copy, and place models in one method

Servers with too much pending prefill for a request that overflows may now be sources, too; before, they were left out with the candidates.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -474,22 +474,12 @@
             )
         group = self._group(call.service, call.route.name, servers)
         now = time.monotonic()
-        estimate = self._output_estimate(call)
-        speeds = self._speeds(call.service)
         options = self._options(call, group)
         group_failed = all(item.blocked for item in options)
         if group_failed and self._all_blocked(call.service, servers, now):
             options = _unblock_if_all_blocked(options)
             group_failed = False
-        placed = placing.place_model(
-            call,
-            engine,
-            speeds,
-            options,
-            estimate,
-            now,
-            self._other_prefix_holders(call, servers, group),
-        )
+        placed = self._place_model(call, engine, servers, options, now)
         if isinstance(placed, PlacementDecision):
             return placed
         allowed_ids = self._overflow_servers(call)
@@ -507,21 +497,40 @@
         options = placing.with_prefill_at_most(
             self._options(call, others), allowed
         )
+        return self._place_model(call, engine, servers, options, now)
+
+    def _place_model(
+        self,
+        call: Call,
+        engine: Engine,
+        servers: list[BackendServer],
+        options: list[PlacementCandidate],
+        now: float,
+    ) -> PlacementDecision | Wait:
+        """Places a model request on one of some servers.
+
+        Args:
+            call: The request.
+            engine: Capacity of the servers.
+            servers: All servers, from any of which its prefix can be copied.
+            options: Those that it can be placed on.
+            now: Monotonic time.
+        """
         return placing.place_model(
             call,
             engine,
-            speeds,
+            self._speeds(call.service),
             options,
-            estimate,
+            self._output_estimate(call),
             now,
-            self._other_prefix_holders(call, servers, others),
+            self._other_prefix_holders(call, servers, options),
         )
 
     def _other_prefix_holders(
         self,
         call: Call,
         servers: list[BackendServer],
-        candidates: list[BackendServer],
+        candidates: list[PlacementCandidate],
     ) -> list[PlacementCandidate]:
         """Returns servers besides the candidates that have the prefix cached.
 
@@ -534,7 +543,7 @@
             return []
         view = self._prefixes if self._caches is None else self._caches
         names = view.holders(part_hash(shared[-1].id))[:MAX_COPY_SOURCES]
-        names = set(names) - {server.id for server in candidates}
+        names = set(names) - {item.server.id for item in candidates}
         if not names:
             return []
         others = [server for server in servers if server.id in names]
--- a/tests/test_sharedprefixes.py
+++ b/tests/test_sharedprefixes.py
@@ -1,5 +1,6 @@
 """Tests that instances tell each other which prefixes servers have cached."""
 
+import dataclasses
 import random
 import unittest
 
@@ -8,7 +9,12 @@
 from jasminerelay import peermessages
 from jasminerelay.catalog import Prompt, PromptPart
 from jasminerelay.dispatcher import Dispatcher
-from jasminerelay.placing import PlacementDecision
+from jasminerelay.placing import (
+    OutputEstimate,
+    PlacementCandidate,
+    PlacementDecision,
+    place_model,
+)
 from jasminerelay.prefix import part_hash
 from jasminerelay.scheduling.sharedprefixes import (
     MAX_UNSENT_PARTS,
@@ -23,8 +29,9 @@
     PeerMessage,
     ReplicaStatus,
 )
+from jasminerelay.workload import NO_LOAD
 from tests.test_dispatcher import dispatcher
-from tests.test_placing import call
+from tests.test_placing import ENGINE, SPEEDS, call, option
 
 PREFIX_TOKENS = 5000
 OWN_TOKENS = 600
@@ -37,6 +44,15 @@
 the first server of a prefix is often full."""
 
 
+def prompt_of(subject: int) -> Prompt:
+    """Returns a prompt that shares its prefix with others of its subject."""
+    parts = (
+        PromptPart(f"subject-{subject}", PREFIX_TOKENS),
+        PromptPart(f"own-{random.random()}", OWN_TOKENS),
+    )
+    return Prompt(parts, PREFIX_TOKENS + OWN_TOKENS, 100, None)
+
+
 class BurstTest(unittest.TestCase):
     """A burst of long prompts with some prefixes at many instances."""
 
@@ -89,12 +105,7 @@
         return repeated
 
     def place(self, instance: Dispatcher, subject: int):
-        parts = (
-            PromptPart(f"subject-{subject}", PREFIX_TOKENS),
-            PromptPart(f"own-{random.random()}", OWN_TOKENS),
-        )
-        prompt = Prompt(parts, PREFIX_TOKENS + OWN_TOKENS, 100, None)
-        request = call(prompt=prompt)
+        request = call(prompt=prompt_of(subject))
         placed = instance.place(request, frozenset())
         if not isinstance(placed, PlacementDecision):
             return None, None
@@ -116,6 +127,56 @@
                     receiver.apply_cached_parts(cached)
 
 
+class CopySourceTest(unittest.TestCase):
+    """The server from which a missing prefix is copied."""
+
+    def test_holder_outside_the_candidates(self) -> None:
+        # Guards against a prefix that is prefilled again when its kind has
+        # got other servers since.
+        holder = option("holder", cached_tokens=PREFIX_TOKENS)
+        placed = self.place([option("a"), option("b")], [holder])
+        self.assertEqual(placed.source.id, "holder")
+        self.assertEqual(placed.unread, OWN_TOKENS)
+
+    def test_candidate_with_the_prefix(self) -> None:
+        # Guards against copies between servers where one of the candidates
+        # has the prefix and capacity.
+        holder = option("holder", cached_tokens=PREFIX_TOKENS)
+        held = option("a", cached_tokens=PREFIX_TOKENS)
+        placed = self.place([held, option("b")], [holder])
+        self.assertEqual(placed.server.id, "a")
+
+    def test_dispatcher_finds_the_holder(self) -> None:
+        # Guards against a holder that only other kinds' requests could use.
+        instance = dispatcher(SERVERS)
+        shared = part_hash("subject-7")
+        instance.apply_cached_parts([CachedParts("i-003", [shared])])
+        request = call(prompt=prompt_of(7))
+        servers = instance._registry.servers_of(request.service)
+        others = [
+            PlacementCandidate(server, NO_LOAD)
+            for server in servers
+            if server.id != "i-003"
+        ]
+        found = instance._other_prefix_holders(request, servers, others)
+        self.assertEqual([x.server.id for x in found], ["i-003"])
+        instance.gone("i-003")
+        self.assertFalse(
+            instance._other_prefix_holders(request, servers, others)
+        )
+
+    def place(self, candidates, holders) -> PlacementDecision:
+        return place_model(
+            call(prompt=prompt_of(0)),
+            dataclasses.replace(ENGINE, link_bits_per_s=5.5e11),
+            SPEEDS,
+            candidates,
+            OutputEstimate(100, 100),
+            0.0,
+            holders,
+        )
+
+
 class AnnouncementTest(unittest.TestCase):
     """What is announced, and in how many reports."""
 
@@ -143,22 +204,12 @@
         # Guards against messages for each request in place of each new prefix.
         instance = dispatcher(1)
         instance._instances = lambda: MIN_INSTANCES_TO_ANNOUNCE
-        request = call(
-            prompt=Prompt(
-                (
-                    PromptPart("subject", PREFIX_TOKENS),
-                    PromptPart("own", OWN_TOKENS),
-                ),
-                PREFIX_TOKENS + OWN_TOKENS,
-                100,
-                None,
-            )
-        )
+        request = call(prompt=prompt_of(0))
         placed = instance.place(request, frozenset())
         instance.reserve(request, placed)
         instance.reserve(request, placed)
         sent = instance.announcements.take_unsent()
-        self.assertEqual([x.parts for x in sent], [[part_hash("subject")]])
+        self.assertEqual([x.parts for x in sent], [[part_hash("subject-0")]])
 
     def test_message_of_the_previous_version(self) -> None:
         # Guards against an instance of the previous version whose messages are
