--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -331,6 +331,8 @@
             samples=self._dispatcher.engine_models.take_unsent_samples(),
             cached=self._dispatcher.announcements.take_unsent(),
         )
+        if message.cached:
+            self._counters.incr("prefix.announced", len(message.cached))
         data = peermessages.encode(message)
         for member in chosen:
             self._send_to(member.peers, data)
@@ -441,7 +443,9 @@
         demand = peermessages.demand_rows(message.demand)
         self._dispatcher.demand.update(message.sender, demand, now)
         self._dispatcher.engine_models.add_peer_samples(message.samples, now)
-        self._dispatcher.apply_cached_parts(message.cached)
+        if message.cached:
+            self._counters.incr("prefix.heard", len(message.cached))
+            self._dispatcher.apply_cached_parts(message.cached)
         if self._owned is not None:
             self._owned.queues.update(message.queues, now)
             if message.standing.touch != StoreStatus.UNREACHABLE:
