--- a/src/jasminerelay/scheduling/sharedprefixes.py
+++ b/src/jasminerelay/scheduling/sharedprefixes.py
@@ -4,7 +4,7 @@
 at the same servers, so that requests overflow from the first server of their
 prefix. An instance that knows only its own placements sends the next request
 with the same prefix to another server, where it is prefilled again; with 17
-instances that was a fifth of all tokens prefilled in such a burst.
+instances that was a seventh of all tokens prefilled on days of such bursts.
 """
 
 import dataclasses
