--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -144,6 +144,7 @@
         first_at: Monotonic time of the first event; 0 before it.
         pause_s: Longest pause between two events.
         status: Status of the answer; 0 before it.
+        framings: What marked the end of each response that began, in order.
         tried: Servers of all attempts, in order.
         owners: Instances that placed the attempts, in order; "" for this one.
         ran: Number of servers that have run it, or may have.
@@ -160,6 +161,7 @@
     first_at: float = 0.0
     pause_s: float = 0.0
     status: int = 0
+    framings: list[str] = dataclasses.field(default_factory=list)
     tried: list[str] = dataclasses.field(default_factory=list)
     owners: list[str] = dataclasses.field(default_factory=list)
     ran: int = 0
@@ -263,6 +265,10 @@
             self._report_lost()
             return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
+        self._progress.framings.append(response.framing.value)
+        self._context.counters.incr(
+            f"backend.framed.{response.framing.name.lower()}"
+        )
         head = self._context.dialect.head(response.status, response.headers)
         # A faulty server may send a second answer to an earlier request. On a
         # reused connection only the request id distinguishes it from this
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -319,6 +319,7 @@
             why=self._reason,
             servers=progress.tried,
             owners=progress.owners,
+            framings=progress.framings,
             events=progress.events,
             waited_s=round((self._placed_at or now) - call.arrived_at, 3),
             first_s=first_s,
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import enum
 import socket
 from collections.abc import Iterable
 
@@ -31,9 +32,20 @@
 
 MAX_HEAD_BYTES = 100 * 1024
 
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 HeaderFields = list[tuple[bytes, bytes]]
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response's body."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class ServerConnection(asyncio.Protocol):
     """Carries one request at a time.
 
@@ -254,6 +266,7 @@
     Attributes:
         status: Status.
         headers: Header fields as sent.
+        framing: What marks the end of the body; known once the head is.
         length: Length of the body as its head states it; None if it does not.
         has_head: Whether the head is complete.
         head_bytes: Bytes that have arrived for the head.
@@ -270,7 +283,7 @@
         self._buffered_bytes = 0
         self._paused = False
         self._max_buffered = MAX_BUFFERED_BYTES
-        self._is_framed = False
+        self.framing = Framing.CONNECTION
         self.status = 0
         self.headers: HeaderFields = []
         self.length: int | None = None
@@ -355,7 +368,7 @@
 
     def stream_ended(self) -> None:
         """Completes a body that extends to the end of the stream."""
-        if self.has_head and not self._is_framed:
+        if self.has_head and self.framing is Framing.CONNECTION:
             self.complete = True
 
     def on_message_begin(self) -> None:
@@ -378,17 +391,19 @@
             return
         self.status = status
         self.has_head = True
-        is_chunked = False
         for name, value in self.headers:
             if name.lower() == b"content-length":
-                self._is_framed = True
+                if self.framing is not Framing.CHUNKS:
+                    self.framing = Framing.LENGTH
                 self.length = int(value) if value.isdigit() else None
             elif (
                 name.lower() == b"transfer-encoding"
                 and b"chunked" in value.lower()
             ):
-                self._is_framed = is_chunked = True
-        if is_chunked or not self._has_body:
+                self.framing = Framing.CHUNKS
+        if not self._has_body or status in _STATUSES_WITHOUT_BODY:
+            self.framing = Framing.NO_BODY
+        if self.framing is not Framing.LENGTH:
             self.length = None
         if self.length is not None and self.length > MAX_BUFFERED_BYTES:
             # Long responses that begin at once would take 128 KB each.
