Add failing tests of answers that end with their connection

The stand-in servers, the randomised run and the demo learn answers with neither a length nor chunks, whole and broken off: after the head, within an event, reset after the head or after a whole event. The stand-in link now passes a reset on as a reset (it made an end in order of it), and servers that are killed reset their connections.

--- a/demo/platform.py
+++ b/demo/platform.py
@@ -1,7 +1,8 @@
 """Demo of the platform's interface, with a small site and two instances.
 
-Sends a request to each route, then a stream whose server is drained before the
-stream ends. Prints the results and one instance's log of that stream.
+Sends a request to each route, then a stream whose first run is broken off after
+its head, and one whose server is drained before the stream ends. Prints the
+results and one instance's log of the last stream.
 """
 
 import contextlib
@@ -19,6 +20,7 @@
 
 from jasminerelay import explain
 from standins.launcher import ROOT
+from standins.platformserver import Break, ServerFaults
 from standins.platformsite import (
     API_KEY,
     HOST,
@@ -31,6 +33,7 @@
 WAIT_S = 30.0
 POLL_S = 0.05
 EVENTS = 150
+BROKEN_EVENTS = 12
 SAMPLES = (
     ("confirm", "POST", "/confirm/slot", {}),
     ("lookup", "GET", "/lookup/slot", {}),
@@ -74,6 +77,12 @@
             size = reply.content.count(b"\n\n") or 1
             print(f"{name:8} {reply.status} {size} event(s)")
             good = good and reply.status == 200
+        continued = await _count_broken_stream(site, pool, listen[0]["front"])
+        print(
+            "stream without length and chunks, broken off after its head:"
+            f" {continued} of {BROKEN_EVENTS} events"
+        )
+        good = good and continued == BROKEN_EVENTS
         whole = await _count_drained_stream(site, pool, listen[0]["front"])
     print(f"stream whose server was drained: {whole} of {EVENTS} events")
     return good and whole == EVENTS
@@ -88,6 +97,20 @@
             await anyio.sleep(POLL_S)
 
 
+async def _count_broken_stream(site, pool, front: str) -> int:
+    usual = {name: server.faults for name, server in site.servers.items()}
+    broken = ServerFaults(
+        by_connection=True, breaks=1, break_as=Break.AFTER_HEAD
+    )
+    for server in site.servers.values():
+        server.faults = broken
+    fields = {"Token-Usage": f"300,{BROKEN_EVENTS}", "Attempt-Id": "demo-cut"}
+    reply = await _send_request(pool, front, "POST", "/chat/2/stream", fields)
+    for name, faults in usual.items():
+        site.servers[name].faults = faults
+    return reply.content.count(b"\n\n")
+
+
 async def _count_drained_stream(site, pool, front: str) -> int:
     replies = []
 
--- a/standins/link.py
+++ b/standins/link.py
@@ -17,7 +17,6 @@
 _CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
-    anyio.EndOfStream,
     OSError,
 )
 
@@ -72,11 +71,7 @@
     def reset(self) -> None:
         """Resets all connections; the listening side sends a TCP RST."""
         for scope, client in self._open.items():
-            raw = client.extra(SocketAttribute.raw_socket)
-            with contextlib.suppress(OSError):
-                raw.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO
-                )
+            _reset_on_close(client)
             scope.cancel()
 
     async def _handle(self, client: SocketStream) -> None:
@@ -105,7 +100,7 @@
         scope: anyio.CancelScope,
         answers: bool,
     ) -> None:
-        with contextlib.suppress(*_CONNECTION_ERRORS):
+        try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
                 if self.faults.delay_s:
@@ -113,5 +108,16 @@
                 if self.faults.silent or (answers and self.faults.deaf):
                     continue
                 await destination.send(data)
+        except anyio.EndOfStream:
+            pass
+        except _CONNECTION_ERRORS:
+            _reset_on_close(destination)
         # One side has closed the connection: close the other side, too.
         scope.cancel()
+
+
+def _reset_on_close(stream: SocketStream) -> None:
+    """Lets the end of a connection be a reset."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -6,14 +6,26 @@
 
 import asyncio
 import dataclasses
+import enum
 import json
 from collections.abc import Callable
 
+from standins.connectionanswers import ConnectionAnswer
+
 EVENT_INTERVAL_S = 0.01
 NEARLY_FULL = 0.85
 PIECE_BYTES = 64 * 1024
 
 
+class Break(enum.Enum):
+    """Where and how a response breaks off."""
+
+    AFTER_HEAD = "its connection ends after the head"
+    WITHIN_PART = "its connection ends within an event, is reset within a body"
+    RESET_AFTER_HEAD = "its connection is reset after the head"
+    RESET_AFTER_PART = "its connection is reset after a whole event"
+
+
 @dataclasses.dataclass
 class ServerFaults:
     """Active faults.
@@ -50,6 +62,11 @@
         cut_after: Bytes after which a long answer breaks off; 0 disables the
             fault.
         event_bytes: Size of the data of each event; 0 for a few bytes.
+        by_connection: Whether successful answers have neither a length nor
+            chunks and end with their connection.
+        breaks: Number of upcoming answers that break off, if they are
+            `by_connection`.
+        break_as: How they break off.
     """
 
     refuse: int = 0
@@ -75,6 +92,9 @@
     framed: bool = True
     cut_after: int = 0
     event_bytes: int = 0
+    by_connection: bool = False
+    breaks: int = 0
+    break_as: Break = Break.AFTER_HEAD
 
 
 @dataclasses.dataclass
@@ -203,6 +223,9 @@
             faults.fail -= 1
             await self._send_complete(send, 500, ran, b"failed")
             return
+        if faults.by_connection and not scope["path"].endswith("/long"):
+            await self._send_by_connection(scope, send, ran)
+            return
         if scope["path"].endswith("/stream"):
             await self._send_stream(send, ran)
             return
@@ -225,9 +248,7 @@
                 ],
             }
         )
-        events = int(ran.headers.get("token-usage", "1,5").split(",")[1])
-        first = int(ran.headers.get("last-event-id", "0")) + 1
-        for number in range(first, events + 1):
+        for number in _numbers_of(ran):
             await asyncio.sleep(self.faults.tick_s * self._work_factor())
             if ran.moved:
                 return
@@ -246,6 +267,44 @@
         await send({"type": "http.response.body", "body": b""})
         ran.ended = True
 
+    async def _send_by_connection(
+        self, scope, send, ran: ServedRequest
+    ) -> None:
+        """Sends an answer whose end is that of its connection."""
+        kind = self.faults.break_as if self.faults.breaks > 0 else None
+        if kind is not None:
+            self.faults.breaks -= 1
+        is_stream = scope["path"].endswith("/stream")
+        whole = [b"answer to " + ran.attempt.encode()]
+        parts = _events_of(ran) if is_stream else whole
+        answer = ConnectionAnswer(send)
+        answer.start(200, self._response_headers(ran.attempt))
+        sent = False
+        for part in parts:
+            await asyncio.sleep(self.faults.tick_s * self._work_factor())
+            if ran.moved:
+                # The stream is closed without its end.
+                answer.end()
+                return
+            if kind in _BREAKS_AFTER_HEAD:
+                break
+            sent = True
+            if kind is Break.WITHIN_PART:
+                answer.write(part[: len(part) // 2])
+                break
+            answer.write(part)
+            if kind is not None:
+                break
+        # Where a body that ends with its connection is not a stream of events,
+        # only a reset shows that it was broken off.
+        if kind in _RESETS or (kind is not None and sent and not is_stream):
+            # Whatever was sent before is read before the reset.
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            answer.reset()
+            return
+        answer.end()
+        ran.ended = kind is None
+
     def _is_fatal(self, ran: ServedRequest) -> bool:
         return bool(self.faults.fatal) and ran.body == self.faults.fatal
 
@@ -342,6 +401,20 @@
         ]
 
 
+_BREAKS_AFTER_HEAD = (Break.AFTER_HEAD, Break.RESET_AFTER_HEAD)
+_RESETS = (Break.RESET_AFTER_HEAD, Break.RESET_AFTER_PART)
+
+
+def _numbers_of(ran: ServedRequest) -> range:
+    """Returns the numbers of the events of a run."""
+    events = int(ran.headers.get("token-usage", "1,5").split(",")[1])
+    return range(int(ran.headers.get("last-event-id", "0")) + 1, events + 1)
+
+
+def _events_of(ran: ServedRequest) -> list[bytes]:
+    return [b"id: %d\ndata: t%d\n\n" % (n, n) for n in _numbers_of(ran)]
+
+
 async def _send_json(send, status: int, value: dict) -> None:
     body = json.dumps(value).encode()
     await send(
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -13,6 +13,7 @@
 import anyio
 
 from jasminerelay import ports
+from standins import connectionanswers
 from standins.launcher import free_address
 from standins.link import Link
 from standins.platformduties import PlatformDuties
@@ -327,7 +328,7 @@
                     for server in getattr(port, "servers", []):
                         server.close()
                     for conn in list(port.server_state.connections):
-                        conn.transport.abort()
+                        connectionanswers.reset(conn.transport)
 
         self._group.start_soon(serve)
         while not port.started:
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -31,6 +31,7 @@
 import httpcore
 
 from standins.launcher import ROOT
+from standins.platformserver import Break
 from standins.platformsite import (
     API_KEY,
     HOST,
@@ -401,6 +402,17 @@
         await anyio.sleep(rng.uniform(0.3, 2.0))
         setattr(server.faults, kind, 0)
 
+    async def _server_answers_by_connection(self, rng: random.Random) -> None:
+        """Lets a server's answers end with their connection; breaks some."""
+        faults = rng.choice(list(self.site.servers.values())).faults
+        faults.by_connection = True
+        for _ in range(rng.randint(1, 6)):
+            faults.break_as = rng.choice(list(Break))
+            faults.breaks = rng.randint(0, 2)
+            await anyio.sleep(rng.uniform(0.1, 0.6))
+        faults.breaks = 0
+        faults.by_connection = rng.random() < 0.5
+
     async def _server_gone(self, rng: random.Random) -> None:
         name = self._choose_server(rng)
         if name is None:
@@ -795,6 +807,8 @@
     PlatformSoak._link,
     PlatformSoak._link,
     PlatformSoak._server_fails,
+    PlatformSoak._server_answers_by_connection,
+    PlatformSoak._server_answers_by_connection,
     PlatformSoak._server_gone,
     PlatformSoak._server_announces,
     PlatformSoak._server_pauses,
--- /dev/null
+++ b/tests/test_connectionanswers.py
@@ -0,0 +1,124 @@
+"""Tests answers that end with their connection, whole and broken off."""
+
+import contextlib
+
+import anyio
+
+from standins.platformserver import Break, ServerFaults
+from standins.platformsite import MODEL_BACKEND
+from tests.platformcase import PlatformCase, events
+
+PROMPT = {"Token_Usage": "1200,20", "Prefix_Hash": "aa:1000,bb:200"}
+
+
+class ConnectionAnswersTest(PlatformCase):
+    """Answers with neither a length nor chunks."""
+
+    @contextlib.asynccontextmanager
+    async def answering(self, breaks: int = 0, kind: Break = Break.AFTER_HEAD):
+        """Runs a site whose servers answer so; each breaks off some answers."""
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.by_connection = True
+                server.faults.breaks = breaks
+                server.faults.break_as = kind
+            yield site, instance
+
+    def runs(self, site) -> int:
+        return sum(len(server.journal) for server in site.servers.values())
+
+    async def test_whole_answers(self) -> None:
+        async with self.answering() as (_, instance):
+            for path in ("/chat/1/stream", "/sheet/1/stream"):
+                answer = await self.ask(instance, path, **PROMPT)
+                self.assertEqual(
+                    (answer.whole, answer.body), (True, events(20))
+                )
+            plain = await self.ask(instance, "/confirm/x")
+            self.assertEqual((plain.whole, plain.body), (True, b"answer to a1"))
+
+    async def test_stream_broken_off_after_its_head_goes_on(self) -> None:
+        # Guards against an empty run of a stream that counts as its end.
+        for kind in Break:
+            async with self.answering() as (site, instance):
+                faults = ServerFaults(
+                    by_connection=True, breaks=1, break_as=kind
+                )
+                for server in site.servers.values():
+                    server.faults = faults
+                answer = await self.ask(instance, "/chat/1/stream", **PROMPT)
+                self.assertEqual(self.runs(site), 2)
+                self.assertEqual(
+                    (answer.whole, answer.body), (True, events(20))
+                )
+
+    async def test_stream_broken_off_twice_is_not_complete(self) -> None:
+        # Guards against a continued run without events that completes the
+        # events of an earlier run.
+        for kind in Break:
+            async with self.answering() as (site, instance):
+                for server in site.servers.values():
+                    server.faults.break_as = kind
+                first, second = (
+                    site.servers["engine-1"],
+                    site.servers["engine-2"],
+                )
+                first.faults.breaks = second.faults.breaks = 100
+                answer = await self.ask(instance, "/chat/1/stream", **PROMPT)
+                self.assertEqual(self.runs(site), 2)
+                self.assertFalse(answer.whole and answer.status == 200, kind)
+
+    async def test_stream_that_may_run_once_is_not_complete(self) -> None:
+        # Guards against an empty answer that counts as a whole stream.
+        for kind in Break:
+            async with self.answering(100, kind) as (site, instance):
+                answer = await self.ask(instance, "/sheet/1/stream", **PROMPT)
+                self.assertEqual(self.runs(site), 1)
+                self.assertFalse(answer.whole and answer.status == 200, kind)
+
+    async def test_plain_answer_without_a_byte_is_not_whole(self) -> None:
+        # Guards against an answer that broke off after its head and counts
+        # as an empty one.
+        for kind in (Break.AFTER_HEAD, Break.RESET_AFTER_HEAD):
+            async with self.answering(100, kind) as (site, instance):
+                answer = await self.ask(instance, "/confirm/x")
+                self.assertEqual((answer.status, self.runs(site)), (502, 1))
+
+    async def test_idempotent_answer_without_a_byte_goes_elsewhere(
+        self,
+    ) -> None:
+        # Guards against an empty answer that ends the search for a whole one.
+        async with self.answering() as (site, instance):
+            site.servers["plain-1"].faults.breaks = 100
+            for number in range(6):
+                answer = await self.ask(
+                    instance, "/lookup/x", "GET", f"a{number}"
+                )
+                self.assertEqual(answer.body, b"answer to a%d" % number)
+
+    async def test_stopped_run_is_no_end(self) -> None:
+        # Guards against a stream that a server closes since its run was
+        # ordered to move, and whose end looks like that of the answer.
+        async with self.answering() as (site, instance):
+            answers = []
+
+            async def ask() -> None:
+                answers.append(
+                    await self.ask(
+                        instance,
+                        "/sheet/1/stream",
+                        Token_Usage="1200,250",
+                        Length_Hint="250",
+                        Prefix_Hash="aa:1000,bb:200",
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(lambda: self.runs(site) == 1)
+                await anyio.sleep(0.2)
+                (name,) = [n for n, s in site.servers.items() if s.journal]
+                site.write_server_row(name, MODEL_BACKEND, "draining")
+            (answer,) = answers
+            self.assertEqual(site.servers[name].move_count, 1)
+            self.assertEqual((answer.whole, answer.body), (True, events(250)))
