Ask one place whether a server's answer is complete

ServerResponse took the end of the connection for the end of the body, and the only question asked afterwards was whether a partial event was left; an empty run passes it, and completed the events of the run before.

completeness decides now, for streams, plain answers and calls of plain services on the project's own interface: a length, last chunk or bodyless status proves the end; a stream that ends with its connection must end with an event with data, a plain answer must have a byte or be a failure, whose status is its answer. Model streams of the own interface had their proof ([DONE]). A continued run that truly had nothing left, sent without chunks, now counts as broken off: it can't be told apart.

The three proofs fail without their safeguards.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -10,11 +10,12 @@
 import anyio
 import httpcore
 
-from jasminerelay import sse
+from jasminerelay import completeness, sse
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.callerpace import CallerPace, CallerStalledError
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
+from jasminerelay.completeness import Framing
 from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
@@ -359,6 +360,12 @@
             return await self._relay_answer(
                 channel, response, head, first, done
             )
+        fault = completeness.body_fault(
+            response.framing, head.status, len(body)
+        )
+        if fault and not head.not_run:
+            self._context.counters.incr("backend.incomplete")
+            return Unknown(fault, broken=True)
         await self._complete(channel, response, head, done)
         if head.not_run:
             return _not_run(head)
@@ -570,8 +577,12 @@
             return Interrupted(repr(exc), held_up, broken)
         except ValueError as exc:
             return Interrupted(str(exc))
-        if splitter.has_partial_event:
-            return Interrupted("the stream ended within an event")
+        fault = completeness.stream_fault(response.framing, splitter)
+        if fault:
+            self._context.counters.incr("backend.incomplete")
+            return Interrupted(
+                fault, broken=response.framing is Framing.CONNECTION
+            )
         self._progress.status = head.status
         self._progress.output = self._progress.events * timer.event_tokens
         self._context.dispatcher.lengths.observe(
--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from jasminerelay import sse
+from jasminerelay import completeness, sse
 from jasminerelay.httpclient import (
     HttpClient,
     HttpRequest,
@@ -241,6 +241,14 @@
         self._on_response(server.name, _statement(reply.status, reply.headers))
         if NOT_RUN_HEADER in reply.headers:
             raise _refusal_error(reply)
+        ended_by = completeness.framing(
+            reply.status,
+            [(k.encode(), v.encode()) for k, v in reply.headers.items()],
+            has_body=full.method != "HEAD",
+        )
+        fault = completeness.body_fault(ended_by, reply.status, len(reply.body))
+        if fault:
+            raise AttemptError(fault, ExecutionStatus.MAY_HAVE_RUN)
         return reply
 
 
--- /dev/null
+++ b/src/jasminerelay/completeness.py
@@ -0,0 +1,83 @@
+"""Decides whether a backend server's answer is complete.
+
+A length or a last chunk proves the end of a body. A body that ends with its
+connection proves nothing by its end, since the connection of a server that
+crashes ends as well; its content has to show that it is complete.
+"""
+
+import enum
+from collections.abc import Iterable
+
+from jasminerelay.sse import EventSplitter
+
+MIN_FAILURE_STATUS = 400
+STATUSES_WITHOUT_BODY = (204, 304)
+
+
+class Framing(enum.Enum):
+    """What marks the end of a response's body."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
+def framing(
+    status: int,
+    fields: Iterable[tuple[bytes, bytes]],
+    *,
+    has_body: bool = True,
+) -> Framing:
+    """Returns what marks the end of a body, from the response's head.
+
+    Args:
+        status: Status.
+        fields: Header fields.
+        has_body: Whether the request's method allows a body.
+    """
+    if not has_body or status in STATUSES_WITHOUT_BODY:
+        return Framing.NO_BODY
+    found = Framing.CONNECTION
+    for name, value in fields:
+        if name.lower() == b"content-length":
+            found = Framing.LENGTH
+        elif (
+            name.lower() == b"transfer-encoding" and b"chunked" in value.lower()
+        ):
+            return Framing.CHUNKS
+    return found
+
+
+def body_fault(ended_by: Framing, status: int, size: int) -> str:
+    """Returns why a body that has ended is not complete; "" if it is.
+
+    Args:
+        ended_by: What marks its end.
+        status: Status of its response.
+        size: Its size in bytes.
+    """
+    if (
+        ended_by is Framing.CONNECTION
+        and not size
+        and status < MIN_FAILURE_STATUS
+    ):
+        return "the connection ended before the first byte of the body"
+    return ""
+
+
+def stream_fault(ended_by: Framing, splitter: EventSplitter) -> str:
+    """Returns why a stream of events that has ended is not complete.
+
+    Args:
+        ended_by: What marks its end.
+        splitter: Splitter that got all of it.
+
+    Returns:
+        The reason; "" if it is complete.
+    """
+    if splitter.has_partial_event:
+        return "the stream ended within an event"
+    if ended_by is Framing.CONNECTION and not splitter.ends_with_event:
+        return "the connection ended before the first event"
+    return ""
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import enum
 import socket
 from collections.abc import Iterable
 
@@ -15,7 +14,8 @@
 import httpcore
 import httptools
 
-from jasminerelay import netstream
+from jasminerelay import completeness, netstream
+from jasminerelay.completeness import Framing
 from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.watchdog import Watchdog
 
@@ -32,20 +32,9 @@
 
 MAX_HEAD_BYTES = 100 * 1024
 
-_STATUSES_WITHOUT_BODY = (204, 304)
-
 HeaderFields = list[tuple[bytes, bytes]]
 
 
-class Framing(enum.Enum):
-    """What marks the end of a response's body."""
-
-    NO_BODY = "no body"
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "connection"
-
-
 class ServerConnection(asyncio.Protocol):
     """Carries one request at a time.
 
@@ -367,7 +356,10 @@
         )
 
     def stream_ended(self) -> None:
-        """Completes a body that extends to the end of the stream."""
+        """Ends a body that extends to the end of the stream.
+
+        `completeness` decides whether that shows that it is complete.
+        """
         if self.has_head and self.framing is Framing.CONNECTION:
             self.complete = True
 
@@ -391,20 +383,11 @@
             return
         self.status = status
         self.has_head = True
-        for name, value in self.headers:
-            if name.lower() == b"content-length":
-                if self.framing is not Framing.CHUNKS:
-                    self.framing = Framing.LENGTH
-                self.length = int(value) if value.isdigit() else None
-            elif (
-                name.lower() == b"transfer-encoding"
-                and b"chunked" in value.lower()
-            ):
-                self.framing = Framing.CHUNKS
-        if not self._has_body or status in _STATUSES_WITHOUT_BODY:
-            self.framing = Framing.NO_BODY
-        if self.framing is not Framing.LENGTH:
-            self.length = None
+        self.framing = completeness.framing(
+            status, self.headers, has_body=self._has_body
+        )
+        if self.framing is Framing.LENGTH:
+            self.length = _stated_length(self.headers)
         if self.length is not None and self.length > MAX_BUFFERED_BYTES:
             # Long responses that begin at once would take 128 KB each.
             self._max_buffered = 0
@@ -439,6 +422,12 @@
         )
 
 
+def _stated_length(headers: HeaderFields) -> int | None:
+    lengths = (v for k, v in headers if k.lower() == b"content-length")
+    value = next(lengths, b"")
+    return int(value) if value.isdigit() else None
+
+
 async def connect(
     host: str, port: int, timeout_s: float, watchdog: Watchdog
 ) -> ServerConnection:
--- a/src/jasminerelay/sse.py
+++ b/src/jasminerelay/sse.py
@@ -86,6 +86,14 @@
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._last_block = b""
+
+    @property
+    def ends_with_event(self) -> bool:
+        """Whether the stream so far ends with a complete event with data."""
+        return not self._buffer and any(
+            line.startswith(b"data") for line in self._last_block.split(b"\n")
+        )
 
     @property
     def has_partial_event(self) -> bool:
@@ -101,6 +109,8 @@
         *blocks, self._buffer = (self._buffer + chunk).split(b"\n\n")
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError("the event exceeds the size limit")
+        if blocks:
+            self._last_block = blocks[-1]
         return [RawEvent(block + b"\n\n", _parse_id(block)) for block in blocks]
 
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -414,11 +414,27 @@
     ),
     Safeguard(
         "a stream that ends within an event is incomplete",
-        "attempt",
-        "        if splitter.has_partial_event:\n",
-        "        if False:\n",
+        "completeness",
+        "    if splitter.has_partial_event:\n",
+        "    if False:\n",
         "test_platform.FailuresTest.test_torn_event_is_no_end",
     ),
+    Safeguard(
+        "a stream whose connection ends before an event is incomplete",
+        "completeness",
+        "if ended_by is Framing.CONNECTION and not splitter.ends_with_event:",
+        "if False:",
+        "test_connectionanswers.ConnectionAnswersTest"
+        ".test_stream_broken_off_twice_is_not_complete",
+    ),
+    Safeguard(
+        "a body whose connection ends before a byte is incomplete",
+        "completeness",
+        "        and not size\n",
+        "        and size < 0\n",
+        "test_connectionanswers.ConnectionAnswersTest"
+        ".test_plain_answer_without_a_byte_is_not_whole",
+    ),
     Safeguard(
         "streams are moved from leaving servers",
         "storefollowing",
--- a/tests/test_connectionanswers.py
+++ b/tests/test_connectionanswers.py
@@ -1,16 +1,93 @@
 """Tests answers that end with their connection, whole and broken off."""
 
 import contextlib
+import unittest
 
 import anyio
 
+from jasminerelay import completeness
+from jasminerelay.backends import AttemptError, ExecutionStatus, ServiceClient
+from jasminerelay.completeness import Framing
+from jasminerelay.httpclient import HttpClient, HttpRequest
+from jasminerelay.schema.manifest import Server
+from jasminerelay.sse import EventSplitter
+from jasminerelay.watchdog import Watchdog
 from standins.platformserver import Break, ServerFaults
 from standins.platformsite import MODEL_BACKEND
 from tests.platformcase import PlatformCase, events
+from tests.test_platform import run_raw_server
 
 PROMPT = {"Token_Usage": "1200,20", "Prefix_Hash": "aa:1000,bb:200"}
 
 
+class CompletenessTest(unittest.TestCase):
+    """What proves that an answer is complete."""
+
+    def test_framing(self) -> None:
+        length = (b"Content-Length", b"5")
+        chunked = (b"Transfer-Encoding", b"gzip, Chunked")
+        cases = (
+            (200, [], True, Framing.CONNECTION),
+            (200, [length], True, Framing.LENGTH),
+            (200, [chunked, length], True, Framing.CHUNKS),
+            (204, [], True, Framing.NO_BODY),
+            (200, [length], False, Framing.NO_BODY),
+        )
+        for status, fields, has_body, expected in cases:
+            found = completeness.framing(status, fields, has_body=has_body)
+            self.assertIs(found, expected)
+
+    def test_streams(self) -> None:
+        event, comment = b"id: 1\ndata: x\n\n", b": still here\n\n"
+        cases = (
+            (b"", "before the first event"),
+            (comment, "before the first event"),
+            (event, ""),
+            (event + comment, "before the first event"),
+            (event[:-1], "within an event"),
+            (event + event[:4], "within an event"),
+        )
+        for data, reason in cases:
+            splitter = EventSplitter()
+            splitter.feed(data)
+            found = completeness.stream_fault(Framing.CONNECTION, splitter)
+            self.assertEqual(bool(found), bool(reason), (data, found))
+            self.assertIn(reason, found)
+
+    def test_framed_ends_need_no_content(self) -> None:
+        for ended_by in (Framing.LENGTH, Framing.CHUNKS):
+            splitter = EventSplitter()
+            self.assertEqual(completeness.stream_fault(ended_by, splitter), "")
+            self.assertEqual(completeness.body_fault(ended_by, 200, 0), "")
+
+    def test_failure_needs_no_body(self) -> None:
+        self.assertEqual(
+            completeness.body_fault(Framing.CONNECTION, 500, 0), ""
+        )
+
+
+class ServiceAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of plain services on the project's own interface."""
+
+    async def test_answer_without_a_byte_may_have_run(self) -> None:
+        # Guards against an answer that broke off after its head and is
+        # recorded as the outcome of a call that may run once.
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            writer.close()
+
+        client = HttpClient(Watchdog())
+        services = ServiceClient(client, lambda *_: None)
+        async with run_raw_server(serve) as address:
+            server = Server("s", address, "z", 1)
+            with self.assertRaises(AttemptError) as caught:
+                await services.call(server, HttpRequest("POST", "/x"))
+        await client.aclose()
+        status = caught.exception.execution_status
+        self.assertIs(status, ExecutionStatus.MAY_HAVE_RUN)
+
+
 class ConnectionAnswersTest(PlatformCase):
     """Answers with neither a length nor chunks."""
 
