Do not take the end of a stopped run for the end of its stream

Found while looking for the cause of ORDER on other paths: a stream without length and chunks whose server was ordered to stop its run (a move away from a server that shuts down, or to a faster one) is closed by the server in order and after a whole event. It counted as complete, and the caller got the first part as a whole answer; the copy was never used. The same holds where the reply to the order was lost, so a reply that does not deny the run counts as a stop.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -195,6 +195,7 @@
         self._sink = sink
         self._progress = progress
         self._move_ended: anyio.Event | None = None
+        self._may_have_stopped = False
         self._sent_at = 0.0
         self._running_at_send = 0
         self._continues_run = False
@@ -249,6 +250,7 @@
         self._progress.maybe_ran = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
+        self._may_have_stopped = False
         self._pace = None
         workload = self._context.dispatcher.workload
         self._running_at_send = workload.load(server.id).running
@@ -520,10 +522,7 @@
                 group.start_soon(self._move_when_leaving, server, leaving_event)
                 group.start_soon(self._move_when_slow, server)
                 outcome = await self._relay_events(reservation, response, head)
-                move_ended = self._move_ended
-                if move_ended is not None:
-                    # The stream may end before the reply to the move order.
-                    await move_ended.wait()
+                await self._wait_for_move()
         except CallerStalledError as exc:
             self._sink.reset()
             return CallerStalled(str(exc))
@@ -577,7 +576,10 @@
             return Interrupted(repr(exc), held_up, broken)
         except ValueError as exc:
             return Interrupted(str(exc))
-        fault = completeness.stream_fault(response.framing, splitter)
+        await self._wait_for_move()
+        fault = completeness.stream_fault(
+            response.framing, splitter, may_have_stopped=self._may_have_stopped
+        )
         if fault:
             self._context.counters.incr("backend.incomplete")
             return Interrupted(
@@ -590,6 +592,11 @@
         )
         return Delivered(head.status)
 
+    async def _wait_for_move(self) -> None:
+        """Waits for the reply to a move order, which a stream may outrun."""
+        if self._move_ended is not None:
+            await self._move_ended.wait()
+
     async def _wait_for_caller(
         self, response: ServerResponse, server: BackendServer
     ) -> None:
@@ -657,9 +664,11 @@
         self._move_ended = anyio.Event()
         self._progress.moves += 1
         try:
-            self._progress.copy = await self._context.stream_migrator.move(
+            result = await self._context.stream_migrator.move(
                 self._call, server, reservation.placed.server
             )
+            self._progress.copy = result.copy
+            self._may_have_stopped = result.may_have_stopped
         finally:
             reservation.run.end()
             self._move_ended.set()
--- a/src/jasminerelay/completeness.py
+++ b/src/jasminerelay/completeness.py
@@ -66,18 +66,29 @@
     return ""
 
 
-def stream_fault(ended_by: Framing, splitter: EventSplitter) -> str:
+def stream_fault(
+    ended_by: Framing,
+    splitter: EventSplitter,
+    *,
+    may_have_stopped: bool = False,
+) -> str:
     """Returns why a stream of events that has ended is not complete.
 
     Args:
         ended_by: What marks its end.
         splitter: Splitter that got all of it.
+        may_have_stopped: Whether its server may have stopped the run by order,
+            and closed the stream without an end.
 
     Returns:
         The reason; "" if it is complete.
     """
     if splitter.has_partial_event:
         return "the stream ended within an event"
-    if ended_by is Framing.CONNECTION and not splitter.ends_with_event:
+    if ended_by is not Framing.CONNECTION:
+        return ""
+    if not splitter.ends_with_event:
         return "the connection ended before the first event"
+    if may_have_stopped:
+        return "the connection ended after an order to stop the run"
     return ""
--- a/src/jasminerelay/migration.py
+++ b/src/jasminerelay/migration.py
@@ -52,6 +52,20 @@
     at: BackendServer
 
 
+@dataclasses.dataclass(frozen=True)
+class MoveResult:
+    """What became of an order to move a run.
+
+    Attributes:
+        copy: Copy of its KV cache; None if there is none.
+        may_have_stopped: Whether its server may have stopped the run, and then
+            closes its stream without an end.
+    """
+
+    copy: KvCacheCopy | None
+    may_have_stopped: bool
+
+
 class MoveDialect(Protocol):
     """Translates move orders to and from a server interface."""
 
@@ -63,7 +77,10 @@
     def moved(
         self, reply: HttpResponse, source: BackendServer, target: BackendServer
     ) -> KvCacheCopy | None:
-        """Reads the reply; None if the run continues on its server."""
+        """Reads the reply; None if it names no copy."""
+
+    def run_unknown(self, reply: HttpResponse) -> bool:
+        """Returns whether the server had no such run, so it stopped none."""
 
 
 class StreamMigrator:
@@ -106,8 +123,8 @@
 
     async def move(
         self, call: Call, source: BackendServer, target: BackendServer
-    ) -> KvCacheCopy | None:
-        """Stops a run and copies its KV cache; None if the run continues."""
+    ) -> MoveResult:
+        """Orders a server to stop a run and to copy its KV cache."""
         limiter = self._limiters.setdefault(
             source.id, anyio.CapacityLimiter(MAX_CONCURRENT_MOVES)
         )
@@ -121,7 +138,8 @@
                 self._log.warn(
                     "move_failed", id=call.id, server=source.id, why=str(exc)
                 )
-                return None
+                unsent = isinstance(exc, NotSentError)
+                return MoveResult(None, may_have_stopped=not unsent)
         copy = self._dialect.moved(reply, source, target)
         self._counters.incr("stream.moved" if copy else "stream.not_moved")
         self._log.info(
@@ -131,4 +149,6 @@
             target=copy.at.id if copy else None,
             status=reply.status,
         )
-        return copy
+        return MoveResult(
+            copy, may_have_stopped=not self._dialect.run_unknown(reply)
+        )
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -239,6 +239,10 @@
         at = target if reply.status == 200 else source
         return KvCacheCopy(source.address, moved.handle, at)
 
+    def run_unknown(self, reply: HttpResponse) -> bool:
+        """Returns whether the server had no such run."""
+        return reply.status == _NO_SUCH_RUN
+
 
 class _MoveOrder(msgspec.Struct):
     # Attempt id of the request to move.
@@ -249,6 +253,9 @@
     final: bool
 
 
+_NO_SUCH_RUN = 404
+
+
 class _MoveReply(msgspec.Struct):
     handle: str = ""
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -422,11 +422,19 @@
     Safeguard(
         "a stream whose connection ends before an event is incomplete",
         "completeness",
-        "if ended_by is Framing.CONNECTION and not splitter.ends_with_event:",
-        "if False:",
+        "    if not splitter.ends_with_event:",
+        "    if False:",
         "test_connectionanswers.ConnectionAnswersTest"
         ".test_stream_broken_off_twice_is_not_complete",
     ),
+    Safeguard(
+        "a stream of a stopped run is incomplete",
+        "completeness",
+        "    if may_have_stopped:",
+        "    if False:",
+        "test_connectionanswers.ConnectionAnswersTest"
+        ".test_stopped_run_is_no_end",
+    ),
     Safeguard(
         "a body whose connection ends before a byte is incomplete",
         "completeness",
--- a/tests/test_connectionanswers.py
+++ b/tests/test_connectionanswers.py
@@ -54,6 +54,15 @@
             self.assertEqual(bool(found), bool(reason), (data, found))
             self.assertIn(reason, found)
 
+    def test_stopped_run(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: x\n\n")
+        for ended_by in (Framing.CONNECTION, Framing.CHUNKS):
+            fault = completeness.stream_fault(
+                ended_by, splitter, may_have_stopped=True
+            )
+            self.assertEqual(bool(fault), ended_by is Framing.CONNECTION)
+
     def test_framed_ends_need_no_content(self) -> None:
         for ended_by in (Framing.LENGTH, Framing.CHUNKS):
             splitter = EventSplitter()
