Count the connections to servers that an instance opens or can't open

RECOVER could only be read from the request lines of single requests: nothing said that an instance reaches no server. The counters tell an instance that lost its links (failures there only) from servers that are down (failures everywhere). Connections are opened by a function that the composition root passes in, so that a stand-in network can take its place. Decisions are unchanged.

--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -13,6 +13,8 @@
     IncompleteExchangeError,
     NotSentError,
 )
+from jasminerelay.metrics import Counters
+from jasminerelay.netstream import OpenConnection
 from jasminerelay.serverconnection import (
     HeaderFields,
     ServerConnection,
@@ -106,8 +108,22 @@
 class ChannelPool:
     """Pool of the connections of an instance to backend servers."""
 
-    def __init__(self, watchdog: Watchdog):
+    def __init__(
+        self,
+        watchdog: Watchdog,
+        counters: Counters,
+        open_connection: OpenConnection,
+    ):
+        """Creates an empty pool.
+
+        Args:
+            watchdog: Enforces the time limits of reads.
+            counters: Counts the connections that were opened, and failures.
+            open_connection: Opens connections to servers.
+        """
         self._watchdog = watchdog
+        self._counters = counters
+        self._open_connection = open_connection
         self._idle: dict[str, collections.deque[_IdleChannel]] = {}
         self._no_pooling_until: dict[str, float] = {}
 
@@ -171,8 +187,17 @@
         host, _, port = server.address.rpartition(":")
         try:
             conn = await serverconnection.connect(
-                host, int(port), CONNECT_TIMEOUT_S, self._watchdog
+                host,
+                int(port),
+                CONNECT_TIMEOUT_S,
+                self._watchdog,
+                self._open_connection,
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+        except httpcore.ConnectTimeout as exc:
+            self._counters.incr("backend.open.timed_out")
+            raise NotSentError(repr(exc)) from exc
+        except httpcore.ConnectError as exc:
+            self._counters.incr("backend.open.failed")
             raise NotSentError(repr(exc)) from exc
+        self._counters.incr("backend.open.done")
         return Channel(server, conn)
--- a/src/jasminerelay/netstream.py
+++ b/src/jasminerelay/netstream.py
@@ -1,9 +1,10 @@
 """Network backend of the HTTP client, with read timeouts by the watchdog."""
 
+import asyncio
 import select
 import socket
 import ssl
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -25,6 +26,25 @@
 )
 
 
+OpenConnection = Callable[
+    [Callable[[], asyncio.Protocol], str, int],
+    Awaitable[tuple[asyncio.Transport, asyncio.Protocol]],
+]
+"""Opens a TCP connection for a protocol to a host and port."""
+
+
+async def open_connection(
+    create: Callable[[], asyncio.Protocol], host: str, port: int
+) -> tuple[asyncio.Transport, asyncio.Protocol]:
+    """Opens a TCP connection.
+
+    Raises:
+        OSError: if the host can't be reached.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_connection(create, host, port)
+
+
 class WatchedStream(httpcore.AsyncNetworkStream):
     """A TCP connection with read timeouts enforced by the watchdog.
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -19,6 +19,7 @@
     entrylist,
     followerroles,
     headlimits,
+    netstream,
     ports,
     stopsignals,
     storebackoff,
@@ -42,6 +43,7 @@
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import StreamMigrator
 from jasminerelay.ownedcells import OwnedCells
+from jasminerelay.netstream import OpenConnection
 from jasminerelay.peerlink import PeerLink, SnapshotApp
 from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementclient import PlacementClient
@@ -145,6 +147,7 @@
         boot: BootSettings,
         path: pathlib.Path,
         early_ports: EarlyPorts | None = None,
+        open_connection: OpenConnection = netstream.open_connection,
     ):
         """Creates the components without starting them.
 
@@ -152,10 +155,12 @@
             boot: Validated settings.
             path: The settings file, which is polled for changes.
             early_ports: Sockets that listen already.
+            open_connection: Opens connections to backend servers.
         """
         self.boot = boot
         self._path = path
         self._early_ports = early_ports or EarlyPorts()
+        self._open_connection = open_connection
         # Content of the settings file when it was last loaded without fault.
         self._settings_content: bytes | None = None
         self._rng = random.Random()
@@ -400,7 +405,9 @@
             self._registry_feed.report_changes([change], source)
         )
         self._peers.on_drains = self._drains.handle_message
-        self._channels = ChannelPool(self._watchdog)
+        self._channels = ChannelPool(
+            self._watchdog, self.counters, self._open_connection
+        )
         self._retry_budget = SharedRetryBudget(
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
         )
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -17,6 +17,7 @@
 from jasminerelay import completeness, netstream
 from jasminerelay.completeness import Framing
 from jasminerelay.datagrams import READ_BYTES
+from jasminerelay.netstream import OpenConnection
 from jasminerelay.watchdog import Watchdog
 
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -429,15 +430,25 @@
 
 
 async def connect(
-    host: str, port: int, timeout_s: float, watchdog: Watchdog
+    host: str,
+    port: int,
+    timeout_s: float,
+    watchdog: Watchdog,
+    open_connection: OpenConnection,
 ) -> ServerConnection:
     """Opens a connection with TCP keepalive.
 
+    Args:
+        host: IP address of the server.
+        port: Its port.
+        timeout_s: Maximum time until it is open.
+        watchdog: Enforces the time limits of reads.
+        open_connection: Opens the connection.
+
     Raises:
         httpcore.ConnectTimeout: if it is not open in time.
         httpcore.ConnectError: if the server can't be reached.
     """
-    loop = asyncio.get_running_loop()
     connection = None
 
     def create() -> ServerConnection:
@@ -447,7 +458,7 @@
 
     try:
         with anyio.fail_after(timeout_s):
-            transport, opened = await loop.create_connection(create, host, port)
+            transport, opened = await open_connection(create, host, port)
     except BaseException as exc:
         if connection is not None:
             connection.close()
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -4,9 +4,10 @@
 
 import anyio
 
-from jasminerelay import channels
+from jasminerelay import channels, netstream
 from jasminerelay.catalog import BackendServer
 from jasminerelay.channels import ChannelPool
+from jasminerelay.metrics import Counters
 from jasminerelay.watchdog import Watchdog
 
 SERVER = BackendServer("s", "pool", "127.0.0.1:1", "z", 1, False)
@@ -30,7 +31,9 @@
     """Which connections are pooled, and when they are closed."""
 
     def setUp(self) -> None:
-        self.pool = ChannelPool(Watchdog())
+        self.pool = ChannelPool(
+            Watchdog(), Counters(), netstream.open_connection
+        )
 
     async def fill(self, count: int, idle_s: float) -> list[FakeChannel]:
         pooled = [FakeChannel() for _ in range(count)]
--- a/tests/test_serverconnection.py
+++ b/tests/test_serverconnection.py
@@ -8,7 +8,7 @@
 
 import httpcore
 
-from jasminerelay import serverconnection
+from jasminerelay import netstream, serverconnection
 from jasminerelay.watchdog import Watchdog
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -49,7 +49,11 @@
         checks = asyncio.create_task(self.watchdog.run())
         port = server.sockets[0].getsockname()[1]
         connection = await serverconnection.connect(
-            "127.0.0.1", port, 1.0, self.watchdog
+            "127.0.0.1",
+            port,
+            1.0,
+            self.watchdog,
+            netstream.open_connection,
         )
         connection.timeout_s = TIMEOUT_S
         try:
