Add failing tests of instances that reach no server

The stand-ins learn a network between an instance and the servers that can be cut in four ways (connections hang; are reset and refused; live on while new ones hang or are refused), and servers that are silent for a second. Randomised run and demo use them; the run ends with a check that a cut instance serves two thirds of its requests from 3 s on.

--- a/demo/platform.py
+++ b/demo/platform.py
@@ -1,8 +1,9 @@
 """Demo of the platform's interface, with a small site and two instances.
 
 Sends a request to each route, then a stream whose first run is broken off after
-its head, and one whose server is drained before the stream ends. Prints the
-results and one instance's log of the last stream.
+its head, one whose server is drained before the stream ends, and requests to an
+instance that is cut off from all servers. Prints the results and one instance's
+log of the drained stream.
 """
 
 import contextlib
@@ -28,8 +29,11 @@
     PlatformSite,
     SiteOptions,
 )
+from standins.servernetwork import Cut
 
 INSTANCES = 2
+CUT_S = 1.5
+CUT_REQUESTS = 8
 WAIT_S = 30.0
 POLL_S = 0.05
 EVENTS = 150
@@ -84,8 +88,15 @@
         )
         good = good and continued == BROKEN_EVENTS
         whole = await _count_drained_stream(site, pool, listen[0]["front"])
+        served = await _count_served_by_cut_instance(
+            paths[1], pool, listen[1]["front"]
+        )
     print(f"stream whose server was drained: {whole} of {EVENTS} events")
-    return good and whole == EVENTS
+    print(
+        "at an instance cut off from all servers:"
+        f" {served} of {CUT_REQUESTS} requests served"
+    )
+    return good and whole == EVENTS and served == CUT_REQUESTS
 
 
 async def _wait_until_all_listed(pool, entries: str) -> int:
@@ -111,6 +122,23 @@
     return reply.content.count(b"\n\n")
 
 
+async def _count_served_by_cut_instance(
+    path: pathlib.Path, pool, front: str
+) -> int:
+    cut_file = path.with_suffix(".cut")
+    cut_file.write_text(Cut.HANG.name)
+    await anyio.sleep(CUT_S)
+    served = 0
+    for number in range(CUT_REQUESTS):
+        fields = {"Attempt-Id": f"cut{number}", "Deadline-Ms": "3000"}
+        reply = await _send_request(
+            pool, front, "POST", "/confirm/slot", fields
+        )
+        served += reply.status == 200
+    cut_file.unlink()
+    return served
+
+
 async def _count_drained_stream(site, pool, front: str) -> int:
     replies = []
 
@@ -158,14 +186,22 @@
 
 
 def _start(paths: list[pathlib.Path]) -> list[subprocess.Popen]:
-    """Starts an instance per settings file, logging to a file beside it."""
+    """Starts an instance per settings file, logging to a file beside it.
+
+    The first one is started as deployed, the others behind a network that can
+    be cut.
+    """
     started = []
     for path in paths:
+        program = ["-m", "standins.networkedinstance"]
+        if not started:
+            program = [str(ROOT / "deploy/instance.py")]
         environ = {**os.environ, "JASMINERELAY_BOOT": str(path)}
         with path.with_suffix(".log").open("wb") as out:
             started.append(
                 subprocess.Popen(
-                    [sys.executable, str(ROOT / "deploy/instance.py")],
+                    [sys.executable, *program],
+                    cwd=ROOT,
                     env=environ,
                     stdout=out,
                 )
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -42,8 +42,8 @@
 from jasminerelay.membership import ALIVE, LEAVING
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import StreamMigrator
-from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.netstream import OpenConnection
+from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.peerlink import PeerLink, SnapshotApp
 from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementclient import PlacementClient
--- a/standins/link.py
+++ b/standins/link.py
@@ -38,7 +38,12 @@
 
 
 class Link:
-    """Listens on one address and forwards each connection to another."""
+    """Listens on one address and forwards each connection to another.
+
+    Attributes:
+        faults: Active faults.
+        listening: Set once it listens.
+    """
 
     def __init__(self, address: str, target: str):
         """Creates a link that does not listen yet.
@@ -48,6 +53,7 @@
             target: IP:port to forward connections to.
         """
         self.faults = LinkFaults()
+        self.listening = anyio.Event()
         self._address = address
         self._target = target
         self._open: dict[anyio.CancelScope, SocketStream] = {}
@@ -61,6 +67,7 @@
         )
         with self._scope:
             async with listener:
+                self.listening.set()
                 await listener.serve(self._handle)
 
     def close(self) -> None:
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -62,6 +62,7 @@
         cut_after: Bytes after which a long answer breaks off; 0 disables the
             fault.
         event_bytes: Size of the data of each event; 0 for a few bytes.
+        silent: Whether it works and sends nothing meanwhile.
         by_connection: Whether successful answers have neither a length nor
             chunks and end with their connection.
         breaks: Number of upcoming answers that break off, if they are
@@ -92,6 +93,7 @@
     framed: bool = True
     cut_after: int = 0
     event_bytes: int = 0
+    silent: bool = False
     by_connection: bool = False
     breaks: int = 0
     break_as: Break = Break.AFTER_HEAD
@@ -213,6 +215,7 @@
 
     async def _send_answer(self, scope, send, ran: ServedRequest) -> None:
         faults = self.faults
+        await self._wait_while_silent()
         if self._is_fatal(ran) and not faults.fatal_after:
             self.on_crash()
             await asyncio.sleep(3600)
@@ -237,6 +240,10 @@
             send, 200, ran, b"answer to " + ran.attempt.encode()
         )
 
+    async def _wait_while_silent(self) -> None:
+        while self.faults.silent:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+
     async def _send_stream(self, send, ran: ServedRequest) -> None:
         await send(
             {
@@ -250,6 +257,7 @@
         )
         for number in _numbers_of(ran):
             await asyncio.sleep(self.faults.tick_s * self._work_factor())
+            await self._wait_while_silent()
             if ran.moved:
                 return
             if number > self.faults.fatal_after and self._is_fatal(ran):
@@ -282,6 +290,7 @@
         sent = False
         for part in parts:
             await asyncio.sleep(self.faults.tick_s * self._work_factor())
+            await self._wait_while_silent()
             if ran.moved:
                 # The stream is closed without its end.
                 answer.end()
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -12,9 +12,11 @@
 import anyio
 import httpcore
 
+from jasminerelay import netstream
 from jasminerelay.platform import bootfile
 from jasminerelay.platform.root import Instance
 from standins.platformsite import API_KEY, HOST, PlatformSite, SiteOptions
+from standins.servernetwork import ServerNetwork
 
 WAIT_S = 10.0
 POLL_S = 0.01
@@ -67,8 +69,11 @@
     """Base of tests that run a small site and instances in one event loop."""
 
     options = SiteOptions()
+    networks = False
+    """Whether instances reach servers through stand-in networks."""
 
     def setUp(self) -> None:
+        self.network_of: dict[str, ServerNetwork] = {}
         # The stand-ins abort responses on purpose, which Uvicorn would log at
         # length.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
@@ -93,7 +98,17 @@
     async def start(self, group, site: PlatformSite, name: str) -> Instance:
         """Starts an instance whose event log is discarded."""
         path = site.settings(name)
-        instance = Instance(bootfile.load(path).unwrap(), path)
+        network = ServerNetwork(group)
+        instance = Instance(
+            bootfile.load(path).unwrap(),
+            path,
+            open_connection=(
+                network.open_connection
+                if self.networks
+                else netstream.open_connection
+            ),
+        )
+        self.network_of[instance.boot.name] = network
         instance.log.info = instance.log.warn = lambda *a, **k: None
         group.start_soon(lambda: instance.run(signals=False))
         return instance
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -40,6 +40,7 @@
     PlatformSite,
 )
 from standins.platformsite import SiteOptions as Options
+from standins.servernetwork import Cut
 
 INSTANCES = 4
 CALLERS = 16
@@ -76,6 +77,13 @@
 """Requests of an instance that may reach a server in the pause that it has
 requested, after the first half second."""
 
+CUT_CONTACT_S = 3.0
+CUT_SPAN_S = 2.0
+CUT_ANSWER_S = 1.0
+CUT_SHARE = 2 / 3
+"""Share of the requests that an instance must serve which is cut off from all
+servers, of those sent from `CUT_CONTACT_S` after the cut began."""
+
 CHANGE_S = 2.0
 """Time within which a configuration must be in force after all faults."""
 
@@ -130,14 +138,17 @@
     Attributes:
         path: Path of its settings file.
         log: Path of its log, which all of its processes share.
+        networked: Whether it reaches servers through a stand-in network, which
+            can be cut, instead of being started as deployed.
         listen: IP:port by purpose.
         popen: Handle of the current process.
         busy: Whether a fault is active on it.
         disturbed_at: Times of signals and starts.
     """
 
-    def __init__(self, path: pathlib.Path):
+    def __init__(self, path: pathlib.Path, networked: bool):
         self.path = path
+        self.networked = networked
         self.log = path.with_suffix(".log")
         self.listen = tomllib.loads(path.read_text())["listenAddrs"]
         self.popen: subprocess.Popen | None = None
@@ -150,12 +161,27 @@
         environ = {**os.environ, "JASMINERELAY_BOOT": str(self.path)}
         with self.log.open("ab") as out:
             self.popen = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy/instance.py")],
+                [sys.executable, *self._program],
+                cwd=ROOT,
                 env=environ,
                 stdout=out,
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def _program(self) -> list[str]:
+        if self.networked:
+            return ["-m", "standins.networkedinstance"]
+        return [str(ROOT / "deploy/instance.py")]
+
+    def cut(self, kind: Cut | None) -> None:
+        """Cuts it off from all servers; None ends the cut."""
+        file = self.path.with_suffix(".cut")
+        if kind is None:
+            file.unlink(missing_ok=True)
+        else:
+            file.write_text(kind.name)
+
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         self.disturbed_at.append(time.monotonic())
@@ -204,7 +230,9 @@
             self.site = PlatformSite(options, pathlib.Path(folder))
             async with self.site.running():
                 self.instances = [
-                    InstanceProcess(self.site.settings(f"edge-{number + 1}"))
+                    InstanceProcess(
+                        self.site.settings(f"edge-{number + 1}"), number > 0
+                    )
                     for number in range(INSTANCES)
                 ]
                 try:
@@ -235,6 +263,7 @@
             healed = self._requests[before:]
             await self._check_change()
             await self._check_rate_limit()
+            await self._check_cut_instance()
             await self._check_fatal_request()
             self._stopped = True
             callers.cancel_scope.deadline = anyio.current_time() + OUTCOME_S
@@ -322,6 +351,17 @@
                 instance.path.write_text(changed)
             instance.signal(signal.SIGHUP)
 
+    async def _cut_from_servers(self, rng: random.Random) -> None:
+        """Cuts some instances off from all servers."""
+        able = [item for item in self.instances if item.networked]
+        cut = rng.sample(able, rng.randint(1, len(able)))
+        kind = rng.choice(list(Cut))
+        for instance in cut:
+            instance.cut(kind)
+        await anyio.sleep(rng.uniform(0.5, 5.0))
+        for instance in cut:
+            instance.cut(None)
+
     # Faults of the store, the servers and the links.
 
     async def _store_away(self, rng: random.Random) -> None:
@@ -413,6 +453,13 @@
         faults.breaks = 0
         faults.by_connection = rng.random() < 0.5
 
+    async def _server_silent(self, rng: random.Random) -> None:
+        """Lets a sound server send nothing for about a second."""
+        faults = rng.choice(list(self.site.servers.values())).faults
+        faults.silent = True
+        await anyio.sleep(rng.uniform(0.6, 1.5))
+        faults.silent = False
+
     async def _server_gone(self, rng: random.Random) -> None:
         name = self._choose_server(rng)
         if name is None:
@@ -497,6 +544,30 @@
                 )
         await pool.aclose()
 
+    async def _check_cut_instance(self) -> None:
+        """Cuts an instance off from all servers; checks that it serves."""
+        instance = self._rng.choice([x for x in self.instances if x.networked])
+        instance.cut(self._rng.choice(list(Cut)))
+        await anyio.sleep(CUT_CONTACT_S)
+        address = instance.listen["front"]
+        since = time.monotonic()
+        await anyio.sleep(CUT_SPAN_S)
+        until = time.monotonic()
+        await anyio.sleep(CUT_ANSWER_S)
+        instance.cut(None)
+        tries = [
+            item
+            for item in self._requests
+            if item.address == address and since <= item.sent_at < until
+        ]
+        served = sum(item.status == 200 and item.whole for item in tries)
+        self.counts["at a cut instance"] = len(tries)
+        if served < CUT_SHARE * len(tries):
+            self._record_violation(
+                f"{instance.path.stem} served {served} of {len(tries)} requests"
+                " while it was cut off from all servers"
+            )
+
     async def _check_fatal_request(self) -> None:
         """Sends a request that crashes engines; checks how many it crashes."""
         pool = httpcore.AsyncConnectionPool()
@@ -802,6 +873,8 @@
     PlatformSoak._freeze,
     PlatformSoak._stop,
     PlatformSoak._reload,
+    PlatformSoak._cut_from_servers,
+    PlatformSoak._cut_from_servers,
     PlatformSoak._store_away,
     PlatformSoak._store_forgets,
     PlatformSoak._link,
@@ -809,6 +882,7 @@
     PlatformSoak._server_fails,
     PlatformSoak._server_answers_by_connection,
     PlatformSoak._server_answers_by_connection,
+    PlatformSoak._server_silent,
     PlatformSoak._server_gone,
     PlatformSoak._server_announces,
     PlatformSoak._server_pauses,
