Reach servers through other instances where the own links are cut

Cause: nothing but the instance's own connections led to a server, so each retry repeated the same failure, a second a connection, while the instances beside it reached every server.

A connection that is not open after 0.25 s is also opened through another instance, which relays its bytes; all decisions stay where the request is. serverpaths decides what is out of reach, from opened connections only; pathprobes tries such servers directly, and servers that owe answers with a new connection. A lost relay is no evidence against a server; a server's reset or end is told apart from the relay's. A cut instance does not report servers as silent to the owners of cells.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -146,6 +146,7 @@
         pause_s: Longest pause between two events.
         status: Status of the answer; 0 before it.
         framings: What marked the end of each response that began, in order.
+        relays: Instances that relayed responses, in order.
         tried: Servers of all attempts, in order.
         owners: Instances that placed the attempts, in order; "" for this one.
         ran: Number of servers that have run it, or may have.
@@ -163,6 +164,7 @@
     pause_s: float = 0.0
     status: int = 0
     framings: list[str] = dataclasses.field(default_factory=list)
+    relays: list[str] = dataclasses.field(default_factory=list)
     tried: list[str] = dataclasses.field(default_factory=list)
     owners: list[str] = dataclasses.field(default_factory=list)
     ran: int = 0
@@ -213,7 +215,13 @@
             return NotSent("the server requested a pause", withheld=True)
         done = _Completion()
         try:
-            return await self._exchange(reservation, channel, done)
+            outcome = await self._exchange(reservation, channel, done)
+            if channel.relay_lost and isinstance(
+                outcome, Unknown | Interrupted | BrokenOff
+            ):
+                self._context.channels.record_lost_relay(channel)
+                return dataclasses.replace(outcome, relay_lost=True)
+            return outcome
         finally:
             if done.head is None:
                 with anyio.CancelScope(shield=True):
@@ -269,6 +277,8 @@
             return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
         self._progress.framings.append(response.framing.value)
+        if channel.relayed_by:
+            self._progress.relays.append(channel.relayed_by)
         self._context.counters.incr(
             f"backend.framed.{response.framing.name.lower()}"
         )
--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -2,8 +2,11 @@
 
 import collections
 import dataclasses
+import functools
 import time
+from collections.abc import Awaitable, Callable
 
+import anyio
 import httpcore
 
 from jasminerelay import serverconnection
@@ -15,6 +18,8 @@
 )
 from jasminerelay.metrics import Counters
 from jasminerelay.netstream import OpenConnection
+from jasminerelay.relayclient import RelayClient, RelayedConnection
+from jasminerelay.scheduling.serverpaths import ServerPaths
 from jasminerelay.serverconnection import (
     HeaderFields,
     ServerConnection,
@@ -41,6 +46,12 @@
 
 MAX_IDLE_PER_SERVER = 32
 
+RELAY_AFTER_S = 0.25
+"""Time after which a connection that is not open is also opened through another
+instance."""
+
+PROBE_TIMEOUT_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True)
 class _IdleChannel:
@@ -54,6 +65,7 @@
 
     Attributes:
         server: The server.
+        relay: The relayed connection; None for a direct one.
         unused: Whether no request has been sent on it.
     """
 
@@ -61,8 +73,10 @@
         self,
         server: BackendServer,
         conn: ServerConnection,
+        relay: RelayedConnection | None = None,
     ):
         self.server = server
+        self.relay = relay
         self.unused = True
         self._conn = conn
 
@@ -91,6 +105,16 @@
         except httpcore.TimeoutException as exc:
             raise AnswerTimeoutError(repr(exc)) from exc
 
+    @property
+    def relayed_by(self) -> str:
+        """Instance that relays it; "" for a direct connection."""
+        return self.relay.instance if self.relay else ""
+
+    @property
+    def relay_lost(self) -> bool:
+        """Whether the relaying instance or the connection to it has ended."""
+        return self.relay is not None and self.relay.protocol.lost
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on it."""
@@ -106,13 +130,20 @@
 
 
 class ChannelPool:
-    """Pool of the connections of an instance to backend servers."""
+    """Pool of the connections of an instance to backend servers.
+
+    Attributes:
+        on_out_of_reach: Called once with a server that only another instance
+            reaches.
+    """
 
     def __init__(
         self,
         watchdog: Watchdog,
         counters: Counters,
         open_connection: OpenConnection,
+        paths: ServerPaths,
+        relays: RelayClient,
     ):
         """Creates an empty pool.
 
@@ -120,10 +151,15 @@
             watchdog: Enforces the time limits of reads.
             counters: Counts the connections that were opened, and failures.
             open_connection: Opens connections to servers.
+            paths: Decides which servers are reached through other instances.
+            relays: Opens connections through other instances.
         """
         self._watchdog = watchdog
         self._counters = counters
         self._open_connection = open_connection
+        self._paths = paths
+        self._relays = relays
+        self.on_out_of_reach: Callable[[BackendServer], None] = lambda _: None
         self._idle: dict[str, collections.deque[_IdleChannel]] = {}
         self._no_pooling_until: dict[str, float] = {}
 
@@ -142,7 +178,11 @@
             if now - item.since < MIN_IDLE_S:
                 idle.appendleft(item)
                 break
-            if now < item.until and item.channel.reusable:
+            # A direct connection to a server that is out of reach may hang.
+            right_way = bool(item.channel.relayed_by) == self._paths.relays(
+                server.id
+            )
+            if right_way and now < item.until and item.channel.reusable:
                 return item.channel
             await item.channel.aclose()
         return await self._open(server)
@@ -183,13 +223,79 @@
         for channel in stale:
             await channel.aclose()
 
+    def record_lost_relay(self, channel: Channel) -> None:
+        """Records that an exchange broke off with its relay."""
+        self._relays.leave_out(channel.relayed_by)
+
+    async def check_path(self, server: BackendServer) -> None:
+        """Opens a connection to a server to find out whether it is reached."""
+        try:
+            channel = await self._open_either_way(server)
+        except NotSentError:
+            return
+        await self.put_back(channel, None, False)
+
+    async def probe_directly(self, server: BackendServer) -> None:
+        """Tries a server that is out of reach with a direct connection."""
+        try:
+            channel = await self._open_direct(server, PROBE_TIMEOUT_S)
+        except NotSentError:
+            return
+        await self.put_back(channel, None, False)
+
     async def _open(self, server: BackendServer) -> Channel:
+        if not self._paths.relays(server.id):
+            return await self._open_either_way(server)
+        try:
+            return await self._open_relayed(server)
+        except NotSentError:
+            return await self._open_direct(server, CONNECT_TIMEOUT_S)
+
+    async def _open_either_way(self, server: BackendServer) -> Channel:
+        """Opens a direct connection, or a relayed one if that is sooner."""
+        try:
+            return await self._open_direct(server, RELAY_AFTER_S)
+        except NotSentError:
+            pass
+        found: list[Channel] = []
+        failures: dict[str, NotSentError] = {}
+
+        async def open_one(
+            way: str,
+            opener: Callable[[], Awaitable[Channel]],
+            group: anyio.abc.TaskGroup,
+        ) -> None:
+            try:
+                channel = await opener()
+            except NotSentError as exc:
+                failures[way] = exc
+                return
+            if found:
+                await channel.aclose()
+                return
+            found.append(channel)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            rest_s = CONNECT_TIMEOUT_S - RELAY_AFTER_S
+            direct = functools.partial(self._open_direct, server, rest_s)
+            group.start_soon(open_one, "direct", direct, group)
+            relayed = functools.partial(self._open_relayed, server)
+            group.start_soon(open_one, "relayed", relayed, group)
+        if not found:
+            # Only the direct one says something of the server.
+            raise failures["direct"]
+        return found[0]
+
+    async def _open_direct(
+        self, server: BackendServer, timeout_s: float
+    ) -> Channel:
         host, _, port = server.address.rpartition(":")
         try:
             conn = await serverconnection.connect(
                 host,
                 int(port),
-                CONNECT_TIMEOUT_S,
+                timeout_s,
                 self._watchdog,
                 self._open_connection,
             )
@@ -200,4 +306,12 @@
             self._counters.incr("backend.open.failed")
             raise NotSentError(repr(exc)) from exc
         self._counters.incr("backend.open.done")
+        self._paths.record_direct(server.id, time.monotonic())
         return Channel(server, conn)
+
+    async def _open_relayed(self, server: BackendServer) -> Channel:
+        relay = await self._relays.open(server)
+        if self._paths.record_relayed(server.id, time.monotonic()):
+            self._counters.incr("path.out_of_reach")
+            self.on_out_of_reach(server)
+        return Channel(server, relay.conn, relay)
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -197,6 +197,7 @@
         self.engine_models = engines or EngineModels()
         self._kind_queues: dict[tuple[str, str], _KindQueue] = {}
         self.measures_step_times = True
+        self.out_of_reach: Callable[[str], bool] = lambda server: False
         self.on_split_change: OnSplit = lambda service, groups, demand: None
         self.capacities = CapacityRecords()
         self.on_speed_change: OnSpeedChange = lambda *found: None
@@ -245,6 +246,22 @@
         own = self.workload.own_running(server)
         return self._response_monitor.silent(server, own, now)
 
+    def silent_servers(self, now: float) -> list[str]:
+        """Returns the servers that are unresponsive to this instance."""
+        used = dict.fromkeys(run.server for run in self.workload.runs.values())
+        return [server for server in used if self.silent(server, now)]
+
+    def reports_silent(self, server: str, now: float) -> bool:
+        """Returns whether other instances may be told of a silent server.
+
+        If most of the servers that this instance uses are silent, it has more
+        likely lost its own links.
+        """
+        if not self.silent(server, now) or self.out_of_reach(server):
+            return False
+        used = {run.server for run in self.workload.runs.values()}
+        return 2 * len(self.silent_servers(now)) <= len(used)
+
     def record_statement(
         self, service: str, server: str, stated: StatedLoad, now: float
     ) -> None:
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -212,10 +212,13 @@
     Attributes:
         why: The reason.
         broken: Whether the server's end of the connection closed.
+        relay_lost: Whether the relay of the connection was lost, so that it
+            says nothing about the server.
     """
 
     why: str
     broken: bool = False
+    relay_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -227,11 +230,13 @@
         held_up: Whether the caller had held up the server before, so that it
             says nothing about the server.
         broken: Whether the server's end of the connection closed.
+        relay_lost: As in `Unknown`.
     """
 
     why: str
     held_up: bool = False
     broken: bool = False
+    relay_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -242,10 +247,12 @@
         why: The reason.
         held_up: Whether the caller had held up the server before, so that it
             says nothing about the server.
+        relay_lost: As in `Unknown`.
     """
 
     why: str
     held_up: bool = False
+    relay_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -125,6 +125,11 @@
             return None
         if isinstance(outcome, NotSent) and outcome.withheld:
             return None
+        if (
+            isinstance(outcome, Unknown | Interrupted | BrokenOff)
+            and outcome.relay_lost
+        ):
+            return None
         if isinstance(outcome, NotSent | Unknown | Interrupted | BrokenOff):
             return Verdict.BAD
         if isinstance(outcome, NotRun) and outcome.overloaded:
@@ -320,6 +325,7 @@
             servers=progress.tried,
             owners=progress.owners,
             framings=progress.framings,
+            relays=progress.relays,
             events=progress.events,
             waited_s=round((self._placed_at or now) - call.arrived_at, 3),
             first_s=first_s,
--- /dev/null
+++ b/src/jasminerelay/pathprobes.py
@@ -0,0 +1,74 @@
+"""Finds out which servers an instance reaches, where requests do not show it.
+
+Servers that are out of reach are tried directly from time to time. A server
+that owes answers and sends nothing may be out of reach as well: its open
+connections hang, and as long as no new one is opened nothing shows that.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from jasminerelay.catalog import BackendServer
+from jasminerelay.channels import ChannelPool
+from jasminerelay.scheduling.serverpaths import ServerPaths
+
+TICK_S = 0.1
+CHECK_INTERVAL_S = 1.0
+"""Minimum interval between new connections to servers that send nothing."""
+
+
+class PathProbes:
+    """Opens connections to servers in doubt."""
+
+    def __init__(
+        self,
+        paths: ServerPaths,
+        channels: ChannelPool,
+        find_server: Callable[[str], BackendServer | None],
+        silent_servers: Callable[[float], Iterable[str]],
+    ):
+        """Creates the probes.
+
+        Args:
+            paths: What is known of the paths.
+            channels: Opens the connections.
+            find_server: Returns the server of an id; None if it has ended.
+            silent_servers: Returns the servers that owe answers and send
+                nothing at a monotonic time.
+        """
+        self._paths = paths
+        self._channels = channels
+        self._find_server = find_server
+        self._silent_servers = silent_servers
+        self._next_check_at = 0.0
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(TICK_S)
+                now = time.monotonic()
+                self._try_again(now, group)
+                self._check_silent(now, group)
+
+    def _try_again(self, now: float, group: anyio.abc.TaskGroup) -> None:
+        name = self._paths.next_probe(now)
+        if name is None:
+            return
+        server = self._find_server(name)
+        if server is None:
+            self._paths.forget(name)
+        else:
+            group.start_soon(self._channels.probe_directly, server)
+
+    def _check_silent(self, now: float, group: anyio.abc.TaskGroup) -> None:
+        if now < self._next_check_at:
+            return
+        for name in self._silent_servers(now):
+            server = self._find_server(name)
+            if server is not None and not self._paths.relays(name):
+                self._next_check_at = now + CHECK_INTERVAL_S
+                group.start_soon(self._channels.check_path, server)
+                return
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -473,7 +473,7 @@
         silent = (
             self._cell_of(run.server)
             for run in self._dispatcher.workload.runs.values()
-            if self._dispatcher.silent(run.server, now)
+            if self._dispatcher.reports_silent(run.server, now)
         )
         found.update(cell for cell in silent if cell is not None)
         return found if self.active else set()
@@ -624,7 +624,7 @@
             token_times = self._dispatcher.token_times
             token_s = token_times.own_token_s(name, now) or 0.0
             step_s = token_times.step_time_s(name) or 0.0
-            silent = self._dispatcher.silent(name, now)
+            silent = self._dispatcher.reports_silent(name, now)
         capacities = self._dispatcher.capacities.of(service)
         stated, rejected = capacities.take_unsent(name, now)
         if not (token_s or step_s or silent or stated or rejected):
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -26,7 +26,7 @@
     storeversion,
 )
 from jasminerelay.attempt import ForwardingContext
-from jasminerelay.catalog import Catalog, RequestLimits
+from jasminerelay.catalog import BackendServer, Catalog, RequestLimits
 from jasminerelay.channels import ChannelPool
 from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import CrashWatch
@@ -44,6 +44,7 @@
 from jasminerelay.migration import StreamMigrator
 from jasminerelay.netstream import OpenConnection
 from jasminerelay.ownedcells import OwnedCells
+from jasminerelay.pathprobes import PathProbes
 from jasminerelay.peerlink import PeerLink, SnapshotApp
 from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementclient import PlacementClient
@@ -64,7 +65,10 @@
     TableSource,
 )
 from jasminerelay.registry import Registry
+from jasminerelay.relayclient import RelayClient
+from jasminerelay.relayport import RELAY_PATH, RelayApp
 from jasminerelay.scheduling.heldbytes import HeldBounds, HeldBytes
+from jasminerelay.scheduling.serverpaths import ServerPaths
 from jasminerelay.schema.messages import (
     Member,
     RequestCrashes,
@@ -244,6 +248,7 @@
                 self._rate_limits.run,
                 self._drains.run,
                 self._crash_notices.run,
+                self._path_probes.run,
                 self._discover_peers,
                 self._await_peer_data,
                 self._watch_settings,
@@ -405,13 +410,51 @@
             self._registry_feed.report_changes([change], source)
         )
         self._peers.on_drains = self._drains.handle_message
-        self._channels = ChannelPool(
-            self._watchdog, self.counters, self._open_connection
-        )
+        self._build_paths()
         self._retry_budget = SharedRetryBudget(
             boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
         )
 
+    def _build_paths(self) -> None:
+        self._paths = ServerPaths()
+        self.dispatcher.out_of_reach = self._paths.relays
+        relays = RelayClient(
+            self.boot.zone,
+            lambda: [
+                member
+                for member in self._peers.membership.live()
+                if member.peers != self.boot.peers
+            ],
+            self._watchdog,
+            self.counters,
+            self._rng,
+        )
+        self._channels = ChannelPool(
+            self._watchdog,
+            self.counters,
+            self._open_connection,
+            self._paths,
+            relays,
+        )
+        self._channels.on_out_of_reach = self._on_out_of_reach
+        self._path_probes = PathProbes(
+            self._paths,
+            self._channels,
+            self.registry.server,
+            self.dispatcher.silent_servers,
+        )
+
+    def _on_out_of_reach(self, server: BackendServer) -> None:
+        self.log.warn(
+            "server_out_of_reach", server=server.id, all=self._paths.cut
+        )
+        # What failed was this instance's links, not the servers.
+        now = time.monotonic()
+        others = self.registry.servers() if self._paths.cut else ()
+        for item in (server, *others):
+            self.dispatcher.health(item.service).succeeded(item.id)
+            self.dispatcher.record_response(item.id, now)
+
     def _connect_crash_notices(self) -> None:
         notices = self._crash_notices
         notices.members = self._peers.membership.live
@@ -547,7 +590,7 @@
                 ports.port(status, address, sock=take(address), **options)
                 for address in (boot.readiness, boot.entries)
             ),
-            ports.port(SnapshotApp(self.registry), boot.peers, **options),
+            ports.port(self._peer_app(), boot.peers, **options),
         ]
         # The settings may have changed since the ports were opened.
         self._early_ports.close_unused()
@@ -556,6 +599,24 @@
             address = f"{boot.ip}:{metrics_port}"
             self._ports.append(ports.port(status, address, **options))
 
+    def _peer_app(self):
+        """Returns the ASGI application of the port for other instances."""
+        snapshots = SnapshotApp(self.registry)
+        relays = self._relay_app = RelayApp(
+            self.registry.server,
+            lambda server: (
+                self._planned_stop is None and not self._paths.relays(server)
+            ),
+            self._open_connection,
+            self.counters,
+        )
+
+        async def serve(scope, receive, send) -> None:
+            app = relays if scope["path"] == RELAY_PATH else snapshots
+            await app(scope, receive, send)
+
+        return serve
+
     def _request_head_bounds(self) -> HeadLimits:
         catalog = self.registry.catalog
         bounds = catalog.bounds if catalog else RequestLimits()
@@ -574,6 +635,7 @@
     def _on_server_removed(self, server: str) -> None:
         self._rate_limits.gone(server)
         self._pauses.forget(server)
+        self._paths.forget(server)
         self.dispatcher.gone(server)
         self._owned_cells.gone(server)
 
@@ -672,7 +734,9 @@
         return entrylist.shuffled_by_zone(members, zone, self._rng)
 
     def _requests_in_flight(self) -> int:
-        return len(self._callers_port.server_state.tasks)
+        return (
+            len(self._callers_port.server_state.tasks) + self._relay_app.count
+        )
 
     async def _tick(self) -> None:
         """Runs before each round of messages, in the same wake-up."""
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -7,15 +7,26 @@
 from jasminerelay import channels, netstream
 from jasminerelay.catalog import BackendServer
 from jasminerelay.channels import ChannelPool
+from jasminerelay.httpclient import NotSentError
 from jasminerelay.metrics import Counters
+from jasminerelay.scheduling.serverpaths import ServerPaths
 from jasminerelay.watchdog import Watchdog
 
 SERVER = BackendServer("s", "pool", "127.0.0.1:1", "z", 1, False)
 
 
+class NoRelays:
+    """Stands for other instances, of which there are none."""
+
+    async def open(self, server: BackendServer):
+        raise NotSentError("none")
+
+
 class FakeChannel:
     """A connection whose close yields to other tasks."""
 
+    relayed_by = ""
+
     def __init__(self, reusable: bool = True):
         self.server = SERVER
         self.reusable = reusable
@@ -32,7 +43,11 @@
 
     def setUp(self) -> None:
         self.pool = ChannelPool(
-            Watchdog(), Counters(), netstream.open_connection
+            Watchdog(),
+            Counters(),
+            netstream.open_connection,
+            ServerPaths(),
+            NoRelays(),
         )
 
     async def fill(self, count: int, idle_s: float) -> list[FakeChannel]:
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,301 @@
+"""Tests connections to servers that other instances relay."""
+
+import asyncio
+import random
+import unittest
+
+import anyio
+import httpcore
+
+from jasminerelay import netstream, ports
+from jasminerelay.catalog import BackendServer
+from jasminerelay.httpclient import NotSentError
+from jasminerelay.metrics import Counters
+from jasminerelay.peerlink import SnapshotApp
+from jasminerelay.registry import Registry
+from jasminerelay.relayclient import RelayClient
+from jasminerelay.relayport import RelayApp
+from jasminerelay.scheduling.serverpaths import ServerPaths
+from jasminerelay.schema.messages import Member
+from jasminerelay.watchdog import Watchdog
+from standins import connectionanswers
+from standins.launcher import free_address
+from standins.platformserver import Break
+from standins.platformsite import SiteOptions
+from standins.servernetwork import Cut
+from tests.platformcase import PlatformCase, events
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+class ServerPathsTest(unittest.TestCase):
+    """Which servers are reached through other instances."""
+
+    def test_one_server_is_no_cut(self) -> None:
+        paths = ServerPaths()
+        paths.record_direct("s1", 1.0)
+        self.assertTrue(paths.record_relayed("s2", 2.0))
+        self.assertFalse(paths.record_relayed("s2", 2.1))
+        self.assertTrue(paths.relays("s2"))
+        self.assertFalse(paths.relays("s1"))
+
+    def test_direct_connection_disproves_a_cut(self) -> None:
+        # Guards against servers of one service that hide the others.
+        paths = ServerPaths()
+        paths.record_relayed("s1", 2.0)
+        paths.record_relayed("s2", 2.1)
+        self.assertTrue(paths.cut)
+        paths.record_direct("s3", 2.2)
+        self.assertFalse(paths.cut)
+        self.assertTrue(paths.relays("s1"))
+
+    def test_probes(self) -> None:
+        # Guards against relaying on after the links are back, and against a
+        # burst of probes while they are not.
+        paths = ServerPaths()
+        self.assertIsNone(paths.next_probe(0.0))
+        for number in range(4):
+            paths.record_relayed(f"s{number}", 1.0)
+        probed = []
+        for step in range(100):
+            name = paths.next_probe(1.0 + step / 10)
+            probed += [name] if name else []
+        self.assertEqual(len(probed), 9)
+        self.assertEqual(set(probed), {"s0", "s1", "s2", "s3"})
+        for _ in range(4):
+            paths.record_direct(paths.next_probe(20.0), 20.0)
+        self.assertEqual(paths.out_of_reach, 0)
+
+    def test_forgotten_server(self) -> None:
+        paths = ServerPaths()
+        paths.record_relayed("s1", 1.0)
+        paths.forget("s1")
+        self.assertIsNone(paths.next_probe(9.0))
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """One relay between a client and a raw server."""
+
+    async def asyncSetUp(self) -> None:
+        self.may_relay = True
+        self.counters = Counters()
+        self.peers: list[Member] = []
+        self.client = RelayClient(
+            "z", lambda: self.peers, Watchdog(), Counters(), random.Random(1)
+        )
+        self.end = lambda writer: writer.close()
+        self.received = b""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        self.server = BackendServer("s", "b", f"{host}:{port}", "z", 1, False)
+        self.gone = anyio.Event()
+
+    async def serve(self, reader, writer) -> None:
+        """Answers each request in part, then ends the connection."""
+        while True:
+            data = await reader.read(65536)
+            if not data:
+                self.gone.set()
+                return
+            self.received += data
+            if b"\r\n\r\n" in self.received:
+                writer.write(HEAD + b"\r\nhalf")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                self.end(writer)
+
+    async def start_relay(self, zone: str = "z") -> tuple:
+        """Starts an instance's port; returns the app and its port."""
+        app = RelayApp(
+            lambda name: self.server if name == self.server.id else None,
+            lambda server: self.may_relay,
+            netstream.open_connection,
+            self.counters,
+        )
+        address = free_address()
+        port = ports.port(app, address)
+        task = asyncio.create_task(port.serve())
+        self.addCleanup(task.cancel)
+        while not port.started:
+            await asyncio.sleep(0.01)
+        name = f"i{len(self.peers)}"
+        self.peers.append(Member(name, "", zone, "", "", address, "alive", 0))
+        return app, port, task
+
+    async def ask(self):
+        """Sends a request through a relay; returns how the answer ended."""
+        relay = await self.client.open(self.server)
+        relay.conn.timeout_s = 5.0
+        response = await relay.conn.send("POST", b"/x", [], b"body")
+        try:
+            body = await response.aread()
+        except Exception as exc:
+            return relay, repr(exc)
+        finally:
+            await response.aclose()
+        return relay, body
+
+    async def test_end_of_the_server(self) -> None:
+        app, _, _ = await self.start_relay()
+        relay, body = await self.ask()
+        self.assertEqual(body, b"half")
+        self.assertFalse(relay.protocol.lost)
+        self.assertIn(b"body", self.received)
+        await asyncio.sleep(0.05)
+        self.assertEqual(app.count, 0)
+
+    async def test_reset_of_the_server_is_passed_on(self) -> None:
+        # Guards against a reset that becomes an end in order on its way.
+        self.end = lambda writer: connectionanswers.reset(writer.transport)
+        await self.start_relay()
+        relay, fault = await self.ask()
+        self.assertIn("reset by the server", str(fault))
+        self.assertFalse(relay.protocol.lost)
+
+    async def test_end_of_the_relay_is_no_end_of_the_server(self) -> None:
+        # Guards against an answer that counts as whole since its relay ended.
+        self.end = lambda writer: None
+        _, port, _ = await self.start_relay()
+        relay = await self.client.open(self.server)
+        relay.conn.timeout_s = 5.0
+        response = await relay.conn.send("POST", b"/x", [], b"")
+        self.assertEqual(await response.receive(), b"half")
+        for connection in list(port.server_state.connections):
+            connection.transport.close()
+        with self.assertRaises(httpcore.ReadError):
+            await response.receive()
+        self.assertTrue(relay.protocol.lost)
+        self.assertFalse(response.complete)
+
+    async def test_client_that_leaves_ends_the_connection(self) -> None:
+        # Guards against servers that work on after the caller has left.
+        self.end = lambda writer: None
+        await self.start_relay()
+        relay = await self.client.open(self.server)
+        relay.conn.timeout_s = 5.0
+        await relay.conn.send("POST", b"/x", [], b"")
+        relay.conn.close()
+        with anyio.fail_after(1.0):
+            await self.gone.wait()
+
+    async def test_second_instance_after_a_refusal(self) -> None:
+        # Guards against one instance that is cut off as well.
+        for _ in range(2):
+            await self.start_relay()
+        self.may_relay = False
+        with self.assertRaises(NotSentError):
+            await self.client.open(self.server)
+        self.assertEqual(self.counters.snapshot()["relay.refused.503"], 2)
+        self.may_relay = True
+        self.client._left_out_until.clear()
+        await self.client.open(self.server)
+
+    async def test_instance_of_an_older_version_is_left_out(self) -> None:
+        # Guards against a rolling update that ends the search for a relay.
+        snapshots = SnapshotApp(Registry(None, None))
+        address = free_address()
+        port = ports.port(snapshots, address)
+        task = asyncio.create_task(port.serve())
+        self.addCleanup(task.cancel)
+        while not port.started:
+            await asyncio.sleep(0.01)
+        self.peers.append(Member("old", "", "z", "", "", address, "alive", 0))
+        with self.assertRaises(NotSentError):
+            await self.client.open(self.server)
+        await self.start_relay()
+        self.client._left_out_until.clear()
+        relay = await self.client.open(self.server)
+        self.assertNotEqual(relay.instance, "old")
+
+    async def test_word_on_an_unreachable_server_is_final(self) -> None:
+        for _ in range(3):
+            await self.start_relay()
+        down = BackendServer("s", "b", free_address(), "z", 1, False)
+        self.server = down
+        with self.assertRaisesRegex(NotSentError, "does not reach it either"):
+            await self.client.open(down)
+        refused = self.counters.snapshot()["relay.refused.502"]
+        self.assertEqual(refused, 1)
+
+    async def test_other_zones_help_where_most_of_a_zone_is_cut(self) -> None:
+        # Guards against a few instances that carry a zone.
+        for number in range(10):
+            self.peers.append(
+                Member(f"n{number}", "", "z", "", "", "127.0.0.1:1", "a", 0)
+            )
+            self.peers.append(
+                Member(f"f{number}", "", "y", "", "", "127.0.0.1:1", "a", 0)
+            )
+        near = {m.zone for _ in range(50) for m in self.client._choose(0.0)}
+        self.assertEqual(near, {"z"})
+        for number in range(6):
+            self.client.leave_out(f"n{number}")
+        now = anyio.current_time()
+        zones = {m.zone for _ in range(50) for m in self.client._choose(now)}
+        self.assertEqual(zones, {"y", "z"})
+
+
+class RelayedAnswersTest(PlatformCase):
+    """Answers that reach their callers through two instances."""
+
+    options = SiteOptions(engines=3, plain=3)
+    networks = True
+
+    async def test_broken_off_answers(self) -> None:
+        # Guards against a relay that makes a broken answer look complete, or
+        # runs a request twice.
+        async with self.site(3) as (site, instances):
+            await self.until(
+                lambda: all(i.live_instance_count == 3 for i in instances)
+            )
+            first = instances[0]
+            self.network_of[first.boot.name].cut(Cut.RESET)
+            for kind in Break:
+                for server in site.servers.values():
+                    server.journal.clear()
+                    server.faults.by_connection = True
+                    server.faults.breaks = 100
+                    server.faults.break_as = kind
+                answer = await self.ask(
+                    first, "/sheet/1/stream", Token_Usage="600,10"
+                )
+                self.assertFalse(answer.whole and answer.status == 200, kind)
+                for server in site.servers.values():
+                    server.faults.breaks = 0
+                whole = await self.ask(
+                    first, "/chat/1/stream", Token_Usage="600,10", attempt="b"
+                )
+                self.assertEqual(whole.body, events(10))
+                runs = sum(len(s.journal) for s in site.servers.values())
+                self.assertEqual(runs, 2)
+
+    async def test_servers_that_are_down_are_not_out_of_reach(self) -> None:
+        # Guards against an alarm where all instances fail alike.
+        async with self.site(2) as (site, (first, _second)):
+            for name in list(site.servers):
+                site.kill_server(name)
+            for number in range(4):
+                answer = await self.ask(
+                    first, "/lookup/x", attempt=f"d{number}"
+                )
+                self.assertIn(answer.status, (502, 503))
+            self.assertEqual(first._paths.out_of_reach, 0)
+
+    async def test_silent_server_is_not_out_of_reach(self) -> None:
+        # Guards against a server that is silent for a second and counts as
+        # one that this instance does not reach.
+        async with self.site(2) as (site, (first, _second)):
+            for server in site.servers.values():
+                server.faults.silent = True
+            async with anyio.create_task_group() as group:
+                for number in range(4):
+                    group.start_soon(
+                        lambda n=number: self.ask(
+                            first, "/confirm/x", attempt=f"q{n}"
+                        )
+                    )
+                await anyio.sleep(1.2)
+                for server in site.servers.values():
+                    server.faults.silent = False
+            self.assertEqual(first._paths.out_of_reach, 0)
