--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -62,6 +62,10 @@
         cut_after: Bytes after which a long answer breaks off; 0 disables the
             fault.
         event_bytes: Size of the data of each event; 0 for a few bytes.
+        capacity: Requests that it runs at once; it rejects others. 0 for any
+            number.
+        brittle: Value of the Server-Brittle header field: the server crashes
+            if it rejects more requests in a second. 0 for no such field.
         silent: Whether it works and sends nothing meanwhile.
         by_connection: Whether successful answers have neither a length nor
             chunks and end with their connection.
@@ -93,6 +97,8 @@
     framed: bool = True
     cut_after: int = 0
     event_bytes: int = 0
+    capacity: int = 0
+    brittle: int = 0
     silent: bool = False
     by_connection: bool = False
     breaks: int = 0
@@ -176,6 +182,8 @@
             await self._handle_move(send, json.loads(body))
         elif headers.get("expect-instance", self.name) != self.name:
             await self._reject(send, 421, attempt)
+        elif 0 < self.faults.capacity <= self.running:
+            await self._reject_for_load(send, attempt)
         elif self.faults.refuse:
             self.faults.refuse -= 1
             self.rejection_times.append(self.arrival_times[-1])
@@ -188,6 +196,15 @@
             self.journal.append(ran)
             await self._run_request(scope, receive, send, ran)
 
+    async def _reject_for_load(self, send, attempt: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self.rejection_times.append(now)
+        recent = sum(now - at < 1.0 for at in self.rejection_times)
+        if 0 < self.faults.brittle < recent:
+            self.on_crash()
+            return
+        await self._reject(send, 503, attempt)
+
     async def _handle_move(self, send, order: dict) -> None:
         for ran in self.journal:
             if ran.attempt == order["id"] and not ran.ended:
@@ -399,6 +416,7 @@
 
     def _response_headers(self, attempt: str) -> list[tuple[bytes, bytes]]:
         limit = self.faults.limit
+        brittle = self.faults.brittle
         if self.faults.leaving:
             self.announcements.append(attempt)
         return [
@@ -406,6 +424,7 @@
             (b"server-signature", f"{self.name}.{attempt}".encode()),
             (b"instance-load", self._load()),
             *([(b"server-limit", limit)] if limit else []),
+            *([(b"server-brittle", b"%d" % brittle)] if brittle else []),
             *([(b"server-leaving", b"1")] if self.faults.leaving else []),
         ]
 
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -179,7 +179,11 @@
     async def _restart_server(self, name: str, service: str) -> None:
         await anyio.sleep(self.options.restart_s)
         self.store.delete("servers", name)
-        await self.add_server(f"{name}+", service)
+        before = self.servers[name].faults
+        after = await self.add_server(f"{name}+", service)
+        after.faults.slowdown = before.slowdown
+        after.faults.capacity = before.capacity
+        after.faults.brittle = before.brittle
 
     def write_configuration(
         self, added: Sequence[dict] = (), **changes
