Keep brittle servers from rejecting more requests than they bear

Nothing read Server-Brittle: instances filled servers up to rejections, each by its own view, and the servers fell over (LIMIT). Cause of the class: what a server states for all instances together was known to none.

A statement holds for the servers of its service for 3 s (repeated in all answers) and goes to owners of cells with the other observations. A brittle server is given 85 % of its slots, nothing to wait there; each of the instances that place for themselves uses its share, since all may find free slots at the same moment; after a rejection the server gets next to nothing for instances / N seconds.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -322,6 +322,14 @@
         now = time.monotonic()
         if head.load_fault:
             self._context.counters.incr("speed.malformed")
+        if head.brittle_fault:
+            self._context.counters.incr("brittle.malformed")
+        if head.brittle and not capacities.brittle.stated(server.id, now):
+            self._context.counters.incr("brittle.stated")
+            self._context.log.warn(
+                "server_brittle", server=server.id, rejections=head.brittle
+            )
+        capacities.brittle.record_statement(server.id, head.brittle, now)
         if head.load is not None:
             known = dispatcher.workload.load(server.id).running
             stated = _stated_load(head.load, known, now)
--- a/src/jasminerelay/cellowner.py
+++ b/src/jasminerelay/cellowner.py
@@ -384,6 +384,11 @@
                 )
             if item.slowdown_pct > 0 or item.waiting > 0:
                 self._record_statement(item, now)
+            if item.brittle > 0:
+                capacities = self._dispatcher.capacities.of(self._service)
+                capacities.brittle.record_statement(
+                    item.server, item.brittle, now
+                )
             if 0 < item.rejected <= MAX_REJECTED:
                 self._dispatcher.record_rejection(
                     self._service, item.server, now, item.rejected
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -34,6 +34,7 @@
 from jasminerelay.prefix import CacheView, PrefixIndex, part_hash
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import ResponseMonitor
+from jasminerelay.scheduling.brittleservers import BrittleServers
 from jasminerelay.scheduling.fairshare import Headroom
 from jasminerelay.scheduling.servercapacity import (
     FIRST_EVENT,
@@ -41,6 +42,7 @@
     USUAL_SERVER,
     CapacityRecords,
     ServerCapacities,
+    ServerView,
     StatedLoad,
 )
 from jasminerelay.scheduling.serverspeeds import SpeedEstimate
@@ -282,6 +284,7 @@
         running += math.ceil(capacities.unknown_requests(server, now))
         slots = self._slots_of(service, server)
         capacities.record_rejection(server, slots, running, now, count)
+        capacities.brittle.record_rejection(server, self._instances(), now)
 
     def record_answer(
         self, call: Call, server: BackendServer, running: int, seconds: float
@@ -587,6 +590,19 @@
             )
             for server in servers
         ]
+        if capacities.brittle:
+            views = [
+                _with_limit(
+                    view,
+                    self._brittle_limit(
+                        capacities.brittle,
+                        server.id,
+                        engine.slots if engine else server.slots,
+                        now,
+                    ),
+                )
+                for view, server in zip(views, servers, strict=True)
+            ]
         if views.count(USUAL_SERVER) < len(views) and _is_trial(call):
             views = [
                 dataclasses.replace(view, slowness=TRIAL_SLOWNESS)
@@ -610,6 +626,20 @@
             for server, view in zip(servers, views, strict=True)
         ]
 
+    def _brittle_limit(
+        self, brittle: BrittleServers, server: str, slots: int, now: float
+    ) -> int:
+        """Returns a server's limit if it is brittle; 0 for none.
+
+        Other instances learn of a request after a load report only. Each uses
+        no more than its share, as all may find free slots at the same moment.
+        """
+        limit = brittle.limit(server, slots, now)
+        share = math.ceil(limit / self._instances())
+        if not limit or self.workload.own_running(server) < share:
+            return limit
+        return max(1, min(limit, self.workload.load(server).running))
+
     def _cached_tokens(
         self,
         server: str,
@@ -1142,6 +1172,13 @@
         return group or servers
 
 
+def _with_limit(view: ServerView, limit: int) -> ServerView:
+    """Returns a view with one more limit; 0 for none."""
+    if not limit or 0 < view.limit <= limit:
+        return view
+    return dataclasses.replace(view, limit=limit)
+
+
 def _is_trial(call: Call) -> bool:
     """Returns whether a request may try a server that looks slow."""
     return xxhash.xxh32_intdigest(call.id.encode()) % TRIAL_INTERVAL == 0
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -71,6 +71,9 @@
         pause_fault: The requested pause, if it can't be parsed.
         load: The server's statement about its load; None if not given.
         load_fault: The statement, if it can't be parsed.
+        brittle: Rejections in a second above which the server crashes; 0 if it
+            states none.
+        brittle_fault: This statement, if it can't be parsed.
     """
 
     status: int
@@ -87,6 +90,8 @@
     pause_fault: str = ""
     load: ServerLoadStatement | None = None
     load_fault: str = ""
+    brittle: int = 0
+    brittle_fault: str = ""
 
 
 class Dialect(Protocol):
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -627,7 +627,8 @@
             silent = self._dispatcher.reports_silent(name, now)
         capacities = self._dispatcher.capacities.of(service)
         stated, rejected = capacities.take_unsent(name, now)
-        if not (token_s or step_s or silent or stated or rejected):
+        brittle = capacities.brittle.stated(name, now)
+        if not (token_s or step_s or silent or stated or rejected or brittle):
             return None
         observation = ServerObservation(
             name,
@@ -635,6 +636,7 @@
             round(US * step_s),
             silent,
             rejected=rejected,
+            brittle=brittle,
         )
         if stated is None:
             return observation
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -36,6 +36,7 @@
 # Requests running, requests waiting, slots and, optionally, how long work takes
 # on the server's machine at this moment in percent, separated by commas.
 _LOAD = b"instance-load"
+_BRITTLE = b"server-brittle"
 # "1" in the responses of a server that shuts down.
 _LEAVING = b"server-leaving"
 # Address and handle of the KV cache copy from which the request resumes.
@@ -89,6 +90,7 @@
 _NOT_RETURNED = _HOP_BY_HOP | {
     b"content-length",
     _LOAD,
+    _BRITTLE,
     _NOT_RUN,
     _RATE_LIMIT,
     _LEAVING,
@@ -207,6 +209,7 @@
             pause_fault,
             load,
             load_fault,
+            *_parse_brittle(fields.get(_BRITTLE)),
         )
 
     def move(
@@ -291,6 +294,16 @@
     return None, value[:80].decode("latin-1")
 
 
+def _parse_brittle(value: bytes | None) -> tuple[int, str]:
+    """Returns the stated rejections, and the field's text if it is invalid."""
+    if value is None:
+        return 0, ""
+    figure = value.strip()
+    if figure.isdigit() and len(figure) <= MAX_LOAD_DIGITS:
+        return int(figure), ""
+    return 0, value[:80].decode("latin-1")
+
+
 def _keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/src/jasminerelay/scheduling/servercapacity.py
+++ b/src/jasminerelay/scheduling/servercapacity.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 
+from jasminerelay.scheduling.brittleservers import BrittleServers
 from jasminerelay.scheduling.concurrencylimit import ConcurrencyLimit
 from jasminerelay.scheduling.serverspeeds import (
     CACHE_S,
@@ -69,12 +70,19 @@
 
 
 class ServerCapacities:
-    """Speeds, limits and stated loads of the servers of one service."""
+    """Speeds, limits and stated loads of the servers of one service.
+
+    Attributes:
+        speeds: Their speeds.
+        limits: Learned limits of their concurrent requests.
+        brittle: Servers that crash if they reject many requests.
+    """
 
     def __init__(self) -> None:
         self._views: dict[str, tuple[float, ServerView]] = {}
         self.speeds = ServerSpeeds()
         self.limits = ConcurrencyLimit()
+        self.brittle = BrittleServers()
         self._stated: dict[str, StatedLoad] = {}
         self._unsent: dict[str, StatedLoad] = {}
         self._rejections: dict[str, int] = {}
@@ -276,6 +284,7 @@
         """Deletes all state about a server that has ended."""
         self.speeds.forget(server)
         self.limits.forget(server)
+        self.brittle.forget(server)
         for held in (
             self._views,
             self._stated,
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -368,6 +368,7 @@
     stated_age_ms: int = 0
     waiting: int = 0
     rejected: int = 0
+    brittle: int = 0
 
 
 class CellUpdate(Struct, frozen=True):
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -443,6 +443,59 @@
         "test_connectionanswers.ConnectionAnswersTest"
         ".test_plain_answer_without_a_byte_is_not_whole",
     ),
+    Safeguard(
+        "each instance uses its share of a brittle server",
+        "dispatcher",
+        "        share = math.ceil(limit / self._instances())\n",
+        "        share = limit\n",
+        "test_brittleservers.BrittleServersTest"
+        ".test_brittle_servers_are_not_overloaded",
+    ),
+    Safeguard(
+        "a brittle server that rejected a request rests",
+        "scheduling/brittleservers",
+        "            self._resting_until[server] = now + rest_s\n",
+        "            del rest_s\n",
+        "test_brittleservers.BrittleStateTest"
+        ".test_rest_is_shared_by_the_instances",
+    ),
+    Safeguard(
+        "a server is reached through another instance",
+        "channels",
+        '            group.start_soon(open_one, "relayed", relayed, group)\n',
+        "            del relayed\n",
+        "test_serversoutofreach.ServersOutOfReachTest"
+        ".test_callers_are_served_while_connections_are_reset",
+    ),
+    Safeguard(
+        "direct connections to servers out of reach are not used",
+        "channels",
+        "            if right_way and now",
+        "            if now",
+        "test_serversoutofreach.ServersOutOfReachTest"
+        ".test_callers_are_served_while_connections_hang",
+    ),
+    Safeguard(
+        "the end of a relay is no end of a server",
+        "relayclient",
+        "            self._conn.connection_lost(exc)\n",
+        "            self._conn.eof_received()\n",
+        "test_relays.RelayTest.test_end_of_the_relay_is_no_end_of_the_server",
+    ),
+    Safeguard(
+        "a server's reset is passed on as a reset",
+        "relayport",
+        "        return RESET\n",
+        "        return ENDED\n",
+        "test_relays.RelayTest.test_reset_of_the_server_is_passed_on",
+    ),
+    Safeguard(
+        "servers that are down are not out of reach",
+        "relayport",
+        "            await self._refuse(send, SERVER_UNREACHABLE)\n",
+        "            await self._refuse(send, NOT_RELAYING)\n",
+        "test_relays.RelayTest.test_word_on_an_unreachable_server_is_final",
+    ),
     Safeguard(
         "streams are moved from leaving servers",
         "storefollowing",
--- a/tests/test_brittleservers.py
+++ b/tests/test_brittleservers.py
@@ -1,9 +1,17 @@
 """Tests servers that crash if they have to reject many requests."""
 
 import time
+import unittest
 
 import anyio
 
+from jasminerelay.platform.headers import PlatformDialect
+from jasminerelay.scheduling.brittleservers import (
+    MIN_REST_S,
+    RESTING_LIMIT,
+    VALID_S,
+    BrittleServers,
+)
 from standins.platformsite import SiteOptions
 from tests.platformcase import PlatformCase
 
@@ -18,6 +26,57 @@
 MAX_CRASHES = 2 + SERVERS // 10
 
 
+class BrittleStateTest(unittest.TestCase):
+    """What a brittle server is given."""
+
+    def test_statement_holds_for_the_service(self) -> None:
+        # Guards against servers that have not answered since the others said
+        # that they are brittle.
+        brittle = BrittleServers()
+        brittle.record_statement("s1", 4, 0.0)
+        self.assertEqual(brittle.limit("s2", 10, 1.0), 8)
+        self.assertEqual(brittle.limit("s2", 10, VALID_S), 0)
+        self.assertFalse(brittle)
+
+    def test_answer_without_the_field_ends_it(self) -> None:
+        brittle = BrittleServers()
+        brittle.record_statement("s1", 4, 0.0)
+        brittle.record_statement("s1", 0, 0.1)
+        self.assertEqual(brittle.limit("s1", 10, 0.2), 0)
+
+    def test_rest_is_shared_by_the_instances(self) -> None:
+        # Guards against rests that each instance keeps, and which together
+        # allow more rejections than a server bears.
+        for instances, rejections in ((1, 20), (6, 3), (200, 10)):
+            brittle = BrittleServers()
+            brittle.record_statement("s1", rejections, 0.0)
+            brittle.record_rejection("s1", instances, 0.0)
+            rest_s = max(MIN_REST_S, instances / rejections)
+            brittle.record_statement("s1", rejections, rest_s)
+            limit = brittle.limit("s1", 10, rest_s - 0.01)
+            self.assertEqual(limit, RESTING_LIMIT)
+            self.assertEqual(brittle.limit("s1", 10, rest_s + 0.01), 8)
+
+    def test_usual_servers_have_no_rest(self) -> None:
+        brittle = BrittleServers()
+        brittle.record_rejection("s1", 6, 0.0)
+        brittle.record_statement("s1", 4, 0.1)
+        self.assertEqual(brittle.limit("s1", 10, 0.2), 8)
+
+    def test_field(self) -> None:
+        dialect = PlatformDialect()
+        for value, expected in (
+            (b"7", (7, "")),
+            (b"0", (0, "")),
+            (b"-1", (0, "-1")),
+            (b"many", (0, "many")),
+            (b"1" * 9, (0, "1" * 9)),
+        ):
+            head = dialect.head(200, [(b"Server-Brittle", value)])
+            self.assertEqual((head.brittle, head.brittle_fault), expected)
+            self.assertEqual(head.headers, ())
+
+
 class BrittleServersTest(PlatformCase):
     """Several instances before servers of which each would crash."""
 
