--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -17,6 +17,7 @@
     MEMORY_SHORT,
     STALLED,
 )
+from jasminerelay.scheduling.serverpaths import RELAY_LOST
 
 CONTEXT_S = 15.0
 """How long before a request's arrival context events are included."""
@@ -37,9 +38,11 @@
         "request_blocked",
         "request_released",
         "server",
+        "server_brittle",
         "server_crash_heard",
         "server_crash_told",
         "server_ended",
+        "server_out_of_reach",
         "snapshot",
         "start",
         "stop",
@@ -52,6 +55,7 @@
         "move",
         "move_failed",
         "server",
+        "server_brittle",
         "server_crash_heard",
         "server_crash_told",
         "server_ended",
@@ -241,6 +245,8 @@
         )
     if STALLED in why:
         return "caller stopped reading the answer"
+    if RELAY_LOST in why:
+        return "instance that relayed the server's connection lost"
     if BROKE_OFF in why:
         return "server connection lost during the answer"
     if "time was over" in why:
@@ -303,6 +309,12 @@
         causes.append(
             f"sent to {len(fields['servers'])} servers, one after another"
         )
+    relays = fields.get("relays") or ()
+    if relays:
+        causes.append(
+            "its instance did not reach the servers itself; relayed by "
+            + ", ".join(relays)
+        )
     if fields.get("why"):
         causes.append(f"last error: {fields['why']}")
     status = fields.get("status")
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -22,6 +22,7 @@
 from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.httpclient import NotSentError
 from jasminerelay.metrics import Counters
+from jasminerelay.scheduling.serverpaths import RELAY_LOST
 from jasminerelay.schema.messages import Member
 from jasminerelay.serverconnection import ServerConnection
 from jasminerelay.watchdog import Watchdog
@@ -191,7 +192,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Breaks the server's connection off, unless its end has arrived."""
-        self._fail(exc or ConnectionResetError("the relay ended"))
+        self._fail(exc or ConnectionResetError(RELAY_LOST))
 
     def pause_writing(self) -> None:
         """Stops the sending of the request."""
--- a/src/jasminerelay/scheduling/serverpaths.py
+++ b/src/jasminerelay/scheduling/serverpaths.py
@@ -12,6 +12,9 @@
 """Servers out of reach, with no direct connection since, after which all count
 as out of reach."""
 
+RELAY_LOST = "the relaying instance was lost"
+"""Reason of an exchange that ended with its relay, as it is logged."""
+
 PROBE_INTERVAL_S = 1.0
 """Interval between direct connections to servers that are out of reach."""
 
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -77,6 +77,10 @@
 """Requests of an instance that may reach a server in the pause that it has
 requested, after the first half second."""
 
+BRITTLE = 3
+BRITTLE_WARNING_S = 2.0
+BRITTLE_SLOTS = 8
+
 CUT_CONTACT_S = 3.0
 CUT_SPAN_S = 2.0
 CUT_ANSWER_S = 1.0
@@ -453,6 +457,23 @@
         faults.breaks = 0
         faults.by_connection = rng.random() < 0.5
 
+    async def _servers_brittle(self, rng: random.Random) -> None:
+        """Lets a service's servers crash if they reject many requests."""
+        kind = rng.choice(("engine", "plain"))
+        servers = [
+            x for n, x in self.site.servers.items() if n.startswith(kind)
+        ]
+        fallen = len(self.site.ended)
+        for server in servers:
+            server.faults.brittle = BRITTLE
+        await anyio.sleep(BRITTLE_WARNING_S)
+        for server in servers:
+            server.faults.capacity = BRITTLE_SLOTS
+        await anyio.sleep(rng.uniform(1.0, 3.0))
+        for server in self.site.servers.values():
+            server.faults.brittle = server.faults.capacity = 0
+        self.counts["brittle servers fallen"] += len(self.site.ended) - fallen
+
     async def _server_silent(self, rng: random.Random) -> None:
         """Lets a sound server send nothing for about a second."""
         faults = rng.choice(list(self.site.servers.values())).faults
@@ -883,6 +904,7 @@
     PlatformSoak._server_answers_by_connection,
     PlatformSoak._server_answers_by_connection,
     PlatformSoak._server_silent,
+    PlatformSoak._servers_brittle,
     PlatformSoak._server_gone,
     PlatformSoak._server_announces,
     PlatformSoak._server_pauses,
