--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -178,15 +178,23 @@
             if now - item.since < MIN_IDLE_S:
                 idle.appendleft(item)
                 break
-            # A direct connection to a server that is out of reach may hang.
-            right_way = bool(item.channel.relayed_by) == self._paths.relays(
-                server.id
-            )
-            if right_way and now < item.until and item.channel.reusable:
+            if (
+                self._usable(item.channel)
+                and now < item.until
+                and item.channel.reusable
+            ):
                 return item.channel
             await item.channel.aclose()
         return await self._open(server)
 
+    def _usable(self, channel: Channel) -> bool:
+        """Returns whether a connection leads to its server the right way."""
+        relays = self._paths.relays(channel.server.id)
+        if channel.relayed_by:
+            return relays and self._relays.relays(channel.relayed_by)
+        # A direct connection to a server that is out of reach may hang.
+        return not relays
+
     async def put_back(
         self, channel: Channel, idle_s: float | None, closing: bool
     ) -> None:
--- a/src/jasminerelay/netstream.py
+++ b/src/jasminerelay/netstream.py
@@ -183,6 +183,9 @@
 
 def is_readable(raw: Any) -> bool:
     """Returns whether data can be read from a socket, or it has ended."""
+    if raw.fileno() < 0:
+        # Closed in this process.
+        return True
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -110,6 +110,10 @@
             self.leave_out(member.instance)
         raise NotSentError("no other instance relays connections")
 
+    def relays(self, instance: str) -> bool:
+        """Returns whether an instance goes on relaying; not one that stops."""
+        return any(peer.instance == instance for peer in self._peers())
+
     def leave_out(self, instance: str) -> None:
         """Asks an instance for nothing for a while."""
         self._left_out_until[instance] = time.monotonic() + LEFT_OUT_S
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -470,8 +470,8 @@
     Safeguard(
         "direct connections to servers out of reach are not used",
         "channels",
-        "            if right_way and now",
-        "            if now",
+        "        return not relays\n",
+        "        return True\n",
         "test_serversoutofreach.ServersOutOfReachTest"
         ".test_callers_are_served_while_connections_hang",
     ),
--- a/tests/test_brittleservers.py
+++ b/tests/test_brittleservers.py
@@ -12,8 +12,10 @@
     VALID_S,
     BrittleServers,
 )
+from jasminerelay.schema.messages import CellUpdate, ServerObservation
 from standins.platformsite import SiteOptions
 from tests.platformcase import PlatformCase
+from tests.test_cells import SERVICE, Site
 
 SERVERS = 3
 SLOTS = 6
@@ -77,6 +79,35 @@
             self.assertEqual(head.headers, ())
 
 
+class OwnerTest(unittest.TestCase):
+    """Owners of cells, which get no answers of servers themselves."""
+
+    def test_owner_learns_of_brittle_servers(self) -> None:
+        # Guards against an owner that fills the brittle servers of its cell.
+        node = Site(2, servers=4).nodes["n00"]
+        for number, rejected in ((1, 0), (2, 1)):
+            observation = ServerObservation(
+                "i-000", 0, 0, False, rejected=rejected, brittle=3
+            )
+            node.owned.handle_message(
+                CellUpdate(
+                    "n01",
+                    "n01:1",
+                    SERVICE,
+                    0,
+                    number,
+                    [],
+                    [],
+                    [],
+                    [observation],
+                )
+            )
+            (owner,) = node.owned._cells.values()
+            brittle = owner._dispatcher.capacities.of(SERVICE).brittle
+            limit = brittle.limit("i-000", 10, time.monotonic())
+            self.assertEqual(limit, RESTING_LIMIT if rejected else 8)
+
+
 class BrittleServersTest(PlatformCase):
     """Several instances before servers of which each would crash."""
 
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -21,6 +21,9 @@
     async def open(self, server: BackendServer):
         raise NotSentError("none")
 
+    def relays(self, instance: str) -> bool:
+        return False
+
 
 class FakeChannel:
     """A connection whose close yields to other tasks."""
@@ -42,11 +45,12 @@
     """Which connections are pooled, and when they are closed."""
 
     def setUp(self) -> None:
+        self.paths = ServerPaths()
         self.pool = ChannelPool(
             Watchdog(),
             Counters(),
             netstream.open_connection,
-            ServerPaths(),
+            self.paths,
             NoRelays(),
         )
 
@@ -56,6 +60,18 @@
             await self.pool.put_back(channel, idle_s, False)
         return pooled
 
+    async def test_connection_of_a_stopping_relay_is_not_used(self) -> None:
+        # Guards against requests that end with the instance that relays them.
+        self.paths.record_relayed(SERVER.id, 0.0)
+        direct, relayed = FakeChannel(), FakeChannel()
+        relayed.relayed_by = "stopping"
+        for channel in (direct, relayed):
+            await self.pool.put_back(channel, 9.0, False)
+        await anyio.sleep(2 * channels.MIN_IDLE_S)
+        with self.assertRaises(NotSentError):
+            await self.pool.acquire(SERVER)
+        self.assertEqual((direct.closed, relayed.closed), (1, 1))
+
     async def test_acquire_while_stale_ones_are_closed(self) -> None:
         # Each close of a stale connection yields to requests, which acquire
         # connections from the same pool. An instance crashed because of this
