--- a/src/jasminerelay/relayport.py
+++ b/src/jasminerelay/relayport.py
@@ -123,7 +123,7 @@
         self, server: BackendServer
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(limit=PIECE_BYTES)
+        reader = asyncio.StreamReader(limit=PIECE_BYTES // 2)
         transport, protocol = await self._open_connection(
             lambda: asyncio.StreamReaderProtocol(reader),
             *split_address(server.address),
