Keep a stall of the test's process from moving its stream before the drain

That move is allowed; the test is about the one that a drain orders, and now holds the other check off. Its assertions stay.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from jasminerelay import stragglers, tokentimes
+from jasminerelay import attempt, stragglers, tokentimes
 from standins.platformserver import ServerFaults
 from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, PLAIN_BACKEND
 from tests.platformcase import PlatformCase, events, fetch
@@ -372,7 +372,11 @@
         # A server drains during a stream that must run at most once, and the
         # other server rejects the moved request. Sending it without the KV
         # cache would run it a second time, so the caller must get a truncated
-        # response.
+        # response. A stall of this process must not make the stream look too
+        # slow for its server: it would move, and end whole, before the drain.
+        self.enterContext(
+            unittest.mock.patch.object(attempt, "SLOW_CHECK_INTERVAL_S", 60.0)
+        )
         async with self.site() as (site, (instance,)):
             await site.add_server("engine-3", MODEL_BACKEND)
             await self.until(
