--- a/src/jasminerelay/pathprobes.py
+++ b/src/jasminerelay/pathprobes.py
@@ -5,7 +5,6 @@
 connections hang, and as long as no new one is opened nothing shows that.
 """
 
-import time
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -14,7 +13,6 @@
 from jasminerelay.channels import ChannelPool
 from jasminerelay.scheduling.serverpaths import ServerPaths
 
-TICK_S = 0.1
 CHECK_INTERVAL_S = 1.0
 """Minimum interval between new connections to servers that send nothing."""
 
@@ -43,15 +41,18 @@
         self._find_server = find_server
         self._silent_servers = silent_servers
         self._next_check_at = 0.0
+        self._group: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
-        """Probes until cancelled."""
-        async with anyio.create_task_group() as group:
-            while True:
-                await anyio.sleep(TICK_S)
-                now = time.monotonic()
-                self._try_again(now, group)
-                self._check_silent(now, group)
+        """Runs the probes that `tick` starts, until cancelled."""
+        async with anyio.create_task_group() as self._group:
+            await anyio.sleep_forever()
+
+    def tick(self, now: float) -> None:
+        """Starts the probes that are due; called several times a second."""
+        if self._group is not None:
+            self._try_again(now, self._group)
+            self._check_silent(now, self._group)
 
     def _try_again(self, now: float, group: anyio.abc.TaskGroup) -> None:
         name = self._paths.next_probe(now)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -745,6 +745,7 @@
         self._registry_feed.expire(now)
         self.dispatcher.tick(now)
         self._owned_cells.tick(now)
+        self._path_probes.tick(now)
         self._update_instances()
         self._store_state.abort_waits_if_older(
             self._follower_role.poll_age_s(
