Let instances without requests learn that they are cut off

An instance that is cut off and has no requests of its own said that it does not reach a server, which counted as the last word on the server. Two such words are asked for now, and the instance that says so checks the server itself. test_quiet_instance_learns_...: new.

--- a/src/jasminerelay/pathprobes.py
+++ b/src/jasminerelay/pathprobes.py
@@ -2,7 +2,8 @@
 
 Servers that are out of reach are tried directly from time to time. A server
 that owes answers and sends nothing may be out of reach as well: its open
-connections hang, and as long as no new one is opened nothing shows that.
+connections hang, and as long as no new one is opened nothing shows that. An
+instance without requests learns from those that it should relay.
 """
 
 from collections.abc import Callable, Iterable
@@ -14,7 +15,7 @@
 from jasminerelay.scheduling.serverpaths import ServerPaths
 
 CHECK_INTERVAL_S = 1.0
-"""Minimum interval between new connections to servers that send nothing."""
+"""Minimum interval between checks of servers in doubt."""
 
 
 class PathProbes:
@@ -42,17 +43,22 @@
         self._silent_servers = silent_servers
         self._next_check_at = 0.0
         self._group: anyio.abc.TaskGroup | None = None
+        self._doubtful: set[str] = set()
 
     async def run(self) -> None:
         """Runs the probes that `tick` starts, until cancelled."""
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
+    def doubt(self, server: str) -> None:
+        """Has a server checked that was not reached for another instance."""
+        self._doubtful.add(server)
+
     def tick(self, now: float) -> None:
         """Starts the probes that are due; called several times a second."""
         if self._group is not None:
             self._try_again(now, self._group)
-            self._check_silent(now, self._group)
+            self._check_doubtful(now, self._group)
 
     def _try_again(self, now: float, group: anyio.abc.TaskGroup) -> None:
         name = self._paths.next_probe(now)
@@ -64,10 +70,11 @@
         else:
             group.start_soon(self._channels.probe_directly, server)
 
-    def _check_silent(self, now: float, group: anyio.abc.TaskGroup) -> None:
+    def _check_doubtful(self, now: float, group: anyio.abc.TaskGroup) -> None:
         if now < self._next_check_at:
             return
-        for name in self._silent_servers(now):
+        doubtful, self._doubtful = self._doubtful, set()
+        for name in (*doubtful, *self._silent_servers(now)):
             server = self._find_server(name)
             if server is not None and not self._paths.relays(name):
                 self._next_check_at = now + CHECK_INTERVAL_S
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -611,6 +611,8 @@
             self.counters,
         )
 
+        relays.on_unreachable = self._path_probes.doubt
+
         async def serve(scope, receive, send) -> None:
             app = relays if scope["path"] == RELAY_PATH else snapshots
             await app(scope, receive, send)
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -32,6 +32,10 @@
 does not answer."""
 
 MAX_TRIED = 3
+ENOUGH_UNREACHED = 2
+"""Instances that do not reach a server after which no more are asked. A single
+one may be cut off, too, without knowing it yet."""
+
 LEFT_OUT_S = 2.0
 """Time for which an instance is not asked after it refused or broke off."""
 
@@ -88,6 +92,7 @@
         Raises:
             NotSentError: if no instance could open one.
         """
+        unreached = 0
         for member in self._choose(time.monotonic()):
             conn = ServerConnection(self._watchdog)
             protocol = RelayProtocol(member.peers, server.id, conn)
@@ -105,9 +110,12 @@
                 self._counters.incr("path.relayed")
                 return RelayedConnection(conn, member.instance, protocol)
             self._counters.incr("path.relay_failed")
-            if status == relayport.SERVER_UNREACHABLE:
-                raise NotSentError("another instance does not reach it either")
-            self.leave_out(member.instance)
+            if status != relayport.SERVER_UNREACHABLE:
+                self.leave_out(member.instance)
+                continue
+            unreached += 1
+            if unreached == ENOUGH_UNREACHED:
+                raise NotSentError("other instances do not reach it either")
         raise NotSentError("no other instance relays connections")
 
     def relays(self, instance: str) -> bool:
--- a/src/jasminerelay/relayport.py
+++ b/src/jasminerelay/relayport.py
@@ -53,6 +53,7 @@
 
     Attributes:
         count: Number of connections that it relays.
+        on_unreachable: Called with a server that this instance did not reach.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self._open_connection = open_connection
         self._counters = counters
         self.count = 0
+        self.on_unreachable: Callable[[str], None] = lambda server: None
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one connection until its end."""
@@ -101,6 +103,7 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 reader, writer = await self._connect(server)
         except (OSError, TimeoutError):
+            self.on_unreachable(server.id)
             await self._refuse(send, SERVER_UNREACHABLE)
             return
         self._counters.incr("relay.opened")
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -78,6 +78,7 @@
 
     async def asyncSetUp(self) -> None:
         self.may_relay = True
+        self.doubted: list[str] = []
         self.counters = Counters()
         self.peers: list[Member] = []
         self.client = RelayClient(
@@ -119,6 +120,7 @@
         self.addCleanup(task.cancel)
         while not port.started:
             await asyncio.sleep(0.01)
+        app.on_unreachable = self.doubted.append
         name = f"i{len(self.peers)}"
         self.peers.append(Member(name, "", zone, "", "", address, "alive", 0))
         return app, port, task
@@ -213,10 +215,11 @@
             await self.start_relay()
         down = BackendServer("s", "b", free_address(), "z", 1, False)
         self.server = down
-        with self.assertRaisesRegex(NotSentError, "does not reach it either"):
+        with self.assertRaisesRegex(NotSentError, "do not reach it either"):
             await self.client.open(down)
         refused = self.counters.snapshot()["relay.refused.502"]
-        self.assertEqual(refused, 1)
+        self.assertEqual(refused, 2)
+        self.assertEqual(self.doubted, ["s", "s"])
 
     async def test_other_zones_help_where_most_of_a_zone_is_cut(self) -> None:
         # Guards against a few instances that carry a zone.
@@ -282,6 +285,25 @@
                 self.assertNotEqual(answer.status, 200)
             self.assertEqual(first._paths.out_of_reach, 0)
 
+    async def test_quiet_instance_learns_that_it_is_cut_off(self) -> None:
+        # Guards against an instance without requests that goes on saying
+        # that it does not reach servers which others reach.
+        async with self.site(3) as (site, instances):
+            await self.until(
+                lambda: all(i.live_instance_count == 3 for i in instances)
+            )
+            for instance in instances[:2]:
+                self.network_of[instance.boot.name].cut(Cut.HANG)
+            served = 0
+            for number in range(10):
+                answer = await self.ask(
+                    instances[0], "/lookup/x", attempt=f"k{number}"
+                )
+                served += answer.status == 200
+                await anyio.sleep(0.2)
+            self.assertGreater(served, 5)
+            self.assertGreater(instances[1]._paths.out_of_reach, 0)
+
     async def test_silent_server_is_not_out_of_reach(self) -> None:
         # Guards against a server that is silent for a second and counts as
         # one that this instance does not reach.
