--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -106,7 +106,19 @@
                 await asyncio.sleep(0.05)
                 self.end(writer)
 
-    async def start_relay(self, zone: str = "z") -> tuple:
+    async def start_port(self, app) -> tuple[ports.HttpServer, str]:
+        """Serves an application; returns its port and address."""
+        address = free_address()
+        port = ports.port(app, address)
+        task = asyncio.create_task(port.serve())
+        self.addCleanup(task.cancel)
+        while not port.started:
+            await asyncio.sleep(0.01)
+        return port, address
+
+    async def start_relay(
+        self, zone: str = "z"
+    ) -> tuple[RelayApp, ports.HttpServer]:
         """Starts an instance's port; returns the app and its port."""
         app = RelayApp(
             lambda name: self.server if name == self.server.id else None,
@@ -114,16 +126,11 @@
             netstream.open_connection,
             self.counters,
         )
-        address = free_address()
-        port = ports.port(app, address)
-        task = asyncio.create_task(port.serve())
-        self.addCleanup(task.cancel)
-        while not port.started:
-            await asyncio.sleep(0.01)
+        port, address = await self.start_port(app)
         app.on_unreachable = self.doubted.append
         name = f"i{len(self.peers)}"
         self.peers.append(Member(name, "", zone, "", "", address, "alive", 0))
-        return app, port, task
+        return app, port
 
     async def ask(self):
         """Sends a request through a relay; returns how the answer ended."""
@@ -139,7 +146,7 @@
         return relay, body
 
     async def test_end_of_the_server(self) -> None:
-        app, _, _ = await self.start_relay()
+        app, _ = await self.start_relay()
         relay, body = await self.ask()
         self.assertEqual(body, b"half")
         self.assertFalse(relay.protocol.lost)
@@ -158,7 +165,7 @@
     async def test_end_of_the_relay_is_no_end_of_the_server(self) -> None:
         # Guards against an answer that counts as whole since its relay ended.
         self.end = lambda writer: None
-        _, port, _ = await self.start_relay()
+        _, port = await self.start_relay()
         relay = await self.client.open(self.server)
         relay.conn.timeout_s = 5.0
         response = await relay.conn.send("POST", b"/x", [], b"")
@@ -196,12 +203,7 @@
     async def test_instance_of_an_older_version_is_left_out(self) -> None:
         # Guards against a rolling update that ends the search for a relay.
         snapshots = SnapshotApp(Registry(None, None))
-        address = free_address()
-        port = ports.port(snapshots, address)
-        task = asyncio.create_task(port.serve())
-        self.addCleanup(task.cancel)
-        while not port.started:
-            await asyncio.sleep(0.01)
+        _, address = await self.start_port(snapshots)
         self.peers.append(Member("old", "", "z", "", "", address, "alive", 0))
         with self.assertRaises(NotSentError):
             await self.client.open(self.server)
