--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -754,14 +754,16 @@
                 request.attempt
             ):
                 self._record_violation(
-                    f"{request.attempt}: wrong answer {request.content!r}"
+                    f"{request.attempt} of {request.address}: wrong answer"
+                    f" {request.content!r}"
                 )
 
     def _check_stream(self, request: SentRequest) -> None:
         complete_stream = _event_stream(30)
         if request.whole and request.content != complete_stream:
             self._record_violation(
-                f"{request.attempt}: wrong stream, {len(request.content)} B"
+                f"{request.attempt} of {request.address}: wrong stream,"
+                f" {len(request.content)} B"
             )
         if not complete_stream.startswith(request.content):
             self._record_violation(
