Do not let a link's dropped bytes end in order

Traced: the stand-in link dropped bytes in its silent time and then passed the server's end on in order, after a whole event; TCP does not.

--- a/standins/link.py
+++ b/standins/link.py
@@ -107,21 +107,28 @@
         scope: anyio.CancelScope,
         answers: bool,
     ) -> None:
+        complete = True
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
                 if self.faults.delay_s:
                     await anyio.sleep(self.faults.delay_s)
-                if self.faults.silent or (answers and self.faults.deaf):
+                if self._drops(answers):
+                    complete = False
                     continue
                 await destination.send(data)
         except anyio.EndOfStream:
-            pass
+            # An end in order would hide the bytes that were dropped.
+            if not complete or self._drops(answers):
+                _reset_on_close(destination)
         except _CONNECTION_ERRORS:
             _reset_on_close(destination)
         # One side has closed the connection: close the other side, too.
         scope.cancel()
 
+    def _drops(self, answers: bool) -> bool:
+        return self.faults.silent or (answers and self.faults.deaf)
+
 
 def _reset_on_close(stream: SocketStream) -> None:
     """Lets the end of a connection be a reset."""
