--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -13,6 +13,7 @@
     MEMORY_SHORT,
     STALLED,
 )
+from jasminerelay.scheduling.serverpaths import RELAY_LOST
 from standins.launcher import ROOT
 
 
@@ -147,6 +148,22 @@
         _, (loss,) = explain.summarize(explain.read(log)[0])
         self.assertEqual(loss.cause, "server connection lost during the answer")
 
+    def test_request_whose_relay_was_lost(self) -> None:
+        log = [
+            line(1.0, "e", "server_out_of_reach", server="s9", all=True),
+            line(
+                2.0, "e", "request", id="x", route="r", ended="done",
+                status=502, why=f"failed: ReadError('{RELAY_LOST}')",
+                servers=["s"], relays=["edge-3"], total_s=0.5,
+            ),
+        ]  # fmt: skip
+        events, left_out = explain.read(log)
+        found = explain.explain("x", events, left_out)
+        self.assertEqual(found.context[0].name, "server_out_of_reach")
+        self.assertTrue(any("edge-3" in cause for cause in found.causes))
+        _, (loss,) = explain.summarize(events)
+        self.assertIn("instance that relayed", loss.cause)
+
     def test_refusal_for_lack_of_memory(self) -> None:
         # Guards against refusals that `losses` does not count, since they have
         # no `request` line.
