--- a/tests/test_connectionanswers.py
+++ b/tests/test_connectionanswers.py
@@ -2,10 +2,11 @@
 
 import contextlib
 import unittest
+import unittest.mock
 
 import anyio
 
-from jasminerelay import completeness
+from jasminerelay import attempt, completeness
 from jasminerelay.backends import AttemptError, ExecutionStatus, ServiceClient
 from jasminerelay.completeness import Framing
 from jasminerelay.httpclient import HttpClient, HttpRequest
@@ -184,7 +185,11 @@
 
     async def test_stopped_run_is_no_end(self) -> None:
         # Guards against a stream that a server closes since its run was
-        # ordered to move, and whose end looks like that of the answer.
+        # ordered to move, and whose end looks like that of the answer. A stall
+        # of this process must not move the stream before the drain.
+        self.enterContext(
+            unittest.mock.patch.object(attempt, "SLOW_CHECK_INTERVAL_S", 60.0)
+        )
         async with self.answering() as (site, instance):
             answers = []
 
