Name software versions and takes-up in the lines of requests, moves and servers

Cause: nothing an instance wrote named a server's software version, or that a request continued an earlier one, so the three hypotheses about streams over two versions could not be told apart without the operator's log. Change: servers carry the version of their row; the request's line has versions, resumes and after, the move's line and the server's line have versions; three counters (stream.taken_up, taken_up_went_on, versions_mixed); explain names both. No decision changes.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -148,6 +148,8 @@
         framings: What marked the end of each response that began, in order.
         relays: Instances that relayed responses, in order.
         tried: Servers of all attempts, in order.
+        versions: Software versions of the servers whose events the caller got,
+            in order; one for each answer.
         owners: Instances that placed the attempts, in order; "" for this one.
         ran: Number of servers that have run it, or may have.
         maybe_ran: Whether the request can't be reported as not run any more.
@@ -166,6 +168,7 @@
     framings: list[str] = dataclasses.field(default_factory=list)
     relays: list[str] = dataclasses.field(default_factory=list)
     tried: list[str] = dataclasses.field(default_factory=list)
+    versions: list[str] = dataclasses.field(default_factory=list)
     owners: list[str] = dataclasses.field(default_factory=list)
     ran: int = 0
     maybe_ran: bool = False
@@ -574,6 +577,7 @@
                 if events:
                     if not timer.first_at:
                         self._report_started(0.0)
+                        progress.versions.append(server.software_version)
                     timer.events(len(events))
                     progress.pause_s = max(progress.pause_s, timer.pause_s)
                     progress.first_at = progress.first_at or timer.first_at
--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -215,6 +215,7 @@
             reported. It distinguishes incarnations but does not order them: a
             clock may have stepped back between two starts.
         preemptible: Whether it may be taken away at short notice.
+        software_version: Version of its software, not of its weights.
     """
 
     name: str
@@ -225,6 +226,7 @@
     draining: bool
     born: int = 0
     preemptible: bool = False
+    software_version: str = ""
 
     @property
     def id(self) -> str:
@@ -391,6 +393,8 @@
             earlier answer; "" for a new request.
         arrived_at: Monotonic time at which it was read, in seconds.
         answer_deadline: Monotonic time by which its final answer must be sent.
+        resumes: Id of the caller's attempt that brought the first event of the
+            stream that this request continues; "" if it names none.
     """
 
     id: str
@@ -408,3 +412,4 @@
     last_event_id: str
     arrived_at: float
     answer_deadline: float
+    resumes: str = ""
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -309,6 +309,17 @@
         causes.append(
             f"sent to {len(fields['servers'])} servers, one after another"
         )
+    if fields.get("after"):
+        causes.append(
+            f"continued a stream of {fields.get('resumes') or 'an unnamed id'}"
+            f" after event {fields['after']}"
+        )
+    versions = list(dict.fromkeys(fields.get("versions") or ()))
+    if len(versions) > 1:
+        causes.append(
+            "its events come from servers of several software versions: "
+            + ", ".join(versions)
+        )
     relays = fields.get("relays") or ()
     if relays:
         causes.append(
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -311,6 +311,12 @@
             first_s = round(progress.first_at - call.arrived_at, 3)
         total_s = round(now - call.arrived_at, 3)
         self._context.counters.incr(f"answer.{progress.status or 'none'}")
+        if call.last_event_id:
+            self._context.counters.incr("stream.taken_up")
+            if progress.events:
+                self._context.counters.incr("stream.taken_up_went_on")
+        if len(set(progress.versions)) > 1:
+            self._context.counters.incr("stream.versions_mixed")
         self._context.telemetry.record_latencies(call.rank, first_s, total_s)
         write(
             "request",
@@ -323,6 +329,9 @@
             whole=self._answer_complete,
             why=self._reason,
             servers=progress.tried,
+            versions=progress.versions,
+            resumes=call.resumes,
+            after=call.last_event_id,
             owners=progress.owners,
             framings=progress.framings,
             relays=progress.relays,
--- a/src/jasminerelay/migration.py
+++ b/src/jasminerelay/migration.py
@@ -147,6 +147,11 @@
             id=call.id,
             source=source.id,
             target=copy.at.id if copy else None,
+            versions=[
+                item.software_version
+                for item in (source, copy.at if copy else None)
+                if item is not None
+            ],
             status=reply.status,
         )
         return MoveResult(
--- a/src/jasminerelay/platform/decoding.py
+++ b/src/jasminerelay/platform/decoding.py
@@ -137,9 +137,9 @@
     zone: str
     slots: int = msgspec.field(name="slotCount")
     phase: Literal["ready", "draining"]
+    software_version: str = msgspec.field(name="version")
     # Not used. Required, since a row without these fields was not written by
     # a server.
-    release: str = msgspec.field(name="version")
     cold_ms: float = msgspec.field(name="coldRemainingMs")
     order_count: int = msgspec.field(name="callSeq")
     # Start time by the server's own clock, in Unix milliseconds. Distinguishes
@@ -209,6 +209,7 @@
         raw.phase == DRAINING,
         raw.born,
         raw.preemptible,
+        raw.software_version,
     )
 
 
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -27,6 +27,8 @@
 DEADLINE = b"deadline-ms"
 AUTHORIZATION = b"authorization"
 LAST_EVENT_ID = b"last-event-id"
+# The caller's attempt that brought the first event of a continued stream.
+RESUMES = b"resumes"
 _EXPECTED_SERVER = b"expect-instance"
 _ORGANISATION = b"tenant"
 _URGENCY = b"request-urgency"
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -287,6 +287,7 @@
             by_name.get(headers.LAST_EVENT_ID, b"").decode("latin-1"),
             arrived,
             arrived + _time_limit_s(by_name, route),
+            by_name.get(headers.RESUMES, b"").decode("latin-1"),
         )
 
     def _require_current(self, why: str) -> None:
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -547,6 +547,7 @@
                 "server",
                 server=(change.after or change.before).id,
                 state=_state(change),
+                version=(change.after or change.before).software_version,
                 row_version=storeversion.number_of(change.row.version),
                 source=source,
             )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -164,6 +164,20 @@
         _, (loss,) = explain.summarize(events)
         self.assertIn("instance that relayed", loss.cause)
 
+    def test_stream_of_two_software_versions(self) -> None:
+        # Guards against streams over two versions that no log line shows.
+        log = [
+            line(
+                2.0, "e", "request", id="x", route="r", ended="done",
+                status=200, whole=True, servers=["s", "t"],
+                versions=["v1", "v2"], resumes="w", after="7",
+            ),
+        ]  # fmt: skip
+        events, left_out = explain.read(log)
+        causes = explain.explain("x", events, left_out).causes
+        self.assertTrue(any("v1, v2" in cause for cause in causes))
+        self.assertTrue(any("of w after event 7" in x for x in causes))
+
     def test_refusal_for_lack_of_memory(self) -> None:
         # Guards against refusals that `losses` does not count, since they have
         # no `request` line.
