Add failing tests of streams over two software versions, and play them

Cause (issue: ORDER): continued streams go to any server of the service. Change: stand-in servers have a software version, which their events name; the platform's randomised run starts two engines of a second version, lets servers of three versions come and go, and has callers that lose their connections and take streams up with Resumes elsewhere; it checks both rules (no stream of two versions; takes-up go on at least half as often as new streams begin). The demo takes streams up beside a new version.

--- a/demo/platform.py
+++ b/demo/platform.py
@@ -1,9 +1,10 @@
 """Demo of the platform's interface, with a small site and two instances.
 
 Sends a request to each route, then a stream whose first run is broken off after
-its head, one whose server is drained before the stream ends, and requests to an
-instance that is cut off from all servers. Prints the results and one instance's
-log of the drained stream.
+its head, streams that their callers take up at the other instance once servers
+of another software version have come, a stream whose server is drained before
+its end, and requests to an instance that is cut off from all servers. Prints
+the results and one instance's log of the drained stream.
 """
 
 import contextlib
@@ -21,7 +22,7 @@
 
 from jasminerelay import explain
 from standins.launcher import ROOT
-from standins.platformserver import Break, ServerFaults
+from standins.platformserver import Break, ServerFaults, versions_in
 from standins.platformsite import (
     API_KEY,
     HOST,
@@ -38,6 +39,11 @@
 POLL_S = 0.05
 EVENTS = 150
 BROKEN_EVENTS = 12
+TAKEN_UP = 16
+TAKEN_UP_EVENTS = 40
+VERSIONS_KNOWN_S = 0.5
+EVENTS_BEFORE = 8
+_TAKEN_UP_FIELDS = {"Token-Usage": f"300,{TAKEN_UP_EVENTS}"}
 SAMPLES = (
     ("confirm", "POST", "/confirm/slot", {}),
     ("lookup", "GET", "/lookup/slot", {}),
@@ -88,6 +94,14 @@
         )
         good = good and continued == BROKEN_EVENTS
         whole = await _count_drained_stream(site, pool, listen[0]["front"])
+        mixed, went_on = await _take_streams_up(
+            site, pool, [item["front"] for item in listen]
+        )
+        print(
+            f"streams taken up at the other instance: {went_on} of {TAKEN_UP}"
+            f" went on, {mixed} with events of two software versions"
+        )
+        good = good and went_on == TAKEN_UP and not mixed
         served = await _count_served_by_cut_instance(
             paths[1], pool, listen[1]["front"]
         )
@@ -139,6 +153,65 @@
     return served
 
 
+async def _take_streams_up(
+    site: PlatformSite, pool, fronts: list[str]
+) -> tuple[int, int]:
+    """Lets callers of the first instance go on at the second.
+
+    Returns:
+        The streams with events of two versions, and those that went on.
+    """
+    parts = {}
+    for number in range(TAKEN_UP):
+        parts[number] = await _read_some_events(
+            fronts[0],
+            f"/chat/{number}/stream",
+            {**_TAKEN_UP_FIELDS, "Attempt-Id": f"begun-{number}"},
+        )
+    for number in range(2):
+        await site.add_server(f"another-{number}", MODEL_BACKEND, "v2")
+    await anyio.sleep(VERSIONS_KNOWN_S)
+    whole = dict(parts)
+
+    async def take_up(number: int) -> None:
+        fields = {
+            **_TAKEN_UP_FIELDS,
+            "Attempt-Id": f"taken-up-{number}",
+            "Resumes": f"begun-{number}",
+            "Last-Event-Id": str(parts[number].count(b"\n\n")),
+        }
+        reply = await _send_request(
+            pool, fronts[1], "POST", f"/chat/{number}/stream", fields
+        )
+        whole[number] += reply.content
+
+    async with anyio.create_task_group() as group:
+        for number in parts:
+            group.start_soon(take_up, number)
+    mixed = sum(len(versions_in(body)) > 1 for body in whole.values())
+    went_on = sum(
+        body.count(b"\n\n") == TAKEN_UP_EVENTS for body in whole.values()
+    )
+    return mixed, went_on
+
+
+async def _read_some_events(front: str, path: str, fields: dict) -> bytes:
+    """Reads a few events of a stream, then closes the connection."""
+    received = b""
+    headers = {**_headers(path), **fields}
+    async with (
+        httpcore.AsyncConnectionPool() as pool,
+        pool.stream(
+            "POST", f"http://{front}{path}", headers=list(headers.items())
+        ) as reply,
+    ):
+        async for part in reply.aiter_stream():
+            received += part
+            if received.count(b"\n\n") >= EVENTS_BEFORE:
+                break
+    return b"".join(received.rpartition(b"\n\n")[:2])
+
+
 async def _count_drained_stream(site, pool, front: str) -> int:
     replies = []
 
@@ -162,16 +235,19 @@
 
 
 async def _send_request(pool, front: str, method: str, path: str, fields: dict):
-    headers = {
+    headers = {**_headers(path), **fields}
+    return await pool.request(
+        method, f"http://{front}{path}", headers=list(headers.items())
+    )
+
+
+def _headers(path: str) -> dict[str, str]:
+    return {
         "Host": HOST,
         "Attempt-Id": f"demo{path}",
         "Authorization": f"Bearer {API_KEY}",
         "Content-Length": "0",
-        **fields,
     }
-    return await pool.request(
-        method, f"http://{front}{path}", headers=list(headers.items())
-    )
 
 
 async def _wait_until_ready(address: str) -> None:
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import json
+import re
 from collections.abc import Callable
 
 from standins.connectionanswers import ConnectionAnswer
@@ -15,6 +16,11 @@
 EVENT_INTERVAL_S = 0.01
 NEARLY_FULL = 0.85
 PIECE_BYTES = 64 * 1024
+FIRST_VERSION = "v1"
+"""Software version whose events do not name it."""
+
+VERSION_MARK = b"@"
+"""Precedes the version in an event of another one."""
 
 
 class Break(enum.Enum):
@@ -133,8 +139,12 @@
     tokens in the `Token-Usage` header field, and one to a path that ends in
     "/long" has the `body_bytes` of the faults. Other answers are a short text.
 
+    Events name the version of the software that wrote them, unless it is
+    `FIRST_VERSION`.
+
     Attributes:
         name: Name of the server.
+        version: Version of its software.
         faults: Active faults.
         journal: Requests that it ran.
         arrival_times: Times at which requests arrived, also rejected ones.
@@ -149,8 +159,9 @@
         on_crash: Called when a request crashes the server.
     """
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, version: str = FIRST_VERSION):
         self.name = name
+        self.version = version
         self.faults = ServerFaults()
         self.journal: list[ServedRequest] = []
         self.arrival_times: list[float] = []
@@ -287,8 +298,7 @@
                 if self.faults.torn:
                     await _send_chunk(send, b"id: %d\ndata: to" % number)
                 return
-            data = b"t%d" % number + b"." * self.faults.event_bytes
-            await _send_chunk(send, b"id: %d\ndata: %b\n\n" % (number, data))
+            await _send_chunk(send, self._event(number))
         await send({"type": "http.response.body", "body": b""})
         ran.ended = True
 
@@ -301,7 +311,8 @@
             self.faults.breaks -= 1
         is_stream = scope["path"].endswith("/stream")
         whole = [b"answer to " + ran.attempt.encode()]
-        parts = _events_of(ran) if is_stream else whole
+        stream = [self._event(number) for number in _numbers_of(ran)]
+        parts = stream if is_stream else whole
         answer = ConnectionAnswer(send)
         answer.start(200, self._response_headers(ran.attempt))
         sent = False
@@ -331,6 +342,12 @@
         answer.end()
         ran.ended = kind is None
 
+    def _event(self, number: int) -> bytes:
+        data = b"t%d" % number + b"." * self.faults.event_bytes
+        if self.version != FIRST_VERSION:
+            data += VERSION_MARK + self.version.encode()
+        return b"id: %d\ndata: %b\n\n" % (number, data)
+
     def _is_fatal(self, ran: ServedRequest) -> bool:
         return bool(self.faults.fatal) and ran.body == self.faults.fatal
 
@@ -439,10 +456,6 @@
     return range(int(ran.headers.get("last-event-id", "0")) + 1, events + 1)
 
 
-def _events_of(ran: ServedRequest) -> list[bytes]:
-    return [b"id: %d\ndata: t%d\n\n" % (n, n) for n in _numbers_of(ran)]
-
-
 async def _send_json(send, status: int, value: dict) -> None:
     body = json.dumps(value).encode()
     await send(
@@ -474,3 +487,16 @@
 async def _wait_for_disconnect(receive) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
+
+
+def versions_in(body: bytes) -> set[str]:
+    """Returns the software versions that wrote the events of a stream."""
+    return {
+        event.partition(VERSION_MARK)[2].decode() or FIRST_VERSION
+        for event in body.split(b"\n\n")[:-1]
+    }
+
+
+def without_versions(body: bytes) -> bytes:
+    """Returns a stream as servers of the first version would have sent it."""
+    return re.sub(VERSION_MARK + rb"[^\n]*", b"", body)
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -17,7 +17,7 @@
 from standins.launcher import free_address
 from standins.link import Link
 from standins.platformduties import PlatformDuties
-from standins.platformserver import PlatformServer
+from standins.platformserver import FIRST_VERSION, PlatformServer
 from standins.platformstore import PlatformStore
 
 API_KEY = "key-of-elm"
@@ -120,9 +120,11 @@
             yield self
             group.cancel_scope.cancel()
 
-    async def add_server(self, name: str, service: str) -> PlatformServer:
+    async def add_server(
+        self, name: str, service: str, version: str = FIRST_VERSION
+    ) -> PlatformServer:
         """Starts a server and writes its row to the store."""
-        server = PlatformServer(name)
+        server = PlatformServer(name, version)
         server.faults.fatal = self.options.fatal
         server.faults.fatal_after = self.options.fatal_after
         server.on_crash = lambda: self._crash_server(name, service)
@@ -154,7 +156,7 @@
                 "backend": service,
                 "address": self.addresses[name],
                 "zone": "north",
-                "version": "v1",
+                "version": self.servers[name].version,
                 "slotCount": self.options.slots,
                 "phase": phase,
                 "coldRemainingMs": 0,
@@ -180,7 +182,8 @@
         await anyio.sleep(self.options.restart_s)
         self.store.delete("servers", name)
         before = self.servers[name].faults
-        after = await self.add_server(f"{name}+", service)
+        version = self.servers[name].version
+        after = await self.add_server(f"{name}+", service, version)
         after.faults.slowdown = before.slowdown
         after.faults.capacity = before.capacity
         after.faults.brittle = before.brittle
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -15,6 +15,7 @@
 from jasminerelay import netstream
 from jasminerelay.platform import bootfile
 from jasminerelay.platform.root import Instance
+from standins import connectionanswers
 from standins.platformsite import API_KEY, HOST, PlatformSite, SiteOptions
 from standins.servernetwork import ServerNetwork
 
@@ -78,6 +79,7 @@
         # length.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
         self._prompts = itertools.count(1)
+        self._scopes: dict[str, anyio.CancelScope] = {}
 
     @contextlib.asynccontextmanager
     async def site(self, count: int = 1):
@@ -110,9 +112,24 @@
         )
         self.network_of[instance.boot.name] = network
         instance.log.info = instance.log.warn = lambda *a, **k: None
-        group.start_soon(lambda: instance.run(signals=False))
+        scope = self._scopes[instance.boot.name] = anyio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await instance.run(signals=False)
+
+        group.start_soon(run)
         return instance
 
+    def kill(self, instance: Instance) -> None:
+        """Ends an instance at once and resets its callers' connections."""
+        self._scopes[instance.boot.name].cancel()
+        for port in instance._ports:
+            for listener in getattr(port, "servers", []):
+                listener.close()
+            for connection in list(port.server_state.connections):
+                connectionanswers.reset(connection.transport)
+
     async def until(self, condition) -> None:
         """Waits until a condition holds; fails after WAIT_S."""
         with anyio.fail_after(WAIT_S):
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -31,7 +31,7 @@
 import httpcore
 
 from standins.launcher import ROOT
-from standins.platformserver import Break
+from standins.platformserver import Break, versions_in, without_versions
 from standins.platformsite import (
     API_KEY,
     HOST,
@@ -88,6 +88,24 @@
 """Share of the requests that an instance must serve which is cut off from all
 servers, of those sent from `CUT_CONTACT_S` after the cut began."""
 
+VERSIONS = ("v1", "v2", "v3")
+FIRST_ENGINES = ("engine-a", "engine-b")
+"""Engines of the second version that serve from the start, beside those of the
+first."""
+
+LEAVING_SHARE = 0.2
+"""Share of the resumable streams whose callers lose their own connection."""
+
+MAX_TAKES_UP = 2
+TAKE_UP_CONTACT_S = 3.0
+MIN_TAKES_UP = 12
+TAKE_UP_SHARE = 0.5
+"""Share of the streams taken up that must go on, relative to the share of the
+new streams that begin. It counts instances in contact for `TAKE_UP_CONTACT_S`,
+while two servers of the stream's version serve, from `MIN_TAKES_UP` on."""
+
+STREAM_EVENTS = 30
+
 CHANGE_S = 2.0
 """Time within which a configuration must be in force after all faults."""
 
@@ -117,6 +135,9 @@
         address: Callers' address of the instance that got it.
         sent_at: Time at which it was sent.
         ended_at: Time at which its answer ended.
+        earlier: The request whose stream it takes up.
+        serving: Servers of that stream's version that served at its start.
+        leaves_after: Events after which its caller disconnects; 0 for never.
     """
 
     attempt: str
@@ -129,6 +150,34 @@
     address: str = ""
     sent_at: float = 0.0
     ended_at: float = float("inf")
+    earlier: "SentRequest | None" = None
+    serving: int = 0
+    leaves_after: int = 0
+
+    @property
+    def first(self) -> "SentRequest":
+        """The request that brought the first event of its stream."""
+        if self.earlier is None or not self.earlier.stream:
+            return self
+        return self.earlier.first
+
+    @property
+    def events(self) -> bytes:
+        """The whole events that it brought."""
+        return b"".join(self.content.rpartition(b"\n\n")[:2])
+
+    @property
+    def stream(self) -> bytes:
+        """All events of its stream so far."""
+        before = self.earlier.stream if self.earlier is not None else b""
+        if self.status != 200 or not self.path.endswith("/stream"):
+            return before
+        return before + self.events
+
+    @property
+    def after(self) -> int:
+        """Number of the event after which it goes on; 0 for a new stream."""
+        return self.earlier.stream.count(b"\n\n") if self.earlier else 0
 
     @property
     def once(self) -> bool:
@@ -240,6 +289,10 @@
                     for number in range(INSTANCES)
                 ]
                 try:
+                    for name in FIRST_ENGINES:
+                        await self.site.add_server(
+                            name, MODEL_BACKEND, VERSIONS[1]
+                        )
                     for instance in self.instances:
                         instance.start()
                     await self._run_phases()
@@ -247,6 +300,8 @@
                     self._kill_all()
                 self._check_logs()
         self._check_answers()
+        self._check_versions()
+        self._check_takes_up()
         self._check_runs()
         self._check_drains()
         self._check_pauses()
@@ -410,7 +465,7 @@
         await anyio.sleep(2.5)
         self.site.kill_server(name)
         self.site.store.delete("servers", name)
-        await self._add_server(name, service)
+        await self._add_server(name, service, rng)
 
     async def _server_pauses(self, rng: random.Random) -> None:
         server = rng.choice(list(self.site.servers.values()))
@@ -492,7 +547,25 @@
         self.site.kill_server(name)
         await anyio.sleep(rng.uniform(0.0, 2.0))
         self.site.store.delete("servers", name)
-        await self._add_server(name, service)
+        await self._add_server(name, service, rng)
+
+    async def _release(self, rng: random.Random) -> None:
+        """Lets servers of another version come beside the others, and go."""
+        version = rng.choice(VERSIONS)
+        names = []
+        for _ in range(rng.randint(1, 3)):
+            self._added_count += 1
+            names.append(f"engine-x{self._added_count}")
+            await self.site.add_server(names[-1], MODEL_BACKEND, version)
+            await anyio.sleep(rng.uniform(0.0, 0.4))
+        await anyio.sleep(rng.uniform(0.5, 4.0))
+        for name in names:
+            if self.site.leaving(name):
+                continue
+            self.site.write_server_row(name, MODEL_BACKEND, "draining")
+            await anyio.sleep(rng.uniform(0.0, 2.5))
+            self.site.kill_server(name)
+            self.site.store.delete("servers", name)
 
     def _choose_server(self, rng: random.Random) -> str | None:
         names = [
@@ -505,10 +578,15 @@
                 names = [n for n in names if not n.startswith(service)]
         return rng.choice(names) if names else None
 
-    async def _add_server(self, name: str, service: str) -> None:
+    async def _add_server(
+        self, name: str, service: str, rng: random.Random
+    ) -> None:
+        """Starts a server in the place of another; its version may differ."""
         self._added_count += 1
         kind = name.partition("-")[0]
-        await self.site.add_server(f"{kind}-x{self._added_count}", service)
+        await self.site.add_server(
+            f"{kind}-x{self._added_count}", service, rng.choice(VERSIONS)
+        )
 
     async def _configure(self, rng: random.Random) -> None:
         del rng
@@ -617,6 +695,8 @@
         pool = httpcore.AsyncConnectionPool(keepalive_expiry=5.0)
         addresses: list[str] = []
         resolved_at = float("-inf")
+        broken: SentRequest | None = None
+        tries = 0
         while not self._stopped:
             if not addresses or time.monotonic() - resolved_at > 2.0:
                 resolved_at = time.monotonic()
@@ -624,7 +704,12 @@
             if not addresses:
                 await anyio.sleep(0.1)
                 continue
-            request = self._new_request(rng)
+            if broken is not None and tries < MAX_TAKES_UP:
+                tries += 1
+                request = self._take_up(rng, broken)
+            else:
+                tries = 0
+                request = self._new_request(rng)
             self._requests.append(request)
             try:
                 with anyio.move_on_after(OUTCOME_S):
@@ -635,10 +720,24 @@
             except BaseException:
                 await pool.aclose()
                 raise
+            broken = request if _may_be_taken_up(request) else None
             self.counts[f"answer {request.status}"] += 1
             await anyio.sleep(rng.uniform(0.0, 0.1))
         await pool.aclose()
 
+    def _take_up(self, rng: random.Random, broken: SentRequest) -> SentRequest:
+        """Returns the request that goes on with a broken stream."""
+        attempt = f"{rng.getrandbits(64):016x}"
+        body = f"body of {attempt}".encode()
+        request = SentRequest(attempt, broken.path, body, earlier=broken)
+        (version,) = list(versions_in(broken.stream))[:1]
+        request.serving = sum(
+            self.site.servers[name].version == version
+            for name in self.site.store.keys("servers")
+            if name.startswith("engine") and not self.site.leaving(name)
+        )
+        return request
+
     async def _resolve(self, rng: random.Random) -> list[str]:
         instance = rng.choice(self.instances)
         url = f"http://{instance.listen['registry']}/-/resolve?name={HOST}"
@@ -659,7 +758,10 @@
             )
         )
         attempt = f"{rng.getrandbits(64):016x}"
-        return SentRequest(attempt, path, f"body of {attempt}".encode())
+        request = SentRequest(attempt, path, f"body of {attempt}".encode())
+        if path.startswith("/chat/") and rng.random() < LEAVING_SHARE:
+            request.leaves_after = rng.randrange(1, STREAM_EVENTS)
+        return request
 
     async def _send(self, pool, address: str, request: SentRequest) -> None:
         request.address = address
@@ -669,10 +771,13 @@
             "Attempt-Id": request.attempt,
             "Authorization": f"Bearer {API_KEY}",
             "Content-Length": str(len(request.body)),
-            "Token-Usage": "900,30",
+            "Token-Usage": f"900,{STREAM_EVENTS}",
             "Prefix-Hash": "aa:500,bb:400",
             "Deadline-Ms": "3000",
         }
+        if request.earlier is not None:
+            fields["Resumes"] = request.first.attempt
+            fields["Last-Event-Id"] = str(request.after)
         async with pool.stream(
             "POST",
             f"http://{address}{request.path}",
@@ -684,6 +789,8 @@
             request.signature = headers.get(b"server-signature", b"").decode()
             async for part in reply.aiter_stream():
                 request.content += part
+                if 0 < request.leaves_after <= request.stream.count(b"\n\n"):
+                    return
             request.whole = True
             request.ended_at = time.monotonic()
 
@@ -759,17 +866,61 @@
                 )
 
     def _check_stream(self, request: SentRequest) -> None:
-        complete_stream = _event_stream(30)
-        if request.whole and request.content != complete_stream:
+        complete_stream = _event_stream(STREAM_EVENTS, request.after + 1)
+        content = without_versions(request.content)
+        if request.whole and content != complete_stream:
             self._record_violation(
                 f"{request.attempt} of {request.address}: wrong stream,"
                 f" {len(request.content)} B"
             )
-        if not complete_stream.startswith(request.content):
+        # A version may be cut off within its name.
+        if not complete_stream.startswith(without_versions(request.events)):
             self._record_violation(
                 f"{request.attempt}: wrong events {request.content[-200:]!r}"
             )
 
+    def _check_versions(self) -> None:
+        """Checks that no stream has events of two software versions."""
+        mixed = [
+            request
+            for request in self._requests
+            if len(versions_in(request.stream)) > 1
+        ]
+        self.counts["streams of two versions"] = len(mixed)
+        for request in mixed:
+            self._record_violation(
+                f"{request.attempt} of {request.address}: a stream that"
+                f" {request.first.attempt} began at"
+                f" {request.first.address} has events of the versions"
+                f" {sorted(versions_in(request.stream))}"
+            )
+
+    def _check_takes_up(self) -> None:
+        """Checks that streams taken up go on, while their version serves."""
+        streams = [x for x in self._requests if x.path.endswith("/stream")]
+        new = [x for x in streams if x.earlier is None]
+        begun = sum(bool(x.stream) for x in new)
+        taken_up = [
+            item
+            for item in streams
+            if item.earlier is not None
+            and item.serving >= 2
+            and not self._disturbed(
+                item.address,
+                item.sent_at - TAKE_UP_CONTACT_S,
+                item.ended_at if item.whole else item.sent_at + OUTCOME_S,
+            )
+        ]
+        went_on = sum(item.stream != item.earlier.stream for item in taken_up)
+        self.counts["taken up"] = len(taken_up)
+        self.counts["taken up, went on"] = went_on
+        share = TAKE_UP_SHARE * begun / max(1, len(new))
+        if len(taken_up) >= MIN_TAKES_UP and went_on < share * len(taken_up):
+            self._record_violation(
+                f"{went_on} of {len(taken_up)} streams taken up went on; of"
+                f" {len(new)} new ones {begun} began"
+            )
+
     def _check_duties(self) -> None:
         checker = self.site.duties.checker
         for violation in checker.violations:
@@ -909,6 +1060,8 @@
     PlatformSoak._servers_brittle,
     PlatformSoak._server_gone,
     PlatformSoak._server_announces,
+    PlatformSoak._release,
+    PlatformSoak._release,
     PlatformSoak._server_pauses,
     PlatformSoak._store_restored,
     PlatformSoak._configure,
@@ -919,10 +1072,19 @@
     return b"answer to " + attempt.encode()
 
 
-def _event_stream(last: int) -> bytes:
+def _may_be_taken_up(request: SentRequest) -> bool:
+    """Returns whether a caller goes on with a stream that broke off."""
+    return (
+        request.path.startswith("/chat/")
+        and not request.whole
+        and 0 < request.stream.count(b"\n\n") < STREAM_EVENTS
+    )
+
+
+def _event_stream(last: int, first: int = 1) -> bytes:
     return b"".join(
         b"id: %d\ndata: t%d\n\n" % (number, number)
-        for number in range(1, last + 1)
+        for number in range(first, last + 1)
     )
 
 
