--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -171,8 +171,10 @@
     # stream, and against refusing them, once the first instance has ended.
     async def test_taken_up_stream_stays_at_its_version(self) -> None:
         async with self.site(3) as (site, instances):
-            await self.add(site, "b/v1", "c/v2", "d/v2")
-            await self.until_known(instances, 4)
+            # The killed instance's last reported load counts for a while.
+            await self.add(site, "b/v1", "e/v1", "f/v1")
+            await self.add(site, "c/v2", "d/v2", "g/v2", "h/v2")
+            await self.until_known(instances, 8)
             await self.until(
                 lambda: all(x.live_instance_count == 3 for x in instances)
             )
