--- a/src/jasminerelay/scheduling/streamorigins.py
+++ b/src/jasminerelay/scheduling/streamorigins.py
@@ -8,6 +8,7 @@
 import bisect
 import collections
 import dataclasses
+import functools
 import math
 import operator
 from collections.abc import Iterable, Sequence
@@ -109,9 +110,9 @@
 
     def __init__(self, members: Iterable[Member]):
         points = [
-            (_hash(f"{member.instance}\x00{number}"), member)
+            (point, member)
             for member in members
-            for number in range(POINTS)
+            for point in _points_of(member.instance)
         ]
         points.sort(key=operator.itemgetter(0))
         self._hashes = [point for point, _ in points]
@@ -217,5 +218,10 @@
         return versions.pop() if len(versions) == 1 else None
 
 
+@functools.lru_cache(maxsize=2048)
+def _points_of(instance: str) -> tuple[int, ...]:
+    return tuple(_hash(f"{instance}\x00{n}") for n in range(POINTS))
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -1,11 +1,19 @@
 """Tests streams at servers of several software versions of one service."""
 
 import dataclasses
+import unittest
+import unittest.mock
 
 import anyio
 import httpcore
 
-from standins.platformserver import versions_in, without_versions
+from jasminerelay import (
+    cellowner,
+    originlookup,
+    placementclient,
+    placementmessages,
+)
+from standins.platformserver import Break, versions_in, without_versions
 from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, SiteOptions
 from tests.platformcase import PlatformCase, events
 
@@ -193,3 +201,305 @@
         self.assertEqual(mixed, [])
         went_on = sum(x.complete for x in begun)
         self.assertGreaterEqual(went_on, len(begun) / 2)
+
+
+class LastServerTest(VersionCase):
+    """Streams whose version has one server or none left."""
+
+    # Guards against streams that go on at another version, or are held until
+    # their time is over, since no server of theirs is left.
+    async def test_no_server_left(self) -> None:
+        async with self.site(1) as (site, (instance,)):
+            site.servers["engine-1"].faults.break_after = 20
+            stream = await self.read(instance, CallerStream("s"), "s")
+            self.assertEqual(stream.last_event_id, "20")
+            self.assertFalse(stream.whole)
+            await self.add(site, "b/v2", "c/v2")
+            await self.until_known([instance], 3)
+            site.kill_server("engine-1")
+            site.store.delete("servers", "engine-1")
+            await self.until_known([instance], 2)
+            with anyio.fail_after(1.0):
+                await self.take_up(instance, stream, "t")
+            self.assertEqual(stream.status, 503)
+            self.assertGreaterEqual(float(stream.retry_after), 1.0)
+            self.assertEqual(stream.versions, {"v1"})
+            journals = [site.servers[name].journal for name in ("b", "c")]
+            self.assertEqual(journals, [[], []])
+
+    # Guards against answers that go on at another version after the crash of
+    # the last server of theirs.
+    async def test_last_server_breaks_off(self) -> None:
+        async with self.site(1) as (site, (instance,)):
+            site.servers["engine-1"].faults.break_after = 20
+            async with anyio.create_task_group() as group:
+                stream = CallerStream("s")
+                group.start_soon(self.read, instance, stream, "s")
+                await self.add(site, "b/v2", "c/v2")
+                await self.until_known([instance], 3)
+            self.assertFalse(stream.whole)
+            self.assertEqual(stream.versions, {"v1"})
+
+    # Guards against streams that end although their only server still works.
+    async def test_last_server_whose_connection_was_reset(self) -> None:
+        async with self.site(1) as (site, (instance,)):
+            faults = site.servers["engine-1"].faults
+            faults.by_connection, faults.breaks = True, 1
+            faults.break_as = Break.RESET_AFTER_PART
+            stream = CallerStream("s")
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.read, instance, stream, "s")
+                await self.add(site, "b/v2", "c/v2")
+                await self.until_known([instance], 3)
+            self.assertEqual(stream.versions, {"v1"})
+            self.assertTrue(stream.complete)
+
+
+class MoveTest(VersionCase):
+    """Streams at a server that shuts down."""
+
+    async def drain_server(self, *added: str) -> tuple[CallerStream, int]:
+        """Drains the server of a long stream beside others.
+
+        Returns:
+            The stream, and how often it was moved.
+        """
+        async with self.site(1) as (site, (instance,)):
+            site.servers["engine-1"].faults.tick_s = 0.04
+            stream = CallerStream("s")
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.read, instance, stream, "s")
+                await self.until(lambda: bool(stream.body))
+                await self.add(site, *added)
+                await self.until_known([instance], 1 + len(added))
+                site.write_server_row("engine-1", MODEL_BACKEND, "draining")
+            return stream, site.servers["engine-1"].move_count
+
+    # Guards against a KV cache that is moved to a server of another version.
+    async def test_no_other_server_of_the_version(self) -> None:
+        stream, moves = await self.drain_server("b/v2", "c/v2", "d/v2")
+        self.assertEqual(moves, 0)
+        self.assertEqual(stream.versions, {"v1"})
+        self.assertTrue(stream.complete)
+
+    async def test_moved_within_the_version(self) -> None:
+        stream, moves = await self.drain_server("b/v2", "c/v2", "d/v1")
+        self.assertEqual(moves, 1)
+        self.assertEqual(stream.versions, {"v1"})
+        self.assertTrue(stream.complete)
+
+
+class NamedAttemptTest(VersionCase):
+    """What a caller may name when it takes a stream up."""
+
+    # Guards against guesses, and against a request that fails, where a caller
+    # names an attempt that began no stream here, or none.
+    async def test_unknown_attempt(self) -> None:
+        async with self.site(2) as (site, instances):
+            await self.add(site, "b/v2")
+            await self.until_known(instances, 2)
+            for resumes in ("none", "x" * 200, ",;%", ""):
+                stream = CallerStream(resumes)
+                named = {"Resumes": resumes} if resumes else {"Resumes": " "}
+                await self.read(
+                    instances[0], stream, "t", Last_Event_Id="7", **named
+                )
+                self.assertEqual((stream.status, stream.body), (503, b""))
+                self.assertTrue(stream.retry_after)
+            stream = CallerStream("s")
+            await self.read(instances[0], stream, "s", Last_Event_Id="7")
+            self.assertEqual(stream.status, 503)
+
+    # Guards against new streams that are bound to what their caller names.
+    async def test_no_event_is_a_new_stream(self) -> None:
+        async with self.site(1) as (site, (instance,)):
+            await self.add(site, "b/v2")
+            await self.until_known([instance], 2)
+            stream = CallerStream("s")
+            await self.read(instance, stream, "s", Resumes="none")
+            self.assertTrue(stream.complete)
+
+    # Guards against a chain of takes-up that is lost since one of them brought
+    # nothing.
+    async def test_third_take_up(self) -> None:
+        async with self.site(2) as (site, instances):
+            await self.add(site, "b/v2", "c/v2", "d/v1")
+            await self.until_known(instances, 4)
+            await self.until(
+                lambda: all(x.live_instance_count == 2 for x in instances)
+            )
+            for server in site.servers.values():
+                server.faults.break_after = 9
+            stream = CallerStream("s")
+            await self.read(instances[0], stream, "s")
+            await self.take_up(instances[1], stream, "t")
+            self.assertEqual(stream.last_event_id, "9")
+            for server in site.servers.values():
+                server.faults.break_after = 0
+            await self.take_up(instances[1], stream, "u")
+            self.assertEqual(len(stream.versions), 1)
+            self.assertTrue(stream.complete)
+
+    # Guards against an organisation that goes on with another's stream.
+    async def test_other_organisation(self) -> None:
+        async with self.site(1) as (site, (instance,)):
+            await self.add(site, "b/v2")
+            site.write_configuration(
+                tenants=[
+                    {"name": "elm", "apiKeys": [API_KEY]},
+                    {"name": "oak", "apiKeys": ["key-of-oak"]},
+                ]
+            )
+            await self.until(lambda: instance.version == site.version)
+            await self.until_known([instance], 2)
+            stream = await self.read(instance, CallerStream("s"), "s")
+            stream.body = events(9)
+            await self.take_up(
+                instance, stream, "t", Authorization="Bearer key-of-oak"
+            )
+            self.assertEqual(stream.status, 503)
+
+
+class ServicesTest(VersionCase):
+    """Streams of a route that leads to several services."""
+
+    options = SiteOptions(
+        engines=2,
+        routes={
+            "chat": {
+                "backend": "",
+                "trafficSplit": [
+                    {"backend": MODEL_BACKEND, "weight": 1},
+                    {"backend": "others", "weight": 1},
+                ],
+            }
+        },
+    )
+
+    # Guards against takes-up at another service than the one that began the
+    # stream.
+    async def test_taken_up_at_the_same_service(self) -> None:
+        async with self.site(1) as (site, (instance,)):
+            backends = instance.registry.catalog.services
+            self.assertIn(MODEL_BACKEND, backends)
+            site.write_configuration(
+                backends=[
+                    {
+                        "name": name,
+                        "healthPath": "/healthz",
+                        "maxConnections": 64,
+                        "runtime": {
+                            "slotCount": 8,
+                            "kvCapacity": 100_000,
+                            "kvTokenBytes": 1000,
+                            "stride": 1,
+                        },
+                    }
+                    for name in (MODEL_BACKEND, "others")
+                ]
+            )
+            await site.add_server("o-1", "others", "w")
+            await site.add_server("o-2", "others", "w")
+            await self.until(
+                lambda: len(instance.registry.servers_of("others")) == 2
+            )
+            streams = []
+            for number in range(6):
+                for server in site.servers.values():
+                    server.faults.break_after = 9
+                stream = CallerStream(f"s-{number}")
+                streams.append(stream)
+                await self.read(instance, stream, stream.first)
+                for server in site.servers.values():
+                    server.faults.break_after = 0
+                await self.take_up(instance, stream, f"t-{number}")
+        self.assertEqual([x for x in streams if len(x.versions) > 1], [])
+        self.assertTrue(all(x.complete for x in streams))
+
+
+class OnlyVersionTest(VersionCase):
+    """Streams whose beginning no instance knows."""
+
+    # Guards against refusals where one version is all that there is, as in a
+    # rolling update of instances that told nobody, and against guesses where
+    # there was another one.
+    async def test_only_version(self) -> None:
+        self.enterContext(
+            unittest.mock.patch.object(originlookup, "KEPT_S", 1.0)
+        )
+        self.enterContext(
+            unittest.mock.patch.object(originlookup, "ROUTE_TIMEOUTS", 0.0)
+        )
+        async with self.site(1) as (site, (instance,)):
+            stream = CallerStream("s", body=events(9))
+            await self.take_up(instance, stream, "t")
+            self.assertEqual(stream.status, 503)
+            await anyio.sleep(1.2)
+            stream = CallerStream("s", body=events(9))
+            await self.take_up(instance, stream, "u")
+            self.assertTrue(stream.complete)
+            await self.add(site, "b/v2")
+            stream = CallerStream("s", body=events(9))
+            await self.take_up(instance, stream, "v")
+            self.assertEqual(stream.status, 503)
+            # A store that does not answer confirms nothing.
+            site.store.delete("servers", "b")
+            await self.until_known([instance], 1)
+            await anyio.sleep(1.2)
+            site.store.faults.down = True
+            stream = CallerStream("s", body=events(9))
+            await self.take_up(instance, stream, "w")
+            self.assertEqual(stream.status, 503)
+
+
+class OwnersTest(VersionCase):
+    """Streams that owners of cells place."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.enterContext(
+            unittest.mock.patch.object(
+                placementclient, "MIN_INSTANCES_FOR_OWNERS", 2
+            )
+        )
+
+    async def break_and_take_up(self) -> list[CallerStream]:
+        """Returns streams that broke off and were taken up."""
+        async with self.site(2) as (site, instances):
+            await self.add(site, "b/v1", "c/v2", "d/v2", "e/v1", "f/v2")
+            await self.until_known(instances, 6)
+            await self.until(
+                lambda: all(x.live_instance_count == 2 for x in instances)
+            )
+            for name in ("engine-1", "c"):
+                site.servers[name].faults.break_after = 20
+            streams = await self.read_all(instances, "s")
+            for server in site.servers.values():
+                server.faults.break_after = 0
+            broken = [x for x in streams if x.body and not x.whole]
+            await self.take_all_up(instances, broken)
+        return streams
+
+    # Guards against owners that place a stream at any software version.
+    async def test_owner_keeps_the_version(self) -> None:
+        streams = await self.break_and_take_up()
+        self.assertEqual([x for x in streams if len(x.versions) > 1], [])
+        self.assertGreater(sum(x.complete for x in streams), STREAMS / 2)
+
+    # Guards against streams that an owner of an earlier program version, which
+    # ignores the software version, places at another one.
+    async def test_owner_of_an_earlier_program_version(self) -> None:
+        def earlier_call_of(*args):
+            found = placementmessages.call_of(*args)
+            return found and dataclasses.replace(found, software_version=None)
+
+        self.enterContext(
+            unittest.mock.patch.object(cellowner, "call_of", earlier_call_of)
+        )
+        streams = await self.break_and_take_up()
+        self.assertEqual([x for x in streams if len(x.versions) > 1], [])
+        self.assertGreater(sum(x.complete for x in streams), STREAMS / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
