Keep an answer of the own interface at one software version

Change: servers in the manifest may state a software_version; an answer that has begun asks for a permit in a cell that has a server of its version, and avoids the others, which brokers of earlier program versions heed too; with none left it ends with an error. Resume points need nothing: they go on with the same attempt at the same engine.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -29,6 +29,7 @@
     RateLimitError,
     RelayError,
 )
+from jasminerelay.manifest import Cell
 from jasminerelay.modelrequests import CHAT_PATH, TEXT_PATH, ModelRequest
 from jasminerelay.outcome import Outcome, State
 from jasminerelay.prefix import block_hashes
@@ -95,6 +96,7 @@
         self._finished = False
         self._preemptions = 0
         self._preempted_on = ""
+        self._software_version = ""
         self._cancelled_attempt = ""
         self.outcome = Outcome(self._id)
 
@@ -149,6 +151,8 @@
             attempt = self._new_attempt(server)
             self.outcome.dispatched()
             tokens_before = self._delivered_tokens
+            if not tokens_before:
+                self._software_version = server.software_version
             error: AttemptError | None = None
             late_events: list[AnswerEvent] = []
             try:
@@ -455,7 +459,10 @@
         prefixes = block_hashes(self._request.prompt)
         organisation = self._placement.organisation
         cell = self._context.permit_client.choose_cell(
-            self._placement.pool, organisation.name, prefixes
+            self._placement.pool,
+            organisation.name,
+            prefixes,
+            self._can_continue_at,
         )
         waited = time.monotonic() - self._arrived
         # A request with a partial answer has already used engine time. A
@@ -481,10 +488,35 @@
             self._delivered_tokens > 0,
             cls.preemptible and self._preemptions < MAX_PREEMPTIONS,
             list(prefixes),
-            avoid if len(avoid) < len(cell.servers) else [],
+            self._servers_to_avoid(cell, avoid),
             self._preempted_on,
         )
 
+    def _can_continue_at(self, server: Server) -> bool:
+        """Returns whether the answer may go on at a server.
+
+        What servers of two software versions write does not fit together.
+        """
+        return (
+            not self._delivered_tokens
+            or server.software_version == self._software_version
+        )
+
+    def _servers_to_avoid(self, cell: Cell, failed: list[str]) -> list[str]:
+        """Returns a cell's servers that must not get the request.
+
+        Those on which it has failed may get it again if no other is left.
+        """
+        unfit = [x.name for x in cell.servers if not self._can_continue_at(x)]
+        if unfit and len(unfit) == len(cell.servers):
+            raise BackendError(
+                "no server of the software version that began the answer is"
+                " left; send the request again",
+                ran=RAN_YES,
+            )
+        others = {x.name for x in cell.servers} - {*failed, *unfit}
+        return [*unfit, *failed] if others else unfit
+
     @property
     def _token_limit(self) -> int:
         """Maximum tokens of the answer."""
--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -20,7 +20,7 @@
 from jasminerelay.manifest import Cell, Directory
 from jasminerelay.metrics import Counters, InvariantHandler
 from jasminerelay.naive import NaiveBroker
-from jasminerelay.schema.manifest import Organisation, Pool, Service
+from jasminerelay.schema.manifest import Organisation, Pool, Server, Service
 from jasminerelay.schema.messages import (
     BorrowRequest,
     BrokerFrame,
@@ -134,7 +134,11 @@
         return len(self._held_permits)
 
     def choose_cell(
-        self, group: Pool | Service, organisation: str, prefixes: tuple
+        self,
+        group: Pool | Service,
+        organisation: str,
+        prefixes: tuple,
+        allowed: Callable[[Server], bool] = lambda server: True,
     ) -> Cell:
         """Returns the cell to use: the less busy of two candidates.
 
@@ -142,10 +146,20 @@
         instance. Both candidates depend only on the prompt's first block (or
         the organisation), so that requests with a common prefix use the same
         cells whichever instance they arrive at.
+
+        Args:
+            group: The pool or service.
+            organisation: Name of the organisation.
+            prefixes: Hashes of the prompt's leading blocks.
+            allowed: Returns whether a server may get the request.
         """
         directory = self._directory()
         cells = {cell.name: cell for cell in directory.cells_of(group)}
-        usable = [name for name, cell in cells.items() if cell.servers]
+        usable = [
+            name
+            for name, cell in cells.items()
+            if any(allowed(server) for server in cell.servers)
+        ]
         key = str(prefixes[0]) if prefixes else organisation
         candidates = rendezvous.rank(key, usable or cells)[:2]
         pending_counts = {
--- a/src/jasminerelay/schema/manifest.py
+++ b/src/jasminerelay/schema/manifest.py
@@ -77,6 +77,7 @@
     priorities: bool = False
     checks_fencing: bool = False
     deduplicates: bool = False
+    software_version: str = ''
 
 
 @dataclass(frozen=True)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -131,6 +131,44 @@
         self.assertEqual(len(cancelled), 10)
 
 
+class SoftwareVersionTest(SystemCase):
+    """Engines of two software versions, with broken streams."""
+
+    options = Options(
+        daemons=1,
+        max_engines=3,
+        max_services=1,
+        engine=("--step-ms", "20"),
+        manifest=(
+            (r'(name = "model-[13]"\n)', r'\1software_version = "a"\n'),
+            (r'(name = "model-2"\n)', r'\1software_version = "b"\n'),
+        ),
+    )
+
+    def test_goes_on_at_its_version(self) -> None:
+        # Guards against an answer that another software version goes on with.
+        for name in ("model-1", "model-2", "model-3"):
+            self.system.fault(name, cut=7, forget=True)
+        prompts = [f"version {number} [len=20]" for number in range(8)]
+        calls = [
+            Background(stream, self.system.daemons[0], prompt)
+            for prompt in prompts
+        ]
+        for call, prompt in zip(calls, prompts, strict=True):
+            text = call.result().text
+            self.assertTrue(answer_to(prompt).startswith(text))
+        first, second = (
+            {
+                item["prompt"]
+                for name in names
+                for item in self.system.journal(name, "attempts")
+            }
+            for names in (("model-1", "model-3"), ("model-2",))
+        )
+        self.assertEqual(first & second, set())
+        self.assertTrue(first and second)
+
+
 class EngineKilledTest(SystemCase):
     """An engine is killed while it streams answers."""
 
