--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -429,6 +429,8 @@
             self._counters.incr("place.other_version")
             return None
         source = self._registry.server(answer.source)
+        if source and source.software_version != server.software_version:
+            source = None
         placed = PlacementDecision(
             server, answer.unread, answer.memory, False, source
         )
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -470,9 +470,18 @@
 ) -> tuple[PlacementCandidate | None, int]:
     """Returns the source of a prefix copy, and the number of tokens to copy.
 
-    The source is returned also where prefill is as fast: the server decides.
+    The source is returned also where prefill is as fast: the server decides. A
+    KV cache is copied only between servers of one software version.
     """
-    source = next((held for held in prefix_holders if held is not item), None)
+    version = item.server.software_version
+    source = next(
+        (
+            held
+            for held in prefix_holders
+            if held is not item and held.server.software_version == version
+        ),
+        None,
+    )
     if source is None:
         return None, 0
     if item.cache_known and source.cached_tokens <= item.cached_tokens:
--- a/tests/test_sharedprefixes.py
+++ b/tests/test_sharedprefixes.py
@@ -138,6 +138,14 @@
         self.assertEqual(placed.source.id, "holder")
         self.assertEqual(placed.unread, OWN_TOKENS)
 
+    def test_holder_of_another_software_version(self) -> None:
+        # Guards against a KV cache that another software version has written.
+        holder = option("holder", cached_tokens=PREFIX_TOKENS)
+        server = dataclasses.replace(holder.server, software_version="v2")
+        holder = dataclasses.replace(holder, server=server)
+        placed = self.place([option("a"), option("b")], [holder])
+        self.assertIsNone(placed.source)
+
     def test_candidate_with_the_prefix(self) -> None:
         # Guards against copies between servers where one of the candidates
         # has the prefix and capacity.
