--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1301,4 +1301,124 @@
         "socket.socket(family, socket.SOCK_STREAM)",
         "test_earlyports.EarlyPortsTest.test_writes_to_callers_are_not_delayed",
     ),
+    Safeguard(
+        "a stream that has begun is placed at its software version only",
+        "dispatcher",
+        "        if call.software_version is None:\n"
+        "            return servers\n"
+        "        return [",
+        "        return servers\n        return [",
+        "test_softwareversions.AnswerTest.test_interrupted_stream_stays_at_its_version",
+    ),
+    Safeguard(
+        "a stream that is taken up is bound to its origin",
+        "forwarding",
+        "        self._progress.software_version = origin.software_version\n",
+        "",
+        "test_softwareversions.TakeUpTest.test_taken_up_stream_stays_at_its_version",
+    ),
+    Safeguard(
+        "an unknown origin is not guessed",
+        "forwarding",
+        "            await self._refuse(503, ORIGIN_UNKNOWN, RETRY_AFTER_S)\n"
+        "            return False\n",
+        "            return True\n",
+        "test_softwareversions.NamedAttemptTest.test_unknown_attempt",
+    ),
+    Safeguard(
+        "the homes of a stream are told where it began",
+        "originlookup",
+        "        self._records.add(key, origin, time.monotonic())\n"
+        "        for home in",
+        "        self._records.add(key, origin, time.monotonic())\n"
+        "        for home in () and",
+        "test_softwareversions.TakeUpTest.test_taken_up_stream_stays_at_its_version",
+    ),
+    Safeguard(
+        "a stream is moved within its software version",
+        "attempt",
+        "            dispatcher.reserve_migration_target(\n"
+        "                self._progress.bound(self._call),",
+        "            dispatcher.reserve_migration_target(\n"
+        "                self._call,",
+        "test_softwareversions.MoveTest.test_no_other_server_of_the_version",
+    ),
+    Safeguard(
+        "a stream is taken up at the service that began it",
+        "forwarding",
+        "self._call = dataclasses.replace(call, service=origin.service)",
+        "self._call = call",
+        "test_softwareversions.ServicesTest.test_taken_up_at_the_same_service",
+    ),
+    Safeguard(
+        "an owner's server of another software version is not used",
+        "placementclient",
+        '            self._counters.incr("place.other_version")\n'
+        "            return None\n",
+        '            self._counters.incr("place.other_version")\n',
+        "test_softwareversions.OwnersTest.test_owner_of_an_earlier_program_version",
+    ),
+    Safeguard(
+        "the last server of a version is tried again",
+        "dispatcher",
+        "            servers = servers or allowed\n",
+        "",
+        "test_softwareversions.LastServerTest.test_last_server_whose_connection_was_reset",
+    ),
+    Safeguard(
+        "a stream that can go on nowhere is refused at once",
+        "dispatcher",
+        "return Wait(VERSION_GONE, retry_s=VERSION_RETRY_S)",
+        "return Wait(VERSION_GONE)",
+        "test_softwareversions.LastServerTest.test_no_server_left",
+    ),
+    Safeguard(
+        "the only version needs a confirmation",
+        "originlookup",
+        "        if not await self.confirm():\n            return None\n",
+        "",
+        "test_streamorigins.OriginLookupTest.test_only_version_needs_a_confirmation",
+    ),
+    Safeguard(
+        "a version that has gone is remembered",
+        "scheduling/streamorigins",
+        "if name == service and now - at <= span_s",
+        "if name != service and now - at <= span_s",
+        "test_streamorigins.VersionHistoryTest.test_version_that_has_gone",
+    ),
+    Safeguard(
+        "an id that began streams of two origins is unknown",
+        "scheduling/streamorigins",
+        "kept = origin if before == origin else None",
+        "kept = origin",
+        "test_streamorigins.OriginRecordsTest.test_id_with_two_origins",
+    ),
+    Safeguard(
+        "the second home of a stream is in another zone",
+        "scheduling/streamorigins",
+        "            if other is not None:\n",
+        "            if False:\n",
+        "test_streamorigins.HomeRingTest.test_homes_are_in_two_zones",
+    ),
+    Safeguard(
+        "an instance that stops hands over the origins it knows",
+        "originlookup",
+        "in self._records.all(time.monotonic()):\n",
+        "in ():\n",
+        "test_streamorigins.OriginLookupTest.test_stop_hands_over",
+    ),
+    Safeguard(
+        "an answer of the own interface stays at its software version",
+        "answers",
+        "            not self._delivered_tokens\n            or server",
+        "            True\n            or server",
+        "test_streams.SoftwareVersionTest.test_goes_on_at_its_version",
+    ),
+    Safeguard(
+        "prefixes are copied within a software version",
+        "placing",
+        "held is not item and held.server.software_version == version",
+        "held is not item",
+        "test_sharedprefixes.CopySourceTest.test_holder_of_another_software_version",
+    ),
 )
