--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -149,6 +149,8 @@
         """Writes a server's row, with its phase, to the store."""
         if phase != "ready":
             self._leaving.add(name)
+        # A test may listen at the address itself.
+        server = self.servers.get(name)
         self.store.put(
             "servers",
             name,
@@ -156,7 +158,7 @@
                 "backend": service,
                 "address": self.addresses[name],
                 "zone": "north",
-                "version": self.servers[name].version,
+                "version": server.version if server else FIRST_VERSION,
                 "slotCount": self.options.slots,
                 "phase": phase,
                 "coldRemainingMs": 0,
