Let streams go on whose beginning nobody knows where one version is all

Change: instances that are asked tell which versions they have seen in 60 s and for how long; together they must have seen one only. The store's confirmation is needed by an instance that is alone. A caller that names no attempt causes one round of questions, 0.05 s.

--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import time
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -15,10 +16,10 @@
 from jasminerelay.registry import Registry
 from jasminerelay.scheduling.streamorigins import (
     ASKED,
-    KEPT_S,
     TOLD,
     HomeRing,
     OriginRecords,
+    SeenVersions,
     StreamOrigin,
     VersionHistory,
     key_of,
@@ -36,9 +37,12 @@
 ANSWER_TIMEOUT_S = 0.3
 """Longest wait for the other instances' answers."""
 
-ROUTE_TIMEOUTS = 2
-"""Time limits of a route within which its streams began, at least: a caller
-that takes a stream up has little more than one."""
+VERSIONS_TIMEOUT_S = 0.05
+"""Longest wait for their answers where the caller names no attempt, so that
+only the versions are asked for."""
+
+NO_KEY = 0
+"""Key of a question for the versions alone."""
 
 MAX_KEYS = 100
 """Keys in one datagram of an instance that stops; keeps it smaller than one
@@ -49,6 +53,8 @@
 ONLY_VERSION = "only version"
 """Sources of an origin."""
 
+MS_PER_S = 1e3
+
 OriginMessage = StreamsBegun | OriginQuery | OriginAnswer
 
 
@@ -71,12 +77,17 @@
 
     Attributes:
         unanswered: Instances that have not answered.
+        seen: What this instance and those that have answered know of the
+            service's versions.
         origin: The origin, once an instance has told it.
+        answered: Number of answers.
         settled: Set once it is told, or all have answered.
     """
 
     unanswered: set[str]
+    seen: SeenVersions
     origin: StreamOrigin | None = None
+    answered: int = 0
     settled: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
@@ -156,60 +167,73 @@
     async def find(self, call: Call) -> FoundOrigin:
         """Returns the origin of the stream that a request continues."""
         key = key_of(call.organisation, call.resumes)
-        arrived = time.monotonic()
-        origin, source = self._records.find(key, arrived), OWN
-        if origin is None and call.resumes:
-            origin, source = await self._ask(key), HOME
+        origin, source = self._records.find(key, time.monotonic()), OWN
+        if origin is None:
+            question = await self._ask(call, key if call.resumes else NO_KEY)
+            origin, source = question.origin, HOME
             if origin is not None:
                 self._records.add(key, origin, time.monotonic())
-        if origin is None:
-            origin, source = await self._only_version(call), ONLY_VERSION
+            else:
+                origin = await self._only_version(call, question)
+                source = ONLY_VERSION
         if origin is None:
             source = ""
         self._counters.incr(f"origin.{source.replace(' ', '_') or 'unknown'}")
         return FoundOrigin(origin, source)
 
-    def handle_message(self, message: OriginMessage) -> None:
+    @functools.singledispatchmethod
+    def handle_message(self, message: StreamsBegun) -> None:
         """Handles another instance's message."""
-        now = time.monotonic()
-        if isinstance(message, StreamsBegun):
-            origin = StreamOrigin(message.service, message.version)
-            for key in message.keys:
-                self._records.add(key, origin, now)
-        elif isinstance(message, OriginQuery):
-            origin = self._records.find(message.key, now)
-            answer = OriginAnswer(
-                self._own,
-                message.number,
-                origin is not None,
-                origin.service if origin else "",
-                origin.software_version if origin else "",
-            )
-            self.send(message.peers, answer)
-        else:
-            self._handle_answer(message)
+        origin = StreamOrigin(message.service, message.version)
+        for key in message.keys:
+            self._records.add(key, origin, time.monotonic())
+
+    @handle_message.register
+    def _(self, message: OriginQuery) -> None:
+        origin = self._records.find(message.key, time.monotonic())
+        seen = self._seen(message.service)
+        answer = OriginAnswer(
+            self._own,
+            message.number,
+            origin is not None,
+            origin.service if origin else "",
+            origin.software_version if origin else "",
+            sorted(seen.versions),
+            round(seen.watched_s * MS_PER_S),
+        )
+        self.send(message.peers, answer)
 
-    def _handle_answer(self, message: OriginAnswer) -> None:
+    @handle_message.register
+    def _(self, message: OriginAnswer) -> None:
         question = self._questions.get(message.number)
         if question is None or message.sender not in question.unanswered:
             return
         question.unanswered.discard(message.sender)
+        question.answered += 1
+        seen = SeenVersions(
+            frozenset(message.versions), message.watched_ms / MS_PER_S
+        )
+        question.seen = question.seen.merged(seen)
         if message.known and question.origin is None:
             question.origin = StreamOrigin(message.service, message.version)
         if question.origin is not None or not question.unanswered:
             question.settled.set()
 
-    async def _ask(self, key: int) -> StreamOrigin | None:
-        homes = self._homes(key, ASKED)
-        if not homes:
-            return None
+    async def _ask(self, call: Call, key: int) -> _Question:
+        """Asks other instances; returns the question with their answers."""
+        homes = self._homes(key or key_of(call.organisation, call.id), ASKED)
+        question = _Question(
+            {home.instance for home in homes}, self._seen(call.service)
+        )
+        if not homes or (key == NO_KEY and len(question.seen.versions) > 1):
+            return question
         self._number += 1
         number = self._number
-        question = _Question({home.instance for home in homes})
         self._questions[number] = question
-        query = OriginQuery(self._own, self._address, number, key)
+        query = OriginQuery(self._own, self._address, number, key, call.service)
+        timeout_s = VERSIONS_TIMEOUT_S if key == NO_KEY else ANSWER_TIMEOUT_S
         try:
-            with anyio.move_on_after(ANSWER_TIMEOUT_S):
+            with anyio.move_on_after(timeout_s):
                 while not question.settled.is_set():
                     for home in homes:
                         if home.instance in question.unanswered:
@@ -219,27 +243,30 @@
                         await question.settled.wait()
         finally:
             del self._questions[number]
-        return question.origin
+        return question
 
-    async def _only_version(self, call: Call) -> StreamOrigin | None:
+    async def _only_version(
+        self, call: Call, question: _Question
+    ) -> StreamOrigin | None:
         """Returns the origin if only one version can have begun the stream.
 
-        Only a confirmation from after the request arrived counts: a server of
-        another version, of which this instance does not know, may have begun
-        the stream just before.
+        Alone, an instance has the store confirm its list of servers: it may
+        not know of a server at which the stream began just before.
         """
         # A stream of a route with several services may have begun at each.
-        if len(call.route.services) > 1 or self._version_of(call) is None:
-            return None
-        if not await self.confirm():
+        if (
+            len(call.route.services) > 1
+            or self._history.led_elsewhere(call.route, time.monotonic())
+            or question.seen.only is None
+            or not (question.answered or await self.confirm())
+        ):
             return None
-        version = self._version_of(call)
+        version = question.seen.merged(self._seen(call.service)).only
         return None if version is None else StreamOrigin(call.service, version)
 
-    def _version_of(self, call: Call) -> str | None:
-        span_s = max(KEPT_S, ROUTE_TIMEOUTS * call.route.timeout_s)
-        return self._history.only_version(
-            call.route, self._registry.servers(), span_s, time.monotonic()
+    def _seen(self, service: str) -> SeenVersions:
+        return self._history.seen(
+            service, self._registry.servers(), time.monotonic()
         )
 
     def _homes(self, key: int, count: int) -> list[Member]:
--- a/src/jasminerelay/scheduling/streamorigins.py
+++ b/src/jasminerelay/scheduling/streamorigins.py
@@ -11,7 +11,7 @@
 import functools
 import math
 import operator
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 import xxhash
 
@@ -21,6 +21,10 @@
 KEPT_S = 60.0
 """How long origins are kept; callers give their streams up long before."""
 
+MIN_WATCHED_S = 3.0
+"""Time for which one of the instances must have known all servers, to tell that
+there has been one version only."""
+
 MAX_RECORDS = 20_000
 """Limit on the origins that an instance keeps, twenty times those of a busy
 one."""
@@ -149,16 +153,42 @@
         return next((x for x in self._walk(key) if x.zone != zone), None)
 
 
+@dataclasses.dataclass(frozen=True)
+class SeenVersions:
+    """What an instance knows of a service's software versions.
+
+    Attributes:
+        versions: Versions that its servers have had of late.
+        watched_s: Time for which the instance has known all servers.
+    """
+
+    versions: frozenset[str]
+    watched_s: float
+
+    def merged(self, other: "SeenVersions") -> "SeenVersions":
+        """Returns what two instances know together."""
+        return SeenVersions(
+            self.versions | other.versions,
+            max(self.watched_s, other.watched_s),
+        )
+
+    @property
+    def only(self) -> str | None:
+        """The only version that there has been, if that is known."""
+        if len(self.versions) != 1 or self.watched_s < MIN_WATCHED_S:
+            return None
+        return next(iter(self.versions))
+
+
 class VersionHistory:
-    """Which software versions a service's servers have had of late."""
+    """Which software versions the servers of services have had of late."""
 
     def __init__(self) -> None:
         self._since = math.inf
         self._ended_at: dict[tuple[str, str], float] = {}
         self._routes: tuple[Route, ...] = ()
-        self._services_since: dict[
-            str, tuple[tuple[ServiceShare, ...], float]
-        ] = {}
+        self._services: dict[str, tuple[ServiceShare, ...]] = {}
+        self._changed_at: dict[str, float] = {}
 
     def start(self, now: float) -> None:
         """Records that the list of servers is complete from now on."""
@@ -178,44 +208,35 @@
         if routes is self._routes:
             return
         self._routes = routes
-        before = self._services_since
-        self._services_since = {
-            route.name: before[route.name]
-            if route.name in before and before[route.name][0] == route.services
-            else (route.services, now)
-            for route in routes
-        }
-
-    def only_version(
-        self,
-        route: Route,
-        listed: Sequence[BackendServer],
-        span_s: float,
-        now: float,
-    ) -> str | None:
-        """Returns the only version that servers have had in a span until now.
+        before = self._services
+        self._services = {route.name: route.services for route in routes}
+        for name, services in self._services.items():
+            if before.get(name, services) != services:
+                self._changed_at[name] = now
+
+    def led_elsewhere(self, route: Route, now: float) -> bool:
+        """Returns whether a route has led to another service of late."""
+        changed_at = self._changed_at.get(route.name, -math.inf)
+        return now - changed_at <= KEPT_S
+
+    def seen(
+        self, service: str, listed: Iterable[BackendServer], now: float
+    ) -> SeenVersions:
+        """Returns what this instance knows of a service's versions.
 
         Args:
-            route: A route with one service.
+            service: The service.
             listed: All servers that are listed, also draining ones.
-            span_s: Length of the span in seconds.
             now: Monotonic time.
-
-        Returns:
-            The version; None if there were several or none, if the list has
-            not been complete for so long, or if the route led elsewhere.
         """
-        _, route_since = self._services_since.get(route.name, ((), now))
-        if now - max(self._since, route_since) < span_s:
-            return None
-        service = route.services[0].service
         versions = {x.software_version for x in listed if x.service == service}
         versions |= {
             version
             for (name, version), at in self._ended_at.items()
-            if name == service and now - at <= span_s
+            if name == service and now - at <= KEPT_S
         }
-        return versions.pop() if len(versions) == 1 else None
+        watched_s = min(KEPT_S, max(0.0, now - self._since))
+        return SeenVersions(frozenset(versions), watched_s)
 
 
 @functools.lru_cache(maxsize=2048)
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -579,6 +579,7 @@
     peers: str
     number: int
     key: int
+    service: str
 
 
 class OriginAnswer(Struct, frozen=True):
@@ -591,6 +592,8 @@
     known: bool
     service: str
     version: str
+    versions: list[str]
+    watched_ms: int
 
 
 class PeerMessage(Struct, frozen=True):
