--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -13,25 +13,20 @@
 import argparse
 import collections
 import contextlib
-import dataclasses
 import json
 import logging
-import os
 import pathlib
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
-import tomllib
 from collections.abc import Awaitable, Callable, Iterator
 
 import anyio
 import httpcore
 
-from standins.launcher import ROOT
-from standins.platformserver import Break, versions_in, without_versions
+from standins.platformserver import Break, versions_in
 from standins.platformsite import (
     API_KEY,
     HOST,
@@ -41,14 +36,13 @@
 )
 from standins.platformsite import SiteOptions as Options
 from standins.servernetwork import Cut
+from tests.soakchecks import OUTCOME_S, PAUSE_S, SoakChecks
+from tests.soakparts import STREAM_EVENTS, InstanceProcess, SentRequest
 
 INSTANCES = 4
 CALLERS = 16
 GRACE_S = 4.0
 READY_S = 30.0
-OUTCOME_S = 12.0
-"""Time that a caller waits: the longest route timeout plus a margin."""
-
 MAX_CONCURRENT_FAULTS = 3
 HEAL_S = 6.0
 GOOD_SHARE = 0.9
@@ -67,16 +61,6 @@
 """Maximum number of requests in `LIMIT_SPAN_S` from all instances to an engine
 that has published its rate limit."""
 
-DRAIN_S = 2.0
-"""Time after an instance has passed on a server's announcement of its shutdown
-within which requests sent to that instance may still reach the server."""
-
-PAUSE_S = 3.0
-PAUSE_IN_FLIGHT_S = 0.5
-MAX_IN_PAUSE = 2
-"""Requests of an instance that may reach a server in the pause that it has
-requested, after the first half second."""
-
 BRITTLE = 3
 BRITTLE_WARNING_S = 2.0
 BRITTLE_SLOTS = 8
@@ -97,22 +81,10 @@
 """Share of the resumable streams whose callers lose their own connection."""
 
 MAX_TAKES_UP = 2
-TAKE_UP_CONTACT_S = 3.0
-MIN_TAKES_UP = 12
-TAKE_UP_SHARE = 0.5
-"""Share of the streams taken up that must go on, relative to the share of the
-new streams that begin. It counts instances in contact for `TAKE_UP_CONTACT_S`,
-while two servers of the stream's version serve, from `MIN_TAKES_UP` on."""
-
-STREAM_EVENTS = 30
-
 CHANGE_S = 2.0
 """Time within which a configuration must be in force after all faults."""
 
 EXIT_SUCCESS = 0
-REFUSALS = (408, 421, 429, 503)
-"""Statuses that guarantee that the request has not run and will not run."""
-
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -120,134 +92,6 @@
 )
 
 
-@dataclasses.dataclass
-class SentRequest:
-    """A request of a caller and its answer.
-
-    Attributes:
-        attempt: Id of the attempt.
-        path: Path.
-        body: Body, unique to the request.
-        status: Status of the answer; 0 without an answer.
-        signature: Server-Signature header field of the answer.
-        content: Body of the answer, as far as it was received.
-        whole: Whether the answer is complete.
-        address: Callers' address of the instance that got it.
-        sent_at: Time at which it was sent.
-        ended_at: Time at which its answer ended.
-        earlier: The request whose stream it takes up.
-        serving: Servers of that stream's version that served at its start.
-        leaves_after: Events after which its caller disconnects; 0 for never.
-    """
-
-    attempt: str
-    path: str
-    body: bytes
-    status: int = 0
-    signature: str = ""
-    content: bytes = b""
-    whole: bool = False
-    address: str = ""
-    sent_at: float = 0.0
-    ended_at: float = float("inf")
-    earlier: "SentRequest | None" = None
-    serving: int = 0
-    leaves_after: int = 0
-
-    @property
-    def first(self) -> "SentRequest":
-        """The request that brought the first event of its stream."""
-        if self.earlier is None or not self.earlier.stream:
-            return self
-        return self.earlier.first
-
-    @property
-    def events(self) -> bytes:
-        """The whole events that it brought."""
-        return b"".join(self.content.rpartition(b"\n\n")[:2])
-
-    @property
-    def stream(self) -> bytes:
-        """All events of its stream so far."""
-        before = self.earlier.stream if self.earlier is not None else b""
-        if self.status != 200 or not self.path.endswith("/stream"):
-            return before
-        return before + self.events
-
-    @property
-    def after(self) -> int:
-        """Number of the event after which it goes on; 0 for a new stream."""
-        return self.earlier.stream.count(b"\n\n") if self.earlier else 0
-
-    @property
-    def once(self) -> bool:
-        """Whether it may run at most once."""
-        return self.path.startswith(("/confirm/", "/sheet/"))
-
-
-class InstanceProcess:
-    """An instance, restarted as a new process after each end.
-
-    Attributes:
-        path: Path of its settings file.
-        log: Path of its log, which all of its processes share.
-        networked: Whether it reaches servers through a stand-in network, which
-            can be cut, instead of being started as deployed.
-        listen: IP:port by purpose.
-        popen: Handle of the current process.
-        busy: Whether a fault is active on it.
-        disturbed_at: Times of signals and starts.
-    """
-
-    def __init__(self, path: pathlib.Path, networked: bool):
-        self.path = path
-        self.networked = networked
-        self.log = path.with_suffix(".log")
-        self.listen = tomllib.loads(path.read_text())["listenAddrs"]
-        self.popen: subprocess.Popen | None = None
-        self.busy = False
-        self.disturbed_at: list[float] = []
-
-    def start(self) -> None:
-        """Starts a process that appends to the log file."""
-        self.disturbed_at.append(time.monotonic())
-        environ = {**os.environ, "JASMINERELAY_BOOT": str(self.path)}
-        with self.log.open("ab") as out:
-            self.popen = subprocess.Popen(
-                [sys.executable, *self._program],
-                cwd=ROOT,
-                env=environ,
-                stdout=out,
-                stderr=subprocess.STDOUT,
-            )
-
-    @property
-    def _program(self) -> list[str]:
-        if self.networked:
-            return ["-m", "standins.networkedinstance"]
-        return [str(ROOT / "deploy/instance.py")]
-
-    def cut(self, kind: Cut | None) -> None:
-        """Cuts it off from all servers; None ends the cut."""
-        file = self.path.with_suffix(".cut")
-        if kind is None:
-            file.unlink(missing_ok=True)
-        else:
-            file.write_text(kind.name)
-
-    def signal(self, number: int) -> None:
-        """Sends a signal to the process."""
-        self.disturbed_at.append(time.monotonic())
-        self.popen.send_signal(number)
-
-    async def ended(self, timeout_s: float) -> int | None:
-        """Waits for the end; returns the exit status, None if still running."""
-        with anyio.move_on_after(timeout_s):
-            while self.popen.poll() is None:
-                await anyio.sleep(0.02)
-        return self.popen.poll()
-
-
 class PlatformSoak:
     """One run.
 
@@ -298,14 +142,16 @@
                     await self._run_phases()
                 finally:
                     self._kill_all()
-                self._check_logs()
-        self._check_answers()
-        self._check_versions()
-        self._check_takes_up()
-        self._check_runs()
-        self._check_drains()
-        self._check_pauses()
-        self._check_duties()
+                checks = SoakChecks(
+                    self._requests,
+                    self.site,
+                    self.instances,
+                    self._link_faults,
+                    self.counts,
+                    self._record_violation,
+                )
+                checks.check_logs()
+        checks.run()
 
     async def _run_phases(self) -> None:
         for instance in self.instances:
@@ -720,7 +566,7 @@
             except BaseException:
                 await pool.aclose()
                 raise
-            broken = request if _may_be_taken_up(request) else None
+            broken = request if request.may_be_taken_up else None
             self.counts[f"answer {request.status}"] += 1
             await anyio.sleep(rng.uniform(0.0, 0.1))
         await pool.aclose()
@@ -839,201 +685,6 @@
                 f" others by path, instance and status: {dict(rest)}"
             )
 
-    def _check_logs(self) -> None:
-        for instance in self.instances:
-            for line in instance.log.read_text().splitlines():
-                if '"event":"fault"' in line or line.startswith("Traceback"):
-                    self._record_violation(
-                        f"{instance.path.stem}: {line[:2000]}"
-                    )
-
-    def _check_answers(self) -> None:
-        for request in self._requests:
-            if request.status != 200:
-                continue
-            if not request.signature.endswith(f".{request.attempt}"):
-                self._record_violation(
-                    f"{request.attempt}: wrong signature {request.signature!r}"
-                )
-            if request.path.endswith("/stream"):
-                self._check_stream(request)
-            elif request.whole and request.content != _plain_answer(
-                request.attempt
-            ):
-                self._record_violation(
-                    f"{request.attempt} of {request.address}: wrong answer"
-                    f" {request.content!r}"
-                )
-
-    def _check_stream(self, request: SentRequest) -> None:
-        complete_stream = _event_stream(STREAM_EVENTS, request.after + 1)
-        content = without_versions(request.content)
-        if request.whole and content != complete_stream:
-            self._record_violation(
-                f"{request.attempt} of {request.address}: wrong stream,"
-                f" {len(request.content)} B"
-            )
-        # A version may be cut off within its name.
-        if not complete_stream.startswith(without_versions(request.events)):
-            self._record_violation(
-                f"{request.attempt}: wrong events {request.content[-200:]!r}"
-            )
-
-    def _check_versions(self) -> None:
-        """Checks that no stream has events of two software versions."""
-        mixed = [
-            request
-            for request in self._requests
-            if len(versions_in(request.stream)) > 1
-        ]
-        self.counts["streams of two versions"] = len(mixed)
-        for request in mixed:
-            self._record_violation(
-                f"{request.attempt} of {request.address}: a stream that"
-                f" {request.first.attempt} began at"
-                f" {request.first.address} has events of the versions"
-                f" {sorted(versions_in(request.stream))}"
-            )
-
-    def _check_takes_up(self) -> None:
-        """Checks that streams taken up go on, while their version serves."""
-        streams = [x for x in self._requests if x.path.endswith("/stream")]
-        new = [x for x in streams if x.earlier is None]
-        begun = sum(bool(x.stream) for x in new)
-        taken_up = [
-            item
-            for item in streams
-            if item.earlier is not None
-            and item.serving >= 2
-            and not self._disturbed(
-                item.address,
-                item.sent_at - TAKE_UP_CONTACT_S,
-                item.ended_at if item.whole else item.sent_at + OUTCOME_S,
-            )
-        ]
-        went_on = sum(item.stream != item.earlier.stream for item in taken_up)
-        self.counts["taken up"] = len(taken_up)
-        self.counts["taken up, went on"] = went_on
-        share = TAKE_UP_SHARE * begun / max(1, len(new))
-        if len(taken_up) >= MIN_TAKES_UP and went_on < share * len(taken_up):
-            self._record_violation(
-                f"{went_on} of {len(taken_up)} streams taken up went on; of"
-                f" {len(new)} new ones {begun} began"
-            )
-
-    def _check_duties(self) -> None:
-        checker = self.site.duties.checker
-        for violation in checker.violations:
-            self._record_violation(f"duties: {violation}")
-        self.counts["windows reported"] = len(checker.reports)
-
-    def _disturbed(self, address: str, since: float, until: float) -> bool:
-        """Returns whether an instance was disturbed in a span."""
-        return any(
-            since <= at <= until
-            for instance in self.instances
-            if instance.listen["front"] == address
-            for at in instance.disturbed_at
-        )
-
-    def _check_drains(self) -> None:
-        """Checks that no request follows a server's announcement."""
-        sent = {request.attempt: request for request in self._requests}
-        for server in self.site.servers.values():
-            known_at: dict[str, float] = {}
-            for attempt in server.announcements:
-                request = sent.get(attempt)
-                if request is None or not request.signature.startswith(
-                    f"{server.name}."
-                ):
-                    continue
-                at = min(
-                    request.ended_at,
-                    known_at.get(request.address, float("inf")),
-                )
-                known_at[request.address] = at
-            for at, attempt in server.arrivals:
-                request = sent.get(attempt)
-                known = known_at.get(request.address) if request else None
-                if (
-                    known is not None
-                    and request.sent_at > known + DRAIN_S
-                    and not self._disturbed(request.address, known, at)
-                ):
-                    self._record_violation(
-                        f"{attempt} of {request.address}: reached {server.name}"
-                        f" {at - known:.2f} s after it announced its shutdown"
-                    )
-        self.counts["announcements"] = sum(
-            len(server.announcements) for server in self.site.servers.values()
-        )
-
-    def _check_pauses(self) -> None:
-        """Checks that servers get next to nothing in requested pauses."""
-        sent = {request.attempt: request for request in self._requests}
-        for server in self.site.servers.values():
-            for began, attempt, pause_s in server.pause_requests:
-                request = sent.get(attempt)
-                if request is None:
-                    continue
-                address, end = request.address, began + pause_s
-                link_faults = self._link_faults.get(server.name, ())
-                if self._disturbed(address, began, end) or any(
-                    began - PAUSE_S <= at <= end for at in link_faults
-                ):
-                    continue
-                arrived = sum(
-                    began + PAUSE_IN_FLIGHT_S < at < end
-                    and other in sent
-                    and sent[other].address == address
-                    for at, other in server.arrivals
-                )
-                if arrived > MAX_IN_PAUSE:
-                    self._record_violation(
-                        f"{server.name}: {arrived} requests of {address} in a"
-                        f" pause requested at {began:.2f}"
-                    )
-        self.counts["pauses requested"] = sum(
-            len(server.pause_requests) for server in self.site.servers.values()
-        )
-
-    def _check_runs(self) -> None:
-        sent = {request.attempt: request for request in self._requests}
-        runs: collections.Counter[str] = collections.Counter()
-        for server in self.site.servers.values():
-            for ran in server.journal:
-                request = sent.get(ran.attempt)
-                if request is None:
-                    self._record_violation(
-                        f"{server.name} ran {ran.attempt}, which was not sent"
-                    )
-                elif ran.body != request.body:
-                    self._record_violation(
-                        f"{server.name} ran {ran.attempt} with another body,"
-                        f" {len(ran.body)} of {len(request.body)} B:"
-                        f" {ran.body[:80]!r}"
-                    )
-                elif ran.target != request.path:
-                    self._record_violation(
-                        f"{ran.attempt}: ran with wrong target {ran.target}"
-                    )
-                elif ran.headers.get("tenant") != "elm":
-                    self._record_violation(
-                        f"{ran.attempt}: ran with a wrong organisation"
-                    )
-                # A moved run is continued on another server, which counts it.
-                runs[ran.attempt] += not ran.moved
-        for request in self._requests:
-            if request.once and runs[request.attempt] > 1:
-                self._record_violation(
-                    f"{request.attempt}: ran {runs[request.attempt]} times"
-                )
-            refused = request.status in REFUSALS and not request.signature
-            if request.once and refused and runs[request.attempt]:
-                self._record_violation(
-                    f"{request.attempt}: ran, but answered {request.status}"
-                )
-
     def _kill_all(self) -> None:
         for instance in self.instances:
             if instance.popen is not None and instance.popen.poll() is None:
@@ -1068,26 +719,6 @@
 )
 
 
-def _plain_answer(attempt: str) -> bytes:
-    return b"answer to " + attempt.encode()
-
-
-def _may_be_taken_up(request: SentRequest) -> bool:
-    """Returns whether a caller goes on with a stream that broke off."""
-    return (
-        request.path.startswith("/chat/")
-        and not request.whole
-        and 0 < request.stream.count(b"\n\n") < STREAM_EVENTS
-    )
-
-
-def _event_stream(last: int, first: int = 1) -> bytes:
-    return b"".join(
-        b"id: %d\ndata: t%d\n\n" % (number, number)
-        for number in range(first, last + 1)
-    )
-
-
 def main() -> int:
     """Runs the seeds one after another; returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
--- /dev/null
+++ b/tests/soakparts.py
@@ -0,0 +1,153 @@
+"""Requests and instance processes of the randomised run on the platform."""
+
+import dataclasses
+import os
+import pathlib
+import subprocess
+import sys
+import time
+import tomllib
+
+import anyio
+
+from standins.launcher import ROOT
+from standins.servernetwork import Cut
+
+STREAM_EVENTS = 30
+
+
+@dataclasses.dataclass
+class SentRequest:
+    """A request of a caller and its answer.
+
+    Attributes:
+        attempt: Id of the attempt.
+        path: Path.
+        body: Body, unique to the request.
+        status: Status of the answer; 0 without an answer.
+        signature: Server-Signature header field of the answer.
+        content: Body of the answer, as far as it was received.
+        whole: Whether the answer is complete.
+        address: Callers' address of the instance that got it.
+        sent_at: Time at which it was sent.
+        ended_at: Time at which its answer ended.
+        earlier: The request whose stream it takes up.
+        serving: Servers of that stream's version that served at its start.
+        leaves_after: Events after which its caller disconnects; 0 for never.
+    """
+
+    attempt: str
+    path: str
+    body: bytes
+    status: int = 0
+    signature: str = ""
+    content: bytes = b""
+    whole: bool = False
+    address: str = ""
+    sent_at: float = 0.0
+    ended_at: float = float("inf")
+    earlier: "SentRequest | None" = None
+    serving: int = 0
+    leaves_after: int = 0
+
+    @property
+    def first(self) -> "SentRequest":
+        """The request that brought the first event of its stream."""
+        if self.earlier is None or not self.earlier.stream:
+            return self
+        return self.earlier.first
+
+    @property
+    def events(self) -> bytes:
+        """The whole events that it brought."""
+        return b"".join(self.content.rpartition(b"\n\n")[:2])
+
+    @property
+    def stream(self) -> bytes:
+        """All events of its stream so far."""
+        before = self.earlier.stream if self.earlier is not None else b""
+        if self.status != 200 or not self.path.endswith("/stream"):
+            return before
+        return before + self.events
+
+    @property
+    def after(self) -> int:
+        """Number of the event after which it goes on; 0 for a new stream."""
+        return self.earlier.stream.count(b"\n\n") if self.earlier else 0
+
+    @property
+    def may_be_taken_up(self) -> bool:
+        """Whether its caller goes on with a stream that broke off."""
+        return (
+            self.path.startswith("/chat/")
+            and not self.whole
+            and 0 < self.stream.count(b"\n\n") < STREAM_EVENTS
+        )
+
+    @property
+    def once(self) -> bool:
+        """Whether it may run at most once."""
+        return self.path.startswith(("/confirm/", "/sheet/"))
+
+
+class InstanceProcess:
+    """An instance, restarted as a new process after each end.
+
+    Attributes:
+        path: Path of its settings file.
+        log: Path of its log, which all of its processes share.
+        networked: Whether it reaches servers through a stand-in network, which
+            can be cut, instead of being started as deployed.
+        listen: IP:port by purpose.
+        popen: Handle of the current process.
+        busy: Whether a fault is active on it.
+        disturbed_at: Times of signals and starts.
+    """
+
+    def __init__(self, path: pathlib.Path, networked: bool):
+        self.path = path
+        self.networked = networked
+        self.log = path.with_suffix(".log")
+        self.listen = tomllib.loads(path.read_text())["listenAddrs"]
+        self.popen: subprocess.Popen | None = None
+        self.busy = False
+        self.disturbed_at: list[float] = []
+
+    def start(self) -> None:
+        """Starts a process that appends to the log file."""
+        self.disturbed_at.append(time.monotonic())
+        environ = {**os.environ, "JASMINERELAY_BOOT": str(self.path)}
+        with self.log.open("ab") as out:
+            self.popen = subprocess.Popen(
+                [sys.executable, *self._program],
+                cwd=ROOT,
+                env=environ,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def _program(self) -> list[str]:
+        if self.networked:
+            return ["-m", "standins.networkedinstance"]
+        return [str(ROOT / "deploy/instance.py")]
+
+    def cut(self, kind: Cut | None) -> None:
+        """Cuts it off from all servers; None ends the cut."""
+        file = self.path.with_suffix(".cut")
+        if kind is None:
+            file.unlink(missing_ok=True)
+        else:
+            file.write_text(kind.name)
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process."""
+        self.disturbed_at.append(time.monotonic())
+        self.popen.send_signal(number)
+
+    async def ended(self, timeout_s: float) -> int | None:
+        """Waits for the end; returns the exit status, None if still running."""
+        with anyio.move_on_after(timeout_s):
+            while self.popen.poll() is None:
+                await anyio.sleep(0.02)
+        return self.popen.poll()
