--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -50,6 +50,7 @@
     MIN_INSTANCES_TO_ANNOUNCE,
     PrefixAnnouncements,
 )
+from jasminerelay.scheduling.streamorigins import VERSION_GONE
 from jasminerelay.schema.messages import (
     CachedParts,
     EngineSample,
@@ -115,8 +116,6 @@
 """Share of the longest allowed pause that may pass in the engine; the rest is
 for the network."""
 
-VERSION_GONE = "no server of the stream's software version is in use"
-
 VERSION_RETRY_S = 1.0
 """Retry-After where a stream can go on nowhere; a server may come back."""
 
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -18,6 +18,11 @@
     STALLED,
 )
 from jasminerelay.scheduling.serverpaths import RELAY_LOST
+from jasminerelay.scheduling.streamorigins import (
+    ORIGIN_UNKNOWN,
+    SERVICE_CHANGED,
+    VERSION_GONE,
+)
 
 CONTEXT_S = 15.0
 """How long before a request's arrival context events are included."""
@@ -251,6 +256,12 @@
         return "server connection lost during the answer"
     if "time was over" in why:
         return "time limit exceeded" + (" during the answer" if begun else "")
+    if ORIGIN_UNKNOWN in why:
+        return "refused: unknown which software version began the stream"
+    if VERSION_GONE in why or SERVICE_CHANGED in why:
+        return (
+            "stream could go on nowhere: no server like the one that began it"
+        )
     if status == 503 and OVER_SHARE in why:
         return "refused: organisation over its share"
     if status == 503:
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -23,6 +23,10 @@
     Unknown,
 )
 from jasminerelay.placementqueue import Reservation
+from jasminerelay.scheduling.streamorigins import (
+    ORIGIN_UNKNOWN,
+    SERVICE_CHANGED,
+)
 from jasminerelay.workload import Verdict
 
 MAX_UNSENT_RETRIES = 3
@@ -34,11 +38,6 @@
 RETRY_AFTER_S = 0.3
 """Retry-After of refusals that are unrelated to load."""
 
-ORIGIN_UNKNOWN = "the software version that began the stream is not known here"
-SERVICE_CHANGED = (
-    "its route no longer leads to the service that began the stream"
-)
-
 
 class RequestForwarder:
     """Forwards one request until it has its final answer."""
--- a/src/jasminerelay/scheduling/streamorigins.py
+++ b/src/jasminerelay/scheduling/streamorigins.py
@@ -18,6 +18,13 @@
 from jasminerelay.catalog import BackendServer, Route, ServiceShare
 from jasminerelay.schema.messages import Member
 
+ORIGIN_UNKNOWN = "the software version that began the stream is not known here"
+SERVICE_CHANGED = (
+    "its route no longer leads to the service that began the stream"
+)
+VERSION_GONE = "no server of the stream's software version is in use"
+"""Reasons for which a stream cannot go on."""
+
 KEPT_S = 60.0
 """How long origins are kept; callers give their streams up long before."""
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -14,6 +14,7 @@
     STALLED,
 )
 from jasminerelay.scheduling.serverpaths import RELAY_LOST
+from jasminerelay.scheduling.streamorigins import ORIGIN_UNKNOWN, VERSION_GONE
 from standins.launcher import ROOT
 
 
@@ -178,6 +179,21 @@
         self.assertTrue(any("v1, v2" in cause for cause in causes))
         self.assertTrue(any("of w after event 7" in x for x in causes))
 
+    def test_streams_that_could_not_go_on(self) -> None:
+        # Guards against refusals that `losses` takes for a lack of capacity.
+        for why, part in (
+            (ORIGIN_UNKNOWN, "unknown which software version"),
+            (VERSION_GONE, "no server like the one that began it"),
+        ):
+            log = [
+                line(
+                    2.0, "e", "request", id="x", route="r", ended="done",
+                    status=503, why=why, servers=[], after="7",
+                ),
+            ]  # fmt: skip
+            _, (loss,) = explain.summarize(explain.read(log)[0])
+            self.assertIn(part, loss.cause)
+
     def test_refusal_for_lack_of_memory(self) -> None:
         # Guards against refusals that `losses` does not count, since they have
         # no `request` line.
