Keep streams of requests without an id apart from callers that name none

From reading: a stream whose request has no id was recorded under the empty name, which a take-up without Resumes then found. Such streams are not recorded, and nothing is looked up without a name. Test: fails before.

--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -128,7 +128,10 @@
 
     def record_first_event(self, call: Call, server: BackendServer) -> None:
         """Records where a stream began, before its caller gets an event."""
-        if call.route.repeat_policy is not RepeatPolicy.RESUMABLE:
+        if (
+            call.route.repeat_policy is not RepeatPolicy.RESUMABLE
+            or not call.id
+        ):
             return
         origin = StreamOrigin(server.service, server.software_version)
         key = key_of(call.organisation, call.id)
@@ -166,10 +169,12 @@
 
     async def find(self, call: Call) -> FoundOrigin:
         """Returns the origin of the stream that a request continues."""
-        key = key_of(call.organisation, call.resumes)
+        key = NO_KEY
+        if call.resumes:
+            key = key_of(call.organisation, call.resumes)
         origin, source = self._records.find(key, time.monotonic()), OWN
         if origin is None:
-            question = await self._ask(call, key if call.resumes else NO_KEY)
+            question = await self._ask(call, key)
             origin, source = question.origin, HOME
             if origin is not None:
                 self._records.add(key, origin, time.monotonic())
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -388,6 +388,14 @@
         found = await self.lookup.find(call("a2", "a1"))
         self.assertEqual((found.origin, found.source), (NEW_ORIGIN, OWN))
 
+    async def test_no_attempt_named(self) -> None:
+        # Guards against a caller that names no attempt and goes on with the
+        # stream of a request that had no id.
+        self.lookup.record_first_event(call(""), server("v2"))
+        self.members = []
+        found = await self.lookup.find(call("a2", ""))
+        self.assertIsNone(found.origin)
+
     async def test_other_organisation(self) -> None:
         self.lookup.record_first_event(call("a1"), server("v2"))
         self.members = []
