--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -635,7 +635,7 @@
             request.signature = headers.get(b"server-signature", b"").decode()
             async for part in reply.aiter_stream():
                 request.content += part
-                if 0 < request.leaves_after <= request.stream.count(b"\n\n"):
+                if request.left:
                     return
             request.whole = True
             request.ended_at = time.monotonic()
@@ -667,6 +667,7 @@
         )
 
     def _check_recovered(self, requests_after: list[SentRequest]) -> None:
+        requests_after = [item for item in requests_after if not item.left]
         good = sum(item.status == 200 and item.whole for item in requests_after)
         self.counts["after healing"] = len(requests_after)
         if not requests_after or good < GOOD_SHARE * len(requests_after):
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -75,6 +75,11 @@
         """Number of the event after which it goes on; 0 for a new stream."""
         return self.earlier.stream.count(b"\n\n") if self.earlier else 0
 
+    @property
+    def left(self) -> bool:
+        """Whether its caller has disconnected by itself."""
+        return 0 < self.leaves_after <= self.stream.count(b"\n\n")
+
     @property
     def may_be_taken_up(self) -> bool:
         """Whether its caller goes on with a stream that broke off."""
