Let callers that name no attempt go on after all instances have started anew

Callers name an attempt where versions serve side by side; one that names none needs no such time.

Also: a stream that has begun uses the servers of its kind first, as before, and the others of its version then. It used any of them at once, also where one version is all, and so took those of more urgent kinds.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -378,7 +378,7 @@
         servers = self.servers_for(call)
         engine = self.engine_of(call.service)
         if call.prompt is not None and engine is not None:
-            servers = self._group_of(call, servers)
+            servers = self._group(call.service, call.route.name, servers)
         free = 0.0
         running = own = 0
         for server in servers:
@@ -510,7 +510,7 @@
             return placing.place_plain(
                 call, _unblock_if_all_blocked(options), self._zone
             )
-        group = self._group_of(call, servers)
+        group = self._group(call.service, call.route.name, servers)
         now = time.monotonic()
         options = self._options(call, group)
         group_failed = all(item.blocked for item in options)
@@ -523,6 +523,9 @@
         allowed_ids = self._overflow_servers(call)
         if group_failed or self._may_use_any_server(call, now):
             allowed_ids |= {server.id for server in servers}
+        if call.software_version is not None:
+            # Its version may have no other servers.
+            allowed_ids |= {server.id for server in servers}
         others = [
             server
             for server in servers
@@ -841,7 +844,7 @@
         if engine is None or not servers:
             return None
         memory = call.prompt.tokens + self._output_estimate(call).output
-        group = self._group_of(call, servers)
+        group = self._group(call.service, call.route.name, servers)
         options = _unblock_if_all_blocked(self._options(call, group))
         available = [
             item.server
@@ -1046,10 +1049,7 @@
         if held is not None and now - held.at < WAIT_ESTIMATE_MAX_AGE_S:
             return held
         working = self._without_unavailable(service, servers)
-        group = working
-        if version is None:
-            group = self._group(service, kind, working)
-        names = [item.id for item in group]
+        names = [item.id for item in self._group(service, kind, working)]
         # If streams can be moved, a long answer can continue at any server,
         # also one without prefill.
         engine = self.engine_of(service)
@@ -1175,17 +1175,6 @@
             if step_s is not None:
                 self.record_step_time(service, name, step_s, now)
 
-    def _group_of(
-        self, call: Call, servers: list[BackendServer]
-    ) -> list[BackendServer]:
-        """Returns the servers among which a request is placed first.
-
-        A stream that can go on only at some is placed at any of them.
-        """
-        if call.software_version is not None:
-            return servers
-        return self._group(call.service, call.route.name, servers)
-
     def _group(
         self, service: str, kind: str, servers: list[BackendServer]
     ) -> list[BackendServer]:
--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -16,6 +16,7 @@
 from jasminerelay.registry import Registry
 from jasminerelay.scheduling.streamorigins import (
     ASKED,
+    MIN_WATCHED_S,
     TOLD,
     HomeRing,
     OriginRecords,
@@ -258,15 +259,19 @@
         Alone, an instance has the store confirm its list of servers: it may
         not know of a server at which the stream began just before.
         """
+        # Callers name an attempt where versions serve side by side. One that
+        # names none goes on also where all instances have just started.
+        watched_s = MIN_WATCHED_S if call.resumes else 0.0
         # A stream of a route with several services may have begun at each.
         if (
             len(call.route.services) > 1
             or self._history.led_elsewhere(call.route, time.monotonic())
-            or question.seen.only is None
+            or question.seen.only(watched_s) is None
             or not (question.answered or await self.confirm())
         ):
             return None
-        version = question.seen.merged(self._seen(call.service)).only
+        seen = question.seen.merged(self._seen(call.service))
+        version = seen.only(watched_s)
         return None if version is None else StreamOrigin(call.service, version)
 
     def _seen(self, service: str) -> SeenVersions:
--- a/src/jasminerelay/scheduling/streamorigins.py
+++ b/src/jasminerelay/scheduling/streamorigins.py
@@ -179,10 +179,13 @@
             max(self.watched_s, other.watched_s),
         )
 
-    @property
-    def only(self) -> str | None:
-        """The only version that there has been, if that is known."""
-        if len(self.versions) != 1 or self.watched_s < MIN_WATCHED_S:
+    def only(self, watched_s: float = MIN_WATCHED_S) -> str | None:
+        """Returns the only version that there has been, if that is known.
+
+        Args:
+            watched_s: Time for which all servers must have been known.
+        """
+        if len(self.versions) != 1 or self.watched_s < watched_s:
             return None
         return next(iter(self.versions))
 
