End ports and reset connections of the stand-ins in one place

Found on reading: the loop that ends a port at once stood in the site and, since streams are taken up, in the tests' base; the socket option for a reset in two stand-ins.

--- a/standins/connectionanswers.py
+++ b/standins/connectionanswers.py
@@ -4,10 +4,13 @@
 """
 
 import asyncio
+import contextlib
 import http
 import socket
 import struct
 
+from jasminerelay.ports import HttpServer
+
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
@@ -44,7 +47,20 @@
 
 def reset(transport: asyncio.Transport) -> None:
     """Resets a connection."""
-    raw: socket.socket = transport.get_extra_info("socket")
-    if raw.fileno() >= 0:
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+    reset_on_close(transport.get_extra_info("socket"))
     transport.abort()
+
+
+def reset_on_close(raw: socket.socket) -> None:
+    """Lets the end of a connection be a reset."""
+    if raw.fileno() >= 0:
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+
+
+def end_port(port: HttpServer) -> None:
+    """Ends a port at once: stops listening and resets its connections."""
+    for listener in getattr(port, "servers", []):
+        listener.close()
+    for connection in list(port.server_state.connections):
+        reset(connection.transport)
--- a/standins/link.py
+++ b/standins/link.py
@@ -6,14 +6,13 @@
 
 import contextlib
 import dataclasses
-import socket
-import struct
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from standins.connectionanswers import reset_on_close
+
 CHUNK_BYTES = 1 << 16
-_LINGER_ZERO = struct.pack("ii", 1, 0)
 _CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -131,7 +130,4 @@
 
 
 def _reset_on_close(stream: SocketStream) -> None:
-    """Lets the end of a connection be a reset."""
-    raw = stream.extra(SocketAttribute.raw_socket)
-    with contextlib.suppress(OSError):
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+    reset_on_close(stream.extra(SocketAttribute.raw_socket))
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -334,10 +334,7 @@
                 try:
                     await port.serve()
                 finally:
-                    for server in getattr(port, "servers", []):
-                        server.close()
-                    for conn in list(port.server_state.connections):
-                        connectionanswers.reset(conn.transport)
+                    connectionanswers.end_port(port)
 
         self._group.start_soon(serve)
         while not port.started:
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -125,10 +125,7 @@
         """Ends an instance at once and resets its callers' connections."""
         self._scopes[instance.boot.name].cancel()
         for port in instance._ports:
-            for listener in getattr(port, "servers", []):
-                listener.close()
-            for connection in list(port.server_state.connections):
-                connectionanswers.reset(connection.transport)
+            connectionanswers.end_port(port)
 
     async def until(self, condition) -> None:
         """Waits until a condition holds; fails after WAIT_S."""
