--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -26,6 +26,7 @@
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
+from jasminerelay.peermessages import in_parts
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import CrashReport, Member, RequestCrashes
 
@@ -375,8 +376,7 @@
     def _send_reports(
         self, members: Sequence[Member], names: list[str], now: float
     ) -> None:
-        for start in range(0, len(names), MAX_REQUESTS_PER_MESSAGE):
-            part = names[start : start + MAX_REQUESTS_PER_MESSAGE]
+        for part in in_parts(names, MAX_REQUESTS_PER_MESSAGE):
             message = CrashReport(
                 self._own, [self.ledger.to_message(name, now) for name in part]
             )
--- a/src/jasminerelay/drainwatch.py
+++ b/src/jasminerelay/drainwatch.py
@@ -15,6 +15,7 @@
 from jasminerelay.eventlog import EventLog
 from jasminerelay.exchange import ResponseHead
 from jasminerelay.metrics import Counters
+from jasminerelay.peermessages import in_parts
 from jasminerelay.registry import Registry, ServerChange
 from jasminerelay.schema.messages import DrainMessage, Member
 
@@ -117,7 +118,6 @@
     def _send_servers(
         self, members: Sequence[Member], servers: Sequence[str]
     ) -> None:
-        for start in range(0, len(servers), MAX_SERVERS_PER_MESSAGE):
-            part = list(servers[start : start + MAX_SERVERS_PER_MESSAGE])
+        for part in in_parts(servers, MAX_SERVERS_PER_MESSAGE):
             for member in members:
                 self.send(member, DrainMessage(self._own, part))
--- a/src/jasminerelay/limitwatch.py
+++ b/src/jasminerelay/limitwatch.py
@@ -18,6 +18,7 @@
 from jasminerelay.eventlog import EventLog
 from jasminerelay.exchange import ResponseHead
 from jasminerelay.metrics import Counters
+from jasminerelay.peermessages import in_parts
 from jasminerelay.schema.messages import (
     LimitGrant,
     LimitGrantRequest,
@@ -286,7 +287,6 @@
     def _send_limits(
         self, members: Sequence[Member], limits: Sequence[ServerLimit]
     ) -> None:
-        for start in range(0, len(limits), MAX_LIMITS_PER_MESSAGE):
-            part = list(limits[start : start + MAX_LIMITS_PER_MESSAGE])
+        for part in in_parts(limits, MAX_LIMITS_PER_MESSAGE):
             for member in members:
                 self.send(member, LimitMessage(self._own, part, [], []))
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -412,35 +412,21 @@
         self.on_limits(message)
 
     @_dispatch.register
-    def _(self, message: DutyMessage) -> None:
+    def _(
+        self, message: DutyMessage | HandoverRequest | HandoverTotals
+    ) -> None:
         self.on_duty(message)
 
     @_dispatch.register
     def _(self, message: CrashedServers) -> None:
         self.on_crashed_servers(message)
 
-    @_dispatch.register
-    def _(self, message: HandoverRequest) -> None:
-        self.on_duty(message)
-
-    @_dispatch.register
-    def _(self, message: HandoverTotals) -> None:
-        self.on_duty(message)
-
     @_dispatch.register
     def _(self, message: DrainMessage) -> None:
         self.on_drains(message)
 
     @_dispatch.register
-    def _(self, message: StreamsBegun) -> None:
-        self.on_origins(message)
-
-    @_dispatch.register
-    def _(self, message: OriginQuery) -> None:
-        self.on_origins(message)
-
-    @_dispatch.register
-    def _(self, message: OriginAnswer) -> None:
+    def _(self, message: StreamsBegun | OriginQuery | OriginAnswer) -> None:
         self.on_origins(message)
 
     @_dispatch.register
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -7,7 +7,8 @@
 
 import functools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -63,6 +64,8 @@
     | OriginAnswer
 )
 
+_Item = TypeVar("_Item")
+
 _encode = msgspec.msgpack.encode
 _decode_peer = msgspec.msgpack.Decoder(PeerMessage).decode
 _decode_place = msgspec.msgpack.Decoder(CellUpdate).decode
@@ -179,6 +182,20 @@
     return _checked_peer(_decode_peer(data))
 
 
+def in_parts(items: Sequence[_Item], most: int) -> Iterator[list[_Item]]:
+    """Splits a list into parts that each fit into one datagram.
+
+        >>> list(in_parts([1, 2, 3], 2))
+        [[1, 2], [3]]
+
+    Args:
+        items: The list.
+        most: Largest number of items in a datagram.
+    """
+    for start in range(0, len(items), most):
+        yield list(items[start : start + most])
+
+
 def _checked_place(message: CellUpdate) -> CellUpdate:
     for placement in message.asks:
         _check_equal_lengths(placement.parts, placement.part_tokens)
