--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -500,9 +500,9 @@
             ):
                 found.add(cell)
         silent = (
-            self._cell_of(run.server)
-            for run in self._dispatcher.workload.runs.values()
-            if self._dispatcher.reports_silent(run.server, now)
+            self._cell_of(server)
+            for server in self._dispatcher.silent_servers(now)
+            if self._dispatcher.reports_silent(server, now)
         )
         found.update(cell for cell in silent if cell is not None)
         return found if self.active else set()
