--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -506,7 +506,7 @@
             await self.until(
                 lambda: all(x.live_instance_count == 2 for x in instances)
             )
-            for name in ("engine-1", "c"):
+            for name in ("engine-1", "b", "c", "d"):
                 site.servers[name].faults.break_after = 20
             streams = await self.read_all(instances, "s")
             for server in site.servers.values():
