Check that entries of KNOWN-RED.txt are whole, in place of their number

Change: an entry that names no existing test, no command or no issue fails the run; test_docs checks it in any run.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 import unittest
 
 from standins.launcher import ROOT
+from tests import run
 
 DOCS = ROOT / "docs"
 
@@ -20,6 +21,13 @@
         self.assertEqual(failed, 0)
         self.assertGreater(attempted, 30)
 
+    def test_known_failures_are_told_whole(self) -> None:
+        # Guards against entries of tests that are no longer there, and without
+        # what is needed to mend them.
+        gone = {f"{__name__}.DocsTest.test_gone": "python -m tests.run"}
+        self.assertEqual(len(run.entry_faults(gone)), 2)
+        self.assertEqual(run.entry_faults(run.read_known_failures()), [])
+
     def test_links(self) -> None:
         for page in (*DOCS.glob("*.md"), *ROOT.glob("*.md")):
             for target in re.findall(
