--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -108,12 +108,21 @@
 class Site:
     """Instances whose messages arrive at once unless a test drops them."""
 
-    def __init__(self, instances: int, servers: int):
+    def __init__(
+        self,
+        instances: int,
+        servers: int,
+        make_registry: Callable[[int], Registry] = registry,
+    ):
         self.names = [f"n{number:02}" for number in range(instances)]
         self.crashed: set[str] = set()
         self.answers_lost: set[str] = set()
         self.lose: Callable[[], bool] = lambda: False
-        self.nodes = {name: Node(self, name, servers) for name in self.names}
+        self.deliver: Callable[[Callable[[], None]], None] = lambda send: send()
+        self.nodes = {
+            name: Node(self, name, make_registry(servers))
+            for name in self.names
+        }
         self.publish_membership()
 
     def live(self) -> list[Member]:
@@ -164,12 +173,11 @@
 class Node:
     """One instance of a site, without sockets."""
 
-    def __init__(self, site: Site, name: str, servers: int):
+    def __init__(self, site: Site, name: str, node_registry: Registry):
         self.site = site
         self.name = name
         self.counted_live = True
         self.member = Member(name, "", "z", "", "", f"{name}:1", ALIVE, 1)
-        node_registry = registry(servers)
         self.registry = node_registry
         self.dispatcher = Dispatcher(
             node_registry, "z", lambda: len(site.names)
@@ -212,8 +220,9 @@
         if dropped or self.site.lose():
             return
         data = peermessages.encode(message)
-        self.site.nodes[owner.instance].owned.handle_message(
-            peermessages.decode(data)
+        owned = self.site.nodes[owner.instance].owned
+        self.site.deliver(
+            lambda: owned.handle_message(peermessages.decode(data))
         )
 
     def _send_answers(self, address: str, message) -> None:
@@ -224,8 +233,9 @@
         if dropped or self.site.lose():
             return
         data = peermessages.encode(message)
-        self.site.nodes[to].placement_client.handle_message(
-            peermessages.decode(data)
+        client = self.site.nodes[to].placement_client
+        self.site.deliver(
+            lambda: client.handle_message(peermessages.decode(data))
         )
 
 
