Tell engines each route's rank as an urgency of its own

Cause: checks and sheets bore the same urgency; a full engine preempts the newest of the least urgent, among equals by age. Change: the urgency is the place of the route's rank among the service's routes; organisations' ranks count only where routes do not differ.

--- a/src/jasminerelay/catalog.py
+++ b/src/jasminerelay/catalog.py
@@ -4,6 +4,7 @@
 holds one is served by consistent rules from its first to its last decision.
 """
 
+import bisect
 import dataclasses
 import enum
 import math
@@ -271,13 +272,12 @@
         ranks = {route.rank for route in self.routes if route.model}
         object.__setattr__(self, "_route_ranks", sorted(ranks))
 
-    def is_urgent(self, rank: int, route: Route) -> bool:
-        """Returns whether engines serve a request before others.
+    def urgency_of(self, rank: int, route: Route) -> int:
+        """Returns the urgency that engines are told; 0 is the most urgent.
 
-        A full engine preempts the newest of all requests that are less urgent
-        than the arriving one, not the least urgent of them. With more than two
-        priority levels at an engine, requests of the middle levels would be
-        preempted while those of the last level keep running.
+        A full engine preempts the newest of its least urgent requests. Routes
+        of different rank differ in urgency, so that none is preempted while one
+        of a lower rank runs on; organisations' ranks do not count beside them.
 
         Args:
             rank: The organisation's priority, or the route's.
@@ -285,8 +285,8 @@
         """
         ranks: list[int] = self._route_ranks  # type: ignore
         if len(ranks) > 1:
-            return route.rank == ranks[0]
-        return self.priority_level_of(rank, route) == 0
+            return bisect.bisect_left(ranks, route.rank)
+        return min(1, self.priority_level_of(rank, route))
 
     def priority_level_of(self, rank: int, route: Route) -> int:
         """Returns the priority level of a model request among all.
@@ -381,7 +381,7 @@
         route: Its route.
         service: The service that serves it.
         rank: Priority; 0 is served first.
-        urgent: Whether engines serve it before others.
+        urgency: Urgency at engines; 0 is served first.
         organisation: The caller's organisation; "" without a key.
         method: HTTP method.
         host: Host in the request.
@@ -406,7 +406,7 @@
     route: Route
     service: str
     rank: int
-    urgent: bool
+    urgency: int
     organisation: str
     method: str
     host: str
--- a/src/jasminerelay/placementmessages.py
+++ b/src/jasminerelay/placementmessages.py
@@ -87,7 +87,7 @@
         route=route,
         service=service,
         rank=request.rank,
-        urgent=False,
+        urgency=0,
         organisation=request.organisation,
         method="",
         host="",
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -15,9 +15,8 @@
 from jasminerelay.retryafter import parse_pause
 
 MS = 1000.0
-HIGH_URGENCY = b"0"
-NORMAL_URGENCY = b"5"
-"""The platform's urgencies range from 0, the most urgent, to 9."""
+MAX_URGENCY = 9
+"""The platform's urgencies range from 0, the most urgent, to this one."""
 
 MISDIRECTED = 421
 """Status from a server that has taken over the address of the expected one. The
@@ -169,9 +168,7 @@
         if call.organisation:
             fields.append((_ORGANISATION, call.organisation.encode()))
         if call.prompt is not None:
-            fields.append(
-                (_URGENCY, HIGH_URGENCY if call.urgent else NORMAL_URGENCY)
-            )
+            fields.append((_URGENCY, b"%d" % min(call.urgency, MAX_URGENCY)))
         if sending.after:
             fields.append((LAST_EVENT_ID, sending.after.encode("latin-1")))
         if sending.copy is not None:
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -276,7 +276,7 @@
             route,
             route.pick_service(self._context.forwarding.rng),
             rank,
-            catalog.is_urgent(rank, route),
+            catalog.urgency_of(rank, route),
             holder.name if holder else "",
             scope["method"],
             host,
--- a/tests/engineworld.py
+++ b/tests/engineworld.py
@@ -512,7 +512,7 @@
 
 def urgency_of(registry: Registry, route: Route) -> int:
     """Returns the urgency that engines are told of a route's requests."""
-    return int(not registry.catalog.is_urgent(0, route))
+    return registry.catalog.urgency_of(0, route)
 
 
 def make_registry(servers: int) -> Registry:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -209,9 +209,9 @@
             self.assertEqual(len(set(seen)), len(set(levels)))
             self.assertLess(max(levels), 6)
 
-    def test_requests_have_two_urgencies(self) -> None:
-        # Guards against a full engine that preempts one organisation's chats
-        # in favour of another's while long studies continue there.
+    def test_routes_have_urgencies_of_their_own(self) -> None:
+        # Guards against a full engine that preempts one organisation's chats in
+        # favour of another's, or checks, while long studies continue there.
         routes = [
             {**CONFIGURATION["routes"][0], "name": name, "prefix": f"/{name}/"}
             | {"priorityClass": rank, "sessionAffinity": True}
@@ -219,13 +219,14 @@
         ]
         data = {**CONFIGURATION, "routes": routes}
         catalog = decoding.catalog(msgspec.json.encode(data))
-        urgent = {
-            (rank, route.name): catalog.is_urgent(rank, route)
+        urgencies = {
+            (rank, route.name): catalog.urgency_of(rank, route)
             for rank in (0, 1, 2)
             for route in catalog.routes
         }
-        for (_, name), found in urgent.items():
-            self.assertEqual(found, name == "chat")
+        for (_, name), found in urgencies.items():
+            expected = ("chat", "check", "study").index(name)
+            self.assertEqual(found, expected)
 
     def test_organisation_ranks_decide_between_equal_routes(self) -> None:
         tenants = [
@@ -236,8 +237,8 @@
         data = {**CONFIGURATION, "routes": [route], "tenants": tenants}
         catalog = decoding.catalog(msgspec.json.encode(data))
         only = catalog.routes[0]
-        self.assertTrue(catalog.is_urgent(1, only))
-        self.assertFalse(catalog.is_urgent(3, only))
+        self.assertEqual(catalog.urgency_of(1, only), 0)
+        self.assertEqual(catalog.urgency_of(3, only), 1)
 
     def test_unreadable(self) -> None:
         for data in (b"", b"[]", b'{"version": "x"}'):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -60,7 +60,7 @@
         "route": route(),
         "service": "pool",
         "rank": 2,
-        "urgent": False,
+        "urgency": 0,
         "organisation": "o",
         "method": "POST",
         "host": "h",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -61,7 +61,7 @@
             self.assertEqual(answer.body, events(20))
             (ran,) = [r for s in site.servers.values() for r in s.journal]
             self.assertEqual(ran.headers["prefix-hash"], "aa:1000,bb:200")
-            self.assertEqual(ran.headers["request-urgency"], "5")
+            self.assertEqual(ran.headers["request-urgency"], "1")
 
     async def test_refusals(self) -> None:
         async with self.site() as (site, (instance,)):
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -38,7 +38,7 @@
 
 
 class Engine:
-    """Runs urgent requests first; preempts the newest of the others."""
+    """Runs urgent requests first; preempts the newest of the least urgent."""
 
     def __init__(self, level: Callable[[int, Route], int]):
         self._level = level
@@ -62,7 +62,7 @@
         less_urgent = [x for x in self._running if self._level(*x[1:]) > new]
         if not less_urgent:
             return False
-        victim = max(less_urgent)
+        victim = max(less_urgent, key=lambda x: (self._level(*x[1:]), x[0]))
         self._running.remove(victim)
         self.wrong_preemptions += any(
             x[2].rank > victim[2].rank for x in self._running
@@ -87,17 +87,14 @@
 class FullEngineTest(unittest.TestCase):
     """A burst at a full engine."""
 
-    def test_two_levels(self) -> None:
+    def test_one_level_for_each_route(self) -> None:
+        # Guards against requests that are preempted while less urgent ones run.
         for seed in range(20):
             with self.subTest(seed=seed):
-                found = wrong_preemptions(
-                    lambda *x: not CATALOG.is_urgent(*x), seed
-                )
-                self.assertLess(found, 10)
-
-    def test_one_level_for_each_rank_is_worse(self) -> None:
-        # Shows that the pattern can detect the fault: with one level for each
-        # rank, requests are preempted while less urgent ones run.
+                self.assertEqual(wrong_preemptions(CATALOG.urgency_of, seed), 0)
+
+    def test_levels_of_organisations_are_worse(self) -> None:
+        # Shows that the pattern can detect the fault.
         found = [
             wrong_preemptions(CATALOG.priority_level_of, seed)
             for seed in range(20)
