Ask other owners before placing alone, and then only at places of one's own

Callers saw: urgent requests put back or turned away at engines that had come back (121 requests in a second at an engine of 32 slots). Cause: an owner without an answer within 30 ms counted as dead. Class: a busy instance taken for a dead one, and a way out that needs knowledge which only the one passed by has. Change: an owner's first answer is awaited 250 ms, with one repeated update after 60 ms; then two other cells' owners are asked. An instance that can ask none takes only places that no owner gives away, a part of its own at each server, by its position among the live instances; without other cells it places as before.

--- a/src/jasminerelay/cells.py
+++ b/src/jasminerelay/cells.py
@@ -64,6 +64,15 @@
     return int(rendezvous.owner(key, _cell_names(count)))
 
 
+def cells_by_key(key: str, count: int) -> Iterator[int]:
+    """Yields all cells in the order in which a key's requests use them."""
+    first = cell_of_key(key, count)
+    yield first
+    for name in rendezvous.rank(key, _cell_names(count)):
+        if int(name) != first:
+            yield int(name)
+
+
 def owner(service: str, cell: int, instances: Sequence[str]) -> str | None:
     """Returns the instance that owns a cell; None if there are no instances."""
     return rendezvous.owner(f"{service}/{cell}", instances)
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -127,6 +127,11 @@
 """Called with service, server and estimate when a lasting factor changes."""
 
 
+OwnPlaces = Callable[[str, Engine], int | None]
+"""Returns how many requests this instance may place at a server alone; None if
+no other instance places requests there."""
+
+
 @dataclasses.dataclass(frozen=True)
 class _KindQueue:
     """Queueing state of the servers of one kind.
@@ -204,6 +209,7 @@
         self._kind_queues: dict[tuple[str, str, str | None], _KindQueue] = {}
         self.measures_step_times = True
         self.out_of_reach: Callable[[str], bool] = lambda server: False
+        self.own_places: OwnPlaces = lambda server, engine: None
         self.on_split_change: OnSplit = lambda service, groups, demand: None
         self.capacities = CapacityRecords()
         self.on_speed_change: OnSpeedChange = lambda *found: None
@@ -553,6 +559,8 @@
             options: Those that it can be placed on.
             now: Monotonic time.
         """
+        if call.software_version is None:
+            options = [self._with_own_places(x, engine) for x in options]
         return placing.place_model(
             call,
             engine,
@@ -563,6 +571,16 @@
             self._other_prefix_holders(call, servers, options),
         )
 
+    def _with_own_places(
+        self, item: PlacementCandidate, engine: Engine
+    ) -> PlacementCandidate:
+        """Returns a server with the places that are left to this instance."""
+        places = self.own_places(item.server.id, engine)
+        if places is None:
+            return item
+        left = places - self.workload.placed_alone(item.server.id)
+        return dataclasses.replace(item, own_places=left)
+
     def _other_prefix_holders(
         self,
         call: Call,
--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -4,20 +4,23 @@
 instances send each other. With many, an instance requests a placement from the
 owner of the cell to which the shared prefix of the request's prompt hashes. If
 an owner has crashed, hangs or is unreachable, the first request waits for one
-short timeout; the instance then places requests itself for a while.
+short timeout; for a while, requests then go to the owners of other cells. Where
+none can be asked, an instance places a few requests at places of its own.
 """
 
 import dataclasses
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 
 import anyio
 import msgspec
+import xxhash
 
 from jasminerelay import cells
-from jasminerelay.catalog import Call
+from jasminerelay.catalog import Call, Engine
 from jasminerelay.cells import Cell
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.enginemodel import SLOT_SHARE
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.metrics import Counters
 from jasminerelay.placementmessages import (
@@ -48,10 +51,17 @@
 """Number of instances from which cell owners place requests. Fewer instances
 receive all loads in time, and owners would only add a message per request."""
 
-ANSWER_TIMEOUT_S = 0.03
-"""Timeout for the first answer to a request, after which this instance places
-the request itself; longer than a busy owner in another availability zone takes.
-"""
+REPEAT_AFTER_S = 0.06
+"""Time without a first answer after which the update is sent once more; it or
+the answer may have been lost."""
+
+ANSWER_TIMEOUT_S = 0.25
+"""Silence of an owner after which a request without an answer goes to another
+one. A busy owner takes a tenth of a second; requests that pass it by are placed
+without knowledge of what it places."""
+
+MAX_OWNERS_ASKED = 3
+"""Owners that one request is sent to, one after another."""
 
 WAITING_UPDATE_INTERVAL_S = 0.3
 """Interval at which updates are repeated while requests wait at the owner. With
@@ -168,10 +178,12 @@
         self._wake = anyio.Event()
         self._work_available = anyio.Event()
         dispatcher.workload.on_change = self._on_load_change
+        dispatcher.own_places = self.own_places
         self._server_cells: dict[
             str, tuple[tuple[str, ...], dict[str, Cell]]
         ] = {}
         self._live: dict[str, Member] = {}
+        self._position: int | None = None
         self._live_list: Sequence[Member] | None = None
         self._owners: dict[Cell, Member | None] = {}
         self._owner_seen_at: dict[str, float] = {}
@@ -205,6 +217,10 @@
         members = {member.instance: member for member in live}
         if members.keys() == self._live.keys():
             return
+        names = sorted(members)
+        self._position = (
+            names.index(self._own) if self._own in members else None
+        )
         self._owners.clear()
         self._live = members
         for name in (
@@ -221,20 +237,46 @@
         Raises:
             NoCapacityError: if none will be available in time.
         """
-        pending = self._new_pending(call, avoid)
-        if pending is None:
-            return await self._local.reserve_server(call, avoid)
-        self._pending[pending.number] = pending
-        self._work_available.set()
-        self._send_update(pending.cell)
-        reservation = None
-        try:
-            reservation = await self._await_placement(pending)
-        finally:
-            del self._pending[pending.number]
-            if reservation is None:
-                self._mark_due(pending.cell)
-        return reservation or await self._local.reserve_server(call, avoid)
+        asked: set[Cell] = set()
+        for _ in range(MAX_OWNERS_ASKED):
+            pending = self._new_pending(call, avoid, asked)
+            if pending is None:
+                break
+            asked.add(pending.cell)
+            reservation = await self._ask_owner(pending)
+            if reservation is not None:
+                return reservation
+            if call.software_version is not None:
+                # Servers of its version in several cells may have room.
+                break
+        if self.active and self._has_owners(call.service):
+            self._counters.incr("place.alone")
+        return await self._local.reserve_server(call, avoid)
+
+    def own_places(self, server: str, engine: Engine) -> int | None:
+        """Returns how many requests this instance may place at a server alone.
+
+        They are this instance's part of the places that the server's owner
+        leaves free, so that instances which cannot ask it do not fill the
+        server together.
+
+        Args:
+            server: The server.
+            engine: Capacity of the server.
+
+        Returns:
+            The number; None if no owner places requests there, or no other
+            owner can be asked in its stead.
+        """
+        cell = self._cell_of(server) if self.active else None
+        if cell is None or self._cell_count(cell[0]) == 1:
+            return None
+        if self._position is None:
+            return 0
+        spare = max(1, engine.slots - int(engine.slots * SLOT_SHARE))
+        count = len(self._live)
+        offset = xxhash.xxh32_intdigest(server.encode()) + self._position
+        return spare // count + (offset % count < spare % count)
 
     def other_owners(self) -> list[Member]:
         """Returns the other instances that own cells."""
@@ -303,9 +345,30 @@
             workload.runs or workload.ended or workload.changed_servers
         )
 
+    async def _ask_owner(self, pending: _PendingRequest) -> Reservation | None:
+        """Requests a placement; returns None if the owner made none."""
+        self._pending[pending.number] = pending
+        self._work_available.set()
+        self._send_update(pending.cell)
+        reservation = None
+        try:
+            reservation = await self._await_placement(pending)
+        finally:
+            del self._pending[pending.number]
+            if reservation is None:
+                self._mark_due(pending.cell)
+        return reservation
+
     def _new_pending(
-        self, call: Call, avoid: frozenset[str]
+        self, call: Call, avoid: frozenset[str], asked: Container[Cell]
     ) -> _PendingRequest | None:
+        """Returns a request at the first cell that can be asked, if any.
+
+        Args:
+            call: The request.
+            avoid: Servers that must not be chosen.
+            asked: Cells whose owners have been asked in vain.
+        """
         if not self.active or not self._has_owners(call.service):
             return None
         split = cells.cells_of(self._registry.server_ids_of(call.service))
@@ -314,27 +377,42 @@
             return None
         shared = call.prompt.shared_parts if call.prompt is not None else ()
         key = shared[-1].id if shared else call.id
-        number = cells.cell_of_key(key, count)
+        order: Iterable[int] = cells.cells_by_key(key, count)
         if call.software_version is not None:
-            number = self._cell_for(call, avoid, split, number)
-        cell = (call.service, number)
-        servers = frozenset(split[number])
-        if servers <= avoid | self._dispatcher.paused(servers):
-            return None
-        owner = self._owner(cell)
-        if owner is None:
-            return None
+            first = cells.cell_of_key(key, count)
+            order = (self._cell_for(call, avoid, split, first),)
+        for number in order:
+            cell = (call.service, number)
+            owner = self._owner(cell)
+            if owner is None:
+                return None
+            if cell not in asked and self._may_ask(
+                cell, owner, split[number], avoid
+            ):
+                number = self._dispatcher.workload.next_number()
+                return _PendingRequest(number, call, avoid, cell, owner)
+        return None
+
+    def _may_ask(
+        self,
+        cell: Cell,
+        owner: Member,
+        servers: Sequence[str],
+        avoid: frozenset[str],
+    ) -> bool:
+        """Returns whether a cell's owner can be asked for a placement."""
+        if frozenset(servers) <= avoid | self._dispatcher.paused(servers):
+            return False
         if time.monotonic() < self._backoff_until.get(owner.instance, 0.0):
             self._counters.incr("place.owner_spared")
-            return None
+            return False
         if (
             sum(pending.cell == cell for pending in self._pending.values())
             >= MAX_WAITING_PER_CELL
         ):
             self._counters.incr("place.too_many")
-            return None
-        number = self._dispatcher.workload.next_number()
-        return _PendingRequest(number, call, avoid, cell, owner)
+            return False
+        return True
 
     def _cell_for(
         self,
@@ -384,13 +462,18 @@
 
     async def _await_answer(self, pending: _PendingRequest) -> bool:
         """Waits for an answer; returns whether the owner is responsive."""
-        if pending.answer is None:
-            with anyio.move_on_after(ANSWER_TIMEOUT_S):
-                await pending.changed.wait()
-            if pending.answer is None and not pending.owner_failed:
-                self._mark_unresponsive(pending.owner, pending)
-        else:
+        if pending.answer is not None:
             await pending.changed.wait()
+            return not pending.owner_failed
+        with anyio.move_on_after(REPEAT_AFTER_S):
+            await pending.changed.wait()
+        if not pending.changed.is_set():
+            self._counters.incr("place.asked_again")
+            self._send_update(pending.cell)
+            with anyio.move_on_after(ANSWER_TIMEOUT_S - REPEAT_AFTER_S):
+                await pending.changed.wait()
+        if pending.answer is None and not pending.owner_failed:
+            self._mark_unresponsive(pending.owner, pending)
         return not pending.owner_failed
 
     def _redirect(self, pending: _PendingRequest, number: int) -> bool:
@@ -610,6 +693,9 @@
         split = cells.cells_of(self._registry.server_ids_of(service))
         return split[number] if number < len(split) else ()
 
+    def _cell_count(self, service: str) -> int:
+        return len(set(self._cells_by_server(service).values()))
+
     def _cell_of(self, name: str) -> Cell | None:
         server = self._registry.server(name)
         if server is None or not self._has_owners(server.service):
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -103,6 +103,8 @@
             a usual server.
         limit: Concurrent requests that it is given; 0 if only its slots count.
         unknown: Requests there beyond those in `load`, as the server states.
+        own_places: Further requests that this instance may place there beside
+            the server's owner; None if no other instance places requests there.
     """
 
     server: BackendServer
@@ -115,6 +117,7 @@
     server_slowness: float = 1.0
     limit: int = 0
     unknown: float = 0.0
+    own_places: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -313,6 +316,11 @@
 ) -> bool:
     """Returns whether a server has capacity for a request now."""
     slots = max(1, int(engine.slots * SLOT_SHARE))
+    if item.own_places is not None:
+        if item.own_places <= 0:
+            return False
+        # Its own places are beyond those that the owner gives away.
+        slots = engine.slots
     if item.limit:
         slots = min(slots, item.limit)
     if item.load.running >= slots:
--- a/src/jasminerelay/workload.py
+++ b/src/jasminerelay/workload.py
@@ -67,6 +67,7 @@
         unread: Its own prompt tokens not yet known to be prefilled.
         memory: Tokens of KV cache that it occupies or will occupy.
         first_s: Time from sending to its first event; None before that.
+        placed_alone: Whether this instance placed it, and not an owner.
         on_end: Called once at its end; None for nothing.
 
     Example:
@@ -94,6 +95,7 @@
         self.unread = unread
         self.memory = memory
         self.first_s: float | None = None
+        self.placed_alone = False
         self.on_end: Callable[[RequestEnd], None] | None = None
         self._workload = workload
         self._ended = False
@@ -184,6 +186,7 @@
         self._numbers = itertools.count(1)
         self.changed = False
         self.runs: dict[int, InFlightRequest] = {}
+        self._placed_alone: collections.Counter[str] = collections.Counter()
         self.ended: collections.deque[RequestEnd] = collections.deque(
             maxlen=MAX_UNREPORTED_ENDS
         )
@@ -211,6 +214,9 @@
         number = number if already_counted else self.next_number()
         run = InFlightRequest(self, number, server, unread, memory)
         self.runs[number] = run
+        if not already_counted:
+            run.placed_alone = True
+            self._placed_alone[server] += 1
         unreported = not already_counted or server in self.changed_servers
         self.add_load(server, Load(unread, 1, memory))
         if not unreported:
@@ -219,7 +225,11 @@
 
     def close(self, end: RequestEnd) -> None:
         """Records the end of an in-flight request."""
-        self.runs.pop(end.number, None)
+        run = self.runs.pop(end.number, None)
+        if run is not None and run.placed_alone:
+            self._placed_alone[end.server] -= 1
+            if not self._placed_alone[end.server]:
+                del self._placed_alone[end.server]
         self.ended.append(end)
 
     def add_load(self, server: str, difference: Load) -> None:
@@ -240,6 +250,10 @@
             for name, load in self._own.items()
         ]
 
+    def placed_alone(self, server: str) -> int:
+        """Returns how many of its requests there no other instance placed."""
+        return self._placed_alone[server]
+
     def own_running(self, server: str) -> int:
         """Returns the number of this instance's in-flight requests there."""
         return self._own.get(server, NO_LOAD).running
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -533,7 +533,7 @@
     async def test_crashed_owner_costs_one_timeout(self) -> None:
         # The owner of the cell has crashed, which has not been detected yet.
         # An instance places its first request itself after a short timeout,
-        # and the next ones at once.
+        # since there is no other owner, and the next ones at once.
         site = Site(30, servers=6)
         site.crashed.add(site.owner_of(0).name)
         node = next(
@@ -552,6 +552,45 @@
         self.assertEqual(node.counters.snapshot()["place.owner_silent"], 1)
         self.assertEqual(node.counters.snapshot()["place.owner_spared"], 2)
 
+    async def test_owners_of_other_cells_are_asked(self) -> None:
+        # Guards against instances that place by themselves, without knowledge
+        # of each other, while the owner of one cell of several is away.
+        site = Site(30, servers=20)
+        site.crashed.add(site.owner_of(0).name)
+        node = next(
+            x for x in site.nodes.values() if x.name not in site.crashed
+        )
+        for item in prompts(6):
+            reservation = await node.placement_client.reserve_server(
+                item, frozenset()
+            )
+            self.assertNotIn(reservation.owner, ("", *site.crashed))
+        counts = node.counters.snapshot()
+        self.assertEqual(counts["place.owner_silent"], 1)
+        self.assertNotIn("place.alone", counts)
+
+    async def test_places_of_instances_without_an_owner(self) -> None:
+        # Guards against instances that fill a server together, each by what it
+        # knows itself, while no owner can be asked.
+        for instances in (26, 67, 400):
+            site = Site(26, servers=20)
+            live = [site.nodes["n00"].member]
+            live += [
+                msgspec.structs.replace(live[0], instance=f"x{number:03}")
+                for number in range(instances - 1)
+            ]
+            engine = site.nodes["n00"].dispatcher.engine_of(SERVICE)
+            client = site.nodes["n00"].placement_client
+            for server in ("i-000", "i-007"):
+                total = 0
+                for member in live:
+                    client._own = member.instance
+                    client._live = {}
+                    client.update_instances(instances, list(live))
+                    total += client.own_places(server, engine)
+                spare = SLOTS - int(SLOTS * SLOT_SHARE)
+                self.assertEqual(total, spare)
+
     async def test_new_owner_learns_in_flight_requests(self) -> None:
         # The owner crashes and is detected as failed. Its successor learns of
         # all in-flight requests from the instances that have them, before it
