--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -73,6 +73,9 @@
     networks = False
     """Whether instances reach servers through stand-in networks."""
 
+    zones = ("north",)
+    """Availability zones of the instances, in turn."""
+
     def setUp(self) -> None:
         self.network_of: dict[str, ServerNetwork] = {}
         # The stand-ins abort responses on purpose, which Uvicorn would log at
@@ -99,7 +102,8 @@
 
     async def start(self, group, site: PlatformSite, name: str) -> Instance:
         """Starts an instance whose event log is discarded."""
-        path = site.settings(name)
+        zone = self.zones[len(self._scopes) % len(self.zones)]
+        path = site.settings(name, zone)
         network = ServerNetwork(group)
         instance = Instance(
             bootfile.load(path).unwrap(),
--- a/tests/test_serversoutofreach.py
+++ b/tests/test_serversoutofreach.py
@@ -12,6 +12,7 @@
 """Time from the beginning of a cut after which callers must be served."""
 
 SHARE = 2 / 3
+ZONES = ("north", "east", "west")
 REQUESTS = 24
 PATHS = ("/confirm/x", "/lookup/x", "/chat/{}/stream", "/sheet/{}/stream")
 
@@ -99,6 +100,38 @@
         for count in served[:4]:
             self.assertGreaterEqual(count, SHARE * REQUESTS, served)
 
+    async def check_zones(self, kind: Cut, cut_zones: int) -> None:
+        """Cuts whole zones of three, and checks what all instances serve."""
+        self.zones = ZONES
+        async with self.instances_under_load(6) as (_, instances):
+            cut = [x for x in instances if x.boot.zone in ZONES[:cut_zones]]
+            for instance in cut:
+                self.network_of[instance.boot.name].cut(kind)
+            await anyio.sleep(CONTACT_S)
+            served = [
+                await self.first_tries(instance, "c", REQUESTS)
+                for instance in instances
+            ]
+        for count in served:
+            self.assertGreaterEqual(count, SHARE * REQUESTS, served)
+
+    async def test_zone_whose_connections_hang(self) -> None:
+        # Guards against instances of a zone that ask only each other for a way.
+        await self.check_zones(Cut.HANG, 1)
+
+    async def test_zone_whose_connections_are_reset(self) -> None:
+        # Guards against the word of instances that share a cut.
+        await self.check_zones(Cut.RESET, 1)
+
+    async def test_zone_that_opens_no_connections(self) -> None:
+        # Guards against a zone whose open connections hide that no new one
+        # opens.
+        await self.check_zones(Cut.NEW_REFUSED, 1)
+
+    async def test_two_zones_of_three(self) -> None:
+        # Guards against cuts that most instances share.
+        await self.check_zones(Cut.HANG, 2)
+
     async def test_direct_again_after_the_cut(self) -> None:
         # Guards against relaying for long after the links are back.
         async with self.instances_under_load(2) as (_, (first, _second)):
