Ask other zones for a way to servers, and believe only who reaches servers

Callers saw: instances of a zone that had lost its links to the servers served next to none of their requests, the others all. Cause: only instances of the own zone were asked to relay while half of them were available, and two that did not reach the server ended the search. Where a zone is cut they share the cut: each other's only witnesses. Class: the word of those that share one's own fault is taken for a second witness. Change: the own zone first, then each other zone in turn; an instance that has opened no connection to any server for three seconds says so (504) and is no witness; two witnesses of one zone end the search only where there is no other zone. After another zone has opened what the own one could not, that is asked last for two seconds.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -643,6 +643,7 @@
             ),
             self._open_connection,
             self.counters,
+            lambda: self._paths.reaches_servers(time.monotonic()),
         )
 
         relays.on_unreachable = self._path_probes.doubt
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import dataclasses
+import itertools
+import math
 import random
 import time
 from collections.abc import Callable
@@ -31,17 +33,18 @@
 """Time limit for one instance; more than it takes to find out that a server
 does not answer."""
 
-MAX_TRIED = 3
+MAX_TRIED = 5
 ENOUGH_UNREACHED = 2
-"""Instances that do not reach a server after which no more are asked. A single
-one may be cut off, too, without knowing it yet."""
+"""Witnesses that do not reach a server after which no more are asked. A single
+one may be cut off, too, without knowing it yet, and so may all of one zone."""
 
 LEFT_OUT_S = 2.0
-"""Time for which an instance is not asked after it refused or broke off."""
+"""Time for which an instance is not asked after it refused or broke off, and a
+zone is asked last after another one has opened what it could not."""
 
 MIN_NEAR_SHARE = 0.5
-"""Share of the own zone's instances that must be available for only these to be
-asked. Otherwise a few would carry a zone that is cut off."""
+"""Share of the own zone's instances that must be available for one of these to
+be asked first. Otherwise a few would carry a zone that is cut off."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +88,7 @@
         self._counters = counters
         self._rng = rng
         self._left_out_until: dict[str, float] = {}
+        self._zone_last_until = -math.inf
 
     async def open(self, server: BackendServer) -> RelayedConnection:
         """Opens a connection.
@@ -92,7 +96,8 @@
         Raises:
             NotSentError: if no instance could open one.
         """
-        unreached = 0
+        failed_zones: set[str] = set()
+        witnesses: list[str] = []
         for member in self._choose(time.monotonic()):
             conn = ServerConnection(self._watchdog)
             protocol = RelayProtocol(member.peers, server.id, conn)
@@ -108,16 +113,28 @@
                     conn.close()
             if status == relayport.OPEN:
                 self._counters.incr("path.relayed")
+                if member.zone != self._zone and self._zone in failed_zones:
+                    self._zone_last_until = time.monotonic() + LEFT_OUT_S
                 return RelayedConnection(conn, member.instance, protocol)
             self._counters.incr("path.relay_failed")
+            failed_zones.add(member.zone)
             if status != relayport.SERVER_UNREACHABLE:
                 self.leave_out(member.instance)
                 continue
-            unreached += 1
-            if unreached == ENOUGH_UNREACHED:
+            witnesses.append(member.zone)
+            if self._are_enough(witnesses):
                 raise NotSentError("other instances do not reach it either")
         raise NotSentError("no other instance relays connections")
 
+    def _are_enough(self, witnesses: list[str]) -> bool:
+        """Returns whether instances of these zones show that a server is down.
+
+        Those of one zone may share its cut, unless there is no other.
+        """
+        zones = {peer.zone for peer in self._peers()}
+        several = len(set(witnesses)) > 1 or len(zones) < 2
+        return len(witnesses) >= ENOUGH_UNREACHED and several
+
     def relays(self, instance: str) -> bool:
         """Returns whether an instance goes on relaying; not one that stops."""
         return any(peer.instance == instance for peer in self._peers())
@@ -135,11 +152,35 @@
         }
         peers = self._peers()
         found = [x for x in peers if x.instance not in self._left_out_until]
-        near = [x for x in found if x.zone == self._zone]
+        found = self._rng.sample(found, len(found))
         zone_count = sum(x.zone == self._zone for x in peers)
-        if near and len(near) >= MIN_NEAR_SHARE * zone_count:
-            found = near
-        return self._rng.sample(found, min(MAX_TRIED, len(found)))
+        near_count = sum(x.zone == self._zone for x in found)
+        if now < self._zone_last_until:
+            order = _zones_in_turn(found, last=self._zone)
+        elif near_count >= MIN_NEAR_SHARE * zone_count:
+            order = _zones_in_turn(found, first=self._zone)
+        else:
+            order = _zones_in_turn(found)
+        return order[:MAX_TRIED]
+
+
+def _zones_in_turn(
+    members: list[Member], first: str | None = None, last: str | None = None
+) -> list[Member]:
+    """Returns instances in an order that has one of each zone in turn.
+
+    Args:
+        members: The instances in random order.
+        first: The zone that comes first; None for any.
+        last: The zone that comes after all others; None for none.
+    """
+    by_zone: dict[str, list[Member]] = {}
+    for member in members:
+        by_zone.setdefault(member.zone, []).append(member)
+    end = by_zone.pop(last, [])
+    zones = sorted(by_zone, key=lambda zone: zone != first)
+    rounds = itertools.zip_longest(*(by_zone[zone] for zone in zones))
+    return [member for found in rounds for member in found if member] + end
 
 
 async def _open(member: Member, protocol: "RelayProtocol") -> int:
--- a/src/jasminerelay/relayport.py
+++ b/src/jasminerelay/relayport.py
@@ -46,6 +46,9 @@
 UNKNOWN_SERVER = 404
 SERVER_UNREACHABLE = 502
 NOT_RELAYING = 503
+CUT_OFF = 504
+"""Statuses. An instance that reaches no server itself is no witness of one that
+is down, so it says that instead of that the server is unreachable."""
 
 
 class RelayApp:
@@ -62,6 +65,7 @@
         may_relay: Callable[[str], bool],
         open_connection: OpenConnection,
         counters: Counters,
+        reaches_servers: Callable[[], bool] = lambda: True,
     ):
         """Creates the application.
 
@@ -72,7 +76,10 @@
                 others itself.
             open_connection: Opens connections to servers.
             counters: Counts connections.
+            reaches_servers: Returns whether this instance has reached any
+                server lately.
         """
+        self._reaches_servers = reaches_servers
         self._find_server = find_server
         self._may_relay = may_relay
         self._open_connection = open_connection
@@ -104,7 +111,8 @@
                 reader, writer = await self._connect(server)
         except (OSError, TimeoutError):
             self.on_unreachable(server.id)
-            await self._refuse(send, SERVER_UNREACHABLE)
+            witness = self._reaches_servers()
+            await self._refuse(send, SERVER_UNREACHABLE if witness else CUT_OFF)
             return
         self._counters.incr("relay.opened")
         try:
--- a/src/jasminerelay/scheduling/serverpaths.py
+++ b/src/jasminerelay/scheduling/serverpaths.py
@@ -15,6 +15,9 @@
 RELAY_LOST = "the relaying instance was lost"
 """Reason of an exchange that ended with its relay, as it is logged."""
 
+DIRECT_MAX_AGE_S = 3.0
+"""Age up to which a direct connection shows that the links are sound."""
+
 PROBE_INTERVAL_S = 1.0
 """Interval between direct connections to servers that are out of reach."""
 
@@ -55,6 +58,10 @@
             self._out_of_reach
         ) >= CUT_AFTER_SERVERS and self._last_direct_at < min(since)
 
+    def reaches_servers(self, now: float) -> bool:
+        """Returns whether a direct connection was opened lately."""
+        return now - self._last_direct_at <= DIRECT_MAX_AGE_S
+
     def relays(self, server: str) -> bool:
         """Returns whether to reach a server through another instance."""
         return server in self._out_of_reach or self.cut
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,6 +1,7 @@
 """Tests connections to servers that other instances relay."""
 
 import asyncio
+import collections
 import random
 import unittest
 
@@ -232,14 +233,62 @@
             self.peers.append(
                 Member(f"f{number}", "", "y", "", "", "127.0.0.1:1", "a", 0)
             )
-        near = {m.zone for _ in range(50) for m in self.client._choose(0.0)}
+        near = {self.client._choose(0.0)[0].zone for _ in range(50)}
         self.assertEqual(near, {"z"})
         for number in range(6):
             self.client.leave_out(f"n{number}")
         now = anyio.current_time()
-        zones = {m.zone for _ in range(50) for m in self.client._choose(now)}
+        zones = {self.client._choose(now)[0].zone for _ in range(50)}
         self.assertEqual(zones, {"y", "z"})
 
+    async def test_zone_that_is_cut_asks_the_others(self) -> None:
+        # Guards against a zone of many instances whose first connections each
+        # ask only instances that share the cut.
+        for number in range(400):
+            zone = "z" if number < 130 else f"y{number % 4}"
+            self.peers.append(
+                Member(f"n{number}", "", zone, "", "", "127.0.0.1:1", "a", 0)
+            )
+        for _ in range(50):
+            zones = [member.zone for member in self.client._choose(0.0)]
+            self.assertEqual(zones[0], "z")
+            self.assertEqual(len(set(zones[:5])), 5)
+        self.client._zone_last_until = 2.0
+        carriers = collections.Counter(
+            self.client._choose(1.0)[0].instance for _ in range(2700)
+        )
+        zones = {m.zone for m in self.peers if m.instance in carriers}
+        self.assertEqual(zones, {"y0", "y1", "y2", "y3"})
+        self.assertLess(max(carriers.values()), 40)
+
+    async def test_word_of_an_instance_that_is_cut_off_is_no_proof(
+        self,
+    ) -> None:
+        # Guards against instances that share a cut and end the search for a
+        # way by saying that the server is down.
+        for zone in ("z", "y"):
+            app, _ = await self.start_relay(zone)
+            app._reaches_servers = lambda: False
+            app._open_connection = _fail
+        await self.start_relay("x")
+        relay = await self.client.open(self.server)
+        self.assertEqual(relay.instance, "i2")
+
+    async def test_witnesses_of_one_zone_are_no_proof(self) -> None:
+        # Guards against two instances of a zone that has just been cut.
+        for _ in range(2):
+            app, _ = await self.start_relay("z")
+            app._open_connection = _fail
+        await self.start_relay("y")
+        self.client._rng = random.Random(2)
+        relay = await self.client.open(self.server)
+        self.assertEqual(relay.instance, "i2")
+        self.assertEqual(self.client._choose(anyio.current_time())[0].zone, "y")
+
+
+async def _fail(*args) -> None:
+    raise ConnectionRefusedError("cut off")
+
 
 class RelayedAnswersTest(PlatformCase):
     """Answers that reach their callers through two instances."""
