--- a/src/jasminerelay/cellowner.py
+++ b/src/jasminerelay/cellowner.py
@@ -147,7 +147,6 @@
             frequent_passes=True,
             actual_busy=dispatcher.actual_busy_s,
             counters=counters,
-            on_outcome=dispatcher.record_outcome,
         )
         self.changed = False
 
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -51,7 +51,6 @@
     PrefixAnnouncements,
 )
 from jasminerelay.scheduling.streamorigins import VERSION_GONE
-from jasminerelay.scheduling.urgentshortages import UrgentShortages
 from jasminerelay.schema.messages import (
     CachedParts,
     EngineSample,
@@ -120,8 +119,6 @@
 VERSION_RETRY_S = 1.0
 """Retry-After where a stream can go on nowhere; a server may come back."""
 
-LEFT_TO_URGENT = Wait("capacity is left to more urgent requests")
-
 OnSplit = Callable[
     [str, Mapping[str, tuple[str, ...]], Sequence[RouteDemand]], None
 ]
@@ -215,7 +212,6 @@
         self.own_places: OwnPlaces = lambda server, engine: None
         self.on_split_change: OnSplit = lambda service, groups, demand: None
         self.capacities = CapacityRecords()
-        self.shortages = UrgentShortages()
         self.on_speed_change: OnSpeedChange = lambda *found: None
 
     def own_loads(self, now: float) -> list[ServerLoad]:
@@ -356,18 +352,6 @@
         if split is None or not split.group(kind):
             self._update_splits(time.monotonic())
 
-    def record_outcome(self, call: Call, placed: bool) -> None:
-        """Records that a queued request was placed or refused."""
-        if call.prompt is not None:
-            self.shortages.record(
-                call.service,
-                call.route.name,
-                call.route.rank,
-                call.prompt.tokens,
-                placed,
-                time.monotonic(),
-            )
-
     def busy_s(self, call: Call) -> float:
         """Returns how long a request occupies a server."""
         if call.prompt is None:
@@ -531,10 +515,6 @@
         group = self._group(call.service, call.route.name, servers)
         now = time.monotonic()
         options = self._options(call, group)
-        if call.software_version is None and self.shortages.holds_back(
-            call.service, call.route.rank, call.prompt.tokens, now
-        ):
-            return LEFT_TO_URGENT
         group_failed = all(item.blocked for item in options)
         if group_failed and self._all_blocked(call.service, servers, now):
             options = _unblock_if_all_blocked(options)
@@ -543,11 +523,7 @@
         if isinstance(placed, PlacementDecision):
             return placed
         allowed_ids = self._overflow_servers(call)
-        if (
-            group_failed
-            or self._may_use_any_server(call, now)
-            or self.shortages.is_short(call.service, call.route.name, now)
-        ):
+        if group_failed or self._may_use_any_server(call, now):
             allowed_ids |= {server.id for server in servers}
         if call.software_version is not None:
             # Its version may have no other servers.
@@ -1087,9 +1063,7 @@
         if held is not None and now - held.at < WAIT_ESTIMATE_MAX_AGE_S:
             return held
         working = self._without_unavailable(service, servers)
-        if not self.shortages.is_short(service, kind, now):
-            working = self._group(service, kind, working)
-        names = [item.id for item in working]
+        names = [item.id for item in self._group(service, kind, working)]
         # If streams can be moved, a long answer can continue at any server,
         # also one without prefill.
         engine = self.engine_of(service)
--- a/src/jasminerelay/ownedcells.py
+++ b/src/jasminerelay/ownedcells.py
@@ -15,7 +15,6 @@
 from jasminerelay.prefix import CacheView
 from jasminerelay.registry import Registry
 from jasminerelay.responsemonitor import PeerResponseMonitor
-from jasminerelay.scheduling.urgentshortages import UrgentShortages
 from jasminerelay.schema.messages import (
     CellQueue,
     CellUpdate,
@@ -72,7 +71,6 @@
         self._cells: dict[tuple[str, int], CellOwner] = {}
         self._request_waits = anyio.Event()
         self.queues = QueueEstimates()
-        self.shortages: UrgentShortages | None = None
         self.on_split: OnSplit = lambda service, groups, demand: None
         self.on_speed: OnSpeedChange = lambda *found: None
         self.answer: SendAnswers = lambda address, message: None
@@ -183,8 +181,6 @@
             CacheView(),
             self._allowance,
         )
-        if self.shortages is not None:
-            dispatcher.shortages = self.shortages
         dispatcher.on_split_change = lambda *found: self.on_split(*found)
         dispatcher.on_speed_change = lambda *found: self.on_speed(*found)
         return CellOwner(
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -372,7 +372,6 @@
             peermessages.load_columns(loads),
             peermessages.demand_columns(demand),
             queues=queues,
-            shortages=self._dispatcher.shortages.reports(now),
         )
 
     def _own_status(self) -> ReplicaStatus:
@@ -453,9 +452,6 @@
         )
         demand = peermessages.demand_rows(message.demand)
         self._dispatcher.demand.update(message.sender, demand, now)
-        self._dispatcher.shortages.update(
-            message.sender, message.shortages, now
-        )
         self._dispatcher.engine_models.add_peer_samples(message.samples, now)
         if message.cached:
             self._counters.incr("prefix.heard", len(message.cached))
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -150,7 +150,6 @@
         actual_busy: Callable[[Call, int], float] | None = None,
         headroom: Callable[[Call], Headroom] | None = None,
         counters: Counters | None = None,
-        on_outcome: Callable[[Call, bool], None] = lambda call, placed: None,
     ):
         """Creates an empty queue.
 
@@ -169,11 +168,8 @@
             headroom: Returns the free capacity, where other instances place
                 requests at the same servers; None where none does.
             counters: Counts events; None for none.
-            on_outcome: Called with each request that leaves the queue, and
-                whether it was placed.
         """
         self._place = place
-        self._on_outcome = on_outcome
         self._expect = expect
         self._busy_time = busy
         self._reserve = reserve
@@ -323,7 +319,6 @@
     ) -> None:
         run = self._reserve(item.call, placed)
         item.reservation = Reservation(placed, run)
-        self._on_outcome(item.call, True)
         self._remove(item)
         # Charged before the next request is chosen, and corrected at its end.
         item.shares.charge(item.call.organisation, item.busy_s)
@@ -335,7 +330,6 @@
         self, item: QueueEntry, refused: NoCapacityError, now: float
     ) -> None:
         item.refused = refused
-        self._on_outcome(item.call, False)
         self._remove(item)
         self._remember(item, refused, now)
         item.settled(item)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -395,7 +395,6 @@
             actual_busy=self.dispatcher.actual_busy_s,
             headroom=self.dispatcher.headroom,
             counters=self.counters,
-            on_outcome=self.dispatcher.record_outcome,
         )
         self._build_cells(member_id)
         self._crashes = CrashWatch(
@@ -519,7 +518,6 @@
             self.counters,
             self._rate_limits.allowance,
         )
-        self._owned_cells.shortages = self.dispatcher.shortages
         self._placement_client = PlacementClient(
             member_id,
             boot.peers,
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -309,18 +309,6 @@
     parts: list[int]
 
 
-class KindShortage(Struct, frozen=True):
-    """
-    Requests of a kind that an instance has refused lately.
-    """
-
-    kind: str
-    rank: int
-    tokens: int
-    refused: float
-    total: float
-
-
 class PlacementRequest(Struct, frozen=True):
     """
     Requests a placement from a cell's owner.
@@ -622,7 +610,6 @@
     samples: list[EngineSample] = field(default_factory=list)
     queues: list[CellQueue] = field(default_factory=list)
     cached: list[CachedParts] = field(default_factory=list)
-    shortages: list[KindShortage] = field(default_factory=list)
 
 
 class Messages(Struct, frozen=True):
--- a/tests/engineworld.py
+++ b/tests/engineworld.py
@@ -425,11 +425,6 @@
                         )
                         other.dispatcher.demand.update(node.name, demand, now)
                         other.owned.queues.update(queues, now)
-                        other.dispatcher.shortages.update(
-                            node.name,
-                            node.dispatcher.shortages.reports(now),
-                            now,
-                        )
 
     async def _work(self) -> None:
         while True:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -191,7 +191,6 @@
             self.dispatcher.reserve,
             actual_busy=self.dispatcher.actual_busy_s,
             headroom=self.dispatcher.headroom,
-            on_outcome=self.dispatcher.record_outcome,
         )
         self.owned = OwnedCells(
             name,
@@ -201,7 +200,6 @@
             self.dispatcher.lengths,
             self.counters,
         )
-        self.owned.shortages = self.dispatcher.shortages
         self.placement_client = PlacementClient(
             name,
             self.member.peers,
