--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -49,6 +49,8 @@
         torn: Whether a stream that `break_after` ends is cut within an event.
         tick_s: Time between two events, in seconds.
         fatal: Body of the requests that crash the server; empty for none.
+        fatal_part: Part of a prompt that crashes the server once it has begun
+            to write; empty for none. The last part of a prompt never does.
         fatal_after: Number of events that are sent before such a crash.
         limit: Value of the Server-Limit header field, in requests per second;
             empty for no such field.
@@ -89,6 +91,7 @@
     torn: bool = False
     tick_s: float = EVENT_INTERVAL_S
     fatal: bytes = b""
+    fatal_part: str = ""
     fatal_after: int = 0
     limit: bytes = b""
     leaving: bool = False
@@ -349,7 +352,10 @@
         return b"id: %d\ndata: %b\n\n" % (number, data)
 
     def _is_fatal(self, ran: ServedRequest) -> bool:
-        return bool(self.faults.fatal) and ran.body == self.faults.fatal
+        fatal, part = self.faults.fatal, self.faults.fatal_part
+        return bool(fatal and ran.body == fatal) or (
+            bool(part) and part in _shared_parts_of(ran)
+        )
 
     async def _send_long(self, send, ran: ServedRequest) -> None:
         faults = self.faults
@@ -456,6 +462,12 @@
     return range(int(ran.headers.get("last-event-id", "0")) + 1, events + 1)
 
 
+def _shared_parts_of(ran: ServedRequest) -> list[str]:
+    """Returns the ids of the parts of a run's prompt, without the last."""
+    entries = ran.headers.get("prefix-hash", "").split(",")[:-1]
+    return [entry.partition(":")[0] for entry in entries]
+
+
 async def _send_json(send, status: int, value: dict) -> None:
     body = json.dumps(value).encode()
     await send(
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -41,6 +41,7 @@
             links with fault injection.
         fatal: Body of the requests that crash a server that runs them; empty
             for none.
+        fatal_part: Part of a prompt that crashes model servers; "" for none.
         fatal_after: Number of events that are sent before such a crash.
         restart_s: Time after which a crashed server restarts.
         duties: Whether instances perform duties, with calls to the platform.
@@ -57,6 +58,7 @@
     routes: dict[str, dict] = dataclasses.field(default_factory=dict)
     links: bool = False
     fatal: bytes = b""
+    fatal_part: str = ""
     fatal_after: int = 0
     restart_s: float = 0.5
     duties: bool = False
@@ -126,6 +128,7 @@
         """Starts a server and writes its row to the store."""
         server = PlatformServer(name, version)
         server.faults.fatal = self.options.fatal
+        server.faults.fatal_part = self.options.fatal_part
         server.faults.fatal_after = self.options.fatal_after
         server.on_crash = lambda: self._crash_server(name, service)
         address = free_address()
