Count crashes of servers against parts of prompts, too

Cause: crashes counted against whole requests only; no two of these are alike. Class: blame counted for a whole where a part of it is the cause. Change: one ledger holds requests and parts of prompts, never the last; a crash counts for all that had not been writing for half a second; a whole answer, or half a second of a stream, clears the parts at any instance that has them on record; of equal causes the narrower is blamed. A completion within a second of the last one clears crashes between the two, which popular parts need. A request that was released is sent whatever its parts did before.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -17,7 +17,7 @@
 from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
 from jasminerelay.completeness import Framing
 from jasminerelay.crashnotices import CrashNotices
-from jasminerelay.crashwatch import CrashWatch
+from jasminerelay.crashwatch import PARTS_CLEARED_S, CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
 from jasminerelay.eventlog import EventLog
@@ -231,6 +231,7 @@
         self._running_at_send = 0
         self._continues_run = False
         self._pace: CallerPace | None = None
+        self._parts_cleared = False
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
@@ -605,6 +606,7 @@
                         self._report_started(0.0)
                         self._record_first_event(server)
                     timer.events(len(events))
+                    self._record_begun(timer)
                     progress.pause_s = max(progress.pause_s, timer.pause_s)
                     progress.first_at = progress.first_at or timer.first_at
                     await self._send_events(head, events)
@@ -640,6 +642,12 @@
         )
         return Delivered(head.status)
 
+    def _record_begun(self, timer: "_StreamTimer") -> None:
+        since = timer.first_at + PARTS_CLEARED_S
+        if not self._parts_cleared and time.monotonic() >= since:
+            self._parts_cleared = True
+            self._context.crashes.record_begun(self._call)
+
     def _record_first_event(self, server: BackendServer) -> None:
         progress = self._progress
         if not progress.versions:
--- a/src/jasminerelay/crashes.py
+++ b/src/jasminerelay/crashes.py
@@ -1,5 +1,8 @@
 """Identifies requests that crash the backend servers which process them.
 
+The same holds for parts of prompts, under which request after request crashes
+servers.
+
 Without I/O. A crash terminates all in-flight requests of a server, so one crash
 is weak evidence against each of them: clients retry them, often at the next
 server that crashes. A request is blocked with its third crash, unless another
@@ -44,6 +47,10 @@
 rounded in messages, so that after several hops the same response would pass for
 a newer one."""
 
+REQUEST = 0
+"""Width of a request. Of two names with the same crashes the narrower one is
+blamed."""
+
 NEVER = float("-inf")
 MS_PER_S = 1e3
 
@@ -55,10 +62,13 @@
     Attributes:
         crashes: Monotonic time of each crash, by server.
         last_completion_at: Monotonic time of its last complete response.
+        width: `REQUEST`, or for a part of prompts its place before the last
+            part, from 1 on.
     """
 
     crashes: dict[str, float] = dataclasses.field(default_factory=dict)
     last_completion_at: float = NEVER
+    width: int = REQUEST
 
 
 class CrashLedger:
@@ -112,13 +122,31 @@
         record = self._records.get(fingerprint, _Record())
         return sorted(record.crashes, key=record.crashes.__getitem__)
 
-    def ended(self, fingerprint: str, server: str, now: float) -> bool:
+    def ended(
+        self, fingerprint: str, server: str, now: float, width: int = REQUEST
+    ) -> bool:
         """Records that a server crashed while it processed a request.
 
+        Args:
+            fingerprint: The request, or a part of its prompt.
+            server: The server.
+            now: Monotonic time.
+            width: `REQUEST`, or the width of the part.
+
         Returns:
             Whether the crash was new.
         """
-        return self._merge(fingerprint, {server: now}, NEVER, now)
+        return self._merge(fingerprint, {server: now}, NEVER, now, width)
+
+    def cleared_since(self, fingerprint: str, other: str) -> bool:
+        """Returns whether a name was cleared after all crashes of another."""
+        record = self._records.get(fingerprint, _Record())
+        crashes = self._records.get(other, _Record()).crashes.values()
+        return record.last_completion_at > max(crashes, default=NEVER)
+
+    def width(self, fingerprint: str) -> int:
+        """Returns the width of a name; `REQUEST` for an unknown one."""
+        return self._records.get(fingerprint, _Record()).width
 
     def record_completion(self, fingerprint: str, now: float) -> bool:
         """Records that a server sent a request's complete response.
@@ -129,7 +157,7 @@
         record = self._records.get(fingerprint)
         if record is None or not record.crashes:
             return False
-        return self._merge(fingerprint, {}, now, now)
+        return self._merge(fingerprint, {}, now, now, tolerance_s=0.0)
 
     def merge(self, report: RequestCrashes, now: float) -> bool:
         """Merges another instance's report on a request.
@@ -148,7 +176,9 @@
             if report.survived_ms < 0
             else now - report.survived_ms / MS_PER_S
         )
-        return self._merge(report.fingerprint, crashes, last_completion_at, now)
+        return self._merge(
+            report.fingerprint, crashes, last_completion_at, now, report.width
+        )
 
     def to_message(self, fingerprint: str, now: float) -> RequestCrashes:
         """Returns a request's record as a message."""
@@ -159,6 +189,7 @@
             list(record.crashes),
             [_age_ms(at, now) for at in record.crashes.values()],
             -1 if never else _age_ms(record.last_completion_at, now),
+            record.width,
         )
 
     def expire(self, now: float) -> None:
@@ -182,13 +213,13 @@
         crashes: dict[str, float],
         last_completion_at: float,
         now: float,
+        width: int = REQUEST,
+        tolerance_s: float = COMPLETION_TOLERANCE_S,
     ) -> bool:
         record = self._records.setdefault(fingerprint, _Record())
+        record.width = record.width or max(REQUEST, width)
         before = (set(record.crashes), record.last_completion_at)
-        if (
-            last_completion_at
-            > record.last_completion_at + COMPLETION_TOLERANCE_S
-        ):
+        if last_completion_at > record.last_completion_at + tolerance_s:
             record.last_completion_at = last_completion_at
         for server, at in crashes.items():
             if len(record.crashes) < MAX_CRASHES_PER_REQUEST:
@@ -213,6 +244,10 @@
             )
             self._records.pop(victim or next(iter(self._records)))
 
+    def _blame_order(self, name: str) -> tuple[int, int, str]:
+        record = self._records[name]
+        return (-len(record.crashes), record.width, name)
+
     def _update_blocked(self) -> None:
         """Blocks requests, those with most crashes first.
 
@@ -222,9 +257,7 @@
         """
         explained: set[str] = set()
         blocked = []
-        for name in sorted(
-            self.suspects(), key=lambda x: (-len(self._records[x].crashes), x)
-        ):
+        for name in sorted(self.suspects(), key=self._blame_order):
             crashes = self._records[name].crashes.keys()
             if len(crashes) < BLOCK_AFTER_CRASHES:
                 break
--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -21,7 +21,7 @@
 
 from jasminerelay import fingerprint, rendezvous
 from jasminerelay.catalog import BackendServer, Call
-from jasminerelay.crashes import CrashLedger
+from jasminerelay.crashes import REQUEST, CrashLedger
 from jasminerelay.epidemic import EpidemicBroadcast
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
@@ -46,6 +46,10 @@
 MAX_PROBE_WAIT_S = 0.1
 """Longest time that a request waits for the probe before it is retried."""
 
+PARTS_CLEARED_S = 0.5
+"""Time since the first event of a stream after which the parts of its prompt
+count as harmless."""
+
 CRASHED_SERVER_TTL_S = 5.0
 """How long a server that refused a connection counts as crashed for other
 requests whose connections broke off; these breaks show within milliseconds."""
@@ -81,7 +85,8 @@
         crashed_at: Monotonic time at which the server refused a connection;
             None if it has not.
         lost_requests: Fingerprints of the requests whose connections to the
-            server broke off during the probe.
+            server broke off during the probe, and of parts of their prompts,
+            with their widths.
     """
 
     first_attempt_done: anyio.Event = dataclasses.field(
@@ -89,7 +94,7 @@
     )
     finished: bool = False
     crashed_at: float | None = None
-    lost_requests: dict[str, None] = dataclasses.field(default_factory=dict)
+    lost_requests: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -159,13 +164,21 @@
         """Returns whether a request must not be sent to any server."""
         if not self.ledger.all_blocked:
             return False
-        return self.ledger.is_blocked(fingerprint.of(call))
+        own = fingerprint.of(call)
+        if self.ledger.is_blocked(own):
+            return True
+        # A request that was released may be sent whatever its parts did before.
+        return any(
+            self.ledger.is_blocked(part)
+            and not self.ledger.cleared_since(own, part)
+            for part in fingerprint.of_parts(call)
+        )
 
     def may_retry(self, call: Call) -> bool:
         """Returns whether this instance may retry a request."""
         if not len(self.ledger):
             return True
-        return not self.ledger.suspect(fingerprint.of(call))
+        return not any(self.ledger.suspect(name) for name in _names_of(call))
 
     @contextlib.contextmanager
     def cancel_if_blocked(self, call: Call) -> Iterator[None]:
@@ -178,26 +191,32 @@
                 del self._waiting[scope]
 
     async def on_connection_lost(
-        self, call: Call, server: BackendServer
+        self, call: Call, server: BackendServer, events_s: float = 0.0
     ) -> None:
         """Handles a connection that broke off with a request in flight.
 
         Waits up to `MAX_PROBE_WAIT_S` for the first probe of the server, since
         a crash may make the request a suspect, which is not retried.
+
+        Args:
+            call: The request.
+            server: The server.
+            events_s: Time since the first event of its stream; 0 before that.
         """
         held = self._registry.server(server.id)
         if held is None or held.draining or self._probing is None:
             return
-        name = fingerprint.of(call)
+        names = _names_of(call, with_parts=events_s < PARTS_CLEARED_S)
         probe = self._probes.get(server.id)
         if probe is None or (probe.finished and probe.crashed_at is None):
             probe = self._probes[server.id] = _Probe()
             self._probing.start_soon(self._probe, server, probe)
             self._work_available.set()
         if probe.crashed_at is not None:
-            self._record_crash(name, server.id)
+            for name, width in names.items():
+                self._record_crash(name, server.id, width)
             return
-        probe.lost_requests[name] = None
+        probe.lost_requests.update(names)
         with anyio.move_on_after(MAX_PROBE_WAIT_S):
             await probe.first_attempt_done.wait()
 
@@ -205,7 +224,21 @@
         """Records that a server sent a request's complete response."""
         if not len(self.ledger):
             return
-        name = fingerprint.of(call)
+        for name in _names_of(call):
+            self._record_cleared(name)
+
+    def record_begun(self, call: Call) -> None:
+        """Records that a server has been writing a request's answer for long.
+
+        That clears the parts of its prompt, which crash servers that begin to
+        write.
+        """
+        if not len(self.ledger):
+            return
+        for name in fingerprint.of_parts(call):
+            self._record_cleared(name)
+
+    def _record_cleared(self, name: str) -> None:
         was_suspect = self.ledger.suspect(name)
         blocked = self.ledger.all_blocked
         if self.ledger.record_completion(name, time.monotonic()):
@@ -281,16 +314,16 @@
         self._counters.incr("crash.server_ended")
         self.on_refused(server)
         self._log.warn("server_ended", server=server)
-        for name in probe.lost_requests:
-            self._record_crash(name, server)
+        for name, width in probe.lost_requests.items():
+            self._record_crash(name, server, width)
         # Send at once: this instance may stop next, and no other one has the
         # crash.
         self.tick()
 
-    def _record_crash(self, name: str, server: str) -> None:
+    def _record_crash(self, name: str, server: str, width: int) -> None:
         blocked = self.ledger.all_blocked
         now = time.monotonic()
-        if not self.ledger.ended(name, server, now):
+        if not self.ledger.ended(name, server, now, width):
             return
         self._counters.incr("crash.run_ended")
         if self.ledger.suspect(name):
@@ -331,6 +364,7 @@
             self._log.warn(
                 "request_blocked",
                 fingerprint=name,
+                what="part" if self.ledger.width(name) else "request",
                 servers=self.ledger.servers(name),
                 ages_ms=self.ledger.to_message(name, time.monotonic()).ages_ms,
             )
@@ -423,6 +457,15 @@
             self.ledger.expire(time.monotonic())
 
 
+def _names_of(call: Call, *, with_parts: bool = True) -> dict[str, int]:
+    """Returns what a crash under a request may be blamed on, with widths."""
+    names = {fingerprint.of(call): REQUEST}
+    if with_parts:
+        parts = fingerprint.of_parts(call)
+        names.update(zip(parts, range(len(parts), 0, -1), strict=True))
+    return names
+
+
 async def refuses_connections(address: str) -> bool:
     """Returns whether an address refuses connections while its host answers.
 
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -200,7 +200,12 @@
             and self._verdict(outcome) is Verdict.BAD
             and not self.moved
         ):
-            await self._context.crashes.on_connection_lost(self._call, server)
+            first_at = self._progress.first_at
+            await self._context.crashes.on_connection_lost(
+                self._call,
+                server,
+                time.monotonic() - first_at if first_at else 0.0,
+            )
 
     @property
     def moved(self) -> bool:
--- a/src/jasminerelay/platform/tables.py
+++ b/src/jasminerelay/platform/tables.py
@@ -209,6 +209,7 @@
     ended_ms: list[int]
     # When a completed run or an operator cleared the request; -1 if never.
     cleared_ms: int = -1
+    width: int = 0
 
 
 class CrashTable:
@@ -255,6 +256,7 @@
         crashes.servers,
         [now_ms - age_ms for age_ms in crashes.ages_ms],
         -1 if crashes.survived_ms < 0 else now_ms - crashes.survived_ms,
+        crashes.width,
     )
     body = msgspec.json.encode(row)
     await store.write(CRASHES_TABLE, crashes.fingerprint, body)
@@ -271,4 +273,5 @@
         held.servers,
         [max(0, now_ms - at) for at in held.ended_ms],
         -1 if cleared < 0 else max(0, now_ms - cleared),
+        held.width,
     )
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -436,6 +436,7 @@
     servers: list[str]
     ages_ms: list[int]
     survived_ms: int
+    width: int = 0
 
 
 class CrashReport(Struct, frozen=True):
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -496,6 +496,20 @@
         "NOT_RELAYING if witness else CUT_OFF",
         "test_relays.RelayTest.test_word_on_an_unreachable_server_is_final",
     ),
+    Safeguard(
+        "a crash counts for the parts of a prompt",
+        "crashwatch",
+        "    if with_parts:\n",
+        "    if False:\n",
+        "test_crashingparts.CrashingPartTest.test_part_in_the_middle",
+    ),
+    Safeguard(
+        "of equal causes the narrower one is blamed",
+        "crashes",
+        "        return (-len(record.crashes), record.width, name)\n",
+        "        return (-len(record.crashes), 0, name)\n",
+        "test_crashes.PartsTest.test_narrower_of_two_is_blamed",
+    ),
     Safeguard(
         "witnesses of one zone do not end the search for a relay",
         "relayclient",
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -204,6 +204,35 @@
     return []
 
 
+class PartsTest(unittest.TestCase):
+    """Crashes that are blamed on a request or on a part of its prompt."""
+
+    def test_part_of_requests_that_differ(self) -> None:
+        # Guards against a part whose requests have one crash each.
+        ledger = CrashLedger()
+        for number in range(3):
+            ledger.ended(f"request{number}", f"s{number}", number)
+            ledger.ended("part", f"s{number}", number, 2)
+        self.assertEqual(ledger.all_blocked, {"part"})
+
+    def test_narrower_of_two_is_blamed(self) -> None:
+        # Guards against a first part that is blocked for one request.
+        ledger = CrashLedger()
+        for number in range(3):
+            for name, width in (("a-first", 2), ("b-later", 1), ("c-own", 0)):
+                ledger.ended(name, f"s{number}", number, width)
+        self.assertEqual(ledger.all_blocked, {"c-own"})
+
+    def test_popular_part_is_cleared_between_crashes(self) -> None:
+        # Guards against shared parts that are blocked since crashes follow each
+        # other faster than answers were counted.
+        ledger = CrashLedger()
+        for number in range(9):
+            ledger.ended("popular", f"s{number}", 0.2 * number, 1)
+            ledger.record_completion("popular", 0.2 * number + 0.1)
+        self.assertEqual(ledger.all_blocked, set())
+
+
 class CrashSimulationTest(unittest.TestCase):
     """Simulates a culprit among many requests, at up to 195 instances."""
 
