--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -65,6 +65,11 @@
 BRITTLE_WARNING_S = 2.0
 BRITTLE_SLOTS = 8
 
+ZONES = ("north", "east")
+CUT_ZONE = "east"
+"""Zone that is cut off from all servers in the end; all of its instances reach
+them through stand-in networks."""
+
 CUT_CONTACT_S = 3.0
 CUT_SPAN_S = 2.0
 CUT_ANSWER_S = 1.0
@@ -128,7 +133,10 @@
             async with self.site.running():
                 self.instances = [
                     InstanceProcess(
-                        self.site.settings(f"edge-{number + 1}"), number > 0
+                        self.site.settings(
+                            f"edge-{number + 1}", ZONES[number % len(ZONES)]
+                        ),
+                        number > 0,
                     )
                     for number in range(INSTANCES)
                 ]
@@ -168,7 +176,7 @@
             healed = self._requests[before:]
             await self._check_change()
             await self._check_rate_limit()
-            await self._check_cut_instance()
+            await self._check_cut_zone()
             await self._check_fatal_request()
             self._stopped = True
             callers.cancel_scope.deadline = anyio.current_time() + OUTCOME_S
@@ -489,29 +497,34 @@
                 )
         await pool.aclose()
 
-    async def _check_cut_instance(self) -> None:
-        """Cuts an instance off from all servers; checks that it serves."""
-        instance = self._rng.choice([x for x in self.instances if x.networked])
-        instance.cut(self._rng.choice(list(Cut)))
+    async def _check_cut_zone(self) -> None:
+        """Cuts a zone off from all servers; checks that its instances serve."""
+        cut = [x for x in self.instances if x.zone == CUT_ZONE]
+        kind = self._rng.choice(list(Cut))
+        for instance in cut:
+            instance.cut(kind)
         await anyio.sleep(CUT_CONTACT_S)
-        address = instance.listen["front"]
         since = time.monotonic()
         await anyio.sleep(CUT_SPAN_S)
         until = time.monotonic()
         await anyio.sleep(CUT_ANSWER_S)
-        instance.cut(None)
-        tries = [
-            item
-            for item in self._requests
-            if item.address == address and since <= item.sent_at < until
-        ]
-        served = sum(item.status == 200 and item.whole for item in tries)
-        self.counts["at a cut instance"] = len(tries)
-        if served < CUT_SHARE * len(tries):
-            self._record_violation(
-                f"{instance.path.stem} served {served} of {len(tries)} requests"
-                " while it was cut off from all servers"
-            )
+        for instance in cut:
+            instance.cut(None)
+        for instance in cut:
+            tries = [
+                item
+                for item in self._requests
+                if item.address == instance.listen["front"]
+                and since <= item.sent_at < until
+            ]
+            served = sum(item.status == 200 and item.whole for item in tries)
+            self.counts["at a cut instance"] += len(tries)
+            if served < CUT_SHARE * len(tries):
+                self._record_violation(
+                    f"{instance.path.stem} served {served} of"
+                    f" {len(tries)} requests while its zone was cut off from"
+                    f" all servers ({kind.name})"
+                )
 
     async def _check_fatal_request(self) -> None:
         """Sends a request that crashes engines; checks how many it crashes."""
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -104,6 +104,7 @@
         networked: Whether it reaches servers through a stand-in network, which
             can be cut, instead of being started as deployed.
         listen: IP:port by purpose.
+        zone: Its availability zone.
         popen: Handle of the current process.
         busy: Whether a fault is active on it.
         disturbed_at: Times of signals and starts.
@@ -113,7 +114,9 @@
         self.path = path
         self.networked = networked
         self.log = path.with_suffix(".log")
-        self.listen = tomllib.loads(path.read_text())["listenAddrs"]
+        settings = tomllib.loads(path.read_text())
+        self.listen = settings["listenAddrs"]
+        self.zone = settings["zone"]
         self.popen: subprocess.Popen | None = None
         self.busy = False
         self.disturbed_at: list[float] = []
