Tell a service of one cell by its number of servers

Cause: whether a service has one cell was found by a set over all its servers, for each server that an instance looks at when it places alone: the square of the servers. A service has one cell where it has no more servers than a cell holds.

--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -269,7 +269,10 @@
             owner can be asked in its stead.
         """
         cell = self._cell_of(server) if self.active else None
-        if cell is None or self._cell_count(cell[0]) == 1:
+        if cell is None:
+            return None
+        servers = self._registry.server_ids_of(cell[0])
+        if len(servers) <= cells.MAX_SERVERS_PER_CELL:
             return None
         if self._position is None:
             return 0
@@ -693,9 +696,6 @@
         split = cells.cells_of(self._registry.server_ids_of(service))
         return split[number] if number < len(split) else ()
 
-    def _cell_count(self, service: str) -> int:
-        return len(set(self._cells_by_server(service).values()))
-
     def _cell_of(self, name: str) -> Cell | None:
         server = self._registry.server(name)
         if server is None or not self._has_owners(server.service):
--- a/tests/engineworld.py
+++ b/tests/engineworld.py
@@ -272,7 +272,6 @@
         self._group: anyio.abc.TaskGroup | None = None
         self.engines: dict[str, Engine] = {}
         self.served: list[Served] = []
-        self.disturbed_until = 0.0
         self._start_engines(test_cells.server_rows(servers))
 
     @property
@@ -395,7 +394,6 @@
         for node in self._site.nodes.values():
             # Not all instances learn of it at the same moment.
             self._group.start_soon(self._learn, node, rows, self._version)
-        self.disturbed_until = anyio.current_time()
 
     async def _learn(self, node: Node, rows, version: int) -> None:
         await anyio.sleep(self._rng.uniform(0.0, 0.2))
