Log who ended an answer, in which step, and the age of the configuration

Cause: the line of a request that was not served says why its last attempt failed, but not whether the server, the caller or this instance ended the answer, and what kept it from going on; the hypotheses of LOST around configurations could not be told apart. Change: fields ended_by, step and obstacle, counters answer.cut.STEP for answers that had begun; configuration_age_s beside the version in every line that names it. A request that the stop of its instance ended is no longer logged as one whose caller left. No logic is changed.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -163,6 +163,8 @@
         ran: Number of servers that have run it, or may have.
         maybe_ran: Whether the request can't be reported as not run any more.
         copy: Copy of the KV cache to continue from, after a move.
+        continues_moved: Whether the latest attempt continues a run from such a
+            copy.
         moves: Number of attempted moves.
         output: Tokens of a complete stream; 0 before its end.
         time_limit: Ends the request at its deadline.
@@ -184,6 +186,7 @@
     ran: int = 0
     maybe_ran: bool = False
     copy: KvCacheCopy | None = None
+    continues_moved: bool = False
     moves: int = 0
     output: int = 0
     time_limit: anyio.CancelScope | None = None
@@ -229,7 +232,6 @@
         self._may_have_stopped = False
         self._sent_at = 0.0
         self._running_at_send = 0
-        self._continues_run = False
         self._pace: CallerPace | None = None
         self._parts_cleared = False
 
@@ -275,7 +277,7 @@
         server = channel.server
         left_s = self._call.answer_deadline - time.monotonic()
         copy, self._progress.copy = self._progress.copy, None
-        self._continues_run = copy is not None
+        self._progress.continues_moved = copy is not None
         sending = OutgoingRequest(
             self._call,
             server,
@@ -301,7 +303,7 @@
                 )
         except AnswerTimeoutError as exc:
             self._report_lost()
-            return Unknown(f"timed out: {exc}")
+            return Unknown(f"timed out: {exc}", silent=True)
         except IncompleteExchangeError as exc:
             self._report_lost()
             return Unknown(str(exc), broken=True)
@@ -372,7 +374,7 @@
 
     def _report_started(self, ago_s: float) -> None:
         # A moved run was reported when it started.
-        if not self._continues_run:
+        if not self._progress.continues_moved:
             self._context.on_started(self._call.organisation, ago_s)
 
     def _report_lost(self) -> None:
@@ -400,7 +402,7 @@
                 return _not_run(head)
             return Unknown(f"connection failed: {exc!r}", broken=True)
         except httpcore.TimeoutException as exc:
-            return Unknown(f"timed out: {exc!r}")
+            return Unknown(f"timed out: {exc!r}", silent=True)
         if not whole and head.not_run:
             return _not_run(head)
         if not whole and not self._sink.started:
@@ -538,7 +540,9 @@
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             return BrokenOff(f"{BROKE_OFF}: {exc!r}", pace.held_up)
         except (httpcore.TimeoutException, TimeoutError) as exc:
-            return BrokenOff(f"{BROKE_OFF}, timed out: {exc!r}", pace.held_up)
+            return BrokenOff(
+                f"{BROKE_OFF}, timed out: {exc!r}", pace.held_up, silent=True
+            )
         finally:
             pace.close()
         return Delivered(head.status)
@@ -620,10 +624,9 @@
         ) as exc:
             held_up = self._pace is not None and self._pace.held_up
             # A server may cut off what its caller has left unread.
-            broken = not held_up and not isinstance(
-                exc, httpcore.TimeoutException
-            )
-            return Interrupted(repr(exc), held_up, broken)
+            silent = isinstance(exc, httpcore.TimeoutException)
+            broken = not held_up and not silent
+            return Interrupted(repr(exc), held_up, broken, silent=silent)
         except ValueError as exc:
             return Interrupted(str(exc))
         await self._wait_for_move()
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -115,6 +115,10 @@
     def started(self) -> bool:
         """Whether the head of the answer was sent."""
 
+    @property
+    def caller_left(self) -> bool:
+        """Whether the caller disconnected before the end of the answer."""
+
     async def start(
         self, status: int, headers: tuple[tuple[bytes, bytes], ...]
     ) -> None:
@@ -219,11 +223,13 @@
         broken: Whether the server's end of the connection closed.
         relay_lost: Whether the relay of the connection was lost, so that it
             says nothing about the server.
+        silent: Whether the server sent nothing for too long.
     """
 
     why: str
     broken: bool = False
     relay_lost: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -236,12 +242,14 @@
             says nothing about the server.
         broken: Whether the server's end of the connection closed.
         relay_lost: As in `Unknown`.
+        silent: As in `Unknown`.
     """
 
     why: str
     held_up: bool = False
     broken: bool = False
     relay_lost: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -253,11 +261,13 @@
         held_up: Whether the caller had held up the server before, so that it
             says nothing about the server.
         relay_lost: As in `Unknown`.
+        silent: As in `Unknown`.
     """
 
     why: str
     held_up: bool = False
     relay_lost: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -9,6 +9,13 @@
 from jasminerelay import fingerprint
 from jasminerelay.attempt import OK, Attempt, ForwardingContext, RequestProgress
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy
+from jasminerelay.endings import (
+    EndedBy,
+    Ending,
+    Obstacle,
+    Step,
+    ending_of,
+)
 from jasminerelay.errors import CrashingRequestError, NoCapacityError
 from jasminerelay.exchange import (
     BrokenOff,
@@ -57,6 +64,7 @@
         self._reason = ""
         self._answer_complete = False
         self._log_fingerprint = False
+        self._ending = Ending(EndedBy.INSTANCE, Step.PLACING)
 
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
@@ -72,10 +80,17 @@
                 await self._handle_timeout()
             ended = "done"
         finally:
+            if ended != "done":
+                self._ending = self._ending_of_cancelled()
             for hold in self._progress.holds:
                 hold.close()
             self._log(ended)
 
+    def _ending_of_cancelled(self) -> Ending:
+        if self._sink.caller_left:
+            return Ending(EndedBy.CALLER, Step.CALLER_LEFT)
+        return Ending(EndedBy.INSTANCE, Step.STOP)
+
     async def _bind_to_origin(self) -> bool:
         """Binds a stream that is taken up to the servers where it can go on.
 
@@ -141,6 +156,9 @@
         try:
             outcome = await self._attempt.run(reservation)
             verdict = self._verdict(outcome)
+            self._ending = ending_of(
+                outcome, continued=self._progress.continues_moved
+            )
             self._log_fingerprint |= isinstance(
                 outcome, Unknown | Interrupted | BrokenOff
             )
@@ -222,7 +240,10 @@
         self._progress.ran += 1
         if allowed and not self._context.crashes.may_retry(self._call):
             self._context.counters.incr("crash.not_repeated")
+            self._record_obstacle(Obstacle.CRASHES)
             return False
+        if not allowed:
+            self._record_obstacle(Obstacle.RUNS_ONCE)
         return allowed and self._spend_retry()
 
     def retry_unsent(self, why: str) -> bool:
@@ -230,10 +251,13 @@
         self._reason = why
         self._unsent_attempts += 1
         self._progress.maybe_ran = self._progress.ran > 0
-        return (
-            self._unsent_attempts <= MAX_UNSENT_RETRIES
-            and not self._single_run_used
-        )
+        if self._single_run_used:
+            self._record_obstacle(Obstacle.RUNS_ONCE)
+            return False
+        if self._unsent_attempts > MAX_UNSENT_RETRIES:
+            self._record_obstacle(Obstacle.TRIES)
+            return False
+        return True
 
     def retry_not_run(self, why: str) -> bool:
         """Returns whether to try another server after one did not run it."""
@@ -241,11 +265,12 @@
         self._not_run_attempts += 1
         self._progress.maybe_ran = self._progress.ran > 0
         if self._single_run_used:
+            self._record_obstacle(Obstacle.RUNS_ONCE)
             return False
-        return (
-            self._not_run_attempts <= MAX_NOT_RUN_RETRIES
-            and self._spend_retry()
-        )
+        if self._not_run_attempts > MAX_NOT_RUN_RETRIES:
+            self._record_obstacle(Obstacle.TRIES)
+            return False
+        return self._spend_retry()
 
     @property
     def _single_run_used(self) -> bool:
@@ -295,10 +320,15 @@
         if self._context.budget.spend(self._call.service, time.monotonic()):
             return True
         self._context.counters.incr("retry.no_budget")
+        self._record_obstacle(Obstacle.RETRY_BUDGET)
         return False
 
+    def _record_obstacle(self, obstacle: Obstacle) -> None:
+        self._ending = dataclasses.replace(self._ending, obstacle=obstacle)
+
     async def _reject_unplaced(self, exc: NoCapacityError) -> None:
         self._reason = exc.message
+        self._record_obstacle(Obstacle.NO_CAPACITY)
         if self._sink.started or self._progress.maybe_ran or self._failure:
             await self.give_up()
         else:
@@ -306,6 +336,7 @@
 
     async def _reject_blocked(self) -> None:
         self._context.counters.incr("crash.refused")
+        self._ending = Ending(EndedBy.INSTANCE, Step.BLOCKED, Obstacle.CRASHES)
         self._log_fingerprint = True
         exc = CrashingRequestError(
             "backend servers crash while running this request; it was not run"
@@ -318,6 +349,7 @@
 
     async def _handle_timeout(self) -> None:
         self._reason = "the request's time was over"
+        self._ending = Ending(EndedBy.INSTANCE, Step.TIME_LIMIT)
         if self._sink.started:
             await self._sink.abort()
         elif self._failure is not None:
@@ -349,6 +381,9 @@
             first_s = round(progress.first_at - call.arrived_at, 3)
         total_s = round(now - call.arrived_at, 3)
         self._context.counters.incr(f"answer.{progress.status or 'none'}")
+        if self._sink.started and not self._answer_complete:
+            step = self._ending.step.replace(" ", "_")
+            self._context.counters.incr(f"answer.cut.{step}")
         if call.last_event_id:
             self._context.counters.incr("stream.taken_up")
             if progress.events:
@@ -363,6 +398,7 @@
             rank=call.rank,
             service=call.service,
             ended=ended,
+            **self._ending.log_fields(),
             status=progress.status,
             whole=self._answer_complete,
             why=self._reason,
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -309,6 +309,7 @@
         organisation: For whom the response is; "" if not known.
         started: Whether the response's head was sent.
         finished: Whether the response was completed.
+        caller_left: Whether the caller disconnected before that.
     """
 
     def __init__(
@@ -333,6 +334,7 @@
         self.organisation = ""
         self.started = False
         self.finished = False
+        self.caller_left = False
 
     async def start(
         self, status: int, fields: tuple[tuple[bytes, bytes], ...]
@@ -472,4 +474,5 @@
     # the remaining work, such as returning the connection to the backend
     # server to its pool, must not be cancelled.
     if not sink.finished:
+        sink.caller_left = True
         scope.cancel()
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -288,6 +288,8 @@
     def _build_state(self) -> None:
         boot = self.boot
         self.registry = Registry(decoding.catalog, decoding.server)
+        self._catalog: Catalog | None = None
+        self._configured_at = time.monotonic()
         self.client = HttpClient(self._watchdog, keepalive=True)
         store = self._store = Store(self.client, boot.store, self._warn)
         store.on_new_era = self._on_store_restored
@@ -677,6 +679,9 @@
         self._owned_cells.gone(server)
 
     def _on_data_changed(self) -> None:
+        if self.registry.catalog is not self._catalog:
+            self._catalog = self.registry.catalog
+            self._configured_at = time.monotonic()
         self._peers.notify_dependents()
         if self.registry.complete:
             self._ingress.serve_early_requests()
@@ -722,6 +727,9 @@
         catalog: Catalog | None = self.registry.catalog
         return {
             "configuration": catalog.version if catalog else 0,
+            "configuration_age_s": round(
+                time.monotonic() - self._configured_at, 2
+            ),
             "servers_version": storeversion.number_of(
                 self.registry.servers_version
             ),
