--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -75,6 +75,14 @@
         brittle: Value of the Server-Brittle header field: the server crashes
             if it rejects more requests in a second. 0 for no such field.
         silent: Whether it works and sends nothing meanwhile.
+        refuse_moves: Number of upcoming orders to copy a run that find no room
+            at their target; a final one stops the run all the same.
+        lose_moves: Number of upcoming orders that are carried out while their
+            replies are lost.
+        refuse_copies: Number of upcoming requests that continue from a copy
+            and are rejected; the copy stays.
+        move_s: Time that a copy takes, in seconds.
+        reject_after_s: Time after which rejections are sent, in seconds.
         by_connection: Whether successful answers have neither a length nor
             chunks and end with their connection.
         breaks: Number of upcoming answers that break off, if they are
@@ -109,6 +117,11 @@
     capacity: int = 0
     brittle: int = 0
     silent: bool = False
+    refuse_moves: int = 0
+    lose_moves: int = 0
+    refuse_copies: int = 0
+    move_s: float = 0.0
+    reject_after_s: float = 0.0
     by_connection: bool = False
     breaks: int = 0
     break_as: Break = Break.AFTER_HEAD
@@ -124,7 +137,8 @@
         target: Path and query.
         body: Body.
         ended: Whether the complete answer was sent.
-        moved: Whether it was stopped to be continued on another server.
+        moved: Whether it was stopped to be continued from a copy.
+        copies: Number of copies made of it.
     """
 
     attempt: str
@@ -133,6 +147,7 @@
     body: bytes
     ended: bool = False
     moved: bool = False
+    copies: int = 0
 
 
 class PlatformServer:
@@ -158,7 +173,8 @@
             pause, with its length in seconds.
         max_running: Maximum number of requests that ran at once.
         running: Number of requests that run now.
-        move_count: Number of requests that were moved to another server.
+        move_count: Number of requests that were stopped to be continued.
+        copy_count: Number of copies made, of running and of stopped requests.
         on_crash: Called when a request crashes the server.
     """
 
@@ -175,6 +191,7 @@
         self.max_running = 0
         self.running = 0
         self.move_count = 0
+        self.copy_count = 0
         self.on_crash: Callable[[], None] = lambda: None
 
     async def __call__(self, scope, receive, send) -> None:
@@ -196,7 +213,14 @@
             await self._handle_move(send, json.loads(body))
         elif headers.get("expect-instance", self.name) != self.name:
             await self._reject(send, 421, attempt)
-        elif 0 < self.faults.capacity <= self.running:
+        elif "kv-from" in headers and self.faults.refuse_copies:
+            self.faults.refuse_copies -= 1
+            self.rejection_times.append(now)
+            await self._reject(send, 503, attempt)
+        elif (
+            "kv-from" not in headers
+            and 0 < self.faults.capacity <= self.running
+        ):
             await self._reject_for_load(send, attempt)
         elif self.faults.refuse:
             self.faults.refuse -= 1
@@ -220,13 +244,32 @@
         await self._reject(send, 503, attempt)
 
     async def _handle_move(self, send, order: dict) -> None:
-        for ran in self.journal:
-            if ran.attempt == order["id"] and not ran.ended:
-                ran.moved = True
-                self.move_count += 1
-                await _send_json(send, 200, {"handle": "h1", "created": 0})
-                return
-        await _send_json(send, 404, {})
+        ran = self._run_to_move(order["id"])
+        if ran is None:
+            await _send_json(send, 404, {})
+            return
+        if order["final"] and not ran.moved:
+            ran.moved = True
+            self.move_count += 1
+        await asyncio.sleep(self.faults.move_s)
+        if self.faults.refuse_moves:
+            self.faults.refuse_moves -= 1
+            kept = {"handle": "h1"} if order["final"] else {}
+            await _send_json(send, 503, kept)
+            return
+        ran.copies += 1
+        self.copy_count += 1
+        if self.faults.lose_moves:
+            self.faults.lose_moves -= 1
+            return
+        await _send_json(send, 200, {"handle": "h1", "created": 0})
+
+    def _run_to_move(self, attempt: str) -> ServedRequest | None:
+        """Returns the latest run of a request that has not ended."""
+        for ran in reversed(self.journal):
+            if ran.attempt == attempt and not ran.ended:
+                return ran
+        return None
 
     async def _run_request(
         self, scope, receive, send, ran: ServedRequest
@@ -403,6 +446,7 @@
         ran.ended = True
 
     async def _reject(self, send, status: int, attempt: str) -> None:
+        await asyncio.sleep(self.faults.reject_after_s)
         headers = [(b"content-length", b"0"), *self._response_headers(attempt)]
         if status != 421:
             headers.append((b"not-executed", b"1"))
--- /dev/null
+++ b/tests/test_answerskept.py
@@ -0,0 +1,266 @@
+"""Tests that steps which are meant to help an answer do not end it."""
+
+import unittest
+import unittest.mock
+
+import anyio
+
+from jasminerelay import attempt
+from standins.platformserver import PlatformServer
+from standins.platformsite import MODEL_BACKEND, SiteOptions
+from tests.platformcase import Answer, PlatformCase, events
+
+EVENTS = 150
+SILENT_S = 1.6
+"""Longer than the time after which another server is sought."""
+
+
+class AnswersKeptCase(PlatformCase):
+    """Requests in the middle of whose answers something happens."""
+
+    options = SiteOptions(
+        routes={"chat": {"timeoutMs": 9000}, "lookup": {"timeoutMs": 9000}}
+    )
+
+    async def ask_during(self, instance, path: str, site, change) -> Answer:
+        """Requests an answer; calls `change` with its server once it runs."""
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            answers.append(
+                await self.ask(
+                    instance,
+                    path,
+                    Token_Usage=f"900,{EVENTS}",
+                    Length_Hint=f"{EVENTS}",
+                    Prefix_Hash="aa:500,bb:400",
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await self.until(lambda: self.running(site))
+            await anyio.sleep(0.2)
+            (server,) = self.running(site)
+            await change(server)
+        return answers[0]
+
+    def running(self, site) -> list[PlatformServer]:
+        return [x for x in site.servers.values() if x.running]
+
+    def others(self, site, server: PlatformServer) -> list[PlatformServer]:
+        return [
+            item
+            for name, item in site.servers.items()
+            if item is not server
+            and name.partition("-")[0] == server.name.partition("-")[0]
+        ]
+
+    def runs(self, site) -> int:
+        """Returns the number of runs; continued ones count once."""
+        return sum(
+            not ran.moved for s in site.servers.values() for ran in s.journal
+        )
+
+    def assert_whole(self, answer: Answer) -> None:
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body, events(EVENTS))
+
+
+class SilentServerTest(AnswersKeptCase):
+    """Answers whose server sends nothing for a while."""
+
+    async def be_silent(self, server: PlatformServer) -> None:
+        server.faults.silent = True
+        await anyio.sleep(SILENT_S)
+        server.faults.silent = False
+
+    async def test_no_retry_budget(self) -> None:
+        # Guards against a stream that leaves its silent server though the retry
+        # budget allows no other.
+        async with self.site() as (site, (instance,)):
+            instance._retry_budget.spend = lambda service, now: False
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, self.be_silent
+            )
+            self.assert_whole(answer)
+
+    async def test_other_server_rejects(self) -> None:
+        # Guards against a stream that leaves its silent server for one that
+        # rejects it.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                for other in self.others(site, server):
+                    other.faults.refuse = 100
+                await self.be_silent(server)
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
+    async def test_other_server_rejects_late(self) -> None:
+        # Guards against a stream whose new server rejects it after the silent
+        # one was left, and that is given up.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                for other in self.others(site, server):
+                    other.faults.refuse = 3
+                    other.faults.reject_after_s = 0.4
+                await self.be_silent(server)
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
+    async def test_other_server_refuses_connections(self) -> None:
+        # Guards against a stream that leaves its silent server for one that
+        # does not listen.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                for other in self.others(site, server):
+                    site.kill_server(other.name)
+                await self.be_silent(server)
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
+    async def test_no_other_server(self) -> None:
+        # Guards against a stream that leaves the only server of its service.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                for other in self.others(site, server):
+                    site.kill_server(other.name)
+                    site.store.delete("servers", other.name)
+                await self.be_silent(server)
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
+    async def test_silent_for_good(self) -> None:
+        # Guards against waiting for a dark server while another one can go on.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                server.faults.silent = True
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+            self.assertEqual(
+                sum(len(x.journal) for x in site.servers.values()), 2
+            )
+
+    async def test_speaks_while_another_is_asked(self) -> None:
+        # Guards against events of two servers in one answer, where the silent
+        # one goes on just as another one gets the stream.
+        for wait_s in (0.95, 1.0, 1.05, 1.1, 1.15, 1.2, 1.3):
+            with self.subTest(wait_s=wait_s):
+                async with self.site() as (site, (instance,)):
+
+                    async def change(server, wait_s=wait_s) -> None:
+                        server.faults.silent = True
+                        await anyio.sleep(wait_s)
+                        server.faults.silent = False
+
+                    answer = await self.ask_during(
+                        instance, "/chat/1/stream", site, change
+                    )
+                    self.assert_whole(answer)
+
+    async def test_lookup(self) -> None:
+        # Guards against a repeatable request that leaves its silent server for
+        # one that rejects it.
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.silent = True
+
+            async def change(server: PlatformServer) -> None:
+                for other in self.others(site, server):
+                    other.faults.refuse = 100
+                await self.be_silent(server)
+
+            answer = await self.ask_during(instance, "/lookup/x", site, change)
+            self.assertEqual((answer.status, answer.whole), (200, True))
+
+
+class MoveTest(AnswersKeptCase):
+    """Streams that may run once and that leave a draining server."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # A stall of this process must not make a stream look too slow.
+        self.enterContext(
+            unittest.mock.patch.object(attempt, "SLOW_CHECK_INTERVAL_S", 60.0)
+        )
+
+    async def moved_stream(self, site, instance, prepare) -> Answer:
+        async def change(server: PlatformServer) -> None:
+            prepare(server, self.others(site, server))
+            site.write_server_row(server.name, MODEL_BACKEND, "draining")
+
+        for server in site.servers.values():
+            server.faults.tick_s = 0.02
+        answer = await self.ask_during(
+            instance, "/sheet/1/stream", site, change
+        )
+        self.assertEqual(self.runs(site), 1)
+        return answer
+
+    async def test_copy_rejected(self) -> None:
+        # Guards against a stream that is stopped for a target which then
+        # rejects it.
+        async with self.site() as (site, (instance,)):
+
+            def prepare(server, others) -> None:
+                for other in others:
+                    other.faults.refuse_copies = 100
+
+            self.assert_whole(await self.moved_stream(site, instance, prepare))
+
+    async def test_copy_refused(self) -> None:
+        # Guards against a stream that is stopped though its target has no room.
+        async with self.site() as (site, (instance,)):
+
+            def prepare(server, others) -> None:
+                server.faults.refuse_moves = 100
+
+            self.assert_whole(await self.moved_stream(site, instance, prepare))
+            self.assertEqual(
+                sum(s.move_count for s in site.servers.values()), 0
+            )
+
+    async def test_target_gone(self) -> None:
+        # Guards against a stream that is stopped for a target which does not
+        # listen.
+        async with self.site() as (site, (instance,)):
+
+            def prepare(server, others) -> None:
+                for other in others:
+                    site.kill_server(other.name)
+
+            self.assert_whole(await self.moved_stream(site, instance, prepare))
+
+    async def test_replies_lost(self) -> None:
+        # Guards against a stream that is given up since the reply to the order
+        # which stopped it was lost.
+        for lost in (1, 2):
+            with self.subTest(lost=lost):
+                async with self.site() as (site, (instance,)):
+
+                    def prepare(server, others, lost=lost) -> None:
+                        server.faults.lose_moves = lost
+
+                    self.assert_whole(
+                        await self.moved_stream(site, instance, prepare)
+                    )
