Stop a run for a move only once its copy has been made, and return to its source

What callers saw: streams cut in the middle though their servers were sound, where servers leave or look slow. Cause: the order that copied a run's memory stopped the run as well. A target without room, a target that rejected the copy or did not listen, and a reply that was lost each ended the answer. A refused copy costs the stream nothing, and another target is tried. A target that rejects the copy, or is not reached, is followed by the source, which keeps what it has stopped. A lost reply is asked for again; failing that the first copy is used.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -55,6 +55,7 @@
 from jasminerelay.serverconnection import ServerResponse
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
+from jasminerelay.streammoves import StreamMoves
 from jasminerelay.telemetry import Telemetry
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
@@ -70,15 +71,6 @@
 long, or four times the route's longest pause between events, whichever is
 longer. Callers disconnect after two seconds or eight pauses."""
 
-SLOW_CHECK_INTERVAL_S = 0.25
-"""Interval of the checks whether a stream can end in time on its server."""
-
-_SLOW_CHECK_PHASE_S = random.uniform(0.0, SLOW_CHECK_INTERVAL_S)
-"""Keeps the instances of a machine from checking at the same moments."""
-
-MAX_MOVES = 2
-"""Maximum moves per request; each pauses it while its KV cache is copied."""
-
 NO_TIMEOUT_S = 3600.0
 
 MAX_ID_DIGITS = 6
@@ -163,9 +155,9 @@
         ran: Number of servers that have run it, or may have.
         maybe_ran: Whether the request can't be reported as not run any more.
         copy: Copy of the KV cache to continue from, after a move.
-        continues_moved: Whether the latest attempt continues a run from such a
-            copy.
-        moves: Number of attempted moves.
+        given_away: Whether this instance took the request from a server that
+            might have ended it, and must find it another one.
+        moves: Number of moves.
         output: Tokens of a complete stream; 0 before its end.
         time_limit: Ends the request at its deadline.
         holds: Bytes held until the end of the request.
@@ -186,7 +178,7 @@
     ran: int = 0
     maybe_ran: bool = False
     copy: KvCacheCopy | None = None
-    continues_moved: bool = False
+    given_away: bool = False
     moves: int = 0
     output: int = 0
     time_limit: anyio.CancelScope | None = None
@@ -215,7 +207,11 @@
 
 
 class Attempt:
-    """Sends a request to one server."""
+    """Sends a request to one server.
+
+    Attributes:
+        copy: Copy of the KV cache from which it continues a moved run.
+    """
 
     def __init__(
         self,
@@ -228,15 +224,28 @@
         self._call = call
         self._sink = sink
         self._progress = progress
-        self._move_ended: anyio.Event | None = None
-        self._may_have_stopped = False
+        self._moves: StreamMoves | None = None
         self._sent_at = 0.0
         self._running_at_send = 0
         self._pace: CallerPace | None = None
         self._parts_cleared = False
+        self.copy: KvCacheCopy | None = None
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
+        self.copy, self._progress.copy = self._progress.copy, None
+        outcome = await self._run(reservation)
+        if (
+            isinstance(outcome, Interrupted)
+            and self._progress.copy is None
+            and self._moves is not None
+            and self._moves.may_have_stopped
+        ):
+            # The order to stop the run was carried out; its reply is lost.
+            self._progress.copy = self._moves.spare
+        return outcome
+
+    async def _run(self, reservation: Reservation) -> Outcome:
         server = reservation.placed.server
         try:
             channel = await self._context.channels.acquire(server)
@@ -267,7 +276,7 @@
     def _may_send(self, server: BackendServer) -> bool:
         # Opening a connection can take so long that the server has rejected
         # another request meanwhile. A moved run can only continue there.
-        if self._progress.copy is not None:
+        if self.copy is not None:
             return True
         return not self._context.pauses.active(server.id, time.monotonic())
 
@@ -276,21 +285,18 @@
     ) -> Outcome:
         server = channel.server
         left_s = self._call.answer_deadline - time.monotonic()
-        copy, self._progress.copy = self._progress.copy, None
-        self._progress.continues_moved = copy is not None
         sending = OutgoingRequest(
             self._call,
             server,
             left_s,
             after=self._progress.last_event_id,
-            copy=copy,
+            copy=self.copy,
             source=reservation.placed.source,
         )
         headers = self._context.dialect.request_headers(sending)
         self._progress.maybe_ran = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
-        self._may_have_stopped = False
         self._pace = None
         workload = self._context.dispatcher.workload
         self._running_at_send = workload.load(server.id).running
@@ -374,7 +380,7 @@
 
     def _report_started(self, ago_s: float) -> None:
         # A moved run was reported when it started.
-        if not self._progress.continues_moved:
+        if self.copy is None:
             self._context.on_started(self._call.organisation, ago_s)
 
     def _report_lost(self) -> None:
@@ -569,12 +575,22 @@
     ) -> Outcome:
         server = channel.server
         leaving_event = self._context.stream_migrator.attach(server.id)
+        moves = self._moves = StreamMoves(
+            self._context.dispatcher,
+            self._context.stream_migrator,
+            self._call,
+            server,
+            self._progress.moves,
+        )
         try:
             with BackgroundTasks() as group:
                 group.start_soon(self._move_when_leaving, server, leaving_event)
                 group.start_soon(self._move_when_slow, server)
                 outcome = await self._relay_events(reservation, response, head)
-                await self._wait_for_move()
+                if isinstance(outcome, Delivered):
+                    await self._finish_stream(response, head, done)
+                # A copy that is not needed any more is dropped at its end.
+                await moves.wait()
         except CallerStalledError as exc:
             self._sink.reset()
             return CallerStalled(str(exc))
@@ -582,14 +598,19 @@
             if self._pace is not None:
                 self._pace.close()
             self._context.stream_migrator.detach(server.id, leaving_event)
-        if isinstance(outcome, Delivered):
-            await response.aclose()
-            done.head = head
-            if not self._sink.started:
-                await self._sink.start(head.status, head.headers)
-            await self._sink.finish()
+            self._progress.copy = moves.copy
+            self._progress.moves += moves.count
         return outcome
 
+    async def _finish_stream(
+        self, response: ServerResponse, head: ResponseHead, done: "_Completion"
+    ) -> None:
+        await response.aclose()
+        done.head = head
+        if not self._sink.started:
+            await self._sink.start(head.status, head.headers)
+        await self._sink.finish()
+
     async def _relay_events(
         self,
         reservation: Reservation,
@@ -629,9 +650,11 @@
             return Interrupted(repr(exc), held_up, broken, silent=silent)
         except ValueError as exc:
             return Interrupted(str(exc))
-        await self._wait_for_move()
+        await self._moves.wait_for_stop()
         fault = completeness.stream_fault(
-            response.framing, splitter, may_have_stopped=self._may_have_stopped
+            response.framing,
+            splitter,
+            may_have_stopped=self._moves.may_have_stopped,
         )
         if fault:
             self._context.counters.incr("backend.incomplete")
@@ -659,11 +682,6 @@
         if progress.software_version is None:
             progress.software_version = server.software_version
 
-    async def _wait_for_move(self) -> None:
-        """Waits for the reply to a move order, which a stream may outrun."""
-        if self._move_ended is not None:
-            await self._move_ended.wait()
-
     async def _wait_for_caller(
         self, response: ServerResponse, server: BackendServer
     ) -> None:
@@ -682,65 +700,42 @@
         )
         if not self._sink.started or left_s < MIN_REMAINING_S:
             return
-        await self._move(
-            server,
-            dispatcher.reserve_migration_target(
-                self._progress.bound(self._call), self._tried_servers()
-            ),
-        )
+
+        def reserve(refused: frozenset[str]) -> Reservation | None:
+            return dispatcher.reserve_migration_target(
+                self._progress.bound(self._call),
+                self._tried_servers() | refused,
+            )
+
+        await self._moves.leave(reserve)
 
     async def _move_when_slow(self, server: BackendServer) -> None:
         dispatcher = self._context.dispatcher
-        while self._progress.moves < MAX_MOVES:
-            # At the same moments for all streams, so that their checks need
-            # only one wake-up of the process.
-            await anyio.sleep(
-                SLOW_CHECK_INTERVAL_S
-                - (time.monotonic() + _SLOW_CHECK_PHASE_S)
-                % SLOW_CHECK_INTERVAL_S
+
+        def is_slow() -> bool:
+            # No server mends a slow caller.
+            return (
+                self._sink.started
+                and self._pace is None
+                and dispatcher.needs_faster_server(
+                    self._call, server, self._progress.events
+                )
             )
-            if self._pace is not None:
-                # The caller is slow, which no server mends.
-                return
-            if not self._sink.started or not dispatcher.needs_faster_server(
-                self._call, server, self._progress.events
-            ):
-                continue
-            if self._move_ended is not None or self._progress.copy is not None:
-                return
+
+        def reserve(refused: frozenset[str]) -> Reservation | None:
             # A server that the stream has left was too slow for it, also if
             # its time per token is no longer known.
-            reservation = dispatcher.reserve_faster_server(
-                self._progress.bound(self._call), server, self._tried_servers()
+            return dispatcher.reserve_faster_server(
+                self._progress.bound(self._call),
+                server,
+                self._tried_servers() | refused,
             )
-            if reservation is not None:
-                await self._move(server, reservation)
-                return
+
+        await self._moves.leave_when_slow(is_slow, reserve)
 
     def _tried_servers(self) -> frozenset[str]:
         return frozenset(self._progress.tried)
 
-    async def _move(
-        self, server: BackendServer, reservation: Reservation | None
-    ) -> None:
-        if reservation is None:
-            return
-        if self._move_ended is not None or self._progress.copy is not None:
-            reservation.run.end()
-            return
-        self._move_ended = anyio.Event()
-        self._progress.moves += 1
-        try:
-            result = await self._context.stream_migrator.move(
-                self._call, server, reservation.placed.server
-            )
-            self._progress.copy = result.copy
-            self._may_have_stopped = result.may_have_stopped
-        finally:
-            reservation.run.end()
-            self._move_ended.set()
-            self._move_ended = None
-
     async def _send_events(
         self, head: ResponseHead, events: list[sse.RawEvent]
     ) -> None:
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -42,6 +42,13 @@
 did not run the request. Such attempts don't count as runs, but each takes time.
 """
 
+GO_ON_INTERVAL_S = 0.3
+"""Pause between two tries to go on with an answer that this instance has taken
+from its server."""
+
+MAX_SOURCE_TRIES = 3
+"""How often a run that was stopped for a move is continued where it was."""
+
 RETRY_AFTER_S = 0.3
 """Retry-After of refusals that are unrelated to load."""
 
@@ -59,6 +66,7 @@
         self._attempt = Attempt(context, call, sink, self._progress)
         self._unsent_attempts = 0
         self._not_run_attempts = 0
+        self._source_tries = 0
         self._failure: Failed | None = None
         self._placed_at = 0.0
         self._reason = ""
@@ -129,6 +137,8 @@
                     with crashes.cancel_if_blocked(self._call):
                         reservation = await self._reserve()
             except NoCapacityError as exc:
+                if await self.wait_to_go_on():
+                    continue
                 await self._reject_unplaced(exc)
                 return
             if reservation is None:
@@ -157,7 +167,7 @@
             outcome = await self._attempt.run(reservation)
             verdict = self._verdict(outcome)
             self._ending = ending_of(
-                outcome, continued=self._progress.continues_moved
+                outcome, continued=self._attempt.copy is not None
             )
             self._log_fingerprint |= isinstance(
                 outcome, Unknown | Interrupted | BrokenOff
@@ -233,6 +243,41 @@
     def record_move(self) -> None:
         """Counts a moved run, which is one run wherever it ends."""
         self._progress.ran = max(self._progress.ran, 1)
+        self._progress.given_away = True
+
+    def return_to_source(self) -> bool:
+        """Returns whether a moved run continues where it was stopped.
+
+        The server that a copy was made for has rejected it, or is not reached.
+        The one that made it keeps the run's memory.
+        """
+        copy = self._attempt.copy
+        if copy is None:
+            return False
+        if copy.at_source:
+            self._source_tries += 1
+        if self._source_tries >= MAX_SOURCE_TRIES:
+            return False
+        self._context.counters.incr("stream.returned")
+        self._progress.copy = dataclasses.replace(copy, at=copy.source)
+        return True
+
+    async def wait_to_go_on(self) -> bool:
+        """Waits to try again where this instance took a stream from a server.
+
+        Returns:
+            Whether it did; nothing else may end such a stream but its caller
+            and its time limit, while it may run again.
+        """
+        if (
+            not self._progress.given_away
+            or not self._sink.started
+            or self._single_run_used
+        ):
+            return False
+        self._context.counters.incr("stream.waits_to_go_on")
+        await anyio.sleep(GO_ON_INTERVAL_S)
+        return True
 
     def retry_after_run(self) -> bool:
         """Counts a run; returns whether another server may run the request."""
@@ -449,7 +494,11 @@
 
 @next_step.register
 async def _(outcome: NotSent, forwarder: RequestForwarder) -> bool:
-    if forwarder.retry_unsent(outcome.why):
+    if (
+        forwarder.return_to_source()
+        or forwarder.retry_unsent(outcome.why)
+        or await forwarder.wait_to_go_on()
+    ):
         return True
     await forwarder.give_up()
     return False
@@ -457,7 +506,11 @@
 
 @next_step.register
 async def _(outcome: NotRun, forwarder: RequestForwarder) -> bool:
-    if forwarder.retry_not_run(outcome.why):
+    if (
+        forwarder.return_to_source()
+        or forwarder.retry_not_run(outcome.why)
+        or await forwarder.wait_to_go_on()
+    ):
         return True
     await forwarder.give_up()
     return False
--- a/src/jasminerelay/migration.py
+++ b/src/jasminerelay/migration.py
@@ -5,9 +5,15 @@
 once is lost with all its tokens. Its KV cache is therefore copied to another
 server, where the stream continues after the last event; the caller sees a short
 pause.
+
+The cache is copied while the run goes on, and only then the run is stopped and
+the rest copied, so that a target without room costs the stream nothing. What is
+stopped stays at its source, where the run can continue if the target rejects
+it.
 """
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -29,8 +35,14 @@
 the notice arrives slightly late."""
 
 MOVE_TIMEOUT_S = 1.0
-"""Timeout of a move. The stream is paused meanwhile, and its caller disconnects
-if the next event takes longer than the pause that it allows between two."""
+"""Timeout of an order. The stream is paused during the second one, and its
+caller disconnects if the next event takes longer than the pause that it allows
+between two."""
+
+MAX_STOP_ORDERS = 3
+STOP_ORDER_PAUSE_S = 0.05
+"""How often a run is ordered to stop while the order or its reply is lost, or
+the server is busy with an earlier one, and the pause after each."""
 
 MAX_CONCURRENT_MOVES = 2
 """Maximum concurrent moves of one instance from one server. Copies queue on the
@@ -42,15 +54,20 @@
     """A copy of a run's KV cache from which the run can continue.
 
     Attributes:
-        source: Address of the server that made it.
+        source: The server that made it, and keeps the run's memory.
         handle: Its identifier on that server.
-        at: The server that holds it.
+        at: The server at which the run continues.
     """
 
-    source: str
+    source: BackendServer
     handle: str
     at: BackendServer
 
+    @property
+    def at_source(self) -> bool:
+        """Whether the run continues where it was stopped."""
+        return self.at.id == self.source.id
+
 
 @dataclasses.dataclass(frozen=True)
 class MoveResult:
@@ -60,19 +77,27 @@
         copy: Copy of its KV cache; None if there is none.
         may_have_stopped: Whether its server may have stopped the run, and then
             closes its stream without an end.
+        spare: Copy made before the run was ordered to stop, for the case that
+            it has stopped and there is no other one.
     """
 
     copy: KvCacheCopy | None
     may_have_stopped: bool
+    spare: KvCacheCopy | None = None
 
 
 class MoveDialect(Protocol):
     """Translates move orders to and from a server interface."""
 
     def move(
-        self, call: Call, source: BackendServer, target: BackendServer
+        self,
+        call: Call,
+        source: BackendServer,
+        target: BackendServer,
+        *,
+        stop: bool,
     ) -> HttpRequest:
-        """Returns the order to stop a run and copy its KV cache."""
+        """Returns the order to copy a run's KV cache, and maybe stop it."""
 
     def moved(
         self, reply: HttpResponse, source: BackendServer, target: BackendServer
@@ -82,6 +107,12 @@
     def run_unknown(self, reply: HttpResponse) -> bool:
         """Returns whether the server had no such run, so it stopped none."""
 
+    def busy(self, reply: HttpResponse) -> bool:
+        """Returns whether the server is carrying out an earlier order."""
+
+    def drop_copy(self, copy: KvCacheCopy) -> HttpRequest:
+        """Returns the call that frees a copy that is not used."""
+
 
 class StreamMigrator:
     """Tracks streams by server and orders their moves."""
@@ -122,29 +153,113 @@
             leaving_event.set()
 
     async def move(
-        self, call: Call, source: BackendServer, target: BackendServer
+        self,
+        call: Call,
+        source: BackendServer,
+        target: BackendServer,
+        on_stop: Callable[[], None] = lambda: None,
     ) -> MoveResult:
-        """Orders a server to stop a run and to copy its KV cache."""
+        """Copies a run's KV cache, then stops the run and copies the rest.
+
+        Args:
+            call: The request.
+            source: The server that runs it.
+            target: The server that gets the copy.
+            on_stop: Called before the run is ordered to stop.
+        """
         limiter = self._limiters.setdefault(
             source.id, anyio.CapacityLimiter(MAX_CONCURRENT_MOVES)
         )
         async with limiter:
-            try:
-                reply = await self._client.call(
-                    self._dialect.move(call, source, target)
-                )
-            except (NotSentError, IncompleteExchangeError) as exc:
-                self._counters.incr("stream.move_failed")
-                self._log.warn(
-                    "move_failed", id=call.id, server=source.id, why=str(exc)
-                )
-                unsent = isinstance(exc, NotSentError)
-                return MoveResult(None, may_have_stopped=not unsent)
-        copy = self._dialect.moved(reply, source, target)
-        self._counters.incr("stream.moved" if copy else "stream.not_moved")
+            reply = await self._order(call, source, target, stop=False)
+            copy = self._copy_of(reply, source, target)
+            if copy is None or copy.at_source:
+                self._counters.incr("stream.copy_refused")
+                self._log_move(call, source, None, reply, "copy")
+                return MoveResult(None, may_have_stopped=False)
+            on_stop()
+            result = await self._stop(call, source, target)
+            if result.copy is None and not result.may_have_stopped:
+                await self._drop(copy)
+            return dataclasses.replace(result, spare=copy)
+
+    async def _stop(
+        self, call: Call, source: BackendServer, target: BackendServer
+    ) -> MoveResult:
+        """Orders a run to stop until a reply says what became of it."""
+        may_have_stopped = False
+        for _ in range(MAX_STOP_ORDERS):
+            reply = await self._order(call, source, target, stop=True)
+            if isinstance(reply, HttpResponse):
+                copy = self._copy_of(reply, source, target)
+                if copy is not None or not self._dialect.busy(reply):
+                    break
+            else:
+                copy = None
+                may_have_stopped |= not isinstance(reply, NotSentError)
+            await anyio.sleep(STOP_ORDER_PAUSE_S)
+        if isinstance(reply, HttpResponse):
+            may_have_stopped |= not self._dialect.run_unknown(reply)
+        moved = copy is not None and not copy.at_source
+        self._counters.incr("stream.moved" if moved else "stream.not_moved")
+        self._log_move(call, source, copy, reply, "stop")
+        return MoveResult(copy, may_have_stopped)
+
+    async def _order(
+        self,
+        call: Call,
+        source: BackendServer,
+        target: BackendServer,
+        *,
+        stop: bool,
+    ) -> HttpResponse | NotSentError | IncompleteExchangeError:
+        """Sends an order; returns the reply, or why there is none."""
+        try:
+            return await self._client.call(
+                self._dialect.move(call, source, target, stop=stop)
+            )
+        except (NotSentError, IncompleteExchangeError) as exc:
+            self._counters.incr("stream.move_failed")
+            self._log.warn(
+                "move_failed",
+                id=call.id,
+                server=source.id,
+                stop=stop,
+                why=str(exc),
+            )
+            return exc
+
+    def _copy_of(
+        self,
+        reply: HttpResponse | NotSentError | IncompleteExchangeError,
+        source: BackendServer,
+        target: BackendServer,
+    ) -> KvCacheCopy | None:
+        if not isinstance(reply, HttpResponse):
+            return None
+        return self._dialect.moved(reply, source, target)
+
+    async def _drop(self, copy: KvCacheCopy) -> None:
+        """Frees a copy whose run has not been stopped."""
+        try:
+            await self._client.call(self._dialect.drop_copy(copy))
+        except (NotSentError, IncompleteExchangeError) as exc:
+            self._log.warn(
+                "copy_not_dropped", server=copy.source.id, why=str(exc)
+            )
+
+    def _log_move(
+        self,
+        call: Call,
+        source: BackendServer,
+        copy: KvCacheCopy | None,
+        reply: HttpResponse | NotSentError | IncompleteExchangeError,
+        order: str,
+    ) -> None:
         self._log.info(
             "move",
             id=call.id,
+            order=order,
             source=source.id,
             target=copy.at.id if copy else None,
             versions=[
@@ -152,8 +267,5 @@
                 for item in (source, copy.at if copy else None)
                 if item is not None
             ],
-            status=reply.status,
-        )
-        return MoveResult(
-            copy, may_have_stopped=not self._dialect.run_unknown(reply)
+            status=reply.status if isinstance(reply, HttpResponse) else 0,
         )
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -172,7 +172,7 @@
         if sending.after:
             fields.append((LAST_EVENT_ID, sending.after.encode("latin-1")))
         if sending.copy is not None:
-            copy = f"{sending.copy.source}/{sending.copy.handle}"
+            copy = f"{sending.copy.source.address}/{sending.copy.handle}"
             fields.append((_RESUME_FROM, copy.encode()))
         if sending.source is not None:
             fields.append((_FETCH_PREFIX_FROM, sending.source.address.encode()))
@@ -212,10 +212,18 @@
         )
 
     def move(
-        self, call: Call, source: BackendServer, target: BackendServer
+        self,
+        call: Call,
+        source: BackendServer,
+        target: BackendServer,
+        *,
+        stop: bool,
     ) -> HttpRequest:
-        """Returns the call that stops a request and copies its KV cache."""
-        body = _MoveOrder(call.id, target.address, True)
+        """Returns the call that copies a request's KV cache.
+
+        With `stop`, the request stops first.
+        """
+        body = _MoveOrder(call.id, target.address, stop)
         return HttpRequest(
             "POST",
             f"http://{source.address}/-/kv-move",
@@ -239,12 +247,26 @@
         # 503 with a handle: the request has stopped, but the target server
         # has no capacity, so the KV cache is still at the source.
         at = target if reply.status == 200 else source
-        return KvCacheCopy(source.address, moved.handle, at)
+        return KvCacheCopy(source, moved.handle, at)
 
     def run_unknown(self, reply: HttpResponse) -> bool:
         """Returns whether the server had no such run."""
         return reply.status == _NO_SUCH_RUN
 
+    def busy(self, reply: HttpResponse) -> bool:
+        """Returns whether the server is carrying out an earlier move."""
+        return reply.status == _MOVE_UNDER_WAY
+
+    def drop_copy(self, copy: KvCacheCopy) -> HttpRequest:
+        """Returns the call that frees a copy at both servers."""
+        return HttpRequest(
+            "DELETE",
+            f"http://{copy.source.address}/-/kv-handle/{copy.handle}",
+            {},
+            b"",
+            MOVE_TIMEOUT_S,
+        )
+
 
 class _MoveOrder(msgspec.Struct):
     # Attempt id of the request to move.
@@ -256,6 +278,7 @@
 
 
 _NO_SUCH_RUN = 404
+_MOVE_UNDER_WAY = 409
 
 
 class _MoveReply(msgspec.Struct):
