Leave a silent server only once another one has accepted its request

What callers saw: streams (in the users' record chats) and lookups ended though their server worked on and would have ended them whole. Cause: a server that sent nothing for a second (four pauses; lookups 2.5 objectives) was left at once, and only then it was found out whether another one may run the request: retry budget (for six instances some five retries each in ten seconds), capacity, crash ledger, connection, the other server's rejection. Each of them ended the answer. When an instance or a machine stalls, or routes move, many servers are silent at once and the budget is gone with the first few. Change: silence only starts a search beside the wait. The request is sent to another server and leaves the silent one when that has accepted it, or after 0.25 s. Whoever comes first has the answer (scheduling/handover). A stream whose new server rejects it later than that is tried elsewhere until its time is over, within the budget. Without a retry, a place or after three rejections it stays where it is.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -1,11 +1,12 @@
 """One attempt: a request at one backend server, and the relay of its answer."""
 
+import asyncio
 import contextlib
 import dataclasses
 import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import anyio
 import httpcore
@@ -14,7 +15,7 @@
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.callerpace import CallerPace, CallerStalledError
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
-from jasminerelay.channels import AnswerTimeoutError, Channel, ChannelPool
+from jasminerelay.channels import Channel, ChannelPool
 from jasminerelay.completeness import Framing
 from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import PARTS_CLEARED_S, CrashWatch
@@ -32,6 +33,7 @@
     NotSent,
     Outcome,
     OutgoingRequest,
+    Replaced,
     ResponseHead,
     ResponseSink,
     ServerLoadStatement,
@@ -44,6 +46,7 @@
 from jasminerelay.originlookup import OriginLookup
 from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementqueue import RequestPlacer, Reservation
+from jasminerelay.scheduling.handover import Handover
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
     MAX_AHEAD_BYTES,
@@ -60,17 +63,23 @@
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
 MIN_IDEMPOTENT_TIMEOUT_S = 0.5
-"""Timeout, as a multiple of the target latency and at least this long, after
-which an idempotent request goes to a second server. Answers that take over
-twice the target are rarer than servers that accept requests and never answer.
+"""Silence, as a multiple of the target latency and at least this long, after
+which a second server is sought for an idempotent request. Answers that take
+over twice the target are rarer than servers that accept requests and never
+answer.
 """
 
 MIN_STREAM_TIMEOUT_S = 1.0
 STREAM_TIMEOUT_PAUSES = 4
-"""Timeout after which a resumable stream continues on another server: this
+"""Silence after which another server is sought for a resumable stream: this
 long, or four times the route's longest pause between events, whichever is
 longer. Callers disconnect after two seconds or eight pauses."""
 
+OVERLAP_S = 0.25
+"""Longest time for which a request that was sent to another server stays at its
+silent one, too. Servers reject at once, so the silent one is left only once the
+other has accepted it; two servers may work on a request for 0.4 s at most."""
+
 NO_TIMEOUT_S = 3600.0
 
 MAX_ID_DIGITS = 6
@@ -199,11 +208,16 @@
             waits_since=time.monotonic() if self.events else None,
         )
 
-    def may_repeat(self, route: Route) -> bool:
-        """Returns whether one more server may run it after the current one."""
+    def may_repeat(self, route: Route, under_way: int = 1) -> bool:
+        """Returns whether one more server may run it.
+
+        Args:
+            route: Its route.
+            under_way: Number of servers that have it now.
+        """
         if route.repeat_policy is RepeatPolicy.ONCE:
             return False
-        return self.ran + 1 < route.max_servers
+        return self.ran + under_way < route.max_servers
 
 
 class Attempt:
@@ -211,6 +225,9 @@
 
     Attributes:
         copy: Copy of the KV cache from which it continues a moved run.
+        sent: Whether a byte of the request may have reached the server.
+        on_silent: Called when the server has sent nothing for so long that
+            another one should be sought.
     """
 
     def __init__(
@@ -219,22 +236,67 @@
         call: Call,
         sink: ResponseSink,
         progress: RequestProgress,
+        silent: "Attempt | None" = None,
     ):
+        """Creates an attempt.
+
+        Args:
+            context: Dependencies.
+            call: The request.
+            sink: Receives the answer.
+            progress: Progress of the request.
+            silent: Attempt at a silent server that this one takes over from.
+        """
         self._context = context
         self._call = call
         self._sink = sink
         self._progress = progress
+        self._silent = silent
+        self._handover: Handover | None = None
+        self._channel: Channel | None = None
         self._moves: StreamMoves | None = None
         self._sent_at = 0.0
         self._running_at_send = 0
         self._pace: CallerPace | None = None
         self._parts_cleared = False
         self.copy: KvCacheCopy | None = None
+        self.sent = False
+        self.on_silent: Callable[[], None] = lambda: None
+
+    @property
+    def is_moving(self) -> bool:
+        """Whether its run is being moved, or has been."""
+        return self._moves is not None and self._moves.under_way
+
+    def open_handover(self) -> Handover:
+        """Lets another attempt take over unless this one's server goes on."""
+        self._handover = Handover()
+        return self._handover
+
+    def give_way(self) -> bool:
+        """Ends this attempt for another one, unless its server has gone on.
+
+        Returns:
+            Whether the other one has the answer now.
+        """
+        if not self._handover.open:
+            return self._handover.taken
+        self._handover.take()
+        self._progress.given_away = True
+        if self._channel is not None:
+            self._channel.close()
+        return True
+
+    def _keeps_answer(self) -> bool:
+        """Notes that the server sent something; returns whether it counts."""
+        return self._handover is None or self._handover.keep()
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
         self.copy, self._progress.copy = self._progress.copy, None
         outcome = await self._run(reservation)
+        if self._handover is not None and self._handover.taken:
+            return Replaced("its server was silent")
         if (
             isinstance(outcome, Interrupted)
             and self._progress.copy is None
@@ -254,6 +316,10 @@
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
+        if self._silent is not None and not self._silent.has_open_handover:
+            await self._context.channels.put_back(channel, None, False)
+            return NotSent("its server has gone on", withheld=True)
+        self._channel = channel
         done = _Completion()
         try:
             outcome = await self._exchange(reservation, channel, done)
@@ -294,26 +360,24 @@
             source=reservation.placed.source,
         )
         headers = self._context.dialect.request_headers(sending)
-        self._progress.maybe_ran = True
+        self._progress.maybe_ran = self.sent = True
         reused = not channel.unused
         self._sent_at = time.monotonic()
-        self._pace = None
         workload = self._context.dispatcher.workload
         self._running_at_send = workload.load(server.id).running
         self._context.drains.on_request(server.id)
         self._context.pauses.on_request(server.id)
         try:
-            with self._awaiting_start():
+            with self._awaiting_start(), self._limited_overlap():
                 response = await channel.send(
-                    self._call, headers, self._answer_timeout_s()
+                    self._call, headers, self._silence_s(), self._note_silence
                 )
-        except AnswerTimeoutError as exc:
-            self._report_lost()
-            return Unknown(f"timed out: {exc}", silent=True)
         except IncompleteExchangeError as exc:
             self._report_lost()
             return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
+        if not self._keeps_answer():
+            return Unknown("another server has taken over")
         self._progress.framings.append(response.framing.value)
         if channel.relayed_by:
             self._progress.relays.append(channel.relayed_by)
@@ -335,6 +399,12 @@
             self._context.channels.record_unexpected_data(server)
             self._context.counters.incr("backend.crossed")
             return Unknown("received the answer to another request")
+        if (
+            self._silent is not None
+            and self._accepts(head)
+            and not self._silent.give_way()
+        ):
+            return NotSent("its server has gone on", withheld=True)
         if self._call.route.streaming and head.status == OK:
             return await self._relay_stream(
                 reservation, channel, response, head, done
@@ -343,6 +413,39 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    def _note_silence(self) -> None:
+        if not self._is_caller_slow:
+            self.on_silent()
+
+    @property
+    def has_open_handover(self) -> bool:
+        """Whether neither its server nor another one has come yet."""
+        return self._handover is not None and self._handover.open
+
+    @property
+    def _is_caller_slow(self) -> bool:
+        return self._pace is not None
+
+    @contextlib.contextmanager
+    def _limited_overlap(self) -> Iterator[None]:
+        """Ends the attempt at the silent server while this one is awaited."""
+        if self._silent is None:
+            yield
+            return
+        timer = asyncio.get_running_loop().call_later(
+            OVERLAP_S, self._silent.give_way
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def _accepts(self, head: ResponseHead) -> bool:
+        """Returns whether a response means that its server has the request."""
+        if self._sink.started:
+            return head.status == OK
+        return not head.not_run and head.status < SERVER_ERROR
+
     def _awaiting_start(self) -> contextlib.AbstractContextManager[None]:
         """Returns a context in which this request's start may be unknown."""
         if self._call.route.streaming:
@@ -407,8 +510,8 @@
             if head.not_run:
                 return _not_run(head)
             return Unknown(f"connection failed: {exc!r}", broken=True)
-        except httpcore.TimeoutException as exc:
-            return Unknown(f"timed out: {exc!r}", silent=True)
+        if not self._keeps_answer():
+            return Unknown("another server has taken over")
         if not whole and head.not_run:
             return _not_run(head)
         if not whole and not self._sink.started:
@@ -545,10 +648,8 @@
             return CallerStalled(str(exc))
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             return BrokenOff(f"{BROKE_OFF}: {exc!r}", pace.held_up)
-        except (httpcore.TimeoutException, TimeoutError) as exc:
-            return BrokenOff(
-                f"{BROKE_OFF}, timed out: {exc!r}", pace.held_up, silent=True
-            )
+        except TimeoutError:
+            return BrokenOff(f"{BROKE_OFF}: its time was over", pace.held_up)
         finally:
             pace.close()
         return Delivered(head.status)
@@ -624,7 +725,12 @@
         )
         progress = self._progress
         try:
-            while chunk := await response.receive():
+            while True:
+                chunk = await response.receive()
+                if not self._keeps_answer():
+                    return Interrupted("another server has taken over")
+                if not chunk:
+                    break
                 events = splitter.feed(chunk)
                 if events:
                     if not timer.first_at:
@@ -638,16 +744,10 @@
                     if self._sink.blocked:
                         await self._wait_for_caller(response, server)
                         timer.skip_interval()
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as exc:
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             held_up = self._pace is not None and self._pace.held_up
             # A server may cut off what its caller has left unread.
-            silent = isinstance(exc, httpcore.TimeoutException)
-            broken = not held_up and not silent
-            return Interrupted(repr(exc), held_up, broken, silent=silent)
+            return Interrupted(repr(exc), held_up, broken=not held_up)
         except ValueError as exc:
             return Interrupted(str(exc))
         await self._moves.wait_for_stop()
@@ -702,6 +802,8 @@
             return
 
         def reserve(refused: frozenset[str]) -> Reservation | None:
+            if self.has_open_handover:
+                return None
             return dispatcher.reserve_migration_target(
                 self._progress.bound(self._call),
                 self._tried_servers() | refused,
@@ -716,7 +818,8 @@
             # No server mends a slow caller.
             return (
                 self._sink.started
-                and self._pace is None
+                and not self._is_caller_slow
+                and not self.has_open_handover
                 and dispatcher.needs_faster_server(
                     self._call, server, self._progress.events
                 )
@@ -751,26 +854,19 @@
                 break
         await self._sink.send(b"".join(event.data for event in events))
 
-    def _answer_timeout_s(self) -> float:
+    def _silence_s(self) -> float:
+        """Returns the silence after which another server is sought."""
         route = self._call.route
-        if (
-            route.repeat_policy is RepeatPolicy.IDEMPOTENT
-            and self._progress.may_repeat(route)
-        ):
+        under_way = 1 if self._silent is None else 2
+        if not self._progress.may_repeat(route, under_way):
+            # Nothing is gained by another server that may not run it.
+            return NO_TIMEOUT_S
+        if route.repeat_policy is RepeatPolicy.IDEMPOTENT:
             return max(
                 MIN_IDEMPOTENT_TIMEOUT_S,
                 IDEMPOTENT_TIMEOUT_FACTOR * route.objective_s,
             )
-        if (
-            route.repeat_policy is RepeatPolicy.RESUMABLE
-            and self._progress.may_repeat(route)
-        ):
-            return max(
-                MIN_STREAM_TIMEOUT_S, STREAM_TIMEOUT_PAUSES * route.pause_s
-            )
-        # A request that can't be repeated gains nothing from an early timeout;
-        # it ends at its own deadline.
-        return NO_TIMEOUT_S
+        return max(MIN_STREAM_TIMEOUT_S, STREAM_TIMEOUT_PAUSES * route.pause_s)
 
     async def send_answer(self, head: ResponseHead, body: bytes) -> None:
         """Sends a complete answer to the caller."""
--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -81,29 +81,33 @@
         self._conn = conn
 
     async def send(
-        self, call: Call, headers: HeaderFields, timeout_s: float
+        self,
+        call: Call,
+        headers: HeaderFields,
+        silence_s: float,
+        on_silent: Callable[[], None],
     ) -> ServerResponse:
         """Sends a request and reads the head of the answer.
 
         Args:
             call: The request.
             headers: All its header fields.
-            timeout_s: Time limit for each read.
+            silence_s: Time without any data after which `on_silent` is called.
+            on_silent: Called whenever a wait for data takes longer.
 
         Raises:
             IncompleteExchangeError: if the exchange failed; the request may
                 have run.
         """
         self.unused = False
-        self._conn.timeout_s = timeout_s
+        self._conn.timeout_s = silence_s
+        self._conn.on_silent = on_silent
         try:
             return await self._conn.send(
                 call.method, call.target, headers, call.body
             )
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             raise IncompleteExchangeError(repr(exc)) from exc
-        except httpcore.TimeoutException as exc:
-            raise AnswerTimeoutError(repr(exc)) from exc
 
     @property
     def relayed_by(self) -> str:
@@ -120,13 +124,13 @@
         """Whether another request may be sent on it."""
         return self._conn.idle and not self._conn.readable
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
         """Closes the connection, which cancels its request on the server."""
         self._conn.close()
 
-
-class AnswerTimeoutError(IncompleteExchangeError):
-    """The server's answer timed out; the request may have run."""
+    async def aclose(self) -> None:
+        """Closes the connection, which cancels its request on the server."""
+        self.close()
 
 
 class ChannelPool:
--- a/src/jasminerelay/endings.py
+++ b/src/jasminerelay/endings.py
@@ -16,6 +16,7 @@
     Interrupted,
     NotRun,
     NotSent,
+    Replaced,
     Unknown,
 )
 
@@ -120,11 +121,14 @@
 def _(outcome: Unknown | Interrupted | BrokenOff, *, continued: bool) -> Ending:
     if outcome.relay_lost:
         return Ending(EndedBy.RELAY, Step.LOST_CONNECTION)
-    if outcome.silent:
-        return Ending(EndedBy.INSTANCE, Step.SILENCE)
     return Ending(EndedBy.SERVER, Step.LOST_CONNECTION)
 
 
+@ending_of.register
+def _(outcome: Replaced, *, continued: bool) -> Ending:
+    return Ending(EndedBy.INSTANCE, Step.SILENCE)
+
+
 @ending_of.register
 def _(outcome: CallerStalled, *, continued: bool) -> Ending:
     return Ending(EndedBy.CALLER, Step.CALLER_STALLED)
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -223,13 +223,11 @@
         broken: Whether the server's end of the connection closed.
         relay_lost: Whether the relay of the connection was lost, so that it
             says nothing about the server.
-        silent: Whether the server sent nothing for too long.
     """
 
     why: str
     broken: bool = False
     relay_lost: bool = False
-    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -242,14 +240,12 @@
             says nothing about the server.
         broken: Whether the server's end of the connection closed.
         relay_lost: As in `Unknown`.
-        silent: As in `Unknown`.
     """
 
     why: str
     held_up: bool = False
     broken: bool = False
     relay_lost: bool = False
-    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -261,13 +257,18 @@
         held_up: Whether the caller had held up the server before, so that it
             says nothing about the server.
         relay_lost: As in `Unknown`.
-        silent: As in `Unknown`.
     """
 
     why: str
     held_up: bool = False
     relay_lost: bool = False
-    silent: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Replaced:
+    """Another server goes on with the answer; this one was silent."""
+
+    why: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -285,5 +286,6 @@
     | Unknown
     | Interrupted
     | BrokenOff
+    | Replaced
     | CallerStalled
 )
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -8,6 +8,7 @@
 
 from jasminerelay import fingerprint
 from jasminerelay.attempt import OK, Attempt, ForwardingContext, RequestProgress
+from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy
 from jasminerelay.endings import (
     EndedBy,
@@ -26,6 +27,7 @@
     NotRun,
     NotSent,
     Outcome,
+    Replaced,
     ResponseSink,
     Unknown,
 )
@@ -34,6 +36,7 @@
     ORIGIN_UNKNOWN,
     SERVICE_CHANGED,
 )
+from jasminerelay.succession import Run, Search
 from jasminerelay.workload import Verdict
 
 MAX_UNSENT_RETRIES = 3
@@ -129,13 +132,9 @@
         call = self._call
         self._context.dispatcher.record_arrival(call)
         self._context.budget.record_request(call.service, call.arrived_at)
-        crashes = self._context.crashes
         while True:
-            reservation = None
             try:
-                if not crashes.is_blocked(self._call):
-                    with crashes.cancel_if_blocked(self._call):
-                        reservation = await self._reserve()
+                reservation = await self._reserve_unless_blocked()
             except NoCapacityError as exc:
                 if await self.wait_to_go_on():
                     continue
@@ -144,12 +143,134 @@
             if reservation is None:
                 await self._reject_blocked()
                 return
-            outcome = await self._attempt_at(reservation)
-            self._record_health(reservation.placed.server, outcome)
-            await self._record_crash(reservation.placed.server, outcome)
-            if not await next_step(outcome, self):
+            if not await next_step(await self._run_to_end(reservation), self):
                 return
 
+    async def _reserve_unless_blocked(self) -> Reservation | None:
+        """Reserves a server; returns None if the request is blocked."""
+        crashes = self._context.crashes
+        reservation = None
+        if not crashes.is_blocked(self._call):
+            with crashes.cancel_if_blocked(self._call):
+                reservation = await self._reserve()
+        return reservation
+
+    async def _run_to_end(self, reservation: Reservation) -> Outcome:
+        """Runs the request at a server, and at those that take over from it."""
+        with BackgroundTasks() as tasks:
+            run = self._new_run(reservation, tasks)
+            self._attempt = run.attempt
+            await self._run_at(run, reservation)
+            while (successor := run.taken_over_by) is not None:
+                await self._record_end(run)
+                self._attempt = successor.attempt
+                await successor.ended.wait()
+                run = successor
+            if run.search is not None:
+                run.search.cancel()
+            await self._record_end(run)
+        return run.outcome
+
+    def _new_run(
+        self,
+        reservation: Reservation,
+        tasks: BackgroundTasks,
+        silent: Run | None = None,
+    ) -> Run:
+        """Returns a run that is about to start.
+
+        Args:
+            reservation: Its server.
+            tasks: Tasks of the request.
+            silent: Run at a silent server that it takes over from.
+        """
+        attempt = Attempt(
+            self._context,
+            self._call,
+            self._sink,
+            self._progress,
+            silent.attempt if silent is not None else None,
+        )
+        run = Run(attempt, reservation.placed.server)
+        attempt.on_silent = lambda: self._on_silence(run, tasks)
+        return run
+
+    async def _run_at(self, run: Run, reservation: Reservation) -> None:
+        try:
+            run.outcome = await self._attempt_at(run.attempt, reservation)
+        finally:
+            run.ended.set()
+
+    def _on_silence(self, run: Run, tasks: BackgroundTasks) -> None:
+        """Lets another server be sought, while the run goes on."""
+        if run.search is not None and run.search.handover.open:
+            return
+        self._context.counters.incr("silence.noticed")
+        handover = run.attempt.open_handover()
+        handover.on_taken = self._on_taken
+        run.search = Search(handover, lambda: self._check_for_crash(run))
+
+        async def ask(search: Search) -> None:
+            await self._ask_another(run, search, tasks)
+
+        tasks.start_soon(run.search.run, ask)
+
+    def _on_taken(self) -> None:
+        self._context.counters.incr("silence.taken_over")
+        self._progress.ran += 1
+
+    async def _ask_another(
+        self, silent: Run, search: Search, tasks: BackgroundTasks
+    ) -> None:
+        """Sends the request of a silent server to another one, if it may be."""
+        progress = self._progress
+        if (
+            silent.attempt.is_moving
+            or not progress.may_repeat(self._call.route)
+            or not self._context.crashes.may_retry(self._call)
+            or not self._context.budget.has_any(
+                self._call.service, time.monotonic()
+            )
+        ):
+            return
+        try:
+            reservation = await self._reserve_unless_blocked()
+        except NoCapacityError:
+            return
+        if reservation is None:
+            return
+        if (
+            reservation.placed.server.id == silent.server.id
+            or not search.handover.open
+            or not self._spend_retry()
+        ):
+            reservation.run.end()
+            return
+        run = search.successor = self._new_run(reservation, tasks, silent)
+        try:
+            await self._run_at(run, reservation)
+        finally:
+            if not search.handover.taken:
+                search.record_rejection()
+                # The silent server has the request, and this one may have.
+                progress.maybe_ran = True
+                progress.ran += run.attempt.sent and not isinstance(
+                    run.outcome, NotRun
+                )
+        if not search.handover.taken:
+            self._context.counters.incr("silence.rejected")
+            await self._record_end(run)
+
+    async def _check_for_crash(self, run: Run) -> None:
+        """Lets a silent server be probed before its request goes elsewhere."""
+        await self._context.crashes.on_connection_lost(
+            self._call, run.server, self._events_s
+        )
+
+    async def _record_end(self, run: Run) -> None:
+        self._record_health(run.server, run.outcome)
+        await self._record_crash(run.server, run.outcome)
+
     async def _reserve(self) -> Reservation:
         copy = self._progress.copy
         if copy is not None:
@@ -158,19 +279,21 @@
         call = self._progress.bound(self._call)
         return await self._context.queue.reserve_server(call, avoid)
 
-    async def _attempt_at(self, reservation: Reservation) -> Outcome:
+    async def _attempt_at(
+        self, attempt: Attempt, reservation: Reservation
+    ) -> Outcome:
         self._placed_at = self._placed_at or time.monotonic()
         self._progress.tried.append(reservation.placed.server.id)
         self._progress.owners.append(reservation.owner)
         verdict = None
         try:
-            outcome = await self._attempt.run(reservation)
+            outcome = await attempt.run(reservation)
             verdict = self._verdict(outcome)
             self._ending = ending_of(
-                outcome, continued=self._attempt.copy is not None
+                outcome, continued=attempt.copy is not None
             )
             self._log_fingerprint |= isinstance(
-                outcome, Unknown | Interrupted | BrokenOff
+                outcome, Unknown | Interrupted | BrokenOff | Replaced
             )
             return outcome
         finally:
@@ -191,7 +314,9 @@
             and outcome.relay_lost
         ):
             return None
-        if isinstance(outcome, NotSent | Unknown | Interrupted | BrokenOff):
+        if isinstance(
+            outcome, NotSent | Unknown | Interrupted | BrokenOff | Replaced
+        ):
             return Verdict.BAD
         if isinstance(outcome, NotRun) and outcome.overloaded:
             # It rejects at once and appears idle. The owner of its cell, to
@@ -228,13 +353,16 @@
             and self._verdict(outcome) is Verdict.BAD
             and not self.moved
         ):
-            first_at = self._progress.first_at
             await self._context.crashes.on_connection_lost(
-                self._call,
-                server,
-                time.monotonic() - first_at if first_at else 0.0,
+                self._call, server, self._events_s
             )
 
+    @property
+    def _events_s(self) -> float:
+        """Time since the first event of the stream; 0 before that."""
+        first_at = self._progress.first_at
+        return time.monotonic() - first_at if first_at else 0.0
+
     @property
     def moved(self) -> bool:
         """Whether the run was stopped to continue on another server."""
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import anyio
 import httpcore
@@ -41,6 +41,8 @@
 
     Attributes:
         timeout_s: Maximum time without any data while a response is awaited.
+        on_silent: Called after that time, and the wait goes on; if None, the
+            wait fails instead.
     """
 
     def __init__(self, watchdog: Watchdog):
@@ -56,6 +58,7 @@
         self._unsent = memoryview(b"")
         self._write_paused = False
         self.timeout_s = 0.0
+        self.on_silent: Callable[[], None] | None = None
 
     @property
     def idle(self) -> bool:
@@ -130,6 +133,7 @@
         """Ends the exchange; closes the connection unless it is reusable."""
         response, self._response = self._response, None
         self._parser = None
+        self.on_silent = None
         if (
             response is None
             or not response.complete
@@ -242,6 +246,9 @@
             self._transport.write(piece)
 
     def _expire(self) -> None:
+        if self.on_silent is not None:
+            self.on_silent()
+            return
         self._failure = httpcore.ReadTimeout("no data within the read timeout")
         self._wake()
 
--- a/src/jasminerelay/sharedbudget.py
+++ b/src/jasminerelay/sharedbudget.py
@@ -52,22 +52,28 @@
         _drop_older(requests, now - self._window_s)
         requests.append(now)
 
+    def has_any(self, service: str, now: float) -> bool:
+        """Returns whether a retry is left."""
+        return self._available(service, now) >= 1
+
     def spend(self, service: str, now: float) -> bool:
         """Takes one retry; returns False if none is left."""
+        if not self.has_any(service, now):
+            return False
+        self._retries[service].append(now)
+        return True
+
+    def _available(self, service: str, now: float) -> float:
         retries = self._retries.setdefault(service, collections.deque())
         requests = self._requests.setdefault(service, collections.deque())
         _drop_older(retries, now - self._window_s)
         _drop_older(requests, now - self._window_s)
         divisor = max((size for _, size in self._instance_counts), default=1)
-        available = (
+        return (
             self._ratio * len(requests)
             + self._allowance / divisor
             - len(retries)
         )
-        if available < 1:
-            return False
-        retries.append(now)
-        return True
 
 
 def _drop_older(times: collections.deque[float], oldest: float) -> None:
