Choose ports of stand-ins outside the range of outgoing connections

Cause: a free port was found by binding to port 0 and closed again; until its server listened, the kernel gave it to a connection of another process. Change: ports come at random from below the range of outgoing connections; two processes can still choose the same one within milliseconds, one of 20,000. Measured: TakeUpTest, MoveTest and test_demo pass; that the error is gone can't be shown by one run.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -478,25 +479,33 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
+_PORTS = range(12_000, 32_000)
+"""Ports of servers, below those that the kernel gives outgoing connections."""
+
 _allocated_ports: set[int] = set()
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free for TCP and UDP."""
+    """Returns a loopback address whose port is free for TCP and UDP.
+
+    Until a server listens there, other processes could be given a port of the
+    range from which the kernel serves outgoing connections.
+    """
     while True:
+        port = random.SystemRandom().choice(_PORTS)
+        if port in _allocated_ports:
+            continue
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
         ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in _allocated_ports:
-            _allocated_ports.add(port)
-            return f"127.0.0.1:{port}"
+        _allocated_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def _remove_servers(text: str, servers: list[dict[str, Any]]) -> str:
