Go on seeking a target for streams whose server shuts down

Found in review: a stream at a draining server was left to its fate if no target was to be had at that moment, a search for another server was under way, or its server was still busy with an earlier copy (409 counted as three refusals within 0.6 s); the three tries to go on where a run was stopped came without any pause. Change: a target is sought every 0.3 s until the stream ends, a busy server is asked again, and there is a pause between two tries at the source.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -795,14 +795,16 @@
     ) -> None:
         await leaving_event.wait()
         dispatcher = self._context.dispatcher
-        left_s = dispatcher.remaining_s(
-            self._call, server, self._progress.events
-        )
-        if not self._sink.started or left_s < MIN_REMAINING_S:
-            return
 
         def reserve(refused: frozenset[str]) -> Reservation | None:
-            if self.has_open_handover:
+            left_s = dispatcher.remaining_s(
+                self._call, server, self._progress.events
+            )
+            if (
+                not self._sink.started
+                or self.has_open_handover
+                or left_s < MIN_REMAINING_S
+            ):
                 return None
             return dispatcher.reserve_migration_target(
                 self._progress.bound(self._call),
@@ -814,18 +816,17 @@
     async def _move_when_slow(self, server: BackendServer) -> None:
         dispatcher = self._context.dispatcher
 
-        def is_slow() -> bool:
-            # No server mends a slow caller.
-            return (
-                self._sink.started
-                and not self._is_caller_slow
-                and not self.has_open_handover
-                and dispatcher.needs_faster_server(
+        def reserve(refused: frozenset[str]) -> Reservation | None:
+            if (
+                not self._sink.started
+                # No server mends a slow caller.
+                or self._pace is not None
+                or self.has_open_handover
+                or not dispatcher.needs_faster_server(
                     self._call, server, self._progress.events
                 )
-            )
-
-        def reserve(refused: frozenset[str]) -> Reservation | None:
+            ):
+                return None
             # A server that the stream has left was too slow for it, also if
             # its time per token is no longer known.
             return dispatcher.reserve_faster_server(
@@ -834,7 +835,7 @@
                 self._tried_servers() | refused,
             )
 
-        await self._moves.leave_when_slow(is_slow, reserve)
+        await self._moves.leave_when_slow(reserve)
 
     def _tried_servers(self) -> frozenset[str]:
         return frozenset(self._progress.tried)
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -373,7 +373,7 @@
         self._progress.ran = max(self._progress.ran, 1)
         self._progress.given_away = True
 
-    def return_to_source(self) -> bool:
+    async def return_to_source(self) -> bool:
         """Returns whether a moved run continues where it was stopped.
 
         The server that a copy was made for has rejected it, or is not reached.
@@ -386,6 +386,8 @@
             self._source_tries += 1
         if self._source_tries >= MAX_SOURCE_TRIES:
             return False
+        if self._source_tries:
+            await anyio.sleep(GO_ON_INTERVAL_S)
         self._context.counters.incr("stream.returned")
         self._progress.copy = dataclasses.replace(copy, at=copy.source)
         return True
@@ -623,7 +625,7 @@
 @next_step.register
 async def _(outcome: NotSent, forwarder: RequestForwarder) -> bool:
     if (
-        forwarder.return_to_source()
+        await forwarder.return_to_source()
         or forwarder.retry_unsent(outcome.why)
         or await forwarder.wait_to_go_on()
     ):
@@ -635,7 +637,7 @@
 @next_step.register
 async def _(outcome: NotRun, forwarder: RequestForwarder) -> bool:
     if (
-        forwarder.return_to_source()
+        await forwarder.return_to_source()
         or forwarder.retry_not_run(outcome.why)
         or await forwarder.wait_to_go_on()
     ):
--- a/src/jasminerelay/migration.py
+++ b/src/jasminerelay/migration.py
@@ -39,10 +39,10 @@
 caller disconnects if the next event takes longer than the pause that it allows
 between two."""
 
-MAX_STOP_ORDERS = 3
-STOP_ORDER_PAUSE_S = 0.05
-"""How often a run is ordered to stop while the order or its reply is lost, or
-the server is busy with an earlier one, and the pause after each."""
+MAX_ORDERS = 3
+ORDER_PAUSE_S = 0.05
+"""How often an order is repeated while the server is busy with an earlier one,
+or the order to stop the run or its reply is lost, and the pause after each."""
 
 MAX_CONCURRENT_MOVES = 2
 """Maximum concurrent moves of one instance from one server. Copies queue on the
@@ -171,7 +171,7 @@
             source.id, anyio.CapacityLimiter(MAX_CONCURRENT_MOVES)
         )
         async with limiter:
-            reply = await self._order(call, source, target, stop=False)
+            reply = await self._order_when_free(call, source, target)
             copy = self._copy_of(reply, source, target)
             if copy is None or copy.at_source:
                 self._counters.incr("stream.copy_refused")
@@ -183,12 +183,25 @@
                 await self._drop(copy)
             return dataclasses.replace(result, spare=copy)
 
+    async def _order_when_free(
+        self, call: Call, source: BackendServer, target: BackendServer
+    ) -> HttpResponse | NotSentError | IncompleteExchangeError:
+        """Orders a copy, again if an earlier one is still being made."""
+        for _ in range(MAX_ORDERS):
+            reply = await self._order(call, source, target, stop=False)
+            if not (
+                isinstance(reply, HttpResponse) and self._dialect.busy(reply)
+            ):
+                break
+            await anyio.sleep(ORDER_PAUSE_S)
+        return reply
+
     async def _stop(
         self, call: Call, source: BackendServer, target: BackendServer
     ) -> MoveResult:
         """Orders a run to stop until a reply says what became of it."""
         may_have_stopped = False
-        for _ in range(MAX_STOP_ORDERS):
+        for _ in range(MAX_ORDERS):
             reply = await self._order(call, source, target, stop=True)
             if isinstance(reply, HttpResponse):
                 copy = self._copy_of(reply, source, target)
@@ -197,7 +210,7 @@
             else:
                 copy = None
                 may_have_stopped |= not isinstance(reply, NotSentError)
-            await anyio.sleep(STOP_ORDER_PAUSE_S)
+            await anyio.sleep(ORDER_PAUSE_S)
         if isinstance(reply, HttpResponse):
             may_have_stopped |= not self._dialect.run_unknown(reply)
         moved = copy is not None and not copy.at_source
--- a/src/jasminerelay/streammoves.py
+++ b/src/jasminerelay/streammoves.py
@@ -22,9 +22,11 @@
 copied."""
 
 MAX_REFUSED_COPIES = 3
-REFUSED_COPY_PAUSE_S = 0.2
-"""Copies of one run that may be refused, and the pause after each. The run goes
-on meanwhile."""
+"""Copies of one run that may be refused. The run goes on meanwhile."""
+
+LEAVE_INTERVAL_S = 0.3
+"""Interval at which a target is sought for a stream whose server shuts down.
+Servers go on for two seconds or more."""
 
 
 class StreamMoves:
@@ -93,55 +95,39 @@
         """Moves the stream from a server that shuts down.
 
         Args:
-            reserve: Reserves a server, other than some, for it.
+            reserve: Reserves a server, other than some, for it; None if there
+                is none now.
         """
-        await self._try(
-            lambda: reserve(frozenset(self._refused)), self._no_pause
-        )
+        await self._try(reserve, lambda: anyio.sleep(LEAVE_INTERVAL_S))
 
     async def leave_when_slow(
-        self,
-        is_slow: Callable[[], bool],
-        reserve: Callable[[frozenset[str]], Reservation | None],
+        self, reserve: Callable[[frozenset[str]], Reservation | None]
     ) -> None:
         """Moves the stream once it can't end in time where it is.
 
         Args:
-            is_slow: Returns whether it must move to end in time.
-            reserve: Reserves a faster server, other than some, for it.
+            reserve: Reserves a faster server, other than some, if the stream
+                needs one to end in time.
         """
-        await self._try(
-            lambda: reserve(frozenset(self._refused)) if is_slow() else None,
-            self._next_check,
-            repeat=True,
-        )
+        await self._next_check()
+        await self._try(reserve, self._next_check)
 
     async def _try(
         self,
-        reserve: Callable[[], Reservation | None],
+        reserve: Callable[[frozenset[str]], Reservation | None],
         pause: Callable[[], Awaitable[None]],
-        *,
-        repeat: bool = False,
     ) -> None:
         while self._left > 0 and len(self._refused) < MAX_REFUSED_COPIES:
-            await pause()
-            if self.copy is not None:
-                return
             if self._copy_ended is not None:
                 await self._copy_ended.wait()
-                continue
-            reservation = reserve()
-            if reservation is None:
-                if not repeat:
-                    return
-                continue
-            if await self._move(reservation):
+            if self.copy is not None:
                 return
-            self._refused.add(reservation.placed.server.id)
-            await anyio.sleep(REFUSED_COPY_PAUSE_S)
-
-    async def _no_pause(self) -> None:
-        """Lets the first try begin at once."""
+            reservation = reserve(frozenset(self._refused))
+            if reservation is not None:
+                if await self._move(reservation):
+                    return
+                self._refused.add(reservation.placed.server.id)
+            await pause()
 
     async def _next_check(self) -> None:
         # At the same moments for all streams, so that their checks need only
