Mend the search beside a silent server where it is slow, long or plain

Found in review: a server's silence was not noticed any more once its caller had been slow; a long failure of the server that was asked reached the caller while the silent one still had the request; lookups left their silent server after 0.25 s though nothing forbids two servers to work on them; and a stream that had found a new server still counted as taken from one, so that a later loss of that server was not told to its caller at once. Change: each wait is watched; a failure too long to keep counts as none; lookups stay at both servers until one accepts; acceptance ends the search's debt.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -370,7 +370,7 @@
         try:
             with self._awaiting_start(), self._limited_overlap():
                 response = await channel.send(
-                    self._call, headers, self._silence_s(), self._note_silence
+                    self._call, headers, self._silence_s(), self.on_silent
                 )
         except IncompleteExchangeError as exc:
             self._report_lost()
@@ -405,6 +405,8 @@
             and not self._silent.give_way()
         ):
             return NotSent("its server has gone on", withheld=True)
+        if self._accepts(head):
+            self._progress.given_away = False
         if self._call.route.streaming and head.status == OK:
             return await self._relay_stream(
                 reservation, channel, response, head, done
@@ -413,23 +415,23 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
-    def _note_silence(self) -> None:
-        if not self._is_caller_slow:
-            self.on_silent()
-
     @property
     def has_open_handover(self) -> bool:
         """Whether neither its server nor another one has come yet."""
         return self._handover is not None and self._handover.open
 
     @property
-    def _is_caller_slow(self) -> bool:
-        return self._pace is not None
+    def _silent_goes_on(self) -> bool:
+        """Whether the silent server still has the request, too."""
+        return self._silent is not None and self._silent.has_open_handover
 
     @contextlib.contextmanager
     def _limited_overlap(self) -> Iterator[None]:
-        """Ends the attempt at the silent server while this one is awaited."""
-        if self._silent is None:
+        """Ends the attempt at the silent server while this one is awaited.
+
+        A repeatable plain request may stay at both until one of them answers.
+        """
+        if self._silent is None or not self._call.route.streaming:
             yield
             return
         timer = asyncio.get_running_loop().call_later(
@@ -514,6 +516,8 @@
             return Unknown("another server has taken over")
         if not whole and head.not_run:
             return _not_run(head)
+        if not whole and self._silent_goes_on:
+            return Unknown(f"status {head.status}")
         if not whole and not self._sink.started:
             # Without a reference here, which would last as long as the relay.
             first = [body]
