Accept permits for servers that a manifest added after the request

Callers got 502 for requests that waited while a manifest came into force: the broker granted the new server, and the answer looked it up in the pool of the manifest that it had arrived under. Its permit was never released, so that the slot stayed taken.

The permit client now looks the server up in the manifest in force. A grant for a server that is not in it, by a broker with another manifest, is returned and requested again after a pause, within the request's maximum wait; so no request goes to a server which the manifest in force has removed.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -147,7 +147,7 @@
         while True:
             permit_request = self._new_permit_request(avoid)
             grant = await self._acquire_permit(permit_request)
-            server = self._find_server(grant.server)
+            server = self._context.permit_client.server(grant)
             attempt = self._new_attempt(server)
             self.outcome.dispatched()
             tokens_before = self._delivered_tokens
@@ -536,12 +536,6 @@
             self._estimate_key, self._token_limit
         )
 
-    def _find_server(self, name: str) -> Server:
-        for server in self._placement.pool.servers:
-            if server.name == name:
-                return server
-        raise BackendError(f"permit names unknown backend server {name!r}")
-
     def _new_attempt(self, server: Server) -> EngineAttempt:
         body = dict(self._request.body)
         body["stream"] = True
--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -181,8 +181,11 @@
 
         The broker may not have learned yet that a server is leaving, and does
         not learn that one has requested a pause from this instance. A grant for
-        such a server is returned, and another one requested.
+        such a server is returned, and another one requested. So is a grant by
+        a manifest that is not in force here, after a pause.
         """
+        started = time.monotonic()
+        wait_s, max_wait_s = request.wait_s, request.max_wait_s
         while True:
             closed = self._closed_servers(request.cell)
             servers = self._servers_of(request.cell)
@@ -198,12 +201,27 @@
             )
             if isinstance(result, PermitRefusal):
                 return result
+            if result.server not in self._servers_of(request.cell):
+                self._counters.incr("permit.unknown_server")
+                self.release(_empty_release(request))
+                await anyio.sleep(TICK_S)
+                waited = time.monotonic() - started
+                request = msgspec.structs.replace(
+                    request,
+                    wait_s=wait_s + waited,
+                    max_wait_s=max(0.0, max_wait_s - waited),
+                )
+                continue
             if result.server not in self._closed_servers(request.cell):
                 self._pauses.record_placement(result.server, time.monotonic())
                 return result
             self._counters.incr("permit.closed_server")
             self.release(_empty_release(request))
 
+    def server(self, grant: PermitGrant) -> Server:
+        """Returns the backend server of a permit just acquired."""
+        return self._directory().servers[grant.server]
+
     def _servers_of(self, cell: str) -> frozenset[str]:
         directory = self._directory()
         held = directory.cells.get(cell) if directory is not None else None
--- a/src/jasminerelay/servicecalls.py
+++ b/src/jasminerelay/servicecalls.py
@@ -167,7 +167,7 @@
             if isinstance(grant, PermitRefusal):
                 await self._close_claim(acquired, outcome)
                 raise self._refusal_error(request, outcome, grant, started)
-            server = _find_server(request.service, grant.server)
+            server = self._permits.server(grant)
             failed = True
             try:
                 if acquired is None and _is_claimed(request):
@@ -376,13 +376,6 @@
     return bool(request.key) and server.deduplicates
 
 
-def _find_server(service: Service, name: str) -> Server:
-    for server in service.servers:
-        if server.name == name:
-            return server
-    raise BackendError(f"permit names unknown backend server {name!r}")
-
-
 def _replayed_reply(outcome: Outcome, recorded: RecordedAnswer) -> HttpResponse:
     outcome.not_run()
     claim = recorded.claim
