Follow a model or a service to where the manifest in force has it

A begun answer that needed another permit, after it had made way or its engine had failed, asked for it in the cells of the pool that it had arrived under. Where a manifest had moved the model or had fewer cells, KeyError broke the answer off without an error event; the same held for plain calls, whose claim stayed open.

The pool and the service are looked up in the manifest in force at each request for a permit. A model that is gone ends the request with an error that says whether it ran. The fake permit client of test_invariants gets the new method.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -26,6 +26,7 @@
     BadRequestError,
     InvariantError,
     NoCapacityError,
+    NotFoundError,
     RateLimitError,
     RelayError,
 )
@@ -34,9 +35,7 @@
 from jasminerelay.outcome import Outcome, State
 from jasminerelay.prefix import block_hashes
 from jasminerelay.resume import ResumePoint
-from jasminerelay.schema.manifest import (
-    Server,
-)
+from jasminerelay.schema.manifest import Pool, Server
 from jasminerelay.schema.messages import (
     PermitGrant,
     PermitRefusal,
@@ -459,7 +458,7 @@
         prefixes = block_hashes(self._request.prompt)
         organisation = self._placement.organisation
         cell = self._context.permit_client.choose_cell(
-            self._placement.pool,
+            self._pool(),
             organisation.name,
             prefixes,
             self._can_continue_at,
@@ -492,6 +491,20 @@
             self._preempted_on,
         )
 
+    def _pool(self) -> Pool:
+        """Returns the pool of the model, which a new manifest may change."""
+        try:
+            return self._context.permit_client.pool_of(
+                self._request.body["model"]
+            )
+        except NotFoundError as exc:
+            if not self.outcome.may_have_run:
+                raise
+            raise BackendError(
+                "the model was removed before the answer was complete",
+                ran=RAN_YES if self._delivered_tokens else RAN_UNKNOWN,
+            ) from exc
+
     def _can_continue_at(self, server: Server) -> bool:
         """Returns whether the answer may go on at a server.
 
--- a/src/jasminerelay/manifest.py
+++ b/src/jasminerelay/manifest.py
@@ -145,8 +145,7 @@
             NotFoundError: if there is no such model or type.
             ForbiddenError: if the organisation may not use it.
         """
-        if model not in self._pool_of:
-            raise NotFoundError(f"no model {model!r}")
+        self.pool_of(model)
         kinds = [
             kind for kind in self.manifest.request_types if model in kind.models
         ]
@@ -171,9 +170,25 @@
         return self.classes[assigned or kind.class_name]
 
     def pool_of(self, model: str) -> Pool:
-        """Returns the pool that serves a model."""
+        """Returns the pool that serves a model.
+
+        Raises:
+            NotFoundError: if there is no such model.
+        """
+        if model not in self._pool_of:
+            raise NotFoundError(f"no model {model!r}")
         return self._pool_of[model]
 
+    def service(self, name: str) -> Service:
+        """Returns a plain service.
+
+        Raises:
+            NotFoundError: if there is no such service.
+        """
+        if name not in self.services:
+            raise NotFoundError(f"no service {name!r}")
+        return self.services[name]
+
     def find_call(
         self, organisation: Organisation, service: str, method: str, path: str
     ) -> tuple[Service, Call]:
@@ -185,9 +200,7 @@
             NotFoundError: if no such service or call is declared.
             ForbiddenError: if the organisation may not use it.
         """
-        found = self.services.get(service)
-        if found is None:
-            raise NotFoundError(f"no service {service!r}")
+        found = self.service(service)
         if not _allows(found.organisations, organisation):
             raise ForbiddenError(
                 f"organisation {organisation.name!r} may not use service"
--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -170,6 +170,22 @@
         }
         return cells[min(candidates, key=lambda name: pending_counts[name])]
 
+    def pool_of(self, model: str) -> Pool:
+        """Returns the pool that serves a model by the manifest in force.
+
+        Raises:
+            NotFoundError: if there is no such model.
+        """
+        return self._directory().pool_of(model)
+
+    def service(self, name: str) -> Service:
+        """Returns a plain service by the manifest in force.
+
+        Raises:
+            NotFoundError: if there is no such service.
+        """
+        return self._directory().service(name)
+
     def cells_of(self, group: Pool | Service) -> list[Cell]:
         """Returns the cells of a pool or service."""
         return self._directory().cells_of(group)
--- a/src/jasminerelay/resumedanswers.py
+++ b/src/jasminerelay/resumedanswers.py
@@ -83,9 +83,7 @@
             )
 
     def _cell_name(self) -> str:
-        directory_cells = self._context.permit_client.cells_of(
-            self._placement.pool
-        )
+        directory_cells = self._context.permit_client.cells_of(self._pool())
         for cell in directory_cells:
             if any(
                 item.name == self._resume_point.server for item in cell.servers
--- a/src/jasminerelay/servicecalls.py
+++ b/src/jasminerelay/servicecalls.py
@@ -15,6 +15,7 @@
     BackendError,
     InvariantError,
     NoCapacityError,
+    NotFoundError,
     RelayError,
 )
 from jasminerelay.httpclient import HttpRequest, HttpResponse
@@ -157,9 +158,11 @@
         acquired: AcquiredClaim | None = None
         avoid: list[str] = []
         while True:
-            permit_request = self._new_permit_request(request, avoid, started)
             outcome.waiting()
             try:
+                permit_request = self._new_permit_request(
+                    request, outcome, avoid, started
+                )
                 grant = await self._permits.acquire(permit_request)
             except BaseException:
                 await self._close_claim(acquired, outcome)
@@ -315,12 +318,29 @@
             ),
         )
 
+    def _service(self, request: ServiceRequest, outcome: Outcome) -> Service:
+        """Returns the service called, which a new manifest may change."""
+        try:
+            return self._permits.service(request.service.name)
+        except NotFoundError as exc:
+            if not outcome.may_have_run:
+                raise
+            raise BackendError(
+                "the service was removed before it had answered",
+                ran=RAN_UNKNOWN,
+            ) from exc
+
     def _new_permit_request(
-        self, request: ServiceRequest, avoid: list[str], started: float
+        self,
+        request: ServiceRequest,
+        outcome: Outcome,
+        avoid: list[str],
+        started: float,
     ) -> PermitRequest:
         cls = request.service_class
         organisation = request.organisation
-        cell = self._permits.choose_cell(request.service, organisation.name, ())
+        service = self._service(request, outcome)
+        cell = self._permits.choose_cell(service, organisation.name, ())
         waited = time.monotonic() - started
         return PermitRequest(
             uuid.uuid4().hex,
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -57,6 +57,7 @@
             acquire=acquire,
             take_tokens=take_tokens,
             settle=lambda *taken: None,
+            pool_of=lambda model: Pool("pool", [model], [server("s")]),
             choose_cell=lambda *asked: cell(server("s")),
         )
         context = answers.AnswerContext(
