Count only the resumes in a row that brought no token

A stream whose connection broke a fourth time left its sound engine, which had kept it, however many tokens had come in between; with no retry or place left the answer was ended. The limit is now on resumes in a row without a token.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -44,6 +44,8 @@
 )
 
 MAX_RESUMES = 3
+"""Resumes in a row that brought no token."""
+
 MAX_ATTEMPTS = 5
 MAX_PREEMPTIONS = 10
 STARTED_MAX_WAIT_S = 600.0
@@ -255,7 +257,9 @@
             base_tokens: Tokens delivered to the caller before the attempt.
         """
         resume_token = self._resume_token(attempt, base_tokens)
-        for number in range(MAX_RESUMES + 1):
+        number = 0
+        while True:
+            tokens_before = self._delivered_tokens
             try:
                 async with aclosing(chunks) as frames:
                     async for chunk in frames:
@@ -264,6 +268,8 @@
                             yield event
                 return
             except AttemptError as exc:
+                if self._delivered_tokens > tokens_before:
+                    number = 0
                 can_resume = (
                     attempt.server.resume
                     and self._cancelled_attempt != attempt.id
@@ -274,6 +280,7 @@
                     raise
                 self._context.counters.incr("stream.resumed")
                 await anyio.sleep(RESUME_PAUSE_S * 2**number)
+                number += 1
                 chunks = self._context.engines.resume(
                     attempt, self._delivered_tokens - base_tokens
                 )
