Keep on looking for a place for an answer that made way

We cancel a preempted answer at a sound engine, and then ended it like one whose engine had failed: when no slot came free within its class's maximum wait, when no server accepted requests at that moment (all leaving or paused), or when the next engine refused it while the retry budget was empty. The caller got an error event that named a failure of the server, although there was none.

From its preemption to its next token an answer now waits on, with a pause of a quarter of a second between tries and each try within the retry budget, for ten minutes or its class's maximum wait if that is longer (the constant was there, unused). Answers whose engine itself broke are told at once as before.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -48,7 +48,13 @@
 
 MAX_ATTEMPTS = 5
 MAX_PREEMPTIONS = 10
-STARTED_MAX_WAIT_S = 600.0
+DISPLACED_MAX_WAIT_S = 600.0
+"""For how long at least an answer that we took away looks for a place."""
+
+DISPLACED_RETRY_S = 0.25
+"""Minimum pause between two tries of such an answer to go on."""
+
+DISPLACED_MAX_PAUSE_S = 1.0
 RESUME_PAUSE_S = 0.05
 ID_BYTES = 12
 DIGEST_CHARS = 16
@@ -97,6 +103,7 @@
         self._finished = False
         self._preemptions = 0
         self._preempted_on = ""
+        self._displaced_until = 0.0
         self._software_version = ""
         self._cancelled_attempt = ""
         self.outcome = Outcome(self._id)
@@ -146,8 +153,7 @@
         avoid: list[str] = []
         failures = 0
         while True:
-            permit_request = self._new_permit_request(avoid)
-            grant = await self._acquire_permit(permit_request)
+            permit_request, grant = await self._acquire_permit(avoid)
             server = self._context.permit_client.server(grant)
             attempt = self._new_attempt(server)
             self.outcome.dispatched()
@@ -188,9 +194,12 @@
                 yield event
             if self._finished:
                 return
+            if error is None:
+                self._displace()
             if error is not None:
-                failures += 1
-                self._handle_failure(error, failures)
+                if not self._displaced:
+                    failures += 1
+                await self._handle_failure(error, failures)
                 avoid.append(server.name)
             if self._delivered_tokens >= self._token_limit:
                 # Only the end of the stream is missing, and engines reject a
@@ -235,13 +244,22 @@
                 self._finished = False
 
     async def _acquire_permit(
-        self, permit_request: PermitRequest
-    ) -> PermitGrant:
+        self, avoid: list[str]
+    ) -> tuple[PermitRequest, PermitGrant]:
         self.outcome.waiting()
-        result = await self._context.permit_client.acquire(permit_request)
-        if isinstance(result, PermitRefusal):
-            raise self._refusal_error(result)
-        return result
+        while True:
+            permit_request = self._new_permit_request(avoid)
+            result = await self._context.permit_client.acquire(permit_request)
+            if isinstance(result, PermitGrant):
+                return permit_request, result
+            if not self._displaced:
+                raise self._refusal_error(result)
+            await anyio.sleep(
+                min(
+                    max(result.retry_s, DISPLACED_RETRY_S),
+                    DISPLACED_MAX_PAUSE_S,
+                )
+            )
 
     async def _events_with_resumes(
         self,
@@ -320,6 +338,22 @@
             self._first_token_s = now - self._arrived
         self._last_token_at = now
         self._delivered_tokens = offset
+        self._displaced_until = 0.0
+
+    @property
+    def _displaced(self) -> bool:
+        """Whether it was taken from its engine and goes on nowhere yet.
+
+        Its engine would have completed it, so it isn't ended for want of a
+        place or a retry until its time is over.
+        """
+        return time.monotonic() < self._displaced_until
+
+    def _displace(self) -> None:
+        max_wait_s = max(
+            self._placement.service_class.max_wait_s, DISPLACED_MAX_WAIT_S
+        )
+        self._displaced_until = time.monotonic() + max_wait_s
 
     def _check_preempted(
         self, permit_request: PermitRequest, server: Server
@@ -338,14 +372,19 @@
         self._preempted_on = server.name
         return True
 
-    def _handle_failure(self, error: AttemptError, failures: int) -> None:
-        """Returns if the request may be retried, else raises."""
+    async def _handle_failure(self, error: AttemptError, failures: int) -> None:
+        """Returns once the request may be retried, else raises."""
         self._context.counters.incr(f"attempt.{error.execution_status.value}")
         if error.execution_status is ExecutionStatus.NOT_RUN:
             self.outcome.refused()
         if error.rejection is not None:
             raise _rejection_error(error)
-        may_retry = self._context.retries.spend()
+        while True:
+            if self._displaced:
+                await anyio.sleep(DISPLACED_RETRY_S)
+            may_retry = self._context.retries.spend()
+            if may_retry or not self._displaced:
+                break
         if failures >= MAX_ATTEMPTS or not may_retry:
             self._context.counters.incr("retry.exhausted")
             raise self._retries_exhausted_error(error)
@@ -438,7 +477,7 @@
     def _refusal_error(self, refusal: PermitRefusal) -> RelayError:
         if self._delivered_tokens:
             return BackendError(
-                "the backend server failed and no other has capacity",
+                "no backend server has capacity to go on with the answer",
                 ran=RAN_YES,
                 retry_s=refusal.retry_s,
             )
@@ -478,6 +517,8 @@
             if self._delivered_tokens
             else cls.max_wait_s - waited
         )
+        if self._displaced:
+            max_wait = self._displaced_until - time.monotonic()
         return PermitRequest(
             uuid.uuid4().hex,
             cell.name,
