Bound requests and idle connections by the limits that their callers may know

Callers reuse connections that were idle for most of the configuration's limit, and learn of a version later than an instance. A version that lowered the limit closed connections that became idle before it or shortly after (the next request got no answer); one that raised it did not reach the timers that ran. Bodies and heads were refused (413, 408, 400) by limits that came while they were under way.

A history keeps the limits; what a caller began is bounded by the largest that was in force since three seconds before it began, and idle timers look again when they fire. Heads, bodies and pauses use the same rule.

Ruled out: the limit in force when the timer fires alone, which ends connections that became idle before a lower one.

--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -486,7 +486,7 @@
             callers.Application(self._frontend_context),
             self.cfg.listen.callers,
             http=headlimits.limited_protocol(
-                lambda: headlimits.HeadLimits(bounds.max_header_bytes)
+                lambda _: headlimits.HeadLimits(bounds.max_header_bytes)
             ),
         )
         tls = self.cfg.tls
--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import time
 from collections.abc import Callable
 
 import httptools
@@ -56,7 +57,7 @@
 
 
 def limited_protocol(
-    bounds: Callable[[], HeadLimits],
+    bounds: Callable[[float], HeadLimits],
 ) -> type[HttpToolsProtocol]:
     """Returns a uvicorn protocol class that enforces the limits.
 
@@ -64,7 +65,8 @@
     408; idle connections are closed.
 
     Args:
-        bounds: Returns the limits in force; called for each request.
+        bounds: Returns the limits for what began at a monotonic time, a request
+            or a pause between two; those of a pause may grow while it lasts.
     """
 
     class BoundedProtocol(HttpToolsProtocol):
@@ -75,7 +77,8 @@
             self._in_head = False
             self._field_bytes = 0
             self._received_bytes = 0
-            self._bounds = bounds()
+            self._idle_since = time.monotonic()
+            self._bounds = bounds(self._idle_since)
             self._timeout_timer: asyncio.TimerHandle | None = None
             self._waited_in_backlog = False
 
@@ -111,7 +114,7 @@
 
         def on_message_begin(self) -> None:
             self._in_head = True
-            self._bounds = bounds()
+            self._bounds = bounds(time.monotonic())
             self._timeout_timer = self.loop.call_later(
                 self._bounds.head_timeout_s, self._reject_too_slow
             )
@@ -133,9 +136,21 @@
             super().on_headers_complete()
 
         def on_response_complete(self) -> None:
-            self.timeout_keep_alive = bounds().idle_timeout_s
+            self._idle_since = time.monotonic()
+            self.timeout_keep_alive = bounds(self._idle_since).idle_timeout_s
             super().on_response_complete()
 
+        def timeout_keep_alive_handler(self) -> None:
+            limit_s = bounds(self._idle_since).idle_timeout_s
+            left_s = self._idle_since + limit_s - time.monotonic()
+            if left_s > 0.0 and not self.transport.is_closing():
+                # A version has raised the limit since the timer was set.
+                self.timeout_keep_alive_task = self.loop.call_later(
+                    left_s, self.timeout_keep_alive_handler
+                )
+                return
+            super().timeout_keep_alive_handler()
+
         def _head_ended(self) -> None:
             self._in_head = False
             self._field_bytes = 0
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -45,6 +45,8 @@
         catalog: Returns the configuration in force; None before the first.
         configuration_confirmed: Returns whether that configuration is confirmed
             as current.
+        limits: Returns the limits for a request that began at a monotonic time;
+            they may grow while it lasts.
         stopping: Returns whether the instance is shutting down.
         accepts: Returns whether a request with this time limit is accepted.
         log: Event log.
@@ -53,6 +55,7 @@
     forwarding: ForwardingContext
     catalog: Callable[[], Catalog | None]
     configuration_confirmed: Callable[[], bool]
+    limits: Callable[[float], RequestLimits]
     stopping: Callable[[], bool]
     accepts: Callable[[float], bool]
     log: EventLog
@@ -112,7 +115,7 @@
         if self._context.catalog() is None:
             await self._wait_for_configuration(scope, arrived)
         held = self._context.forwarding.held
-        body, hold = await self._body(scope, receive, held)
+        body, hold = await self._body(scope, receive, held, arrived)
         try:
             call = self._call(scope, body, arrived)
             sink.organisation = call.organisation
@@ -147,9 +150,9 @@
         if not await self._early_requests.wait(limit_s):
             counters.incr("start.early_requests_unserved")
 
-    async def _body_part(self, receive) -> dict:
+    async def _body_part(self, receive, arrived: float) -> dict:
         """Returns the next message with a part of the body."""
-        bounds = self._bounds
+        bounds = self._context.limits(arrived)
         with anyio.move_on_after(bounds.idle_timeout_s) as scope:
             message = await receive()
         if scope.cancelled_caught:
@@ -159,11 +162,11 @@
         if message["type"] == "http.disconnect":
             raise CallerDisconnectedError
         size = len(message.get("body", b""))
-        self._require_allowed(size)
+        self._require_allowed(size, arrived)
         return message
 
     async def _body(
-        self, scope, receive, held: HeldBytes
+        self, scope, receive, held: HeldBytes, arrived: float
     ) -> tuple[bytes, Hold | None]:
         """Reads the body; a large one is refused if memory is short.
 
@@ -174,19 +177,20 @@
             self._require_memory(
                 self._organisation(scope), _content_length(scope)
             )
-        message = await self._body_part(receive)
+        message = await self._body_part(receive, arrived)
         body = message.get("body", b"")
         if not message.get("more_body") and len(body) <= SMALL_BYTES:
             return body, None
         hold = held.hold(self._organisation(scope))
         try:
-            return await self._long_body(scope, receive, message, hold), hold
+            body = await self._long_body(scope, receive, message, hold, arrived)
+            return body, hold
         except BaseException:
             hold.close()
             raise
 
     async def _long_body(
-        self, scope, receive, message: dict, hold: Hold
+        self, scope, receive, message: dict, hold: Hold, arrived: float
     ) -> bytes:
         parts = [message.get("body", b"")]
         size = len(parts[0])
@@ -195,22 +199,17 @@
             self._require_memory(hold.organisation, announced)
         hold.set(size)
         while message.get("more_body"):
-            message = await self._body_part(receive)
+            message = await self._body_part(receive, arrived)
             parts.append(message.get("body", b""))
             size += len(parts[-1])
-            self._require_allowed(size)
+            self._require_allowed(size, arrived)
             hold.set(size)
             if size > SMALL_BYTES:
                 self._require_memory(hold.organisation, 0)
         return b"".join(parts)
 
-    @property
-    def _bounds(self) -> RequestLimits:
-        catalog = self._context.catalog()
-        return catalog.bounds if catalog else RequestLimits()
-
-    def _require_allowed(self, size: int) -> None:
-        allowed = self._bounds.body_bytes
+    def _require_allowed(self, size: int, arrived: float) -> None:
+        allowed = self._context.limits(arrived).body_bytes
         if size > allowed:
             raise BodyTooLargeError(f"the body is larger than {allowed} bytes")
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -26,7 +26,7 @@
     storeversion,
 )
 from jasminerelay.attempt import ForwardingContext
-from jasminerelay.catalog import BackendServer, Catalog, RequestLimits
+from jasminerelay.catalog import BackendServer, Catalog
 from jasminerelay.channels import ChannelPool
 from jasminerelay.crashnotices import CrashNotices
 from jasminerelay.crashwatch import CrashWatch
@@ -68,6 +68,7 @@
 from jasminerelay.registry import Registry
 from jasminerelay.relayclient import RelayClient
 from jasminerelay.relayport import RELAY_PATH, RelayApp
+from jasminerelay.scheduling.callerlimits import LimitHistory
 from jasminerelay.scheduling.heldbytes import HeldBounds, HeldBytes
 from jasminerelay.scheduling.serverpaths import ServerPaths
 from jasminerelay.schema.messages import (
@@ -290,6 +291,7 @@
         self.registry = Registry(decoding.catalog, decoding.server)
         self._catalog: Catalog | None = None
         self._configured_at = time.monotonic()
+        self._limits = LimitHistory()
         self.client = HttpClient(self._watchdog, keepalive=True)
         store = self._store = Store(self.client, boot.store, self._warn)
         store.on_new_era = self._on_store_restored
@@ -591,6 +593,7 @@
             forwarding,
             lambda: self.registry.catalog if self.registry.complete else None,
             lambda: self.configuration_confirmed,
+            self._limits.known_since,
             lambda: self._planned_stop is not None,
             self._accepts,
             self.log,
@@ -611,7 +614,7 @@
         caller_protocol = callerconnection.with_flow_control(
             options["http"],
             self.held,
-            lambda: self._request_head_bounds().idle_timeout_s,
+            lambda: self._request_head_bounds(time.monotonic()).idle_timeout_s,
             self.counters,
         )
         self._callers_port = ports.port(
@@ -656,9 +659,8 @@
 
         return serve
 
-    def _request_head_bounds(self) -> HeadLimits:
-        catalog = self.registry.catalog
-        bounds = catalog.bounds if catalog else RequestLimits()
+    def _request_head_bounds(self, began_at: float) -> HeadLimits:
+        bounds = self._limits.known_since(began_at)
         return HeadLimits(
             bounds.head_bytes, bounds.head_timeout_s, bounds.idle_timeout_s
         )
@@ -682,6 +684,8 @@
         if self.registry.catalog is not self._catalog:
             self._catalog = self.registry.catalog
             self._configured_at = time.monotonic()
+            if self._catalog is not None:
+                self._limits.replace(self._catalog.bounds, self._configured_at)
         self._peers.notify_dependents()
         if self.registry.complete:
             self._ingress.serve_early_requests()
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -633,6 +633,20 @@
         "1e6, self.timeout_keep_alive_handler",
         "test_platforminstances.SlowCallerTest.test_times_of_the_configuration",
     ),
+    Safeguard(
+        "a lowered limit spares callers that do not know it",
+        "scheduling/callerlimits",
+        "            if began_at < item.until + LEARN_S:\n",
+        "            if False:\n",
+        "test_callerlimits.ChangedLimitsTest.test_lower_limit_and_idle_connection",
+    ),
+    Safeguard(
+        "a raised idle limit extends timers that run",
+        "headlimits",
+        "if left_s > 0.0 and not self.transport.is_closing():",
+        "if False:",
+        "test_callerlimits.ChangedLimitsTest.test_higher_limit_and_idle_connection",
+    ),
     Safeguard(
         "a body that pauses for too long is refused",
         "platform/ingress",
