Explain who ended an answer, in which step, and what kept it from going on

Cause: explain and losses counted answers that an instance gave up as lost connections of servers, and answers cut by a planned stop as callers that left. Change: both read the new fields of the request line (ended_by, step, obstacle, configuration_age_s) and the orders of move lines; losses counts how many requests of a cause ended within 5 s of a received configuration.

--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -6,12 +6,14 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 from typing import Any
 
 import msgspec
 
 from jasminerelay.admission import OVER_SHARE
+from jasminerelay.endings import EndedBy, Step
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
     MEMORY_SHORT,
@@ -30,6 +32,9 @@
 LONG_WAIT_S = 0.2
 """Queueing time above which it is reported as a cause."""
 
+NEW_CONFIGURATION_S = 5.0
+"""Age up to which a configuration counts as new where answers are cut off."""
+
 _COMMON_FIELDS = frozenset({"at", "steady", "instance", "event", "left_out"})
 _CONTEXT_EVENTS = frozenset(
     {
@@ -71,6 +76,23 @@
 
 _HIDDEN_FIELDS = frozenset({"settings"})
 
+_STEPS_OF_INSTANCE = {
+    Step.BLOCKED: "blocked during the answer: servers crash while running it",
+    Step.CONNECTING: "no server reached to go on with the answer",
+    Step.CONTINUING_MOVED: "moved run could go on nowhere",
+    Step.PLACING: "no server found to go on with the answer",
+    Step.REJECTION: "servers rejected going on with the answer",
+    Step.SILENCE: "taken from a silent server during the answer",
+}
+"""What ended an answer that had begun, where no server broke it off."""
+
+_ACTORS = {
+    EndedBy.CALLER: "its caller",
+    EndedBy.INSTANCE: "its instance",
+    EndedBy.RELAY: "the instance that relayed its server's connection",
+    EndedBy.SERVER: "its server",
+}
+
 
 @dataclasses.dataclass(frozen=True)
 class Event:
@@ -193,12 +215,15 @@
         cause: Description of the cause.
         count: Number of requests.
         example: Id of one of them.
+        near_configuration: How many of them ended within
+            `NEW_CONFIGURATION_S` after their instance received a configuration.
     """
 
     route: str
     cause: str
     count: int
     example: str
+    near_configuration: int = 0
 
 
 def summarize(events: Iterable[Event]) -> tuple[dict[str, int], list[Loss]]:
@@ -209,6 +234,7 @@
     request.
     """
     total: collections.Counter[str] = collections.Counter()
+    near: collections.Counter[tuple[str, str]] = collections.Counter()
     unserved: dict[tuple[str, str], list[str]] = {}
     for event in events:
         if event.name == "refused" and MEMORY_SHORT in _why(event):
@@ -223,11 +249,14 @@
         route = str(event.fields.get("route", "?"))
         total[route] += 1
         if not event.fields.get("whole"):
-            ids = unserved.setdefault((route, _loss_cause(event.fields)), [])
-            ids.append(str(event.fields.get("id", "?")))
+            key = (route, _loss_cause(event.fields))
+            unserved.setdefault(key, []).append(
+                str(event.fields.get("id", "?"))
+            )
+            age_s = event.fields.get("configuration_age_s", math.inf)
+            near[key] += age_s <= NEW_CONFIGURATION_S
     losses = [
-        Loss(route, cause, len(ids), ids[0])
-        for (route, cause), ids in unserved.items()
+        Loss(*key, len(ids), ids[0], near[key]) for key, ids in unserved.items()
     ]
     losses.sort(key=lambda loss: (-loss.count, loss.route, loss.cause))
     return dict(total), losses
@@ -238,11 +267,25 @@
 
 
 def _loss_cause(fields: dict[str, Any]) -> str:
-    """Describes why a request was not served."""
+    """Describes why a request was not served, and why nobody else served it."""
+    cause = _ending_cause(fields)
+    obstacle = fields.get("obstacle")
+    if obstacle and fields.get("servers"):
+        return f"{cause}; not tried again: {obstacle}"
+    return cause
+
+
+def _ending_cause(fields: dict[str, Any]) -> str:
+    """Describes what ended a request that was not served."""
     status, begun = fields.get("status"), bool(fields.get("events"))
     sent = bool(fields.get("servers"))
     why = str(fields.get("why", ""))
+    step = fields.get("step")
     if fields.get("ended") != "done":
+        if step == Step.STOP:
+            return "instance stopped " + (
+                "during the answer" if begun else "before the answer"
+            )
         if begun:
             return "caller left during the answer"
         return "caller left before the answer" + (
@@ -268,6 +311,8 @@
         return "refused: " + (
             "servers did not run it" if sent else "no capacity"
         )
+    if begun and step in _STEPS_OF_INSTANCE:
+        return _STEPS_OF_INSTANCE[step]
     if begun:
         return "server connection lost during the answer"
     if status in (502, 504):
@@ -303,6 +348,8 @@
             f" {fields.get('unacknowledged')} bytes on the way to it, while the"
             " server waited; no server is at fault"
         ]
+    if event.name == "move":
+        return _move_causes(fields)
     if event.name != "request":
         return []
     causes = []
@@ -337,10 +384,13 @@
             "its instance did not reach the servers itself; relayed by "
             + ", ".join(relays)
         )
+    causes += _ending_causes(fields)
     if fields.get("why"):
         causes.append(f"last error: {fields['why']}")
     status = fields.get("status")
-    if fields.get("ended") != "done":
+    if fields.get("step") == Step.STOP:
+        causes.append(f"its instance stopped after {fields.get('total_s')} s")
+    elif fields.get("ended") != "done":
         causes.append(f"the caller left after {fields.get('total_s')} s")
     elif status == 503:
         causes.append("answered 503: the request did not run")
@@ -353,10 +403,44 @@
         causes.append("answered 500: it did not run and is not sent again")
     elif status in (502, 504):
         causes.append(f"answered {status}: the request may have run")
+    age_s = fields.get("configuration_age_s")
+    received = f" received {age_s} s before" if age_s is not None else ""
     causes.append(
-        f"state at its end: configuration {fields.get('configuration')},"
-        f" data {fields.get('knowledge_age_s')} s old, last response of the"
-        f" store {fields.get('store_age_s')} s old,"
+        f"state at its end: configuration {fields.get('configuration')}"
+        f"{received}, data {fields.get('knowledge_age_s')} s old,"
+        f" last response of the store {fields.get('store_age_s')} s old,"
         f" {fields.get('instances')} live instances"
     )
     return causes
+
+
+def _move_causes(fields: dict[str, Any]) -> list[str]:
+    """Describes an order to move a run; lines of former versions name none."""
+    order, source = fields.get("order"), fields.get("source")
+    status, target = fields.get("status"), fields.get("target")
+    if order == "copy":
+        return [
+            f"a copy to move its run was refused with {status}; the run went on"
+            f" at {source}"
+        ]
+    if order == "stop" and target:
+        return [f"its run was stopped at {source} to continue at {target}"]
+    if order == "stop":
+        return [
+            f"its run was ordered to stop at {source}, which named no copy"
+            f" (status {status}, 0 for no reply)"
+        ]
+    return []
+
+
+def _ending_causes(fields: dict[str, Any]) -> list[str]:
+    """Describes who ended an answer; lines of former versions don't say it."""
+    actor, step = fields.get("ended_by"), fields.get("step")
+    if not actor or step == Step.WHOLE:
+        return []
+    servers = fields.get("servers") or ()
+    place = f" at server {servers[-1]}" if servers else ""
+    causes = [f"ended by {_ACTORS.get(actor, actor)}{place}: {step}"]
+    if fields.get("obstacle"):
+        causes.append(f"tried at no further server: {fields['obstacle']}")
+    return causes
--- a/src/jasminerelay/localcommands.py
+++ b/src/jasminerelay/localcommands.py
@@ -98,10 +98,18 @@
     events, left_out = _read_events(arguments)
     total, losses = explain.summarize(events)
     rows = [
-        [item.route, item.cause, item.count, total[item.route], item.example]
+        [
+            item.route,
+            item.cause,
+            item.count,
+            total[item.route],
+            item.near_configuration,
+            item.example,
+        ]
         for item in losses
     ]
-    headers = ["route", "cause", "requests", "of", "example"]
+    near = f"within {explain.NEW_CONFIGURATION_S:g} s of a configuration"
+    headers = ["route", "cause", "requests", "of", near, "example"]
     print(tabulate.tabulate(rows, headers))
     if left_out:
         print(f"{left_out} log lines were dropped by the instances.")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -211,6 +211,94 @@
         self.assertEqual(total, {"/up/1": 1})
         self.assertEqual(loss.cause, "refused: no memory for large requests")
 
+    def test_answer_cut_by_its_instance(self) -> None:
+        # Guards against a line that does not tell an answer that its server
+        # broke off from one that its instance gave up.
+        cut = {
+            "id": "x", "route": "r", "ended": "done", "status": 200,
+            "events": 9, "why": "status 503", "servers": ["s", "t"],
+            "configuration": 8, "configuration_age_s": 1.2,
+        }  # fmt: skip
+        for actor, step, obstacle, words in (
+            ("instance", "rejection", "retry budget", "its instance"),
+            ("server", "lost connection", "may not run again", "its server"),
+            ("relay", "lost connection", "tries", "relayed its server's"),
+        ):
+            with self.subTest(actor=actor):
+                fields = {"ended_by": actor, "step": step, "obstacle": obstacle}
+                log = [line(2.0, "e", "request", **cut, **fields)]
+                events, _ = explain.read(log)
+                causes = "\n".join(explain.explain("x", events).causes)
+                self.assertIn(words, causes)
+                self.assertIn(f"at server t: {step}", causes)
+                self.assertIn(f"no further server: {obstacle}", causes)
+                self.assertIn("configuration 8 received 1.2 s before", causes)
+
+    def test_instance_that_stopped(self) -> None:
+        # Guards against an answer cut by a planned stop that looks like one
+        # whose caller has left.
+        log = [
+            line(
+                2.0, "e", "request", id="x", route="r", ended="caller left",
+                status=200, events=9, ended_by="instance", step="stop",
+                servers=["s"], total_s=3.0,
+            ),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = "\n".join(explain.explain("x", events).causes)
+        self.assertIn("its instance stopped after 3.0 s", causes)
+        self.assertNotIn("caller", causes)
+        _, (loss,) = explain.summarize(events)
+        self.assertEqual(loss.cause, "instance stopped during the answer")
+
+    def test_whole_answer(self) -> None:
+        # Guards against a whole answer that looks as if somebody had cut it.
+        log = [
+            line(
+                2.0, "e", "request", id="x", route="r", ended="done",
+                status=200, whole=True, ended_by="server", step="whole",
+                obstacle="", servers=["s"],
+            ),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = "\n".join(explain.explain("x", events).causes)
+        self.assertNotIn("ended by", causes)
+
+    def test_lines_of_former_versions(self) -> None:
+        # Guards against a tool that cannot read the logs of instances that are
+        # not replaced yet.
+        events, _ = explain.read(LOG)
+        causes = "\n".join(explain.explain("a1", events).causes)
+        self.assertNotIn("ended by", causes)
+        self.assertIn("configuration 4, data", causes)
+        _, losses = explain.summarize(events)
+        self.assertEqual([item.near_configuration for item in losses], [0, 0])
+
+    def test_orders_of_a_move(self) -> None:
+        # Guards against a refused copy, which costs nothing, that looks like a
+        # stopped run.
+        log = [
+            line(
+                11.0, "e", "move", id="a1", order="copy", source="s1",
+                status=503,
+            ),
+            line(
+                11.4, "e", "move", id="a1", order="stop", source="s1", status=0
+            ),
+            line(
+                11.5, "e", "move", id="a1", order="stop", source="s1",
+                target="s2",
+            ),
+            line(11.6, "e", "move", id="a1", source="s1", target="s2"),
+            *LOG,
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = explain.explain("a1", events).causes
+        self.assertIn("copy to move its run was refused with 503", causes[0])
+        self.assertIn("ordered to stop at s1, which named no copy", causes[1])
+        self.assertIn("stopped at s1 to continue at s2", causes[2])
+        self.assertIn("waited", causes[3])
+
     def test_refusal_and_retry(self) -> None:
         log = [
             line(1.0, "e", "refused", id="x", status=401, why="no such key"),
@@ -259,6 +347,54 @@
         self.assertEqual({item.count for item in losses}, {1})
         self.assertEqual(len(losses), len(unserved))
 
+    def test_who_ended_answers(self) -> None:
+        # Guards against answers that their instance gave up, counted as lost
+        # connections of servers.
+        cut = {
+            "route": "r", "ended": "done", "status": 200, "events": 9,
+            "servers": ["s"], "why": "reset",
+        }  # fmt: skip
+        log = [
+            line(1.0, "e", "request", id=step, step=step, **cut, **fields)
+            for step, fields in (
+                ("lost connection", {"obstacle": "retry budget"}),
+                ("rejection", {"obstacle": "tries"}),
+                ("continuing a moved run", {}),
+                ("placing", {}),
+                ("connecting", {}),
+                ("silence", {}),
+                ("blocked", {"obstacle": "crashes"}),
+            )
+        ]
+        _, losses = explain.summarize(explain.read(log)[0])
+        self.assertEqual(
+            {item.example: item.cause for item in losses},
+            {
+                "lost connection": "server connection lost during the answer;"
+                " not tried again: retry budget",
+                "rejection": "servers rejected going on with the answer;"
+                " not tried again: tries",
+                "continuing a moved run": "moved run could go on nowhere",
+                "placing": "no server found to go on with the answer",
+                "connecting": "no server reached to go on with the answer",
+                "silence": "taken from a silent server during the answer",
+                "blocked": "blocked during the answer: servers crash while"
+                " running it; not tried again: crashes",
+            },
+        )
+
+    def test_near_a_configuration(self) -> None:
+        # Guards against answers cut by a configuration that look like others.
+        log = [
+            line(
+                1.0, "e", "request", id=f"{age_s}", route="r", status=502,
+                configuration_age_s=age_s,
+            )
+            for age_s in (0.3, 4.9, 5.1, 600.0)
+        ]  # fmt: skip
+        _, (loss,) = explain.summarize(explain.read(log)[0])
+        self.assertEqual((loss.count, loss.near_configuration), (4, 2))
+
     def test_sorted_by_count(self) -> None:
         log = [
             line(1.0, "e", "request", id=f"{n}", route="r", status=status)
