--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -119,6 +119,21 @@
         spent = sum(budget.spend("s", 1.0) for _ in range(100))
         self.assertLessEqual(spent, 60 / 6)
 
+    def test_question_spends_nothing(self) -> None:
+        # Guards against a question that uses up the retry it asks for, or that
+        # promises one which is not there.
+        budget = SharedRetryBudget(0.0, 4.0, 10.0)
+        self.assertTrue(all(budget.has_any("s", 0.0) for _ in range(100)))
+        spent = 0
+        while budget.has_any("s", 0.0):
+            self.assertTrue(budget.spend("s", 0.0))
+            spent += 1
+        self.assertLessEqual(spent, 4)
+        self.assertFalse(budget.spend("s", 0.0))
+        self.assertFalse(budget.has_any("s", 9.9))
+        self.assertTrue(budget.has_any("other", 9.9))
+        self.assertTrue(budget.has_any("s", 10.1))
+
 
 class StopTest(unittest.TestCase):
     """A planned stop of an instance."""
