--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -15,7 +15,6 @@
     Ending,
     Obstacle,
     Step,
-    ending_of,
 )
 from jasminerelay.errors import CrashingRequestError, NoCapacityError
 from jasminerelay.exchange import (
@@ -289,7 +288,7 @@
         try:
             outcome = await attempt.run(reservation)
             verdict = self._verdict(outcome)
-            self._ending = ending_of(
+            self._ending = _ending_of(
                 outcome, continued=attempt.copy is not None
             )
             self._log_fingerprint |= isinstance(
@@ -690,3 +689,55 @@
     forwarder.note(outcome.why)
     await forwarder.give_up()
     return False
+
+
+@functools.singledispatch
+def _ending_of(outcome: object, *, continued: bool) -> Ending:
+    """Returns how an answer ends if an attempt's outcome is its last.
+
+    Args:
+        outcome: The outcome.
+        continued: Whether the attempt continued a run that was moved.
+    """
+    raise NotImplementedError(type(outcome))
+
+
+@_ending_of.register
+def _(outcome: Delivered, *, continued: bool) -> Ending:
+    return Ending(EndedBy.SERVER, Step.WHOLE)
+
+
+@_ending_of.register
+def _(outcome: Failed, *, continued: bool) -> Ending:
+    return Ending(EndedBy.SERVER, Step.FAILURE)
+
+
+@_ending_of.register
+def _(outcome: NotSent, *, continued: bool) -> Ending:
+    step = Step.CONTINUING_MOVED if continued else Step.CONNECTING
+    return Ending(EndedBy.INSTANCE, step)
+
+
+@_ending_of.register
+def _(outcome: NotRun, *, continued: bool) -> Ending:
+    step = Step.CONTINUING_MOVED if continued else Step.REJECTION
+    return Ending(EndedBy.INSTANCE, step)
+
+
+@_ending_of.register(Unknown)
+@_ending_of.register(Interrupted)
+@_ending_of.register(BrokenOff)
+def _(outcome: Unknown | Interrupted | BrokenOff, *, continued: bool) -> Ending:
+    if outcome.relay_lost:
+        return Ending(EndedBy.RELAY, Step.LOST_CONNECTION)
+    return Ending(EndedBy.SERVER, Step.LOST_CONNECTION)
+
+
+@_ending_of.register
+def _(outcome: Replaced, *, continued: bool) -> Ending:
+    return Ending(EndedBy.INSTANCE, Step.SILENCE)
+
+
+@_ending_of.register
+def _(outcome: CallerStalled, *, continued: bool) -> Ending:
+    return Ending(EndedBy.CALLER, Step.CALLER_STALLED)
