Test silent servers beside moves, late acceptance and copies that nobody takes

Cause: proofs of the kept answers could not tell a silent server that kept its run from a second run that ended the answer, and no test had a search beside a move, an acceptance later than the silent server's next event, or a copy that all servers reject. Change: the tests of silent servers also count the runs; new tests of these cases.

--- a/tests/test_answerskept.py
+++ b/tests/test_answerskept.py
@@ -1,11 +1,13 @@
 """Tests that steps which are meant to help an answer do not end it."""
 
+import time
 import unittest
 import unittest.mock
 
 import anyio
 
 from jasminerelay import streammoves
+from jasminerelay.attempt import OVERLAP_S
 from standins.platformserver import PlatformServer
 from standins.platformsite import MODEL_BACKEND, SiteOptions
 from tests.platformcase import Answer, PlatformCase, events
@@ -15,6 +17,10 @@
 """Longer than the time after which another server is sought."""
 
 
+MAX_OVERLAP_S = 0.4
+"""Longest time for which two servers may work on one request."""
+
+
 class AnswersKeptCase(PlatformCase):
     """Requests in the middle of whose answers something happens."""
 
@@ -45,6 +51,14 @@
             await change(server)
         return answers[0]
 
+    def move_leaving_streams_only(self) -> None:
+        """Keeps a stall of this process from making a stream look too slow."""
+        self.enterContext(
+            unittest.mock.patch.object(
+                streammoves, "SLOW_CHECK_INTERVAL_S", 60.0
+            )
+        )
+
     def running(self, site) -> list[PlatformServer]:
         return [x for x in site.servers.values() if x.running]
 
@@ -62,6 +76,10 @@
             not ran.moved for s in site.servers.values() for ran in s.journal
         )
 
+    def count(self, instance, name: str) -> int:
+        """Returns the value of one of an instance's counters."""
+        return instance.counters.snapshot().get(name, 0)
+
     def assert_whole(self, answer: Answer) -> None:
         self.assertEqual((answer.status, answer.whole), (200, True))
         self.assertEqual(answer.body, events(EVENTS))
@@ -84,6 +102,20 @@
                 instance, "/chat/1/stream", site, self.be_silent
             )
             self.assert_whole(answer)
+            self.assertEqual(self.runs(site), 1)
+
+    async def test_no_place_without_retry_budget(self) -> None:
+        # Guards against a stream that takes places at servers, again and again,
+        # which the retry budget does not let it use.
+        async with self.site() as (site, (instance,)):
+            instance._retry_budget.has_any = lambda service, now: False
+            instance._retry_budget.spend = lambda service, now: False
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, self.be_silent
+            )
+            self.assert_whole(answer)
+            self.assertGreater(self.count(instance, "silence.noticed"), 0)
+            self.assertEqual(self.count(instance, "retry.no_budget"), 0)
 
     async def test_other_server_rejects(self) -> None:
         # Guards against a stream that leaves its silent server for one that
@@ -99,6 +131,7 @@
                 instance, "/chat/1/stream", site, change
             )
             self.assert_whole(answer)
+            self.assertEqual(self.runs(site), 1)
 
     async def test_other_server_rejects_late(self) -> None:
         # Guards against a stream whose new server rejects it after the silent
@@ -130,6 +163,7 @@
                 instance, "/chat/1/stream", site, change
             )
             self.assert_whole(answer)
+            self.assertEqual(self.runs(site), 1)
 
     async def test_no_other_server(self) -> None:
         # Guards against a stream that leaves the only server of its service.
@@ -145,6 +179,7 @@
                 instance, "/chat/1/stream", site, change
             )
             self.assert_whole(answer)
+            self.assertEqual(self.runs(site), 1)
 
     async def test_silent_for_good(self) -> None:
         # Guards against waiting for a dark server while another one can go on.
@@ -178,6 +213,108 @@
                     )
                     self.assert_whole(answer)
 
+    async def test_speaks_before_another_accepts(self) -> None:
+        # Guards against events of two servers in one answer, where the silent
+        # one goes on while the other one has the request, not accepted yet.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                (other,) = self.others(site, server)
+                server.faults.silent = other.faults.silent = True
+                await self.until(lambda: other.arrivals)
+                server.faults.silent = False
+                await anyio.sleep(0.1)
+                other.faults.silent = False
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+            self.assertEqual(self.count(instance, "silence.taken_over"), 0)
+
+    async def test_another_is_slow_to_accept(self) -> None:
+        # Guards against two servers that work on one stream for longer than
+        # another one may take to reject it.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                (other,) = self.others(site, server)
+                server.faults.silent = other.faults.silent = True
+                await self.until(lambda: other.arrivals)
+                began = time.monotonic()
+                await self.until(lambda: not server.running)
+                overlap_s = time.monotonic() - began
+                other.faults.silent = False
+                self.assertGreater(overlap_s, 0.5 * OVERLAP_S)
+                self.assertLess(overlap_s, MAX_OVERLAP_S)
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
+    async def test_drains_while_silent(self) -> None:
+        # Guards against a stream that is copied to one server while another one
+        # is asked to go on with it.
+        self.move_leaving_streams_only()
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                for other in self.others(site, server):
+                    other.faults.refuse = 100
+                server.faults.silent = True
+                await self.until(
+                    lambda: self.count(instance, "silence.rejected")
+                )
+                site.write_server_row(server.name, MODEL_BACKEND, "draining")
+                await anyio.sleep(0.3)
+                self.assertEqual(server.copy_count, 0)
+                server.faults.silent = False
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
+    async def test_silent_while_it_is_moved(self) -> None:
+        # Guards against a stream that another server starts anew while its run
+        # is moved to that server.
+        self.move_leaving_streams_only()
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                server.faults.move_s = 0.7
+                site.write_server_row(server.name, MODEL_BACKEND, "draining")
+                await anyio.sleep(0.1)
+                await self.be_silent(server)
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+            (continued,) = [
+                ran
+                for server in site.servers.values()
+                for ran in server.journal
+                if not ran.moved
+            ]
+            self.assertIn("kv-from", continued.headers)
+
+    async def test_silent_after_it_was_stopped(self) -> None:
+        # Guards against a stream whose run was stopped and copied, and that
+        # waits for its end from a server which sends nothing any more.
+        self.move_leaving_streams_only()
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                server.faults.silent = True
+                site.write_server_row(server.name, MODEL_BACKEND, "draining")
+
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+
     async def test_lookup(self) -> None:
         # Guards against a repeatable request that leaves its silent server for
         # one that rejects it.
@@ -199,14 +336,11 @@
 
     def setUp(self) -> None:
         super().setUp()
-        # A stall of this process must not make a stream look too slow.
-        self.enterContext(
-            unittest.mock.patch.object(
-                streammoves, "SLOW_CHECK_INTERVAL_S", 60.0
-            )
-        )
+        self.move_leaving_streams_only()
 
-    async def moved_stream(self, site, instance, prepare) -> Answer:
+    async def moved_stream(
+        self, site, instance, prepare, runs: int = 1
+    ) -> Answer:
         async def change(server: PlatformServer) -> None:
             prepare(server, self.others(site, server))
             site.write_server_row(server.name, MODEL_BACKEND, "draining")
@@ -216,7 +350,7 @@
         answer = await self.ask_during(
             instance, "/sheet/1/stream", site, change
         )
-        self.assertEqual(self.runs(site), 1)
+        self.assertEqual(self.runs(site), runs)
         return answer
 
     async def test_copy_rejected(self) -> None:
@@ -230,6 +364,18 @@
 
             self.assert_whole(await self.moved_stream(site, instance, prepare))
 
+    async def test_copy_rejected_everywhere(self) -> None:
+        # Guards against a second run of a stream that may run once, whose copy
+        # no server takes.
+        async with self.site() as (site, (instance,)):
+
+            def prepare(server, others) -> None:
+                for item in (server, *others):
+                    item.faults.refuse_copies = 100
+
+            answer = await self.moved_stream(site, instance, prepare, runs=0)
+            self.assertEqual((answer.status, answer.whole), (200, False))
+
     async def test_copy_refused(self) -> None:
         # Guards against a stream that is stopped though its target has no room.
         async with self.site() as (site, (instance,)):
