End the exchange with a server that leaves a stopped stream open

On silence ended that wait after a second. Change: 0.3 s after the reply to the stop the connection is closed, and the stream goes on from the copy; once-only streams, too. Measured: test_silent_after_it_was_stopped failed before; test_answerskept 19 passed.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -80,6 +80,9 @@
 silent one, too. Servers reject at once, so the silent one is left only once the
 other has accepted it; two servers may work on a request for 0.4 s at most."""
 
+STOPPED_END_S = 0.3
+"""Longest wait for the end of the stream of a run that has been stopped."""
+
 NO_TIMEOUT_S = 3600.0
 
 MAX_ID_DIGITS = 6
@@ -816,6 +819,7 @@
             )
 
         await self._moves.leave(reserve)
+        await self._end_stopped()
 
     async def _move_when_slow(self, server: BackendServer) -> None:
         dispatcher = self._context.dispatcher
@@ -840,6 +844,13 @@
             )
 
         await self._moves.leave_when_slow(reserve)
+        await self._end_stopped()
+
+    async def _end_stopped(self) -> None:
+        """Ends the exchange with a server that leaves a stopped stream open."""
+        if self._moves.copy is not None:
+            await anyio.sleep(STOPPED_END_S)
+            self._channel.close()
 
     def _tried_servers(self) -> frozenset[str]:
         return frozenset(self._progress.tried)
