Take each arrival of a stream that goes on from the retry budget

Cause: a stream that this instance had taken from a silent server, and that the next one rejected, was sent on every 0.3 s though no retry was left: the step that takes the retry had failed, and the wait went around it.

Change: after a rejection the wait ends only with a retry; one that reached no server remains paid.

Result: tests.test_takeover showed 5 arrivals with one retry before, 2 now; tests.test_answerskept passes.

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -136,7 +136,7 @@
             try:
                 reservation = await self._reserve_unless_blocked()
             except NoCapacityError as exc:
-                if await self.wait_to_go_on():
+                if await self.wait_to_go_on(paid=True):
                     continue
                 await self._reject_unplaced(exc)
                 return
@@ -390,9 +390,12 @@
         self._progress.copy = dataclasses.replace(copy, at=copy.source)
         return True
 
-    async def wait_to_go_on(self) -> bool:
+    async def wait_to_go_on(self, *, paid: bool) -> bool:
         """Waits to try again where this instance took a stream from a server.
 
+        Args:
+            paid: Whether a retry was taken that reached no server.
+
         Returns:
             Whether it did; nothing else may end such a stream but its caller
             and its time limit, while it may run again.
@@ -405,6 +408,8 @@
             return False
         self._context.counters.incr("stream.waits_to_go_on")
         await anyio.sleep(GO_ON_INTERVAL_S)
+        while not paid and not self._spend_retry():
+            await anyio.sleep(GO_ON_INTERVAL_S)
         return True
 
     def retry_after_run(self) -> bool:
@@ -625,7 +630,7 @@
     if (
         forwarder.return_to_source()
         or forwarder.retry_unsent(outcome.why)
-        or await forwarder.wait_to_go_on()
+        or await forwarder.wait_to_go_on(paid=True)
     ):
         return True
     await forwarder.give_up()
@@ -637,7 +642,7 @@
     if (
         forwarder.return_to_source()
         or forwarder.retry_not_run(outcome.why)
-        or await forwarder.wait_to_go_on()
+        or await forwarder.wait_to_go_on(paid=False)
     ):
         return True
     await forwarder.give_up()
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,83 @@
+"""Tests of two servers under way for one request."""
+
+import anyio
+
+from standins.platformserver import PlatformServer
+from standins.platformsite import SiteOptions
+from tests.platformcase import Answer, PlatformCase
+
+EVENTS = 150
+
+
+class Budget:
+    """A retry budget of few retries.
+
+    Attributes:
+        left: Retries left.
+    """
+
+    def __init__(self, instance, left: int) -> None:
+        self.left = left
+        instance._retry_budget.spend = self.spend
+        instance._retry_budget.has_any = lambda service, now: self.left > 0
+
+    def spend(self, service: str, now: float) -> bool:
+        """Takes one retry; returns False if none is left."""
+        if not self.left:
+            return False
+        self.left -= 1
+        return True
+
+
+class TakeoverTest(PlatformCase):
+    """Requests of a silent server that another one is asked for."""
+
+    options = SiteOptions(
+        engines=3,
+        plain=3,
+        routes={"chat": {"timeoutMs": 4000}, "lookup": {"timeoutMs": 4000}},
+    )
+
+    async def ask_during(self, instance, path: str, change) -> Answer:
+        """Requests an answer while something happens."""
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            answers.append(
+                await self.ask(
+                    instance,
+                    path,
+                    Token_Usage=f"900,{EVENTS}",
+                    Length_Hint=f"{EVENTS}",
+                    Prefix_Hash="aa:500,bb:400",
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await change()
+        return answers[0]
+
+    def arrivals(self, site) -> list[PlatformServer]:
+        """Returns the server of each arrival, in order."""
+        found = [(at, s) for s in site.servers.values() for at, _ in s.arrivals]
+        return [server for _, server in sorted(found, key=lambda x: x[0])]
+
+    async def test_rejected_late_without_budget(self) -> None:
+        # Guards against arrivals that are not taken from the retry budget, of a
+        # stream that has left its silent server and is rejected.
+        async with self.site() as (site, (instance,)):
+            Budget(instance, 1)
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                await anyio.sleep(0.2)
+                (first,) = self.arrivals(site)
+                for server in site.servers.values():
+                    server.faults.refuse = 100
+                    server.faults.reject_after_s = 0.4
+                first.faults.silent = True
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertFalse(answer.whole)
+            self.assertEqual(len(self.arrivals(site)), 2)
