Let the server that was asked go on after its silent one rejects the request

Cause: any answer of the silent server ended the search, also a rejection or a failure; and the search's end was not awaited, so the run under way at the other server was not counted yet when the next step was decided.

Change: a rejection or failure does not keep the answer; the other server goes on if there is one, and the end of a search is awaited.

Result: before, test_fails_while_another_is_asked saw three arrivals instead of two and test_rejects_while_another_is_asked 503 for a request that ran; both pass now, and test_goes_on_after_rejection.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -287,9 +287,17 @@
             self._channel.close()
         return True
 
-    def _keeps_answer(self) -> bool:
-        """Notes that the server sent something; returns whether it counts."""
-        return self._handover is None or self._handover.keep()
+    def _keeps_answer(self, head: ResponseHead) -> bool:
+        """Notes that the server sent something; returns whether it counts.
+
+        With a rejection or a failure it does not go on, so another one that
+        was asked may.
+        """
+        if self._handover is None:
+            return True
+        if not self._accepts(head):
+            return not self._handover.taken
+        return self._handover.keep()
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
@@ -330,6 +338,8 @@
                 return dataclasses.replace(outcome, relay_lost=True)
             return outcome
         finally:
+            # It may soon carry another request.
+            self._channel = None
             if done.head is None:
                 with anyio.CancelScope(shield=True):
                     await channel.aclose()
@@ -376,8 +386,6 @@
             self._report_lost()
             return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
-        if not self._keeps_answer():
-            return Unknown("another server has taken over")
         self._progress.framings.append(response.framing.value)
         if channel.relayed_by:
             self._progress.relays.append(channel.relayed_by)
@@ -399,6 +407,8 @@
             self._context.channels.record_unexpected_data(server)
             self._context.counters.incr("backend.crossed")
             return Unknown("received the answer to another request")
+        if not self._keeps_answer(head):
+            return Unknown("another server has taken over")
         if (
             self._silent is not None
             and self._accepts(head)
@@ -510,7 +520,7 @@
             if head.not_run:
                 return _not_run(head)
             return Unknown(f"connection failed: {exc!r}", broken=True)
-        if not self._keeps_answer():
+        if not self._keeps_answer(head):
             return Unknown("another server has taken over")
         if not whole and head.not_run:
             return _not_run(head)
@@ -727,7 +737,7 @@
         try:
             while True:
                 chunk = await response.receive()
-                if not self._keeps_answer():
+                if not self._keeps_answer(head):
                     return Interrupted("another server has taken over")
                 if not chunk:
                     break
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -162,12 +162,13 @@
             self._attempt = run.attempt
             await self._run_at(run, reservation)
             while (successor := run.taken_over_by) is not None:
+                self._record_replaced(run.outcome)
                 await self._record_end(run)
                 self._attempt = successor.attempt
                 await successor.ended.wait()
                 run = successor
             if run.search is not None:
-                run.search.cancel()
+                await run.search.cancel()
             await self._record_end(run)
         return run.outcome
 
@@ -207,7 +208,9 @@
             return
         self._context.counters.incr("silence.noticed")
         handover = run.attempt.open_handover()
-        handover.on_taken = self._on_taken
+        handover.on_taken = lambda: self._context.counters.incr(
+            "silence.taken_over"
+        )
         run.search = Search(handover, lambda: self._check_for_crash(run))
 
         async def ask(search: Search) -> None:
@@ -215,9 +218,11 @@
 
         tasks.start_soon(run.search.run, ask)
 
-    def _on_taken(self) -> None:
-        self._context.counters.incr("silence.taken_over")
-        self._progress.ran += 1
+    def _record_replaced(self, outcome: Outcome) -> None:
+        """Records that a silent server's successor has the request."""
+        self._progress.ran += not isinstance(outcome, NotRun)
+        if isinstance(outcome, Failed):
+            self.keep_answer(outcome)
 
     async def _ask_another(
         self, silent: Run, search: Search, tasks: BackgroundTasks
--- a/src/jasminerelay/succession.py
+++ b/src/jasminerelay/succession.py
@@ -11,7 +11,13 @@
 
 from jasminerelay.attempt import Attempt
 from jasminerelay.catalog import BackendServer
-from jasminerelay.exchange import Interrupted, Outcome, Unknown
+from jasminerelay.exchange import (
+    Failed,
+    Interrupted,
+    NotRun,
+    Outcome,
+    Unknown,
+)
 from jasminerelay.scheduling.handover import Handover
 
 SEARCH_INTERVAL_S = 0.25
@@ -48,9 +54,9 @@
         if search is None or search.successor is None:
             return None
         if search.handover.open and isinstance(
-            self.outcome, Unknown | Interrupted
+            self.outcome, Unknown | Interrupted | NotRun | Failed
         ):
-            # Its server broke off while another one was asked.
+            # Its server has none to go on with, and another one is asked.
             search.handover.take()
         return search.successor if search.handover.taken else None
 
@@ -61,6 +67,7 @@
     Attributes:
         handover: Decides which server goes on.
         successor: The run at the server that was asked; None between two.
+        ended: Set once nothing of it is under way any more.
     """
 
     def __init__(self, handover: Handover, before: Callable[[], Awaitable]):
@@ -72,14 +79,17 @@
         """
         self.handover = handover
         self.successor: Run | None = None
+        self.ended = anyio.Event()
         self._before = before
         self._scope = anyio.CancelScope()
         self._rejections = 0
         handover.on_kept = self._scope.cancel
 
-    def cancel(self) -> None:
+    async def cancel(self) -> None:
         """Ends the search, and what was sent."""
         self._scope.cancel()
+        # What was sent counts as a run from then on.
+        await self.ended.wait()
 
     async def run(self, ask: Callable[["Search"], Awaitable[None]]) -> None:
         """Searches until one of the servers goes on.
@@ -88,13 +98,16 @@
             ask: Sends the request to another server if it finds one; sets
                 `successor` meanwhile, and leaves it set if that one goes on.
         """
-        with self._scope:
-            await self._before()
-            while self.handover.open and self._rejections < MAX_REJECTIONS:
-                await ask(self)
-                if not self.handover.open:
-                    return
-                await anyio.sleep(SEARCH_INTERVAL_S)
+        try:
+            with self._scope:
+                await self._before()
+                while self.handover.open and self._rejections < MAX_REJECTIONS:
+                    await ask(self)
+                    if not self.handover.open:
+                        return
+                    await anyio.sleep(SEARCH_INTERVAL_S)
+        finally:
+            self.ended.set()
 
     def record_rejection(self) -> None:
         """Notes that a server did not take over."""
