Go on at the server that is being asked when the silent one breaks off

Cause: an attempt that waited for its connection looked whether the handover was still open; it is not either once the silent server has broken off and this attempt has the answer.

Change: it only gives up if the silent server has gone on.

Result: the new test saw the request at a third server before (engine-2, -1, -3 asked), and at the second one now.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -324,7 +324,7 @@
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
-        if self._silent is not None and not self._silent.has_open_handover:
+        if self._silent is not None and self._silent.has_gone_on:
             await self._context.channels.put_back(channel, None, False)
             return NotSent("its server has gone on", withheld=True)
         self._channel = channel
@@ -432,6 +432,11 @@
         """Whether neither its server nor another one has come yet."""
         return self._handover is not None and self._handover.open
 
+    @property
+    def has_gone_on(self) -> bool:
+        """Whether its server has come first, after it was silent."""
+        return self._handover is not None and self._handover.kept
+
     @property
     def _is_caller_slow(self) -> bool:
         return self._pace is not None
--- a/src/jasminerelay/scheduling/handover.py
+++ b/src/jasminerelay/scheduling/handover.py
@@ -31,6 +31,11 @@
         """Whether neither server has come yet."""
         return self._state is _State.OPEN
 
+    @property
+    def kept(self) -> bool:
+        """Whether the silent server goes on."""
+        return self._state is _State.KEPT
+
     @property
     def taken(self) -> bool:
         """Whether the other server goes on."""
@@ -41,11 +46,11 @@
         if self.open:
             self._state = _State.KEPT
             self.on_kept()
-        return self._state is _State.KEPT
+        return self.kept
 
     def take(self) -> bool:
         """Notes the other server's acceptance; returns whether it goes on."""
         if self.open:
             self._state = _State.TAKEN
             self.on_taken()
-        return self._state is _State.TAKEN
+        return self.taken
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -148,3 +148,34 @@
             answer = await self.ask_during(instance, "/chat/1/stream", change)
             self.assertEqual(answer.body, events(EVENTS))
             self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_breaks_off_while_connecting(self) -> None:
+        # Guards against leaving the server that was asked, since the silent
+        # one breaks off while the connection is being opened.
+        async with self.site() as (site, (instance,)):
+            Budget(instance, 1)
+            acquire = instance._channels.acquire
+            asked: list[str] = []
+            opening = anyio.Event()
+
+            async def acquire_slowly(server):
+                asked.append(server.id)
+                if len(asked) == 2:
+                    opening.set()
+                    await anyio.sleep(0.3)
+                return await acquire(server)
+
+            instance._channels.acquire = acquire_slowly
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                await anyio.sleep(0.2)
+                (first,) = self.arrivals(site)
+                first.faults.silent = True
+                await opening.wait()
+                first.faults.break_after = 1
+                first.faults.silent = False
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertEqual(answer.body, events(EVENTS))
+            self.assertEqual([x.name for x in self.arrivals(site)], asked)
