--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -290,9 +290,17 @@
             self._channel.close()
         return True
 
-    def _keeps_answer(self) -> bool:
-        """Notes that the server sent something; returns whether it counts."""
-        return self._handover is None or self._handover.keep()
+    def _keeps_answer(self, head: ResponseHead) -> bool:
+        """Notes that the server sent something; returns whether it counts.
+
+        With a rejection or a failure it does not go on, so another one that
+        was asked may.
+        """
+        if self._handover is None:
+            return True
+        if not self._accepts(head):
+            return not self._handover.taken
+        return self._handover.keep()
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
@@ -319,7 +327,7 @@
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
-        if self._silent is not None and not self._silent.has_open_handover:
+        if self._silent is not None and self._silent.has_gone_on:
             await self._context.channels.put_back(channel, None, False)
             return NotSent("its server has gone on", withheld=True)
         self._channel = channel
@@ -333,6 +341,8 @@
                 return dataclasses.replace(outcome, relay_lost=True)
             return outcome
         finally:
+            # It may soon carry another request.
+            self._channel = None
             if done.head is None:
                 with anyio.CancelScope(shield=True):
                     await channel.aclose()
@@ -379,8 +389,6 @@
             self._report_lost()
             return Unknown(str(exc), broken=True)
         self._context.dispatcher.record_response(server.id, time.monotonic())
-        if not self._keeps_answer():
-            return Unknown("another server has taken over")
         self._progress.framings.append(response.framing.value)
         if channel.relayed_by:
             self._progress.relays.append(channel.relayed_by)
@@ -402,6 +410,8 @@
             self._context.channels.record_unexpected_data(server)
             self._context.counters.incr("backend.crossed")
             return Unknown("received the answer to another request")
+        if not self._keeps_answer(head):
+            return Unknown("another server has taken over")
         if (
             self._silent is not None
             and self._accepts(head)
@@ -428,6 +438,11 @@
         """Whether the silent server still has the request, too."""
         return self._silent is not None and self._silent.has_open_handover
 
+    @property
+    def has_gone_on(self) -> bool:
+        """Whether its server has come first, after it was silent."""
+        return self._handover is not None and self._handover.kept
+
     @contextlib.contextmanager
     def _limited_overlap(self) -> Iterator[None]:
         """Ends the attempt at the silent server while this one is awaited.
@@ -515,7 +530,7 @@
             if head.not_run:
                 return _not_run(head)
             return Unknown(f"connection failed: {exc!r}", broken=True)
-        if not self._keeps_answer():
+        if not self._keeps_answer(head):
             return Unknown("another server has taken over")
         if not whole and head.not_run:
             return _not_run(head)
@@ -734,7 +749,7 @@
         try:
             while True:
                 chunk = await response.receive()
-                if not self._keeps_answer():
+                if not self._keeps_answer(head):
                     return Interrupted("another server has taken over")
                 if not chunk:
                     break
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -135,7 +135,7 @@
             try:
                 reservation = await self._reserve_unless_blocked()
             except NoCapacityError as exc:
-                if await self.wait_to_go_on():
+                if await self.wait_to_go_on(paid=True):
                     continue
                 await self._reject_unplaced(exc)
                 return
@@ -161,12 +161,13 @@
             self._attempt = run.attempt
             await self._run_at(run, reservation)
             while (successor := run.taken_over_by) is not None:
+                self._record_replaced(run.outcome)
                 await self._record_end(run)
                 self._attempt = successor.attempt
                 await successor.ended.wait()
                 run = successor
             if run.search is not None:
-                run.search.cancel()
+                await run.search.cancel()
             await self._record_end(run)
         return run.outcome
 
@@ -206,7 +207,9 @@
             return
         self._context.counters.incr("silence.noticed")
         handover = run.attempt.open_handover()
-        handover.on_taken = self._on_taken
+        handover.on_taken = lambda: self._context.counters.incr(
+            "silence.taken_over"
+        )
         run.search = Search(handover, lambda: self._check_for_crash(run))
 
         async def ask(search: Search) -> None:
@@ -214,9 +217,11 @@
 
         tasks.start_soon(run.search.run, ask)
 
-    def _on_taken(self) -> None:
-        self._context.counters.incr("silence.taken_over")
-        self._progress.ran += 1
+    def _record_replaced(self, outcome: Outcome) -> None:
+        """Records that a silent server's successor has the request."""
+        self._progress.ran += not isinstance(outcome, NotRun)
+        if isinstance(outcome, Failed):
+            self.keep_answer(outcome)
 
     async def _ask_another(
         self, silent: Run, search: Search, tasks: BackgroundTasks
@@ -391,9 +396,12 @@
         self._progress.copy = dataclasses.replace(copy, at=copy.source)
         return True
 
-    async def wait_to_go_on(self) -> bool:
+    async def wait_to_go_on(self, *, paid: bool) -> bool:
         """Waits to try again where this instance took a stream from a server.
 
+        Args:
+            paid: Whether a retry was taken that reached no server.
+
         Returns:
             Whether it did; nothing else may end such a stream but its caller
             and its time limit, while it may run again.
@@ -406,6 +414,8 @@
             return False
         self._context.counters.incr("stream.waits_to_go_on")
         await anyio.sleep(GO_ON_INTERVAL_S)
+        while not paid and not self._spend_retry():
+            await anyio.sleep(GO_ON_INTERVAL_S)
         return True
 
     def retry_after_run(self) -> bool:
@@ -626,7 +636,7 @@
     if (
         await forwarder.return_to_source()
         or forwarder.retry_unsent(outcome.why)
-        or await forwarder.wait_to_go_on()
+        or await forwarder.wait_to_go_on(paid=True)
     ):
         return True
     await forwarder.give_up()
@@ -638,7 +648,7 @@
     if (
         await forwarder.return_to_source()
         or forwarder.retry_not_run(outcome.why)
-        or await forwarder.wait_to_go_on()
+        or await forwarder.wait_to_go_on(paid=False)
     ):
         return True
     await forwarder.give_up()
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,181 @@
+"""Tests of two servers under way for one request."""
+
+import unittest.mock
+
+import anyio
+
+from jasminerelay import attempt
+from standins.platformserver import PlatformServer
+from standins.platformsite import SiteOptions
+from tests.platformcase import Answer, PlatformCase, events
+
+EVENTS = 150
+
+
+class Budget:
+    """A retry budget of few retries.
+
+    Attributes:
+        left: Retries left.
+    """
+
+    def __init__(self, instance, left: int) -> None:
+        self.left = left
+        instance._retry_budget.spend = self.spend
+        instance._retry_budget.has_any = lambda service, now: self.left > 0
+
+    def spend(self, service: str, now: float) -> bool:
+        """Takes one retry; returns False if none is left."""
+        if not self.left:
+            return False
+        self.left -= 1
+        return True
+
+
+class TakeoverTest(PlatformCase):
+    """Requests of a silent server that another one is asked for."""
+
+    options = SiteOptions(
+        engines=3,
+        plain=3,
+        routes={"chat": {"timeoutMs": 6000}, "lookup": {"timeoutMs": 4000}},
+    )
+
+    async def ask_during(self, instance, path: str, change) -> Answer:
+        """Requests an answer while something happens."""
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            answers.append(
+                await self.ask(
+                    instance,
+                    path,
+                    Token_Usage=f"900,{EVENTS}",
+                    Length_Hint=f"{EVENTS}",
+                    Prefix_Hash="aa:500,bb:400",
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await change()
+        return answers[0]
+
+    def arrivals(self, site) -> list[PlatformServer]:
+        """Returns the server of each arrival, in order."""
+        found = [(at, s) for s in site.servers.values() for at, _ in s.arrivals]
+        return [server for _, server in sorted(found, key=lambda x: x[0])]
+
+    async def second_arrival(self, site) -> list[PlatformServer]:
+        await self.until(lambda: len(self.arrivals(site)) > 1)
+        return self.arrivals(site)
+
+    async def test_rejected_late_without_budget(self) -> None:
+        # Guards against arrivals that are not taken from the retry budget, of a
+        # stream that has left its silent server and is rejected.
+        async with self.site() as (site, (instance,)):
+            Budget(instance, 1)
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                await anyio.sleep(0.2)
+                (first,) = self.arrivals(site)
+                for server in site.servers.values():
+                    server.faults.refuse = 100
+                    server.faults.reject_after_s = 0.4
+                first.faults.silent = True
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertFalse(answer.whole)
+            self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_fails_while_another_is_asked(self) -> None:
+        # Guards against a third server for a request that two may run, where
+        # the silent one fails while the other one runs it.
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.silent = True
+
+            async def change() -> None:
+                first, _ = await self.second_arrival(site)
+                first.faults.fail = 1
+                first.faults.silent = False
+                await anyio.sleep(0.5)
+                for server in site.servers.values():
+                    server.faults.silent = False
+
+            await self.ask_during(instance, "/lookup/x", change)
+            self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_rejects_while_another_is_asked(self) -> None:
+        # Guards against "not run" for a request that the second server may run,
+        # where the silent one rejects it meanwhile.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
+        async with self.site() as (site, (instance,)):
+            Budget(instance, 1)
+            for server in site.servers.values():
+                server.faults.refuse = 1
+                server.faults.reject_after_s = 1.8
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                for server in site.servers.values():
+                    server.faults.refuse = 0
+                    server.faults.silent = True
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertNotEqual(answer.status, 503)
+
+    async def test_goes_on_after_rejection(self) -> None:
+        # Guards against leaving the server that was asked, for a silent one
+        # that rejects the request.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
+        async with self.site() as (site, (instance,)):
+            Budget(instance, 1)
+            for server in site.servers.values():
+                server.faults.refuse = 1
+                server.faults.reject_after_s = 1.8
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                for server in site.servers.values():
+                    server.faults.refuse = 0
+                    server.faults.silent = True
+                await anyio.sleep(2.2)
+                for server in site.servers.values():
+                    server.faults.silent = False
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertEqual(answer.body, events(EVENTS))
+            self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_breaks_off_while_connecting(self) -> None:
+        # Guards against leaving the server that was asked, since the silent
+        # one breaks off while the connection is being opened.
+        async with self.site() as (site, (instance,)):
+            Budget(instance, 1)
+            acquire = instance._channels.acquire
+            asked: list[str] = []
+            opening = anyio.Event()
+
+            async def acquire_slowly(server):
+                asked.append(server.id)
+                if len(asked) == 2:
+                    opening.set()
+                    await anyio.sleep(0.3)
+                return await acquire(server)
+
+            instance._channels.acquire = acquire_slowly
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                await anyio.sleep(0.2)
+                (first,) = self.arrivals(site)
+                first.faults.silent = True
+                await opening.wait()
+                first.faults.break_after = 1
+                first.faults.silent = False
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertEqual(answer.body, events(EVENTS))
+            self.assertEqual([x.name for x in self.arrivals(site)], asked)
