Leave a silent engine only once the answer may go on elsewhere

An engine that sent nothing for 3 s (10 s before its first frame) was cut off at once, before it was known whether a retry, another server or a slot was there; without one of them the answer was ended, though the engine went on and would have ended it whole. An engine that keeps its streams was resumed three times first, with the same end.

When the time is over, the answer now asks for a permit elsewhere and takes a retry (nextplace); it leaves the engine when it has both, and gives both back when the engine speaks first. Without them it waits on and asks again every quarter of a second, for a minute of silence at most, after which the server counts as lost. After such a leave it goes on looking for a place like one that made way, since the next engine may refuse it. A resumed answer, which no other engine can go on with, waits on likewise. The read timeout of a request carries the decision (PatientTimeout), so that it also holds for the response's head.

Ruled out: leaving after the other engine's acceptance, as the platform's path does; the displaced answer's retries cover a rejection, at the cost of a prefill.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -32,6 +32,7 @@
 )
 from jasminerelay.manifest import Cell
 from jasminerelay.modelrequests import CHAT_PATH, TEXT_PATH, ModelRequest
+from jasminerelay.nextplace import NextPlace, Place
 from jasminerelay.outcome import Outcome, State
 from jasminerelay.prefix import block_hashes
 from jasminerelay.resume import ResumePoint
@@ -55,6 +56,10 @@
 """Minimum pause between two tries of such an answer to go on."""
 
 DISPLACED_MAX_PAUSE_S = 1.0
+
+MAX_SILENCE_S = 60.0
+"""Silence after which a server counts as lost even if no other may go on."""
+
 RESUME_PAUSE_S = 0.05
 ID_BYTES = 12
 DIGEST_CHARS = 16
@@ -104,6 +109,14 @@
         self._preemptions = 0
         self._preempted_on = ""
         self._displaced_until = 0.0
+        self._avoid: list[str] = []
+        self._failures = 0
+        self._resumes_left = 0
+        self._leaving = False
+        self._heard_at = 0.0
+        self._next_place = NextPlace(
+            context.permit_client, context.retries, context.spawn
+        )
         self._software_version = ""
         self._cancelled_attempt = ""
         self.outcome = Outcome(self._id)
@@ -127,6 +140,7 @@
             self._record_error(exc)
             raise
         finally:
+            self._next_place.withdraw()
             if self._tokens_taken:
                 self._context.permit_client.settle(
                     self._placement.organisation,
@@ -150,11 +164,8 @@
         self._tokens_taken = work
 
     async def _attempt_events(self) -> AsyncIterator[AnswerEvent]:
-        avoid: list[str] = []
-        failures = 0
         while True:
-            permit_request, grant = await self._acquire_permit(avoid)
-            server = self._context.permit_client.server(grant)
+            permit_request, server = await self._acquire_place()
             attempt = self._new_attempt(server)
             self.outcome.dispatched()
             tokens_before = self._delivered_tokens
@@ -197,10 +208,8 @@
             if error is None:
                 self._displace()
             if error is not None:
-                if not self._displaced:
-                    failures += 1
-                await self._handle_failure(error, failures)
-                avoid.append(server.name)
+                await self._handle_failure(error)
+                self._avoid.append(server.name)
             if self._delivered_tokens >= self._token_limit:
                 # Only the end of the stream is missing, and engines reject a
                 # request for zero tokens.
@@ -243,15 +252,17 @@
                 choice["finish_reason"] = None
                 self._finished = False
 
-    async def _acquire_permit(
-        self, avoid: list[str]
-    ) -> tuple[PermitRequest, PermitGrant]:
+    async def _acquire_place(self) -> Place:
         self.outcome.waiting()
+        place = self._next_place.take()
+        if place is not None:
+            return place
         while True:
-            permit_request = self._new_permit_request(avoid)
+            permit_request = self._new_permit_request(self._avoid)
             result = await self._context.permit_client.acquire(permit_request)
             if isinstance(result, PermitGrant):
-                return permit_request, result
+                server = self._context.permit_client.server(result)
+                return permit_request, server
             if not self._displaced:
                 raise self._refusal_error(result)
             await anyio.sleep(
@@ -275,7 +286,10 @@
             base_tokens: Tokens delivered to the caller before the attempt.
         """
         resume_token = self._resume_token(attempt, base_tokens)
-        number = 0
+        max_resumes = MAX_RESUMES if attempt.server.resume else 0
+        self._resumes_left = max_resumes
+        self._leaving = False
+        self._heard_at = time.monotonic()
         while True:
             tokens_before = self._delivered_tokens
             try:
@@ -287,18 +301,18 @@
                 return
             except AttemptError as exc:
                 if self._delivered_tokens > tokens_before:
-                    number = 0
+                    self._resumes_left = max_resumes
                 can_resume = (
-                    attempt.server.resume
+                    self._resumes_left > 0
                     and self._cancelled_attempt != attempt.id
                     and exc.execution_status is ExecutionStatus.MAY_HAVE_RUN
-                    and number < MAX_RESUMES
                 )
                 if not can_resume:
                     raise
                 self._context.counters.incr("stream.resumed")
+                number = max_resumes - self._resumes_left
+                self._resumes_left -= 1
                 await anyio.sleep(RESUME_PAUSE_S * 2**number)
-                number += 1
                 chunks = self._context.engines.resume(
                     attempt, self._delivered_tokens - base_tokens
                 )
@@ -306,6 +320,9 @@
     def _event_of(
         self, chunk: Chunk, base_tokens: int, resume_token: str
     ) -> AnswerEvent | None:
+        self._heard_at = time.monotonic()
+        if not self._leaving:
+            self._next_place.withdraw()
         data = chunk.data
         usage = data.get("usage")
         choices = data.get("choices") or []
@@ -338,7 +355,8 @@
             self._first_token_s = now - self._arrived
         self._last_token_at = now
         self._delivered_tokens = offset
-        self._displaced_until = 0.0
+        if not self._leaving:
+            self._displaced_until = 0.0
 
     @property
     def _displaced(self) -> bool:
@@ -372,20 +390,53 @@
         self._preempted_on = server.name
         return True
 
-    async def _handle_failure(self, error: AttemptError, failures: int) -> None:
+    def _stays(self, server: Server) -> bool:
+        """Returns whether the answer waits on for a silent server.
+
+        It leaves the server only once it may go on elsewhere.
+        """
+        if self._resumes_left:
+            return False
+        if time.monotonic() - self._heard_at > MAX_SILENCE_S:
+            return False
+        if not self._next_place.ready(lambda: self._request_elsewhere(server)):
+            return True
+        self._leaving = True
+        self._displace()
+        return False
+
+    def _request_elsewhere(self, server: Server) -> PermitRequest | None:
+        """Returns a permit request for other servers; None if there is none."""
+        if self._failures + 1 >= MAX_ATTEMPTS:
+            return None
+        try:
+            request = self._new_permit_request([*self._avoid, server.name])
+        except RelayError:
+            return None
+        if server.name not in request.avoid:
+            return None
+        max_wait_s = self._placement.service_class.max_wait_s
+        return msgspec.structs.replace(request, max_wait_s=max_wait_s)
+
+    async def _handle_failure(self, error: AttemptError) -> None:
         """Returns once the request may be retried, else raises."""
         self._context.counters.incr(f"attempt.{error.execution_status.value}")
         if error.execution_status is ExecutionStatus.NOT_RUN:
             self.outcome.refused()
         if error.rejection is not None:
             raise _rejection_error(error)
-        while True:
+        if not self._displaced:
+            self._failures += 1
+        may_retry = self._next_place.held
+        if not may_retry:
+            self._next_place.withdraw()
+        while not may_retry:
             if self._displaced:
                 await anyio.sleep(DISPLACED_RETRY_S)
             may_retry = self._context.retries.spend()
-            if may_retry or not self._displaced:
+            if not self._displaced:
                 break
-        if failures >= MAX_ATTEMPTS or not may_retry:
+        if self._failures >= MAX_ATTEMPTS or not may_retry:
             self._context.counters.incr("retry.exhausted")
             raise self._retries_exhausted_error(error)
         if self._delivered_tokens:
@@ -616,6 +667,7 @@
             msgspec.json.encode(body),
             self._context.timing.first_byte_timeout_s,
             self._context.timing.token_timeout_s,
+            lambda: self._stays(server),
         )
 
     def _resume_token(self, attempt: EngineAttempt, base_tokens: int) -> str:
--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -18,6 +18,7 @@
     body_chunks,
     response_headers,
 )
+from jasminerelay.netstream import PatientTimeout
 from jasminerelay.retryafter import parse_pause
 from jasminerelay.schema.manifest import Server
 from jasminerelay.schema.messages import CacheEvent, LoadReport
@@ -105,6 +106,8 @@
         body: Request body.
         first_s: Time limit for the first frame.
         idle_timeout_s: Time limit between two frames.
+        stays: Returns whether to wait on for a server that has sent nothing
+            within a time limit.
     """
 
     id: str
@@ -113,6 +116,7 @@
     body: bytes
     first_s: float
     idle_timeout_s: float
+    stays: Callable[[], bool] = lambda: False
 
 
 class EngineClient:
@@ -136,7 +140,7 @@
             _url(attempt.server, attempt.path),
             {"content-type": "application/json", ATTEMPT_HEADER: attempt.id},
             attempt.body,
-            attempt.first_s,
+            PatientTimeout(attempt.first_s, attempt.stays),
         )
         return self._frames(exchange, attempt, 0)
 
@@ -149,7 +153,11 @@
         that the attempt, which ran before, did not run.
         """
         url = _url(attempt.server, f"/v1/streams/{attempt.id}?from={offset}")
-        exchange = HttpRequest("GET", url, timeout_s=attempt.first_s)
+        exchange = HttpRequest(
+            "GET",
+            url,
+            timeout_s=PatientTimeout(attempt.first_s, attempt.stays),
+        )
         return _with_errors_as_may_have_run(
             self._frames(exchange, attempt, offset)
         )
@@ -181,10 +189,11 @@
                     raise _refusal_error(reply)
                 parser = sse.Parser()
                 chunks = body_chunks(response)
+                idle_s = PatientTimeout(attempt.idle_timeout_s, attempt.stays)
                 connection = response.extensions["network_stream"]
                 try:
                     async for raw in chunks:
-                        connection.read_timeout_s = attempt.idle_timeout_s
+                        connection.read_timeout_s = idle_s
                         for event in parser.feed(raw):
                             if event.data == DONE:
                                 return
--- a/src/jasminerelay/netstream.py
+++ b/src/jasminerelay/netstream.py
@@ -19,6 +19,9 @@
 """An unresponsive host is detected within three seconds, the time after which
 callers have abandoned short responses anyway."""
 
+STAY_CHECK_S = 0.25
+"""Interval of the decisions whether to wait on."""
+
 _CONNECTION_ERRORS = (
     OSError,
     anyio.BrokenResourceError,
@@ -45,6 +48,23 @@
     return await loop.create_connection(create, host, port)
 
 
+class PatientTimeout(float):
+    """A read timeout in seconds that a function may extend.
+
+    Attributes:
+        stays: Called when the time is over, then every `STAY_CHECK_S`; returns
+            whether to wait on.
+    """
+
+    stays: Callable[[], bool]
+
+    def __new__(cls, seconds: float, stays: Callable[[], bool]):
+        """Creates the timeout."""
+        timeout = super().__new__(cls, seconds)
+        timeout.stays = stays
+        return timeout
+
+
 class WatchedStream(httpcore.AsyncNetworkStream):
     """A TCP connection with read timeouts enforced by the watchdog.
 
@@ -58,10 +78,12 @@
         self._watchdog = watchdog
         self._guard = watchdog.add_guard(self._abort)
         self.read_timeout_s: float | None = None
+        self._limit_s: float | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Returns the next bytes received, or b"" at the end of the stream."""
         limit_s = self.read_timeout_s or timeout
+        self._limit_s = limit_s
         if limit_s is not None:
             self._guard.arm(limit_s)
         try:
@@ -117,6 +139,10 @@
         return None
 
     def _abort(self) -> None:
+        limit_s = self._limit_s
+        if isinstance(limit_s, PatientTimeout) and limit_s.stays():
+            self._guard.rearm(STAY_CHECK_S)
+            return
         # Shutting the socket down resumes the pending read. The expired guard
         # marks this as a timeout and not a disconnect of the remote host.
         raw = self._stream.extra(SocketAttribute.raw_socket)
--- a/src/jasminerelay/resumedanswers.py
+++ b/src/jasminerelay/resumedanswers.py
@@ -51,6 +51,7 @@
             b"",
             self._context.timing.first_byte_timeout_s,
             self._context.timing.token_timeout_s,
+            lambda: self._stays(self._stream_server),
         )
         self._context.permit_client.take_over(held)
         self.outcome.waiting()
@@ -82,6 +83,10 @@
                 )
             )
 
+    def _request_elsewhere(self, server: Server) -> None:
+        """Returns None: only the engine that runs the stream can go on."""
+        del server
+
     def _cell_name(self) -> str:
         directory_cells = self._context.permit_client.cells_of(self._pool())
         for cell in directory_cells:
--- a/src/jasminerelay/retry.py
+++ b/src/jasminerelay/retry.py
@@ -39,3 +39,7 @@
             return False
         self._tokens -= 1
         return True
+
+    def give_back(self) -> None:
+        """Returns a retry that was taken and not made."""
+        self._tokens = min(self._ceiling, self._tokens + 1)
--- a/src/jasminerelay/watchdog.py
+++ b/src/jasminerelay/watchdog.py
@@ -40,6 +40,11 @@
         if self.deadline < self._watchdog.next_check_at:
             self._watchdog.check_sooner()
 
+    def rearm(self, seconds: float) -> None:
+        """Extends a wait whose deadline has just passed."""
+        self.expired = False
+        self.arm(seconds)
+
     def disarm(self) -> None:
         """Ends a wait."""
         self.deadline = math.inf
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -488,6 +488,8 @@
                 own.occupy("x", "pool/0", busy)
             text = await self.read(own.answer())
             self.assertEqual(own.client.held, 1 if busy else 0)
+            self.assertEqual(own.client.waiting, 0)
+        self.retries = sum(own.retries.spend() for _ in range(100))
         await client.aclose()
         server.close()
         return text
@@ -512,6 +514,7 @@
         text = await self.read_from_silent("s1", "s2", retries=10.0, busy="s2")
         self.assertEqual(text, EXPECTED)
         self.assertEqual(self.requests, 1)
+        self.assertEqual(self.retries, 10)
 
     async def test_other_server(self) -> None:
         # Guards against an answer that waits for a silent engine although
@@ -519,6 +522,7 @@
         text = await self.read_from_silent("s1", "s2", retries=10.0)
         self.assertEqual(text, EXPECTED)
         self.assertEqual(self.requests, 2)
+        self.assertEqual(self.retries, 9)
 
 
 class SlowReaderTest(SystemCase):
