Keep the end of an answer for callers slower than the limit of idle connections

A caller that paused for two seconds after its server had completed an answer lost the end of it where the configuration's idle limit was 0.8 s: the check of unread ends used that limit, counted the loss and logged nothing. A caller that read steadily had its connection closed after the answer, since the idle time began when the last byte was buffered.

The check has a limit of its own (15 s, or the idle limit if longer; 2.5 s while memory is short, as before) and logs end_unread with the request's id; the ingress names the request to the connection. The idle time begins once the caller's host has acknowledged the answer.

--- a/src/jasminerelay/callerconnection.py
+++ b/src/jasminerelay/callerconnection.py
@@ -12,10 +12,10 @@
 import struct
 import termios
 import time
-from collections.abc import Callable
 
 import anyio
 
+from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
 from jasminerelay.scheduling.heldbytes import (
     STALL_S,
@@ -41,6 +41,11 @@
 LINGER_CHECK_S = 0.5
 """Interval of the checks whether a caller reads the end of its response."""
 
+UNREAD_LIMIT_S = 15.0
+"""Time without an accepted byte after which a caller loses the end of a
+complete response. No server waits for it, and callers pause for seconds; a
+configuration's limit of idle connections may be shorter than that."""
+
 _NO_LINGER = struct.pack("ii", 1, 0)
 """Option of a socket whose closing resets the connection, so that the kernel
 does not keep its unsent bytes for a caller that does not read."""
@@ -49,21 +54,25 @@
 def with_flow_control(
     base: type[HttpToolsProtocol],
     held: HeldBytes,
-    idle_timeout_s: Callable[[], float],
     counters: Counters,
+    log: EventLog,
 ) -> type[HttpToolsProtocol]:
     """Returns a protocol class whose connections can be paced.
 
     Args:
-        base: Protocol class to extend.
+        base: Protocol class to extend, see `headlimits`.
         held: Counts the bytes that the instance holds.
-        idle_timeout_s: Returns the time after which a caller that does not read
-            the end of its response is disconnected.
         counters: Counts events.
+        log: Event log.
     """
 
     class CallerConnection(base):
-        """One caller's connection."""
+        """One caller's connection.
+
+        Attributes:
+            request_id: The caller's id of the request that is being answered,
+                or was last.
+        """
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
@@ -72,6 +81,7 @@
             )
             self._is_paced = False
             self._organisation = ""
+            self.request_id = ""
             self._lingering: Hold | None = None
             self._linger_timer: asyncio.TimerHandle | None = None
 
@@ -131,16 +141,18 @@
         def watch_unsent(self, organisation: str) -> None:
             """Counts what is unsent after a response, until it is accepted.
 
-            A caller that accepts nothing for the idle timeout is disconnected,
-            earlier if memory is short.
+            A caller that accepts nothing for a while is disconnected, earlier
+            if memory is short.
             """
-            if self._lingering is not None or not self.unsent_bytes:
-                return
-            self._lingering = held.hold(organisation)
-            self._stall = CallerStall(
-                time.monotonic(), self.unacknowledged_bytes
-            )
-            self._check_unsent()
+            if self._lingering is None and self.unsent_bytes:
+                self._watch_unread(organisation)
+
+        def timeout_keep_alive_handler(self) -> None:
+            if self._lingering is None and self.unacknowledged_bytes:
+                self._watch_unread("")
+            # The connection is idle once its caller has the response.
+            if self._lingering is None:
+                super().timeout_keep_alive_handler()
 
         def reset(self) -> None:
             """Closes the connection at once and frees the kernel's buffers."""
@@ -152,27 +164,53 @@
         def _set_pause(self, high: float, low: float) -> None:
             self.transport.set_write_buffer_limits(high=high, low=low)
 
-        def _check_unsent(self) -> None:
-            unsent = self.unsent_bytes
-            if not unsent:
+        def _watch_unread(self, organisation: str) -> None:
+            self._lingering = held.hold(organisation)
+            self._stall = CallerStall(
+                time.monotonic(), self.unacknowledged_bytes
+            )
+            self._check_unread()
+
+        def _check_unread(self) -> None:
+            unread = self.unacknowledged_bytes
+            if not unread:
                 self._end_lingering()
+                if not self.transport.is_closing():
+                    self.restart_idle_time()
                 return
+            unsent = self.unsent_bytes
             self._lingering.set(unsent)
             stalled_s = self._stall.stalled_s(
-                time.monotonic(),
-                self.unacknowledged_bytes,
-                server_waits=True,
+                time.monotonic(), unread, server_waits=True
             )
-            limit_s = STALL_S if held.short else idle_timeout_s()
+            limit_s = max(UNREAD_LIMIT_S, self.idle_limit_s)
+            if unsent and held.short:
+                limit_s = STALL_S
             if stalled_s > limit_s:
-                counters.incr("held.unread")
-                self._end_lingering()
-                self.reset()
+                self._give_up_unread(unsent, stalled_s)
                 return
             self._linger_timer = self.loop.call_later(
-                LINGER_CHECK_S, self._check_unsent
+                LINGER_CHECK_S, self._check_unread
             )
 
+        def _give_up_unread(self, unsent: int, stalled_s: float) -> None:
+            if not unsent:
+                self._end_lingering()
+                # The kernel still sends what it has.
+                self.transport.close()
+                return
+            counters.incr("held.unread")
+            log.warn(
+                "end_unread",
+                id=self.request_id,
+                stalled_s=round(stalled_s, 2),
+                unsent=unsent,
+                memory_short=held.short,
+                held=held.total,
+            )
+            self._end_lingering()
+            self.reset()
+
         def _end_lingering(self) -> None:
             if self._linger_timer is not None:
                 self._linger_timer.cancel()
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -303,6 +303,12 @@
             f" {fields.get('unacknowledged')} bytes on the way to it, while the"
             " server waited; no server is at fault"
         ]
+    if event.name == "end_unread":
+        memory = ", while memory was short" * bool(fields.get("memory_short"))
+        return [
+            "its answer was complete, but its caller read nothing for"
+            f" {fields.get('stalled_s')} s{memory}, and lost the end of it"
+        ]
     if event.name != "request":
         return []
     causes = []
--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -88,9 +88,7 @@
             # uvicorn starts its keep-alive timer only after the first response:
             # a connection on which nothing is ever sent would stay open for
             # good.
-            self.timeout_keep_alive_task = self.loop.call_later(
-                self._bounds.idle_timeout_s, self.timeout_keep_alive_handler
-            )
+            self._start_idle_timer(self._bounds.idle_timeout_s)
             sock = transport.get_extra_info("socket")
             if arrivals.unread_s(sock) < MIN_BACKLOG_WAIT_S:
                 return
@@ -137,20 +135,33 @@
 
         def on_response_complete(self) -> None:
             self._idle_since = time.monotonic()
-            self.timeout_keep_alive = bounds(self._idle_since).idle_timeout_s
+            self.timeout_keep_alive = self.idle_limit_s
             super().on_response_complete()
 
+        @property
+        def idle_limit_s(self) -> float:
+            """For how long the connection may be idle, since it last became."""
+            return bounds(self._idle_since).idle_timeout_s
+
+        def restart_idle_time(self) -> None:
+            """Lets the time in which the connection is idle begin now."""
+            self._unset_keepalive_if_required()
+            self._idle_since = time.monotonic()
+            self._start_idle_timer(self.idle_limit_s)
+
         def timeout_keep_alive_handler(self) -> None:
-            limit_s = bounds(self._idle_since).idle_timeout_s
-            left_s = self._idle_since + limit_s - time.monotonic()
+            left_s = self._idle_since + self.idle_limit_s - time.monotonic()
             if left_s > 0.0 and not self.transport.is_closing():
                 # A version has raised the limit since the timer was set.
-                self.timeout_keep_alive_task = self.loop.call_later(
-                    left_s, self.timeout_keep_alive_handler
-                )
+                self._start_idle_timer(left_s)
                 return
             super().timeout_keep_alive_handler()
 
+        def _start_idle_timer(self, left_s: float) -> None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                left_s, self.timeout_keep_alive_handler
+            )
+
         def _head_ended(self) -> None:
             self._in_head = False
             self._field_bytes = 0
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -334,6 +334,7 @@
         self.started = False
         self.finished = False
         self.caller_left = False
+        connection.request_id = attempt_id.decode("latin-1")
 
     async def start(
         self, status: int, fields: tuple[tuple[bytes, bytes], ...]
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -614,8 +614,8 @@
         caller_protocol = callerconnection.with_flow_control(
             options["http"],
             self.held,
-            lambda: self._request_head_bounds(time.monotonic()).idle_timeout_s,
             self.counters,
+            self.log,
         )
         self._callers_port = ports.port(
             self._ingress,
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -629,8 +629,8 @@
     Safeguard(
         "a connection without a request is closed",
         "headlimits",
-        "self._bounds.idle_timeout_s, self.timeout_keep_alive_handler",
-        "1e6, self.timeout_keep_alive_handler",
+        "self._start_idle_timer(self._bounds.idle_timeout_s)",
+        "pass",
         "test_platforminstances.SlowCallerTest.test_times_of_the_configuration",
     ),
     Safeguard(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,6 +139,23 @@
         _, (loss,) = explain.summarize(events)
         self.assertEqual(loss.cause, "caller stopped reading the answer")
 
+    def test_end_that_was_not_read(self) -> None:
+        # Guards against a lost end of an answer that looks like a whole one.
+        log = [
+            line(
+                1.0, "e", "request", id="x", route="r", ended="done",
+                status=200, whole=True, servers=["s"], total_s=1.0,
+            ),
+            line(
+                2.0, "e", "end_unread", id="x", stalled_s=2.6, unsent=70_000,
+                memory_short=True,
+            ),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = " ".join(explain.explain("x", events).causes)
+        self.assertIn("lost the end of it", causes)
+        self.assertIn("memory was short", causes)
+
     def test_plain_response_that_broke_off(self) -> None:
         log = [
             line(
--- a/tests/test_slowcallers.py
+++ b/tests/test_slowcallers.py
@@ -199,6 +199,9 @@
                     self.assertLess(caller.received, 1 << 20)
                 counts = instance.counters.snapshot()
                 self.assertEqual(counts["held.unread"], 1)
+                (line,) = self.events_named("end_unread")
+                self.assertEqual(line["id"], "a1")
+                self.assertTrue(line["memory_short"])
 
 
 if __name__ == "__main__":
