Refuse requests once the exit of a stop has begun

An instance that was idle after three quarters of its grace time removed its row and sent its last report, and went on accepting requests whose time limits ended before the kill. The exit took their answers: the callers got 500 from the HTTP server though their requests had been passed on.

From the decision to exit on, requests are refused as not run; nothing is awaited between the decision and that.

test_stopends.IdleInstanceTest (a real process) failed before: 500 for all four requests, each with a run at a server; 503 and no run now. The test of the lines that a stop writes for the answers it ends (step stop, before the exit) passed before as well.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -178,6 +178,7 @@
         self._rng = random.Random()
         self._planned_stop: PlannedShutdown | None = None
         self._stop_requested = anyio.Event()
+        self._exiting = False
         self._ready = False
         self._ticks = 0
         self._live: list[Member] = []
@@ -763,6 +764,8 @@
     def _accepts(self, time_limit_s: float) -> bool:
         if self._planned_stop is None:
             return True
+        if self._exiting:
+            return False
         return self._planned_stop.accepts(time_limit_s, time.monotonic())
 
     def _entries(self, zone: str) -> list[Member]:
@@ -1004,6 +1007,8 @@
             self._requests_in_flight(), time.monotonic()
         ):
             await anyio.sleep(STOP_CHECK_INTERVAL_S)
+        # A request that is accepted during the exit would lose its answer.
+        self._exiting = True
         async with anyio.create_task_group() as group:
             group.start_soon(self._unregister)
             if self._duties is not None:
--- /dev/null
+++ b/tests/test_stopends.py
@@ -0,0 +1,128 @@
+"""Tests what callers get at the end of a planned stop of a real process."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import unittest
+import unittest.mock
+
+import anyio
+
+from standins.platformsite import SiteOptions
+from standins.platformstore import PlatformStore
+from tests.processcase import ProcessCase
+from tests.slowcallercase import request_head
+from tests.test_callerlimits import KeptConnection
+
+GRACE_S = 8.0
+ANSWER_S = 0.25
+LONG_BYTES = 8 << 20
+UNREAD_BYTES = 700_000
+"""Less than an instance reads ahead of a caller, and more than the sockets
+hold."""
+
+RECEIVE_BUFFER_BYTES = 32 * 1024
+
+
+class StopEndCase(ProcessCase):
+    """Base of tests that end with the instance's exit."""
+
+    async def connect(self) -> KeptConnection:
+        return KeptConnection(*await asyncio.open_connection(*self.address))
+
+    async def until_exit(self, process) -> None:
+        await self.until(lambda: process.poll() is not None)
+        self.assertEqual(process.returncode, 0)
+
+    def lines(self, event: str) -> list[dict]:
+        """Returns the lines of an event in the instance's log."""
+        lines = []
+        for text in self.log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                lines.append(json.loads(text))
+        return [line for line in lines if line.get("event") == event]
+
+
+class IdleInstanceTest(StopEndCase):
+    """An instance that is idle when most of its grace time is over."""
+
+    options = SiteOptions(
+        engines=1,
+        grace_s=GRACE_S,
+        routes={"confirm": {"timeoutMs": 1000}},
+    )
+
+    async def test_request_after_the_last_answer(self) -> None:
+        # Guards against requests that are accepted once the exit has begun,
+        # and lose their answers to it.
+        last_calls = []
+        transact = PlatformStore.transact
+
+        async def transact_later(store, request):
+            body = await request.json()
+            if body["remove"]:
+                last_calls.append(body)
+                # So long may the exit take.
+                await anyio.sleep(ANSWER_S / 2)
+            return await transact(store, request)
+
+        with unittest.mock.patch.object(
+            PlatformStore, "transact", transact_later
+        ):
+            async with self.process() as (site, process):
+                for server in site.servers.values():
+                    server.faults.slowdown = 50.0
+                callers = [await self.connect() for _ in range(4)]
+                ran = sum(len(x.journal) for x in site.servers.values())
+                process.send_signal(signal.SIGTERM)
+                await self.until(lambda: last_calls)
+                for caller in callers:
+                    caller.send(request_head("/confirm/x"))
+                found = [await caller.status() for caller in callers]
+                await self.until_exit(process)
+                ran = sum(len(x.journal) for x in site.servers.values()) - ran
+            self.assertEqual(found, [503] * len(callers))
+            self.assertEqual(ran, 0)
+
+
+class ReachedGraceTest(StopEndCase):
+    """Requests that last longer than the grace time."""
+
+    options = SiteOptions(
+        engines=1,
+        grace_s=2.0,
+        routes={"confirm": {"timeoutMs": 9000}, "lookup": {"timeoutMs": 9000}},
+    )
+
+    async def test_lines_of_ended_answers(self) -> None:
+        # Guards against answers that the exit ends and nobody is told of.
+        async with self.process() as (site, process):
+            for server in site.servers.values():
+                server.faults.slowdown = 1000.0
+            waiting = await self.connect()
+            waiting.send(request_head("/confirm/x"))
+            stream = await self.connect()
+            stream.send(
+                request_head(
+                    "/chat/1/stream",
+                    Token_Usage="900,150",
+                    Length_Hint="150",
+                    Prefix_Hash="aa:500,bb:400",
+                )
+            )
+            await anyio.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            statuses = [await waiting.status()]
+            await self.until_exit(process)
+            self.assertEqual(statuses, [500])
+            ended = [x for x in self.lines("request") if not x["whole"]]
+            self.assertEqual(len(ended), 2)
+            for line in ended:
+                self.assertEqual(line["ended_by"], "instance")
+                self.assertEqual(line["step"], "stop")
+                self.assertEqual(len(line["servers"]), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
