Wait at a stop until callers have read the ends of their answers

An instance that stopped counted only requests under way. An answer that was complete for its server, with up to a megabyte unread, did not hold the exit at three quarters of the grace time, and the caller lost its end without a line in the log.

Connections with an unread end of a complete answer count as under way until the time of the exit; what is left then is logged as end_unread, whose field why says whether the caller stalled, memory was short or the instance stopped.

test_stopends.UnreadEndTest (a real process) failed before: 7817216 of 8388608 bytes; it passes now.

--- a/src/jasminerelay/callerconnection.py
+++ b/src/jasminerelay/callerconnection.py
@@ -18,7 +18,9 @@
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
 from jasminerelay.scheduling.heldbytes import (
+    MEMORY_SHORT,
     STALL_S,
+    STALLED,
     CallerStall,
     HeldBytes,
     Hold,
@@ -154,6 +156,22 @@
             if self._lingering is None:
                 super().timeout_keep_alive_handler()
 
+        @property
+        def has_unread_end(self) -> bool:
+            """Whether the end of a complete response waits for the caller."""
+            complete = self.cycle is not None and self.cycle.response_complete
+            return complete and self.unsent_bytes > 0
+
+        def log_unread_end(self, why: str) -> None:
+            """Logs that the caller loses the end of its response."""
+            log.warn(
+                "end_unread",
+                id=self.request_id,
+                why=why,
+                unsent=self.unsent_bytes,
+                held=held.total,
+            )
+
         def reset(self) -> None:
             """Closes the connection at once and frees the kernel's buffers."""
             raw: socket.socket = self.transport.get_extra_info("socket")
@@ -200,14 +218,8 @@
                 self.transport.close()
                 return
             counters.incr("held.unread")
-            log.warn(
-                "end_unread",
-                id=self.request_id,
-                stalled_s=round(stalled_s, 2),
-                unsent=unsent,
-                memory_short=held.short,
-                held=held.total,
-            )
+            why = MEMORY_SHORT if held.short else STALLED
+            self.log_unread_end(f"{why}, {stalled_s:.2f} s without a byte")
             self._end_lingering()
             self.reset()
 
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -304,10 +304,9 @@
             " server waited; no server is at fault"
         ]
     if event.name == "end_unread":
-        memory = ", while memory was short" * bool(fields.get("memory_short"))
         return [
-            "its answer was complete, but its caller read nothing for"
-            f" {fields.get('stalled_s')} s{memory}, and lost the end of it"
+            "its answer was complete, but its caller lost the end of it:"
+            f" {_why(event)}"
         ]
     if event.name != "request":
         return []
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -1004,7 +1004,8 @@
     async def _wait_for_stop(self) -> None:
         await self._stop_requested.wait()
         while not self._planned_stop.finished(
-            self._requests_in_flight(), time.monotonic()
+            self._requests_in_flight() + len(self._unread_ends()),
+            time.monotonic(),
         ):
             await anyio.sleep(STOP_CHECK_INTERVAL_S)
         # A request that is accepted during the exit would lose its answer.
@@ -1013,6 +1014,13 @@
             group.start_soon(self._unregister)
             if self._duties is not None:
                 group.start_soon(self._duties.send_final_report)
+        for connection in self._unread_ends():
+            connection.log_unread_end("the instance stopped")
+
+    def _unread_ends(self) -> list:
+        """Returns the connections whose callers have yet to read the end."""
+        connections = self._callers_port.server_state.connections
+        return [item for item in connections if item.has_unread_end]
 
     async def _unregister(self) -> None:
         with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
--- a/tests/test_stopends.py
+++ b/tests/test_stopends.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+import socket
 import unittest
 import unittest.mock
 
@@ -86,6 +87,51 @@
             self.assertEqual(ran, 0)
 
 
+class UnreadEndTest(StopEndCase):
+    """A caller that has not read the end of its answer at a stop."""
+
+    options = SiteOptions(engines=1, grace_s=6.0)
+
+    async def test_end_that_is_read_within_the_grace_time(self) -> None:
+        # Guards against an exit that takes the end of an answer with it, since
+        # it is complete for its server.
+        async with self.process() as (site, process):
+            for server in site.servers.values():
+                server.faults.body_bytes = LONG_BYTES
+            raw = socket.socket()
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+            raw.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(raw, self.address)
+            reader, writer = await asyncio.open_connection(
+                sock=raw, limit=16 * 1024
+            )
+            head = request_head("/confirm/long")
+            writer.write(head.replace(b"Attempt-Id: a1", b"Attempt-Id: a2"))
+            await reader.readuntil(b"\r\n\r\n")
+            received = 0
+            while received < LONG_BYTES - UNREAD_BYTES:
+                received += len(await reader.read(16 * 1024))
+            await self.until(
+                lambda: any(
+                    line["whole"] and line["id"] == "a2"
+                    for line in self.lines("request")
+                )
+            )
+            process.send_signal(signal.SIGTERM)
+            # Its grace time is not over, but an idle instance would exit.
+            await anyio.sleep(4.7)
+            with contextlib.suppress(ConnectionError):
+                while part := await reader.read(1 << 20):
+                    received += len(part)
+                    if received == LONG_BYTES:
+                        break
+            writer.close()
+            self.assertEqual(received, LONG_BYTES)
+            await self.until_exit(process)
+
+
 class ReachedGraceTest(StopEndCase):
     """Requests that last longer than the grace time."""
 
