--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -350,6 +350,11 @@
         ]
     if event.name == "move":
         return _move_causes(fields)
+    if event.name == "end_unread":
+        return [
+            "its answer was complete, but its caller lost the end of it:"
+            f" {_why(event)}"
+        ]
     if event.name != "request":
         return []
     causes = []
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -178,6 +178,7 @@
         self._rng = random.Random()
         self._planned_stop: PlannedShutdown | None = None
         self._stop_requested = anyio.Event()
+        self._exiting = False
         self._ready = False
         self._ticks = 0
         self._live: list[Member] = []
@@ -614,8 +615,8 @@
         caller_protocol = callerconnection.with_flow_control(
             options["http"],
             self.held,
-            lambda: self._request_head_bounds(time.monotonic()).idle_timeout_s,
             self.counters,
+            self.log,
         )
         self._callers_port = ports.port(
             self._ingress,
@@ -763,6 +764,8 @@
     def _accepts(self, time_limit_s: float) -> bool:
         if self._planned_stop is None:
             return True
+        if self._exiting:
+            return False
         return self._planned_stop.accepts(time_limit_s, time.monotonic())
 
     def _entries(self, zone: str) -> list[Member]:
@@ -1001,13 +1004,23 @@
     async def _wait_for_stop(self) -> None:
         await self._stop_requested.wait()
         while not self._planned_stop.finished(
-            self._requests_in_flight(), time.monotonic()
+            self._requests_in_flight() + len(self._unread_ends()),
+            time.monotonic(),
         ):
             await anyio.sleep(STOP_CHECK_INTERVAL_S)
+        # A request that is accepted during the exit would lose its answer.
+        self._exiting = True
         async with anyio.create_task_group() as group:
             group.start_soon(self._unregister)
             if self._duties is not None:
                 group.start_soon(self._duties.send_final_report)
+        for connection in self._unread_ends():
+            connection.log_unread_end("the instance stopped")
+
+    def _unread_ends(self) -> list:
+        """Returns the connections whose callers have yet to read the end."""
+        connections = self._callers_port.server_state.connections
+        return [item for item in connections if item.has_unread_end]
 
     async def _unregister(self) -> None:
         with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
--- a/tests/test_slowcallers.py
+++ b/tests/test_slowcallers.py
@@ -13,6 +13,7 @@
 from jasminerelay import callerconnection
 from jasminerelay.scheduling import heldbytes
 from jasminerelay.scheduling.heldbytes import (
+    MEMORY_SHORT,
     SMALL_BYTES,
     STALLED,
     HeldBounds,
@@ -199,6 +200,9 @@
                     self.assertLess(caller.received, 1 << 20)
                 counts = instance.counters.snapshot()
                 self.assertEqual(counts["held.unread"], 1)
+                (line,) = self.events_named("end_unread")
+                self.assertEqual(line["id"], "a1")
+                self.assertIn(MEMORY_SHORT, line["why"])
 
 
 if __name__ == "__main__":
