--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -139,6 +139,9 @@
         ended: Whether the complete answer was sent.
         moved: Whether it was stopped to be continued from a copy.
         copies: Number of copies made of it.
+        began_at: Time at which the server began to work on it.
+        stopped_at: Time at which it stopped; infinite while it works.
+        broke_off: Whether the server ended the answer without being asked to.
     """
 
     attempt: str
@@ -148,6 +151,9 @@
     ended: bool = False
     moved: bool = False
     copies: int = 0
+    began_at: float = 0.0
+    stopped_at: float = float("inf")
+    broke_off: bool = False
 
 
 class PlatformServer:
@@ -175,6 +181,7 @@
         running: Number of requests that run now.
         move_count: Number of requests that were stopped to be continued.
         copy_count: Number of copies made, of running and of stopped requests.
+        killed_at: Time at which it was ended at once; infinite if it was not.
         on_crash: Called when a request crashes the server.
     """
 
@@ -192,6 +199,7 @@
         self.running = 0
         self.move_count = 0
         self.copy_count = 0
+        self.killed_at = float("inf")
         self.on_crash: Callable[[], None] = lambda: None
 
     async def __call__(self, scope, receive, send) -> None:
@@ -211,6 +219,8 @@
             self.arrivals.append((now, attempt))
         if scope["path"] == "/-/kv-move":
             await self._handle_move(send, json.loads(body))
+        elif scope["path"].startswith("/-/kv-handle/"):
+            await _send_json(send, 200, {})
         elif headers.get("expect-instance", self.name) != self.name:
             await self._reject(send, 421, attempt)
         elif "kv-from" in headers and self.faults.refuse_copies:
@@ -278,12 +288,15 @@
         self.max_running = max(self.max_running, self.running)
         gone = asyncio.create_task(_wait_for_disconnect(receive))
         work = asyncio.create_task(self._send_answer(scope, send, ran))
+        ran.began_at = asyncio.get_running_loop().time()
         try:
             await asyncio.wait(
                 {gone, work}, return_when=asyncio.FIRST_COMPLETED
             )
+            ran.broke_off |= work.done() and not (ran.ended or ran.moved)
         finally:
             self.running -= 1
+            ran.stopped_at = asyncio.get_running_loop().time()
             gone.cancel()
             work.cancel()
 
@@ -339,6 +352,7 @@
                 await asyncio.sleep(3600)
             if self.faults.tear_after and number > self.faults.tear_after:
                 await _send_chunk(send, b"id: %d\ndata: to" % number)
+                ran.broke_off = True
                 break
             if self.faults.break_after and number > self.faults.break_after:
                 if self.faults.torn:
@@ -430,6 +444,7 @@
         attempt = ran.attempt
         if self.faults.cross:
             self.faults.cross -= 1
+            ran.broke_off = True
             attempt = "another"
             body = b"answer to another"
         await send(
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import pathlib
+import time
 from collections.abc import AsyncIterator, Sequence
 
 import anyio
@@ -171,6 +172,7 @@
 
     def kill_server(self, name: str) -> None:
         """Ends a server at once and leaves its row in the store."""
+        self.servers[name].killed_at = time.monotonic()
         self._scopes.pop(name).cancel()
 
     def _crash_server(self, name: str, service: str) -> None:
@@ -203,6 +205,11 @@
             **changes: Configuration fields to replace.
         """
         self.version += 3
+        value = {**self.configuration(added), **changes}
+        self.store.put("op", "config", value)
+
+    def configuration(self, added: Sequence[dict] = ()) -> dict:
+        """Returns the configuration without changes, in its latest version."""
         routes = [
             _route("chat", "/chat/", MODEL_BACKEND, routeType="streaming",
                    streamResume=True, maxAttempts=2, priorityClass=0,
@@ -218,7 +225,7 @@
         routes += [_route(**route) for route in added]
         for route in routes:
             route.update(self.options.routes.get(route["name"], {}))
-        value = {
+        return {
             "version": self.version,
             "routes": routes,
             "backends": [
@@ -249,9 +256,7 @@
                 "idleTimeoutMs": 15000,
             },
             "tenants": [{"name": "elm", "apiKeys": [API_KEY]}],
-            **changes,
         }
-        self.store.put("op", "config", value)
 
     def _autoscale_fields(self) -> dict:
         scaling = self.options.scaling
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -26,6 +26,7 @@
 import anyio
 import httpcore
 
+from standins.launcher import ROOT
 from standins.platformserver import Break, versions_in
 from standins.platformsite import (
     API_KEY,
@@ -107,7 +108,24 @@
         instances: Instances under test.
     """
 
-    def __init__(self, seed: int, seconds: float):
+    _options = Options(
+        engines=3,
+        plain=3,
+        grace_s=GRACE_S,
+        links=True,
+        fatal=FATAL,
+        duties=True,
+    )
+
+    def __init__(self, seed: int, seconds: float, source: pathlib.Path = ROOT):
+        """Creates a run.
+
+        Args:
+            seed: Determines the faults and the requests.
+            seconds: Time in which faults are injected.
+            source: Checkout whose programs the instances as deployed run.
+        """
+        self._source = source
         self._rng = random.Random(seed)
         self._seconds = seconds
         self.violations: list[str] = []
@@ -120,31 +138,14 @@
     async def run(self) -> None:
         """Runs load and faults, ends the faults, checks logs and journals."""
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
-        options = Options(
-            engines=3,
-            plain=3,
-            grace_s=GRACE_S,
-            links=True,
-            fatal=FATAL,
-            duties=True,
-        )
         with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
-            self.site = PlatformSite(options, pathlib.Path(folder))
+            self.site = PlatformSite(self._options, pathlib.Path(folder))
             async with self.site.running():
                 self.instances = [
-                    InstanceProcess(
-                        self.site.settings(
-                            f"edge-{number + 1}", ZONES[number % len(ZONES)]
-                        ),
-                        number > 0,
-                    )
-                    for number in range(INSTANCES)
+                    self._new_instance(number) for number in range(INSTANCES)
                 ]
                 try:
-                    for name in FIRST_ENGINES:
-                        await self.site.add_server(
-                            name, MODEL_BACKEND, VERSIONS[1]
-                        )
+                    await self._add_first_servers()
                     for instance in self.instances:
                         instance.start()
                     await self._run_phases()
@@ -159,8 +160,22 @@
                     self._record_violation,
                 )
                 checks.check_logs()
+                self._check_cuts()
         checks.run()
 
+    def _new_instance(self, number: int) -> InstanceProcess:
+        path = self.site.settings(
+            f"edge-{number + 1}", ZONES[number % len(ZONES)]
+        )
+        return InstanceProcess(path, number > 0, self._source)
+
+    async def _add_first_servers(self) -> None:
+        for name in FIRST_ENGINES:
+            await self.site.add_server(name, MODEL_BACKEND, VERSIONS[1])
+
+    def _check_cuts(self) -> None:
+        """Checks that planned work has ended no answers."""
+
     async def _run_phases(self) -> None:
         for instance in self.instances:
             await self._wait_until_ready(instance)
--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -8,7 +8,7 @@
 
 from standins.platformserver import versions_in, without_versions
 from standins.platformsite import PlatformSite
-from tests.soakparts import STREAM_EVENTS, InstanceProcess, SentRequest
+from tests.soakparts import InstanceProcess, SentRequest
 
 OUTCOME_S = 12.0
 """Time that a caller waits: the longest route timeout plus a margin."""
@@ -89,6 +89,8 @@
                 )
             if request.path.endswith("/stream"):
                 self._check_stream(request)
+            elif request.path.endswith("/long"):
+                continue
             elif request.whole and request.content != _plain_answer(
                 request.attempt
             ):
@@ -98,7 +100,7 @@
                 )
 
     def _check_stream(self, request: SentRequest) -> None:
-        complete_stream = _event_stream(STREAM_EVENTS, request.after + 1)
+        complete_stream = _event_stream(request.events_due, request.after + 1)
         content = without_versions(request.content)
         if request.whole and content != complete_stream:
             self._add(
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import time
@@ -34,6 +35,10 @@
         earlier: The request whose stream it takes up.
         serving: Servers of that stream's version that served at its start.
         leaves_after: Events after which its caller disconnects; 0 for never.
+        events_due: Number of events of its whole stream.
+        limit_s: Time limit that its caller states.
+        cut_at: Time at which its channel ended without a whole answer.
+        gave_up: Whether its caller left since nothing came for too long.
     """
 
     attempt: str
@@ -49,6 +54,10 @@
     earlier: "SentRequest | None" = None
     serving: int = 0
     leaves_after: int = 0
+    events_due: int = STREAM_EVENTS
+    limit_s: float = 3.0
+    cut_at: float = float("inf")
+    gave_up: bool = False
 
     @property
     def first(self) -> "SentRequest":
@@ -86,7 +95,7 @@
         return (
             self.path.startswith("/chat/")
             and not self.whole
-            and 0 < self.stream.count(b"\n\n") < STREAM_EVENTS
+            and 0 < self.stream.count(b"\n\n") < self.events_due
         )
 
     @property
@@ -108,10 +117,19 @@
         popen: Handle of the current process.
         busy: Whether a fault is active on it.
         disturbed_at: Times of signals and starts.
+        stops: Times of the first SIGTERM of each process.
+        reloads: Times of SIGHUP.
+        source: Checkout whose programs it runs, if it is not networked.
     """
 
-    def __init__(self, path: pathlib.Path, networked: bool):
+    def __init__(
+        self,
+        path: pathlib.Path,
+        networked: bool,
+        source: pathlib.Path = ROOT,
+    ):
         self.path = path
+        self.source = source
         self.networked = networked
         self.log = path.with_suffix(".log")
         settings = tomllib.loads(path.read_text())
@@ -120,9 +138,13 @@
         self.popen: subprocess.Popen | None = None
         self.busy = False
         self.disturbed_at: list[float] = []
+        self.stops: list[float] = []
+        self.reloads: list[float] = []
+        self._stopping = False
 
     def start(self) -> None:
         """Starts a process that appends to the log file."""
+        self._stopping = False
         self.disturbed_at.append(time.monotonic())
         environ = {**os.environ, "JASMINERELAY_BOOT": str(self.path)}
         with self.log.open("ab") as out:
@@ -138,7 +160,7 @@
     def _program(self) -> list[str]:
         if self.networked:
             return ["-m", "standins.networkedinstance"]
-        return [str(ROOT / "deploy/instance.py")]
+        return [str(self.source / "deploy/instance.py")]
 
     def cut(self, kind: Cut | None) -> None:
         """Cuts it off from all servers; None ends the cut."""
@@ -151,6 +173,11 @@
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         self.disturbed_at.append(time.monotonic())
+        if number == signal.SIGTERM and not self._stopping:
+            self._stopping = True
+            self.stops.append(time.monotonic())
+        elif number == signal.SIGHUP:
+            self.reloads.append(time.monotonic())
         self.popen.send_signal(number)
 
     async def ended(self, timeout_s: float) -> int | None:
