--- a/tests/plannedcuts.py
+++ b/tests/plannedcuts.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from standins.platformserver import PlatformServer, ServedRequest
-from tests.soakparts import InstanceProcess, SentRequest
+from tests.soakparts import Disturbance, InstanceProcess, SentRequest
 
 CONTACT_S = 3.0
 """Time before a request from which an unplanned disturbance excuses it."""
@@ -80,21 +80,6 @@
     DISTURBED = "an unplanned disturbance"
 
 
-@dataclasses.dataclass(frozen=True)
-class Disturbance:
-    """An unplanned disturbance.
-
-    Attributes:
-        since: Time of its begin.
-        until: Time of its end.
-        subject: Name of the instance or server; "" for all of them.
-    """
-
-    since: float
-    until: float
-    subject: str = ""
-
-
 @dataclasses.dataclass(frozen=True)
 class WrittenConfiguration:
     """A configuration as the operator wrote it.
@@ -164,13 +149,16 @@
             instances: Instances under test.
             configurations: Configurations in the order of their writing.
             grace_s: Time from SIGTERM to the end of an instance.
-            disturbances: Unplanned disturbances.
+            disturbances: Unplanned disturbances besides those of instances.
         """
         self._requests = requests
         self._instances = {x.listen["front"]: x for x in instances}
         self._configurations = configurations
         self._grace_s = grace_s
-        self._disturbances = disturbances
+        self._disturbances = [
+            *disturbances,
+            *(item for x in instances for item in x.disturbances),
+        ]
         self._runs: dict[str, list[Run]] = collections.defaultdict(list)
         for server in servers:
             for served in server.journal:
--- a/tests/plannedsoak.py
+++ b/tests/plannedsoak.py
@@ -24,7 +24,7 @@
 from standins.platformserver import PlatformServer
 from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, PLAIN_BACKEND
 from standins.platformsite import SiteOptions as Options
-from tests.plannedcuts import CutChecks, WrittenConfiguration
+from tests.plannedcuts import WrittenConfiguration
 from tests.platformsoak import (
     _CONNECTION_ERRORS,
     EXIT_SUCCESS,
@@ -75,19 +75,15 @@
 
 
 class PlannedSoak(PlatformSoak):
-    """One run.
-
-    Attributes:
-        configurations: Configurations that were written.
-    """
+    """One run."""
 
+    _calm = True
     _options = Options(
         engines=0, plain=0, grace_s=GRACE_S, links=True, duties=True
     )
 
     def __init__(self, seed: int, seconds: float, source: pathlib.Path = ROOT):
         super().__init__(seed, seconds, source)
-        self.configurations: list[WrittenConfiguration] = []
         self._load = 1.0
         self._service_of: dict[str, str] = {}
 
@@ -107,16 +103,6 @@
         )
         self._write_configuration()
 
-    def _check_cuts(self) -> None:
-        checks = CutChecks(
-            self._requests,
-            list(self.site.servers.values()),
-            self.instances,
-            self.configurations,
-            GRACE_S,
-        )
-        checks.run(self.counts, self._record_violation, at_all_times=True)
-
     async def _run_phases(self) -> None:
         for instance in self.instances:
             await self._wait_until_ready(instance)
@@ -225,15 +211,14 @@
     ) -> PlatformServer:
         self._added_count += 1
         kind = "engine" if service in MODEL_BACKENDS else "plain"
-        server = await self.site.add_server(
-            f"{kind}-{self._added_count}", service
-        )
+        name = f"{kind}-{self._added_count}"
+        self._service_of[name] = service
+        server = await self.site.add_server(name, service)
         server.faults.tick_s = TICK_S * rng.uniform(0.6, 1.4)
         server.faults.body_bytes = LONG_BYTES
         if kind == "plain":
             server.faults.slowdown = rng.choice((1.0, 5.0, 40.0, 120.0))
             server.faults.tick_s = 0.01
-        self._service_of[server.name] = service
         return server
 
     async def _replace_in_turn(self, until: float, rng: random.Random) -> None:
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -37,8 +37,14 @@
 )
 from standins.platformsite import SiteOptions as Options
 from standins.servernetwork import Cut
+from tests.plannedcuts import CutChecks, WrittenConfiguration
 from tests.soakchecks import OUTCOME_S, PAUSE_S, SoakChecks
-from tests.soakparts import STREAM_EVENTS, InstanceProcess, SentRequest
+from tests.soakparts import (
+    STREAM_EVENTS,
+    Disturbance,
+    InstanceProcess,
+    SentRequest,
+)
 
 INSTANCES = 4
 CALLERS = 16
@@ -106,8 +112,12 @@
         counts: Numbers of faults, answers and other events, by name.
         site: Site with the store and the servers.
         instances: Instances under test.
+        configurations: Configurations written while it ran.
     """
 
+    _calm = False
+    """Whether there are no unplanned disturbances."""
+
     _options = Options(
         engines=3,
         plain=3,
@@ -134,6 +144,8 @@
         self._stopped = False
         self._added_count = 0
         self._link_faults: dict[str, list[float]] = {}
+        self._disturbances: list[Disturbance] = []
+        self.configurations: list[WrittenConfiguration] = []
 
     async def run(self) -> None:
         """Runs load and faults, ends the faults, checks logs and journals."""
@@ -175,6 +187,15 @@
 
     def _check_cuts(self) -> None:
         """Checks that planned work has ended no answers."""
+        checks = CutChecks(
+            self._requests,
+            list(self.site.servers.values()),
+            self.instances,
+            self.configurations,
+            self._options.grace_s,
+            self._disturbances,
+        )
+        checks.run(self.counts, self._record_violation, self._calm)
 
     async def _run_phases(self) -> None:
         for instance in self.instances:
@@ -292,7 +313,22 @@
 
     # Faults of the store, the servers and the links.
 
+    @contextlib.contextmanager
+    def _disturbing(self, subject: str = "") -> Iterator[None]:
+        """Notes an unplanned disturbance; without a subject, of all."""
+        since = time.monotonic()
+        try:
+            yield
+        finally:
+            self._disturbances.append(
+                Disturbance(since, time.monotonic(), subject)
+            )
+
     async def _store_away(self, rng: random.Random) -> None:
+        with self._disturbing():
+            await self._disturb_store(rng)
+
+    async def _disturb_store(self, rng: random.Random) -> None:
         faults = self.site.store.faults
         kind = rng.choice(("down", "hang", "slow_s", "lose_acks"))
         if kind in ("down", "hang"):
@@ -314,12 +350,13 @@
         """Lets the store come back from a copy, once or twice in series."""
         copy = self.site.store.copy()
         await anyio.sleep(rng.uniform(0.3, 4.0))
-        for _ in range(rng.choice((1, 1, 2))):
-            self.site.store.faults.down = True
-            await anyio.sleep(rng.uniform(0.0, 1.5))
-            self.site.store.restore(copy)
-            self.site.store.faults.down = False
-            await anyio.sleep(rng.uniform(0.0, 0.5))
+        with self._disturbing():
+            for _ in range(rng.choice((1, 1, 2))):
+                self.site.store.faults.down = True
+                await anyio.sleep(rng.uniform(0.0, 1.5))
+                self.site.store.restore(copy)
+                self.site.store.faults.down = False
+                await anyio.sleep(rng.uniform(0.0, 0.5))
 
     async def _server_announces(self, rng: random.Random) -> None:
         """Lets a server announce its shutdown, in its row only later."""
@@ -346,6 +383,10 @@
 
     async def _link(self, rng: random.Random) -> None:
         name = rng.choice(list(self.site.links))
+        with self._disturbing(name):
+            await self._disturb_link(name, rng)
+
+    async def _disturb_link(self, name: str, rng: random.Random) -> None:
         link = self.site.links[name]
         self._link_faults.setdefault(name, []).append(time.monotonic())
         kind = rng.choice(("silent", "deaf", "delay_s", "reset"))
@@ -459,8 +500,13 @@
 
     async def _configure(self, rng: random.Random) -> None:
         del rng
+        self._note_configuration()
         self.site.write_configuration()
 
+    def _note_configuration(self) -> None:
+        # Its time limits are no shorter than those of the callers.
+        self.configurations.append(WrittenConfiguration(time.monotonic(), {}))
+
     # Checks across instances after all of them had faults.
 
     async def _check_rate_limit(self) -> None:
@@ -485,6 +531,7 @@
 
     async def _check_change(self) -> None:
         """Adds a route; checks that each instance serves it in time."""
+        self._note_configuration()
         self.site.write_configuration(
             added=[
                 {
@@ -586,9 +633,11 @@
                 request = self._new_request(rng)
             self._requests.append(request)
             try:
-                with anyio.move_on_after(OUTCOME_S):
+                with anyio.move_on_after(OUTCOME_S) as waiting:
                     await self._send(pool, rng.choice(addresses), request)
+                request.gave_up = waiting.cancelled_caught
             except _CONNECTION_ERRORS:
+                request.cut_at = time.monotonic()
                 self.counts["no answer"] += 1
                 addresses = []
             except BaseException:
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -104,6 +104,21 @@
         return self.path.startswith(("/confirm/", "/sheet/"))
 
 
+@dataclasses.dataclass(frozen=True)
+class Disturbance:
+    """An unplanned disturbance.
+
+    Attributes:
+        since: Time of its begin.
+        until: Time of its end.
+        subject: Name of the instance or server; "" for all of them.
+    """
+
+    since: float
+    until: float
+    subject: str = ""
+
+
 class InstanceProcess:
     """An instance, restarted as a new process after each end.
 
@@ -140,11 +155,15 @@
         self.disturbed_at: list[float] = []
         self.stops: list[float] = []
         self.reloads: list[float] = []
+        self._past_disturbances: list[Disturbance] = []
+        self._disturbed_since: dict[str, float] = {}
         self._stopping = False
 
     def start(self) -> None:
         """Starts a process that appends to the log file."""
         self._stopping = False
+        self._end("kill")
+        self._end("suspension")
         self.disturbed_at.append(time.monotonic())
         environ = {**os.environ, "JASMINERELAY_BOOT": str(self.path)}
         with self.log.open("ab") as out:
@@ -166,8 +185,10 @@
         """Cuts it off from all servers; None ends the cut."""
         file = self.path.with_suffix(".cut")
         if kind is None:
+            self._end("cut")
             file.unlink(missing_ok=True)
         else:
+            self._begin("cut")
             file.write_text(kind.name)
 
     def signal(self, number: int) -> None:
@@ -178,8 +199,32 @@
             self.stops.append(time.monotonic())
         elif number == signal.SIGHUP:
             self.reloads.append(time.monotonic())
+        elif number == signal.SIGKILL:
+            self._begin("kill")
+        elif number == signal.SIGSTOP:
+            self._begin("suspension")
+        elif number == signal.SIGCONT:
+            self._end("suspension")
         self.popen.send_signal(number)
 
+    def _begin(self, kind: str) -> None:
+        self._disturbed_since.setdefault(kind, time.monotonic())
+
+    def _end(self, kind: str) -> None:
+        since = self._disturbed_since.pop(kind, None)
+        if since is not None:
+            self._past_disturbances.append(
+                Disturbance(since, time.monotonic(), self.path.stem)
+            )
+
+    @property
+    def disturbances(self) -> list[Disturbance]:
+        """Unplanned disturbances: its kills, suspensions and cuts."""
+        return self._past_disturbances + [
+            Disturbance(since, float("inf"), self.path.stem)
+            for since in self._disturbed_since.values()
+        ]
+
     async def ended(self, timeout_s: float) -> int | None:
         """Waits for the end; returns the exit status, None if still running."""
         with anyio.move_on_after(timeout_s):
