--- a/tests/plannedsoak.py
+++ b/tests/plannedsoak.py
@@ -1,11 +1,12 @@
 """Randomised run of planned work: signals, configurations, servers in turn.
 
 Usage: python -m tests.plannedsoak [--seconds S] [--seed N] [--runs N]
-                                   [--source FOLDER]
+                                   [--source FOLDER] [--logs FOLDER]
 
 Nothing is killed, suspended or cut off, so that each answer that was passed on
 to a server and did not end whole has to be explained. The instances run as
-deployed, from the checkout in FOLDER.
+deployed, from the checkout in the first FOLDER; the second one keeps the logs
+of runs in which an answer was cut.
 """
 
 import argparse
@@ -420,10 +421,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--source", type=pathlib.Path, default=ROOT)
+    parser.add_argument("--logs", type=pathlib.Path)
     options = parser.parse_args()
     failing = 0
     for seed in range(options.seed, options.seed + options.runs):
-        soak = PlannedSoak(seed, options.seconds, options.source)
+        soak = PlannedSoak(seed, options.seconds, options.source, options.logs)
         anyio.run(soak.run)
         print(f"seed {seed}:", dict(sorted(soak.counts.items())))
         for violation in soak.violations:
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -17,6 +17,7 @@
 import logging
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -127,15 +128,25 @@
         duties=True,
     )
 
-    def __init__(self, seed: int, seconds: float, source: pathlib.Path = ROOT):
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        source: pathlib.Path = ROOT,
+        logs: pathlib.Path | None = None,
+    ):
         """Creates a run.
 
         Args:
             seed: Determines the faults and the requests.
             seconds: Time in which faults are injected.
             source: Checkout whose programs the instances as deployed run.
+            logs: Folder to keep the instances' logs in if an answer was cut or
+                a log has a fault; None to keep none.
         """
+        self._seed = seed
         self._source = source
+        self._logs = logs
         self._rng = random.Random(seed)
         self._seconds = seconds
         self.violations: list[str] = []
@@ -173,8 +184,16 @@
                 )
                 checks.check_logs()
                 self._check_cuts()
+                if self.violations and self._logs is not None:
+                    self._keep_logs(self._logs)
         checks.run()
 
+    def _keep_logs(self, folder: pathlib.Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        for instance in self.instances:
+            name = f"seed-{self._seed}-{instance.log.name}"
+            shutil.copy(instance.log, folder / name)
+
     def _new_instance(self, number: int) -> InstanceProcess:
         path = self.site.settings(
             f"edge-{number + 1}", ZONES[number % len(ZONES)]
