Keep a long failure from the caller while another server may answer

Cause: a failure of the server that was asked, too long to be kept, was relayed at once while the silent server still had the answer: the caller got it, and whatever the silent one sent would have followed.

Change: while it is open which server has the answer, such a failure ends only the attempt.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -427,6 +427,13 @@
         if not self._is_caller_slow:
             self.on_silent()
 
+    @property
+    def _is_undecided(self) -> bool:
+        """Whether another server may have the answer instead of its own."""
+        return self.has_open_handover or (
+            self._silent is not None and self._silent.has_open_handover
+        )
+
     @property
     def has_open_handover(self) -> bool:
         """Whether neither its server nor another one has come yet."""
@@ -529,6 +536,10 @@
             return Unknown("another server has taken over")
         if not whole and head.not_run:
             return _not_run(head)
+        if not whole and self._is_undecided:
+            # A failure that is too long to keep; the other server may do
+            # better.
+            return Unknown(f"status {head.status}")
         if not whole and not self._sink.started:
             # Without a reference here, which would last as long as the relay.
             first = [body]
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -40,6 +40,7 @@
         refuse: Number of upcoming requests that are rejected before they
             run.
         fail: Number of upcoming requests that run and are answered with 500.
+        failure: Body of such an answer.
         mute: Number of upcoming requests that are not answered.
         break_after: Number of events after which a stream ends without its
             final chunk; 0 disables the fault.
@@ -92,6 +93,7 @@
 
     refuse: int = 0
     fail: int = 0
+    failure: bytes = b"failed"
     mute: int = 0
     break_after: int = 0
     cross: int = 0
@@ -298,7 +300,7 @@
             await asyncio.sleep(3600)
         if faults.fail:
             faults.fail -= 1
-            await self._send_complete(send, 500, ran, b"failed")
+            await self._send_complete(send, 500, ran, self.faults.failure)
             return
         if faults.by_connection and not scope["path"].endswith("/long"):
             await self._send_by_connection(scope, send, ran)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -179,3 +179,24 @@
             answer = await self.ask_during(instance, "/chat/1/stream", change)
             self.assertEqual(answer.body, events(EVENTS))
             self.assertEqual([x.name for x in self.arrivals(site)], asked)
+
+    async def test_long_failure(self) -> None:
+        # Guards against a long failure of another server that is sent to the
+        # caller while the silent one still has the answer.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.silent = True
+
+            async def change() -> None:
+                first, second = await self.second_arrival(site)
+                body = bytes(attempt.MAX_AHEAD_BYTES + (1 << 20))
+
+                second.faults.fail = 1
+                second.faults.failure = body
+                second.faults.silent = False
+                await anyio.sleep(0.3)
+                first.faults.silent = False
+
+            answer = await self.ask_during(instance, "/lookup/x", change)
+            self.assertEqual((answer.status, answer.whole), (200, True))
