Ask a relay again after a stream has left its silent server

Cause: leaving a silent server closes its connection before the attempt's outcome is known, and a relayed one that we close looks like one that its relay lost; the relaying instance was not asked again for 2 s.

Change: an attempt that another server has replaced reports no lost relay.

Result: the new test saw the relaying instance left out before, and none now.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -303,7 +303,7 @@
         """Sends the request to the reserved server and relays the answer."""
         self.copy, self._progress.copy = self._progress.copy, None
         outcome = await self._run(reservation)
-        if self._handover is not None and self._handover.taken:
+        if self._is_replaced:
             return Replaced("its server was silent")
         if (
             isinstance(outcome, Interrupted)
@@ -331,8 +331,10 @@
         done = _Completion()
         try:
             outcome = await self._exchange(reservation, channel, done)
-            if channel.relay_lost and isinstance(
-                outcome, Unknown | Interrupted | BrokenOff
+            if (
+                channel.relay_lost
+                and isinstance(outcome, Unknown | Interrupted | BrokenOff)
+                and not self._is_replaced
             ):
                 self._context.channels.record_lost_relay(channel)
                 return dataclasses.replace(outcome, relay_lost=True)
@@ -427,6 +429,11 @@
         if not self._is_caller_slow:
             self.on_silent()
 
+    @property
+    def _is_replaced(self) -> bool:
+        """Whether another server has the answer."""
+        return self._handover is not None and self._handover.taken
+
     @property
     def _is_undecided(self) -> bool:
         """Whether another server may have the answer instead of its own."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -326,6 +326,37 @@
                 runs = sum(len(s.journal) for s in site.servers.values())
                 self.assertEqual(runs, 2)
 
+    async def test_silent_server_is_left(self) -> None:
+        # Guards against a relay that is not asked any more since a stream has
+        # left a silent server that it relays.
+        async with self.site(3) as (site, instances):
+            await self.until(
+                lambda: all(i.live_instance_count == 3 for i in instances)
+            )
+            first = instances[0]
+            self.network_of[first.boot.name].cut(Cut.RESET)
+            left_out: list[str] = []
+            first._channels._relays.leave_out = left_out.append
+            answers = []
+
+            async def ask() -> None:
+                answers.append(
+                    await self.ask(
+                        first, "/chat/1/stream", Token_Usage="600,60"
+                    )
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(
+                    lambda: any(s.running for s in site.servers.values())
+                )
+                await anyio.sleep(0.2)
+                for server in site.servers.values():
+                    server.faults.silent = server.running > 0
+            self.assertEqual(answers[0].body, events(60))
+            self.assertEqual(left_out, [])
+
     async def test_servers_that_are_down_are_not_out_of_reach(self) -> None:
         # Guards against an alarm where all instances fail alike.
         async with self.site(2) as (site, (first, _second)):
