--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -306,7 +306,7 @@
         """Sends the request to the reserved server and relays the answer."""
         self.copy, self._progress.copy = self._progress.copy, None
         outcome = await self._run(reservation)
-        if self._handover is not None and self._handover.taken:
+        if self._is_replaced:
             return Replaced("its server was silent")
         if (
             isinstance(outcome, Interrupted)
@@ -334,8 +334,10 @@
         done = _Completion()
         try:
             outcome = await self._exchange(reservation, channel, done)
-            if channel.relay_lost and isinstance(
-                outcome, Unknown | Interrupted | BrokenOff
+            if (
+                channel.relay_lost
+                and isinstance(outcome, Unknown | Interrupted | BrokenOff)
+                and not self._is_replaced
             ):
                 self._context.channels.record_lost_relay(channel)
                 return dataclasses.replace(outcome, relay_lost=True)
@@ -428,16 +430,23 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    @property
+    def _is_replaced(self) -> bool:
+        """Whether another server has the answer."""
+        return self._handover is not None and self._handover.taken
+
+    @property
+    def _is_undecided(self) -> bool:
+        """Whether another server may have the answer instead of its own."""
+        return self.has_open_handover or (
+            self._silent is not None and self._silent.has_open_handover
+        )
+
     @property
     def has_open_handover(self) -> bool:
         """Whether neither its server nor another one has come yet."""
         return self._handover is not None and self._handover.open
 
-    @property
-    def _silent_goes_on(self) -> bool:
-        """Whether the silent server still has the request, too."""
-        return self._silent is not None and self._silent.has_open_handover
-
     @property
     def has_gone_on(self) -> bool:
         """Whether its server has come first, after it was silent."""
@@ -534,7 +543,9 @@
             return Unknown("another server has taken over")
         if not whole and head.not_run:
             return _not_run(head)
-        if not whole and self._silent_goes_on:
+        if not whole and self._is_undecided:
+            # A failure that is too long to keep; the other server may do
+            # better.
             return Unknown(f"status {head.status}")
         if not whole and not self._sink.started:
             # Without a reference here, which would last as long as the relay.
