--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from jasminerelay.admission import OVER_SHARE
-from jasminerelay.endings import EndedBy, Step
+from jasminerelay.endingsteps import EndedBy, Step
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
     MEMORY_SHORT,
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -10,13 +10,8 @@
 from jasminerelay.attempt import OK, Attempt, ForwardingContext, RequestProgress
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy
-from jasminerelay.endings import (
-    EndedBy,
-    Ending,
-    Obstacle,
-    Step,
-    ending_of,
-)
+from jasminerelay.endings import ending_of
+from jasminerelay.endingsteps import EndedBy, Ending, Obstacle, Step
 from jasminerelay.errors import CrashingRequestError, NoCapacityError
 from jasminerelay.exchange import (
     BrokenOff,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -71,6 +71,7 @@
         "catalog",
         "cells",
         "claims",
+        "endingsteps",
         "enginemodel",
         "entrylist",
         "lengthestimate",
