--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -71,7 +71,7 @@
         "catalog",
         "cells",
         "claims",
-        "endings",
+        "endingsteps",
         "enginemodel",
         "entrylist",
         "lengthestimate",
