--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -97,6 +97,8 @@
 CHANGE_S = 2.0
 """Time within which a configuration must be in force after all faults."""
 
+STALL_CHECK_S = 0.02
+
 EXIT_SUCCESS = 0
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
@@ -156,6 +158,7 @@
         self._added_count = 0
         self._link_faults: dict[str, list[float]] = {}
         self._disturbances: list[Disturbance] = []
+        self._stalls: list[Disturbance] = []
         self.configurations: list[WrittenConfiguration] = []
 
     async def run(self) -> None:
@@ -213,6 +216,7 @@
             self.configurations,
             self._options.grace_s,
             self._disturbances,
+            self._stalls,
         )
         checks.run(self.counts, self._record_violation, self._calm)
 
@@ -220,6 +224,7 @@
         for instance in self.instances:
             await self._wait_until_ready(instance)
         async with anyio.create_task_group() as callers:
+            callers.start_soon(self._note_stalls)
             for _ in range(CALLERS):
                 callers.start_soon(self._caller, self._rng.getrandbits(32))
             await self._inject_faults()
@@ -630,6 +635,16 @@
 
     # Callers.
 
+    async def _note_stalls(self) -> None:
+        """Notes times in which other load kept this process from running."""
+        before = time.monotonic()
+        while not self._stopped:
+            await anyio.sleep(STALL_CHECK_S)
+            now = time.monotonic()
+            if now - before > 2 * STALL_CHECK_S:
+                self._stalls.append(Disturbance(before + STALL_CHECK_S, now))
+            before = now
+
     async def _caller(self, seed: int) -> None:
         rng = random.Random(seed)
         pool = httpcore.AsyncConnectionPool(keepalive_expiry=5.0)
@@ -725,6 +740,7 @@
             f"http://{address}{request.path}",
             headers=list(fields.items()),
             content=request.body,
+            extensions={"trace": note_sent(request)},
         ) as reply:
             headers = {k.lower(): v for k, v in reply.headers}
             request.status = reply.status
@@ -790,6 +806,19 @@
                 instance.popen.wait()
 
 
+def note_sent(
+    request: SentRequest,
+) -> Callable[[str, dict], Awaitable[None]]:
+    """Returns a trace of httpcore that notes when the last byte was sent."""
+
+    async def trace(event: str, info: dict) -> None:
+        del info
+        if event == "http11.send_request_body.complete":
+            request.all_sent_at = time.monotonic()
+
+    return trace
+
+
 _FAULTS = (
     PlatformSoak._kill,
     PlatformSoak._freeze,
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -31,6 +31,7 @@
         whole: Whether the answer is complete.
         address: Callers' address of the instance that got it.
         sent_at: Time at which it was sent.
+        all_sent_at: Time at which its last byte was sent, where it was noted.
         ended_at: Time at which its answer ended.
         earlier: The request whose stream it takes up.
         serving: Servers of that stream's version that served at its start.
@@ -50,6 +51,7 @@
     whole: bool = False
     address: str = ""
     sent_at: float = 0.0
+    all_sent_at: float | None = None
     ended_at: float = float("inf")
     earlier: "SentRequest | None" = None
     serving: int = 0
--- a/tests/test_plannedcuts.py
+++ b/tests/test_plannedcuts.py
@@ -37,6 +37,7 @@
         self.server = PlatformServer("engine-1")
         self.configurations: list[WrittenConfiguration] = []
         self.requests: list[SentRequest] = []
+        self.stalls: list[Disturbance] = []
 
     def add(self, cut_after_s: float = INFINITE, **fields) -> SentRequest:
         """Adds a request that was passed on, whole or cut."""
@@ -72,6 +73,7 @@
             [self.instance],
             self.configurations,
             GRACE_S,
+            stalls=self.stalls,
         )
 
     def violations(self, at_all_times: bool = False) -> list[str]:
@@ -190,6 +192,20 @@
                 self.server.journal.clear()
                 self.assertEqual(len(self.checks().cuts()), count)
 
+    def test_stalled_callers(self) -> None:
+        # Guards against a check that takes a stall of the callers' process, or
+        # the time before the last byte was sent, for one of the instance.
+        request = self.add(cut_after_s=0.5, all_sent_at=NOW + 0.1)
+        self.server.journal.clear()
+        self.assertEqual(len(self.checks().cuts()), 1)
+        self.stalls.append(Disturbance(NOW, NOW + 0.25))
+        self.assertEqual(len(self.checks().cuts()), 1)
+        self.stalls.append(Disturbance(NOW + 0.4, NOW + 0.6))
+        self.assertEqual(len(self.checks().cuts()), 0)
+        self.stalls.clear()
+        request.all_sent_at = NOW + 0.35
+        self.assertEqual(len(self.checks().cuts()), 0)
+
     def test_rates_beside_configurations(self) -> None:
         # Guards against a check that counts cuts that are as frequent at other
         # times, or does not count those that are more frequent.
