Take the end of a slow caller's answer from its server's run

Change: where the caller pauses and the server had not finished, the end is that of the run. Complete answers of an instance in the place of a sound server's are counted, too.

--- a/tests/plannedcuts.py
+++ b/tests/plannedcuts.py
@@ -46,6 +46,7 @@
 """Difference between the moments at which callers, servers and this process see
 the same event."""
 
+OK = 200
 LOG_FIELDS = (
     "ended",
     "ended_by",
@@ -177,6 +178,9 @@
     ) -> None:
         """Records a violation for each cut that counts.
 
+        Complete answers of an instance in the place of a sound server's are
+        counted only.
+
         Args:
             counts: Receives the numbers of cuts by planned work and excuse.
             add_violation: Records a violation.
@@ -190,6 +194,9 @@
         counts["passed on"] = sum(
             request.attempt in self._runs for request in self._requests
         )
+        for request in self._requests:
+            if self._failed(request):
+                counts[f"passed on, answered {request.status}"] += 1
         counted = [cut for cut in cuts if cut.excuse is None]
         if not at_all_times:
             frequent = self._frequent_beside_configurations(counted)
@@ -216,11 +223,25 @@
             runs = tuple(self._runs.get(request.attempt, ()))
             if not runs and self._unread_s(request) <= UNSENT_S:
                 continue
-            work = self._work_beside(instance, request.sent_at, request.cut_at)
+            at = _ended_at(request, runs)
+            work = self._work_beside(instance, request.sent_at, at)
             excuse = self._excuse(request, instance, runs, work)
             found.append(Cut(request, instance, runs, work, excuse))
         return found
 
+    def _failed(self, request: SentRequest) -> bool:
+        """Returns whether an instance answered instead of a sound server."""
+        instance = self._instances.get(request.address)
+        runs = tuple(self._runs.get(request.attempt, ()))
+        return (
+            instance is not None
+            and bool(runs)
+            and request.whole
+            and request.status != OK
+            and not request.signature
+            and self._excuse(request, instance, runs, Work.NONE) is None
+        )
+
     def _unread_s(self, request: SentRequest) -> float:
         """Returns how long a request has waited after its last byte.
 
@@ -259,11 +280,12 @@
         runs: tuple[Run, ...],
         work: Work,
     ) -> Excuse | None:
-        used_s = request.cut_at - request.sent_at
+        at = _ended_at(request, runs)
+        used_s = at - request.sent_at
         limit_s = self._limit_s(request)
         if request.left or request.gave_up:
             return Excuse.CALLER_LEFT
-        if runs and runs[-1].broke_off(request.cut_at):
+        if runs and runs[-1].broke_off(at):
             return Excuse.SERVER_BROKE_OFF
         if used_s >= limit_s - CLOCK_SLACK_S:
             return Excuse.TIME_LIMIT
@@ -274,7 +296,7 @@
         subjects = {"", instance.path.stem, *(x.server.name for x in runs)}
         if any(
             item.subject in subjects
-            and item.since <= request.cut_at
+            and item.since <= at
             and item.until >= request.sent_at - CONTACT_S
             for item in self._disturbances
         ):
@@ -304,12 +326,13 @@
         instance: InstanceProcess,
         runs: tuple[Run, ...],
     ) -> bool:
+        at = _ended_at(request, runs)
         for stop in instance.stops:
             since = stop + LAST_GRACE_SHARE * self._grace_s
             until = stop + self._grace_s
             if (
                 request.sent_at <= stop + SENT_AFTER_STOP_S
-                and stop <= request.cut_at <= until + AFTER_S
+                and stop <= at <= until + AFTER_S
                 and any(
                     run.served.began_at <= until
                     and run.served.stopped_at >= since
@@ -332,9 +355,9 @@
         ended: collections.Counter[tuple[str, Work]] = collections.Counter()
         for request in self._requests:
             instance = self._instances.get(request.address)
-            at = min(request.ended_at, request.cut_at)
             if instance is None or request.attempt not in self._runs:
                 continue
+            at = _ended_at(request, tuple(self._runs[request.attempt]))
             work = self._work_beside(instance, request.sent_at, at)
             ended[request.address, work] += 1
             ended["", work] += 1
@@ -374,16 +397,17 @@
             "SIGHUP": cut.instance.reloads,
             "configuration": [x.at for x in self._configurations],
         }
+        ended_at = _ended_at(request, cut.runs)
         before = ", ".join(
-            f"{name} {request.cut_at - max(past):.2f} s before"
+            f"{name} {ended_at - max(past):.2f} s before"
             for name, all_times in times.items()
-            if (past := [at for at in all_times if at <= request.cut_at])
+            if (past := [at for at in all_times if at <= ended_at])
         )
         fields = {name: line[name] for name in LOG_FIELDS if name in line}
         return (
             f"{request.attempt} ({request.path}) of"
             f" {cut.instance.path.stem}: cut beside {cut.work} after"
-            f" {request.cut_at - request.sent_at:.2f} of"
+            f" {ended_at - request.sent_at:.2f} of"
             f" {self._limit_s(request):.2f} s"
             f" ({self._unread_s(request):.2f} s after its last byte),"
             f" status {request.status};"
@@ -391,6 +415,18 @@
         )
 
 
+def _ended_at(request: SentRequest, runs: tuple[Run, ...]) -> float:
+    """Returns when an answer's channel ended.
+
+    A caller that pauses sees the end late. Where its server had not finished,
+    the end of the run tells when it was.
+    """
+    at = min(request.cut_at, request.ended_at)
+    if not request.slow or not runs or runs[-1].served.ended:
+        return at
+    return min(at, runs[-1].served.stopped_at)
+
+
 def _log_lines(instances: set[InstanceProcess]) -> dict[str, dict]:
     """Returns the instances' lines of requests by attempt."""
     found = {}
--- a/tests/plannedsoak.py
+++ b/tests/plannedsoak.py
@@ -367,6 +367,7 @@
     ) -> None:
         """Sends a request and reads its answer until its time is over."""
         request.address = address
+        request.slow = slow
         request.sent_at = time.monotonic()
         prefix = f"{rng.randrange(3):x}"
         fields = {
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -40,6 +40,7 @@
         limit_s: Time limit that its caller states.
         cut_at: Time at which its channel ended without a whole answer.
         gave_up: Whether its caller left since nothing came for too long.
+        slow: Whether its caller pauses between reads.
     """
 
     attempt: str
@@ -60,6 +61,7 @@
     limit_s: float = 3.0
     cut_at: float = float("inf")
     gave_up: bool = False
+    slow: bool = False
 
     @property
     def first(self) -> "SentRequest":
--- a/tests/test_plannedcuts.py
+++ b/tests/test_plannedcuts.py
@@ -155,6 +155,19 @@
                 self.add(cut_after_s=cut_after_s)
                 self.assertEqual(self.cut().excuse, excuse)
 
+    def test_slow_callers(self) -> None:
+        # Guards against a check that takes the moment at which a slow caller
+        # saw the end for that of the end.
+        self.add(cut_after_s=5.0, slow=True)
+        self.instance.stops.append(NOW - 2.9)
+        self.server.journal[0].stopped_at = NOW + 4.5
+        self.assertEqual(self.cut().excuse, Excuse.END_OF_GRACE)
+        self.server.journal[0].stopped_at = NOW + 3.5
+        self.assertIsNone(self.cut().excuse)
+        self.server.journal[0].ended = True
+        self.server.journal[0].stopped_at = NOW + 3.5
+        self.assertIsNone(self.cut().excuse)
+
     def test_seven_tenths(self) -> None:
         # Guards against a check that excuses requests that have used much of
         # their time beside other work than a configuration.
