--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -31,6 +31,7 @@
         whole: Whether the answer is complete.
         address: Callers' address of the instance that got it.
         sent_at: Time at which it was sent.
+        all_sent_at: Time at which its last byte was sent, where it was noted.
         ended_at: Time at which its answer ended.
         earlier: The request whose stream it takes up.
         serving: Servers of that stream's version that served at its start.
@@ -39,6 +40,7 @@
         limit_s: Time limit that its caller states.
         cut_at: Time at which its channel ended without a whole answer.
         gave_up: Whether its caller left since nothing came for too long.
+        slow: Whether its caller pauses between reads.
     """
 
     attempt: str
@@ -50,6 +52,7 @@
     whole: bool = False
     address: str = ""
     sent_at: float = 0.0
+    all_sent_at: float | None = None
     ended_at: float = float("inf")
     earlier: "SentRequest | None" = None
     serving: int = 0
@@ -58,6 +61,7 @@
     limit_s: float = 3.0
     cut_at: float = float("inf")
     gave_up: bool = False
+    slow: bool = False
 
     @property
     def first(self) -> "SentRequest":
--- a/tests/test_plannedcuts.py
+++ b/tests/test_plannedcuts.py
@@ -37,6 +37,7 @@
         self.server = PlatformServer("engine-1")
         self.configurations: list[WrittenConfiguration] = []
         self.requests: list[SentRequest] = []
+        self.stalls: list[Disturbance] = []
 
     def add(self, cut_after_s: float = INFINITE, **fields) -> SentRequest:
         """Adds a request that was passed on, whole or cut."""
@@ -72,6 +73,7 @@
             [self.instance],
             self.configurations,
             GRACE_S,
+            stalls=self.stalls,
         )
 
     def violations(self, at_all_times: bool = False) -> list[str]:
@@ -153,6 +155,19 @@
                 self.add(cut_after_s=cut_after_s)
                 self.assertEqual(self.cut().excuse, excuse)
 
+    def test_slow_callers(self) -> None:
+        # Guards against a check that takes the moment at which a slow caller
+        # saw the end for that of the end.
+        self.add(cut_after_s=5.0, slow=True)
+        self.instance.stops.append(NOW - 2.9)
+        self.server.journal[0].stopped_at = NOW + 4.5
+        self.assertEqual(self.cut().excuse, Excuse.END_OF_GRACE)
+        self.server.journal[0].stopped_at = NOW + 3.5
+        self.assertIsNone(self.cut().excuse)
+        self.server.journal[0].ended = True
+        self.server.journal[0].stopped_at = NOW + 3.5
+        self.assertIsNone(self.cut().excuse)
+
     def test_seven_tenths(self) -> None:
         # Guards against a check that excuses requests that have used much of
         # their time beside other work than a configuration.
@@ -190,6 +205,20 @@
                 self.server.journal.clear()
                 self.assertEqual(len(self.checks().cuts()), count)
 
+    def test_stalled_callers(self) -> None:
+        # Guards against a check that takes a stall of the callers' process, or
+        # the time before the last byte was sent, for one of the instance.
+        request = self.add(cut_after_s=0.5, all_sent_at=NOW + 0.1)
+        self.server.journal.clear()
+        self.assertEqual(len(self.checks().cuts()), 1)
+        self.stalls.append(Disturbance(NOW, NOW + 0.25))
+        self.assertEqual(len(self.checks().cuts()), 1)
+        self.stalls.append(Disturbance(NOW + 0.4, NOW + 0.6))
+        self.assertEqual(len(self.checks().cuts()), 0)
+        self.stalls.clear()
+        request.all_sent_at = NOW + 0.35
+        self.assertEqual(len(self.checks().cuts()), 0)
+
     def test_rates_beside_configurations(self) -> None:
         # Guards against a check that counts cuts that are as frequent at other
         # times, or does not count those that are more frequent.
