Try a begun answer elsewhere when a further engine rejects it

An answer that had made way, or whose engine broke, was ended with 400 when the next engine rejected it (for instance 404 by one that does not have the model yet), although the first engine had accepted the same request. Such a rejection now counts as a failed attempt, within the retries.

Measured: test_rejected failed before and passes; tests.test_ownanswers: 14 passed.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -423,7 +423,8 @@
         self._context.counters.incr(f"attempt.{error.execution_status.value}")
         if error.execution_status is ExecutionStatus.NOT_RUN:
             self.outcome.refused()
-        if error.rejection is not None:
+        accepted_before = self._delivered_tokens > 0 or self._displaced
+        if error.rejection is not None and not accepted_before:
             raise _rejection_error(error)
         if not self._displaced:
             self._failures += 1
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -104,12 +104,14 @@
         servers: Names of the servers that were sent an attempt, in order.
         cuts: Numbers of frames after which the next connections are cut.
         refusals: Number of upcoming attempts that are refused as not run.
+        rejections: Number of upcoming attempts that are rejected as invalid.
     """
 
     def __init__(self) -> None:
         self.servers: list[str] = []
         self.cuts: list[int] = []
         self.refusals = 0
+        self.rejections = 0
         self._cancelled: set[str] = set()
 
     def run(self, attempt: EngineAttempt) -> AsyncIterator[Chunk]:
@@ -134,6 +136,13 @@
         if self.refusals:
             self.refusals -= 1
             raise AttemptError("refused", ExecutionStatus.NOT_RUN)
+        if self.rejections:
+            self.rejections -= 1
+            raise AttemptError(
+                "rejected",
+                ExecutionStatus.NOT_RUN,
+                rejection=HttpResponse(404, {}, b""),
+            )
         cut = self.cuts.pop(0) if self.cuts else TOKENS
         body = json.loads(attempt.body)
         base = len(body["prompt"].split()) - 1
@@ -408,6 +417,20 @@
             self.assertEqual(text, EXPECTED)
             self.assertFalse(own.retries.spend())
 
+    async def test_rejected(self) -> None:
+        # Guards against a preempted answer that is ended as invalid since
+        # another engine rejects what the first one had accepted.
+        engines = Engines()
+        own = OwnInstance(manifest_text("s1", "s2"), engines)
+        async with own.running():
+
+            def reject() -> None:
+                engines.rejections = 1
+                own.preempt()
+
+            text = await self.read(own.answer(), 4, reject)
+            self.assertEqual(text, EXPECTED)
+
 
 class ResumedStreamTest(AnswerCase):
     """Streams whose connections break while their engines go on."""
