Prove the safeguards of answers kept on the own interface

Five entries in the list of safeguards, and a test of a broker that has an older manifest than the instance. Measured: each of the five tests fails without its safeguard (tests.safeguards with the five names).

--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -37,6 +37,42 @@
         "if False:",
         "test_streams.BrokenStreamTest.test_duplicate_and_misrouted_frames",
     ),
+    Safeguard(
+        "a silent engine is left only for another place",
+        "answers",
+        "        if not self._next_place.ready("
+        "lambda: self._request_elsewhere(server)):\n            return True\n",
+        "",
+        "test_ownanswers.SilentEngineTest.test_no_slot",
+    ),
+    Safeguard(
+        "an answer that made way looks on for a place",
+        "answers",
+        "            if error is None:\n                self._displace()\n",
+        "",
+        "test_ownanswers.PreemptedAnswerTest.test_class_maximum_wait",
+    ),
+    Safeguard(
+        "a rejection by a further engine does not end a begun answer",
+        "answers",
+        "if error.rejection is not None and not accepted_before:",
+        "if error.rejection is not None:",
+        "test_ownanswers.PreemptedAnswerTest.test_rejected",
+    ),
+    Safeguard(
+        "a permit by another manifest is requested again",
+        "permitclient",
+        "            if result.server not in self._servers_of(request.cell):",
+        "            if False:",
+        "test_ownanswers.ChangedManifestTest.test_older_broker",
+    ),
+    Safeguard(
+        "a planned stop waits for replies that are still read",
+        "daemon",
+        "                await self._callers_closed.wait()\n",
+        "                pass\n",
+        "test_ownanswers.SlowReaderTest.test_reply_is_read_to_its_end",
+    ),
     Safeguard(
         "another engine continues after the delivered tokens",
         "answers",
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -344,6 +344,28 @@
             self.assertEqual(body, b"v-s2")
             self.assertEqual(own.client.held, 1)
 
+    async def test_older_broker(self) -> None:
+        # Guards against an answer that is sent to a server which the manifest
+        # in force has removed, or ended since its broker has the older one.
+        engines = Engines()
+        own = OwnInstance(manifest_text("s1", "s2"), engines)
+        async with own.running():
+            own.directory = manifest.parse(manifest_text("s2"), "m").unwrap()
+            own.occupy("x", "pool/0", "s2")
+            own.host.on_manifest_changed()
+            older = manifest.parse(manifest_text("s1", "s2"), "m").unwrap()
+            own.host._hosted["pool/0"].broker.update_cell(older.cells["pool/0"])
+
+            async def change() -> None:
+                await anyio.sleep(0.2)
+                own.host.on_manifest_changed()
+                own.client.release(release("x"))
+
+            own.group.start_soon(change)
+            self.assertEqual(await self.read(own.answer()), EXPECTED)
+            self.assertEqual(engines.servers, ["s2"])
+            self.assertEqual(own.client.held, 0)
+
     async def test_model_moves(self) -> None:
         # Guards against an answer that is ended since its model moved to
         # another pool while it made way.
