Let SIGHUP end no answers

The daemon left SIGHUP to its default action, which ends the process: an operator who asked for a reload, as other daemons understand the signal, broke off every answer of the instance. There is nothing to reload, since manifests are adopted by themselves; the signal is now only logged.

Measured: test_hangup_signal failed before (the process had exited with -1) and passes; tests.test_ownanswers.SignalTest, test_stopping: 6 passed.

--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -523,9 +523,15 @@
     async def _handle_stop_signals(self) -> None:
         try:
             with anyio.open_signal_receiver(
-                signal.SIGTERM, signal.SIGINT
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
             ) as received:
-                async for _ in received:
+                async for number in received:
+                    if number == signal.SIGHUP:
+                        _log.warning(
+                            "SIGHUP has no effect: a newer manifest is adopted"
+                            " without it, settings are read at the start"
+                        )
+                        continue
                     # A second signal does not abort requests either; SIGKILL
                     # does.
                     self.drain()
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -71,7 +71,7 @@
         "daemon",
         "                await self._callers_closed.wait()\n",
         "                pass\n",
-        "test_ownanswers.SlowReaderTest.test_reply_is_read_to_its_end",
+        "test_ownanswers.SignalTest.test_reply_is_read_to_its_end",
     ),
     Safeguard(
         "another engine continues after the delivered tokens",
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -5,6 +5,7 @@
 import json
 import random
 import re
+import signal
 import socket
 import time
 import unittest
@@ -38,7 +39,7 @@
 from jasminerelay.watchdog import Watchdog
 from standins.launcher import Options
 from tests.fakes import release
-from tests.support import KEY, SystemCase
+from tests.support import KEY, Streamed, SystemCase, answer_to, stream
 
 BASE = """
 [[classes]]
@@ -577,8 +578,8 @@
         self.assertEqual(self.retries, 9)
 
 
-class SlowReaderTest(SystemCase):
-    """A planned stop while a caller still reads its reply."""
+class SignalTest(SystemCase):
+    """Signals to an instance while callers still read their replies."""
 
     options = Options(
         daemons=1,
@@ -590,6 +591,20 @@
         },
     )
 
+    def test_hangup_signal(self) -> None:
+        # Guards against streams that are broken off by SIGHUP, which asks other
+        # daemons for a reload.
+        daemon = self.system.daemons[0]
+
+        def hang_up(streamed: Streamed) -> None:
+            if len(streamed.ids) == 3:
+                daemon.popen.send_signal(signal.SIGHUP)
+
+        prompt = "hang up [len=40]"
+        streamed = stream(daemon, prompt, on_event=hang_up)
+        self.assertTrue(streamed.whole, streamed.error)
+        self.assertEqual(streamed.text, answer_to(prompt))
+
     def test_reply_is_read_to_its_end(self) -> None:
         # Guards against a reply that is cut by a planned stop since its caller
         # has not read it to the end when its call is no longer counted.
