--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -5,6 +5,7 @@
 import json
 import random
 import re
+import signal
 import socket
 import time
 import unittest
@@ -38,7 +39,7 @@
 from jasminerelay.watchdog import Watchdog
 from standins.launcher import Options
 from tests.fakes import release
-from tests.support import KEY, SystemCase
+from tests.support import KEY, Streamed, SystemCase, answer_to, stream
 
 BASE = """
 [[classes]]
@@ -104,12 +105,14 @@
         servers: Names of the servers that were sent an attempt, in order.
         cuts: Numbers of frames after which the next connections are cut.
         refusals: Number of upcoming attempts that are refused as not run.
+        rejections: Number of upcoming attempts that are rejected as invalid.
     """
 
     def __init__(self) -> None:
         self.servers: list[str] = []
         self.cuts: list[int] = []
         self.refusals = 0
+        self.rejections = 0
         self._cancelled: set[str] = set()
 
     def run(self, attempt: EngineAttempt) -> AsyncIterator[Chunk]:
@@ -134,6 +137,13 @@
         if self.refusals:
             self.refusals -= 1
             raise AttemptError("refused", ExecutionStatus.NOT_RUN)
+        if self.rejections:
+            self.rejections -= 1
+            raise AttemptError(
+                "rejected",
+                ExecutionStatus.NOT_RUN,
+                rejection=HttpResponse(404, {}, b""),
+            )
         cut = self.cuts.pop(0) if self.cuts else TOKENS
         body = json.loads(attempt.body)
         base = len(body["prompt"].split()) - 1
@@ -335,6 +345,28 @@
             self.assertEqual(body, b"v-s2")
             self.assertEqual(own.client.held, 1)
 
+    async def test_older_broker(self) -> None:
+        # Guards against an answer that is sent to a server which the manifest
+        # in force has removed, or ended since its broker has the older one.
+        engines = Engines()
+        own = OwnInstance(manifest_text("s1", "s2"), engines)
+        async with own.running():
+            own.directory = manifest.parse(manifest_text("s2"), "m").unwrap()
+            own.occupy("x", "pool/0", "s2")
+            own.host.on_manifest_changed()
+            older = manifest.parse(manifest_text("s1", "s2"), "m").unwrap()
+            own.host._hosted["pool/0"].broker.update_cell(older.cells["pool/0"])
+
+            async def change() -> None:
+                await anyio.sleep(0.2)
+                own.host.on_manifest_changed()
+                own.client.release(release("x"))
+
+            own.group.start_soon(change)
+            self.assertEqual(await self.read(own.answer()), EXPECTED)
+            self.assertEqual(engines.servers, ["s2"])
+            self.assertEqual(own.client.held, 0)
+
     async def test_model_moves(self) -> None:
         # Guards against an answer that is ended since its model moved to
         # another pool while it made way.
@@ -408,6 +440,20 @@
             self.assertEqual(text, EXPECTED)
             self.assertFalse(own.retries.spend())
 
+    async def test_rejected(self) -> None:
+        # Guards against a preempted answer that is ended as invalid since
+        # another engine rejects what the first one had accepted.
+        engines = Engines()
+        own = OwnInstance(manifest_text("s1", "s2"), engines)
+        async with own.running():
+
+            def reject() -> None:
+                engines.rejections = 1
+                own.preempt()
+
+            text = await self.read(own.answer(), 4, reject)
+            self.assertEqual(text, EXPECTED)
+
 
 class ResumedStreamTest(AnswerCase):
     """Streams whose connections break while their engines go on."""
@@ -532,8 +578,8 @@
         self.assertEqual(self.retries, 9)
 
 
-class SlowReaderTest(SystemCase):
-    """A planned stop while a caller still reads its reply."""
+class SignalTest(SystemCase):
+    """Signals to an instance while callers still read their replies."""
 
     options = Options(
         daemons=1,
@@ -545,6 +591,20 @@
         },
     )
 
+    def test_hangup_signal(self) -> None:
+        # Guards against streams that are broken off by SIGHUP, which asks other
+        # daemons for a reload.
+        daemon = self.system.daemons[0]
+
+        def hang_up(streamed: Streamed) -> None:
+            if len(streamed.ids) == 3:
+                daemon.popen.send_signal(signal.SIGHUP)
+
+        prompt = "hang up [len=40]"
+        streamed = stream(daemon, prompt, on_event=hang_up)
+        self.assertTrue(streamed.whole, streamed.error)
+        self.assertEqual(streamed.text, answer_to(prompt))
+
     def test_reply_is_read_to_its_end(self) -> None:
         # Guards against a reply that is cut by a planned stop since its caller
         # has not read it to the end when its call is no longer counted.
