--- a/tests/test_answerskept.py
+++ b/tests/test_answerskept.py
@@ -394,6 +394,16 @@
                 sum(s.move_count for s in site.servers.values()), 0
             )
 
+    async def test_silent_after_it_was_stopped(self) -> None:
+        # Guards against a stopped run with a copy that waits for the end of its
+        # stream from a server which sends nothing any more.
+        async with self.site() as (site, (instance,)):
+
+            def prepare(server, others) -> None:
+                server.faults.silent = True
+
+            self.assert_whole(await self.moved_stream(site, instance, prepare))
+
     async def test_target_gone(self) -> None:
         # Guards against a stream that is stopped for a target which does not
         # listen.
--- a/tests/test_slowstreams.py
+++ b/tests/test_slowstreams.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from jasminerelay.attempt import MIN_STREAM_TIMEOUT_S
 from jasminerelay.scheduling.heldbytes import (
     MEMORY_SHORT,
     STALLED,
@@ -98,6 +99,30 @@
             self.assertLess(max(intervals), STALL_S / 2)
             self.assertEqual(len(line["servers"]), 1)
 
+    async def test_silent_server_after_a_pause_of_the_caller(self) -> None:
+        # Guards against a stream that stays at a dark server until its time is
+        # over, since its caller had once read slowly.
+        async with self.long_site(event_bytes=64_000, tick_s=0.002) as (
+            site,
+            instance,
+        ):
+            async with self.caller(instance, self.HEAD) as caller:
+                await caller.read_head()
+                await self.until(
+                    lambda: "held.waited" in instance.counters.snapshot()
+                )
+                for _ in range(100):
+                    await caller.read(1 << 16)
+                (server,) = [x for x in site.servers.values() if x.running]
+                server.faults.silent = True
+                while not caller.tail.endswith(b"0\r\n\r\n"):
+                    with anyio.fail_after(2 * MIN_STREAM_TIMEOUT_S):
+                        self.assertTrue(await caller.read(1 << 20))
+            await self.until(lambda: self.events_named("request"))
+            (line,) = self.events_named("request")
+            self.assertTrue(line["whole"])
+            self.assertEqual(len(line["servers"]), 2)
+
 
 class LargeBodiesTest(SlowCallersCase):
     """Large bodies while memory is short."""
