Keep the copy of a run that may have stopped, and try refused moves elsewhere

Cause: a later refused copy overwrote the one that had been made before an order to stop whose reply was lost; and once a run had been ordered to stop, each later refused copy counted as such an order, so no other target was tried.

Change: the earlier copy stays, and only an order of the same move counts.

--- a/src/jasminerelay/streammoves.py
+++ b/src/jasminerelay/streammoves.py
@@ -154,6 +154,7 @@
     async def _move(self, reservation: Reservation) -> bool:
         """Moves the run; returns whether it was ordered to stop."""
         self._copy_ended = anyio.Event()
+        count = self.count
         try:
             result = await self._migrator.move(
                 self._call,
@@ -163,14 +164,14 @@
             )
             self.copy = result.copy
             self.may_have_stopped |= result.may_have_stopped
-            self.spare = result.spare
+            self.spare = result.spare or self.spare
         finally:
             reservation.run.end()
             self._copy_ended.set()
             self._copy_ended = None
             if self._stop_ended is not None:
                 self._stop_ended.set()
-        return self._stop_ended is not None
+        return self.count > count
 
     def _on_stop(self) -> None:
         self._left -= 1
