Go on from the copy of a stopped run whose connection does not end

Cause: once a run had been stopped and copied, the stream still waited for the end of its connection, and no search for another server may act meanwhile: on a connection that hangs it waited until its time limit.

Change: the connection is closed 0.25 s after the reply that names the copy.

Result: the new test got a stream that was not whole before, a whole one now.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -80,6 +80,10 @@
 silent one, too. Servers reject at once, so the silent one is left only once the
 other has accepted it; two servers may work on a request for 0.4 s at most."""
 
+STOPPED_STREAM_S = 0.25
+"""Longest time for which a stream stays open whose run has been stopped for a
+move. Its server closes it with its reply, but the connection may hang."""
+
 NO_TIMEOUT_S = 3600.0
 
 MAX_ID_DIGITS = 6
@@ -254,6 +258,7 @@
         self._silent = silent
         self._handover: Handover | None = None
         self._channel: Channel | None = None
+        self._left_server = False
         self._moves: StreamMoves | None = None
         self._sent_at = 0.0
         self._running_at_send = 0
@@ -283,9 +288,14 @@
             return self._handover.taken
         self._handover.take()
         self._progress.given_away = True
+        self._leave_server()
+        return True
+
+    def _leave_server(self) -> None:
+        """Closes the connection while an answer is awaited."""
         if self._channel is not None:
+            self._left_server = True
             self._channel.close()
-        return True
 
     def _keeps_answer(self, head: ResponseHead) -> bool:
         """Notes that the server sent something; returns whether it counts.
@@ -334,7 +344,7 @@
             if (
                 channel.relay_lost
                 and isinstance(outcome, Unknown | Interrupted | BrokenOff)
-                and not self._is_replaced
+                and not self._left_server
             ):
                 self._context.channels.record_lost_relay(channel)
                 return dataclasses.replace(outcome, relay_lost=True)
@@ -716,8 +726,14 @@
             server,
             self._progress.moves,
         )
+        timers = contextlib.ExitStack()
+        moves.on_copied = lambda: timers.callback(
+            asyncio.get_running_loop()
+            .call_later(STOPPED_STREAM_S, self._leave_server)
+            .cancel
+        )
         try:
-            with BackgroundTasks() as group:
+            with timers, BackgroundTasks() as group:
                 group.start_soon(self._move_when_leaving, server, leaving_event)
                 group.start_soon(self._move_when_slow, server)
                 outcome = await self._relay_events(reservation, response, head)
--- a/src/jasminerelay/streammoves.py
+++ b/src/jasminerelay/streammoves.py
@@ -37,6 +37,7 @@
             closes the stream without an end.
         spare: Copy from which it continues if its stream ends so.
         count: Number of orders to stop it.
+        on_copied: Called once the run has stopped and its copy is known.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.copy: KvCacheCopy | None = None
         self.may_have_stopped = False
         self.spare: KvCacheCopy | None = None
+        self.on_copied: Callable[[], None] = lambda: None
 
     @property
     def under_way(self) -> bool:
@@ -165,6 +167,8 @@
             self.copy = result.copy
             self.may_have_stopped |= result.may_have_stopped
             self.spare = result.spare or self.spare
+            if self.copy is not None:
+                self.on_copied()
         finally:
             reservation.run.end()
             self._copy_ended.set()
--- a/tests/test_answerskept.py
+++ b/tests/test_answerskept.py
@@ -266,3 +266,13 @@
                     self.assert_whole(
                         await self.moved_stream(site, instance, prepare)
                     )
+
+    async def test_connection_stays_open(self) -> None:
+        # Guards against waiting for the end of a connection whose run has been
+        # stopped.
+        async with self.site() as (site, (instance,)):
+
+            def prepare(server, others) -> None:
+                server.faults.silent = True
+
+            self.assert_whole(await self.moved_stream(site, instance, prepare))
