--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -257,6 +257,7 @@
         self._silent = silent
         self._handover: Handover | None = None
         self._channel: Channel | None = None
+        self._left_server = False
         self._moves: StreamMoves | None = None
         self._sent_at = 0.0
         self._running_at_send = 0
@@ -286,9 +287,14 @@
             return self._handover.taken
         self._handover.take()
         self._progress.given_away = True
+        self._leave_server()
+        return True
+
+    def _leave_server(self) -> None:
+        """Closes the connection while an answer is awaited."""
         if self._channel is not None:
+            self._left_server = True
             self._channel.close()
-        return True
 
     def _keeps_answer(self, head: ResponseHead) -> bool:
         """Notes that the server sent something; returns whether it counts.
@@ -337,7 +343,7 @@
             if (
                 channel.relay_lost
                 and isinstance(outcome, Unknown | Interrupted | BrokenOff)
-                and not self._is_replaced
+                and not self._left_server
             ):
                 self._context.channels.record_lost_relay(channel)
                 return dataclasses.replace(outcome, relay_lost=True)
@@ -876,7 +882,7 @@
         """Ends the exchange with a server that leaves a stopped stream open."""
         if self._moves.copy is not None:
             await anyio.sleep(STOPPED_END_S)
-            self._channel.close()
+            self._leave_server()
 
     def _tried_servers(self) -> frozenset[str]:
         return frozenset(self._progress.tried)
