Close idle connections before an ending instance stops reading them

Callers saw requests on kept connections unanswered for up to 0.4 s, until the process of an instance that had got SIGTERM was gone. Change: the ports stop listening and close their idle connections first, so that such a request fails at once.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -281,6 +281,10 @@
                 self._servers_start,
             )
             await self._wait_for_stop()
+            # The process takes a while to end. A request that it does not read
+            # any more should fail at once.
+            for port in self._ports:
+                port.stop_accepting()
             group.cancel_scope.cancel()
         self.log.warn("stop", under_way=self._requests_in_flight())
         self.running = False
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -42,6 +42,13 @@
                 TICK_INTERVAL_S - time.monotonic() % TICK_INTERVAL_S
             )
 
+    def stop_accepting(self) -> None:
+        """Stops listening and closes the connections without a request."""
+        for listener in getattr(self, "servers", ()):
+            listener.close()
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+
     @contextlib.contextmanager
     def capture_signals(self):
         """Installs no handlers; else a second SIGTERM would abort requests."""
