Take a request's time limit from the route of its longest prefix

Cause: the check took the least limit of all routes with the same first part of the path, which excused more than the rule does.

--- a/tests/plannedcuts.py
+++ b/tests/plannedcuts.py
@@ -87,12 +87,18 @@
 
     Attributes:
         at: Time at which it was written, and acknowledged.
-        timeouts_s: Time limits of its routes, by the first part of the path.
+        timeouts_s: Time limits of its routes, by prefix.
     """
 
     at: float
     timeouts_s: Mapping[str, float]
 
+    def timeout_s(self, path: str) -> float:
+        """Returns the time limit of a path's route; infinite without one."""
+        prefixes = [x for x in self.timeouts_s if path.startswith(x)]
+        longest = max(prefixes, key=len, default="")
+        return self.timeouts_s.get(longest, float("inf"))
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
@@ -312,12 +318,7 @@
             for item in self._configurations
             if since < item.at <= request.sent_at + CLOCK_SLACK_S
         ]
-        route = request.path.split("/")[1]
-        timeouts_s = [
-            item.timeouts_s[route]
-            for item in before + later
-            if route in item.timeouts_s
-        ]
+        timeouts_s = [x.timeout_s(request.path) for x in before + later]
         return min([request.limit_s, *timeouts_s])
 
     def _at_end_of_grace(
--- a/tests/soakconfigurations.py
+++ b/tests/soakconfigurations.py
@@ -98,15 +98,12 @@
         self._key_gone = False
 
     def timeouts_s(self) -> dict[str, float]:
-        """Returns the least time limit by the first part of the path."""
-        found: dict[str, float] = {}
-        for name, item in self._routes.items():
-            if name in self._gone:
-                continue
-            part = item["prefix"].split("/")[1]
-            limit_s = item["timeoutMs"] / 1000
-            found[part] = min(limit_s, found.get(part, limit_s))
-        return found
+        """Returns the time limits by prefix."""
+        return {
+            item["prefix"]: item["timeoutMs"] / 1000
+            for name, item in self._routes.items()
+            if name not in self._gone
+        }
 
     def _any_route(self) -> dict:
         return self._rng.choice(list(self._routes.values()))
--- a/tests/test_plannedcuts.py
+++ b/tests/test_plannedcuts.py
@@ -99,7 +99,8 @@
                 self.assertEqual(self.cut().work, work)
                 self.assertIsNone(self.cut().excuse)
 
-    def configure(self, at: float, **timeouts_s: float) -> None:
+    def configure(self, at: float, chat_s: float = 9.0) -> None:
+        timeouts_s = {"/chat/1/": chat_s, "/chat/": 1.0, "/sheet/": 1.0}
         self.configurations.append(WrittenConfiguration(at, timeouts_s))
 
     def test_silence_is_no_excuse(self) -> None:
@@ -129,10 +130,10 @@
         # Guards against a check that overlooks a shorter limit of a new
         # configuration, or takes one that came later.
         self.add(cut_after_s=5.0)
-        self.configure(NOW - 9.0, chat=9.0)
-        self.configure(NOW + 1.0, chat=5.0)
+        self.configure(NOW - 9.0, chat_s=9.0)
+        self.configure(NOW + 1.0, chat_s=5.0)
         self.assertIsNone(self.cut().excuse)
-        self.configure(NOW - 1.0, chat=5.0)
+        self.configure(NOW - 1.0, chat_s=5.0)
         self.configurations.sort(key=lambda item: item.at)
         self.assertEqual(self.cut().excuse, Excuse.TIME_LIMIT)
 
