Let the run of planned work do without signals

Cause: beside SIGTERM and SIGHUP hardly a cut answer is attributed to a configuration. Change: --no-signals; the number of cuts that the rule itself counts (rates beside configurations and at other times) is among the counts.

--- a/tests/plannedcuts.py
+++ b/tests/plannedcuts.py
@@ -204,14 +204,16 @@
             if self._failed(request):
                 counts[f"passed on, answered {request.status}"] += 1
         counted = [cut for cut in cuts if cut.excuse is None]
+        frequent = self._frequent_beside_configurations(counted)
+        by_rule = [
+            cut
+            for cut in counted
+            if cut.work in (Work.STOP, Work.RELOAD)
+            or (cut.work is Work.CONFIGURATION and cut.instance in frequent)
+        ]
+        counts["cut, by the rule"] = len(by_rule)
         if not at_all_times:
-            frequent = self._frequent_beside_configurations(counted)
-            counted = [
-                cut
-                for cut in counted
-                if cut.work in (Work.STOP, Work.RELOAD)
-                or (cut.work is Work.CONFIGURATION and cut.instance in frequent)
-            ]
+            counted = by_rule
         lines = _log_lines({cut.instance for cut in counted})
         for cut in counted:
             line = lines.get(cut.request.attempt, {})
--- a/tests/plannedsoak.py
+++ b/tests/plannedsoak.py
@@ -2,6 +2,7 @@
 
 Usage: python -m tests.plannedsoak [--seconds S] [--seed N] [--runs N]
                                    [--source FOLDER] [--logs FOLDER]
+                                   [--no-signals]
 
 Nothing is killed, suspended or cut off, so that each answer that was passed on
 to a server and did not end whole has to be explained. The instances run as
@@ -84,8 +85,16 @@
         engines=0, plain=0, grace_s=GRACE_S, links=True, duties=True
     )
 
-    def __init__(self, *args, **options):
+    def __init__(self, *args, signals: bool = True, **options):
+        """Creates a run.
+
+        Args:
+            *args: As for any randomised run.
+            signals: Whether instances get signals, besides configurations.
+            **options: As for any randomised run.
+        """
         super().__init__(*args, **options)
+        self._signals = signals
         self._load = 1.0
         self._service_of: dict[str, str] = {}
 
@@ -125,10 +134,10 @@
     async def _plan_work(self) -> None:
         until = time.monotonic() + self._seconds
         async with anyio.create_task_group() as group:
+            signals = (self._reload_in_series, self._restart_in_turn)
             for work in (
                 self._configure_in_series,
-                self._reload_in_series,
-                self._restart_in_turn,
+                *(signals if self._signals else ()),
                 self._replace_in_turn,
                 self._replace_in_turn,
                 self._silence_in_turn,
@@ -426,10 +435,17 @@
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--source", type=pathlib.Path, default=ROOT)
     parser.add_argument("--logs", type=pathlib.Path)
+    parser.add_argument("--no-signals", action="store_true")
     options = parser.parse_args()
     failing = 0
     for seed in range(options.seed, options.seed + options.runs):
-        soak = PlannedSoak(seed, options.seconds, options.source, options.logs)
+        soak = PlannedSoak(
+            seed,
+            options.seconds,
+            options.source,
+            options.logs,
+            signals=not options.no_signals,
+        )
         anyio.run(soak.run)
         print(f"seed {seed}:", dict(sorted(soak.counts.items())))
         for violation in soak.violations:
