Give a request that has run its class's whole wait for the next permit

A request whose engine broke, after more time than its class may wait for a permit, was refused at once as too late, although another engine had a free slot: the time at the engine counted as wait. With a class like chat (1.9 s) this held for every engine that broke before its first token after 2 s, and for every repeatable call that reached the service's time limit.

Requests that have run now get the class's whole wait for each further permit, as begun answers did. Refused (not run) requests keep what is left of theirs. test_server_removed shows that an answer whose server a manifest removes stays there, and is resumed there.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -413,10 +413,7 @@
             request = self._new_permit_request([*self._avoid, server.name])
         except RelayError:
             return None
-        if server.name not in request.avoid:
-            return None
-        max_wait_s = self._placement.service_class.max_wait_s
-        return msgspec.structs.replace(request, max_wait_s=max_wait_s)
+        return request if server.name in request.avoid else None
 
     async def _handle_failure(self, error: AttemptError) -> None:
         """Returns once the request may be retried, else raises."""
@@ -562,11 +559,11 @@
             self._can_continue_at,
         )
         waited = time.monotonic() - self._arrived
-        # A request with a partial answer has already used engine time. A
-        # refusal would waste that, so it keeps the full maximum wait.
+        # A request that has run has already used engine time. A refusal would
+        # waste that, so it keeps the full maximum wait.
         max_wait = (
             cls.max_wait_s
-            if self._delivered_tokens
+            if self._delivered_tokens or self.outcome.may_have_run
             else cls.max_wait_s - waited
         )
         if self._displaced:
--- a/src/jasminerelay/servicecalls.py
+++ b/src/jasminerelay/servicecalls.py
@@ -342,6 +342,12 @@
         service = self._service(request, outcome)
         cell = self._permits.choose_cell(service, organisation.name, ())
         waited = time.monotonic() - started
+        # The time at a server that broke is no wait for a permit.
+        max_wait_s = (
+            cls.max_wait_s
+            if outcome.may_have_run
+            else max(0.0, cls.max_wait_s - waited)
+        )
         return PermitRequest(
             uuid.uuid4().hex,
             cell.name,
@@ -350,7 +356,7 @@
             organisation.weight,
             CALL_WORK,
             waited + request.waited_s,
-            max(0.0, cls.max_wait_s - waited),
+            max_wait_s,
             cls.target_s,
             cls.floor_share,
             cls.leave_free,
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -106,6 +106,7 @@
         cuts: Numbers of frames after which the next connections are cut.
         refusals: Number of upcoming attempts that are refused as not run.
         rejections: Number of upcoming attempts that are rejected as invalid.
+        prefill_s: Time in seconds until the first token.
     """
 
     def __init__(self) -> None:
@@ -113,6 +114,7 @@
         self.cuts: list[int] = []
         self.refusals = 0
         self.rejections = 0
+        self.prefill_s = 0.0
         self._cancelled: set[str] = set()
 
     def run(self, attempt: EngineAttempt) -> AsyncIterator[Chunk]:
@@ -144,6 +146,7 @@
                 ExecutionStatus.NOT_RUN,
                 rejection=HttpResponse(404, {}, b""),
             )
+        await anyio.sleep(self.prefill_s)
         cut = self.cuts.pop(0) if self.cuts else TOKENS
         body = json.loads(attempt.body)
         base = len(body["prompt"].split()) - 1
@@ -243,6 +246,26 @@
             if permit.held.preemptible:
                 self.client._handle(PermitRevocation(ask_id), "a")
 
+    def call(self) -> ServiceRequest:
+        """Returns a repeatable call of the service."""
+        organisation = self.directory.organisations["o"]
+        service, call = self.directory.find_call(
+            organisation, "svc", "GET", "/x"
+        )
+        return ServiceRequest(
+            organisation,
+            service,
+            call,
+            self.directory.classes["c"],
+            "GET",
+            "/x",
+            "",
+            {},
+            b"",
+            "",
+            0.0,
+        )
+
     def answer(self) -> Answer:
         """Returns the answer to a request."""
         body = json.dumps({"model": "m", "prompt": "p", "max_tokens": 99})
@@ -317,22 +340,6 @@
         own = OwnInstance(manifest_text("s1"), Services())
         async with own.running():
             own.occupy("x", "svc/0", "v-s1")
-            service, call = own.directory.find_call(
-                own.directory.organisations["o"], "svc", "GET", "/x"
-            )
-            request = ServiceRequest(
-                own.directory.organisations["o"],
-                service,
-                call,
-                own.directory.classes["c"],
-                "GET",
-                "/x",
-                "",
-                {},
-                b"",
-                "",
-                0.0,
-            )
 
             async def change() -> None:
                 await anyio.sleep(0.1)
@@ -341,10 +348,24 @@
             own.group.start_soon(change)
             body = b""
             with contextlib.suppress(RelayError):
-                body = (await own.calls.serve(request)).body
+                body = (await own.calls.serve(own.call())).body
             self.assertEqual(body, b"v-s2")
             self.assertEqual(own.client.held, 1)
 
+    async def test_server_removed(self) -> None:
+        # Guards against an answer that leaves its engine, or is not resumed
+        # there, since a manifest has removed it.
+        engines = Engines()
+        engines.cuts = [8]
+        own = OwnInstance(manifest_text("s1"), engines, retries=0.0)
+        async with own.running():
+            text = await self.read(
+                own.answer(), 4, lambda: own.apply(manifest_text("s2"))
+            )
+            self.assertEqual(text, EXPECTED)
+            self.assertEqual(engines.servers, ["s1"])
+            self.assertEqual(own.client.held, 0)
+
     async def test_older_broker(self) -> None:
         # Guards against an answer that is sent to a server which the manifest
         # in force has removed, or ended since its broker has the older one.
@@ -455,6 +476,40 @@
             self.assertEqual(text, EXPECTED)
 
 
+class RetriedAnswerTest(AnswerCase):
+    """Answers whose engine broke before the first token."""
+
+    async def test_free_slot_elsewhere(self) -> None:
+        # Guards against a request that is refused after its engine has broken,
+        # although another one has a free slot, since its wait for the first
+        # permit and its time at the engine were taken together.
+        engines = Engines()
+        engines.prefill_s = 0.6
+        engines.cuts = [0]
+        text = manifest_text("s1", "s2", resume=False)
+        async with OwnInstance(text, engines).running() as own:
+            self.assertEqual(await self.read(own.answer()), EXPECTED)
+
+    async def test_free_slot_for_calls(self) -> None:
+        # Guards against a repeatable call that is refused in the same way.
+        class Services:
+            async def call(self, server, request) -> HttpResponse:
+                del request
+                if not names:
+                    names.append(server.name)
+                    await anyio.sleep(0.6)
+                    raise AttemptError("broken", ExecutionStatus.MAY_HAVE_RUN)
+                return HttpResponse(200, {}, server.name.encode())
+
+        names: list[str] = []
+        own = OwnInstance(manifest_text("s1", "s2"), Services())
+        body = b""
+        async with own.running():
+            with contextlib.suppress(RelayError):
+                body = (await own.calls.serve(own.call())).body
+        self.assertNotIn(body.decode(), ["", *names])
+
+
 class ResumedStreamTest(AnswerCase):
     """Streams whose connections break while their engines go on."""
 
