Ignore revocations by a broker that a permit has moved from

A broker that was frozen and has lost its cell still steps its queue when it goes on, and revoked permits that another broker holds by then; the answers were cancelled at their engines for requests that wait elsewhere or not at all. Revocations now count only from the permit's broker or the local one.

--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -556,9 +556,9 @@
 
     @_handle.register
     def _handle_revoke(self, message: PermitRevocation, peer: str) -> None:
-        del peer
+        # A broker that was frozen revokes permits that have moved from it.
         permit = self._held_permits.get(message.ask_id)
-        if permit is not None:
+        if permit is not None and peer in ("", permit.broker_name):
             permit.revoked = True
 
     @_handle.register
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -14,12 +14,14 @@
 from jasminerelay.metrics import Counters, InvariantHandler
 from jasminerelay.permitclient import PermitClient
 from jasminerelay.schema.messages import (
+    BrokerFrame,
     HeldPermit,
     InstanceFrame,
     Member,
     PermitGrant,
     PermitRefusal,
     PermitRequest,
+    PermitRevocation,
 )
 from jasminerelay.schema.settings import Statsd
 from jasminerelay.serverpauses import ServerPauses
@@ -229,6 +231,20 @@
         self.client.release(release("1"))
         self.assertEqual(self.instances.held(first), 0)
 
+    async def test_former_broker_revokes(self) -> None:
+        # Guards against an answer that is preempted by a broker which was
+        # frozen while another one took over the permit.
+        former = self.instances.broker_name
+        await self.client.acquire(permit_request("1"))
+        self.instances.down.add(former)
+        self.client._live_names_at = 0.0
+        self.client._tick(time.monotonic())
+        revocation = BrokerFrame([], [], [PermitRevocation("1")], [])
+        self.client.on_frame(former, revocation)
+        self.assertFalse(self.client.is_revoked("1"))
+        self.client.on_frame(self.instances.broker_name, revocation)
+        self.assertTrue(self.client.is_revoked("1"))
+
     async def test_new_session_frees_lost_releases(self) -> None:
         # A release is lost with the connection. The next session lists the
         # permits held, and the broker must free the slots of all others.
