Refuse callers that connect while the process exits

Between the last pass of the event loop and the end of the process the callers' port stayed open and kept connections stayed up: whoever sent a request then waited some 20 to 100 ms for a connection that ended without an answer.

The port is closed first, what has arrived is refused for 50 ms more, and idle connections are closed before the tasks end.

test_stopends.LoadedInstanceTest: twelve callers that send until the instance is gone.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -131,6 +131,10 @@
 UNREGISTER_TIMEOUT_S = 0.15
 """Time limit for removing the instance's row at a planned stop."""
 
+LAST_ANSWERS_S = 0.05
+"""Time between the closing of the callers' port and the exit, in which requests
+that have arrived are refused."""
+
 CONFIRM_TIMEOUT_S = 0.6
 """Longest wait for a confirmation of the data; the store is asked for one twice
 a second at most."""
@@ -1016,6 +1020,8 @@
                 group.start_soon(self._duties.send_final_report)
         for connection in self._unread_ends():
             connection.log_unread_end("the instance stopped")
+        # Callers that connect while the process ends would wait for nothing.
+        await self._callers_port.end(LAST_ANSWERS_S)
 
     def _unread_ends(self) -> list:
         """Returns the connections whose callers have yet to read the end."""
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -42,6 +42,20 @@
                 TICK_INTERVAL_S - time.monotonic() % TICK_INTERVAL_S
             )
 
+    async def end(self, answer_s: float) -> None:
+        """Refuses connections, and closes those that are idle after a while.
+
+        Args:
+            answer_s: Time for answering the requests that have arrived.
+        """
+        if not self.started:
+            return
+        for server in self.servers:
+            server.close()
+        await anyio.sleep(answer_s)
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+
     @contextlib.contextmanager
     def capture_signals(self):
         """Installs no handlers; else a second SIGTERM would abort requests."""
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -34,13 +34,18 @@
 
 
 class KeptConnection:
-    """A caller's connection that is used more than once."""
+    """A caller's connection that is used more than once.
+
+    Attributes:
+        closing: Whether the last response said that the connection ends.
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ):
         self._reader = reader
         self._writer = writer
+        self.closing = False
 
     @classmethod
     async def to(cls, instance) -> "KeptConnection":
@@ -58,6 +63,7 @@
             head = await self._reader.readuntil(b"\r\n\r\n")
             length = re.search(rb"content-length: (\d+)", head).group(1)
             await self._reader.readexactly(int(length))
+            self.closing = b"connection: close" in head
             return int(head.split()[1])
         return 0
 
--- a/tests/test_stopends.py
+++ b/tests/test_stopends.py
@@ -1,10 +1,12 @@
 """Tests what callers get at the end of a planned stop of a real process."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import signal
 import socket
+import time
 import unittest
 import unittest.mock
 
@@ -18,6 +20,10 @@
 
 GRACE_S = 8.0
 ANSWER_S = 0.25
+LOSS_SLACK_S = 0.2
+"""Time within which a connection may end before its request was read."""
+
+CALLERS = 12
 LONG_BYTES = 8 << 20
 UNREAD_BYTES = 700_000
 """Less than an instance reads ahead of a caller, and more than the sockets
@@ -132,6 +138,65 @@
             await self.until_exit(process)
 
 
+class LoadedInstanceTest(StopEndCase):
+    """Callers that go on sending until the instance is gone."""
+
+    options = SiteOptions(
+        engines=1,
+        grace_s=4.0,
+        routes={"confirm": {"timeoutMs": 400}, "lookup": {"timeoutMs": 400}},
+    )
+
+    async def send_until_gone(
+        self, losses: list, path: str, kept: bool
+    ) -> None:
+        """Sends requests; notes those that ended without an answer."""
+        while True:
+            try:
+                caller = await self.connect()
+            except OSError:
+                return
+            while True:
+                began = time.monotonic()
+                caller.send(request_head(path))
+                status = await caller.status()
+                took_s = time.monotonic() - began
+                self.statuses[status] += 1
+                if status not in (200, 503):
+                    losses.append((path, status, round(took_s, 3)))
+                    break
+                await anyio.sleep(0.005)
+                if not kept or caller.closing:
+                    break
+            caller.close()
+
+    async def test_every_request_that_is_read_is_answered(self) -> None:
+        # Guards against callers that are not refused while the process ends,
+        # and wait for an answer that nobody gives.
+        self.statuses = collections.Counter()
+        async with self.process() as (site, process):
+            for server in site.servers.values():
+                server.faults.slowdown = 10.0
+            losses: list[tuple] = []
+            async with anyio.create_task_group() as group:
+                for number in range(CALLERS):
+                    group.start_soon(
+                        self.send_until_gone,
+                        losses,
+                        ("/confirm/x", "/lookup/x")[number % 2],
+                        number % 3 > 0,
+                    )
+                await anyio.sleep(0.5)
+                process.send_signal(signal.SIGTERM)
+            await self.until_exit(process)
+        late = [loss for loss in losses if loss[1] or loss[2] > LOSS_SLACK_S]
+        self.assertEqual(late, [])
+        self.assertGreater(self.statuses[200], 100)
+        self.assertGreater(self.statuses[503], 0)
+        # Some may connect just as the port closes.
+        self.assertLessEqual(len(losses), CALLERS // 4, losses)
+
+
 class ReachedGraceTest(StopEndCase):
     """Requests that last longer than the grace time."""
 
