Tell answers that a stop ended from those whose callers left

The line of a request that an exit ends says ended=caller left, and the report took that as its cause, though ended_by and step (instance, stop) are right.

explain reads the step first. test_explain.test_answer_ended_by_a_stop failed before ('the caller left after 1.7 s').

--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -242,6 +242,10 @@
     status, begun = fields.get("status"), bool(fields.get("events"))
     sent = bool(fields.get("servers"))
     why = str(fields.get("why", ""))
+    if fields.get("step") == "stop":
+        return "instance stopped" + (
+            " during the answer" if begun else " before the answer"
+        )
     if fields.get("ended") != "done":
         if begun:
             return "caller left during the answer"
@@ -345,7 +349,9 @@
     if fields.get("why"):
         causes.append(f"last error: {fields['why']}")
     status = fields.get("status")
-    if fields.get("ended") != "done":
+    if fields.get("step") == "stop":
+        causes.append(f"the instance stopped after {fields.get('total_s')} s")
+    elif fields.get("ended") != "done":
         causes.append(f"the caller left after {fields.get('total_s')} s")
     elif status == 503:
         causes.append("answered 503: the request did not run")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,6 +139,23 @@
         _, (loss,) = explain.summarize(events)
         self.assertEqual(loss.cause, "caller stopped reading the answer")
 
+    def test_answer_ended_by_a_stop(self) -> None:
+        # Guards against answers cut by an instance's stop that look as if
+        # their callers had left.
+        log = [
+            line(
+                2.0, "e", "request", id="x", route="r", ended="caller left",
+                ended_by="instance", step="stop", status=200, events=7,
+                whole=False, servers=["s"], total_s=1.7,
+            ),
+        ]  # fmt: skip
+        events, _ = explain.read(log)
+        causes = " ".join(explain.explain("x", events).causes)
+        self.assertIn("the instance stopped after 1.7 s", causes)
+        self.assertNotIn("caller left", causes)
+        _, (loss,) = explain.summarize(events)
+        self.assertEqual(loss.cause, "instance stopped during the answer")
+
     def test_end_that_was_not_read(self) -> None:
         # Guards against a lost end of an answer that looks like a whole one.
         log = [
