Bound the history of limits, and keep it for as long as bodies last

A second version dropped the limits that a long body had begun under, and every version that changed an idle limit of minutes stayed in the history for as long.

Limits are kept for a minute at least, and dropped once later replaced ones are at least as large in every field.

Safeguards are listed for the limits, the unread ends and the exit.

--- a/src/jasminerelay/scheduling/callerlimits.py
+++ b/src/jasminerelay/scheduling/callerlimits.py
@@ -14,6 +14,10 @@
 """Time after a version in which callers may not know it. It must be in force
 two seconds after the store accepted it, for callers too."""
 
+MAX_BODY_S = 60.0
+"""Time for which limits are kept for a body that began under them; slow ones
+take some ten seconds."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _Replaced:
@@ -50,11 +54,15 @@
         current, self._current = self._current, limits
         if current in (None, limits):
             return
-        known = (*self._replaced, _Replaced(current, now))
-        self._replaced = tuple(
-            item
-            for item in known
-            if now < item.until + LEARN_S + item.limits.idle_timeout_s
+        self._replaced = (
+            *(
+                item
+                for item in self._replaced
+                if now < item.until + LEARN_S + self._kept_s(item)
+                # Whoever may know both is bounded by the larger one.
+                and _larger(item.limits, current) != current
+            ),
+            _Replaced(current, now),
         )
 
     def known_since(self, began_at: float) -> RequestLimits:
@@ -71,6 +79,9 @@
                 allowed = _larger(allowed, item.limits)
         return allowed
 
+    def _kept_s(self, item: _Replaced) -> float:
+        return max(MAX_BODY_S, item.limits.idle_timeout_s)
+
 
 def _larger(one: RequestLimits, other: RequestLimits) -> RequestLimits:
     return RequestLimits(
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -647,6 +647,43 @@
         "if False:",
         "test_callerlimits.ChangedLimitsTest.test_higher_limit_and_idle_connection",
     ),
+    Safeguard(
+        "the end of an answer is not cut by the limit of idle connections",
+        "callerconnection",
+        "max(UNREAD_LIMIT_S, self.idle_limit_s)",
+        "self.idle_limit_s",
+        "test_unreadends.UnreadEndTest.test_caller_that_pauses",
+    ),
+    Safeguard(
+        "a connection is idle once its caller has the answer",
+        "callerconnection",
+        "            if self._lingering is None:\n"
+        "                super().timeout_keep_alive_handler()",
+        "            if True:\n"
+        "                super().timeout_keep_alive_handler()",
+        "test_unreadends.UnreadEndTest.test_caller_that_reads_slowly",
+    ),
+    Safeguard(
+        "no request is accepted once the exit has begun",
+        "platform/root",
+        "        if self._exiting:\n            return False\n",
+        "",
+        "test_stopends.IdleInstanceTest.test_request_after_the_last_answer",
+    ),
+    Safeguard(
+        "a stop waits for callers that read the ends of their answers",
+        "platform/root",
+        "self._requests_in_flight() + len(self._unread_ends())",
+        "self._requests_in_flight()",
+        "test_stopends.UnreadEndTest.test_end_that_is_read_within_the_grace_time",
+    ),
+    Safeguard(
+        "callers are refused while the process exits",
+        "ports",
+        "            server.close()\n",
+        "            del server\n",
+        "test_stopends.LoadedInstanceTest.test_every_request_that_is_read_is_answered",
+    ),
     Safeguard(
         "a body that pauses for too long is refused",
         "platform/ingress",
--- a/tests/test_callerlimits.py
+++ b/tests/test_callerlimits.py
@@ -226,12 +226,26 @@
         self.assertEqual((known.body_bytes, known.head_bytes), (10, 10))
 
     def test_old_limits_are_forgotten(self) -> None:
-        # Guards against a history that grows with each version.
+        # Guards against a history that grows with each version, whether they
+        # come seldom, often with the same limits, or with larger ones.
+        for interval_s, idle_s in (
+            (100.0, lambda number: 100.0 - number),
+            (0.1, lambda number: 1.0 + number % 2),
+            (0.1, lambda number: 1.0 + number),
+        ):
+            history = LimitHistory()
+            for number in range(100):
+                limits = RequestLimits(idle_timeout_s=idle_s(number))
+                history.replace(limits, now=interval_s * number)
+            self.assertLessEqual(len(history._replaced), 2)
+
+    def test_long_body(self) -> None:
+        # Guards against a second version that ends what began before the first.
         history = LimitHistory()
-        for number in range(100):
-            limits = RequestLimits(idle_timeout_s=2.0, body_bytes=number)
-            history.replace(limits, now=10.0 * number)
-        self.assertLessEqual(len(history._replaced), 1)
+        for now, body_bytes in ((0.0, 9), (10.0, 5), (40.0, 1)):
+            limits = RequestLimits(body_bytes=body_bytes, idle_timeout_s=1.0)
+            history.replace(limits, now)
+        self.assertEqual(history.known_since(9.0).body_bytes, 9)
 
 
 if __name__ == "__main__":
