Refuse requests that still wait for a server at the exit as not run

Requests that no server had taken when an instance exited were ended with the process: their callers got 500 from the HTTP server, which does not say that they have not run and may be sent elsewhere.

When the exit is decided, the placement client refuses those that wait, and all further reservations; the callers get 503 with Retry-After while the instance removes its row. The waits end as they do when a caller leaves.

Ruled out: deciding it in the ingress, which does not know whether a request was passed on.

--- a/src/jasminerelay/placementclient.py
+++ b/src/jasminerelay/placementclient.py
@@ -51,6 +51,10 @@
 """Number of instances from which cell owners place requests. Fewer instances
 receive all loads in time, and owners would only add a message per request."""
 
+STOPPING = "this instance is shutting down"
+STOPPING_RETRY_S = 0.05
+"""Retry-After at a stop: other instances can serve the request at once."""
+
 REPEAT_AFTER_S = 0.06
 """Time without a first answer after which the update is sent once more; it or
 the answer may have been lost."""
@@ -171,6 +175,8 @@
         self._dispatcher = dispatcher
         self._local = local
         self._counters = counters
+        self._waits: set[anyio.CancelScope] = set()
+        self._stopped = False
         self._pending: dict[int, _PendingRequest] = {}
         self._updates: dict[Cell, _UpdateState] = {}
         self._former_owners: dict[tuple[Cell, str], int] = {}
@@ -235,8 +241,27 @@
         """Waits for a placement.
 
         Raises:
-            NoCapacityError: if none will be available in time.
+            NoCapacityError: if none will be available in time, or this
+                instance stops.
         """
+        if not self._stopped:
+            with anyio.CancelScope() as scope:
+                self._waits.add(scope)
+                try:
+                    return await self._reserve_server(call, avoid)
+                finally:
+                    self._waits.discard(scope)
+        raise NoCapacityError(STOPPING, retry_s=STOPPING_RETRY_S)
+
+    def stop(self) -> None:
+        """Refuses the requests that wait, and all further ones."""
+        self._stopped = True
+        for scope in self._waits:
+            scope.cancel()
+
+    async def _reserve_server(
+        self, call: Call, avoid: frozenset[str]
+    ) -> Reservation:
         asked: set[Cell] = set()
         for _ in range(MAX_OWNERS_ASKED):
             pending = self._new_pending(call, avoid, asked)
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -1014,6 +1014,7 @@
             await anyio.sleep(STOP_CHECK_INTERVAL_S)
         # A request that is accepted during the exit would lose its answer.
         self._exiting = True
+        self._placement_client.stop()
         async with anyio.create_task_group() as group:
             group.start_soon(self._unregister)
             if self._duties is not None:
--- a/tests/test_stopends.py
+++ b/tests/test_stopends.py
@@ -203,6 +203,7 @@
     options = SiteOptions(
         engines=1,
         grace_s=2.0,
+        slots=1,
         routes={"confirm": {"timeoutMs": 9000}, "lookup": {"timeoutMs": 9000}},
     )
 
@@ -234,6 +235,30 @@
                 self.assertEqual(line["step"], "stop")
                 self.assertEqual(len(line["servers"]), 1)
 
+    async def test_requests_that_still_wait(self) -> None:
+        # Guards against requests that no server has, and whose callers are not
+        # told that they may send them elsewhere.
+        async with self.process() as (site, process):
+            for server in site.servers.values():
+                server.faults.slowdown = 1000.0
+                server.faults.capacity = 1
+            callers = [await self.connect() for _ in range(6)]
+            for number, caller in enumerate(callers):
+                head = request_head("/lookup/x")
+                caller.send(head.replace(b"a1", b"a%d" % number))
+                await anyio.sleep(0.05)
+            process.send_signal(signal.SIGTERM)
+            statuses = [await caller.status() for caller in callers]
+            await self.until_exit(process)
+            waited = [
+                int(line["id"][1:])
+                for line in self.lines("request")
+                if not line["servers"]
+            ]
+        self.assertGreater(len(waited), 0)
+        for number in waited:
+            self.assertEqual(statuses[number], 503)
+
 
 if __name__ == "__main__":
     unittest.main()
