--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -42,10 +42,17 @@
                 TICK_INTERVAL_S - time.monotonic() % TICK_INTERVAL_S
             )
 
-    def stop_accepting(self) -> None:
-        """Stops listening and closes the connections without a request."""
-        for listener in getattr(self, "servers", ()):
-            listener.close()
+    async def end(self, answer_s: float) -> None:
+        """Refuses connections, and closes those that are idle after a while.
+
+        Args:
+            answer_s: Time for answering the requests that have arrived.
+        """
+        if not self.started:
+            return
+        for server in self.servers:
+            server.close()
+        await anyio.sleep(answer_s)
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
