Take a moved run that starts anew from the retry budget

Cause: where neither server with its copy was reached, the stream went on at another server as one that had been sent nowhere, which costs no retry.

Change: after a copy the next server costs a retry.

Result: the new test saw a second arrival without a retry before, and none until there is one now.

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -440,7 +440,12 @@
         if self._unsent_attempts > MAX_UNSENT_RETRIES:
             self._record_obstacle(Obstacle.TRIES)
             return False
-        return True
+        return not self.starts_anew or self._spend_retry()
+
+    @property
+    def starts_anew(self) -> bool:
+        """Whether the next server runs a moved request without its copy."""
+        return self._attempt.copy is not None
 
     def retry_not_run(self, why: str) -> bool:
         """Returns whether to try another server after one did not run it."""
@@ -635,7 +640,7 @@
     if (
         forwarder.return_to_source()
         or forwarder.retry_unsent(outcome.why)
-        or await forwarder.wait_to_go_on(paid=True)
+        or await forwarder.wait_to_go_on(paid=not forwarder.starts_anew)
     ):
         return True
     await forwarder.give_up()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -5,8 +5,9 @@
 import anyio
 
 from jasminerelay import attempt
+from jasminerelay.httpclient import NotSentError
 from standins.platformserver import PlatformServer
-from standins.platformsite import SiteOptions
+from standins.platformsite import MODEL_BACKEND, SiteOptions
 from tests.platformcase import Answer, PlatformCase, events
 
 EVENTS = 150
@@ -200,3 +201,35 @@
 
             answer = await self.ask_during(instance, "/lookup/x", change)
             self.assertEqual((answer.status, answer.whole), (200, True))
+
+    async def test_copies_out_of_reach_without_budget(self) -> None:
+        # Guards against a run that starts anew, since neither server with its
+        # copy is reached, and is not taken from the retry budget.
+        async with self.site() as (site, (instance,)):
+            budget = Budget(instance, 0)
+            acquire = instance._channels.acquire
+            asked: list[str] = []
+
+            async def acquire_or_fail(server):
+                asked.append(server.id)
+                if 1 < len(asked) <= 5:
+                    raise NotSentError("not reached")
+                return await acquire(server)
+
+            instance._channels.acquire = acquire_or_fail
+            for server in site.servers.values():
+                server.faults.tick_s = 0.02
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                await anyio.sleep(0.2)
+                (first,) = self.arrivals(site)
+                site.write_server_row(first.name, MODEL_BACKEND, "draining")
+                await self.until(lambda: len(asked) >= 5)
+                await anyio.sleep(1.0)
+                self.assertEqual(len(self.arrivals(site)), 1)
+                budget.left = 1
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertEqual(answer.body, events(EVENTS))
+            self.assertEqual(len(self.arrivals(site)), 2)
