Leave a dark server also if its stream's caller once read slowly

Cause: after the first wait for a slow caller the silence of its server was never noticed any more, and such a stream waited until its time limit.

Change: silence is not counted only while the caller does not read.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -436,7 +436,8 @@
         return await self._read_answer(channel, response, head, done)
 
     def _note_silence(self) -> None:
-        if not self._is_caller_slow:
+        # A caller that does not read may hold its server up.
+        if not self._sink.blocked:
             self.on_silent()
 
     @property
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,13 +1,16 @@
 """Tests of two servers under way for one request."""
 
+import asyncio
+import socket
 import unittest.mock
 
 import anyio
 
 from jasminerelay import attempt
+from jasminerelay.addresses import split_address
 from jasminerelay.httpclient import NotSentError
 from standins.platformserver import PlatformServer
-from standins.platformsite import MODEL_BACKEND, SiteOptions
+from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, SiteOptions
 from tests.platformcase import Answer, PlatformCase, events
 
 EVENTS = 150
@@ -233,3 +236,32 @@
             answer = await self.ask_during(instance, "/chat/1/stream", change)
             self.assertEqual(answer.body, events(EVENTS))
             self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_caller_was_slow(self) -> None:
+        # Guards against waiting for a dark server until the time limit, since
+        # the caller of the stream once read slowly.
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.event_bytes = 4000
+            host, port = split_address(instance.callers)
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(caller, (host, port))
+                head = (
+                    "POST /chat/1/stream HTTP/1.1\r\n"
+                    f"Host: {HOST}\r\nAttempt-Id: a1\r\n"
+                    f"Authorization: Bearer {API_KEY}\r\n"
+                    f"Token-Usage: 900,{EVENTS}\r\nContent-Length: 0\r\n"
+                    "Prefix-Hash: aa:500,bb:400\r\n\r\n"
+                )
+                await loop.sock_sendall(caller, head.encode())
+                await anyio.sleep(1.0)
+                (first,) = self.arrivals(site)
+                first.faults.silent = True
+                received = b""
+                with anyio.move_on_after(4.0):
+                    while b"id: %d\n" % EVENTS not in received:
+                        received += await loop.sock_recv(caller, 65536)
+            self.assertIn(b"id: %d\n" % EVENTS, received)
