--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -265,3 +265,45 @@
                     while b"id: %d\n" % EVENTS not in received:
                         received += await loop.sock_recv(caller, 65536)
             self.assertIn(b"id: %d\n" % EVENTS, received)
+
+    async def test_caller_leaves(self) -> None:
+        # Guards against servers that work on, and places that stay reserved,
+        # where a caller leaves while two servers have its request.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
+        for path in ("/chat/1/stream", "/lookup/x"):
+            with self.subTest(path=path):
+                async with self.site() as (site, (instance,)):
+                    for server in site.servers.values():
+                        server.faults.silent = True
+                    with anyio.CancelScope() as caller:
+
+                        async def change(site=site, caller=caller) -> None:
+                            servers = await self.second_arrival(site)
+                            self.assertEqual(
+                                [s.running for s in servers], [1, 1]
+                            )
+                            caller.cancel()
+
+                        await self.ask_during(instance, path, change)
+                    await anyio.sleep(0.2)
+                    running = sum(s.running for s in site.servers.values())
+                    self.assertEqual(running, 0)
+                    self.assertEqual(instance.dispatcher.workload.runs, {})
+                    self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_time_limit(self) -> None:
+        # Guards against the same at the end of a request's time.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 9.0))
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.silent = True
+
+            async def change() -> None:
+                await self.second_arrival(site)
+
+            answer = await self.ask_during(instance, "/lookup/x", change)
+            self.assertEqual(answer.status, 504)
+            await anyio.sleep(0.2)
+            running = sum(s.running for s in site.servers.values())
+            self.assertEqual(running, 0)
+            self.assertEqual(instance.dispatcher.workload.runs, {})
