--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -391,7 +391,7 @@
         try:
             with self._awaiting_start(), self._limited_overlap():
                 response = await channel.send(
-                    self._call, headers, self._silence_s(), self.on_silent
+                    self._call, headers, self._silence_s(), self._note_silence
                 )
         except IncompleteExchangeError as exc:
             self._report_lost()
@@ -436,6 +436,11 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    def _note_silence(self) -> None:
+        # A caller that does not read may hold its server up.
+        if not self._sink.blocked:
+            self.on_silent()
+
     @property
     def _is_replaced(self) -> bool:
         """Whether another server has the answer."""
@@ -716,7 +721,6 @@
         server = channel.server
         leaving_event = self._context.stream_migrator.attach(server.id)
         moves = self._moves = StreamMoves(
-            self._context.dispatcher,
             self._context.stream_migrator,
             self._call,
             server,
--- a/src/jasminerelay/streammoves.py
+++ b/src/jasminerelay/streammoves.py
@@ -7,7 +7,6 @@
 import anyio
 
 from jasminerelay.catalog import BackendServer, Call
-from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.migration import KvCacheCopy, StreamMigrator
 from jasminerelay.placementqueue import Reservation
 
@@ -43,7 +42,6 @@
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
         migrator: StreamMigrator,
         call: Call,
         server: BackendServer,
@@ -52,13 +50,11 @@
         """Creates the moves of a stream that begins.
 
         Args:
-            dispatcher: Reserves servers.
             migrator: Orders moves.
             call: The request.
             server: Its server.
             moves_before: Number of moves of the request so far.
         """
-        self._dispatcher = dispatcher
         self._migrator = migrator
         self._call = call
         self._server = server
--- a/tests/test_streammoves.py
+++ b/tests/test_streammoves.py
@@ -242,9 +242,7 @@
     ) -> StreamMoves:
         """Returns the moves of a stream whose orders get scripted replies."""
         migrator = self.migrator(*script)
-        return StreamMoves(
-            unittest.mock.Mock(), migrator, call(), SOURCE, before
-        )
+        return StreamMoves(migrator, call(), SOURCE, before)
 
     def reserve(self, refused: frozenset[str]) -> unittest.mock.Mock | None:
         """Reserves the first target that is not refused."""
