Move no run shortly before an instance ends

Cause: moves were ordered up to the end of a planned stop. Change: none from two seconds before the exit on; a move takes two orders of a second at most each. The safeguard's proof fails without it.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -119,6 +119,7 @@
         crash_notices: Reports of crashed servers.
         origins: Where streams began.
         pending_starts: Plain requests whose start is not known yet.
+        may_move: Returns whether runs may be moved; not before the exit.
     """
 
     dispatcher: Dispatcher
@@ -143,6 +144,7 @@
     pending_starts: PendingStarts = dataclasses.field(
         default_factory=PendingStarts
     )
+    may_move: Callable[[], bool] = lambda: True
 
 
 @dataclasses.dataclass
@@ -847,6 +849,7 @@
                 not self._sink.started
                 or self.has_open_handover
                 or left_s < MIN_REMAINING_S
+                or not self._context.may_move()
             ):
                 return None
             return dispatcher.reserve_migration_target(
@@ -866,6 +869,7 @@
                 # No server mends a slow caller.
                 or self._pace is not None
                 or self.has_open_handover
+                or not self._context.may_move()
                 or not dispatcher.needs_faster_server(
                     self._call, server, self._progress.events
                 )
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -593,6 +593,7 @@
             self._crash_notices,
             self._origins,
             self._duties.pending_starts if self._duties else PendingStarts(),
+            self._may_move,
         )
         front = IngressContext(
             forwarding,
@@ -772,6 +773,11 @@
             return False
         return self._planned_stop.accepts(time_limit_s, time.monotonic())
 
+    def _may_move(self) -> bool:
+        if self._planned_stop is None:
+            return True
+        return self._planned_stop.may_move(time.monotonic())
+
     def _entries(self, zone: str) -> list[Member]:
         membership = self._peers.membership
         members = membership.live()
--- a/src/jasminerelay/stopping.py
+++ b/src/jasminerelay/stopping.py
@@ -18,6 +18,10 @@
 entry lists for some seconds; with a cached list, an address that refuses
 connections costs them an attempt."""
 
+MOVE_MARGIN_S = 2.0
+"""Time before the exit from which on no run is moved to another server: a move
+takes two orders of at most a second each, and the stream goes on afterwards."""
+
 ACCEPT_ALL_S = 2.8
 """How long after the signal every request is accepted. Callers that send then
 have a cached entry list, and the grace period is meant for them."""
@@ -47,6 +51,10 @@
             return True
         return now + limit_s < self.exit_by
 
+    def may_move(self, now: float) -> bool:
+        """Returns whether a run may still be stopped to go on elsewhere."""
+        return now + MOVE_MARGIN_S < self.exit_by
+
     def finished(self, under_way: int, now: float) -> bool:
         """Returns whether the process should exit now."""
         if now >= self.exit_by:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -642,6 +642,13 @@
         "return True",
         "test_workload.StopTest.test_accepts_requests_that_can_finish",
     ),
+    Safeguard(
+        "no run is stopped for a move just before the exit",
+        "stopping",
+        "return now + MOVE_MARGIN_S < self.exit_by",
+        "return True",
+        "test_stopmoves.StopMovesTest.test_run_is_not_stopped_at_the_end",
+    ),
     Safeguard(
         "an ending instance closes connections that it does not read any more",
         "platform/root",
