Take the retry for another place only with its permit

While an answer of a silent engine waited in the queue for a permit elsewhere, it held a retry of the instance's budget, for as long as its class may wait; some such answers could leave none for requests whose engine had failed.

--- a/src/jasminerelay/nextplace.py
+++ b/src/jasminerelay/nextplace.py
@@ -53,7 +53,7 @@
         if self._asking is not None:
             return False
         request = new_request()
-        if request is not None and self._retries.spend():
+        if request is not None and self._retries.available:
             self._asking = anyio.CancelScope()
             self._spawn(self._ask, self._asking, request)
         return False
@@ -79,12 +79,13 @@
         with scope:
             result = await self._permit_client.acquire(request)
             if isinstance(result, PermitGrant):
-                if not scope.cancel_called:
+                # A retry is taken with the permit only: one that is held in
+                # the queue would be missing for requests that have failed.
+                if not scope.cancel_called and self._retries.spend():
                     self._place = request, self._permit_client.server(result)
                     self._asking = None
                     return
                 self._release(request)
-        self._retries.give_back()
         if self._asking is scope:
             self._asking = None
 
--- a/src/jasminerelay/retry.py
+++ b/src/jasminerelay/retry.py
@@ -33,9 +33,14 @@
         """Records a successful request."""
         self._tokens = min(self._ceiling, self._tokens + self._ratio)
 
+    @property
+    def available(self) -> bool:
+        """Whether a retry is left."""
+        return self._tokens >= 1
+
     def spend(self) -> bool:
         """Takes one retry; returns False if none is left."""
-        if self._tokens < 1:
+        if not self.available:
             return False
         self._tokens -= 1
         return True
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -585,14 +585,23 @@
             writer.write(b"data: [DONE]\n\n")
             writer.close()
 
+        async def watch_retries() -> None:
+            while True:
+                await anyio.sleep(0.05)
+                self.retries_while_silent = min(
+                    self.retries_while_silent, own.retries._tokens
+                )
+
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         text = manifest_text(*names, address=f"127.0.0.1:{port}", resume=False)
         own = OwnInstance(text, engines, retries=retries)
         async with own.running():
             own.group.start_soon(watchdog.run)
+            self.retries_while_silent = retries
             if busy:
                 own.occupy("x", "pool/0", busy)
+                own.group.start_soon(watch_retries)
             text = await self.read(own.answer())
             self.assertEqual(own.client.held, 1 if busy else 0)
             self.assertEqual(own.client.waiting, 0)
@@ -623,6 +632,7 @@
         self.assertEqual(text, EXPECTED)
         self.assertEqual(self.requests, 1)
         self.assertEqual(self.retries, 10)
+        self.assertEqual(self.retries_while_silent, 10)
 
     async def test_other_server(self) -> None:
         # Guards against an answer that waits for a silent engine although
