--- a/tests/test_answerskept.py
+++ b/tests/test_answerskept.py
@@ -1,18 +1,15 @@
 """Tests that steps which are meant to help an answer do not end it."""
 
 import time
-import unittest
-import unittest.mock
 
 import anyio
 
-from jasminerelay import streammoves
 from jasminerelay.attempt import OVERLAP_S
 from standins.platformserver import PlatformServer
 from standins.platformsite import MODEL_BACKEND, SiteOptions
-from tests.platformcase import Answer, PlatformCase, events
+from tests.midanswercase import EVENTS, MidAnswerCase
+from tests.platformcase import Answer, events
 
-EVENTS = 150
 SILENT_S = 1.6
 """Longer than the time after which another server is sought."""
 
@@ -21,7 +18,7 @@
 """Longest time for which two servers may work on one request."""
 
 
-class AnswersKeptCase(PlatformCase):
+class AnswersKeptCase(MidAnswerCase):
     """Requests in the middle of whose answers something happens."""
 
     options = SiteOptions(
@@ -30,34 +27,14 @@
 
     async def ask_during(self, instance, path: str, site, change) -> Answer:
         """Requests an answer; calls `change` with its server once it runs."""
-        answers: list[Answer] = []
-
-        async def ask() -> None:
-            answers.append(
-                await self.ask(
-                    instance,
-                    path,
-                    Token_Usage=f"900,{EVENTS}",
-                    Length_Hint=f"{EVENTS}",
-                    Prefix_Hash="aa:500,bb:400",
-                )
-            )
 
-        async with anyio.create_task_group() as group:
-            group.start_soon(ask)
+        async def change_once_it_runs() -> None:
             await self.until(lambda: self.running(site))
             await anyio.sleep(0.2)
             (server,) = self.running(site)
             await change(server)
-        return answers[0]
 
-    def move_leaving_streams_only(self) -> None:
-        """Keeps a stall of this process from making a stream look too slow."""
-        self.enterContext(
-            unittest.mock.patch.object(
-                streammoves, "SLOW_CHECK_INTERVAL_S", 60.0
-            )
-        )
+        return await self.ask_while(instance, path, change_once_it_runs)
 
     def running(self, site) -> list[PlatformServer]:
         return [x for x in site.servers.values() if x.running]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,14 +6,13 @@
 
 import anyio
 
-from jasminerelay import attempt, streammoves
+from jasminerelay import attempt
 from jasminerelay.addresses import split_address
 from jasminerelay.httpclient import NotSentError
 from standins.platformserver import PlatformServer
 from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, SiteOptions
-from tests.platformcase import Answer, PlatformCase, events
-
-EVENTS = 150
+from tests.midanswercase import EVENTS, MidAnswerCase
+from tests.platformcase import events
 
 
 class Budget:
@@ -36,7 +35,7 @@
         return True
 
 
-class TakeoverTest(PlatformCase):
+class TakeoverTest(MidAnswerCase):
     """Requests of a silent server that another one is asked for."""
 
     options = SiteOptions(
@@ -47,32 +46,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        # A stall of this process must not make a stream look too slow.
-        self.enterContext(
-            unittest.mock.patch.object(
-                streammoves, "SLOW_CHECK_INTERVAL_S", 60.0
-            )
-        )
-
-    async def ask_during(self, instance, path: str, change) -> Answer:
-        """Requests an answer while something happens."""
-        answers: list[Answer] = []
-
-        async def ask() -> None:
-            answers.append(
-                await self.ask(
-                    instance,
-                    path,
-                    Token_Usage=f"900,{EVENTS}",
-                    Length_Hint=f"{EVENTS}",
-                    Prefix_Hash="aa:500,bb:400",
-                )
-            )
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(ask)
-            await change()
-        return answers[0]
+        self.move_leaving_streams_only()
 
     def arrivals(self, site) -> list[PlatformServer]:
         """Returns the server of each arrival, in order."""
@@ -98,7 +72,7 @@
                     server.faults.reject_after_s = 0.4
                 first.faults.silent = True
 
-            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            answer = await self.ask_while(instance, "/chat/1/stream", change)
             self.assertFalse(answer.whole)
             self.assertEqual(len(self.arrivals(site)), 2)
 
@@ -117,7 +91,7 @@
                 for server in site.servers.values():
                     server.faults.silent = False
 
-            await self.ask_during(instance, "/lookup/x", change)
+            await self.ask_while(instance, "/lookup/x", change)
             self.assertEqual(len(self.arrivals(site)), 2)
 
     async def test_rejects_while_another_is_asked(self) -> None:
@@ -136,7 +110,7 @@
                     server.faults.refuse = 0
                     server.faults.silent = True
 
-            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            answer = await self.ask_while(instance, "/chat/1/stream", change)
             self.assertNotEqual(answer.status, 503)
 
     async def test_goes_on_after_rejection(self) -> None:
@@ -158,7 +132,7 @@
                 for server in site.servers.values():
                     server.faults.silent = False
 
-            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            answer = await self.ask_while(instance, "/chat/1/stream", change)
             self.assertEqual(answer.body, events(EVENTS))
             self.assertEqual(len(self.arrivals(site)), 2)
 
@@ -189,7 +163,7 @@
                 first.faults.break_after = 1
                 first.faults.silent = False
 
-            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            answer = await self.ask_while(instance, "/chat/1/stream", change)
             self.assertEqual(answer.body, events(EVENTS))
             self.assertEqual([x.name for x in self.arrivals(site)], asked)
 
@@ -211,7 +185,7 @@
                 await anyio.sleep(0.3)
                 first.faults.silent = False
 
-            answer = await self.ask_during(instance, "/lookup/x", change)
+            answer = await self.ask_while(instance, "/lookup/x", change)
             self.assertEqual((answer.status, answer.whole), (200, True))
 
     async def test_copies_out_of_reach_without_budget(self) -> None:
@@ -242,7 +216,7 @@
                 self.assertEqual(len(self.arrivals(site)), 1)
                 budget.left = 1
 
-            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            answer = await self.ask_while(instance, "/chat/1/stream", change)
             self.assertEqual(answer.body, events(EVENTS))
             self.assertEqual(len(self.arrivals(site)), 2)
 
@@ -293,7 +267,7 @@
                             )
                             caller.cancel()
 
-                        await self.ask_during(instance, path, change)
+                        await self.ask_while(instance, path, change)
                     await anyio.sleep(0.2)
                     running = sum(s.running for s in site.servers.values())
                     self.assertEqual(running, 0)
@@ -310,7 +284,7 @@
             async def change() -> None:
                 await self.second_arrival(site)
 
-            answer = await self.ask_during(instance, "/lookup/x", change)
+            answer = await self.ask_while(instance, "/lookup/x", change)
             self.assertEqual(answer.status, 504)
             await anyio.sleep(0.2)
             running = sum(s.running for s in site.servers.values())
