--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -257,6 +257,7 @@
         self._silent = silent
         self._handover: Handover | None = None
         self._channel: Channel | None = None
+        self._left_server = False
         self._moves: StreamMoves | None = None
         self._sent_at = 0.0
         self._running_at_send = 0
@@ -286,9 +287,14 @@
             return self._handover.taken
         self._handover.take()
         self._progress.given_away = True
+        self._leave_server()
+        return True
+
+    def _leave_server(self) -> None:
+        """Closes the connection while an answer is awaited."""
         if self._channel is not None:
+            self._left_server = True
             self._channel.close()
-        return True
 
     def _keeps_answer(self, head: ResponseHead) -> bool:
         """Notes that the server sent something; returns whether it counts.
@@ -337,7 +343,7 @@
             if (
                 channel.relay_lost
                 and isinstance(outcome, Unknown | Interrupted | BrokenOff)
-                and not self._is_replaced
+                and not self._left_server
             ):
                 self._context.channels.record_lost_relay(channel)
                 return dataclasses.replace(outcome, relay_lost=True)
@@ -385,7 +391,7 @@
         try:
             with self._awaiting_start(), self._limited_overlap():
                 response = await channel.send(
-                    self._call, headers, self._silence_s(), self.on_silent
+                    self._call, headers, self._silence_s(), self._note_silence
                 )
         except IncompleteExchangeError as exc:
             self._report_lost()
@@ -430,6 +436,11 @@
             self._report_started(time.monotonic() - self._sent_at)
         return await self._read_answer(channel, response, head, done)
 
+    def _note_silence(self) -> None:
+        # A caller that does not read may hold its server up.
+        if not self._sink.blocked:
+            self.on_silent()
+
     @property
     def _is_replaced(self) -> bool:
         """Whether another server has the answer."""
@@ -710,7 +721,6 @@
         server = channel.server
         leaving_event = self._context.stream_migrator.attach(server.id)
         moves = self._moves = StreamMoves(
-            self._context.dispatcher,
             self._context.stream_migrator,
             self._call,
             server,
@@ -876,7 +886,7 @@
         """Ends the exchange with a server that leaves a stopped stream open."""
         if self._moves.copy is not None:
             await anyio.sleep(STOPPED_END_S)
-            self._channel.close()
+            self._leave_server()
 
     def _tried_servers(self) -> frozenset[str]:
         return frozenset(self._progress.tried)
--- a/src/jasminerelay/streammoves.py
+++ b/src/jasminerelay/streammoves.py
@@ -7,7 +7,6 @@
 import anyio
 
 from jasminerelay.catalog import BackendServer, Call
-from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.migration import KvCacheCopy, StreamMigrator
 from jasminerelay.placementqueue import Reservation
 
@@ -43,7 +42,6 @@
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
         migrator: StreamMigrator,
         call: Call,
         server: BackendServer,
@@ -52,13 +50,11 @@
         """Creates the moves of a stream that begins.
 
         Args:
-            dispatcher: Reserves servers.
             migrator: Orders moves.
             call: The request.
             server: Its server.
             moves_before: Number of moves of the request so far.
         """
-        self._dispatcher = dispatcher
         self._migrator = migrator
         self._call = call
         self._server = server
@@ -140,6 +136,7 @@
     async def _move(self, reservation: Reservation) -> bool:
         """Moves the run; returns whether it was ordered to stop."""
         self._copy_ended = anyio.Event()
+        count = self.count
         try:
             result = await self._migrator.move(
                 self._call,
@@ -149,14 +146,14 @@
             )
             self.copy = result.copy
             self.may_have_stopped |= result.may_have_stopped
-            self.spare = result.spare
+            self.spare = result.spare or self.spare
         finally:
             reservation.run.end()
             self._copy_ended.set()
             self._copy_ended = None
             if self._stop_ended is not None:
                 self._stop_ended.set()
-        return self._stop_ended is not None
+        return self.count > count
 
     def _on_stop(self) -> None:
         self._left -= 1
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,12 +1,16 @@
 """Tests of two servers under way for one request."""
 
+import asyncio
+import socket
 import unittest.mock
 
 import anyio
 
-from jasminerelay import attempt
+from jasminerelay import attempt, streammoves
+from jasminerelay.addresses import split_address
+from jasminerelay.httpclient import NotSentError
 from standins.platformserver import PlatformServer
-from standins.platformsite import SiteOptions
+from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, SiteOptions
 from tests.platformcase import Answer, PlatformCase, events
 
 EVENTS = 150
@@ -41,6 +45,15 @@
         routes={"chat": {"timeoutMs": 6000}, "lookup": {"timeoutMs": 4000}},
     )
 
+    def setUp(self) -> None:
+        super().setUp()
+        # A stall of this process must not make a stream look too slow.
+        self.enterContext(
+            unittest.mock.patch.object(
+                streammoves, "SLOW_CHECK_INTERVAL_S", 60.0
+            )
+        )
+
     async def ask_during(self, instance, path: str, change) -> Answer:
         """Requests an answer while something happens."""
         answers: list[Answer] = []
@@ -200,3 +213,106 @@
 
             answer = await self.ask_during(instance, "/lookup/x", change)
             self.assertEqual((answer.status, answer.whole), (200, True))
+
+    async def test_copies_out_of_reach_without_budget(self) -> None:
+        # Guards against a run that starts anew, since neither server with its
+        # copy is reached, and is not taken from the retry budget.
+        async with self.site() as (site, (instance,)):
+            budget = Budget(instance, 0)
+            acquire = instance._channels.acquire
+            asked: list[str] = []
+
+            async def acquire_or_fail(server):
+                asked.append(server.id)
+                if 1 < len(asked) <= 5:
+                    raise NotSentError("not reached")
+                return await acquire(server)
+
+            instance._channels.acquire = acquire_or_fail
+            for server in site.servers.values():
+                server.faults.tick_s = 0.02
+
+            async def change() -> None:
+                await self.until(lambda: len(self.arrivals(site)) == 1)
+                await anyio.sleep(0.2)
+                (first,) = self.arrivals(site)
+                site.write_server_row(first.name, MODEL_BACKEND, "draining")
+                await self.until(lambda: len(asked) >= 5)
+                await anyio.sleep(1.0)
+                self.assertEqual(len(self.arrivals(site)), 1)
+                budget.left = 1
+
+            answer = await self.ask_during(instance, "/chat/1/stream", change)
+            self.assertEqual(answer.body, events(EVENTS))
+            self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_caller_was_slow(self) -> None:
+        # Guards against waiting for a dark server until the time limit, since
+        # the caller of the stream once read slowly.
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.event_bytes = 4000
+            host, port = split_address(instance.callers)
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(caller, (host, port))
+                head = (
+                    "POST /chat/1/stream HTTP/1.1\r\n"
+                    f"Host: {HOST}\r\nAttempt-Id: a1\r\n"
+                    f"Authorization: Bearer {API_KEY}\r\n"
+                    f"Token-Usage: 900,{EVENTS}\r\nContent-Length: 0\r\n"
+                    "Prefix-Hash: aa:500,bb:400\r\n\r\n"
+                )
+                await loop.sock_sendall(caller, head.encode())
+                await anyio.sleep(1.0)
+                (first,) = self.arrivals(site)
+                first.faults.silent = True
+                received = b""
+                with anyio.move_on_after(4.0):
+                    while b"id: %d\n" % EVENTS not in received:
+                        received += await loop.sock_recv(caller, 65536)
+            self.assertIn(b"id: %d\n" % EVENTS, received)
+
+    async def test_caller_leaves(self) -> None:
+        # Guards against servers that work on, and places that stay reserved,
+        # where a caller leaves while two servers have its request.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
+        for path in ("/chat/1/stream", "/lookup/x"):
+            with self.subTest(path=path):
+                async with self.site() as (site, (instance,)):
+                    for server in site.servers.values():
+                        server.faults.silent = True
+                    with anyio.CancelScope() as caller:
+
+                        async def change(site=site, caller=caller) -> None:
+                            servers = await self.second_arrival(site)
+                            self.assertEqual(
+                                [s.running for s in servers], [1, 1]
+                            )
+                            caller.cancel()
+
+                        await self.ask_during(instance, path, change)
+                    await anyio.sleep(0.2)
+                    running = sum(s.running for s in site.servers.values())
+                    self.assertEqual(running, 0)
+                    self.assertEqual(instance.dispatcher.workload.runs, {})
+                    self.assertEqual(len(self.arrivals(site)), 2)
+
+    async def test_time_limit(self) -> None:
+        # Guards against the same at the end of a request's time.
+        self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 9.0))
+        async with self.site() as (site, (instance,)):
+            for server in site.servers.values():
+                server.faults.silent = True
+
+            async def change() -> None:
+                await self.second_arrival(site)
+
+            answer = await self.ask_during(instance, "/lookup/x", change)
+            self.assertEqual(answer.status, 504)
+            await anyio.sleep(0.2)
+            running = sum(s.running for s in site.servers.values())
+            self.assertEqual(running, 0)
+            self.assertEqual(instance.dispatcher.workload.runs, {})
