--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -482,6 +482,9 @@
 _PORTS = range(12_000, 32_000)
 """Ports of servers, below those that the kernel gives outgoing connections."""
 
+_HOSTS = tuple(f"127.0.0.{number}" for number in (1, *range(11, 27)))
+"""Addresses of the launched processes, and of the instances of a small site."""
+
 _allocated_ports: set[int] = set()
 
 
@@ -495,19 +498,25 @@
         port = random.SystemRandom().choice(_PORTS)
         if port in _allocated_ports:
             continue
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        ):
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+        if not all(_is_free(host, port) for host in _HOSTS):
+            continue
         _allocated_ports.add(port)
         return f"127.0.0.1:{port}"
 
 
+def _is_free(host: str, port: int) -> bool:
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+    ):
+        try:
+            tcp.bind((host, port))
+            udp.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 def _remove_servers(text: str, servers: list[dict[str, Any]]) -> str:
     """Removes servers from a manifest's text."""
     for server in servers:
