Give each attempt a handover, and drop an attempt that nobody used

Found in the last reading: three properties and a branch of Attempt asked whether there is a handover at all, and taking a stream up made an Attempt that the first run replaced. Change: an attempt's handover is kept from the start, so that its state is asked directly; behaviour is unchanged. One safeguard names the new text.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -230,6 +230,8 @@
 
     Attributes:
         copy: Copy of the KV cache from which it continues a moved run.
+        handover: Decides whether its server or another one has the answer; its
+            own has it until it is silent.
         sent: Whether a byte of the request may have reached the server.
         on_silent: Called when the server has sent nothing for so long that
             another one should be sought.
@@ -257,7 +259,8 @@
         self._sink = sink
         self._progress = progress
         self._silent = silent
-        self._handover: Handover | None = None
+        self.handover = Handover()
+        self.handover.keep()
         self._channel: Channel | None = None
         self._left_server = False
         self._moves: StreamMoves | None = None
@@ -276,8 +279,8 @@
 
     def open_handover(self) -> Handover:
         """Lets another attempt take over unless this one's server goes on."""
-        self._handover = Handover()
-        return self._handover
+        self.handover = Handover()
+        return self.handover
 
     def give_way(self) -> bool:
         """Ends this attempt for another one, unless its server has gone on.
@@ -285,12 +288,11 @@
         Returns:
             Whether the other one has the answer now.
         """
-        if not self._handover.open:
-            return self._handover.taken
-        self._handover.take()
-        self._progress.given_away = True
-        self._leave_server()
-        return True
+        if self.handover.open:
+            self.handover.take()
+            self._progress.given_away = True
+            self._leave_server()
+        return self.handover.taken
 
     def _leave_server(self) -> None:
         """Closes the connection while an answer is awaited."""
@@ -304,17 +306,15 @@
         With a rejection or a failure it does not go on, so another one that
         was asked may.
         """
-        if self._handover is None:
-            return True
         if not self._accepts(head):
-            return not self._handover.taken
-        return self._handover.keep()
+            return not self.handover.taken
+        return self.handover.keep()
 
     async def run(self, reservation: Reservation) -> Outcome:
         """Sends the request to the reserved server and relays the answer."""
         self.copy, self._progress.copy = self._progress.copy, None
         outcome = await self._run(reservation)
-        if self._is_replaced:
+        if self.handover.taken:
             return Replaced("its server was silent")
         if (
             isinstance(outcome, Interrupted)
@@ -335,7 +335,7 @@
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
-        if self._silent is not None and self._silent.has_gone_on:
+        if self._silent is not None and self._silent.handover.kept:
             await self._context.channels.put_back(channel, None, False)
             return NotSent("its server has gone on", withheld=True)
         self._channel = channel
@@ -443,28 +443,13 @@
         if not self._sink.blocked:
             self.on_silent()
 
-    @property
-    def _is_replaced(self) -> bool:
-        """Whether another server has the answer."""
-        return self._handover is not None and self._handover.taken
-
     @property
     def _is_undecided(self) -> bool:
         """Whether another server may have the answer instead of its own."""
-        return self.has_open_handover or (
-            self._silent is not None and self._silent.has_open_handover
+        return self.handover.open or (
+            self._silent is not None and self._silent.handover.open
         )
 
-    @property
-    def has_open_handover(self) -> bool:
-        """Whether neither its server nor another one has come yet."""
-        return self._handover is not None and self._handover.open
-
-    @property
-    def has_gone_on(self) -> bool:
-        """Whether its server has come first, after it was silent."""
-        return self._handover is not None and self._handover.kept
-
     @contextlib.contextmanager
     def _limited_overlap(self) -> Iterator[None]:
         """Ends the attempt at the silent server while this one is awaited.
@@ -847,7 +832,7 @@
             )
             if (
                 not self._sink.started
-                or self.has_open_handover
+                or self.handover.open
                 or left_s < MIN_REMAINING_S
                 or not self._context.may_move()
             ):
@@ -868,7 +853,7 @@
                 not self._sink.started
                 # No server mends a slow caller.
                 or self._pace is not None
-                or self.has_open_handover
+                or self.handover.open
                 or not self._context.may_move()
                 or not dispatcher.needs_faster_server(
                     self._call, server, self._progress.events
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -118,9 +118,6 @@
             return False
         self._progress.software_version = origin.software_version
         self._call = dataclasses.replace(call, service=origin.service)
-        self._attempt = Attempt(
-            self._context, self._call, self._sink, self._progress
-        )
         return True
 
     async def _serve(self) -> None:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1670,7 +1670,7 @@
     Safeguard(
         "a stream is not moved while another server is sought",
         "attempt",
-        "                or self.has_open_handover\n"
+        "                or self.handover.open\n"
         "                or left_s < MIN_REMAINING_S\n",
         "                or left_s < MIN_REMAINING_S\n",
         "test_answerskept.SilentServerTest.test_drains_while_silent",
