--- a/tests/test_answerskept.py
+++ b/tests/test_answerskept.py
@@ -360,6 +360,24 @@
             answer = await self.moved_stream(site, instance, prepare, runs=0)
             self.assertEqual((answer.status, answer.whole), (200, False))
 
+    async def test_copies_rejected_everywhere(self) -> None:
+        # Guards against a resumable stream that ends since neither the target
+        # of its move nor its source takes its handle.
+        async with self.site() as (site, (instance,)):
+
+            async def change(server: PlatformServer) -> None:
+                for item in site.servers.values():
+                    item.faults.refuse_copies = 100
+                site.write_server_row(server.name, MODEL_BACKEND, "draining")
+
+            for server in site.servers.values():
+                server.faults.tick_s = 0.02
+            answer = await self.ask_during(
+                instance, "/chat/1/stream", site, change
+            )
+            self.assert_whole(answer)
+            self.assertGreater(self.count(instance, "stream.returned"), 0)
+
     async def test_copy_refused(self) -> None:
         # Guards against a stream that is stopped though its target has no room.
         async with self.site() as (site, (instance,)):
