Share the requests and the loop over seeds of the two randomised runs

tests.plannedsoak repeated how tests.platformsoak sends a request, reads its head and runs seeds. tests.soakrequests sends it for both.

--- a/tests/plannedsoak.py
+++ b/tests/plannedsoak.py
@@ -24,7 +24,7 @@
 
 from standins.launcher import ROOT
 from standins.platformserver import PlatformServer
-from standins.platformsite import API_KEY, HOST, MODEL_BACKEND, PLAIN_BACKEND
+from standins.platformsite import MODEL_BACKEND, PLAIN_BACKEND
 from standins.platformsite import SiteOptions as Options
 from tests.plannedcuts import WrittenConfiguration
 from tests.platformsoak import (
@@ -35,7 +35,8 @@
     READY_S,
     ZONES,
     PlatformSoak,
-    note_sent,
+    run_seeds,
+    seed_options,
 )
 from tests.soakconfigurations import (
     MIN_IDLE_MS,
@@ -45,6 +46,7 @@
     ConfigurationSeries,
 )
 from tests.soakparts import InstanceProcess, SentRequest
+from tests.soakrequests import asked
 
 CALLERS = 32
 SLOW_SHARE = 0.25
@@ -381,15 +383,9 @@
         slow: bool,
     ) -> None:
         """Sends a request and reads its answer until its time is over."""
-        request.address = address
         request.slow = slow
-        request.sent_at = time.monotonic()
         prefix = f"{rng.randrange(3):x}"
         fields = {
-            "Host": HOST,
-            "Attempt-Id": request.attempt,
-            "Authorization": f"Bearer {API_KEY}",
-            "Content-Length": str(len(request.body)),
             "Token-Usage": f"900,{request.events_due}",
             "Prefix-Hash": f"aa{prefix}:500,{request.attempt}:400",
             "Deadline-Ms": str(round(1000 * request.limit_s)),
@@ -397,17 +393,7 @@
         idle_s = IDLE_S.get(request.path.split("/")[1], math.inf)
         with anyio.move_on_after(request.limit_s + 1.0) as leaving:
             with anyio.move_on_after(idle_s) as silence:
-                async with pool.stream(
-                    "POST",
-                    f"http://{address}{request.path}",
-                    headers=list(fields.items()),
-                    content=request.body,
-                    extensions={"trace": note_sent(request)},
-                ) as reply:
-                    headers = {k.lower(): v for k, v in reply.headers}
-                    request.status = reply.status
-                    signature = headers.get(b"server-signature", b"")
-                    request.signature = signature.decode()
+                async with asked(pool, address, request, fields) as reply:
                     received = 0
                     async for part in reply.aiter_stream():
                         received += len(part)
@@ -434,34 +420,23 @@
 
 
 def main() -> int:
-    """Runs the seeds one after another; returns the exit status."""
+    """Runs the seeds of the arguments; returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=12.0)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--runs", type=int, default=1)
+    seed_options(parser, 12.0)
     parser.add_argument("--source", type=pathlib.Path, default=ROOT)
     parser.add_argument("--logs", type=pathlib.Path)
     parser.add_argument("--no-signals", action="store_true")
     options = parser.parse_args()
-    failing = 0
-    for seed in range(options.seed, options.seed + options.runs):
-        soak = PlannedSoak(
+    return run_seeds(
+        options,
+        lambda seed: PlannedSoak(
             seed,
             options.seconds,
             options.source,
             options.logs,
             signals=not options.no_signals,
-        )
-        anyio.run(soak.run)
-        print(f"seed {seed}:", dict(sorted(soak.counts.items())))
-        for violation in soak.violations:
-            print(f"seed {seed}: VIOLATION {violation}")
-        sys.stdout.flush()
-        failing += bool(soak.violations)
-    print(
-        f"{options.runs - failing} of {options.runs} runs without a violation"
+        ),
     )
-    return 1 if failing else 0
 
 
 if __name__ == "__main__":
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -30,7 +30,6 @@
 from standins.launcher import ROOT
 from standins.platformserver import Break, versions_in
 from standins.platformsite import (
-    API_KEY,
     HOST,
     MODEL_BACKEND,
     PLAIN_BACKEND,
@@ -46,6 +45,7 @@
     InstanceProcess,
     SentRequest,
 )
+from tests.soakrequests import asked
 
 INSTANCES = 4
 CALLERS = 16
@@ -721,13 +721,7 @@
         return request
 
     async def _send(self, pool, address: str, request: SentRequest) -> None:
-        request.address = address
-        request.sent_at = time.monotonic()
         fields = {
-            "Host": HOST,
-            "Attempt-Id": request.attempt,
-            "Authorization": f"Bearer {API_KEY}",
-            "Content-Length": str(len(request.body)),
             "Token-Usage": f"900,{STREAM_EVENTS}",
             "Prefix-Hash": "aa:500,bb:400",
             "Deadline-Ms": "3000",
@@ -735,16 +729,7 @@
         if request.earlier is not None:
             fields["Resumes"] = request.first.attempt
             fields["Last-Event-Id"] = str(request.after)
-        async with pool.stream(
-            "POST",
-            f"http://{address}{request.path}",
-            headers=list(fields.items()),
-            content=request.body,
-            extensions={"trace": note_sent(request)},
-        ) as reply:
-            headers = {k.lower(): v for k, v in reply.headers}
-            request.status = reply.status
-            request.signature = headers.get(b"server-signature", b"").decode()
+        async with asked(pool, address, request, fields) as reply:
             async for part in reply.aiter_stream():
                 request.content += part
                 if request.left:
@@ -806,19 +791,6 @@
                 instance.popen.wait()
 
 
-def note_sent(
-    request: SentRequest,
-) -> Callable[[str, dict], Awaitable[None]]:
-    """Returns a trace of httpcore that notes when the last byte was sent."""
-
-    async def trace(event: str, info: dict) -> None:
-        del info
-        if event == "http11.send_request_body.complete":
-            request.all_sent_at = time.monotonic()
-
-    return trace
-
-
 _FAULTS = (
     PlatformSoak._kill,
     PlatformSoak._freeze,
@@ -845,20 +817,30 @@
 )
 
 
-def main() -> int:
-    """Runs the seeds one after another; returns the exit status."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=30.0)
+def seed_options(parser: argparse.ArgumentParser, seconds: float) -> None:
+    """Adds the options that name the runs of a program.
+
+    Args:
+        parser: Parser of its arguments.
+        seconds: Length of a run, if none is given.
+    """
+    parser.add_argument("--seconds", type=float, default=seconds)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=1)
-    options = parser.parse_args()
+
+
+def run_seeds(
+    options: argparse.Namespace, new_run: Callable[[int], PlatformSoak]
+) -> int:
+    """Runs the seeds one after another; returns the exit status."""
     failing = 0
     for seed in range(options.seed, options.seed + options.runs):
-        soak = PlatformSoak(seed, options.seconds)
+        soak = new_run(seed)
         anyio.run(soak.run)
         print(f"seed {seed}:", dict(sorted(soak.counts.items())))
         for violation in soak.violations:
             print(f"seed {seed}: VIOLATION {violation}")
+        sys.stdout.flush()
         failing += bool(soak.violations)
     print(
         f"{options.runs - failing} of {options.runs} runs without a violation"
@@ -866,5 +848,13 @@
     return 1 if failing else 0
 
 
+def main() -> int:
+    """Runs the seeds of the arguments; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    seed_options(parser, 30.0)
+    options = parser.parse_args()
+    return run_seeds(options, lambda seed: PlatformSoak(seed, options.seconds))
+
+
 if __name__ == "__main__":
     sys.exit(main())
