--- a/demo/platform.py
+++ b/demo/platform.py
@@ -2,7 +2,8 @@
 
 Sends a request to each route, then a stream whose first run is broken off after
 its head, streams that their callers take up at the other instance once servers
-of another software version have come, a stream whose server is drained before
+of another software version have come, a stream whose server sends nothing for
+a while and that no other server takes, a stream whose server is drained before
 its end, and requests to an instance that is cut off from all servers. Prints
 the results and one instance's log of the drained stream.
 """
@@ -43,6 +44,8 @@
 TAKEN_UP_EVENTS = 40
 VERSIONS_KNOWN_S = 0.5
 EVENTS_BEFORE = 8
+SILENT_S = 1.6
+"""Longer than the time after which another server is sought."""
 _TAKEN_UP_FIELDS = {"Token-Usage": f"300,{TAKEN_UP_EVENTS}"}
 SAMPLES = (
     ("confirm", "POST", "/confirm/slot", {}),
@@ -58,7 +61,8 @@
     # traceback for each.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
     with tempfile.TemporaryDirectory(prefix="jasminerelay-") as folder:
-        site = PlatformSite(SiteOptions(engines=3), pathlib.Path(folder))
+        options = SiteOptions(engines=3, routes={"chat": {"timeoutMs": 12_000}})
+        site = PlatformSite(options, pathlib.Path(folder))
         async with site.running():
             paths = [site.settings(f"edge-{n + 1}") for n in range(INSTANCES)]
             instances = _start(paths)
@@ -93,6 +97,12 @@
             f" {continued} of {BROKEN_EVENTS} events"
         )
         good = good and continued == BROKEN_EVENTS
+        kept = await _count_silent_stream(site, pool, listen[0]["front"])
+        print(
+            f"stream whose server sent nothing for {SILENT_S} s, while no other"
+            f" one took it: {kept} of {EVENTS} events"
+        )
+        good = good and kept == EVENTS
         whole = await _count_drained_stream(site, pool, listen[0]["front"])
         mixed, went_on = await _take_streams_up(
             site, pool, [item["front"] for item in listen]
@@ -136,6 +146,34 @@
     return reply.content.count(b"\n\n")
 
 
+async def _count_silent_stream(site, pool, front: str) -> int:
+    replies = []
+
+    async def send_stream() -> None:
+        fields = {
+            "Token-Usage": f"300,{EVENTS}",
+            "Length-Hint": str(EVENTS),
+            "Attempt-Id": "demo-silent",
+            "Deadline-Ms": "12000",
+        }
+        replies.append(
+            await _send_request(pool, front, "POST", "/chat/3/stream", fields)
+        )
+
+    usual = {name: server.faults for name, server in site.servers.items()}
+    async with anyio.create_task_group() as group:
+        group.start_soon(send_stream)
+        while not any(server.running for server in site.servers.values()):
+            await anyio.sleep(POLL_S)
+        for server in site.servers.values():
+            silent = server.running > 0
+            server.faults = ServerFaults(silent=silent, refuse=100)
+        await anyio.sleep(SILENT_S)
+        for name, faults in usual.items():
+            site.servers[name].faults = faults
+    return replies[0].content.count(b"\n\n")
+
+
 async def _count_served_by_cut_instance(
     path: pathlib.Path, pool, front: str
 ) -> int:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -48,6 +48,19 @@
         super().setUp()
         self.move_leaving_streams_only()
 
+    def let_first_reject_late(self, site) -> None:
+        """Lets servers reject a request once another one is being asked."""
+        for server in site.servers.values():
+            server.faults.refuse = 1
+            server.faults.reject_after_s = 1.8
+
+    async def silence_after_first_arrival(self, site) -> None:
+        """Lets the servers that are asked later take requests in silence."""
+        await self.until(lambda: len(self.arrivals(site)) == 1)
+        for server in site.servers.values():
+            server.faults.refuse = 0
+            server.faults.silent = True
+
     def arrivals(self, site) -> list[PlatformServer]:
         """Returns the server of each arrival, in order."""
         found = [(at, s) for s in site.servers.values() for at, _ in s.arrivals]
@@ -100,17 +113,13 @@
         self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
         async with self.site() as (site, (instance,)):
             Budget(instance, 1)
-            for server in site.servers.values():
-                server.faults.refuse = 1
-                server.faults.reject_after_s = 1.8
-
-            async def change() -> None:
-                await self.until(lambda: len(self.arrivals(site)) == 1)
-                for server in site.servers.values():
-                    server.faults.refuse = 0
-                    server.faults.silent = True
+            self.let_first_reject_late(site)
 
-            answer = await self.ask_while(instance, "/chat/1/stream", change)
+            answer = await self.ask_while(
+                instance,
+                "/chat/1/stream",
+                lambda: self.silence_after_first_arrival(site),
+            )
             self.assertNotEqual(answer.status, 503)
 
     async def test_goes_on_after_rejection(self) -> None:
@@ -119,15 +128,10 @@
         self.enterContext(unittest.mock.patch.object(attempt, "OVERLAP_S", 3.0))
         async with self.site() as (site, (instance,)):
             Budget(instance, 1)
-            for server in site.servers.values():
-                server.faults.refuse = 1
-                server.faults.reject_after_s = 1.8
+            self.let_first_reject_late(site)
 
             async def change() -> None:
-                await self.until(lambda: len(self.arrivals(site)) == 1)
-                for server in site.servers.values():
-                    server.faults.refuse = 0
-                    server.faults.silent = True
+                await self.silence_after_first_arrival(site)
                 await anyio.sleep(2.2)
                 for server in site.servers.values():
                     server.faults.silent = False
