--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -51,6 +51,9 @@
         scaling: Autoscaling configuration of the model servers; empty for none.
         memory_mb: Memory limit of the instances in MB; 0 for none.
         slots: Slots of each server.
+        retry_ratio: Retries allowed per request, over all instances.
+        retry_allowance: Retries allowed besides, in a window.
+        retry_window_s: Length of that window.
     """
 
     engines: int = 2
@@ -68,6 +71,9 @@
     scaling: dict = dataclasses.field(default_factory=dict)
     memory_mb: float = 0
     slots: int = 8
+    retry_ratio: float = 0.2
+    retry_allowance: float = 10.0
+    retry_window_s: float = 10.0
 
 
 class PlatformSite:
@@ -301,6 +307,9 @@
             f"graceS = {self.options.grace_s}",
             f"windowS = {self.options.window_s}",
             f"usageLateS = {self.options.usage_late_s}",
+            f"retryBudgetRatio = {self.options.retry_ratio}",
+            f"retryAllowance = {self.options.retry_allowance}",
+            f"budgetWindowS = {self.options.retry_window_s}",
             "[platform]",
             f'address = "{self._through_link(name, self.store_address)}"',
             *self._duty_settings(name),
--- a/tests/platformcase.py
+++ b/tests/platformcase.py
@@ -103,7 +103,10 @@
     async def start(self, group, site: PlatformSite, name: str) -> Instance:
         """Starts an instance whose event log is discarded."""
         zone = self.zones[len(self._scopes) % len(self.zones)]
-        path = site.settings(name, zone)
+        return await self.start_at(group, site.settings(name, zone))
+
+    async def start_at(self, group, path: pathlib.Path) -> Instance:
+        """Starts an instance, perhaps once more, by its settings file."""
         network = ServerNetwork(group)
         instance = Instance(
             bootfile.load(path).unwrap(),
--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -128,6 +128,9 @@
         links=True,
         fatal=FATAL,
         duties=True,
+        retry_ratio=0.1,
+        retry_allowance=12.0,
+        retry_window_s=4.0,
     )
 
     def __init__(
@@ -314,6 +317,23 @@
             instance.start()
             await self._wait_until_ready(instance)
 
+    async def _start_in_series(self, rng: random.Random) -> None:
+        """Kills several instances again and again, right after each start."""
+        with contextlib.ExitStack() as stack:
+            reserved = [
+                stack.enter_context(self._reserve_instance(rng))
+                for _ in range(rng.randint(1, INSTANCES - 1))
+            ]
+            killed = [item for item in reserved if item is not None]
+            for _ in range(rng.randint(2, 4)):
+                for instance in killed:
+                    instance.signal(signal.SIGKILL)
+                    await instance.ended(READY_S)
+                    instance.start()
+                for instance in killed:
+                    await self._wait_until_ready(instance)
+                await anyio.sleep(rng.uniform(0.0, 0.5))
+
     async def _reload(self, rng: random.Random) -> None:
         with self._reserve_instance(rng) as instance:
             if instance is None:
@@ -435,6 +455,18 @@
         await anyio.sleep(rng.uniform(0.3, 2.0))
         setattr(server.faults, kind, 0)
 
+    async def _service_rejects(self, rng: random.Random) -> None:
+        """Lets all servers of a service reject most of what they get."""
+        kind = rng.choice(("engine", "plain"))
+        ends_at = time.monotonic() + rng.uniform(2.0, 5.0)
+        while time.monotonic() < ends_at:
+            for name, server in self.site.servers.items():
+                if name.startswith(kind):
+                    server.faults.refuse = rng.choice((0, 50, 50))
+            await anyio.sleep(0.3)
+        for server in self.site.servers.values():
+            server.faults.refuse = 0
+
     async def _server_answers_by_connection(self, rng: random.Random) -> None:
         """Lets a server's answers end with their connection; breaks some."""
         faults = rng.choice(list(self.site.servers.values())).faults
@@ -795,6 +827,8 @@
     PlatformSoak._kill,
     PlatformSoak._freeze,
     PlatformSoak._stop,
+    PlatformSoak._start_in_series,
+    PlatformSoak._start_in_series,
     PlatformSoak._reload,
     PlatformSoak._cut_from_servers,
     PlatformSoak._cut_from_servers,
@@ -803,6 +837,8 @@
     PlatformSoak._link,
     PlatformSoak._link,
     PlatformSoak._server_fails,
+    PlatformSoak._service_rejects,
+    PlatformSoak._service_rejects,
     PlatformSoak._server_answers_by_connection,
     PlatformSoak._server_answers_by_connection,
     PlatformSoak._server_silent,
--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -8,6 +8,7 @@
 
 from standins.platformserver import versions_in, without_versions
 from standins.platformsite import PlatformSite
+from tests.retrycount import RetryBounds
 from tests.soakparts import InstanceProcess, SentRequest
 
 OUTCOME_S = 12.0
@@ -30,6 +31,13 @@
 new streams that begin. It counts instances in contact for `TAKE_UP_CONTACT_S`,
 while two servers of the stream's version serve, from `MIN_TAKES_UP` on."""
 
+_PATHS_BY_SERVICE = {
+    "engine": ("/chat/", "/sheet/"),
+    "plain": ("/lookup/", "/confirm/"),
+}
+"""Beginnings of the paths of a service's requests, by that of its servers'
+names."""
+
 REFUSALS = (408, 421, 429, 503)
 """Statuses that guarantee that the request has not run and will not run."""
 
@@ -71,6 +79,7 @@
         self._check_runs()
         self._check_drains()
         self._check_pauses()
+        self._check_retry_budget()
         self._check_duties()
 
     def check_logs(self) -> None:
@@ -231,6 +240,27 @@
             len(server.pause_requests) for server in self._site.servers.values()
         )
 
+    def _check_retry_budget(self) -> None:
+        """Checks each service's further arrivals over all instances."""
+        options = self._site.options
+        bounds = RetryBounds(
+            options.retry_ratio, options.retry_allowance, options.retry_window_s
+        )
+        for kind, paths in _PATHS_BY_SERVICE.items():
+            excess, words = bounds.excess(
+                (
+                    arrival
+                    for name, server in self._site.servers.items()
+                    if name.startswith(kind)
+                    for arrival in server.arrivals
+                ),
+                [x.sent_at for x in self._requests if x.path.startswith(paths)],
+            )
+            if excess > float("-inf"):
+                self._counts[f"{kind}: beyond the retry budget"] = round(excess)
+            if excess > 0:
+                self._add(f"{kind}: {words}")
+
     def _check_runs(self) -> None:
         sent = {request.attempt: request for request in self._requests}
         runs: collections.Counter[str] = collections.Counter()
