Give a starting instance no part of the retry allowance, and divide by all

Cause: each process began with an empty record and a whole part of the allowance; one that had not met the others took all of it; both sides of a cut divided anew once they had forgotten each other. Class: a limit that is split over instances by a number that each one takes from its own, young memory.

Change: no part in the first window, only the ratio of what the instance has received; the divisor counts announced instances that have not been met, and falls only where more than half of it is seen alive (InstanceCount). Grants of servers' rate limits use the same count. The request line says when a retry was taken and what was left.

Ruled out for now: handing back what a predecessor spent (docs/design/retry-budget.md).

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -71,6 +71,8 @@
         self._answer_complete = False
         self._log_fingerprint = False
         self._ending = Ending(EndedBy.INSTANCE, Step.PLACING)
+        # Seconds after its arrival, and what the budget had left after it.
+        self._retries: list[tuple[float, float]] = []
 
     async def run(self) -> None:
         """Serves the request; cancelled when the caller disconnects."""
@@ -503,7 +505,13 @@
             )
 
     def _spend_retry(self) -> bool:
-        if self._context.budget.spend(self._call.service, time.monotonic()):
+        budget, service = self._context.budget, self._call.service
+        now = time.monotonic()
+        if budget.spend(service, now):
+            left = budget.available(service, now)
+            self._retries.append(
+                (round(now - self._call.arrived_at, 3), round(left, 1))
+            )
             return True
         self._context.counters.incr("retry.no_budget")
         self._record_obstacle(Obstacle.RETRY_BUDGET)
@@ -595,6 +603,7 @@
             origin=progress.origin_source,
             bound_to=progress.software_version,
             owners=progress.owners,
+            retries=self._retries,
             framings=progress.framings,
             relays=progress.relays,
             events=progress.events,
--- a/src/jasminerelay/limitwatch.py
+++ b/src/jasminerelay/limitwatch.py
@@ -5,7 +5,6 @@
 and the server's coordinator.
 """
 
-import collections
 import math
 import random
 import time
@@ -19,6 +18,7 @@
 from jasminerelay.exchange import ResponseHead
 from jasminerelay.metrics import Counters
 from jasminerelay.peermessages import in_parts
+from jasminerelay.scheduling.instancecount import InstanceCount
 from jasminerelay.schema.messages import (
     LimitGrant,
     LimitGrantRequest,
@@ -92,9 +92,7 @@
         self._names: tuple[str, ...] = (own,)
         self._live: Sequence[Member] | None = None
         self._members: dict[str, Member] = {}
-        self._fleet_sizes: collections.deque[tuple[float, int]] = (
-            collections.deque()
-        )
+        self._instances = InstanceCount(FLEET_SIZE_WINDOW_S)
         self._limits_present = anyio.Event()
         self.find_placer: Callable[[str], str | None] = lambda server: None
         self.send: Callable[[Member, LimitMessage], None] = lambda to, _: None
@@ -139,12 +137,11 @@
 
         Args:
             live: Instances that accept client connections.
-            known: Number of known instances, including failed ones.
+            known: Number of known instances, including failed ones and those
+                not met yet.
             now: Monotonic time.
         """
-        self._fleet_sizes.append((now, max(1, known)))
-        while self._fleet_sizes[0][0] < now - FLEET_SIZE_WINDOW_S:
-            self._fleet_sizes.popleft()
+        self._instances.record(known, len(live), now)
         if live is self._live:
             return
         self._live = live
@@ -272,8 +269,7 @@
     def _fleet_share(self) -> float:
         """Returns the fraction of a limit for the instances reachable here."""
         live = len(self._names)
-        largest = max((size for _, size in self._fleet_sizes), default=live)
-        return min(1.0, live / max(live, largest))
+        return min(1.0, live / max(live, self._instances.divisor))
 
     def _broadcast_limits(self, now: float) -> None:
         others = [x for x in self._members.values() if x.instance != self._own]
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -29,7 +29,12 @@
     IncompleteExchangeError,
     NotSentError,
 )
-from jasminerelay.membership import LEAVING, Membership, Send
+from jasminerelay.membership import (
+    FORGET_AFTER_S,
+    LEAVING,
+    Membership,
+    Send,
+)
 from jasminerelay.metrics import Counters
 from jasminerelay.ownedcells import OwnedCells
 from jasminerelay.peerstatus import PeerStatusTable
@@ -143,6 +148,8 @@
         self._dispatch_message = self._dispatch
         self._behind = anyio.Event()
         self._addresses: set[str] = set()
+        # By address, since when it has been tried.
+        self._unmet: dict[str, float] = {}
         self._is_running = False
         self._live: set[str] = set()
         self._live_members: list[Member] = []
@@ -176,6 +183,14 @@
         """Number of instances in the membership list, including failed ones."""
         return self.membership.known_count
 
+    @property
+    def expected_count(self) -> int:
+        """Number of known instances, and of those announced and not met yet."""
+        oldest = time.monotonic() - FORGET_AFTER_S
+        return self.known_count + sum(
+            since > oldest for since in self._unmet.values()
+        )
+
     def add_addresses(self, addresses: set[str]) -> None:
         """Adds addresses at which other instances may listen."""
         added = addresses - {self.membership.own_member.peers}
@@ -328,6 +343,10 @@
 
     def _try_addresses(self) -> None:
         sends = self.membership.join_datagrams(self._addresses)
+        now = time.monotonic()
+        self._unmet = {
+            send.address: self._unmet.get(send.address, now) for send in sends
+        }
         count = min(JOIN_FANOUT, len(sends))
         self._send_all(self._rng.sample(sends, count))
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -429,7 +429,10 @@
         self._connect_origins(member_id)
         self._build_paths()
         self._retry_budget = SharedRetryBudget(
-            boot.retry_ratio, boot.retry_allowance, boot.retry_window_s
+            boot.retry_ratio,
+            boot.retry_allowance,
+            boot.retry_window_s,
+            time.monotonic(),
         )
 
     def _build_paths(self) -> None:
@@ -817,7 +820,9 @@
                 )
             )
         )
-        self._retry_budget.record_instance_count(self._peers.known_count, now)
+        self._retry_budget.record_instances(
+            self._peers.expected_count, self._peers.count, now
+        )
         self._ticks += 1
         if self._ticks % CHANNEL_CLEANUP_TICKS == 0:
             await self._channels.close_expired()
@@ -854,7 +859,7 @@
         if live_changed and self._duties is not None:
             self._duties.update_instances(live)
         self._rate_limits.update_instances(
-            live, self._peers.known_count, time.monotonic()
+            live, self._peers.expected_count, time.monotonic()
         )
         self.dispatcher.measures_step_times = not self._placement_client.active
 
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -658,12 +658,34 @@
     ),
     Safeguard(
         "the allowance is divided by the highest recent instance count",
-        "sharedbudget",
-        "divisor = max((size for _, size in self._instance_counts), default=1)",
-        "divisor = self._instance_counts[-1][1]",
+        "scheduling/instancecount",
+        "        highest = max(1, self._recent[0][1])\n",
+        "        highest = max(1, known)\n        self._divisor = 1\n",
         "test_workload.SharedBudgetTest"
         ".test_partition_does_not_double_the_allowance",
     ),
+    Safeguard(
+        "only a majority divides a limit by fewer instances",
+        "scheduling/instancecount",
+        "        if highest >= self._divisor or 2 * live > self._divisor:\n",
+        "        if True:\n",
+        "test_retrybudget.CutTest"
+        ".test_cut_that_outlasts_what_instances_remember",
+    ),
+    Safeguard(
+        "an instance has no part of the allowance in its first window",
+        "sharedbudget",
+        "        if now >= self._allowance_from:\n",
+        "        if True:\n",
+        "test_retrybudget.StartsTest.test_starts_in_series",
+    ),
+    Safeguard(
+        "instances that are announced and not met yet count",
+        "peerlink",
+        "            since > oldest for since in self._unmet.values()\n",
+        "            False for since in self._unmet.values()\n",
+        "test_retrybudget.StartsTest.test_start_without_peers",
+    ),
     Safeguard(
         "logs never block",
         "eventlog",
--- a/tests/test_workload.py
+++ b/tests/test_workload.py
@@ -5,8 +5,9 @@
 
 from jasminerelay.outputlengths import OutputLengths
 from jasminerelay.responsemonitor import ResponseMonitor
+from jasminerelay.scheduling.instancecount import InstanceCount
 from jasminerelay.schema.messages import ServerLoad
-from jasminerelay.sharedbudget import SharedRetryBudget
+from jasminerelay.sharedbudget import ALLOWANCE_SHARE, SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
 from jasminerelay.tokentimes import MIN_TIMES, TokenTimes
 from jasminerelay.workload import (
@@ -82,7 +83,8 @@
         ratio, allowance, window_s = 0.2, 52.0, 10.0
         rng = random.Random(3)
         budgets = [
-            SharedRetryBudget(ratio, allowance, window_s) for _ in range(7)
+            SharedRetryBudget(ratio, allowance, window_s, -window_s)
+            for _ in range(7)
         ]
         requests: list[float] = []
         retries: list[float] = []
@@ -90,7 +92,7 @@
         while now < 60.0:
             now += 0.01
             budget = rng.choice(budgets)
-            budget.record_instance_count(7, now)
+            budget.record_instances(7, 7, now)
             budget.record_request("s", now)
             requests.append(now)
             if budget.spend("s", now):
@@ -104,7 +106,7 @@
     def test_keeps_one_window(self) -> None:
         # Guards against unbounded memory: the requests of a whole day must not
         # be kept when no retry is ever asked for.
-        budget = SharedRetryBudget(0.2, 52.0, 10.0)
+        budget = SharedRetryBudget(0.2, 52.0, 10.0, -10.0)
         for number in range(100_000):
             budget.record_request("s", number / 100)
         self.assertLessEqual(len(budget._requests["s"]), 1001)
@@ -113,16 +115,45 @@
         # Half of the instances lose contact with the others. The allowance was
         # divided by the previous number of instances and must not be divided
         # anew at once.
-        budget = SharedRetryBudget(0.0, 60.0, 10.0)
-        budget.record_instance_count(6, 0.0)
-        budget.record_instance_count(3, 1.0)
+        budget = SharedRetryBudget(0.0, 60.0, 10.0, -10.0)
+        budget.record_instances(6, 6, 0.0)
+        budget.record_instances(3, 3, 1.0)
         spent = sum(budget.spend("s", 1.0) for _ in range(100))
         self.assertLessEqual(spent, 60 / 6)
 
+    def test_sides_of_a_cut_that_forget_each_other(self) -> None:
+        # Guards against a whole allowance for each side of a long cut, however
+        # the instances are divided.
+        for sizes in ((3, 3), (4, 2), (5, 1), (2, 2, 2), (1, 1, 1, 1, 1, 1)):
+            parts = 0.0
+            for size in sizes:
+                count = InstanceCount(20.0)
+                count.record(6, 6, 0.0)
+                count.record(size, size, 100.0)
+                parts += size / count.divisor
+            self.assertLess(parts * ALLOWANCE_SHARE, 1.0, sizes)
+
+    def test_instances_removed_for_good(self) -> None:
+        # Guards against parts that stay small after instances were replaced.
+        count = InstanceCount(20.0)
+        count.record(6, 6, 0.0)
+        for at in range(1, 60):
+            count.record(6 if at < 30 else 4, 4, float(at))
+        self.assertEqual(count.divisor, 4)
+
+    def test_first_window_of_an_instance(self) -> None:
+        # Guards against the part of an instance that ran there just before.
+        budget = SharedRetryBudget(0.5, 60.0, 10.0, 100.0)
+        self.assertFalse(budget.has_any("s", 109.9))
+        for _ in range(10):
+            budget.record_request("s", 105.0)
+        self.assertTrue(budget.has_any("s", 105.0))
+        self.assertTrue(budget.has_any("other", 110.0))
+
     def test_question_spends_nothing(self) -> None:
         # Guards against a question that uses up the retry it asks for, or that
         # promises one which is not there.
-        budget = SharedRetryBudget(0.0, 4.0, 10.0)
+        budget = SharedRetryBudget(0.0, 4.0, 10.0, -10.0)
         self.assertTrue(all(budget.has_any("s", 0.0) for _ in range(100)))
         spent = 0
         while budget.has_any("s", 0.0):
