Bound what servers and services may send that is no answer

Callers waited for their time limit while a server sent a chunk's size, an extension or trailers without end (84 to 128 MB read); calls of our own kept bodies of any length in memory and skipped informational heads for ever; an event of many small chunks was copied with each of them.

Each is an error of the attempt, 502 to the caller.

--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -10,12 +10,14 @@
 
 from jasminerelay import completeness, sse
 from jasminerelay.httpclient import (
+    MAX_LONG_RESPONSE_BYTES,
     HttpClient,
     HttpRequest,
     HttpResponse,
     IncompleteExchangeError,
     NotSentError,
     body_chunks,
+    read_whole,
     response_headers,
 )
 from jasminerelay.netstream import PatientTimeout
@@ -182,11 +184,7 @@
                     _statement(response.status, response_headers(response)),
                 )
                 if response.status != 200:
-                    body = await response.aread()
-                    reply = HttpResponse(
-                        response.status, response_headers(response), body
-                    )
-                    raise _refusal_error(reply)
+                    raise _refusal_error(await read_whole(response))
                 parser = sse.Parser()
                 chunks = body_chunks(response)
                 idle_s = PatientTimeout(attempt.idle_timeout_s, attempt.stays)
@@ -240,7 +238,11 @@
             AttemptError: if there is no complete response, or the server
                 refused the call before running it.
         """
-        full = dataclasses.replace(exchange, url=_url(server, exchange.url))
+        full = dataclasses.replace(
+            exchange,
+            url=_url(server, exchange.url),
+            max_bytes=MAX_LONG_RESPONSE_BYTES,
+        )
         try:
             reply = await self._client.call(full)
         except NotSentError as exc:
@@ -288,9 +290,14 @@
     client: HttpClient, server: Server, after: int, timeout_s: float
 ) -> list[CacheEvent]:
     """Fetches the cache events after a sequence number; [] on failure."""
-    url = _url(server, f"/cache_events?after={after}")
+    exchange = HttpRequest(
+        "GET",
+        _url(server, f"/cache_events?after={after}"),
+        timeout_s=timeout_s,
+        max_bytes=MAX_LONG_RESPONSE_BYTES,
+    )
     try:
-        reply = await client.call(HttpRequest("GET", url, timeout_s=timeout_s))
+        reply = await client.call(exchange)
         return msgspec.json.decode(reply.body, type=_CacheEventsReply).events
     except (NotSentError, IncompleteExchangeError, msgspec.MsgspecError):
         return []
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -1,12 +1,18 @@
 """HTTP client whose errors show whether a request may have been executed."""
 
 import dataclasses
+import math
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 import httpcore
 
-from jasminerelay.netstream import WatchedNetworkBackend
+from jasminerelay.datagrams import READ_BYTES
+from jasminerelay.netstream import (
+    FRAMING_PER_BODY_BYTE,
+    MAX_FRAMING_BYTES,
+    WatchedNetworkBackend,
+)
 from jasminerelay.watchdog import Watchdog
 
 MAX_CONNECTIONS = 1000
@@ -14,6 +20,11 @@
 KEEPALIVE_EXPIRY_S = 20.0
 CONNECT_TIMEOUT_S = 1.0
 
+MAX_RESPONSE_BYTES = 1 << 20
+MAX_LONG_RESPONSE_BYTES = 16 << 20
+"""Largest response that is read whole, and where it may be long: an answer for
+a caller, rows, or the data of another instance."""
+
 
 class NotSentError(Exception):
     """No byte of the request was sent; it provably was not executed."""
@@ -51,6 +62,7 @@
         new_connection: Whether to open a new connection. The server may already
             have closed a pooled one, which looks the same as a crash after it
             received the request; a new connection distinguishes the two.
+        max_bytes: Largest response that `HttpClient.call` reads.
     """
 
     method: str
@@ -59,6 +71,7 @@
     body: bytes = b""
     timeout_s: float = 10.0
     new_connection: bool = False
+    max_bytes: int = MAX_RESPONSE_BYTES
 
 
 class HttpClient:
@@ -90,16 +103,11 @@
 
         Raises:
             NotSentError: if no byte was sent.
-            IncompleteExchangeError: if the exchange failed later.
+            IncompleteExchangeError: if the exchange failed later, or the
+                response is longer than it may be.
         """
         async with self.stream(exchange) as response:
-            try:
-                body = await response.aread()
-            except _INCOMPLETE_ERRORS as exc:
-                raise IncompleteExchangeError(repr(exc)) from exc
-            return HttpResponse(
-                response.status, response_headers(response), body
-            )
+            return await read_whole(response, exchange.max_bytes)
 
     @asynccontextmanager
     async def stream(
@@ -142,6 +150,7 @@
                 raise NotSentError(repr(exc)) from exc
             except _INCOMPLETE_ERRORS as exc:
                 raise IncompleteExchangeError(repr(exc)) from exc
+            _allow(response, math.inf)
             try:
                 yield response
             finally:
@@ -151,6 +160,26 @@
                 await pool.aclose()
 
 
+async def read_whole(
+    response: httpcore.Response, max_bytes: int = MAX_RESPONSE_BYTES
+) -> HttpResponse:
+    """Reads the rest of a response.
+
+    Args:
+        response: The response.
+        max_bytes: Bytes that may follow its head, with those between chunks.
+
+    Raises:
+        IncompleteExchangeError: if the exchange fails, or more bytes follow.
+    """
+    _allow(response, max_bytes)
+    try:
+        body = await response.aread()
+    except _INCOMPLETE_ERRORS as exc:
+        raise IncompleteExchangeError(repr(exc)) from exc
+    return HttpResponse(response.status, response_headers(response), body)
+
+
 def response_headers(response: httpcore.Response) -> dict[str, str]:
     """Returns the header fields of a response, names in lower case."""
     return {
@@ -164,15 +193,28 @@
 
     Raises:
         IncompleteExchangeError: if the connection fails before the end of the
-            body.
+            body, or too many bytes come between its chunks.
     """
+    stream = response.extensions["network_stream"]
+    most = READ_BYTES + MAX_FRAMING_BYTES
+    stream.readable_bytes = most
     try:
         async for chunk in response.aiter_stream():
+            stream.readable_bytes = min(
+                most,
+                stream.readable_bytes
+                + (1 + FRAMING_PER_BODY_BYTE) * len(chunk),
+            )
             yield chunk
     except _INCOMPLETE_ERRORS as exc:
         raise IncompleteExchangeError(repr(exc)) from exc
 
 
+def _allow(response: httpcore.Response, count: float) -> None:
+    """Sets how many bytes may still be read of a response."""
+    response.extensions["network_stream"].readable_bytes = count
+
+
 _NOT_SENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
--- a/src/jasminerelay/netstream.py
+++ b/src/jasminerelay/netstream.py
@@ -19,6 +19,14 @@
 """An unresponsive host is detected within three seconds, the time after which
 callers have abandoned short responses anyway."""
 
+MAX_HEAD_BYTES = 100 * 1024
+"""Largest head of a response, with the informational ones before it."""
+
+MAX_FRAMING_BYTES = 16 * 1024
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes between and after the chunks of a body (sizes, extensions, trailers),
+and how many more for each byte of the body. A chunk of one byte needs five."""
+
 STAY_CHECK_S = 0.25
 """Interval of the decisions whether to wait on."""
 
@@ -71,6 +79,8 @@
     Attributes:
         read_timeout_s: Read timeout that overrides the one of the request; None
             for no override.
+        readable_bytes: Bytes that may still be read before the next write; more
+            are an error. Each write allows a response's head.
     """
 
     def __init__(self, stream: SocketStream, watchdog: Watchdog):
@@ -78,16 +88,25 @@
         self._watchdog = watchdog
         self._guard = watchdog.add_guard(self._abort)
         self.read_timeout_s: float | None = None
+        self.readable_bytes: float = MAX_HEAD_BYTES
         self._limit_s: float | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Returns the next bytes received, or b"" at the end of the stream."""
+        """Returns the next bytes received, or b"" at the end of the stream.
+
+        Raises:
+            httpcore.RemoteProtocolError: if more was read than may be.
+        """
+        if self.readable_bytes <= 0:
+            raise httpcore.RemoteProtocolError("the response is too long")
         limit_s = self.read_timeout_s or timeout
         self._limit_s = limit_s
         if limit_s is not None:
             self._guard.arm(limit_s)
         try:
-            return await self._stream.receive(max_bytes)
+            data = await self._stream.receive(max_bytes)
+            self.readable_bytes -= len(data)
+            return data
         except anyio.EndOfStream as exc:
             if self._guard.expired:
                 raise httpcore.ReadTimeout(
@@ -107,6 +126,7 @@
         """Writes the entire buffer."""
         if not buffer:
             return
+        self.readable_bytes = MAX_HEAD_BYTES
         try:
             with anyio.fail_after(timeout):
                 await self._stream.send(buffer)
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -24,6 +24,7 @@
 from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness, now_s
 from jasminerelay.httpclient import (
+    MAX_LONG_RESPONSE_BYTES,
     HttpClient,
     HttpRequest,
     IncompleteExchangeError,
@@ -514,6 +515,7 @@
             f"&{ERA_FIELD}={storeversion.era_of(since)}"
             f"&{CATALOG_FIELD}={standing.catalog}",
             timeout_s=FETCH_TIMEOUT_S,
+            max_bytes=MAX_LONG_RESPONSE_BYTES,
         )
         try:
             reply = await self._client.call(exchange)
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -13,6 +13,7 @@
 from jasminerelay.errors import StoreError
 from jasminerelay.freshness import now_s
 from jasminerelay.httpclient import (
+    MAX_LONG_RESPONSE_BYTES,
     HttpClient,
     HttpRequest,
     HttpResponse,
@@ -303,6 +304,9 @@
         return _decode(reply), self._era_of(reply)
 
     async def _call(self, exchange: HttpRequest) -> HttpResponse:
+        exchange = dataclasses.replace(
+            exchange, max_bytes=MAX_LONG_RESPONSE_BYTES
+        )
         try:
             reply = await self._client.call(exchange)
         except (NotSentError, IncompleteExchangeError) as exc:
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -17,7 +17,12 @@
 from jasminerelay import completeness, netstream
 from jasminerelay.completeness import Framing
 from jasminerelay.datagrams import READ_BYTES
-from jasminerelay.netstream import OpenConnection
+from jasminerelay.netstream import (
+    FRAMING_PER_BODY_BYTE,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    OpenConnection,
+)
 from jasminerelay.watchdog import Watchdog
 
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -31,8 +36,6 @@
 """Size of the pieces in which a body is handed to the transport, which copies
 what its socket does not accept at once."""
 
-MAX_HEAD_BYTES = 100 * 1024
-
 HeaderFields = list[tuple[bytes, bytes]]
 
 
@@ -196,9 +199,13 @@
         response = self._response
         if response is None or response.complete:
             self._unexpected_data = True
+            self._transport.abort()
             return
-        if not response.has_head:
+        in_head = not response.has_head
+        if in_head:
             response.head_bytes += len(data)
+        else:
+            response.framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -210,6 +217,15 @@
             self._unexpected_data = True
         if not response.has_head and response.head_bytes > MAX_HEAD_BYTES:
             self._failure = httpcore.RemoteProtocolError("head too large")
+        if in_head:
+            # The parts of the body that came with the head were taken off.
+            response.framing_bytes = 0
+        elif response.framing_bytes > MAX_FRAMING_BYTES:
+            self._failure = httpcore.RemoteProtocolError(
+                "too many bytes between the chunks of a body"
+            )
+        if self._failure is not None:
+            self._transport.abort()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -267,6 +283,8 @@
         length: Length of the body as its head states it; None if it does not.
         has_head: Whether the head is complete.
         head_bytes: Bytes that have arrived for the head.
+        framing_bytes: Bytes that have arrived between and after the chunks of
+            the body, less what its bytes allow.
         complete: Whether the body is complete.
         keep_alive: Whether the connection may carry another request.
         extra_message: Whether a second response has followed.
@@ -286,6 +304,7 @@
         self.length: int | None = None
         self.has_head = False
         self.head_bytes = 0
+        self.framing_bytes = 0
         self.complete = False
         self.keep_alive = False
         self.extra_message = False
@@ -412,6 +431,11 @@
         if self.complete:
             return
         self._chunks.append(data)
+        # Long chunks don't save up framing for later ones.
+        self.framing_bytes -= len(data)
+        self.framing_bytes = max(
+            0, self.framing_bytes - FRAMING_PER_BODY_BYTE * len(data)
+        )
         self._buffered_bytes += len(data)
         if self._buffered_bytes > self._max_buffered and not self._paused:
             self._paused = True
--- a/src/jasminerelay/sse.py
+++ b/src/jasminerelay/sse.py
@@ -7,6 +7,10 @@
 import dataclasses
 
 MAX_EVENT_BYTES = 1 << 20
+MAX_COMMENT_BYTES = 1 << 20
+"""Bytes of blocks without data, such as comments, between two events."""
+
+_BLOCK_END = b"\n\n"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,28 +28,72 @@
     kind: bytes = b""
 
 
+class _BlockBuffer:
+    """Splits a byte stream at empty lines; bounds what it keeps.
+
+    Parts are joined only when a block is complete: a block of many small parts
+    would otherwise be copied with each of them.
+    """
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._comment_bytes = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._parts)
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Adds a chunk and returns the blocks that it completes.
+
+        Raises:
+            ValueError: if a block is larger than MAX_EVENT_BYTES, or more than
+                MAX_COMMENT_BYTES come without any data.
+        """
+        if not chunk:
+            return []
+        last = self._parts[-1][-1:] if self._parts else b""
+        self._parts.append(chunk)
+        self._size += len(chunk)
+        blocks: list[bytes] = []
+        if _BLOCK_END in last + chunk:
+            size = self._size
+            *blocks, rest = b"".join(self._parts).split(_BLOCK_END)
+            self._parts = [rest] if rest else []
+            self._size = len(rest)
+            if any(b"data" in block for block in blocks):
+                self._comment_bytes = 0
+            else:
+                self._comment_bytes += size - len(rest)
+        if self._size > MAX_EVENT_BYTES:
+            raise ValueError("the event exceeds the size limit")
+        if self._comment_bytes > MAX_COMMENT_BYTES:
+            raise ValueError("too many bytes without an event")
+        return blocks
+
+
 class Parser:
     """Parses a byte stream, split into chunks at any point, into events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._blocks = _BlockBuffer()
+        self._held = b""
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Adds a chunk and returns the events that it completes.
 
         Raises:
-            ValueError: if an event is larger than MAX_EVENT_BYTES.
+            ValueError: if an event is larger than MAX_EVENT_BYTES, or more than
+                MAX_COMMENT_BYTES come without any data.
         """
-        text = self._buffer + chunk
+        text = self._held + chunk
+        self._held = b""
         if b"\r" in text:
             # A chunk may end between CR and LF, so a final CR is kept back.
-            held = b"\r" if text.endswith(b"\r") else b""
-            text = text[: len(text) - len(held)].replace(b"\r\n", b"\n")
-            text = text.replace(b"\r", b"\n") + held
-        *blocks, self._buffer = text.split(b"\n\n")
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError("the event exceeds the size limit")
-        events = (_parse_event(block) for block in blocks)
+            self._held = b"\r" if text.endswith(b"\r") else b""
+            text = text.removesuffix(b"\r").replace(b"\r\n", b"\n")
+            text = text.replace(b"\r", b"\n")
+        events = (_parse_event(block) for block in self._blocks.feed(text))
         return [event for event in events if event is not None]
 
 
@@ -85,33 +133,34 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._blocks = _BlockBuffer()
         self._last_block = b""
 
     @property
     def ends_with_event(self) -> bool:
         """Whether the stream so far ends with a complete event with data."""
-        return not self._buffer and any(
+        return not self._blocks and any(
             line.startswith(b"data") for line in self._last_block.split(b"\n")
         )
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the stream so far ends with an incomplete event."""
-        return bool(self._buffer)
+        return bool(self._blocks)
 
     def feed(self, chunk: bytes) -> list[RawEvent]:
         """Adds a chunk and returns the events that it completes.
 
         Raises:
-            ValueError: if an event is larger than MAX_EVENT_BYTES.
+            ValueError: if an event is larger than MAX_EVENT_BYTES, or more than
+                MAX_COMMENT_BYTES come without any data.
         """
-        *blocks, self._buffer = (self._buffer + chunk).split(b"\n\n")
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError("the event exceeds the size limit")
+        blocks = self._blocks.feed(chunk)
         if blocks:
             self._last_block = blocks[-1]
-        return [RawEvent(block + b"\n\n", _parse_id(block)) for block in blocks]
+        return [
+            RawEvent(block + _BLOCK_END, _parse_id(block)) for block in blocks
+        ]
 
 
 def _parse_id(block: bytes) -> bytes:
--- a/src/jasminerelay/store.py
+++ b/src/jasminerelay/store.py
@@ -7,6 +7,7 @@
 
 from jasminerelay.errors import StoreError
 from jasminerelay.httpclient import (
+    MAX_LONG_RESPONSE_BYTES,
     HttpClient,
     HttpRequest,
     HttpResponse,
@@ -166,6 +167,7 @@
 
 
 async def _call(client: HttpClient, exchange: HttpRequest) -> HttpResponse:
+    exchange = dataclasses.replace(exchange, max_bytes=MAX_LONG_RESPONSE_BYTES)
     try:
         reply = await client.call(exchange)
     except (NotSentError, IncompleteExchangeError) as exc:
