Let late urgent requests use the servers of longer, less urgent kinds

Cause: servers are split among kinds. A late check may use any server, but only with almost no prefill pending there, which the next sheet takes first; fresh checks used up the attempts of a pass; and the estimate that refuses counted the kind's own servers only.

Change: a request past its objective may use the servers of kinds that are less urgent and over twice as long, as those kinds' own requests do; it has attempts of its own; none of the longer requests begins in a queue while it waits there; the estimate counts these servers. Servers without room are left out before they are scored.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -24,7 +24,7 @@
     TotalDemand,
 )
 from jasminerelay.outputlengths import OutputLengths
-from jasminerelay.placementqueue import Reservation
+from jasminerelay.placementqueue import LONGER_FACTOR, Reservation
 from jasminerelay.placing import (
     OutputEstimate,
     PlacementCandidate,
@@ -132,6 +132,9 @@
 no other instance places requests there."""
 
 
+NO_ROOM = Wait("no capacity at the servers of its group", full=True)
+
+
 @dataclasses.dataclass(frozen=True)
 class _KindQueue:
     """Queueing state of the servers of one kind.
@@ -140,6 +143,9 @@
         at: Monotonic time of the estimate.
         prefill_delay_s: Mean time of pending prefill at a server, by speed.
         share: Number of instances per server of usual speed.
+        yielding_delay_s: Like `prefill_delay_s`, with the servers of kinds
+            that yield to it.
+        yielding_share: Like `share`, with those servers.
         token_s: Time per token in seconds at the fastest server where the
             stream may continue.
     """
@@ -147,6 +153,8 @@
     at: float
     prefill_delay_s: float
     share: float
+    yielding_delay_s: float
+    yielding_share: float
     token_s: float
 
 
@@ -514,15 +522,18 @@
             )
         group = self._group(call.service, call.route.name, servers)
         now = time.monotonic()
-        options = self._options(call, group)
-        group_failed = all(item.blocked for item in options)
-        if group_failed and self._all_blocked(call.service, servers, now):
-            options = _unblock_if_all_blocked(options)
-            group_failed = False
-        placed = self._place_model(call, engine, servers, options, now)
+        group_failed = self._all_blocked(call.service, group, now)
+        placed = NO_ROOM
+        if group_failed or self._with_room(call, engine, group):
+            options = self._options(call, group)
+            if group_failed and self._all_blocked(call.service, servers, now):
+                options = _unblock_if_all_blocked(options)
+                group_failed = False
+            placed = self._place_model(call, engine, servers, options, now)
         if isinstance(placed, PlacementDecision):
             return placed
-        allowed_ids = self._overflow_servers(call)
+        yielding = self._yielding_servers(call, now)
+        allowed_ids = self._overflow_servers(call) | yielding
         if group_failed or self._may_use_any_server(call, now):
             allowed_ids |= {server.id for server in servers}
         if call.software_version is not None:
@@ -533,15 +544,32 @@
             for server in servers
             if server.id in allowed_ids and server not in group
         ]
+        others = self._with_room(call, engine, others)
         if not others:
             return placed
         max_concurrent = self._max_concurrent_prefill(call.service)
         allowed = max_concurrent - call.prompt.tokens
-        options = placing.with_prefill_at_most(
-            self._options(call, others), allowed
+        found = self._options(call, others)
+        options = [item for item in found if item.server.id in yielding]
+        options += placing.with_prefill_at_most(
+            [item for item in found if item.server.id not in yielding], allowed
         )
         return self._place_model(call, engine, servers, options, now)
 
+    def _with_room(
+        self, call: Call, engine: Engine, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Returns the servers that may have capacity for a request."""
+        speeds = self._speeds(call.service)
+        memory = call.prompt.tokens + self._output_estimate(call).output
+        return [
+            server
+            for server in servers
+            if placing.may_have_room(
+                engine, speeds, self.workload.load(server.id), memory
+            )
+        ]
+
     def _place_model(
         self,
         call: Call,
@@ -717,6 +745,15 @@
             for name in split.group(item.kind)
         }
 
+    def _yielding_servers(self, call: Call, now: float) -> set[str]:
+        """Returns the servers of longer, less urgent kinds for a late request.
+
+        There it does what each request of those kinds does, and less of it.
+        """
+        if now - call.arrived_at <= call.route.objective_s:
+            return set()
+        return self._servers_yielding_to(call.service, call.route.name)
+
     def _may_use_any_server(self, call: Call, now: float) -> bool:
         """Returns whether a request may use the servers of any kind.
 
@@ -1013,6 +1050,13 @@
             call.service, call.route.name, call.software_version, servers, now
         )
         queue_delay_s = queue.prefill_delay_s + ahead_s * queue.share
+        # Once it is late, longer requests of less urgent kinds yield.
+        late_s = call.arrived_at + call.route.objective_s - now
+        queue_delay_s = min(
+            queue_delay_s,
+            max(late_s, ahead_s * queue.yielding_share)
+            + queue.yielding_delay_s,
+        )
         first_s = self._speeds(call.service).first_s(call.prompt.own_tokens)
         output: float = self._output_estimate(call).output
         if call.events_done and self.engine_of(call.service) is not None:
@@ -1073,10 +1117,20 @@
         speeds = self._speeds(service)
         capacities = self.capacities.of(service)
         speed_sum = capacities.speed_sum(names, now)
+        yielding = self._servers_yielding_to(service, kind)
+        wide = [
+            item.id
+            for item in working
+            if item.id in names or item.id in yielding
+        ]
+        wide_unread = sum(self.workload.load(name).unread for name in wide)
+        wide_speed_sum = capacities.speed_sum(wide, now)
         self._kind_queues[key] = _KindQueue(
             now,
             speeds.prefill_s(unread) / speed_sum,
             self._instances() / speed_sum,
+            speeds.prefill_s(wide_unread) / wide_speed_sum,
+            self._instances() / wide_speed_sum,
             min(
                 self.token_times.token_s(name, now)
                 or speeds.step_s * capacities.slowness(name, now)
@@ -1085,6 +1139,23 @@
         )
         return self._kind_queues[key]
 
+    def _servers_yielding_to(self, service: str, kind: str) -> set[str]:
+        """Returns the servers of kinds that yield to a late request of a kind.
+
+        They are less urgent, and their requests over twice as long.
+        """
+        kinds = self._kinds.get(service, ())
+        own = next((x for x in kinds if x.kind == kind), None)
+        split = self._splits.get(service)
+        if own is None or split is None:
+            return set()
+        return {
+            name
+            for item in kinds
+            if item.rank > own.rank and item.size > LONGER_FACTOR * own.size
+            for name in split.group(item.kind)
+        }
+
     def gone(self, server: str) -> None:
         """Deletes all state about a server that has ended."""
         for health in self._health.values():
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -42,6 +42,10 @@
 """Longest remaining pause of all servers for which a request waits here; with a
 longer one its caller is asked to come back. A caller takes as long to retry."""
 
+LONGER_FACTOR = 2.0
+"""Size of a less urgent request, relative to a late urgent one, above which it
+does not begin while that one waits."""
+
 PASS_INTERVAL_S = 0.03
 """Interval of placement passes without any event. Load reports of other
 instances, which can also show free capacity, come about as often."""
@@ -98,6 +102,22 @@
         """The requests that wait for the same servers as it does."""
         return (self.call.route.name, self.call.software_version)
 
+    def is_late(self, now: float) -> bool:
+        """Whether it can't meet its objective any more."""
+        call = self.call
+        return now + self.first_s - call.arrived_at > call.route.objective_s
+
+    def yields_to(self, other: "QueueEntry") -> bool:
+        """Whether it is less urgent than another and over twice its size."""
+        call, urgent = self.call, other.call
+        return (
+            call.prompt is not None
+            and urgent.prompt is not None
+            and (call.rank, call.route.rank) > (urgent.rank, urgent.route.rank)
+            and call.route.rank > urgent.route.rank
+            and call.prompt.tokens > LONGER_FACTOR * urgent.prompt.tokens
+        )
+
     def sort_key(self, now: float) -> tuple[int, int, bool, bool, float]:
         """Returns its sort key among the requests of its organisation.
 
@@ -109,12 +129,11 @@
         late.
         """
         call = self.call
-        late = now + self.first_s - call.arrived_at > call.route.objective_s
         return (
             call.rank,
             call.route.rank,
             call.software_version is None,
-            late,
+            self.is_late(now),
             call.arrived_at - self.age_s,
         )
 
@@ -284,9 +303,20 @@
         scan = _Scan(now)
         failed_attempts = scan.failed_attempts
         queued_ahead_s: dict[tuple[str, str | None], float] = {}
+        late = _shortest_late(waiting, now)
         for item in _in_order(waiting, now):
             kind = item.kind
-            if failed_attempts[kind] < MAX_FAILED_ATTEMPTS:
+            # Late requests may use other servers than the rest of their kind.
+            tried = (*kind, item.is_late(now))
+            if any(
+                other.reservation is None
+                and other.refused is None
+                and item.yields_to(other)
+                for other in late
+            ):
+                # It would take what the urgent one waits for.
+                scan.held_back += 1
+            elif failed_attempts[tried] < MAX_FAILED_ATTEMPTS:
                 placed = self._try_place(item, scan)
                 if isinstance(placed, PlacementDecision):
                     self._settle_placed(item, placed, now)
@@ -302,6 +332,8 @@
                 self._refuse(item, refused, now)
                 continue
             queued_ahead_s[kind] = work_ahead_s + item.busy_s
+        if scan.held_back:
+            self._counters.incr("queue.held_back", scan.held_back)
 
     def _try_place(
         self, item: QueueEntry, scan: "_Scan"
@@ -311,7 +343,8 @@
         placed = self._place(item.call, item.avoid)
         if isinstance(placed, Wait) and placed.retry_s <= MAX_PAUSE_WAIT_S:
             cost = FULL_ATTEMPT_COST if placed.full else 1
-            scan.failed_attempts[item.kind] += cost
+            late = item.is_late(scan.now)
+            scan.failed_attempts[*item.kind, late] += cost
         return placed
 
     def _settle_placed(
@@ -445,16 +478,18 @@
 
     Attributes:
         now: Monotonic time of the pass.
-        failed_attempts: Failed placement attempts by kind.
+        failed_attempts: Failed placement attempts by kind and lateness.
+        held_back: Requests that left capacity to a more urgent one.
         over_share: Whether an organisation is over its share at a rank, for
             those whose requests were tried.
         withheld: Kinds of which organisations over their share get no more.
     """
 
     now: float
-    failed_attempts: collections.Counter[tuple[str, str | None]] = (
+    failed_attempts: collections.Counter[tuple[str, str | None, bool]] = (
         dataclasses.field(default_factory=collections.Counter)
     )
+    held_back: int = 0
     over_share: dict[tuple[FairShares, str], bool] = dataclasses.field(
         default_factory=dict
     )
@@ -486,6 +521,27 @@
     return any(item.call.organisation != first for item in waiting)
 
 
+def _shortest_late(waiting: list[QueueEntry], now: float) -> list[QueueEntry]:
+    """Returns the shortest late model request of each rank that has any.
+
+    Whoever yields to any late request of a rank yields to its shortest one.
+    """
+    shortest: dict[tuple[int, int], QueueEntry] = {}
+    for item in waiting:
+        call = item.call
+        if (
+            call.prompt is None
+            or call.software_version is not None
+            or not item.is_late(now)
+        ):
+            continue
+        rank = (call.rank, call.route.rank)
+        held = shortest.get(rank)
+        if held is None or call.prompt.tokens < held.call.prompt.tokens:
+            shortest[rank] = item
+    return list(shortest.values())
+
+
 def _in_order(waiting: list[QueueEntry], now: float) -> list[QueueEntry]:
     """Returns waiting requests in the order in which they are placed.
 
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -22,6 +22,9 @@
 covers the age of the other instances' load reports; a higher limit would only
 take the choice of order away from the instances."""
 
+MAX_SPEED_UP = 2.0
+"""Speed of a server, relative to a usual one, that is not exceeded."""
+
 KNOWN_PREFILL_LIMIT_S = 0.1
 """The same limit where every request sent to the server is known at once. It
 covers the round trip to the server, so that no engine is idle; requests that
@@ -334,6 +337,23 @@
     return item.load.memory + memory <= engine.cache_tokens * CACHE_SHARE
 
 
+def may_have_room(
+    engine: Engine, speeds: EngineSpeeds, load: Load, memory: int
+) -> bool:
+    """Returns whether `has_capacity` is possible with some load.
+
+    It takes a small part of the time, and most servers fail it in overload.
+    """
+    if load.running >= engine.slots:
+        return False
+    if speeds.prefill_s(load.unread) > MAX_SPEED_UP * PREFILL_LIMIT_S:
+        return False
+    return (
+        not load.running
+        or load.memory + memory <= engine.cache_tokens * CACHE_SHARE
+    )
+
+
 def free_requests(engine: Engine, load: Load, memory: int) -> int:
     """Returns for how many more requests a server has slots and cache.
 
