Bound the time that placement passes take

Cause: each event of an answer ran a pass over the queue. In overload a pass takes milliseconds, most of them at servers that are full, so an instance with half a core did little else: all answers were late, requests were held to their end, configurations came into force late.

Change: passes for events are left out while passes have taken over a quarter of the time; the next one runs by the clock.

--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -539,11 +539,8 @@
         if call.software_version is not None:
             # Its version may have no other servers.
             allowed_ids |= {server.id for server in servers}
-        others = [
-            server
-            for server in servers
-            if server.id in allowed_ids and server not in group
-        ]
+        allowed_ids.difference_update(server.id for server in group)
+        others = [server for server in servers if server.id in allowed_ids]
         others = self._with_room(call, engine, others)
         if not others:
             return placed
--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -50,6 +50,11 @@
 """Interval of placement passes without any event. Load reports of other
 instances, which can also show free capacity, come about as often."""
 
+MAX_PASS_SHARE = 0.25
+"""Largest share of the time that placement passes take. In overload, with a
+pass for each event, an instance with little processor time would do nothing
+else, and be late with all its answers."""
+
 WITHHELD = Wait("the last capacity is left to other organisations")
 
 
@@ -203,6 +208,8 @@
         self._own_before: dict[str, tuple[int, int]] = {}
         self._returning = ReturningCallers()
         self._queue: list[QueueEntry] = []
+        self._passes_from = 0.0
+        self._is_running = False
         self._not_empty = anyio.Event()
 
     def __len__(self) -> int:
@@ -255,7 +262,7 @@
         )
         self._queue.append(entry)
         entry.shares.activate(call.organisation)
-        if not behind:
+        if not behind and self._may_pass():
             self._place_queued(call.service)
         if entry in self._queue:
             self._not_empty.set()
@@ -274,7 +281,7 @@
 
     def capacity_freed(self, service: str) -> None:
         """Notes that a server of a service has free capacity again."""
-        if self._queue:
+        if self._queue and self._may_pass():
             self._place_queued(service)
 
     def queued_s(self, kind: str) -> float:
@@ -285,11 +292,13 @@
 
     async def run(self) -> None:
         """Runs placement passes until cancelled."""
+        self._is_running = True
         while True:
             if not self._queue:
                 self._not_empty = anyio.Event()
                 await self._not_empty.wait()
-            await anyio.sleep(PASS_INTERVAL_S)
+            left_s = self._passes_from - time.monotonic()
+            await anyio.sleep(max(PASS_INTERVAL_S, left_s))
             self.place_all()
 
     def place_all(self) -> None:
@@ -297,8 +306,20 @@
         for service in {item.call.service for item in self._queue}:
             self._place_queued(service)
 
+    def _may_pass(self) -> bool:
+        # A pass that is left out is made up for by `run`.
+        return not self._is_running or time.monotonic() >= self._passes_from
+
     def _place_queued(self, service: str) -> None:
-        now = time.monotonic()
+        began = time.monotonic()
+        try:
+            self._run_pass(service, began)
+        finally:
+            ended = time.monotonic()
+            taken_s = ended - began
+            self._passes_from = ended + taken_s * (1 / MAX_PASS_SHARE - 1)
+
+    def _run_pass(self, service: str, now: float) -> None:
         waiting = [x for x in self._queue if x.call.service == service]
         scan = _Scan(now)
         failed_attempts = scan.failed_attempts
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -22,7 +22,7 @@
 covers the age of the other instances' load reports; a higher limit would only
 take the choice of order away from the instances."""
 
-MAX_SPEED_UP = 2.0
+MAX_SPEED_UP = 4.0
 """Speed of a server, relative to a usual one, that is not exceeded."""
 
 KNOWN_PREFILL_LIMIT_S = 0.1
