--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -677,14 +677,67 @@
         "sharedbudget",
         "        if now >= self._allowance_from:\n",
         "        if True:\n",
-        "test_retrybudget.StartsTest.test_starts_in_series",
+        "test_retrybudget.StartsInSeriesTest.test_starts_in_series",
     ),
     Safeguard(
         "instances that are announced and not met yet count",
         "peerlink",
         "            since > oldest for since in self._unmet.values()\n",
         "            False for since in self._unmet.values()\n",
-        "test_retrybudget.StartsTest.test_start_without_peers",
+        "test_retrybudget.StartTest.test_start_without_peers",
+    ),
+    Safeguard(
+        "cells stay with owners that are only suspected",
+        "membership",
+        "                if member.state in (ALIVE, SUSPECT)\n",
+        "                if member.state == ALIVE\n",
+        "test_membership.MembershipTest"
+        ".test_full_links_leave_the_division_of_work",
+    ),
+    Safeguard(
+        "longer requests yield to late urgent ones",
+        "placementqueue",
+        "                and item.yields_to(other)\n",
+        "                and False\n",
+        "test_yielding.QueueTest"
+        ".test_longer_request_waits_for_a_late_urgent_one",
+    ),
+    Safeguard(
+        "placement passes leave time for the rest",
+        "placementqueue",
+        "        return not self._is_running or time.monotonic() >= "
+        "self._passes_from\n",
+        "        return True\n",
+        "test_yielding.PassTimeTest.test_passes_leave_time_for_the_rest",
+    ),
+    Safeguard(
+        "late urgent requests use the servers of longer kinds",
+        "dispatcher",
+        "        if now - call.arrived_at <= call.route.objective_s:\n"
+        "            return set()\n",
+        "        return set()\n",
+        "test_urgentrequests.PlainOverloadTest.test_three_instances",
+    ),
+    Safeguard(
+        "bytes between the chunks of a body are bounded",
+        "serverconnection",
+        "        elif response.framing_bytes > MAX_FRAMING_BYTES:\n",
+        "        elif False:\n",
+        "test_endlessbytes.InstanceTest.test_plain_answers",
+    ),
+    Safeguard(
+        "a call reads a bounded response",
+        "httpclient",
+        "    _allow(response, max_bytes)\n",
+        "    pass\n",
+        "test_endlessbytes.HttpClientTest.test_calls",
+    ),
+    Safeguard(
+        "a stream's bytes without events are bounded",
+        "sse",
+        "        if self._comment_bytes > MAX_COMMENT_BYTES:\n",
+        "        if False:\n",
+        "test_endlessbytes.EventsTest.test_blocks_without_events",
     ),
     Safeguard(
         "logs never block",
@@ -1176,7 +1229,7 @@
     Safeguard(
         "both sides of a network partition lend their share",
         "limitwatch",
-        "return min(1.0, live / max(live, largest))",
+        "return min(1.0, live / max(live, self._instances.divisor))",
         "return 1.0",
         "test_serverlimits.PartitionTest.test_both_sides_of_a_partition",
     ),
--- a/tests/test_retrybudget.py
+++ b/tests/test_retrybudget.py
@@ -10,7 +10,7 @@
 import anyio
 import httpcore
 
-from jasminerelay import membership
+from jasminerelay import membership, peerlink
 from standins.platformsite import SiteOptions
 from tests.platformcase import PlatformCase
 from tests.retrycount import RetryBounds
@@ -33,12 +33,17 @@
 class RetryBudgetCase(PlatformCase):
     """Base of the tests; all servers of a service reject what they get."""
 
-    options = SiteOptions(
-        plain=4,
-        retry_ratio=BOUNDS.ratio,
-        retry_allowance=BOUNDS.allowance,
-        retry_window_s=BOUNDS.window_s,
-    )
+    bounds = BOUNDS
+
+    @property
+    def options(self) -> SiteOptions:
+        """Composition of the site."""
+        return SiteOptions(
+            plain=4,
+            retry_ratio=self.bounds.ratio,
+            retry_allowance=self.bounds.allowance,
+            retry_window_s=self.bounds.window_s,
+        )
 
     @contextlib.asynccontextmanager
     async def rejecting(self, count: int):
@@ -99,12 +104,14 @@
         ]
         further = len(arrivals) - len({attempt for _, attempt in arrivals})
         self.assertGreater(further, MIN_FURTHER)
-        excess, words = BOUNDS.excess(arrivals, sent)
+        excess, words = self.bounds.excess(arrivals, sent)
         self.assertLessEqual(excess, 0.0, words)
 
 
-class StartsTest(RetryBudgetCase):
-    """Instances that start while servers reject."""
+class StartsInSeriesTest(RetryBudgetCase):
+    """Instances that start several times within a window."""
+
+    bounds = RetryBounds(ratio=0.1, allowance=24.0, window_s=8.0)
 
     async def test_starts_in_series(self) -> None:
         # Guards against a whole new part of the allowance with each start.
@@ -130,7 +137,7 @@
                     await start_all()
 
             await start_all()
-            await anyio.sleep(BOUNDS.window_s)
+            await anyio.sleep(self.bounds.window_s)
             g.start_soon(restart)
             sent = await self.load(
                 lambda: [instance.callers for instance in running], 8.0
@@ -138,6 +145,10 @@
             g.cancel_scope.cancel()
         self.check(site, sent)
 
+
+class StartTest(RetryBudgetCase):
+    """Instances that start once."""
+
     async def test_start_without_peers(self) -> None:
         # Guards against instances that each take the whole allowance, since
         # they have not met the others.
@@ -167,7 +178,10 @@
     async def test_cut_that_outlasts_what_instances_remember(self) -> None:
         # Guards against a second allowance, once the two sides of a cut have
         # forgotten each other.
-        with unittest.mock.patch.object(membership, "FORGET_AFTER_S", 0.5):
+        with (
+            unittest.mock.patch.object(membership, "FORGET_AFTER_S", 0.5),
+            unittest.mock.patch.object(peerlink, "FORGET_AFTER_S", 0.5),
+        ):
             async with self.rejecting(4) as (site, instances):
                 for instance in instances:
                     await self.until(
