Give the allowance at once where the whole system starts for the first time

At the first start of all, which the settings tell, nobody has spent anything.

Change: the part is given at once then. The randomised run and the tests give later starts the settings that the platform gives them.

--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -3,6 +3,7 @@
 import dataclasses
 import gc
 import logging
+import math
 import os
 import pathlib
 import random
@@ -432,7 +433,8 @@
             boot.retry_ratio,
             boot.retry_allowance,
             boot.retry_window_s,
-            time.monotonic(),
+            # At the first start of all there is nobody that it follows.
+            -math.inf if boot.first_start else time.monotonic(),
         )
 
     def _build_paths(self) -> None:
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -165,6 +165,8 @@
 
     def start(self) -> None:
         """Starts a process that appends to the log file."""
+        if self.popen is not None:
+            restart_settings(self.path)
         self._stopping = False
         self._end("kill")
         self._end("suspension")
@@ -235,3 +237,9 @@
             while self.popen.poll() is None:
                 await anyio.sleep(0.02)
         return self.popen.poll()
+
+
+def restart_settings(path: pathlib.Path) -> None:
+    """Changes an instance's settings to those of a later start."""
+    text = path.read_text()
+    path.write_text(text.replace("bootstrap = true", "bootstrap = false"))
