--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -10,6 +10,7 @@
 
 from jasminerelay import completeness, sse
 from jasminerelay.httpclient import (
+    MAX_ANSWER_BYTES,
     MAX_LONG_RESPONSE_BYTES,
     HttpClient,
     HttpRequest,
@@ -241,7 +242,7 @@
         full = dataclasses.replace(
             exchange,
             url=_url(server, exchange.url),
-            max_bytes=MAX_LONG_RESPONSE_BYTES,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         try:
             reply = await self._client.call(full)
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -22,8 +22,9 @@
 
 MAX_RESPONSE_BYTES = 1 << 20
 MAX_LONG_RESPONSE_BYTES = 16 << 20
-"""Largest response that is read whole, and where it may be long: an answer for
-a caller, rows, or the data of another instance."""
+MAX_ANSWER_BYTES = 64 << 20
+"""Largest response that is read whole; one with rows, or the data of another
+instance; and an answer for a caller."""
 
 
 class NotSentError(Exception):
