--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -281,6 +281,27 @@
             "dutyPerS = 50.0",
         ]
 
+    def _retry_settings(self) -> list[str]:
+        """Returns the lines of the retry budget, if it is not the usual one."""
+        found = (
+            self.options.retry_ratio,
+            self.options.retry_allowance,
+            self.options.retry_window_s,
+        )
+        usual = SiteOptions()
+        if found == (
+            usual.retry_ratio,
+            usual.retry_allowance,
+            usual.retry_window_s,
+        ):
+            return []
+        ratio, allowance, window_s = found
+        return [
+            f"retryBudgetRatio = {ratio}",
+            f"retryAllowance = {allowance}",
+            f"budgetWindowS = {window_s}",
+        ]
+
     def _memory_settings(self) -> list[str]:
         """Returns the lines of an instance's settings with its memory limit."""
         limit = self.options.memory_mb
@@ -307,9 +328,7 @@
             f"graceS = {self.options.grace_s}",
             f"windowS = {self.options.window_s}",
             f"usageLateS = {self.options.usage_late_s}",
-            f"retryBudgetRatio = {self.options.retry_ratio}",
-            f"retryAllowance = {self.options.retry_allowance}",
-            f"budgetWindowS = {self.options.retry_window_s}",
+            *self._retry_settings(),
             "[platform]",
             f'address = "{self._through_link(name, self.store_address)}"',
             *self._duty_settings(name),
