--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,15 +14,24 @@
 
 INSTANCES = 3
 OTHERS = 18
+CHATS = 9
 WORK_S = 0.3
 LARGE_FOR_S = 12.0
 LARGE_PAUSE_S = 0.2
 MAX_ENDS = 3
 """Of the rule: "three times in the day"."""
 
-SIZE = 2**64 - 1 if kit.TROUBLE else 700_000
-"""Tokens of the prompt. Both are larger than a server's memory (600,000). The
-first is what a client prints whose count is -1 and unsigned."""
+SIZE = 10**21 if kit.TROUBLE else 700_000
+"""Tokens of the prompt. Both are larger than a server's memory (600,000)."""
+
+
+def usual_prompt(attempt):
+    """Returns the fields of a request of usual size."""
+    return [
+        ("Model", "m"),
+        ("Token-Usage", "826,20"),
+        ("Prefix-Hash", f"5c1e07a2:198,{attempt.encode().hex()}:628"),
+    ]
 
 
 async def send_large(site, addresses):
@@ -79,19 +88,22 @@
         ]
         addresses = [instance.front for instance in site.instances]
         others = kit.Clients(site, "/confirm/", OTHERS, pause_s=0.05)
-        others.start(addresses)
+        chats = kit.Clients(site, "/chat/", CHATS, more=usual_prompt)
+        for clients in (others, chats):
+            clients.start(addresses)
         await asyncio.sleep(kit.CONTACT_S + 1.0)
         await send_large(site, addresses)
         await asyncio.sleep(1.0)
-        await others.stop()
-        return judge(record, site, others, ended)
+        for clients in (others, chats):
+            await clients.stop()
+        return judge(record, site, others, chats, ended)
     finally:
         for guard in guards:
             guard.cancel()
         site.close()
 
 
-def judge(record, site, others, ended):
+def judge(record, site, others, chats, ended):
     """Returns whether processes ended by themselves as often as the rule says.
 
     On a tenth of the machines, two at least, three times each.
@@ -114,6 +126,11 @@
             answer.status == 200 for answer in others.answers.values()
         ),
         "run_without_the_servers_answer": len(lost),
+        "usual_streams": len(chats.answers),
+        "of_these_begun_and_cut": sum(
+            answer.status == 200 and not answer.whole
+            for answer in chats.answers.values()
+        ),
     }
     record("judged", **summary)
     print(summary)
--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -667,7 +667,17 @@
 class Clients:
     """Clients that send requests one after another on kept channels."""
 
-    def __init__(self, site, path, count, pause_s=0.1):
+    def __init__(self, site, path, count, pause_s=0.1, more=None):
+        """Creates the clients.
+
+        Args:
+            site: The deployment.
+            path: Path up to the id of the attempt.
+            count: Number of clients.
+            pause_s: Pause of a client between two requests.
+            more: Returns further header fields for an attempt; None for none.
+        """
+        self._more = more or (lambda attempt: [])
         self._site = site
         self._path = path
         self._count = count
@@ -693,12 +703,13 @@
         number = 0
         while True:
             number += 1
-            attempt = f"c{client:02d}n{number:05d}"
+            attempt = f"{self._path[1:3]}{client:02d}n{number:05d}"
             fields = [
                 ("Host", HOST),
                 ("Attempt-Id", attempt),
                 ("Deadline-Ms", "4000"),
                 ("Authorization", f"Bearer {KEY}"),
+                *self._more(attempt),
             ]
             self.sent[attempt] = time.monotonic()
             self._site.record("sent", attempt=attempt, to=address)
