--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -522,10 +522,10 @@
         self.bounds = bounds
         self.ports = Ports()
         self.subnet = random.randint(1, 250)
-        any_host = "0.0.0.0"
+        host = f"127.0.{self.subnet}.11"
 
         def port():
-            return int(self.ports.free(any_host).rpartition(":")[2])
+            return int(self.ports.free(host).rpartition(":")[2])
 
         self.front_port, self.ready_port, self.registry_port = (
             port(), port(), port()
