Let no message, row or datagram end a process

Change: `taskguard` starts a task that has failed again and logs it; a datagram, frame or message that cannot be handled or encoded is logged, counted and dropped. The periodic message goes without its figures then, so that its sender is not taken for failed. Datagrams go to addresses only. A row that fails in any way makes its own server unusable and the others apply. A log line with a field that cannot be encoded is written all the same. On both interfaces.

Ports that cannot be opened still end the process.

--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -63,16 +63,12 @@
     ObjectStoreClient,
     TableClient,
 )
+from jasminerelay.taskguard import FailureLog, TaskGuard
 from jasminerelay.watchdog import Watchdog
 
 _log = logging.getLogger("jasminerelay.daemon")
 
 
-def _warn_of_server(event: str, **fields: object) -> None:
-    text = " ".join(f"{name}={value}" for name, value in fields.items())
-    _log.warning("%s %s", event, text)
-
-
 USAGE = """Runs one instance of the relay.
 
 Usage:
@@ -117,6 +113,8 @@
         self._invariants = InvariantHandler(
             self.counters, fatal=cfg.fatal_invariants
         )
+        self._failure_log = FailureLog(_log)
+        self._guard = TaskGuard(self.counters, self._failure_log)
         self._watchdog = Watchdog()
         self._client = HttpClient(self._watchdog)
         # Load reports have a connection pool of their own, so that a pool
@@ -140,19 +138,19 @@
             self._group = group
             group.start_soon(self._handle_stop_signals)
             await self._start_ports(group)
-            for part in (
-                self._watchdog.run,
-                self._broker_links.run,
-                self._brokers.run,
-                self.permit_client.run,
-                self._claim_store.run,
-                self._manifest_manager.run,
-                self._load_poller.run,
-                self._placement_reconciler.run,
-                self._poll_instance_list,
-                self._flush_counters,
-            ):
-                group.start_soon(part)
+            for name, task in {
+                "watchdog": self._watchdog.run,
+                "broker links": self._broker_links.run,
+                "brokers": self._brokers.run,
+                "permit client": self.permit_client.run,
+                "claims": self._claim_store.run,
+                "manifest": self._manifest_manager.run,
+                "load reports": self._load_poller.run,
+                "placements": self._placement_reconciler.run,
+                "instance list": self._poll_instance_list,
+                "counters": self._flush_counters,
+            }.items():
+                group.start_soon(self._guard.keep_running, name, task)
             group.start_soon(
                 self._gossip.run,
                 self.cfg.listen.peers,
@@ -246,6 +244,7 @@
             cfg.keys.peer_secret,
             self.counters,
             self._on_gossip,
+            self._guard,
         )
 
     def _wire_manifest(self) -> None:
@@ -286,9 +285,15 @@
         )
         self._brokers.set_load_poller(self._load_poller)
         self._broker_links = peers.BrokerLinks(
-            cfg.instance, self._brokers, self._peer_credentials, self.counters
+            cfg.instance,
+            self._brokers,
+            self._peer_credentials,
+            self.counters,
+            self._guard,
+        )
+        self._pauses = ServerPauses(
+            self.counters, self._failure_log.warn, self._rng
         )
-        self._pauses = ServerPauses(self.counters, _warn_of_server, self._rng)
         self.permit_client = PermitClient(
             self.membership.own_member,
             self.membership.live,
@@ -480,6 +485,7 @@
             self._brokers,
             self._peer_credentials,
             self._manifest_manager.newest_reply,
+            self._guard,
         )
         await self._peer_server.start(self.cfg.listen.peers)
         bounds = self.cfg.bounds
--- a/src/jasminerelay/datagrams.py
+++ b/src/jasminerelay/datagrams.py
@@ -9,6 +9,8 @@
 import functools
 from collections.abc import Callable
 
+from jasminerelay.addresses import split_address
+
 MAX_WAITING = 200
 """Datagrams that may wait until the socket is open."""
 
@@ -33,7 +35,8 @@
 
         Args:
             handle: Handles the data of one datagram. `run` raises its errors.
-            on_error: Called with errors of the network.
+            on_error: Called with errors of the network, and with those of
+                addresses at which nothing can listen.
         """
         self._handle = handle
         self._on_error = on_error
@@ -75,7 +78,12 @@
             return True
         if self._full:
             return False
-        self._transport.sendto(data, _host_and_port(address))
+        try:
+            target = _host_and_port(address)
+        except ValueError as exc:
+            self._on_error(exc)
+            return False
+        self._transport.sendto(data, target)
         return True
 
     def datagram_received(self, data: bytes, addr: object) -> None:
@@ -107,5 +115,6 @@
 
 @functools.lru_cache(maxsize=1024)
 def _host_and_port(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+    # A name would be looked up, and one that cannot be encoded would close the
+    # socket.
+    return split_address(address)
--- a/src/jasminerelay/eventlog.py
+++ b/src/jasminerelay/eventlog.py
@@ -87,7 +87,7 @@
         }
         if self.left_out:
             line["left_out"] = self.left_out
-        self._write_line(_encode(line) + b"\n")
+        self._write_line(_encode_line(line) + b"\n")
 
     def _write_line(self, line: bytes) -> None:
         # A pipe whose reader has stopped fills up. A blocking write would
@@ -104,6 +104,15 @@
         self._unwritten = data[done:] if done < len(data) else b""
 
 
+def _encode_line(line: dict[str, Any]) -> bytes:
+    try:
+        return _encode(line)
+    except (TypeError, ValueError, OverflowError):
+        # A field may hold what was received, such as text that UTF-8 cannot
+        # represent; the event must be logged all the same.
+        return _encode({name: ascii(value) for name, value in line.items()})
+
+
 class EventLogHandler(logging.Handler):
     """Forwards warnings and errors from `logging` to the event log.
 
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import itertools
 import math
 import random
 import time
@@ -59,6 +60,8 @@
     StoreSnapshot,
     StreamsBegun,
 )
+from jasminerelay.statednumbers import parse_whole
+from jasminerelay.taskguard import TaskGuard
 
 LOAD_INTERVAL_S = 0.1
 """Interval between load reports while loads change. With older reports several
@@ -152,9 +155,14 @@
         # By address, since when it has been tried.
         self._unmet: dict[str, float] = {}
         self._is_running = False
+        self._began_at = self._last_tried_at = -math.inf
+        self._guard = TaskGuard(counters, log)
         self._live: set[str] = set()
         self._live_members: list[Member] = []
-        self._socket = DatagramSocket(self._receive, self._on_socket_error)
+        self._socket = DatagramSocket(
+            functools.partial(self._guard.handle, "datagram", self._receive),
+            self._on_socket_error,
+        )
         self._owned: OwnedCells | None = None
         self._placement_client: PlacementClient | None = None
         self._follower_role: FollowerRole | None = None
@@ -252,19 +260,19 @@
         self, address: str, message: peermessages.Message
     ) -> None:
         """Sends a message to the address of another instance."""
-        self._send_to(address, peermessages.encode(message))
+        self._send_encoded(address, message)
 
     def _send_to_owner(self, owner: Member, message: CellUpdate) -> None:
         if owner.instance == self.membership.own_member.instance:
             self._owned.handle_message(message)
         else:
-            self._send_to(owner.peers, peermessages.encode(message))
+            self._send_encoded(owner.peers, message)
 
     def _send_answer(self, address: str, message: OwnerAnswers) -> None:
         if address == self.membership.own_member.peers:
             self._placement_client.handle_message(message)
         else:
-            self._send_to(address, peermessages.encode(message))
+            self._send_encoded(address, message)
 
     @property
     def _uses_owners(self) -> bool:
@@ -276,34 +284,41 @@
         """Exchanges messages with the other instances until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._socket.run, self.membership.own_member.peers)
-            group.start_soon(self._catch_up)
+            group.start_soon(
+                self._guard.keep_running, "catching up", self._catch_up
+            )
             self._is_running = True
             await self._run_rounds()
 
     async def _run_rounds(self) -> None:
-        rounds = 0
-        last_tried_at = float("-inf")
-        began = time.monotonic()
-        while True:
-            await self.on_round()
-            now = time.monotonic()
-            is_early = now - began < EARLY_JOIN_PERIOD_S
-            interval_s = EARLY_JOIN_INTERVAL_S if is_early else JOIN_INTERVAL_S
-            if now - last_tried_at > interval_s:
-                last_tried_at = now
-                self._try_addresses()
-            if rounds % PROBE_ROUNDS == 0:
-                self._send_all(self.membership.probe(now))
-                self._note_changes()
-            changed = self._dispatcher.workload.changed
-            self._dispatcher.workload.changed = False
-            if len(self._owned) if self._uses_owners else changed:
-                self._send_loads()
-            if rounds % FOLLOWER_ROUNDS == 0:
-                self.notify_dependents()
-            rounds += 1
+        self._began_at = time.monotonic()
+        for number in itertools.count():
+            await self._guard.attempt("round", self.on_round)
+            self._guard.handle("round", self._send_round, number)
             await anyio.sleep(LOAD_INTERVAL_S * self._rng.uniform(0.9, 1.1))
 
+    def _send_round(self, number: int) -> None:
+        """Sends the messages of a round.
+
+        Args:
+            number: Rounds before this one.
+        """
+        now = time.monotonic()
+        is_early = now - self._began_at < EARLY_JOIN_PERIOD_S
+        interval_s = EARLY_JOIN_INTERVAL_S if is_early else JOIN_INTERVAL_S
+        if now - self._last_tried_at > interval_s:
+            self._last_tried_at = now
+            self._try_addresses()
+        if number % PROBE_ROUNDS == 0:
+            self._send_all(self.membership.probe(now))
+            self._note_changes()
+        changed = self._dispatcher.workload.changed
+        self._dispatcher.workload.changed = False
+        if len(self._owned) if self._uses_owners else changed:
+            self._send_loads()
+        if number % FOLLOWER_ROUNDS == 0:
+            self.notify_dependents()
+
     def notify_dependents(self) -> None:
         """Sends the data's versions to instances that depend on this one.
 
@@ -338,9 +353,8 @@
     def _send_status(self, members: list[Member]) -> None:
         if not members:
             return
-        data = peermessages.encode(self._peer_message(None))
-        for member in members:
-            self._send_to(member.peers, data)
+        message = self._peer_message(None)
+        self._send_encoded_peer_message([x.peers for x in members], message)
 
     def _try_addresses(self) -> None:
         sends = self.membership.join_datagrams(self._addresses)
@@ -365,14 +379,12 @@
         )
         if message.cached:
             self._counters.incr("prefix.announced", len(message.cached))
-        data = peermessages.encode(message)
-        for member in chosen:
-            self._send_to(member.peers, data)
+        self._send_encoded_peer_message([x.peers for x in chosen], message)
 
     def _send_all(self, sends: list[Send]) -> None:
         for send in sends:
-            data = peermessages.encode(self._peer_message(send.gossip))
-            self._send_to(send.address, data)
+            message = self._peer_message(send.gossip)
+            self._send_encoded_peer_message([send.address], message)
 
     def _peer_message(self, gossip) -> PeerMessage:
         self._number += 1
@@ -399,6 +411,37 @@
         age_ms = -1 if math.isinf(age_s) else int(age_s * 1000)
         return msgspec.structs.replace(self._registry.standing, age_ms=age_ms)
 
+    def _send_encoded_peer_message(
+        self, addresses: list[str], message: PeerMessage
+    ) -> None:
+        """Sends the periodic message, without its figures if they are faulty.
+
+        The others take an instance that sends none for a failed one.
+        """
+        if not self._send_encoded_to(addresses, message):
+            self._send_encoded_to(addresses, peermessages.without_load(message))
+
+    def _send_encoded(
+        self, address: str, message: peermessages.Message
+    ) -> None:
+        self._send_encoded_to([address], message)
+
+    def _send_encoded_to(
+        self, addresses: list[str], message: peermessages.Message
+    ) -> bool:
+        """Sends a message; drops it and returns false if it isn't encodable."""
+        try:
+            data = peermessages.encode(message)
+        except peermessages.ENCODE_ERRORS as exc:
+            self._counters.incr("message.dropped")
+            self._log.warn(
+                "message_dropped", kind=type(message).__name__, why=repr(exc)
+            )
+            return False
+        for address in addresses:
+            self._send_to(address, data)
+        return True
+
     def _send_to(self, address: str, data: bytes) -> None:
         if not self._socket.send(address, data):
             self._counters.incr("peer.outbox_full")
@@ -614,4 +657,5 @@
 def _version(query: dict[str, list[str]], field: str, missing: int = 0) -> int:
     """Returns a version from a snapshot request's query."""
     value = query.get(field, [""])[0]
-    return int(value) if value.isdecimal() else missing
+    is_number = value.isascii() and value.isdigit()
+    return parse_whole(value.encode()) if is_number else missing
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -64,6 +64,10 @@
     | OriginAnswer
 )
 
+ENCODE_ERRORS = (OverflowError, TypeError, ValueError, msgspec.MsgspecError)
+"""Errors of a message that cannot be encoded, as of a whole number of more than
+64 bits."""
+
 _Item = TypeVar("_Item")
 
 _encode = msgspec.msgpack.encode
@@ -182,6 +186,18 @@
     return _checked_peer(_decode_peer(data))
 
 
+def without_load(message: PeerMessage) -> PeerMessage:
+    """Returns a periodic message without the figures of its sender's load."""
+    return msgspec.structs.replace(
+        message,
+        loads=load_columns([]),
+        demand=demand_columns([]),
+        samples=[],
+        queues=[],
+        cached=[],
+    )
+
+
 def in_parts(items: Sequence[_Item], most: int) -> Iterator[list[_Item]]:
     """Splits a list into parts that each fit into one datagram.
 
--- a/src/jasminerelay/peers.py
+++ b/src/jasminerelay/peers.py
@@ -19,6 +19,7 @@
 from jasminerelay.brokerhost import BrokerHost
 from jasminerelay.membership import Membership, Send
 from jasminerelay.metrics import Counters
+from jasminerelay.peermessages import ENCODE_ERRORS
 from jasminerelay.schema.messages import (
     BrokerFrame,
     Gossip,
@@ -27,6 +28,7 @@
     ManifestReply,
 )
 from jasminerelay.schema.settings import Tls
+from jasminerelay.taskguard import TaskGuard
 
 _log = logging.getLogger(__name__)
 
@@ -122,8 +124,10 @@
         host: BrokerHost,
         peer_credentials: PeerCredentials,
         counters: Counters,
+        guard: TaskGuard,
     ):
         self._own_instance = own_instance
+        self._guard = guard
         self._broker_host = host
         self._credentials = peer_credentials
         self._counters = counters
@@ -192,6 +196,9 @@
                     # the stream. If it were not caught, the crash of one
                     # instance would terminate every other one.
                     self._counters.incr("link.broken")
+                except* Exception:
+                    self._counters.incr("link.failed")
+                    _log.exception("a link to a broker failed")
                 self._permit_client.on_link_down(peer)
                 await anyio.sleep(RECONNECT_PAUSE_S)
         finally:
@@ -205,7 +212,6 @@
         async with self._credentials.channel(address) as channel:
             method = channel.stream_stream(
                 PERMITS_METHOD,
-                request_serializer=_encode,
                 response_deserializer=_decoder(BrokerFrame),
             )
             call = method(metadata=self._credentials.metadata)
@@ -219,7 +225,12 @@
                 try:
                     async for frame in call:
                         self._counters.incr("link.frames_in")
-                        self._permit_client.on_frame(peer, frame)
+                        self._guard.handle(
+                            "broker frame",
+                            self._permit_client.on_frame,
+                            peer,
+                            frame,
+                        )
                 finally:
                     group.cancel_scope.cancel()
 
@@ -227,8 +238,14 @@
         try:
             async for frame in link.source:
                 merged = _merge([frame, *_drain(link.source)])
+                try:
+                    data = _encode(merged)
+                except ENCODE_ERRORS as exc:
+                    self._counters.incr("message.dropped")
+                    _log.warning("a frame for a broker was dropped: %r", exc)
+                    continue
                 self._counters.incr("link.frames_out")
-                await call.write(merged)
+                await call.write(data)
         except (grpc.aio.AioRpcError, *STREAM_ENDED_ERRORS):
             # If not caught, the end of the remote stream would terminate this
             # instance.
@@ -243,8 +260,10 @@
         host: BrokerHost,
         peer_credentials: PeerCredentials,
         manifest: Callable[[], ManifestReply],
+        guard: TaskGuard,
     ):
         self._broker_host = host
+        self._guard = guard
         self._credentials = peer_credentials
         self._manifest = manifest
         self._server = grpc.aio.server()
@@ -303,7 +322,9 @@
                     if not entry:
                         entry = frame.instance
                         self._broker_host.connect(entry, send)
-                    self._broker_host.on_frame(frame)
+                    self._guard.handle(
+                        "frame", self._broker_host.on_frame, frame
+                    )
             finally:
                 if entry:
                     self._broker_host.disconnect(entry, send)
@@ -358,7 +379,9 @@
         secret: str,
         counters: Counters,
         on_gossip: Callable[[Gossip], None],
+        guard: TaskGuard,
     ):
+        self._guard = guard
         self._membership = membership
         self._signer = itsdangerous.Signer(
             secret, salt="gossip", digest_method=hashlib.sha256
@@ -382,7 +405,7 @@
             group.start_soon(self._write, socket)
             group.start_soon(self._probe, interval_s)
             async for data, _ in socket:
-                self._receive(data)
+                self._guard.handle("gossip", self._receive, data)
 
     def send(self, outgoing: list[Send]) -> None:
         """Queues datagrams; later probes repeat the content of lost ones."""
@@ -396,8 +419,13 @@
         # Only this task writes: the socket rejects concurrent writers, and
         # probes, replies and notices may be due at the same time.
         async for item in self._outbox_source:
-            data = self._signer.sign(_encode(item.gossip))
-            host, port = split_address(item.address)
+            try:
+                data = self._signer.sign(_encode(item.gossip))
+                host, port = split_address(item.address)
+            except ENCODE_ERRORS as exc:
+                self._counters.incr("message.dropped")
+                _log.warning("gossip was dropped: %r", exc)
+                continue
             self._counters.incr("gossip.out")
             self._counters.incr("gossip.bytes_out", len(data))
             try:
@@ -407,9 +435,12 @@
 
     async def _probe(self, interval_s: float) -> None:
         while True:
-            self.send(self._membership.probe(time.monotonic()))
+            self._guard.handle("probe", self._send_probe)
             await anyio.sleep(interval_s)
 
+    def _send_probe(self) -> None:
+        self.send(self._membership.probe(time.monotonic()))
+
     def _receive(self, data: bytes) -> None:
         self._counters.incr("gossip.in")
         try:
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -88,6 +88,7 @@
     StoreMonitor,
     TableFollower,
 )
+from jasminerelay.taskguard import TaskGuard
 from jasminerelay.telemetry import Telemetry
 from jasminerelay.watchdog import Watchdog
 
@@ -191,6 +192,7 @@
         self.running = False
         self.log = EventLog(boot.name)
         self.counters = Counters()
+        self._guard = TaskGuard(self.counters, self.log)
         self.telemetry = Telemetry(self.counters)
         self._watchdog = Watchdog()
         self.held = HeldBytes(HeldBounds.of_memory(boot.memory_mb))
@@ -253,44 +255,50 @@
                 group.start_soon(port.serve)
             if signals:
                 group.start_soon(self._handle_signals)
-            for part in (
-                self._watchdog.run,
-                self._peers.run,
-                self._placement_queue.run,
-                self._placement_client.run,
-                self._owned_cells.run,
-                self._rate_limits.run,
-                self._drains.run,
-                self._crash_notices.run,
-                self._path_probes.run,
-                self._discover_peers,
-                self._await_peer_data,
-                self._watch_settings,
-                *([self._duties.run] if self._duties else []),
-            ):
-                group.start_soon(part)
-            group.start_soon(
-                self._crashes.run,
+            # The link's messages are guarded one by one; if its port cannot be
+            # opened, the process ends.
+            group.start_soon(self._peers.run)
+            for name, task in self._tasks().items():
+                group.start_soon(self._guard.keep_running, name, task)
+            await self._wait_for_stop()
+            group.cancel_scope.cancel()
+        self.log.warn("stop", under_way=self._requests_in_flight())
+        self.running = False
+
+    def _tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Returns the tasks that run until the stop, by name."""
+        feed = self._registry_feed
+        tasks = {
+            "watchdog": self._watchdog.run,
+            "placement queue": self._placement_queue.run,
+            "placement client": self._placement_client.run,
+            "owned cells": self._owned_cells.run,
+            "rate limits": self._rate_limits.run,
+            "drains": self._drains.run,
+            "crash notices": self._crash_notices.run,
+            "path probes": self._path_probes.run,
+            "peer discovery": self._discover_peers,
+            "peer data": self._await_peer_data,
+            "settings": self._watch_settings,
+            "crashes": lambda: self._crashes.run(
                 self._save_crashes,
                 self._read_crashes,
                 lambda: self._follower_role.is_leader,
-            )
-            group.start_soon(
-                self._configuration_follower.run,
-                self._registry_feed.apply_operator_rows,
-                self._registry_feed.apply_operator_rows,
+            ),
+            "configuration": lambda: self._configuration_follower.run(
+                feed.apply_operator_rows,
+                feed.apply_operator_rows,
                 self._configuration_start,
-            )
-            group.start_soon(
-                self._servers_follower.run,
-                self._registry_feed.apply_all_servers,
-                self._registry_feed.apply_server_changes,
+            ),
+            "servers": lambda: self._servers_follower.run(
+                feed.apply_all_servers,
+                feed.apply_server_changes,
                 self._servers_start,
-            )
-            await self._wait_for_stop()
-            group.cancel_scope.cancel()
-        self.log.warn("stop", under_way=self._requests_in_flight())
-        self.running = False
+            ),
+        }
+        if self._duties is not None:
+            tasks["duties"] = self._duties.run
+        return tasks
 
     def _build_state(self) -> None:
         boot = self.boot
@@ -704,8 +712,8 @@
     def _merge_snapshot(self, snapshot: StoreSnapshot, peer: str) -> None:
         try:
             changes = self.registry.merge_snapshot(snapshot)
-        except ValueError as exc:
-            self.log.warn("snapshot_unreadable", peer=peer, why=str(exc))
+        except Exception as exc:
+            self.log.warn("snapshot_unreadable", peer=peer, why=repr(exc))
             return
         self._registry_feed.report_changes(changes, peer)
         self._on_data_changed()
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -325,7 +325,7 @@
         self, rows: Iterable[ServerRow], version: int
     ) -> list[ServerChange]:
         # An unreadable row makes its own server unusable; the other rows apply.
-        applied = (self._apply_row(row) for row in rows)
+        applied = [self._apply_guarded(row) for row in rows]
         changes = [change for change in applied if change is not None]
         self._servers_received = True
         self._servers_version = max(self._servers_version, version)
@@ -603,6 +603,14 @@
             self._rebuild()
         return changes
 
+    def _apply_guarded(self, row: ServerRow) -> ServerChange | None:
+        try:
+            return self._apply_row(row)
+        except Exception as exc:
+            # Raised, it would keep all later changes from being applied.
+            held = self._entries.get(row.id)
+            return self._apply_unreadable(row, held, repr(exc))
+
     def _apply_row(self, row: ServerRow) -> ServerChange | None:
         held = self._entries.get(row.id)
         if held is not None and held.row.version > row.version:
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -467,9 +467,9 @@
         """Applies a configuration from the store or from another instance."""
         try:
             applied = self._registry.apply_configuration(version, data)
-        except ValueError as exc:
+        except Exception as exc:
             # The current configuration stays in force; an unreadable one is
-            # never applied in part.
+            # never applied in part, whatever is wrong with it.
             self._log.warn("configuration_unreadable", why=str(exc))
             return
         if applied:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1037,7 +1037,7 @@
     Safeguard(
         "instances try to join soon after a start",
         "peerlink",
-        "is_early = now - began < EARLY_JOIN_PERIOD_S",
+        "is_early = now - self._began_at < EARLY_JOIN_PERIOD_S",
         "is_early = False",
         "test_platforminstances.DiscoveryTest.test_started_together",
     ),
@@ -1840,4 +1840,52 @@
         "test_streammoves.StreamMovesTest"
         ".test_stream_that_ends_before_the_reply_to_its_stop",
     ),
+    Safeguard(
+        "a stated size has a bound",
+        "platform/headers",
+        "    return parse_whole(text, MAX_PROMPT_TOKENS)",
+        "    return int(text)",
+        "test_statednumbers.ParseTest.test_fields_of_callers",
+    ),
+    Safeguard(
+        "a prompt that no server holds is refused as not run",
+        "dispatcher",
+        "        return call.prompt.tokens > engine.cache_tokens",
+        "        return False",
+        "test_statednumbers.DrawnFieldsTest.test_prompt_that_no_server_holds",
+    ),
+    Safeguard(
+        "a message that cannot be encoded is dropped",
+        "peerlink",
+        "        except peermessages.ENCODE_ERRORS as exc:",
+        "        except KeyError as exc:",
+        "test_taskguard.OwnLoadTest.test_load_that_cannot_be_told",
+    ),
+    Safeguard(
+        "a datagram that cannot be handled is dropped",
+        "taskguard",
+        "        except Exception:\n"
+        '            self._counters.incr("message.dropped")',
+        "        except KeyError:\n"
+        '            self._counters.incr("message.dropped")',
+        "test_taskguard.TaskGuardTest.test_handler_drops_its_message",
+    ),
+    Safeguard(
+        "a task that has failed starts again",
+        "taskguard",
+        "            except Exception:\n"
+        '                self._counters.incr("task.failed")\n'
+        "                self._log.warn(\n",
+        "            except KeyError:\n"
+        '                self._counters.incr("task.failed")\n'
+        "                self._log.warn(\n",
+        "test_taskguard.TaskGuardTest.test_task_starts_again",
+    ),
+    Safeguard(
+        "datagrams go to addresses only",
+        "datagrams",
+        "        except ValueError as exc:\n            self._on_error(exc)",
+        "        except KeyError as exc:\n            self._on_error(exc)",
+        "test_taskguard.LinkTest.test_address_that_is_none",
+    ),
 )
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,7 @@
 """Links between instances whose streams end at any moment."""
 
 import asyncio
+import logging
 import time
 import types
 import unittest
@@ -9,6 +10,7 @@
 import grpc
 from grpc._cython import cygrpc
 
+from jasminerelay.metrics import Counters
 from jasminerelay.peers import (
     MAX_QUEUED_FRAMES,
     BrokerLinks,
@@ -16,6 +18,9 @@
     _BrokerLink,
 )
 from jasminerelay.schema.messages import BrokerFrame, InstanceFrame
+from jasminerelay.taskguard import FailureLog, TaskGuard
+
+_log = logging.getLogger(__name__)
 
 
 class ClientWriteTest(unittest.IsolatedAsyncioTestCase):
@@ -26,7 +31,7 @@
         # grpc.aio raises errors of several types. Guards against an uncaught
         # one that terminates this instance, as in a randomised run with seed 5.
         counters = types.SimpleNamespace(incr=lambda name: None)
-        links = BrokerLinks("a", None, None, counters)
+        links = BrokerLinks("a", None, None, counters, None)
         for error in (
             asyncio.InvalidStateError("RPC already finished."),
             grpc.aio.UsageError("done"),
@@ -63,6 +68,7 @@
         self.server = PeerServer.__new__(PeerServer)
         self.server._broker_host = self.host
         self.server._credentials = credentials
+        self.server._guard = TaskGuard(Counters(), FailureLog(_log))
 
     async def test_client_disconnects_between_two_frames(self) -> None:
         # A client instance terminates, together with its callers, before the
