Let an instance's own word outweigh a newer record of it

On the own interface a notice by a clock that was ahead stood until that time came; who publishes one stamps it above the one that it replaces.

--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -53,7 +53,6 @@
     ManifestPointer,
     ManifestReply,
     Member,
-    ServerNotice,
 )
 from jasminerelay.schema.settings import Settings
 from jasminerelay.serverpauses import ServerPauses
@@ -441,11 +440,12 @@
         if notice is None or not notice.leaving:
             return False
         hold_ms = self.cfg.timing.leaving_hold_s * 1000
-        return _now_ms() - notice.stamp > hold_ms
+        # The stamp may be that of an instance whose clock is ahead.
+        return abs(_now_ms() - notice.stamp) > hold_ms
 
     def _publish_notice(self, server: str, *, leaving: bool) -> None:
         was_leaving = server in self.membership.leaving_servers()
-        self.membership.record_notice(ServerNotice(server, leaving, _now_ms()))
+        self.membership.publish_notice(server, leaving, _now_ms())
         self.counters.incr("server.leaving" if leaving else "server.back")
         if (server in self.membership.leaving_servers()) != was_leaving:
             status_text = "is leaving" if leaving else "is available again"
--- a/src/jasminerelay/membership.py
+++ b/src/jasminerelay/membership.py
@@ -21,6 +21,7 @@
     Member,
     ServerNotice,
 )
+from jasminerelay.statednumbers import MAX_WHOLE
 
 ALIVE = "alive"
 SUSPECT = "suspect"
@@ -73,11 +74,22 @@
         since: Monotonic time at which its state changed.
         last_message_at: Monotonic time of the last datagram from the instance
             itself.
+        contradictions: Datagrams from the instance itself, one after the other,
+            that the record contradicts.
+        disproved: Record that the instance itself has contradicted; others may
+            still spread it. None for none.
     """
 
     member: Member
     since: float
     last_message_at: float = float("-inf")
+    contradictions: int = 0
+    disproved: Member | None = None
+
+
+MAX_CONTRADICTIONS = 3
+"""Datagrams in series from an instance itself that disprove a record of it.
+Late ones of a former incarnation are fewer."""
 
 
 class Membership:
@@ -217,6 +229,20 @@
             if address not in known_addresses
         ]
 
+    def publish_notice(self, server: str, leaving: bool, now_ms: int) -> None:
+        """Records what this instance has seen of a server, to be spread.
+
+        Args:
+            server: The server.
+            leaving: Whether it is leaving.
+            now_ms: Unix time. A notice by a clock that is ahead would otherwise
+                stand against all later ones until that time.
+        """
+        held = self._notices.get(server)
+        stamp = now_ms if held is None else max(now_ms, held.stamp + 1)
+        notice = ServerNotice(server, leaving, min(stamp, MAX_WHOLE))
+        self.record_notice(notice)
+
     def record_notice(self, notice: ServerNotice) -> bool:
         """Records a notice on a server; returns whether its state changed."""
         held = self._notices.get(notice.server)
@@ -262,8 +288,9 @@
             return []
         if self._probed == gossip.sender.instance:
             self._probed = None
-        for member in (*gossip.members, gossip.sender):
+        for member in gossip.members:
             self._merge_record(member, now)
+        self._merge_own_word(gossip.sender, now)
         sender = self._peers.get(gossip.sender.instance)
         if sender is not None:
             sender.last_message_at = now
@@ -275,6 +302,27 @@
             return []
         return [self._send(gossip.sender.instance, ACK)]
 
+    def _merge_own_word(self, record: Member, now: float) -> None:
+        """Merges what an instance says of itself.
+
+        A record that seems to be newer may be a wrong one that some datagram
+        held, or be of a former incarnation whose clock was ahead. It would keep
+        a living instance out for good.
+        """
+        peer = self._peers.get(record.instance)
+        if peer is None or _supersedes(record, peer.member):
+            self._merge_record(record, now)
+            return
+        is_repeated = record.beat == peer.member.beat
+        if not is_repeated or record.incarnation != peer.member.incarnation:
+            peer.contradictions += 1
+        if peer.contradictions < MAX_CONTRADICTIONS:
+            self._merge_record(record, now)
+            return
+        disproved = peer.member
+        self._set_peer(_Peer(record, now, now, 0, disproved))
+        self._transmissions_left[record.instance] = self._transmissions()
+
     def _merge_record(self, record: Member, now: float) -> None:
         if record.instance == self.own_member.instance:
             # Each probe of this instance carries a newer record of it than
@@ -282,6 +330,8 @@
             self._is_suspected |= record.state in (SUSPECT, FAILED)
             return
         peer = self._peers.get(record.instance)
+        if peer is not None and _is_disproved(record, peer):
+            return
         if peer is not None and not _supersedes(record, peer.member):
             self._handle_old_suspicion(record, peer, now)
             return
@@ -295,7 +345,8 @@
         last_message_at = (
             peer.last_message_at if peer is not None else float("-inf")
         )
-        self._set_peer(_Peer(record, since, last_message_at))
+        disproved = peer.disproved if peer is not None else None
+        self._set_peer(_Peer(record, since, last_message_at, 0, disproved))
         if changed:
             self._transmissions_left[record.instance] = self._transmissions()
             if record.state == SUSPECT:
@@ -365,7 +416,8 @@
 
     def _set_state(self, name: str, state: str, now: float) -> None:
         member = msgspec.structs.replace(self._peers[name].member, state=state)
-        self._set_peer(_Peer(member, now, self._peers[name].last_message_at))
+        peer = self._peers[name]
+        self._set_peer(dataclasses.replace(peer, member=member, since=now))
         self._transmissions_left[name] = self._transmissions()
 
     def _next_target(self) -> str | None:
@@ -435,6 +487,14 @@
     return _SEVERITY[record.state] > _SEVERITY[held.state]
 
 
+def _is_disproved(record: Member, peer: _Peer) -> bool:
+    wrong = peer.disproved
+    if wrong is None or record.incarnation != wrong.incarnation:
+        return False
+    same_incarnation = wrong.incarnation == peer.member.incarnation
+    return not same_incarnation or record.beat == wrong.beat
+
+
 def _equal_but_beat(record: Member, held: Member) -> bool:
     return (
         record.state == held.state
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,10 +5,16 @@
 
 from jasminerelay import peerlink
 from jasminerelay.membership import ALIVE, FAILED, LEAVING, Membership, Send
-from jasminerelay.schema.messages import ManifestPointer, Member, ServerNotice
+from jasminerelay.schema.messages import (
+    Gossip,
+    ManifestPointer,
+    Member,
+    ServerNotice,
+)
 
 INTERVAL_S = 0.5
 SUSPECT_S = 2.0
+MANIFEST = ManifestPointer(0, "")
 
 
 def member(name: str, incarnation: str = "1") -> Member:
@@ -179,6 +185,54 @@
             found = next(m for m in view.view if m.instance == "i1")
             self.assertEqual((found.incarnation, found.state), ("2", ALIVE))
 
+    def test_restart_whose_clock_stepped_back(self) -> None:
+        # Guards against an instance that stays out after a restart, since its
+        # former incarnation was named by a clock that was ahead.
+        network = Network(5)
+        network.run(3.0)
+        network.down.add("i1")
+        network.run(6.0)
+        network.views["i1"] = Membership(
+            member("i1", "0"), SUSPECT_S, network.rng
+        )
+        network.views["i1"].add_seeds(
+            [view.own_member for view in network.views.values()], network.now
+        )
+        network.down.clear()
+        network.run(8.0)
+        self.assert_alive(network, "i1", "0")
+
+    def test_wrong_record_of_a_living_instance(self) -> None:
+        # Guards against an instance that one datagram keeps out for good, by a
+        # record that no later one of its own is newer than.
+        for incarnation, beat in (("1", 2**53), ("9", 1), ("\uffff", 2**53)):
+            for state in (FAILED, LEAVING, ALIVE):
+                with self.subTest(incarnation=incarnation, state=state):
+                    network = Network(8)
+                    network.run(3.0)
+                    view = network.views["i2"]
+                    wrong = Member(
+                        "i1", incarnation, "a", "x", "x", "i1", state, beat
+                    )
+                    gossip = Gossip(
+                        "ack", view.own_member, [wrong], [], MANIFEST
+                    )
+                    network.views["i0"].receive(gossip, network.now)
+                    network.run(25.0)
+                    self.assert_alive(network, "i1", "1")
+
+    def assert_alive(self, network: Network, name: str, incarnation: str):
+        """Checks that all others hold an instance's own record of itself."""
+        for other, view in network.views.items():
+            if other == name:
+                continue
+            found = next(m for m in view.view if m.instance == name)
+            self.assertEqual(
+                (found.incarnation, found.state, found.callers),
+                (incarnation, ALIVE, name),
+                other,
+            )
+
     def test_one_way_cut_does_not_fail_anyone(self) -> None:
         # i0 cannot reach i1, but others can; the newer record of i1 refutes the
         # suspicion in time.
@@ -229,6 +283,19 @@
         for view in network.views.values():
             self.assertEqual(view.leaving_servers(), set())
 
+    def test_notice_by_a_clock_that_is_ahead(self) -> None:
+        # Guards against a server that counts as leaving for an hour, since one
+        # instance's clock was ahead when it noticed that.
+        network = Network(4)
+        network.run(3.0)
+        ahead_ms = 3_600_000
+        network.views["i0"].publish_notice("s", True, 1000 + ahead_ms)
+        network.run(5.0)
+        network.views["i1"].publish_notice("s", False, 2000)
+        network.run(5.0)
+        for view in network.views.values():
+            self.assertEqual(view.leaving_servers(), set())
+
     def test_pointer_travels_with_every_datagram(self) -> None:
         view = Membership(member("a"), SUSPECT_S, random.Random(1))
         view.add_seeds([member("b")], 0.0)
