Take no answer for complete whose server ended with its connection

What callers saw: a stream that its server sends with neither a length nor chunks is framed as complete though the server was killed between two events.

Cause: an end in order counted as the end of the body.

Change: where the end of the connection is the only mark, the answer counts as complete only if the server still listens, or shuts down. Otherwise it has broken off: a resumable stream goes on elsewhere, another one gets no end, a plain answer may have run. The connection that tells is kept for the next request.

Test: `test_server_that_is_killed_between_two_events` fails on the programs before (one run instead of two), and holds now.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -331,7 +331,7 @@
         try:
             channel = await self._context.channels.acquire(server)
         except NotSentError as exc:
-            return NotSent(str(exc), refused=_is_refused(exc))
+            return NotSent(str(exc), refused=exc.refused)
         if not self._may_send(server):
             await self._context.channels.put_back(channel, None, False)
             return NotSent("the server requested a pause", withheld=True)
@@ -554,7 +554,7 @@
             )
         fault = completeness.body_fault(
             response.framing, head.status, len(body)
-        )
+        ) or await self._crash_at_end(response, channel.server)
         if fault and not head.not_run:
             self._context.counters.incr("backend.incomplete")
             return Unknown(fault, broken=True)
@@ -785,7 +785,7 @@
             response.framing,
             splitter,
             may_have_stopped=self._moves.may_have_stopped,
-        )
+        ) or await self._crash_at_end(response, server)
         if fault:
             self._context.counters.incr("backend.incomplete")
             return Interrupted(
@@ -798,6 +798,25 @@
         )
         return Delivered(head.status)
 
+    async def _crash_at_end(
+        self, response: ServerResponse, server: BackendServer
+    ) -> str:
+        """Returns why a response that has ended is not complete; "" if it is.
+
+        The kernel ends the connections of a process that is killed in order,
+        like the process itself at the end of a response. A process that is
+        killed does not listen any more; one that shuts down may have ended
+        after its last response.
+        """
+        if response.framing is not Framing.CONNECTION:
+            return ""
+        if not self._context.dispatcher.is_in_use(server):
+            return ""
+        if not await self._context.channels.refuses(server):
+            return ""
+        self._context.counters.incr("backend.ended_with_answer")
+        return "the connection ended, and its server does not listen any more"
+
     def _record_begun(self, timer: "_StreamTimer") -> None:
         since = timer.first_at + PARTS_CLEARED_S
         if not self._parts_cleared and time.monotonic() >= since:
@@ -1014,11 +1033,3 @@
     """
 
     head: ResponseHead | None = None
-
-
-def _is_refused(error: NotSentError) -> bool:
-    """Returns whether a connection failed since nothing listens."""
-    cause: BaseException | None = error
-    while cause is not None and not isinstance(cause, ConnectionRefusedError):
-        cause = cause.__cause__
-    return cause is not None
--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -52,6 +52,9 @@
 
 PROBE_TIMEOUT_S = 0.5
 
+CONFIRM_TIMEOUT_S = 0.25
+"""Longest wait for a connection that tells whether a server still listens."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _IdleChannel:
@@ -255,6 +258,20 @@
             return
         await self.put_back(channel, None, False)
 
+    async def refuses(self, server: BackendServer) -> bool:
+        """Returns whether nothing listens at a server's address any more.
+
+        A connection that shows the opposite is kept for the next request.
+        """
+        if self._paths.relays(server.id):
+            return False
+        try:
+            channel = await self._open_direct(server, CONFIRM_TIMEOUT_S)
+        except NotSentError as exc:
+            return exc.refused
+        await self.put_back(channel, None, False)
+        return False
+
     async def _open(self, server: BackendServer) -> Channel:
         if not self._paths.relays(server.id):
             return await self._open_either_way(server)
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -345,6 +345,11 @@
         held = catalog.services.get(service) if catalog else None
         return held.engine if held else None
 
+    def is_in_use(self, server: BackendServer) -> bool:
+        """Returns whether a server is listed and does not shut down."""
+        held = self._registry.server(server.id)
+        return held is not None and not held.draining
+
     def exceeds_memory(self, call: Call) -> bool:
         """Returns whether a prompt is larger than the memory of any server."""
         engine = self.engine_of(call.service)
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -30,6 +30,16 @@
 class NotSentError(Exception):
     """No byte of the request was sent; it provably was not executed."""
 
+    @property
+    def refused(self) -> bool:
+        """Whether a connection failed since nothing listens."""
+        cause: BaseException | None = self
+        while cause is not None:
+            if isinstance(cause, ConnectionRefusedError):
+                return True
+            cause = cause.__cause__
+        return False
+
 
 class IncompleteExchangeError(Exception):
     """The exchange failed after bytes were sent; it may have been executed."""
--- a/standins/connectionanswers.py
+++ b/standins/connectionanswers.py
@@ -58,9 +58,18 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
 
 
-def end_port(port: HttpServer) -> None:
-    """Ends a port at once: stops listening and resets its connections."""
+def end_port(port: HttpServer, *, in_order: bool = False) -> None:
+    """Ends a port at once: stops listening and resets its connections.
+
+    Args:
+        port: The port.
+        in_order: Whether its connections end in order instead, as the kernel
+            ends those of a process that is killed.
+    """
     for listener in getattr(port, "servers", []):
         listener.close()
     for connection in list(port.server_state.connections):
-        reset(connection.transport)
+        if in_order:
+            connection.transport.close()
+        else:
+            reset(connection.transport)
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -112,6 +112,7 @@
         self._instances = 0
         self._leaving: set[str] = set()
         self._started_ms: dict[str, int] = {}
+        self._ends_in_order: set[str] = set()
         self.ended: list[str] = []
         self._first_start = True
 
@@ -199,8 +200,15 @@
             row["born"] = self._started_ms[name]
         return row
 
-    def kill_server(self, name: str) -> None:
-        """Ends a server, or the store, at once; a row stays in the store."""
+    def kill_server(self, name: str, *, in_order: bool = False) -> None:
+        """Ends a server, or the store, at once; a row stays in the store.
+
+        Args:
+            name: Its name.
+            in_order: Whether its connections end in order and are not reset.
+        """
+        if in_order:
+            self._ends_in_order.add(name)
         if name in self.servers:
             self.servers[name].killed_at = time.monotonic()
         self._scopes.pop(name).cancel()
@@ -394,7 +402,8 @@
                 try:
                     await port.serve()
                 finally:
-                    connectionanswers.end_port(port)
+                    in_order = name in self._ends_in_order
+                    connectionanswers.end_port(port, in_order=in_order)
 
         self._group.start_soon(serve)
         while not port.started:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1932,4 +1932,21 @@
         "now_ms",
         "test_membership.MembershipTest.test_notice_by_a_clock_that_is_ahead",
     ),
+    Safeguard(
+        "an answer that ends with a killed server is not complete",
+        "attempt",
+        "        if not await self._context.channels.refuses(server):\n",
+        "        if True:\n",
+        "test_connectionanswers.ConnectionAnswersTest"
+        ".test_server_that_is_killed_between_two_events",
+    ),
+    Safeguard(
+        "a server that shuts down may end after its last answer",
+        "attempt",
+        "        if not self._context.dispatcher.is_in_use(server):\n"
+        '            return ""\n',
+        "",
+        "test_connectionanswers.ConnectionAnswersTest"
+        ".test_stream_of_a_server_that_ends_after_it",
+    ),
 )
--- a/tests/test_connectionanswers.py
+++ b/tests/test_connectionanswers.py
@@ -124,6 +124,64 @@
             plain = await self.ask(instance, "/confirm/x")
             self.assertEqual((plain.whole, plain.body), (True, b"answer to a1"))
 
+    async def test_server_that_is_killed_between_two_events(self) -> None:
+        # Guards against a stream that counts as complete since the kernel ended
+        # the connections of a killed server in order.
+        for path, runs in (("/chat/1/stream", 2), ("/sheet/1/stream", 1)):
+            async with self.answering() as (site, instance):
+                answers = []
+
+                async def ask(path=path, instance=instance, found=answers):
+                    found.append(await self.ask(instance, path, **PROMPT))
+
+                async with anyio.create_task_group() as group:
+                    group.start_soon(ask)
+                    await self.until(lambda s=site: self.busy(s))
+                    name = self.busy(site)
+                    server = site.servers[name]
+                    ran = server.journal[-1]
+                    await self.until(lambda r=ran: r.last_token >= 5)
+                    site.kill_server(name, in_order=True)
+                (answer,) = answers
+                self.assertEqual(self.runs(site), runs)
+                if runs > 1:
+                    self.assertEqual(
+                        (answer.whole, answer.body), (True, events(20))
+                    )
+                else:
+                    self.assertFalse(answer.whole)
+
+    def busy(self, site) -> str:
+        """Returns the name of a server that runs a request; "" for none."""
+        return next((n for n, s in site.servers.items() if s.running), "")
+
+    async def test_stream_of_a_server_that_ends_after_it(self) -> None:
+        # Guards against a whole stream that counts as broken off, since its
+        # server, which shuts down, has exited right after it.
+        async with self.answering() as (site, instance):
+
+            async def refuses(server) -> bool:
+                del server
+                return True
+
+            instance._channels.refuses = refuses
+            answers = []
+
+            async def ask() -> None:
+                path = "/sheet/1/stream"
+                answers.append(await self.ask(instance, path, **PROMPT))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(lambda: self.busy(site))
+                name = self.busy(site)
+                # No other server takes its streams.
+                for other in site.servers.values():
+                    other.faults.refuse_moves = 100
+                site.write_server_row(name, MODEL_BACKEND, "draining")
+            (answer,) = answers
+            self.assertEqual((answer.whole, answer.body), (True, events(20)))
+
     async def test_stream_broken_off_after_its_head_goes_on(self) -> None:
         # Guards against an empty run of a stream that counts as its end.
         for kind in Break:
