Read a request that wishes to upgrade as any other, with its body

Cause: the parser reads no body after such a head and takes what follows for the next request; uvicorn only logs that. Change: the head is read again without the wish, by a new parser, together with what follows, on both interfaces; CONNECT is refused with 400. Ruled out: refusing such requests, as some HTTP clients send the fields with every request.

The stream run's links also refuse connections for a server that was killed, and cut in order only where that breaks an answer off.

--- a/src/jasminerelay/headlimits.py
+++ b/src/jasminerelay/headlimits.py
@@ -81,6 +81,7 @@
             self._bounds = bounds(self._idle_since)
             self._timeout_timer: asyncio.TimerHandle | None = None
             self._waited_in_backlog = False
+            self._head_without_upgrade: bytes | None = None
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
@@ -103,7 +104,15 @@
             super().connection_lost(exc)
 
         def data_received(self, data: bytes) -> None:
-            super().data_received(data)
+            self._unset_keepalive_if_required()
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                self._go_on_without_upgrade(data[exc.args[0] :])
+                return
+            except httptools.HttpParserError:
+                self.send_400_response("Invalid HTTP request received.")
+                return
             if not self._in_head:
                 return
             self._received_bytes += len(data)
@@ -131,8 +140,51 @@
 
         def on_headers_complete(self) -> None:
             self._head_ended()
+            if self.parser.should_upgrade():
+                # The parser would read no body, whatever length is stated, and
+                # take what follows for the next request.
+                self._head_without_upgrade = self._rebuild_head()
+                return
             super().on_headers_complete()
 
+        def on_message_complete(self) -> None:
+            if self._head_without_upgrade is None:
+                super().on_message_complete()
+
+        def _rebuild_head(self) -> bytes:
+            """Returns the head without its wish to change the protocol."""
+            lines = [
+                b"%b %b HTTP/%b"
+                % (
+                    self.parser.get_method(),
+                    self.url,
+                    self.parser.get_http_version().encode(),
+                )
+            ]
+            for name, value in self.headers:
+                if name == b"connection":
+                    value = _without_upgrade(value)
+                if name != b"upgrade":
+                    lines.append(b"%b: %b" % (name, value))
+            return b"\r\n".join(lines) + b"\r\n\r\n"
+
+        def _go_on_without_upgrade(self, rest: bytes) -> None:
+            """Reads a request that wished to change the protocol as any other.
+
+            Args:
+                rest: What has arrived after its head.
+            """
+            head, self._head_without_upgrade = self._head_without_upgrade, None
+            if self.parser.get_method() == b"CONNECT":
+                self.send_400_response(
+                    "CONNECT is not supported; send the request itself."
+                )
+                return
+            self.parser = httptools.HttpRequestParser(self)
+            # As uvicorn does, for requests that follow one with "close".
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            self.data_received(head + rest)
+
         def on_response_complete(self) -> None:
             self._idle_since = time.monotonic()
             self.timeout_keep_alive = self.idle_limit_s
@@ -188,3 +240,9 @@
                 self.transport.close()
 
     return BoundedProtocol
+
+
+def _without_upgrade(value: bytes) -> bytes:
+    """Returns a Connection field's value without the option to upgrade."""
+    options = [item.strip() for item in value.split(b",")]
+    return b", ".join(x for x in options if x.lower() != b"upgrade")
--- a/standins/link.py
+++ b/standins/link.py
@@ -64,6 +64,8 @@
         slices: Source of the sizes and pauses by which bytes are split, joined
             and held back; None to forward them as they come.
         cuts: Cuts of upcoming connections with answers, taken from the end.
+        resets_only: Whether cuts in order are resets, since an answer that ends
+            with its connection would be whole there.
     """
 
     delay_s: float = 0.0
@@ -71,6 +73,7 @@
     deaf: bool = False
     slices: random.Random | None = None
     cuts: list[LinkCut] = dataclasses.field(default_factory=list)
+    resets_only: bool = False
 
 
 class Link:
@@ -95,6 +98,7 @@
         self._target = target
         self._open: dict[anyio.CancelScope, SocketStream] = {}
         self._scope = anyio.CancelScope()
+        self._listener_scope = anyio.CancelScope()
 
     async def serve(self) -> None:
         """Forwards connections until cancelled."""
@@ -103,9 +107,15 @@
             local_host=host, local_port=int(port)
         )
         with self._scope:
-            async with listener:
-                self.listening.set()
-                await listener.serve(self._handle)
+            async with anyio.create_task_group() as group:
+                with self._listener_scope:
+                    async with listener:
+                        self.listening.set()
+                        await listener.serve(self._handle, group)
+
+    def stop_listening(self) -> None:
+        """Refuses new connections, as the host of a process that has ended."""
+        self._listener_scope.cancel()
 
     def close(self) -> None:
         """Resets all connections and stops listening."""
@@ -160,7 +170,7 @@
                     data, cut = data[: cut.after], _less(cut, len(data))
                 await self._send(destination, data)
                 if cut is not None and cut.after <= 0:
-                    await _end(destination, cut.kind)
+                    await self._cut(destination, cut.kind)
                     break
         except anyio.EndOfStream:
             # An end in order would hide the bytes that were dropped.
@@ -187,6 +197,12 @@
             if rng.random() < 0.3:
                 await anyio.sleep(rng.uniform(0.0, MAX_SLICE_PAUSE_S))
 
+    async def _cut(self, stream: SocketStream, kind: CutKind) -> None:
+        if kind is CutKind.SILENCE:
+            await anyio.sleep(SILENCE_S)
+        if kind is not CutKind.END or self.faults.resets_only:
+            _reset_on_close(stream)
+
     def _drops(self, answers: bool) -> bool:
         return self.faults.silent or (answers and self.faults.deaf)
 
@@ -195,13 +211,5 @@
     return dataclasses.replace(cut, after=cut.after - size)
 
 
-async def _end(stream: SocketStream, kind: CutKind) -> None:
-    if kind is CutKind.RESET:
-        _reset_on_close(stream)
-    elif kind is CutKind.SILENCE:
-        await anyio.sleep(SILENCE_S)
-        _reset_on_close(stream)
-
-
 def _reset_on_close(stream: SocketStream) -> None:
     reset_on_close(stream.extra(SocketAttribute.raw_socket))
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1949,4 +1949,11 @@
         "test_connectionanswers.ConnectionAnswersTest"
         ".test_stream_of_a_server_that_ends_after_it",
     ),
+    Safeguard(
+        "a request that wishes to upgrade keeps its body",
+        "headlimits",
+        "            if self.parser.should_upgrade():\n",
+        "            if False:\n",
+        "test_upgradefields.UpgradeFieldsTest.test_body_belongs_to_its_request",
+    ),
 )
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -180,23 +180,26 @@
     async def _cut_connections(self, rng: random.Random) -> None:
         """Cuts some connections, each after any number of bytes."""
         link = rng.choice(self._all_links())
-        # An answer that ends with its connection is whole where that ends in
-        # order, by the platform's rules.
-        kinds = (CutKind.RESET, CutKind.SILENCE)
-        if link in self._fronts.values() or not self._by_connection:
-            kinds = tuple(CutKind)
         link.faults.cuts += [
-            LinkCut(rng.randrange(MAX_CUT_BYTES), rng.choice(kinds))
+            LinkCut(rng.randrange(MAX_CUT_BYTES), rng.choice(list(CutKind)))
             for _ in range(rng.randint(1, 6))
         ]
         await anyio.sleep(rng.uniform(0.3, 1.5))
         link.faults.cuts.clear()
 
-    @property
-    def _by_connection(self) -> bool:
-        return any(
-            server.faults.by_connection for server in self.site.servers.values()
-        )
+    def _end_in_order_only_by_servers(self) -> None:
+        """Lets links to servers cut no connection in order any more.
+
+        An answer that ends with its connection is whole, by the platform's
+        rules, where that ends in order and its server is well.
+        """
+        for name in self.site.servers:
+            if name in self.site.links:
+                self.site.links[name].faults.resets_only = True
+
+    async def _answers_by_connection(self, rng: random.Random) -> None:
+        self._end_in_order_only_by_servers()
+        await self._server_answers_by_connection(rng)
 
     async def _release_long(self, rng: random.Random) -> None:
         before = set(self.site.servers)
@@ -226,8 +229,11 @@
         if name is None or not name.startswith("engine"):
             return
         self.site.mark_leaving(name)
-        self.site.servers[name].faults.by_connection |= rng.random() < 0.5
+        if rng.random() < 0.5:
+            self._end_in_order_only_by_servers()
+            self.site.servers[name].faults.by_connection = True
         await anyio.sleep(rng.uniform(0.0, 0.4))
+        self.site.links[name].stop_listening()
         self.site.kill_server(name, in_order=rng.random() < 0.7)
         await anyio.sleep(rng.uniform(0.2, 1.5))
         self.site.store.delete("servers", name)
@@ -264,6 +270,7 @@
                 for link in self._all_links():
                     if link.faults.slices is None:
                         link.faults.slices = random.Random(len(self._requests))
+                        link.faults.resets_only = True
                 await anyio.sleep(0.1)
 
         async with anyio.create_task_group() as group:
@@ -287,7 +294,7 @@
     StreamSoak._cut_connections,
     StreamSoak._cut_connections,
     StreamSoak._server_fails,
-    StreamSoak._server_answers_by_connection,
+    StreamSoak._answers_by_connection,
     StreamSoak._release_long,
     StreamSoak._engine_leaves,
     StreamSoak._engine_leaves,
