Bound the numbers of the table service's rows, and tell malformed claims

A malformed row is an error of the store now, with its remedy; what it stands for may have run. Numbers of rows and claims have bounds.

--- a/src/jasminerelay/claims.py
+++ b/src/jasminerelay/claims.py
@@ -16,6 +16,7 @@
     IdempotencyConflictError,
     IdempotencyKeyReusedError,
 )
+from jasminerelay.statednumbers import Count, Number
 
 OPEN = "open"
 DONE = "done"
@@ -43,11 +44,11 @@
     digest: str
     token: str
     state: str = OPEN
-    status: int = 0
+    status: Count = 0
     content_type: str = ""
     body: str = ""
     object_key: str = ""
-    at: float = 0.0
+    at: Number = 0.0
 
 
 def row_key(organisation: str, service: str, idempotency_key: str) -> str:
--- a/src/jasminerelay/claimstore.py
+++ b/src/jasminerelay/claimstore.py
@@ -10,7 +10,6 @@
 import time
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
 from jasminerelay import claims
@@ -194,7 +193,7 @@
             if row is None:
                 expect = ABSENT
                 continue
-            held = msgspec.convert(row.value, Claim)
+            held = row.value_as(Claim)
             if held.token == claim.token:
                 return AcquiredClaim(key, row.version, claim)
             if held.state == claims.NOT_RUN and held.digest == claim.digest:
@@ -238,7 +237,7 @@
             row = await self._retry_until_stored(
                 lambda: self._insert_not_run(key, claim)
             )
-            held = msgspec.convert(row.value, Claim)
+            held = row.value_as(Claim)
             if held.token == claim.token and held.state == claims.OPEN:
                 closed = dataclasses.replace(claim, state=claims.NOT_RUN)
                 write = ConditionalWrite(key, row.version, closed)
--- a/src/jasminerelay/manifestmanager.py
+++ b/src/jasminerelay/manifestmanager.py
@@ -275,4 +275,4 @@
 
 
 def _value(row: Row) -> _RowValue:
-    return msgspec.convert(row.value, _RowValue)
+    return row.value_as(_RowValue)
--- a/src/jasminerelay/placements.py
+++ b/src/jasminerelay/placements.py
@@ -70,7 +70,7 @@
 def _versioned_lease(row: Row | None) -> _VersionedLease:
     if row is None:
         return _VersionedLease(ABSENT, None)
-    return _VersionedLease(row.version, msgspec.convert(row.value, LeaseRow))
+    return _VersionedLease(row.version, row.value_as(LeaseRow))
 
 
 class _LoadedState(msgspec.Struct):
--- a/src/jasminerelay/store.py
+++ b/src/jasminerelay/store.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from jasminerelay.errors import StoreError
+from jasminerelay.errors import RAN_UNKNOWN, StoreError
 from jasminerelay.httpclient import (
     MAX_LONG_RESPONSE_BYTES,
     HttpClient,
@@ -16,6 +16,7 @@
 )
 from jasminerelay.schema.messages import Member
 from jasminerelay.schema.settings import Platform
+from jasminerelay.statednumbers import Count
 
 RETRY_AFTER_S = 1.0
 ABSENT = 0
@@ -33,9 +34,26 @@
     """
 
     key: str
-    version: int
+    version: Count
     value: Any
 
+    def value_as(self, kind: type) -> Any:
+        """Returns the content as a value of a type.
+
+        Raises:
+            StoreError: if another program has written something else. What the
+                row stands for may have happened all the same.
+        """
+        try:
+            return msgspec.convert(self.value, kind)
+        except msgspec.ValidationError as exc:
+            raise StoreError(
+                f"the row {self.key!r} is malformed: {exc}",
+                remedy="Have the operators correct or remove the row.",
+                ran=RAN_UNKNOWN,
+                retry_s=RETRY_AFTER_S,
+            ) from exc
+
 
 @dataclasses.dataclass(frozen=True)
 class ConditionalWrite:
--- a/tests/test_statednumbers.py
+++ b/tests/test_statednumbers.py
@@ -11,7 +11,8 @@
 import msgspec
 from hypothesis import given, settings, strategies
 
-from jasminerelay import addresses, peermessages
+from jasminerelay import addresses, claims, peermessages, store
+from jasminerelay.errors import StoreError
 from jasminerelay.platform import decoding, headers, tables
 from jasminerelay.schema import messages
 from jasminerelay.statednumbers import MAX_WHOLE, parse_amount, parse_whole
@@ -195,6 +196,18 @@
             self.assertTrue(kinds)
             for kind in kinds:
                 self.assertEqual(_bare_numbers(kind), [])
+        # Rows of the table service of the project's own interface.
+        for kind in (store.Row, claims.Claim):
+            self.assertEqual(_bare_numbers(kind), [])
+
+    def test_malformed_claim(self) -> None:
+        # Guards against a claim's row of another writer that ends in an error
+        # of ours, or in "not run", though what it stands for may have run.
+        for value in (7, {}, {"digest": "d", "token": "t", "status": 10**30}):
+            row = store.Row("k", 1, value)
+            with self.assertRaises(StoreError) as caught:
+                row.value_as(claims.Claim)
+            self.assertEqual(caught.exception.ran, "unknown")
 
 
 class DrawnFieldsTest(PlatformCase):
