--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -260,19 +260,19 @@
         self, address: str, message: peermessages.Message
     ) -> None:
         """Sends a message to the address of another instance."""
-        self._send_encoded(address, message)
+        self._encode_and_send([address], message)
 
     def _send_to_owner(self, owner: Member, message: CellUpdate) -> None:
         if owner.instance == self.membership.own_member.instance:
             self._owned.handle_message(message)
         else:
-            self._send_encoded(owner.peers, message)
+            self._encode_and_send([owner.peers], message)
 
     def _send_answer(self, address: str, message: OwnerAnswers) -> None:
         if address == self.membership.own_member.peers:
             self._placement_client.handle_message(message)
         else:
-            self._send_encoded(address, message)
+            self._encode_and_send([address], message)
 
     @property
     def _uses_owners(self) -> bool:
@@ -354,7 +354,7 @@
         if not members:
             return
         message = self._peer_message(None)
-        self._send_encoded_peer_message([x.peers for x in members], message)
+        self._send_periodic([x.peers for x in members], message)
 
     def _try_addresses(self) -> None:
         sends = self.membership.join_datagrams(self._addresses)
@@ -379,12 +379,12 @@
         )
         if message.cached:
             self._counters.incr("prefix.announced", len(message.cached))
-        self._send_encoded_peer_message([x.peers for x in chosen], message)
+        self._send_periodic([x.peers for x in chosen], message)
 
     def _send_all(self, sends: list[Send]) -> None:
         for send in sends:
             message = self._peer_message(send.gossip)
-            self._send_encoded_peer_message([send.address], message)
+            self._send_periodic([send.address], message)
 
     def _peer_message(self, gossip) -> PeerMessage:
         self._number += 1
@@ -411,22 +411,17 @@
         age_ms = -1 if math.isinf(age_s) else int(age_s * 1000)
         return msgspec.structs.replace(self._registry.standing, age_ms=age_ms)
 
-    def _send_encoded_peer_message(
+    def _send_periodic(
         self, addresses: list[str], message: PeerMessage
     ) -> None:
         """Sends the periodic message, without its figures if they are faulty.
 
         The others take an instance that sends none for a failed one.
         """
-        if not self._send_encoded_to(addresses, message):
-            self._send_encoded_to(addresses, peermessages.without_load(message))
+        if not self._encode_and_send(addresses, message):
+            self._encode_and_send(addresses, peermessages.without_load(message))
 
-    def _send_encoded(
-        self, address: str, message: peermessages.Message
-    ) -> None:
-        self._send_encoded_to([address], message)
-
-    def _send_encoded_to(
+    def _encode_and_send(
         self, addresses: list[str], message: peermessages.Message
     ) -> bool:
         """Sends a message; drops it and returns false if it isn't encodable."""
