--- a/tests/platformsoak.py
+++ b/tests/platformsoak.py
@@ -149,8 +149,8 @@
             seed: Determines the faults and the requests.
             seconds: Time in which faults are injected.
             source: Checkout whose programs the instances as deployed run.
-            logs: Folder to keep the instances' logs in if an answer was cut or
-                a log has a fault; None to keep none.
+            logs: Folder to keep the instances' logs in if a check has found
+                something; None to keep none.
         """
         self._seed = seed
         self._source = source
@@ -193,9 +193,9 @@
                 )
                 checks.check_logs()
                 self._check_cuts()
+                checks.run()
                 if self.violations and self._logs is not None:
                     self._keep_logs(self._logs)
-        checks.run()
 
     def _keep_logs(self, folder: pathlib.Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
--- a/tests/soakchecks.py
+++ b/tests/soakchecks.py
@@ -152,6 +152,8 @@
             f"{name} after {ran.headers.get('last-event-id', '-')}"
             f" sent up to t{ran.last_token}"
             f"{' moved' if ran.moved else ''}{' ended' if ran.ended else ''}"
+            f"{' from a copy' if 'kv-from' in ran.headers else ''}"
+            f" ({ran.began_at:.2f} to {ran.stopped_at:.2f})"
             for _, name, ran in runs
         )
 
@@ -357,7 +359,8 @@
         for request in self._requests:
             if request.once and runs[request.attempt] > 1:
                 self._add(
-                    f"{request.attempt}: ran {runs[request.attempt]} times"
+                    f"{request.attempt}: ran {runs[request.attempt]} times;"
+                    f" {self._life_of(request)}"
                 )
             refused = request.status in REFUSALS and not request.signature
             if request.once and refused and runs[request.attempt]:
