Ask other instances where this one cannot tell whether a server still listens

Other instances are asked there now; where several do not reach the server either, the answer has broken off. The stand-in network refuses connections for a server that does not listen, as the kernel does; its links accepted them.

--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -262,13 +262,15 @@
         """Returns whether nothing listens at a server's address any more.
 
         A connection that shows the opposite is kept for the next request.
+        Where this instance does not reach the server, others are asked.
         """
-        if self._paths.relays(server.id):
-            return False
         try:
-            channel = await self._open_direct(server, CONFIRM_TIMEOUT_S)
+            if self._paths.relays(server.id):
+                channel = await self._open_relayed(server)
+            else:
+                channel = await self._open_direct(server, CONFIRM_TIMEOUT_S)
         except NotSentError as exc:
-            return exc.refused
+            return exc.refused or exc.unreached
         await self.put_back(channel, None, False)
         return False
 
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -28,7 +28,13 @@
 
 
 class NotSentError(Exception):
-    """No byte of the request was sent; it provably was not executed."""
+    """No byte of the request was sent; it provably was not executed.
+
+    Attributes:
+        unreached: Whether other instances did not reach the server either.
+    """
+
+    unreached = False
 
     @property
     def refused(self) -> bool:
@@ -41,6 +47,12 @@
         return False
 
 
+class ServerUnreachedError(NotSentError):
+    """Several instances have tried to connect to a server, none could."""
+
+    unreached = True
+
+
 class IncompleteExchangeError(Exception):
     """The exchange failed after bytes were sent; it may have been executed."""
 
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -22,7 +22,7 @@
 from jasminerelay.addresses import split_address
 from jasminerelay.catalog import BackendServer
 from jasminerelay.datagrams import READ_BYTES
-from jasminerelay.httpclient import NotSentError
+from jasminerelay.httpclient import NotSentError, ServerUnreachedError
 from jasminerelay.metrics import Counters
 from jasminerelay.scheduling.serverpaths import RELAY_LOST
 from jasminerelay.schema.messages import Member
@@ -123,7 +123,9 @@
                 continue
             witnesses.append(member.zone)
             if self._are_enough(witnesses):
-                raise NotSentError("other instances do not reach it either")
+                raise ServerUnreachedError(
+                    "other instances do not reach it either"
+                )
         raise NotSentError("no other instance relays connections")
 
     def _are_enough(self, witnesses: list[str]) -> bool:
--- a/standins/servernetwork.py
+++ b/standins/servernetwork.py
@@ -78,6 +78,9 @@
         if self._cut is not None:
             self.failed += 1
             await self._healed.wait()
+        # A link listens also for a server that does not.
+        _, probe = await asyncio.open_connection(host, port)
+        probe.close()
         address = await self._link_to(f"{host}:{port}")
         link_host, _, link_port = address.rpartition(":")
         self.opened += 1
