Take one instance's word for a server that has ended with its answer

One that tried and did not reach the server is enough here, and an instance that relays has reached servers itself, so that it may say so. The proof for leaving a server out still needs several.

--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -31,7 +31,7 @@
     """No byte of the request was sent; it provably was not executed.
 
     Attributes:
-        unreached: Whether other instances did not reach the server either.
+        unreached: Whether another instance did not reach the server either.
     """
 
     unreached = False
@@ -48,7 +48,7 @@
 
 
 class ServerUnreachedError(NotSentError):
-    """Several instances have tried to connect to a server, none could."""
+    """Another instance has tried to connect to a server and could not."""
 
     unreached = True
 
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -671,6 +671,9 @@
         )
 
         relays.on_unreachable = self._path_probes.doubt
+        relays.on_reached = lambda server: self._paths.record_direct(
+            server, time.monotonic()
+        )
 
         async def serve(scope, receive, send) -> None:
             app = relays if scope["path"] == RELAY_PATH else snapshots
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -126,6 +126,8 @@
                 raise ServerUnreachedError(
                     "other instances do not reach it either"
                 )
+        if witnesses:
+            raise ServerUnreachedError("another instance does not reach it")
         raise NotSentError("no other instance relays connections")
 
     def _are_enough(self, witnesses: list[str]) -> bool:
--- a/src/jasminerelay/relayport.py
+++ b/src/jasminerelay/relayport.py
@@ -57,6 +57,7 @@
     Attributes:
         count: Number of connections that it relays.
         on_unreachable: Called with a server that this instance did not reach.
+        on_reached: Called with a server to which a connection was opened.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self._counters = counters
         self.count = 0
         self.on_unreachable: Callable[[str], None] = lambda server: None
+        self.on_reached: Callable[[str], None] = lambda server: None
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one connection until its end."""
@@ -114,6 +116,7 @@
             witness = self._reaches_servers()
             await self._refuse(send, SERVER_UNREACHABLE if witness else CUT_OFF)
             return
+        self.on_reached(server.id)
         self._counters.incr("relay.opened")
         try:
             await send(
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -326,6 +326,39 @@
                 runs = sum(len(s.journal) for s in site.servers.values())
                 self.assertEqual(runs, 2)
 
+    async def test_server_that_is_killed_between_two_events(self) -> None:
+        # Guards against a stream that counts as complete since its server, to
+        # which another instance relays, was killed and its connections ended in
+        # order.
+        async with self.site(2) as (site, instances):
+            await self.until(
+                lambda: all(i.live_instance_count == 2 for i in instances)
+            )
+            first = instances[0]
+            self.network_of[first.boot.name].cut(Cut.RESET)
+            for server in site.servers.values():
+                server.faults.by_connection = True
+            answers = []
+
+            async def ask() -> None:
+                path = "/sheet/1/stream"
+                answers.append(
+                    await self.ask(first, path, Token_Usage="600,40")
+                )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await self.until(
+                    lambda: any(
+                        ran.last_token >= 5
+                        for server in site.servers.values()
+                        for ran in server.journal
+                    )
+                )
+                (name,) = (n for n, s in site.servers.items() if s.running)
+                site.kill_server(name, in_order=True)
+            self.assertFalse(answers[0].whole)
+
     async def test_silent_server_is_left(self) -> None:
         # Guards against a relay that is not asked any more since a stream has
         # left a silent server that it relays.
