Let stand-ins record the targets and fields of requests as received

Cause: they rebuilt targets from a path and a query, so that an empty query or what follows "#" could not show, and had no list of fields; a byte above 127 in a field ended their handler. Change: a protocol class over uvicorn's own parser, not that of the instances, notes both of each head, without trailers; the journals of both interfaces have them.

--- a/standins/common.py
+++ b/standins/common.py
@@ -8,6 +8,8 @@
 import uvicorn
 from starlette.responses import JSONResponse
 
+from standins.rawrequests import RecordingProtocol
+
 
 @dataclasses.dataclass
 class Faults:
@@ -112,5 +114,6 @@
         log_level="critical",
         access_log=False,
         lifespan="off",
+        http=RecordingProtocol,
         timeout_graceful_shutdown=1,
     )
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -12,6 +12,7 @@
 import re
 from collections.abc import Callable, Iterator
 
+from standins import rawrequests
 from standins.connectionanswers import ConnectionAnswer
 
 EVENT_INTERVAL_S = 0.01
@@ -140,8 +141,10 @@
     Attributes:
         attempt: Id of the attempt.
         headers: Header fields.
-        target: Path and query.
+        target: Target as received.
         body: Body.
+        method: Method.
+        fields: Fields of its head as received.
         ended: Whether the complete answer was sent.
         moved: Whether it was stopped to be continued from a copy.
         copies: Number of copies made of it.
@@ -155,6 +158,8 @@
     headers: dict[str, str]
     target: str
     body: bytes
+    method: str = ""
+    fields: list[tuple[bytes, bytes]] = dataclasses.field(default_factory=list)
     ended: bool = False
     moved: bool = False
     copies: int = 0
@@ -215,7 +220,8 @@
         if scope["type"] != "http":
             return
         headers = {
-            key.decode(): value.decode() for key, value in scope["headers"]
+            key.decode(): value.decode("latin-1")
+            for key, value in scope["headers"]
         }
         body = await _read_body(receive)
         if body is None:
@@ -245,10 +251,14 @@
             self.rejection_times.append(self.arrival_times[-1])
             await self._reject(send, 503, attempt)
         else:
-            target = scope["raw_path"].decode()
-            if scope["query_string"]:
-                target += "?" + scope["query_string"].decode()
-            ran = ServedRequest(attempt, headers, target, body)
+            ran = ServedRequest(
+                attempt,
+                headers,
+                scope[rawrequests.TARGET].decode(),
+                body,
+                scope["method"],
+                scope[rawrequests.FIELDS],
+            )
             self.journal.append(ran)
             await self._run_request(scope, receive, send, ran)
 
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -20,6 +20,7 @@
 from standins.platformduties import PlatformDuties
 from standins.platformserver import FIRST_VERSION, PlatformServer
 from standins.platformstore import PlatformStore
+from standins.rawrequests import RecordingProtocol
 
 API_KEY = "key-of-elm"
 HOST = "relay.example"
@@ -393,7 +394,9 @@
         return link_address
 
     async def _listen(self, name: str, app, address: str) -> None:
-        port = ports.port(app, address, date_header=False)
+        port = ports.port(
+            app, address, date_header=False, http=RecordingProtocol
+        )
         scope = anyio.CancelScope()
         self._scopes[name] = scope
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -16,6 +16,7 @@
     serve,
     set_faults,
 )
+from standins.rawrequests import FIELDS, TARGET
 
 
 @dataclasses.dataclass
@@ -114,6 +115,11 @@
                 "organisation": request.headers.get("x-organisation", ""),
                 "method": request.method,
                 "path": request.url.path,
+                "target": request.scope[TARGET].decode(),
+                "fields": [
+                    (name.decode("latin-1"), value.decode("latin-1"))
+                    for name, value in request.scope[FIELDS]
+                ],
                 "key": key,
                 "body": body,
                 "at": time.time(),
