Decide in one place to which request each byte of a connection belongs

Callers saw: a 400 written into a stream under way, because of what followed its request; requests that ran under the id, or with the fields, of a trailer; bodies in gzip of which the server was not told; targets without their empty query or "#"; requests whose id Connection had named away; HTTP/1.0 callers with chunks in their bodies; one 400 for a packet of 700 heads that wish to upgrade. A caller that left with a request ahead kept its server at work; requests ahead, and connections after an empty line, had no limit.

Change: `requestreader` cuts heads, bodies, chunks and trailers, httptools parses one whole head at a time; `httpconnection` reads the next request once the answer before it is complete, and is the class of all ports. What is ambiguous gets 400 with its remedy (408 for a slow head) and closes so that the answer is read. An answer in HTTP/1.0 has no chunks, and breaks off by a reset.

--- a/src/jasminerelay/callerconnection.py
+++ b/src/jasminerelay/callerconnection.py
@@ -9,13 +9,14 @@
 import asyncio
 import fcntl
 import socket
-import struct
 import termios
 import time
+from typing import Any
 
 import anyio
 
 from jasminerelay.eventlog import EventLog
+from jasminerelay.httpconnection import HttpConnection
 from jasminerelay.metrics import Counters
 from jasminerelay.scheduling.heldbytes import (
     MEMORY_SHORT,
@@ -25,7 +26,6 @@
     HeldBytes,
     Hold,
 )
-from jasminerelay.uvicornserver import HttpToolsProtocol
 
 CONNECTION = "jasminerelay.connection"
 """Key in the scope of a request for its caller's connection."""
@@ -48,21 +48,17 @@
 complete response. No server waits for it, and callers pause for seconds; a
 configuration's limit of idle connections may be shorter than that."""
 
-_NO_LINGER = struct.pack("ii", 1, 0)
-"""Option of a socket whose closing resets the connection, so that the kernel
-does not keep its unsent bytes for a caller that does not read."""
-
 
 def with_flow_control(
-    base: type[HttpToolsProtocol],
+    base: type[HttpConnection],
     held: HeldBytes,
     counters: Counters,
     log: EventLog,
-) -> type[HttpToolsProtocol]:
-    """Returns a protocol class whose connections can be paced.
+) -> type[HttpConnection]:
+    """Returns a class of connections that can be paced.
 
     Args:
-        base: Protocol class to extend, see `headlimits`.
+        base: Class to extend, see `httpconnection`.
         held: Counts the bytes that the instance holds.
         counters: Counts events.
         log: Event log.
@@ -91,19 +87,18 @@
             self._end_lingering()
             super().connection_lost(exc)
 
-        def on_message_begin(self) -> None:
+        def on_request(self, scope: dict[str, Any]) -> None:
             # What a new response adds cannot be told from what was unsent.
             self._end_lingering()
-            super().on_message_begin()
-            self.scope[CONNECTION] = self
+            scope[CONNECTION] = self
 
         def on_response_complete(self) -> None:
             if self._is_paced:
                 self._set_pause(MAX_PAUSE_BYTES, MIN_PAUSE_BYTES)
                 self._is_paced = False
+            organisation, self._organisation = self._organisation, ""
+            self.watch_unsent(organisation)
             super().on_response_complete()
-            self.watch_unsent(self._organisation)
-            self._organisation = ""
 
         @property
         def unsent_bytes(self) -> int:
@@ -149,12 +144,12 @@
             if self._lingering is None and self.unsent_bytes:
                 self._watch_unread(organisation)
 
-        def timeout_keep_alive_handler(self) -> None:
+        def idle_ended(self) -> None:
             if self._lingering is None and self.unacknowledged_bytes:
                 self._watch_unread("")
             # The connection is idle once its caller has the response.
             if self._lingering is None:
-                super().timeout_keep_alive_handler()
+                super().idle_ended()
 
         @property
         def has_unread_end(self) -> bool:
@@ -172,13 +167,6 @@
                 held=held.total,
             )
 
-        def reset(self) -> None:
-            """Closes the connection at once and frees the kernel's buffers."""
-            raw: socket.socket = self.transport.get_extra_info("socket")
-            if raw is not None and raw.fileno() >= 0:
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-            self.transport.abort()
-
         def _set_pause(self, high: float, low: float) -> None:
             self.transport.set_write_buffer_limits(high=high, low=low)
 
--- a/src/jasminerelay/callers.py
+++ b/src/jasminerelay/callers.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from jasminerelay import answers, entrylist, modelrequests
+from jasminerelay import answers, entrylist, httpconnection, modelrequests
 from jasminerelay.answercontext import RequestPolicy
 from jasminerelay.claims import request_digest
 from jasminerelay.completions import Completions
--- a/src/jasminerelay/daemon.py
+++ b/src/jasminerelay/daemon.py
@@ -22,7 +22,7 @@
     burn,
     callers,
     entrylist,
-    headlimits,
+    httpconnection,
     membership,
     operators,
     peers,
@@ -492,8 +492,10 @@
         self._callers_port = ports.port(
             callers.Application(self._frontend_context),
             self.cfg.listen.callers,
-            http=headlimits.limited_protocol(
-                lambda _: headlimits.HeadLimits(bounds.max_header_bytes)
+            http=httpconnection.limited(
+                lambda _: httpconnection.HeadLimits(bounds.max_header_bytes),
+                callers.OWN_FIELDS,
+                lambda _: self.counters.incr("caller.malformed"),
             ),
         )
         tls = self.cfg.tls
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -10,6 +10,7 @@
 )
 from jasminerelay.httpclient import HttpRequest, HttpResponse
 from jasminerelay.migration import MOVE_TIMEOUT_S, KvCacheCopy
+from jasminerelay.requestreader import connection_options
 from jasminerelay.retryafter import parse_pause
 from jasminerelay.statednumbers import SHOWN_CHARS, parse_amount, parse_whole
 
@@ -49,6 +50,27 @@
 # Seconds for which a server that rejects a request wants none from the sender.
 _RETRY_AFTER = b"retry-after"
 
+_MODEL = b"model"
+_PROMPT_SIZE = b"token-usage"
+_PROMPT_PARTS = b"prefix-hash"
+_OUTPUT_HINT = b"length-hint"
+
+OWN_FIELDS = frozenset(
+    {
+        ATTEMPT_ID,
+        DEADLINE,
+        AUTHORIZATION,
+        LAST_EVENT_ID,
+        RESUMES,
+        _MODEL,
+        _PROMPT_SIZE,
+        _PROMPT_PARTS,
+        _OUTPUT_HINT,
+    }
+)
+"""Fields by which a request is identified and served. Twice in a head, an
+instance and a server could believe different ones."""
+
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -119,9 +141,7 @@
     connection_fields = set()
     for name, value in fields:
         if name == b"connection":
-            connection_fields |= {
-                part.strip().lower() for part in value.split(b",")
-            }
+            connection_fields |= connection_options(value)
     dropped = _HOP_BY_HOP | _RESERVED | connection_fields
     return tuple(item for item in fields if item[0] not in dropped)
 
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from jasminerelay import callerconnection, headlimits
+from jasminerelay import callerconnection, httpconnection
 from jasminerelay.attempt import ForwardingContext
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import Call, Catalog, RequestLimits, Route
@@ -112,7 +112,7 @@
             )
 
     async def _serve(self, scope, receive, sink: "AsgiResponseSink") -> None:
-        arrived = time.monotonic() - scope.get(headlimits.UNREAD_S, 0.0)
+        arrived = time.monotonic() - scope.get(httpconnection.UNREAD_S, 0.0)
         if self._context.catalog() is None:
             await self._wait_for_configuration(scope, arrived)
         held = self._context.forwarding.held
@@ -270,7 +270,6 @@
         if holder is not None and holder.rank is not None:
             rank = holder.rank
         attempt_id = by_name.get(headers.ATTEMPT_ID, b"").decode("latin-1")
-        query = scope["query_string"]
         return Call(
             attempt_id,
             route,
@@ -280,7 +279,7 @@
             holder.name if holder else "",
             scope["method"],
             host,
-            scope["raw_path"] + (b"?" + query if query else b""),
+            scope[httpconnection.TARGET],
             headers.forwarded_fields(fields),
             body,
             _prompt(by_name, route),
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -19,7 +19,7 @@
     callerconnection,
     entrylist,
     followerroles,
-    headlimits,
+    httpconnection,
     netstream,
     ports,
     stopsignals,
@@ -33,12 +33,12 @@
 from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
-from jasminerelay.errors import StoreError
+from jasminerelay.errors import RelayError, StoreError
 from jasminerelay.eventlog import EventLog, EventLogHandler
 from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness, now_s
-from jasminerelay.headlimits import HeadLimits
 from jasminerelay.httpclient import HttpClient
+from jasminerelay.httpconnection import HeadLimits
 from jasminerelay.limitwatch import LimitWatch
 from jasminerelay.membership import ALIVE, LEAVING
 from jasminerelay.metrics import Counters
@@ -54,7 +54,7 @@
 from jasminerelay.platform import bootfile, decoding
 from jasminerelay.platform.bootfile import BootSettings
 from jasminerelay.platform.earlyports import SETTINGS_VARIABLE, EarlyPorts
-from jasminerelay.platform.headers import PlatformDialect
+from jasminerelay.platform.headers import OWN_FIELDS, PlatformDialect
 from jasminerelay.platform.ingress import Ingress, IngressContext
 from jasminerelay.platform.statusapp import StatusApp
 from jasminerelay.platform.storeclient import Store
@@ -626,12 +626,14 @@
         options: dict[str, Any] = {
             "server_header": False,
             "date_header": False,
-            "http": headlimits.limited_protocol(self._request_head_bounds),
+            "http": httpconnection.limited(self._request_head_bounds),
         }
         take = self._early_ports.take
         self._ingress = Ingress(front)
-        caller_protocol = callerconnection.with_flow_control(
-            options["http"],
+        caller_connection = callerconnection.with_flow_control(
+            httpconnection.limited(
+                self._request_head_bounds, OWN_FIELDS, self._on_malformed
+            ),
             self.held,
             self.counters,
             self.log,
@@ -640,7 +642,7 @@
             self._ingress,
             boot.callers,
             sock=take(boot.callers),
-            **{**options, "http": caller_protocol},
+            **{**options, "http": caller_connection},
         )
         self._ports = [
             self._callers_port,
@@ -687,6 +689,10 @@
             bounds.head_bytes, bounds.head_timeout_s, bounds.idle_timeout_s
         )
 
+    def _on_malformed(self, error: RelayError) -> None:
+        self.counters.incr("caller.malformed")
+        self.log.warn("malformed", status=error.status, why=error.message)
+
     def _warn(self, event: str, **fields: object) -> None:
         self.log.warn(event, **fields)
 
--- a/src/jasminerelay/ports.py
+++ b/src/jasminerelay/ports.py
@@ -6,10 +6,14 @@
 
 import anyio
 
+from jasminerelay import httpconnection
 from jasminerelay.addresses import split_address
+from jasminerelay.httpconnection import KEEPALIVE_TIMEOUT_S, HeadLimits
 from jasminerelay.uvicornserver import Config, Server
 
-KEEPALIVE_TIMEOUT_S = 30
+MAX_HEAD_BYTES = 64 * 1024
+"""Size of the heads that a port accepts unless it states another."""
+
 TICK_INTERVAL_S = 1.0
 
 
@@ -81,6 +85,7 @@
         "access_log": False,
         "lifespan": "off",
         "ws": "none",
+        "http": httpconnection.limited(lambda _: HeadLimits(MAX_HEAD_BYTES)),
         "timeout_keep_alive": KEEPALIVE_TIMEOUT_S,
     }
     return HttpServer(Config(app, **{**defaults, **options}), sock)
