Pass the target of a plain service's call on as sent

Callers of the own interface saw: /slots/x%2Fy reached its service as /slots/x/y, an empty query or "#" got lost. Cause: the path was taken unescaped from the framework, and the client's URL parser drops what it takes for a fragment. Change: the target goes as sent; an escaped slash in the service's name, which would make route and target differ, is refused. The digest of a keyed call covers the target as sent: the same for targets without escapes.

`test_target_of_a_call` failed before with "?", "%2F" and "#f".

--- a/src/jasminerelay/callers.py
+++ b/src/jasminerelay/callers.py
@@ -4,6 +4,7 @@
 import math
 import time
 from collections.abc import Callable
+from urllib.parse import unquote
 
 import anyio
 from starlette.applications import Starlette
@@ -44,6 +45,18 @@
 
 REQUEST_TYPE_HEADER = "x-request-type"
 RESUME_HEADER = "last-event-id"
+OWN_FIELDS = frozenset(
+    name.encode()
+    for name in (
+        "authorization",
+        IDEMPOTENCY_HEADER,
+        REQUEST_TYPE_HEADER,
+        RESUME_HEADER,
+        TICKET_HEADER,
+    )
+)
+"""Fields by which a request is identified and served."""
+
 MAX_IDEMPOTENCY_KEY_CHARS = 200
 _DROPPED_RESPONSE_HEADERS = {
     "connection",
@@ -212,6 +225,7 @@
         """Forwards a call to a plain service."""
         directory, organisation = self._authenticate(request)
         path = "/" + request.path_params["path"]
+        target = _service_target(request)
         service, call = directory.find_call(
             organisation, request.path_params["service"], request.method, path
         )
@@ -236,8 +250,7 @@
                     call,
                     directory.classes[call.class_name],
                     request.method,
-                    path,
-                    request.url.query,
+                    target,
                     dict(request.headers),
                     body,
                     key,
@@ -329,3 +342,19 @@
                 remedy="Send the same body as in the first request.",
             )
         return point
+
+
+def _service_target(request: Request) -> str:
+    """Returns the target of a call within its service, as sent.
+
+    Raises:
+        BadRequestError: if the path names the service in an ambiguous way.
+    """
+    raw = request.scope[httpconnection.TARGET].decode("ascii")
+    _, _, service, rest = raw.split("/", 3)
+    if unquote(service) != request.path_params["service"]:
+        raise BadRequestError(
+            "the service's name holds an escaped slash",
+            remedy="Send /services/NAME/PATH.",
+        )
+    return f"/{rest}"
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -165,7 +165,10 @@
                 exchange.url,
                 headers=_with_host_header(headers, exchange.url),
                 content=exchange.body or None,
-                extensions={"timeout": timeout},
+                extensions={
+                    "timeout": timeout,
+                    "target": _target(exchange.url),
+                },
             )
             try:
                 response = await manager.__aenter__()
@@ -251,6 +254,11 @@
 )
 
 
+def _target(url: str) -> bytes:
+    """Returns the path and query of a URL, whole and unchanged."""
+    return b"/" + b"/".join(url.encode("ascii").split(b"/", 3)[3:])
+
+
 def _with_host_header(
     headers: list[tuple[str, str]], url: str
 ) -> list[tuple[str, str]]:
--- a/src/jasminerelay/servicecalls.py
+++ b/src/jasminerelay/servicecalls.py
@@ -57,8 +57,7 @@
         call: Call in the manifest that it matches.
         service_class: Service class of the call.
         method: HTTP method.
-        path: Path within the service.
-        query: Query string.
+        target: Path and query within the service, as sent.
         headers: Header fields, names in lower case.
         body: Complete body.
         key: Idempotency key, or "".
@@ -70,8 +69,7 @@
     call: Call
     service_class: ServiceClass
     method: str
-    path: str
-    query: str
+    target: str
     headers: dict[str, str]
     body: bytes
     key: str
@@ -215,8 +213,9 @@
         key = claims.row_key(
             request.organisation.name, request.service.name, request.key
         )
+        path, _, query = request.target.partition("?")
         digest = claims.request_digest(
-            request.method, request.path, request.query, request.body
+            request.method, path, query, request.body
         )
         return await self._claims.acquire(
             key, digest, request.service.timeout_s + CLAIM_MARGIN_S
@@ -234,14 +233,13 @@
         headers["x-organisation"] = request.organisation.name
         if request.key:
             headers[IDEMPOTENCY_HEADER] = request.key
-        query = f"?{request.query}" if request.query else ""
         outcome.dispatched()
         self._counters.incr("service.dispatched")
         return await self._services.call(
             server,
             HttpRequest(
                 request.method,
-                request.path + query,
+                request.target,
                 headers,
                 request.body,
                 request.service.timeout_s,
--- a/tests/test_ownanswers.py
+++ b/tests/test_ownanswers.py
@@ -259,7 +259,6 @@
             self.directory.classes["c"],
             "GET",
             "/x",
-            "",
             {},
             b"",
             "",
--- a/tests/test_ownrequestbytes.py
+++ b/tests/test_ownrequestbytes.py
@@ -57,6 +57,19 @@
                     statuses = self.statuses(*parts, address=address)
                     self.assertEqual(len(statuses), 1)
 
+    def test_target_of_a_call(self) -> None:
+        # Guards against a call whose path is unescaped or cut on its way.
+        for tail in ("", "?", "?a=%20b", "/x%2Fy", "#f"):
+            with self.subTest(tail):
+                count = len(self.runs())
+                self.assertEqual(self.statuses(head(path=PATH + tail)), [200])
+                (run,) = self.runs()[count:]
+                self.assertEqual(run["target"], "/slots" + tail)
+        count = len(self.runs())
+        for path in ("/services/bookings%2Fslots/x", PATH + "/%0d%0aX"):
+            self.assertIn(self.statuses(head(path=path))[0], (400, 404))
+        self.assertEqual(len(self.runs()), count)
+
     def test_fields_that_stand_twice(self) -> None:
         # Guards against an instance that believes one of two fields.
         for field in (
