Take no bytes of a server for an answer that is none in HTTP/1.1

Cause, from reading and by tests: 101 with an upgrade raised past the handler of errors; statuses that do not exist and other versions of HTTP passed; a coding besides chunks was taken off the head, so callers got its bytes as the body; a body after HEAD in the same packet was dropped and the connection used again, with the body's rest on it; so was one framed by a length and by chunks. Change: such heads are errors of the connection; such connections end.

--- a/src/jasminerelay/completeness.py
+++ b/src/jasminerelay/completeness.py
@@ -10,7 +10,11 @@
 
 from jasminerelay.sse import EventSplitter
 
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 400
+MAX_STATUS = 599
+SWITCHING_PROTOCOLS = 101
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -23,6 +27,36 @@
     CONNECTION = "connection"
 
 
+def head_fault(
+    status: int, version: str, fields: Iterable[tuple[bytes, bytes]]
+) -> str:
+    """Returns why a head is that of no response in HTTP/1.1; "" if it is.
+
+    Args:
+        status: Status.
+        version: Version of HTTP that it states.
+        fields: Header fields.
+    """
+    if version not in ("1.0", "1.1"):
+        return f"a response in HTTP/{version}"
+    if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_PROTOCOLS:
+        return f"a response with status {status}"
+    for name, value in fields:
+        if name.lower() == b"transfer-encoding" and value.lower() != b"chunked":
+            # The caller is not told of it, and would take it for the body.
+            return "a response in a coding that nobody asked for"
+    return ""
+
+
+def is_framed_twice(fields: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Returns whether a head states a length and chunks.
+
+    The chunks count, but what follows them may belong to nothing.
+    """
+    names = {name.lower() for name, _ in fields}
+    return {b"content-length", b"transfer-encoding"} <= names
+
+
 def framing(
     status: int,
     fields: Iterable[tuple[bytes, bytes]],
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -15,7 +15,7 @@
 import httptools
 
 from jasminerelay import completeness, netstream
-from jasminerelay.completeness import Framing
+from jasminerelay.completeness import MIN_FINAL_STATUS, Framing
 from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.netstream import (
     FRAMING_PER_BODY_BYTE,
@@ -209,13 +209,15 @@
             response.framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if response.complete:
                 self._unexpected_data = True
             else:
                 self._failure = httpcore.RemoteProtocolError(str(exc))
-        if response.extra_message:
+        if response.extra_data:
             self._unexpected_data = True
+        if response.head_fault:
+            self._failure = httpcore.RemoteProtocolError(response.head_fault)
         if not response.has_head and response.head_bytes > MAX_HEAD_BYTES:
             self._failure = httpcore.RemoteProtocolError("head too large")
         if in_head:
@@ -288,7 +290,8 @@
             the body, less what its bytes allow.
         complete: Whether the body is complete.
         keep_alive: Whether the connection may carry another request.
-        extra_message: Whether a second response has followed.
+        extra_data: Whether bytes have followed that do not belong to it.
+        head_fault: Why its head is that of no response; "" if it is of one.
         parser: Its parser.
     """
 
@@ -308,7 +311,8 @@
         self.framing_bytes = 0
         self.complete = False
         self.keep_alive = False
-        self.extra_message = False
+        self.extra_data = False
+        self.head_fault = ""
         self.parser: httptools.HttpResponseParser | None = None
 
     async def receive(self) -> bytes:
@@ -394,7 +398,7 @@
     def on_message_begin(self) -> None:
         """Handles the first byte of a response."""
         if self.complete:
-            self.extra_message = True
+            self.extra_data = True
         elif not self.has_head:
             # The previous one was informational.
             self.headers = []
@@ -407,7 +411,12 @@
     def on_headers_complete(self) -> None:
         """Handles the end of the head."""
         status = self.parser.get_status_code()
-        if self.has_head or 100 <= status < 200:
+        if self.has_head:
+            return
+        self.head_fault = completeness.head_fault(
+            status, self.parser.get_http_version(), self.headers
+        )
+        if self.head_fault or status < MIN_FINAL_STATUS:
             return
         self.status = status
         self.has_head = True
@@ -430,6 +439,7 @@
     def on_body(self, data: bytes) -> None:
         """Handles a part of the body."""
         if self.complete:
+            self.extra_data = True
             return
         self._chunks.append(data)
         # Long chunks don't save up framing for later ones.
@@ -446,7 +456,10 @@
         """Handles the end of a response."""
         if self.has_head and not self.complete:
             self.complete = True
-            self.keep_alive = self.parser.should_keep_alive()
+            self.keep_alive = (
+                self.parser.should_keep_alive()
+                and not completeness.is_framed_twice(self.headers)
+            )
 
     def _announces_close(self) -> bool:
         return any(
--- a/tests/test_serverconnection.py
+++ b/tests/test_serverconnection.py
@@ -237,6 +237,61 @@
                 await asyncio.sleep(SETTLE_S)
                 self.assertFalse(connection.idle and not connection.readable)
 
+    async def test_what_is_no_answer_in_http_1_1(self) -> None:
+        # Guards against bytes that reach the caller as an answer though they
+        # are of another protocol, or in a coding that it is not told of, and
+        # against a fault of this process instead of an error.
+        length = b"content-length: 2\r\n\r\nok"
+        for answer in (
+            b"HTTP/1.1 101 S\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+            b"HTTP/1.1 101 S\r\n\r\n" + HEAD + length,
+            b"HTTP/1.1 042 S\r\n" + length,
+            b"HTTP/1.1 999 S\r\n" + length,
+            b"HTTP/2.0 200 S\r\n" + length,
+            HEAD + b"transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            HEAD + b"transfer-encoding: gzip\r\n\r\nzip",
+        ):
+            with self.subTest(answer):
+                async with self.server(answer, None) as connection:
+                    with self.assertRaises(httpcore.RemoteProtocolError):
+                        await self.send(connection)
+                    self.assertFalse(connection.idle)
+
+    async def test_body_where_none_may_be_prevents_reuse(self) -> None:
+        # Guards against a body whose rest is taken for the next answer.
+        for method, status in (("HEAD", b"200"), ("GET", b"204")):
+            answer = b"HTTP/1.1 %b X\r\ncontent-length: 9\r\n\r\nHTTP" % status
+            with self.subTest(method):
+                async with self.server(answer) as connection:
+                    response = await self.send(connection, method)
+                    self.assertEqual(await response.aread(), b"")
+                    await response.aclose()
+                    self.assertFalse(connection.idle)
+
+    async def test_answer_that_is_framed_twice_prevents_reuse(self) -> None:
+        # Guards against what follows one of two stated ends.
+        answer = (
+            HEAD + b"transfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n"
+            b"2\r\nok\r\n0\r\n\r\n"
+        )
+        async with self.server(answer) as connection:
+            response = await self.send(connection)
+            self.assertEqual(await response.aread(), b"ok")
+            await response.aclose()
+            self.assertFalse(connection.idle)
+
+    async def test_trailers_are_not_believed(self) -> None:
+        # Guards against trailer fields that are taken for those of the head.
+        answer = (
+            HEAD + b"attempt-id: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nattempt-id: b\r\nnot-executed: 1\r\n\r\n"
+        )
+        async with self.server(answer) as connection:
+            response = await self.send(connection)
+            self.assertEqual(await response.aread(), b"ok")
+            names = [name for name, _ in response.headers]
+            self.assertEqual(names, [b"attempt-id", b"transfer-encoding"])
+
     async def test_informational_answer_is_skipped(self) -> None:
         # Guards against taking "100 Continue" for the answer.
         part = b"HTTP/1.1 100 Continue\r\nx: 1\r\n\r\n"
