Return no fields that a server's Connection names; believe no two ids

Cause: only known fields of a connection were left out of answers, "close" was found in any word, and of two fields the last was believed, also of two ids. Change: the field's options count; a field that stands twice is read as the list that it is, which as an id matches no request.

`test_fields_that_the_answers_connection_names` and `test_answer_with_two_ids` failed before.

--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -152,16 +152,16 @@
     Raises:
         ValueError: if a field is malformed.
     """
-    usage = fields.get(b"token-usage")
+    usage = fields.get(_PROMPT_SIZE)
     if usage is None:
         return None
     tokens, _, output = usage.partition(b",")
     parts = []
-    for item in fields.get(b"prefix-hash", b"").split(b","):
+    for item in fields.get(_PROMPT_PARTS, b"").split(b","):
         name, _, size = item.strip().partition(b":")
         if name:
             parts.append(PromptPart(name.decode("latin-1"), _tokens(size)))
-    hint = fields.get(b"length-hint")
+    hint = fields.get(_OUTPUT_HINT)
     return Prompt(
         tuple(parts),
         _tokens(tokens),
@@ -218,8 +218,14 @@
 
     def head(self, status: int, headers: HeaderFields) -> ResponseHead:
         """Parses the status and header fields of a server's response."""
-        fields = {name.lower(): value for name, value in headers}
-        connection = fields.get(b"connection", b"").lower()
+        fields: dict[bytes, bytes] = {}
+        for name, value in headers:
+            name = name.lower()
+            # A field that stands twice is one list, which is seldom valid.
+            known = fields.get(name)
+            fields[name] = value if known is None else known + b", " + value
+        options = connection_options(fields.get(b"connection", b""))
+        not_returned = _NOT_RETURNED | options
         limit, limit_fault = _parse_rate_limit(fields.get(_RATE_LIMIT))
         load, load_fault = _parse_load(fields.get(_LOAD))
         pause = fields.get(_RETRY_AFTER)
@@ -229,11 +235,11 @@
         return ResponseHead(
             status,
             tuple(
-                item for item in headers if item[0].lower() not in _NOT_RETURNED
+                item for item in headers if item[0].lower() not in not_returned
             ),
             _NOT_RUN in fields or status == MISDIRECTED,
             fields.get(ATTEMPT_ID, b"").decode("latin-1"),
-            b"close" in connection,
+            b"close" in options,
             _keep_alive_s(fields.get(b"keep-alive", b"")),
             status == MISDIRECTED,
             limit,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -288,6 +288,32 @@
         self.assertEqual(head.idle_timeout_s, 5.0)
         self.assertEqual(head.headers, ((b"Server-Signature", b"s"),))
 
+    def test_fields_that_the_answers_connection_names(self) -> None:
+        # Guards against fields of a server's connection that reach callers.
+        head = headers.PlatformDialect().head(
+            200,
+            [
+                (b"Connection", b"X-Hop"),
+                (b"X-Hop", b"1"),
+                (b"connection", b" x-other ,close"),
+                (b"X-Other", b"1"),
+                (b"X-Kept", b"1"),
+            ],
+        )
+        self.assertEqual(head.headers, ((b"X-Kept", b"1"),))
+        self.assertTrue(head.closing)
+        head = headers.PlatformDialect().head(
+            200, [(b"Connection", b"not-close")]
+        )
+        self.assertFalse(head.closing)
+
+    def test_answer_with_two_ids(self) -> None:
+        # Guards against an answer that is believed by the last of its ids.
+        for ids in ((b"a", b"b"), (b"b", b"a")):
+            fields = [(b"Attempt-Id", value) for value in ids]
+            head = headers.PlatformDialect().head(200, fields)
+            self.assertNotIn(head.request, ("a", "b"))
+
     def test_stated_load(self) -> None:
         dialect = headers.PlatformDialect()
         cases = {
