Take nothing after a server's end from a relaying instance for its bytes

Cause, from reading: frames after the last one, and a second answer of the other instance, went on to the server's connection, the latter with a new transport. `test_what_follows_the_end_of_the_server` failed before.

--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -244,7 +244,7 @@
         """Passes the bytes of the server on."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(ConnectionError(f"relay: {exc}"))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -261,16 +261,19 @@
 
     def on_headers_complete(self) -> None:
         """Reports the status."""
+        if self.status.done():
+            # Another response, which belongs to nothing.
+            self._is_open = False
+            return
         status = self._parser.get_status_code()
         if status == relayport.OPEN:
             self._is_open = True
             self._conn.connection_made(RelayTransport(self._transport))
-        if not self.status.done():
-            self.status.set_result(status)
+        self.status.set_result(status)
 
     def on_body(self, data: bytes) -> None:
         """Passes the server's bytes and its end on."""
-        while data and self._is_open:
+        while data and self._is_open and not self._ended:
             if self._data_left:
                 part = data[: self._data_left]
                 self._data_left -= len(part)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -8,7 +8,7 @@
 import anyio
 import httpcore
 
-from jasminerelay import netstream, ports
+from jasminerelay import netstream, ports, relayport
 from jasminerelay.catalog import BackendServer
 from jasminerelay.httpclient import NotSentError
 from jasminerelay.metrics import Counters
@@ -178,6 +178,36 @@
         self.assertTrue(relay.protocol.lost)
         self.assertFalse(response.complete)
 
+    async def test_what_follows_the_end_of_the_server(self) -> None:
+        # Guards against bytes after a server's end, or of another answer of the
+        # relaying instance, that are taken for the server's.
+        async def relay(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            frames = b"".join(
+                relayport.FRAME_HEAD.pack(kind, len(data)) + data
+                for kind, data in (
+                    (relayport.DATA, HEAD + b"\r\nhalf"),
+                    (relayport.ENDED, b""),
+                    (relayport.DATA, b"more"),
+                )
+            )
+            answer = HEAD + b"Content-Length: %d\r\n\r\n" % len(frames)
+            writer.write(answer)
+            await asyncio.sleep(0.1)
+            writer.write(frames + answer + frames)
+
+        server = await asyncio.start_server(relay, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        self.peers.append(Member("i", "", "z", "", "", address, "alive", 0))
+        opened = await self.client.open(self.server)
+        received = []
+        opened.conn.data_received = received.append
+        opened.conn.eof_received = lambda: received.append(None)
+        await asyncio.sleep(0.3)
+        self.assertEqual(received, [HEAD + b"\r\nhalf", None])
+
     async def test_client_that_leaves_ends_the_connection(self) -> None:
         # Guards against servers that work on after the caller has left.
         self.end = lambda writer: None
