Repeat no improper id in a refusal during the start

Cause: the id was taken from the first of two fields, and up to CRLF, so a bare line end in it began a field of the refusal. Change: one printable id, or none. `test_improper_ids_are_not_repeated` failed before.

--- a/src/jasminerelay/platform/earlyports.py
+++ b/src/jasminerelay/platform/earlyports.py
@@ -198,17 +198,25 @@
 
 
 def _attempt_id(head: bytes) -> bytes:
-    """Returns the attempt's id if the head is whole and has one."""
+    """Returns the attempt's id if the head is whole and has a proper one."""
     fields, end, _ = head.partition(_HEAD_END)
     if not end:
         return b""
+    found = []
     for line in fields.split(b"\r\n")[1:]:
         name, _, value = line.partition(b":")
         if name.lower() == _ATTEMPT_ID:
-            return value.strip()
+            found.append(value.strip(b" \t"))
+    # An id that stands twice, or holds a line end, identifies no attempt.
+    if len(found) == 1 and found[0].isascii() and _is_printable(found[0]):
+        return found[0]
     return b""
 
 
+def _is_printable(value: bytes) -> bool:
+    return value.decode("ascii").isprintable()
+
+
 def _read_addresses(path: str) -> list[str]:
     with open(path, "rb") as file:
         listen = tomllib.load(file)["listenAddrs"]
--- a/tests/test_earlyports.py
+++ b/tests/test_earlyports.py
@@ -214,6 +214,28 @@
             self.assertIn(b"\r\nattempt-id: a7\r\n", head)
         self.assert_nothing_listens()
 
+    def test_improper_ids_are_not_repeated(self) -> None:
+        # Guards against bytes of a request that become fields of its refusal,
+        # and against a refusal that names one of two ids.
+        self.open()
+        for line in (
+            b"Attempt-Id: a7\nSet-Cookie: x",
+            b"Attempt-Id: a7\rSet-Cookie: x",
+            b"Attempt-Id: a7\r\nAttempt-Id: a8",
+        ):
+            conn = self.connect()
+            conn.sendall(b"POST / HTTP/1.1\r\n" + line + b"\r\n\r\n")
+            self.refuse_one(conn)
+
+    def refuse_one(self, conn: socket.socket) -> None:
+        """Refuses one connection, without an id."""
+        self.refuse()
+        data = self.assert_refused(conn)
+        self.assertNotIn(b"attempt-id", data)
+        self.assertNotIn(b"Set-Cookie", data)
+        self.ports = EarlyPorts()
+        self.open()
+
     def test_unread_body_does_not_reset_the_connection(self) -> None:
         # Guards against a response lost by a reset: the kernel sends one when
         # a socket with unread bytes is closed, and the caller still writes.
