--- a/src/jasminerelay/httpconnection.py
+++ b/src/jasminerelay/httpconnection.py
@@ -335,6 +335,8 @@
         They may be the body of a request that was passed on: it cannot have
         run without its end, so it is refused, unless its answer has begun.
         """
+        if self.transport.is_closing():
+            return
         self.on_refused(error)
         if self.busy:
             self._is_ending = True
@@ -344,12 +346,13 @@
                 return
             self._end_cycle()
         body = f"{error.message}. {error.remedy}".encode()
+        sent = b"" if self._reader.is_head_method else body
         self.transport.write(
             b"HTTP/1.1 %d %b\r\n"
             b"content-type: text/plain; charset=utf-8\r\n"
             b"content-length: %d\r\n"
             b"connection: close\r\n\r\n%b"
-            % (error.status, _REASONS[error.status], len(body), body)
+            % (error.status, _REASONS[error.status], len(body), sent)
         )
         self._end()
 
@@ -430,16 +433,18 @@
             on_response=conn.on_response_complete,
         )
         self.ends_connection = False
-        self._conn = conn
+        self._conn: HttpConnection | None = conn
         self._knows_chunks = head.version == "1.1"
         self._ends_by_closing = False
 
     async def run_asgi(self, app) -> None:
         """Runs the application."""
         await super().run_asgi(app)
+        # The connection refers to its last cycle.
+        conn, self._conn = self._conn, None
         if self._ends_by_closing and not self.response_complete:
             # An orderly end would make the answer look complete.
-            self._conn.reset()
+            conn.reset()
 
     async def send(self, message) -> None:
         """Sends a part of the answer."""
--- a/src/jasminerelay/requestreader.py
+++ b/src/jasminerelay/requestreader.py
@@ -75,7 +75,12 @@
 
 
 class RequestReader:
-    """Reads requests from the bytes of one connection."""
+    """Reads requests from the bytes of one connection.
+
+    Attributes:
+        is_head_method: Whether the request that is being read, or was last,
+            has the method HEAD, to which no answer has a body.
+    """
 
     def __init__(self, own_fields: frozenset[bytes] = NO_FIELDS):
         """Creates the reader.
@@ -87,6 +92,7 @@
         """
         self._single = _SINGLE | own_fields
         self._end_to_end = _END_TO_END | own_fields
+        self.is_head_method = False
         self._data: bytes | bytearray = b""
         # Positions up to which the data is read, and searched for an end.
         self._at = 0
@@ -139,6 +145,7 @@
         while self._data.startswith(_LINE_END, self._at):
             self._at += len(_LINE_END)
         began = self._at
+        self.is_head_method = self._data.startswith(b"HEAD ", began)
         end = self._data.find(_HEAD_END, max(began, self._searched - 3))
         if end < 0:
             self._searched = len(self._data)
@@ -374,7 +381,8 @@
 def _require_size(head: bytes, most: int) -> None:
     """Refuses a head, or its beginning, that is too large."""
     first = head.partition(_LINE_END)[0]
-    lines = head.count(_LINE_END)
+    # The last line may not be whole yet.
+    lines = head.count(_LINE_END) + 1
     stated = len(head) - len(first) - _LINE_FRAMING_BYTES * lines
     if max(len(first), stated, lines) > most:
         raise _too_large("head is")
--- a/tests/rawbytes.py
+++ b/tests/rawbytes.py
@@ -76,7 +76,7 @@
 
 
 def parse_answers(
-    data: bytes, methods: list[str] | None = None
+    data: bytes, methods: list[str] | None = None, *, closed: bool = True
 ) -> tuple[list[RawAnswer], bytes]:
     """Returns the answers in what came back, and what belongs to none.
 
@@ -85,6 +85,7 @@
     Args:
         data: What came back on one connection.
         methods: Methods of its requests; all have bodies by default.
+        closed: Whether the connection has ended.
     """
     found: list[RawAnswer] = []
     while data.startswith(b"HTTP/1.1 "):
@@ -109,7 +110,7 @@
         elif fields.get(b"transfer-encoding") == b"chunked":
             body, data, whole = _chunks(rest)
         else:
-            body, data = rest, b""
+            body, data, whole = rest, b"", closed
         found.append(RawAnswer(status, fields, body, whole))
         if not whole:
             break
--- a/tests/test_requestbytes.py
+++ b/tests/test_requestbytes.py
@@ -195,6 +195,15 @@
             statuses = [a.status for a in answers]
             self.assertEqual(statuses, HEADS_IN_A_PACKET * [401])
 
+    async def test_refused_head_request(self) -> None:
+        # Guards against a refusal with a body where its caller expects none.
+        async with self.site() as (_, (instance,)):
+            sent = whole("a1", b"", "Host: two", method="HEAD")
+            data, closed = await exchange(instance.callers, [sent])
+            answers, rest = parse_answers(data, ["HEAD"])
+            self.assertEqual([a.status for a in answers], [400])
+            self.assertEqual((rest, closed), (b"", True))
+
 
 class BodyTest(RequestBytesCase):
     """Bodies, their lengths, chunks and trailers."""
@@ -407,6 +416,41 @@
                     server.journal.clear()
 
 
+class EarlyRequestTest(RequestBytesCase):
+    """Requests that wait for the first configuration."""
+
+    async def test_bytes_before_the_configuration(self) -> None:
+        # Guards against rules that hold only once an instance is ready.
+        chunks = b"3\r\nabc\r\n0\r\nAttempt-Id: other\r\nX-Late: 1\r\n\r\n"
+        first = head("a1", "Transfer-Encoding: chunked", path="/confirm/x?")
+        twice = whole("a2", b"", "Attempt-Id: other")
+        async with (
+            self.site(0) as (site, _),
+            anyio.create_task_group() as group,
+        ):
+            site.store.faults.down = True
+            instance = await self.start(group, site, "edge-1")
+            await self.until(lambda: instance.listening)
+            sending = asyncio.create_task(
+                exchange(
+                    instance.callers, [first + chunks + twice], quiet_s=2.0
+                )
+            )
+            await asyncio.sleep(0.2)
+            site.store.faults.down = False
+            data, _ = await sending
+            answers, rest = parse_answers(data)
+            self.assertEqual([a.status for a in answers], [200, 400], data)
+            self.assertEqual(rest, b"")
+            (ran,) = self.runs(site)
+            self.assertEqual(
+                (ran.attempt, ran.target, ran.body),
+                ("a1", "/confirm/x?", b"abc"),
+            )
+            self.assertNotIn("x-late", ran.headers)
+            group.cancel_scope.cancel()
+
+
 class ConnectionTimeTest(RequestBytesCase):
     """Times for which connections stay open."""
 
