Add a randomised run of raw connections and servers' raw answers

Callers send proper and improper requests, several on each connection, in pieces of any size; servers answer in bytes of any shape. The oracle compares what was sent with the servers' journals byte by byte, and each answer with its request.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,14 @@
 """Short randomised fault-injection runs with a fixed seed.
 
-`make soak`, `make soak-platform`, `make soak-planned` and `make soak-streams`
-run longer ones.
+`make soak`, `make soak-platform`, `make soak-planned`, `make soak-streams` and
+`make soak-connections` run longer ones.
 """
 
 import unittest
 
 import anyio
 
+from tests.connectionsoak import ConnectionSoak
 from tests.plannedsoak import PlannedSoak
 from tests.platformsoak import PlatformSoak
 from tests.soak import Soak
@@ -18,6 +19,7 @@
 PLATFORM_SECONDS = 10.0
 PLANNED_SECONDS = 8.0
 STREAM_SECONDS = 10.0
+CONNECTION_SECONDS = 12.0
 
 
 class SoakTest(unittest.TestCase):
@@ -74,5 +76,18 @@
         self.assertGreater(soak.counts["streams with several runs"], 0)
 
 
+class ConnectionSoakTest(unittest.TestCase):
+    """Raw connections, and servers that answer in bytes of any shape."""
+
+    def test_short_run(self) -> None:
+        # Guards against bytes of a connection that are taken for another
+        # request, another part of one, or the answer to another.
+        soak = ConnectionSoak(SEED, CONNECTION_SECONDS)
+        anyio.run(soak.run)
+        self.assertEqual(soak.violations, [])
+        self.assertGreater(soak.counts["answer 200"], 0)
+        self.assertGreater(soak.counts["answer 400"], 0)
+
+
 if __name__ == "__main__":
     unittest.main()
