Send no interim answer after a refusal

A body that is malformed from its first byte on was refused, and the application could still ask for it with "100 Continue" on the connection that was closing for writing, which would raise in it. Found by reading; no test of its own.

--- a/src/jasminerelay/httpconnection.py
+++ b/src/jasminerelay/httpconnection.py
@@ -359,6 +359,7 @@
     def _end_cycle(self) -> None:
         """Tells the application that its caller is gone."""
         self.cycle.disconnected = not self.cycle.response_complete
+        self.cycle.waiting_for_100_continue = False
         self.cycle.message_event.set()
 
     def _end(self) -> None:
