Take no losses of requests once the crash watch has ended

Change: it is cleared at the end, as where it has not begun. `test_loss_after_the_end` raised RuntimeError before.

--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -276,12 +276,19 @@
             self._probing = group
             group.start_soon(self._save_blocked, save)
             group.start_soon(self._read_blocked, read, is_leader)
-            while True:
-                if not self._probes and not len(self.ledger):
-                    self._work_available = anyio.Event()
-                    await self._work_available.wait()
-                await anyio.sleep(TICK_S)
-                self.tick()
+            try:
+                await self._tick_while_needed()
+            finally:
+                # Requests may lose their servers after this has ended.
+                self._probing = None
+
+    async def _tick_while_needed(self) -> None:
+        while True:
+            if not self._probes and not len(self.ledger):
+                self._work_available = anyio.Event()
+                await self._work_available.wait()
+            await anyio.sleep(TICK_S)
+            self.tick()
 
     def tick(self) -> None:
         """Sends the notifications that are due."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -198,6 +198,26 @@
         # A running server's request is retried at once, without a crash.
         self.assertEqual(len(self.watch_after_loss(None).ledger), 0)
 
+    def test_loss_after_the_end(self) -> None:
+        # Guards against a fault of an instance that stops while a request
+        # loses its server.
+        server = BackendServer("s", SERVICE, "s", "", 8, draining=False)
+        registry = types.SimpleNamespace(server=lambda name: server)
+        sink = Quiet()
+        watch = CrashWatch("n", registry, sink, sink, random.Random(1))
+
+        async def run_scenario() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    watch.run, empty_store, empty_store, lambda: False
+                )
+                await anyio.sleep(0.001)
+                group.cancel_scope.cancel()
+            await watch.on_connection_lost(call(b"x"), server)
+
+        virtualtime.run(run_scenario, (crashwatch,))
+        self.assertEqual(len(watch.ledger), 0)
+
 
 async def empty_store(*reports: object) -> list:
     """Stands in for a store without rows."""
