--- a/tests/test_requestbytes.py
+++ b/tests/test_requestbytes.py
@@ -297,6 +297,18 @@
             (ran,) = self.runs(site)
             self.assertEqual(ran.body, b"abc")
 
+    async def test_refusal_before_the_interim_answer(self) -> None:
+        # Guards against a fault of an application that asks for a body which
+        # was refused before it began.
+        events = []
+        async with self.site() as (site, (instance,)):
+            instance.log.warn = lambda event, **_: events.append(event)
+            sent = head(
+                "a1", "Expect: 100-continue", "Transfer-Encoding: chunked"
+            )
+            await self.refused(site, instance, sent + b"x\r\n")
+        self.assertEqual(events, ["malformed"])
+
     async def test_http_1_0(self) -> None:
         # Guards against answers in chunks, interim answers and further requests
         # for callers in HTTP/1.0, which know none of these.
