--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import math
-import random
 import time
 from collections.abc import Callable, Iterator
 
@@ -14,19 +13,14 @@
 from jasminerelay import completeness, sse
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.callerpace import CallerPace, CallerStalledError
-from jasminerelay.catalog import BackendServer, Call, RepeatPolicy, Route
-from jasminerelay.channels import Channel, ChannelPool
+from jasminerelay.catalog import BackendServer, Call, RepeatPolicy
+from jasminerelay.channels import Channel
 from jasminerelay.completeness import Framing
-from jasminerelay.crashnotices import CrashNotices
-from jasminerelay.crashwatch import PARTS_CLEARED_S, CrashWatch
-from jasminerelay.dispatcher import Dispatcher
-from jasminerelay.drainwatch import DrainWatch
-from jasminerelay.eventlog import EventLog
+from jasminerelay.crashwatch import PARTS_CLEARED_S
 from jasminerelay.exchange import (
     BrokenOff,
     CallerStalled,
     Delivered,
-    Dialect,
     Failed,
     Interrupted,
     NotRun,
@@ -39,27 +33,21 @@
     ServerLoadStatement,
     Unknown,
 )
+from jasminerelay.forwardingcontext import ForwardingContext
 from jasminerelay.httpclient import IncompleteExchangeError, NotSentError
-from jasminerelay.limitwatch import LimitWatch
-from jasminerelay.metrics import Counters
-from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy, StreamMigrator
-from jasminerelay.originlookup import OriginLookup
-from jasminerelay.pendingstarts import PendingStarts
-from jasminerelay.placementqueue import RequestPlacer, Reservation
+from jasminerelay.migration import MIN_REMAINING_S, KvCacheCopy
+from jasminerelay.placementqueue import Reservation
+from jasminerelay.requestprogress import RequestProgress
 from jasminerelay.scheduling.handover import Handover
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
     MAX_AHEAD_BYTES,
     SMALL_BYTES,
-    HeldBytes,
-    Hold,
 )
 from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.serverconnection import ServerResponse
-from jasminerelay.serverpauses import ServerPauses
-from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.streammoves import StreamMoves
-from jasminerelay.telemetry import Telemetry
+from jasminerelay.streamtimer import StreamTimer
 
 IDEMPOTENT_TIMEOUT_FACTOR = 2.5
 MIN_IDEMPOTENT_TIMEOUT_S = 0.5
@@ -85,146 +73,10 @@
 
 NO_TIMEOUT_S = 3600.0
 
-MAX_ID_DIGITS = 6
-"""Longest id of an event that is taken for its number."""
-
 OK = 200
 SERVER_ERROR = 500
 
 
-@dataclasses.dataclass(frozen=True)
-class ForwardingContext:
-    """Dependencies of forwarding.
-
-    Attributes:
-        dispatcher: Chooses servers.
-        queue: Queue in which requests wait for a placement.
-        channels: Connections to servers.
-        dialect: Translates to and from the servers' HTTP interface.
-        stream_migrator: Moves streams from servers that shut down.
-        budget: Retry budget.
-        crashes: Records of requests that crash servers.
-        limits: Rate limits that servers announce.
-        drains: Servers that announce that they shut down.
-        pauses: Pauses that servers request.
-        counters: Counts events.
-        telemetry: Records latencies.
-        log: Event log.
-        rng: Source of random choices.
-        on_started: Called when a server has begun a request, with the request's
-            organisation and the seconds since then.
-        versions: Returns the versions of the data behind decisions, for the
-            log.
-        held: Counts the bytes that the instance holds.
-        crash_notices: Reports of crashed servers.
-        origins: Where streams began.
-        pending_starts: Plain requests whose start is not known yet.
-        may_move: Returns whether runs may be moved; not before the exit.
-    """
-
-    dispatcher: Dispatcher
-    queue: RequestPlacer
-    channels: ChannelPool
-    dialect: Dialect
-    stream_migrator: StreamMigrator
-    budget: SharedRetryBudget
-    crashes: CrashWatch
-    limits: LimitWatch
-    drains: DrainWatch
-    pauses: ServerPauses
-    counters: Counters
-    telemetry: Telemetry
-    log: EventLog
-    rng: random.Random
-    on_started: Callable[[str, float], None]
-    versions: Callable[[], dict[str, float]]
-    held: HeldBytes
-    crash_notices: CrashNotices
-    origins: OriginLookup
-    pending_starts: PendingStarts = dataclasses.field(
-        default_factory=PendingStarts
-    )
-    may_move: Callable[[], bool] = lambda: True
-
-
-@dataclasses.dataclass
-class RequestProgress:
-    """Progress of a request over all its attempts.
-
-    Attributes:
-        last_event_id: Id of the last event that was sent to the caller.
-        events: Number of events sent to the caller.
-        first_at: Monotonic time of the first event; 0 before it.
-        pause_s: Longest pause between two events.
-        status: Status of the answer; 0 before it.
-        framings: What marked the end of each response that began, in order.
-        relays: Instances that relayed responses, in order.
-        tried: Servers of all attempts, in order.
-        versions: Software versions of the servers whose events the caller got,
-            in order; one for each answer.
-        software_version: Version at which the stream must go on; None if it has
-            not begun.
-        origin_source: Who knew the origin of a stream that was taken up.
-        owners: Instances that placed the attempts, in order; "" for this one.
-        ran: Number of servers that have run it, or may have.
-        maybe_ran: Whether the request can't be reported as not run any more.
-        copy: Copy of the KV cache to continue from, after a move.
-        given_away: Whether this instance took the request from a server that
-            might have ended it, and must find it another one.
-        moves: Number of moves.
-        output: Tokens of a complete stream; 0 before its end.
-        time_limit: Ends the request at its deadline.
-        holds: Bytes held until the end of the request.
-    """
-
-    last_event_id: str
-    events: int = 0
-    first_at: float = 0.0
-    pause_s: float = 0.0
-    status: int = 0
-    framings: list[str] = dataclasses.field(default_factory=list)
-    relays: list[str] = dataclasses.field(default_factory=list)
-    tried: list[str] = dataclasses.field(default_factory=list)
-    versions: list[str] = dataclasses.field(default_factory=list)
-    software_version: str | None = None
-    origin_source: str = ""
-    owners: list[str] = dataclasses.field(default_factory=list)
-    ran: int = 0
-    maybe_ran: bool = False
-    copy: KvCacheCopy | None = None
-    given_away: bool = False
-    moves: int = 0
-    output: int = 0
-    time_limit: anyio.CancelScope | None = None
-    holds: list[Hold] = dataclasses.field(default_factory=list)
-
-    def bound(self, call: Call) -> Call:
-        """Returns a request as it goes on from here.
-
-        A stream that has begun goes on at one version, and makes only the rest
-        of its events.
-        """
-        if self.software_version is None:
-            return call
-        return dataclasses.replace(
-            call,
-            software_version=self.software_version,
-            events_done=_count_of(call.last_event_id) + self.events,
-            waits_since=time.monotonic() if self.events else None,
-        )
-
-    def may_repeat(self, route: Route, under_way: int = 1) -> bool:
-        """Returns whether one more server may run it.
-
-        Args:
-            route: Its route.
-            under_way: Number of servers that have it now.
-        """
-        if route.repeat_policy is RepeatPolicy.ONCE:
-            return False
-        return self.ran + under_way < route.max_servers
-
-
 class Attempt:
     """Sends a request to one server.
 
@@ -750,7 +602,7 @@
     ) -> Outcome:
         splitter = sse.EventSplitter()
         server = reservation.placed.server
-        timer = _StreamTimer(
+        timer = StreamTimer(
             self._context, self._call, reservation, self._sent_at
         )
         progress = self._progress
@@ -817,7 +669,7 @@
         self._context.counters.incr("backend.ended_with_answer")
         return "the connection ended, and its server does not listen any more"
 
-    def _record_begun(self, timer: "_StreamTimer") -> None:
+    def _record_begun(self, timer: "StreamTimer") -> None:
         since = timer.first_at + PARTS_CLEARED_S
         if not self._parts_cleared and time.monotonic() >= since:
             self._parts_cleared = True
@@ -937,12 +789,6 @@
         await self._sink.finish()
 
 
-def _count_of(event_id: str) -> int:
-    """Returns the number of events up to one, as far as its id tells."""
-    number = event_id.isascii() and event_id.isdigit()
-    return int(event_id) if number and len(event_id) <= MAX_ID_DIGITS else 0
-
-
 def _not_run(head: ResponseHead) -> NotRun:
     return NotRun(f"status {head.status}", head.misdirected, head.pause_s > 0)
 
@@ -970,61 +816,6 @@
     return StatedLoad(now, load.slowdown or 0.0, load.waiting, unknown)
 
 
-class _StreamTimer:
-    """Measures the latencies of one stream."""
-
-    def __init__(
-        self,
-        context: ForwardingContext,
-        call: Call,
-        reservation: Reservation,
-        sent_at: float,
-    ):
-        self._context = context
-        self._call = call
-        self._reservation = reservation
-        self._sent_at = sent_at
-        self._last_event_at = 0.0
-        engine = context.dispatcher.engine_of(call.service)
-        self.event_tokens = engine.event_tokens if engine else 1
-        self.first_at = 0.0
-        self.pause_s = 0.0
-
-    def events(self, count: int) -> None:
-        """Records events that have just arrived."""
-        now = time.monotonic()
-        self._context.dispatcher.record_response(
-            self._reservation.placed.server.id, now
-        )
-        if not self.first_at:
-            self.first_at = now
-            self._record_prefill(now)
-            self._reservation.run.read(now - self._sent_at)
-            self._context.queue.capacity_freed(self._call.service)
-        elif self._last_event_at:
-            self._context.dispatcher.token_times.observe(
-                self._reservation.placed.server.id,
-                count * self.event_tokens,
-                now - self._last_event_at,
-                now,
-            )
-            self.pause_s = max(self.pause_s, now - self._last_event_at)
-        self._last_event_at = now
-
-    def skip_interval(self) -> None:
-        """Leaves out the time to the next events, which the caller delayed."""
-        self._last_event_at = 0.0
-
-    def _record_prefill(self, now: float) -> None:
-        reservation = self._reservation
-        self._context.dispatcher.record_first_event(
-            self._call,
-            reservation.placed,
-            reservation.run.prefill_ahead,
-            now - self._sent_at,
-        )
-
-
 @dataclasses.dataclass
 class _Completion:
     """Holds the answer's head once the exchange is complete.
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -7,7 +7,7 @@
 import anyio
 
 from jasminerelay import fingerprint
-from jasminerelay.attempt import OK, Attempt, ForwardingContext, RequestProgress
+from jasminerelay.attempt import OK, Attempt
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import BackendServer, Call, RepeatPolicy
 from jasminerelay.endings import ending_of
@@ -26,7 +26,9 @@
     ResponseSink,
     Unknown,
 )
+from jasminerelay.forwardingcontext import ForwardingContext
 from jasminerelay.placementqueue import Reservation
+from jasminerelay.requestprogress import RequestProgress
 from jasminerelay.scheduling.streamorigins import (
     ORIGIN_UNKNOWN,
     SERVICE_CHANGED,
--- a/src/jasminerelay/platform/ingress.py
+++ b/src/jasminerelay/platform/ingress.py
@@ -8,7 +8,6 @@
 import anyio
 
 from jasminerelay import callerconnection, httpconnection
-from jasminerelay.attempt import ForwardingContext
 from jasminerelay.backgroundtasks import BackgroundTasks
 from jasminerelay.catalog import Call, Catalog, RequestLimits, Route
 from jasminerelay.errors import (
@@ -23,6 +22,7 @@
 )
 from jasminerelay.eventlog import EventLog
 from jasminerelay.forwarding import RequestForwarder
+from jasminerelay.forwardingcontext import ForwardingContext
 from jasminerelay.platform import headers
 from jasminerelay.platform.earlyrequests import EarlyRequests
 from jasminerelay.scheduling.heldbytes import (
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -26,7 +26,6 @@
     storebackoff,
     storeversion,
 )
-from jasminerelay.attempt import ForwardingContext
 from jasminerelay.catalog import BackendServer, Catalog
 from jasminerelay.channels import ChannelPool
 from jasminerelay.crashnotices import CrashNotices
@@ -36,6 +35,7 @@
 from jasminerelay.errors import RelayError, StoreError
 from jasminerelay.eventlog import EventLog, EventLogHandler
 from jasminerelay.followerroles import FollowerRole
+from jasminerelay.forwardingcontext import ForwardingContext
 from jasminerelay.freshness import Freshness, now_s
 from jasminerelay.httpclient import HttpClient
 from jasminerelay.httpconnection import HeadLimits
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -443,7 +443,7 @@
     ),
     Safeguard(
         "requests that may run once are not repeated",
-        "attempt",
+        "requestprogress",
         "if route.repeat_policy is RepeatPolicy.ONCE:",
         "if False:",
         "test_platform.FailuresTest.test_once_is_not_repeated",
