--- a/tests/connectionsoak.py
+++ b/tests/connectionsoak.py
@@ -5,8 +5,10 @@
 Callers send several requests on each connection, proper and improper ones, one
 behind the other or each after the answer before it, in pieces of any size.
 Their bodies, trailers and targets look like requests. Servers answer in bytes
-of any shape. Checked are what each server got, byte by byte, and that each
-answer is that of its request, whole, with nothing between or behind.
+of any shape. Meanwhile the configuration changes, and instances are replaced by
+planned stops while their callers go on. Checked are what each server got, byte
+by byte, and that each answer is that of its request, whole, with nothing
+between or behind.
 """
 
 import argparse
@@ -47,6 +49,10 @@
 """Time in which bytes may follow that belong to no answer."""
 
 READY_S = 10.0
+MAX_CONFIGURATION_PAUSE_S = 0.6
+REPLACE_S = (1.0, 3.0)
+"""Times after which an instance is replaced."""
+
 EVENTS = 12
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
 TAILS = ("", "?", "?a=b?c#d", "#f", "/%2e%2E/%0d%0a", "//x/../y", "?x=%20&y")
@@ -242,6 +248,21 @@
         return dataclasses.replace(request, data=data, proper=False, ends=True)
 
 
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """What came back on a connection.
+
+    Attributes:
+        data: The bytes.
+        closed: Whether the other side has ended it.
+        in_order: Whether it was not reset, if so.
+    """
+
+    data: bytes
+    closed: bool
+    in_order: bool
+
+
 class ConnectionSoak:
     """One run.
 
@@ -257,6 +278,7 @@
         self._sent: dict[str, Sent] = {}
         self._answers: dict[str, RawAnswer] = {}
         self._servers: list[RawServer] = []
+        self._instance: Instance | None = None
         self.violations: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -270,21 +292,15 @@
             async with site.running(), anyio.create_task_group() as group:
                 for n in range(SERVERS):
                     await self._add_server(site, f"raw-{n}")
-                path = site.settings("edge-1")
-                instance = Instance(bootfile.load(path).unwrap(), path)
-                instance.log.info = instance.log.warn = lambda *a, **k: None
-
-                async def serve() -> None:
-                    await instance.run(signals=False)
-
-                group.start_soon(serve)
-                with anyio.fail_after(READY_S):
-                    while not instance.ready:
-                        await anyio.sleep(0.01)
+                self._instance = await self._start(group, site, 0)
                 until = time.monotonic() + self._seconds
-                async with anyio.create_task_group() as callers:
-                    for _ in range(WORKERS):
-                        callers.start_soon(self._call, instance.callers, until)
+                async with anyio.create_task_group() as changes:
+                    changes.start_soon(self._replace, group, site)
+                    changes.start_soon(self._configure, site)
+                    async with anyio.create_task_group() as callers:
+                        for _ in range(WORKERS):
+                            callers.start_soon(self._call, until)
+                    changes.cancel_scope.cancel()
                 await anyio.sleep(0.2)
                 self._check_runs(site)
                 group.cancel_scope.cancel()
@@ -298,12 +314,42 @@
         site.write_server_row(name, PLAIN_BACKEND)
         self._servers.append(server)
 
-    async def _call(self, address: str, until: float) -> None:
+    async def _start(self, group, site: PlatformSite, number: int) -> Instance:
+        """Starts an instance; returns it once it is ready."""
+        path = site.settings(f"edge-{number}")
+        instance = Instance(bootfile.load(path).unwrap(), path)
+        instance.log.info = instance.log.warn = lambda *a, **k: None
+
+        async def serve() -> None:
+            await instance.run(signals=False)
+
+        group.start_soon(serve)
+        with anyio.fail_after(READY_S):
+            while not instance.ready:
+                await anyio.sleep(0.01)
+        return instance
+
+    async def _replace(self, group, site: PlatformSite) -> None:
+        """Replaces the instance, again and again; its callers go on."""
+        while True:
+            await anyio.sleep(self._rng.uniform(*REPLACE_S))
+            self.counts["replaced"] += 1
+            successor = await self._start(group, site, self.counts["replaced"])
+            former, self._instance = self._instance, successor
+            former.stop()
+
+    async def _configure(self, site: PlatformSite) -> None:
+        while True:
+            await anyio.sleep(self._rng.random() * MAX_CONFIGURATION_PAUSE_S)
+            site.write_configuration()
+            self.counts["configurations"] += 1
+
+    async def _call(self, until: float) -> None:
         while time.monotonic() < until:
             sent = self._draw.connection()
             self._sent.update((item.attempt, item) for item in sent)
-            data, closed = await self._exchange(address, sent)
-            self._check_answers(sent, data, closed)
+            received = await self._exchange(self._instance.callers, sent)
+            self._check_answers(sent, received)
             self.counts["connections"] += 1
 
     def _pieces(self, data: bytes) -> list[bytes]:
@@ -319,23 +365,25 @@
             data = data[count:]
         return found
 
-    async def _exchange(
-        self, address: str, sent: list[Sent]
-    ) -> tuple[bytes, bool]:
-        """Sends requests; returns what came back, and whether it ended."""
+    async def _exchange(self, address: str, sent: list[Sent]) -> Received:
+        """Sends requests; returns what came back."""
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         received = bytearray()
         arrived = anyio.Event()
 
-        async def read() -> None:
+        async def read() -> bool:
             nonlocal arrived
-            with contextlib.suppress(OSError):
+            try:
                 while data := await reader.read(65536):
                     received.extend(data)
                     arrived.set()
                     arrived = anyio.Event()
-            arrived.set()
+                return True
+            except OSError:
+                return False
+            finally:
+                arrived.set()
 
         reading = asyncio.create_task(read())
         methods = _methods(sent)
@@ -363,17 +411,21 @@
                         await wait_for(n + 1)
             await wait_for(len(sent))
             await asyncio.wait({reading}, timeout=EXCESS_S)
-            return bytes(received), reading.done()
+            closed = reading.done()
+            return Received(
+                bytes(received), closed, closed and reading.result()
+            )
         finally:
             reading.cancel()
             writer.close()
 
-    def _check_answers(
-        self, sent: list[Sent], data: bytes, closed: bool
-    ) -> None:
+    def _check_answers(self, sent: list[Sent], received: Received) -> None:
         """Compares the answers on a connection with its requests."""
+        closed = received.closed
         # An answer is broken off with its connection.
-        answers, rest = parse_answers(data, _methods(sent), closed=closed)
+        answers, rest = parse_answers(
+            received.data, _methods(sent), closed=received.in_order
+        )
         broken = bool(answers) and not answers[-1].whole
         if rest and not broken:
             self._report(sent, f"bytes of no answer: {rest[:200]!r}")
