Take no response in RTSP or ICE for one in HTTP; no cycle in the reader

The parser of responses accepts "RTSP/1.0 200" and "ICE/1.0 200" (two cases of `test_what_is_no_answer_in_http_1_1` failed before). The reader held a method of its own, which kept it alive until the next collection of cycles.

--- a/src/jasminerelay/requestreader.py
+++ b/src/jasminerelay/requestreader.py
@@ -97,7 +97,8 @@
         # Positions up to which the data is read, and searched for an end.
         self._at = 0
         self._searched = 0
-        self._step = self._read_head
+        # A function, not a method: that would be a cycle of references.
+        self._step = RequestReader._read_head
         self._left = 0
         self._at_chunk_end = False
         self._trailer_bytes = 0
@@ -138,7 +139,7 @@
             BadRequestError: if the bytes are no proper request; no more can be
                 read then.
         """
-        return self._step(head_bytes)
+        return self._step(self, head_bytes)
 
     def _read_head(self, head_bytes: int) -> RequestHead | None:
         # Some callers end a body with an empty line that belongs to nothing.
@@ -159,22 +160,26 @@
         found = self._parse_head(head)
         if found.length is None:
             self._trailer_bytes = 0
-            self._step = self._read_chunks
+            self._step = RequestReader._read_chunks
         else:
             self._left = found.length
-            self._step = self._read_length if found.length else self._read_end
+            self._step = (
+                RequestReader._read_length
+                if found.length
+                else RequestReader._read_end
+            )
         return found
 
     def _read_end(self, head_bytes: int) -> BodyEnd:
         del head_bytes
-        self._step = self._read_head
+        self._step = RequestReader._read_head
         return BodyEnd.END
 
     def _read_length(self, head_bytes: int) -> bytes | None:
         del head_bytes
         part = self._take()
         if not self._left:
-            self._step = self._read_end
+            self._step = RequestReader._read_end
         return part or None
 
     def _take(self) -> bytes:
@@ -206,7 +211,7 @@
                 raise _malformed("the size of a chunk is malformed")
             self._left = int(size.group(1), 16)
             if not self._left:
-                self._step = self._read_trailers
+                self._step = RequestReader._read_trailers
                 if not parts:
                     return self._read_trailers(head_bytes)
                 break
@@ -226,7 +231,7 @@
         """Reads up to the end of the request; what it says is not believed."""
         while (line := self._line(head_bytes)) is not None:
             if not line:
-                self._step = self._read_head
+                self._step = RequestReader._read_head
                 return BodyEnd.END
             if not _TRAILER.fullmatch(line):
                 raise _malformed("a trailer field is malformed")
--- a/src/jasminerelay/serverconnection.py
+++ b/src/jasminerelay/serverconnection.py
@@ -204,6 +204,11 @@
             return
         in_head = not response.has_head
         if in_head:
+            if not response.head_bytes and not _may_begin_http(data):
+                self._failure = httpcore.RemoteProtocolError("not HTTP")
+                self._transport.abort()
+                self._wake()
+                return
             response.head_bytes += len(data)
         else:
             response.framing_bytes += len(data)
@@ -468,6 +473,15 @@
         )
 
 
+def _may_begin_http(data: bytes) -> bool:
+    """Returns whether a response in HTTP may begin so.
+
+    The parser takes RTSP and ICE, too.
+    """
+    first = data.lstrip(b"\r\n")[:1]
+    return first in (b"", b"H")
+
+
 def _stated_length(headers: HeaderFields) -> int | None:
     lengths = (v for k, v in headers if k.lower() == b"content-length")
     value = next(lengths, b"")
--- a/tests/test_serverconnection.py
+++ b/tests/test_serverconnection.py
@@ -248,6 +248,8 @@
             b"HTTP/1.1 042 S\r\n" + length,
             b"HTTP/1.1 999 S\r\n" + length,
             b"HTTP/2.0 200 S\r\n" + length,
+            b"RTSP/1.0 200 S\r\n" + length,
+            b"ICE/1.0 200 S\r\n" + length,
             HEAD + b"transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
             HEAD + b"transfer-encoding: gzip\r\n\r\nzip",
         ):
