Refuse what is no answer on the own interface, too

Cause: the client of the own interface (and of the store) passed on statuses that do not exist and answers in other versions; fields that a server's Connection names reached callers, and were believed. Change: `head_fault` decides there as on the platform; such fields are left out of what is read of an answer.

`test_httpclient`: three tests failed before (targets, two of four heads, fields); 101 and codings were refused by httpcore before.

--- a/src/jasminerelay/callers.py
+++ b/src/jasminerelay/callers.py
@@ -63,9 +63,15 @@
     "content-length",
     "date",
     "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
     "server",
+    "te",
+    "trailer",
     "transfer-encoding",
+    "upgrade",
 }
+"""Fields of a service's connection, and those that this port sets itself."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -7,12 +7,14 @@
 
 import httpcore
 
+from jasminerelay import completeness
 from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.netstream import (
     FRAMING_PER_BODY_BYTE,
     MAX_FRAMING_BYTES,
     WatchedNetworkBackend,
 )
+from jasminerelay.requestreader import connection_options
 from jasminerelay.watchdog import Watchdog
 
 MAX_CONNECTIONS = 1000
@@ -178,6 +180,7 @@
                 raise IncompleteExchangeError(repr(exc)) from exc
             _allow(response, math.inf)
             try:
+                _require_response(response)
                 yield response
             finally:
                 await manager.__aexit__(None, None, None)
@@ -207,13 +210,32 @@
 
 
 def response_headers(response: httpcore.Response) -> dict[str, str]:
-    """Returns the header fields of a response, names in lower case."""
+    """Returns the header fields of a response, names in lower case.
+
+    Those that its Connection names concern nobody else, and are left out.
+    """
+    options: set[bytes] = set()
+    for key, value in response.headers:
+        if key.lower() == b"connection":
+            options |= connection_options(value)
     return {
         key.decode("latin-1").lower(): value.decode("latin-1")
         for key, value in response.headers
+        if key.lower() not in options
     }
 
 
+def _require_response(response: httpcore.Response) -> None:
+    """Refuses what is no response to a request in HTTP/1.1."""
+    fault = completeness.head_fault(
+        response.status,
+        response.extensions["http_version"].decode()[len("HTTP/") :],
+        response.headers,
+    )
+    if fault:
+        raise IncompleteExchangeError(fault)
+
+
 async def body_chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
     """Yields the body of a response in the chunks received.
 
