--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -2011,4 +2011,59 @@
         "        if False:\n",
         "test_requestbytes.BodyTest.test_http_1_0",
     ),
+    Safeguard(
+        "a server's head is one of a response in HTTP/1.1",
+        "serverconnection",
+        "        if self.head_fault or status < MIN_FINAL_STATUS:\n",
+        "        if status < MIN_FINAL_STATUS:\n",
+        "test_serverconnection.ConnectionTest"
+        ".test_what_is_no_answer_in_http_1_1",
+    ),
+    Safeguard(
+        "a body where none may be ends its connection",
+        "serverconnection",
+        "        if self.complete:\n            self.extra_data = True\n"
+        "            return\n",
+        "        if self.complete:\n            return\n",
+        "test_serverconnection.ConnectionTest"
+        ".test_body_where_none_may_be_prevents_reuse",
+    ),
+    Safeguard(
+        "an answer that is framed twice ends its connection",
+        "completeness",
+        '    return {b"content-length", b"transfer-encoding"} <= names\n',
+        "    return False\n",
+        "test_serverconnection.ConnectionTest"
+        ".test_answer_that_is_framed_twice_prevents_reuse",
+    ),
+    Safeguard(
+        "fields that a server's Connection names go no further",
+        "platform/headers",
+        "        not_returned = _NOT_RETURNED | options\n",
+        "        not_returned = _NOT_RETURNED\n",
+        "test_adapter.HeadersTest"
+        ".test_fields_that_the_answers_connection_names",
+    ),
+    Safeguard(
+        "nothing that follows a server's end is taken for its bytes",
+        "relayclient",
+        "        while data and self._is_open and not self._ended:\n",
+        "        while data and self._is_open:\n",
+        "test_relays.RelayTest.test_what_follows_the_end_of_the_server",
+    ),
+    Safeguard(
+        "an id that a refusal repeats is printable",
+        "platform/earlyports",
+        "and found[0].isascii() and _is_printable(found[0]):",
+        "and found[0].isascii():",
+        "test_earlyports.RefusalTest.test_improper_ids_are_not_repeated",
+    ),
+    Safeguard(
+        "a last answer does not end with a reset",
+        "httpconnection",
+        "                self.keep_alive = self.ends_connection = True\n",
+        "                pass\n",
+        "test_requestbytes.FollowingBytesTest"
+        ".test_last_answer_is_read_beside_what_follows",
+    ),
 )
--- a/tests/test_requestbytes.py
+++ b/tests/test_requestbytes.py
@@ -404,6 +404,24 @@
             writer.transport.abort()
             self.assertEqual(len(self.runs(site)), 1)
 
+    async def test_last_answer_is_read_beside_what_follows(self) -> None:
+        # Guards against a last answer that is lost with a reset, since its
+        # caller goes on to send.
+        async with self.site() as (_, (instance,)):
+            for sent in (whole("a1", b"", "Connection: close"), b"x\r\n\r\n"):
+                host, _, port = instance.callers.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(sent)
+                for _ in range(20):
+                    writer.write(b"more")
+                    await asyncio.sleep(0.01)
+                data = await reader.read()
+                writer.close()
+                answers, rest = parse_answers(data)
+                self.assertEqual(len(answers), 1, data)
+                self.assertTrue(answers[0].whole)
+                self.assertEqual(rest, b"")
+
     async def test_pieces_of_any_size(self) -> None:
         # Guards against bytes that are lost or doubled between two packets.
         async with self.site() as (site, (instance,)):
