Serve chunks whose sizes have leading zeros, and codings with spaces after them

`test_coding_with_white_space` and `test_proper_requests`, which draws such sizes now, failed without.

--- a/src/jasminerelay/completeness.py
+++ b/src/jasminerelay/completeness.py
@@ -42,7 +42,9 @@
     if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_PROTOCOLS:
         return f"a response with status {status}"
     for name, value in fields:
-        if name.lower() == b"transfer-encoding" and value.lower() != b"chunked":
+        # The parser takes spaces after a coding for no part of it, but not tabs.
+        coding = value.rstrip(b" ").lower()
+        if name.lower() == b"transfer-encoding" and coding != b"chunked":
             # The caller is not told of it, and would take it for the body.
             return "a response in a coding that nobody asked for"
     return ""
--- a/src/jasminerelay/requestreader.py
+++ b/src/jasminerelay/requestreader.py
@@ -24,7 +24,7 @@
 """Bytes of a field's line besides its name and value."""
 
 _CHUNK_SIZE = re.compile(
-    rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[^\x00-\x08\x0a-\x1f\x7f]*)?"
+    rb"0*([0-9A-Fa-f]{1,15})(?:[ \t]*;[^\x00-\x08\x0a-\x1f\x7f]*)?"
 )
 _TRAILER = re.compile(
     rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*"
--- a/tests/test_requestreader.py
+++ b/tests/test_requestreader.py
@@ -55,7 +55,9 @@
     while body:
         size = draw(st.integers(1, len(body)))
         extension = draw(st.sampled_from([b"", b";a", b' ;a="b;c"']))
-        sent += b"%x%b\r\n%b\r\n" % (size, extension, body[:size])
+        zeros = draw(st.sampled_from([b"", b"0", b"0" * 20]))
+        size_line = zeros + b"%x" % size + extension
+        sent += size_line + b"\r\n" + body[:size] + b"\r\n"
         body = body[size:]
     trailers = draw(fields_of_a_request())
     trailers += [("Content-Length", "3")] * draw(st.integers(0, 1))
--- a/tests/test_serverconnection.py
+++ b/tests/test_serverconnection.py
@@ -259,6 +259,17 @@
                         await self.send(connection)
                     self.assertFalse(connection.idle)
 
+    async def test_coding_with_white_space(self) -> None:
+        # Guards against a proper answer that is refused for its white space.
+        coding = HEAD + b"Transfer-Encoding: \t Chunked  \r\n\r\n"
+        async with self.server(
+            coding + b"0002\r\nok\r\n00\r\n\r\n"
+        ) as connection:
+            response = await self.send(connection)
+            self.assertEqual(await response.aread(), b"ok")
+            await response.aclose()
+            self.assertTrue(connection.idle)
+
     async def test_body_where_none_may_be_prevents_reuse(self) -> None:
         # Guards against a body whose rest is taken for the next answer.
         for method, status in (("HEAD", b"200"), ("GET", b"204")):
