--- a/src/jasminerelay/completeness.py
+++ b/src/jasminerelay/completeness.py
@@ -42,9 +42,10 @@
     if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_PROTOCOLS:
         return f"a response with status {status}"
     for name, value in fields:
-        # The parser takes spaces after a coding for no part of it, but not tabs.
-        coding = value.rstrip(b" ").lower()
-        if name.lower() == b"transfer-encoding" and coding != b"chunked":
+        if name.lower() != b"transfer-encoding":
+            continue
+        # The parser takes spaces that follow for no part of it, but not tabs.
+        if value.rstrip(b" ").lower() != b"chunked":
             # The caller is not told of it, and would take it for the body.
             return "a response in a coding that nobody asked for"
     return ""
