Log stalls, and who answered what about a stream's beginning

The lines could not tell the hypotheses of the incident apart: a request's line named the source of an origin, not whose answers it was concluded from, and no line said that a process had stood still. No decision changes.

--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -27,6 +27,7 @@
     Unknown,
 )
 from jasminerelay.forwardingcontext import ForwardingContext
+from jasminerelay.originlookup import FoundOrigin
 from jasminerelay.placementqueue import Reservation
 from jasminerelay.requestprogress import RequestProgress
 from jasminerelay.scheduling.streamorigins import (
@@ -117,7 +118,7 @@
         if not call.route.streaming or not call.last_event_id:
             return True
         found = await self._context.origins.find(call)
-        self._progress.origin_source = found.source
+        self._progress.found_origin = found
         origin = found.origin
         if origin is None:
             await self._refuse(503, ORIGIN_UNKNOWN, RETRY_AFTER_S)
@@ -613,7 +614,7 @@
             versions=progress.versions,
             resumes=call.first_attempt,
             after=call.last_event_id,
-            origin=progress.origin_source,
+            **_origin_fields(progress.found_origin),
             bound_to=progress.software_version,
             owners=progress.owners,
             retries=self._retries,
@@ -631,6 +632,16 @@
         )
 
 
+def _origin_fields(found: FoundOrigin | None) -> dict[str, object]:
+    if found is None:
+        return {"origin": ""}
+    return {
+        "origin": found.source,
+        "origin_answers": found.answered_by,
+        "origin_versions": found.seen,
+    }
+
+
 def _token_counts(call: Call) -> list[int | None]:
     if call.prompt is None:
         return []
--- a/src/jasminerelay/freshness.py
+++ b/src/jasminerelay/freshness.py
@@ -110,11 +110,19 @@
         """
         self._ticked_at = now
 
-    def tick(self, now: float) -> None:
-        """Records that the process is running; called ten times a second."""
+    def tick(self, now: float) -> float:
+        """Records that the process is running; called ten times a second.
+
+        Returns:
+            How long the process has been stalled until now, in seconds; 0 if it
+            has not.
+        """
+        stalled_s = 0.0
         if self._was_stalled(now):
             self._ignore_ages_until = now + IGNORE_AGES_S
+            stalled_s = now - self._ticked_at
         self._ticked_at = now
+        return stalled_s
 
     def _was_stalled(self, now: float) -> bool:
         return now - self._ticked_at > STALL_S
--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -67,10 +67,14 @@
     Attributes:
         origin: The origin; None if it is unknown.
         source: Who knew it; "" if it is unknown.
+        answered_by: Instances that answered, if others were asked.
+        seen: Versions of the service that they and this one have seen.
     """
 
     origin: StreamOrigin | None
     source: str
+    answered_by: tuple[str, ...] = ()
+    seen: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(eq=False)
@@ -82,14 +86,14 @@
         seen: What this instance and those that have answered know of the
             service's versions.
         origin: The origin, once an instance has told it.
-        answered: Number of answers.
+        answered_by: Instances that have answered.
         settled: Set once it is told, or all have answered.
     """
 
     unanswered: set[str]
     seen: SeenVersions
     origin: StreamOrigin | None = None
-    answered: int = 0
+    answered_by: list[str] = dataclasses.field(default_factory=list)
     settled: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
@@ -173,6 +177,8 @@
         if call.first_attempt:
             key = key_of(call.organisation, call.first_attempt)
         origin, source = self._records.find(key, time.monotonic()), OWN
+        answered_by: tuple[str, ...] = ()
+        seen: tuple[str, ...] = ()
         if origin is None:
             question = await self._ask(call, key)
             origin, source = question.origin, HOME
@@ -181,10 +187,12 @@
             else:
                 origin = await self._only_version(call, question)
                 source = ONLY_VERSION
+            answered_by = tuple(question.answered_by)
+            seen = tuple(sorted(question.seen.versions))
         if origin is None:
             source = ""
         self._counters.incr(f"origin.{source.replace(' ', '_') or 'unknown'}")
-        return FoundOrigin(origin, source)
+        return FoundOrigin(origin, source, answered_by, seen)
 
     @functools.singledispatchmethod
     def handle_message(self, message: StreamsBegun) -> None:
@@ -214,7 +222,7 @@
         if question is None or message.sender not in question.unanswered:
             return
         question.unanswered.discard(message.sender)
-        question.answered += 1
+        question.answered_by.append(message.sender)
         seen = SeenVersions(
             frozenset(message.versions), message.watched_ms / MS_PER_S
         )
@@ -266,7 +274,7 @@
             len(call.route.services) > 1
             or self._history.led_elsewhere(call.route, time.monotonic())
             or question.seen.only(watched_s) is None
-            or not (question.answered or await self.confirm())
+            or not (question.answered_by or await self.confirm())
         ):
             return None
         seen = question.seen.merged(self._seen(call.service))
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -825,7 +825,10 @@
     async def _tick(self) -> None:
         """Runs before each round of messages, in the same wake-up."""
         now = time.monotonic()
-        self._freshness.tick(now_s())
+        stalled_s = self._freshness.tick(now_s())
+        if 0.0 < stalled_s < math.inf:
+            self.counters.incr("instance.stalled")
+            self.log.warn("stalled", stalled_s=round(stalled_s, 2))
         self._registry_feed.expire(now)
         self._origins.tick(now)
         self.dispatcher.tick(now)
--- a/src/jasminerelay/requestprogress.py
+++ b/src/jasminerelay/requestprogress.py
@@ -7,6 +7,7 @@
 
 from jasminerelay.catalog import Call, RepeatPolicy, Route
 from jasminerelay.migration import KvCacheCopy
+from jasminerelay.originlookup import FoundOrigin
 from jasminerelay.scheduling.heldbytes import Hold
 
 MAX_ID_DIGITS = 6
@@ -30,7 +31,8 @@
             in order; one for each answer.
         software_version: Version at which the stream must go on; None if it has
             not begun.
-        origin_source: Who knew the origin of a stream that was taken up.
+        found_origin: What was found of the beginning of a stream that was taken
+            up; None for others.
         owners: Instances that placed the attempts, in order; "" for this one.
         ran: Number of servers that have run it, or may have.
         maybe_ran: Whether the request can't be reported as not run any more.
@@ -53,7 +55,7 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     versions: list[str] = dataclasses.field(default_factory=list)
     software_version: str | None = None
-    origin_source: str = ""
+    found_origin: FoundOrigin | None = None
     owners: list[str] = dataclasses.field(default_factory=list)
     ran: int = 0
     maybe_ran: bool = False
