Let a take-up go on at the only version by a proof alone

Class: the absence of news taken for a proof.

Now either all instances that there have been answer, or the store confirms the list of this instance, or of one that it asks, after the take-up was read; views of several instances add up only where they overlap. Rows that come and go within a page, or unseen, and claims count as seen.

Changed tests: those of MIN_WATCHED_S, three seconds that were a guess about streams from before a start of all: they ask for the time that a stream may have run now, and that the take-up is refused before it. A lone instance after 1.2 s is refused, too, so that test waits for 2.5 s of the 2 s that it sets.

Ruled out: bounds on ages (a stream may begin within any of them), a majority (an instance out of step knows another one), versions recorded in the store before their first request (each new server would wait for a write).

--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -54,6 +54,7 @@
         "server_ended",
         "server_out_of_reach",
         "snapshot",
+        "stalled",
         "start",
         "stop",
         "stopping",
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -639,6 +639,7 @@
         "origin": found.source,
         "origin_answers": found.answered_by,
         "origin_versions": found.seen,
+        "origin_proved_by": found.proved_by,
     }
 
 
--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import functools
+import math
 import time
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
@@ -17,7 +18,7 @@
 from jasminerelay.registry import Registry
 from jasminerelay.scheduling.streamorigins import (
     ASKED,
-    MIN_WATCHED_S,
+    KEPT_S,
     TOLD,
     HomeRing,
     OriginRecords,
@@ -25,6 +26,7 @@
     StreamOrigin,
     VersionHistory,
     key_of,
+    only_version,
 )
 from jasminerelay.schema.messages import (
     Member,
@@ -43,6 +45,24 @@
 """Longest wait for their answers where the caller names no attempt, so that
 only the versions are asked for."""
 
+PROOF_TIMEOUT_S = 0.8
+"""Longest wait for another instance's proof; one that reaches the store gives
+it within 0.6 s."""
+
+PROOF_REPEAT_S = 0.3
+"""Time after which an instance that has not given a proof is asked again."""
+
+OTHERS_PROVE_AFTER_S = 0.15
+"""Time after which others are asked for a proof while this instance still waits
+for the store, which answers within milliseconds."""
+
+MAX_PROOFS_WAITING = 200
+"""Limit on the questions that wait for the store's confirmation."""
+
+MAX_RUN_TIME_LIMITS = 2
+"""For how long a stream may have run before it is taken up, in time limits of
+its route: callers send it once more at the most."""
+
 NO_KEY = 0
 """Key of a question for the versions alone."""
 
@@ -55,6 +75,9 @@
 ONLY_VERSION = "only version"
 """Sources of an origin."""
 
+EVERYONE = "everyone"
+"""Proof of the only version by the answers of all instances."""
+
 MS_PER_S = 1e3
 
 OriginMessage = StreamsBegun | OriginQuery | OriginAnswer
@@ -69,12 +92,15 @@
         source: Who knew it; "" if it is unknown.
         answered_by: Instances that answered, if others were asked.
         seen: Versions of the service that they and this one have seen.
+        proved_by: Proof of the only version: the instance whose list the store
+            confirmed, or `EVERYONE`; "" if none.
     """
 
     origin: StreamOrigin | None
     source: str
     answered_by: tuple[str, ...] = ()
     seen: tuple[str, ...] = ()
+    proved_by: str = ""
 
 
 @dataclasses.dataclass(eq=False)
@@ -82,20 +108,40 @@
     """A question to other instances.
 
     Attributes:
-        unanswered: Instances that have not answered.
-        seen: What this instance and those that have answered know of the
-            service's versions.
+        homes: Instances that are asked.
+        prove: Whether they are asked for a proof.
+        unanswered: Ids of those that have not answered.
+        views: What those that have answered know of the service's versions.
         origin: The origin, once an instance has told it.
         answered_by: Instances that have answered.
-        settled: Set once it is told, or all have answered.
+        proved_by: The first one whose list the store has confirmed; "" before
+            it.
+        settled: Set once it is told or proved, or all have answered.
     """
 
-    unanswered: set[str]
-    seen: SeenVersions
+    homes: Sequence[Member]
+    prove: bool = False
+    unanswered: set[str] = dataclasses.field(default_factory=set)
+    views: list[SeenVersions] = dataclasses.field(default_factory=list)
     origin: StreamOrigin | None = None
     answered_by: list[str] = dataclasses.field(default_factory=list)
+    proved_by: str = ""
     settled: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
+    def record(self, answer: OriginAnswer) -> None:
+        """Records an answer; ignores one that was not asked for."""
+        if answer.sender not in self.unanswered:
+            return
+        self.unanswered.discard(answer.sender)
+        self.answered_by.append(answer.sender)
+        self.views.append(_view_of(answer))
+        if answer.known and self.origin is None:
+            self.origin = StreamOrigin(answer.service, answer.version)
+        if self.prove and answer.proved:
+            self.proved_by = self.proved_by or answer.sender
+        if self.origin is not None or self.proved_by or not self.unanswered:
+            self.settled.set()
+
 
 class OriginLookup:
     """The origins that this instance knows, and its questions about others.
@@ -103,8 +149,12 @@
     Attributes:
         members: Returns the live instances.
         send: Sends a message to an address, without confirmation.
-        confirm: Has the list of servers confirmed as complete at this moment;
-            returns whether it was.
+        age_s: Returns the time since the list of servers was confirmed as
+            complete.
+        confirm: Has the store confirm the list of servers to this instance from
+            now on; returns whether it did.
+        others: Returns the number of other instances that there have been of
+            late, also failed ones.
     """
 
     def __init__(
@@ -128,9 +178,24 @@
         self._ring_members: Sequence[Member] = ()
         self._questions: dict[int, _Question] = {}
         self._number = 0
+        self._began_at = time.monotonic()
+        self._to_prove: list[OriginQuery] = []
+        self._proof_wanted = anyio.Event()
         self.members: Callable[[], Sequence[Member]] = lambda: ()
         self.send: Callable[[str, OriginMessage], None] = lambda *_: None
+        self.age_s: Callable[[], float] = lambda: math.inf
         self.confirm: Callable[[], Awaitable[bool]] = _never
+        self.others: Callable[[], float] = lambda: math.inf
+
+    async def run(self) -> None:
+        """Proves this instance's list to others that ask, until cancelled."""
+        while True:
+            await self._proof_wanted.wait()
+            self._proof_wanted = anyio.Event()
+            asked, self._to_prove = self._to_prove, []
+            proved = await self.confirm()
+            for query in asked:
+                self._answer(query, proved=proved)
 
     def record_first_event(self, call: Call, server: BackendServer) -> None:
         """Records where a stream began, before its caller gets an event."""
@@ -145,19 +210,19 @@
         self._tell(self._homes(key, TOLD), origin, [key])
 
     def tick(self, now: float) -> None:
-        """Notes that the list of servers is complete, once it is."""
+        """Notes how old the list of servers is; called ten times a second."""
         catalog = self._registry.catalog
         if self._registry.complete and catalog is not None:
-            self._history.start(now)
+            self._history.record_age(self.age_s(), now)
             self._history.record_routes(catalog.routes, now)
 
     def record_end(self, server: BackendServer) -> None:
-        """Records that a server has ended."""
+        """Records that a server has ended, also one that was never listed."""
         self._history.record_end(server, time.monotonic())
 
-    def on_store_restored(self) -> None:
-        """Handles that the store may have lost rows of servers."""
-        self._history.restart(time.monotonic())
+    def on_list_lost(self) -> None:
+        """Handles that servers may have come and gone without being seen."""
+        self._history.restart()
 
     def hand_over(self) -> None:
         """Tells the other homes what this instance knows, before it stops."""
@@ -176,23 +241,36 @@
         key = NO_KEY
         if call.first_attempt:
             key = key_of(call.organisation, call.first_attempt)
-        origin, source = self._records.find(key, time.monotonic()), OWN
-        answered_by: tuple[str, ...] = ()
-        seen: tuple[str, ...] = ()
+        origin = self._records.find(key, time.monotonic())
+        found = FoundOrigin(origin, OWN)
+        if origin is None:
+            found = await self._find_elsewhere(call, key)
+        name = found.source.replace(" ", "_") or "unknown"
+        self._counters.incr(f"origin.{name}")
+        return found
+
+    async def _find_elsewhere(self, call: Call, key: int) -> FoundOrigin:
+        timeout_s = VERSIONS_TIMEOUT_S if key == NO_KEY else ANSWER_TIMEOUT_S
+        homes = self._homes(key or key_of(call.organisation, call.id), ASKED)
+        question = _Question(homes)
+        await self._ask(question, call.service, key, timeout_s)
+        origin, source, proved_by = question.origin, HOME, ""
         if origin is None:
-            question = await self._ask(call, key)
-            origin, source = question.origin, HOME
-            if origin is not None:
-                self._records.add(key, origin, time.monotonic())
-            else:
-                origin = await self._only_version(call, question)
-                source = ONLY_VERSION
-            answered_by = tuple(question.answered_by)
-            seen = tuple(sorted(question.seen.versions))
+            origin, proved_by = await self._only_version(call, key, question)
+            source = HOME if origin and not proved_by else ONLY_VERSION
         if origin is None:
             source = ""
-        self._counters.incr(f"origin.{source.replace(' ', '_') or 'unknown'}")
-        return FoundOrigin(origin, source, answered_by, seen)
+        elif source == HOME:
+            self._records.add(key, origin, time.monotonic())
+        views = (*question.views, self._view(call.service))
+        seen = frozenset().union(*(view.versions for view in views))
+        return FoundOrigin(
+            origin,
+            source,
+            tuple(question.answered_by),
+            tuple(sorted(seen)),
+            proved_by,
+        )
 
     @functools.singledispatchmethod
     def handle_message(self, message: StreamsBegun) -> None:
@@ -203,87 +281,155 @@
 
     @handle_message.register
     def _(self, message: OriginQuery) -> None:
-        origin = self._records.find(message.key, time.monotonic())
-        seen = self._seen(message.service)
+        known = self._records.find(message.key, time.monotonic()) is not None
+        if message.prove and not known:
+            if len(self._to_prove) < MAX_PROOFS_WAITING:
+                self._to_prove.append(message)
+                self._proof_wanted.set()
+            return
+        self._answer(message)
+
+    @handle_message.register
+    def _(self, message: OriginAnswer) -> None:
+        question = self._questions.get(message.number)
+        if question is not None:
+            question.record(message)
+
+    def _answer(self, query: OriginQuery, *, proved: bool = False) -> None:
+        origin = self._records.find(query.key, time.monotonic())
+        view = self._view(query.service)
+        is_confirmed = math.isfinite(view.age_s)
         answer = OriginAnswer(
             self._own,
-            message.number,
+            query.number,
             origin is not None,
             origin.service if origin else "",
             origin.software_version if origin else "",
-            sorted(seen.versions),
-            round(seen.watched_s * MS_PER_S),
+            sorted(view.versions),
+            round(view.watched_s * MS_PER_S),
+            round(view.age_s * MS_PER_S) if is_confirmed else -1,
+            proved,
         )
-        self.send(message.peers, answer)
+        self.send(query.peers, answer)
 
-    @handle_message.register
-    def _(self, message: OriginAnswer) -> None:
-        question = self._questions.get(message.number)
-        if question is None or message.sender not in question.unanswered:
+    async def _ask(
+        self, question: _Question, service: str, key: int, timeout_s: float
+    ) -> None:
+        """Asks other instances until the question is settled, or for a time."""
+        if not question.homes:
             return
-        question.unanswered.discard(message.sender)
-        question.answered_by.append(message.sender)
-        seen = SeenVersions(
-            frozenset(message.versions), message.watched_ms / MS_PER_S
-        )
-        question.seen = question.seen.merged(seen)
-        if message.known and question.origin is None:
-            question.origin = StreamOrigin(message.service, message.version)
-        if question.origin is not None or not question.unanswered:
-            question.settled.set()
-
-    async def _ask(self, call: Call, key: int) -> _Question:
-        """Asks other instances; returns the question with their answers."""
-        homes = self._homes(key or key_of(call.organisation, call.id), ASKED)
-        question = _Question(
-            {home.instance for home in homes}, self._seen(call.service)
-        )
-        if not homes or (key == NO_KEY and len(question.seen.versions) > 1):
-            return question
+        question.unanswered = {home.instance for home in question.homes}
         self._number += 1
         number = self._number
         self._questions[number] = question
-        query = OriginQuery(self._own, self._address, number, key, call.service)
-        timeout_s = VERSIONS_TIMEOUT_S if key == NO_KEY else ANSWER_TIMEOUT_S
+        query = OriginQuery(
+            self._own, self._address, number, key, service, question.prove
+        )
+        repeat_s = PROOF_REPEAT_S if question.prove else REPEAT_S
         try:
             with anyio.move_on_after(timeout_s):
                 while not question.settled.is_set():
-                    for home in homes:
+                    for home in question.homes:
                         if home.instance in question.unanswered:
                             self._counters.incr("origin.asked")
                             self.send(home.peers, query)
-                    with anyio.move_on_after(REPEAT_S):
+                    with anyio.move_on_after(repeat_s):
                         await question.settled.wait()
         finally:
             del self._questions[number]
-        return question
 
     async def _only_version(
-        self, call: Call, question: _Question
-    ) -> StreamOrigin | None:
+        self, call: Call, key: int, asked: _Question
+    ) -> tuple[StreamOrigin | None, str]:
         """Returns the origin if only one version can have begun the stream.
 
-        Alone, an instance has the store confirm its list of servers: it may
-        not know of a server at which the stream began just before.
+        What some instances have seen is no proof: they may be out of step
+        together. Either all answer that there have been of late, the one that
+        began the stream among them, or the store confirms the list of one of
+        them after the request was read: a server that began the stream had
+        joined before.
+
+        Args:
+            call: The request.
+            key: Key of the stream.
+            asked: The question that nobody could answer.
+
+        Returns:
+            The origin, and who proves it; the origin and "" if another instance
+            has told it meanwhile.
         """
-        # Callers name an attempt where versions serve side by side. One that
-        # names none goes on also where all instances have just started.
-        watched_s = MIN_WATCHED_S if call.first_attempt else 0.0
         # A stream of a route with several services may have begun at each.
-        if (
-            len(call.route.services) > 1
-            or self._history.led_elsewhere(call.route, time.monotonic())
-            or question.seen.only(watched_s) is None
-            or not (question.answered_by or await self.confirm())
+        if len(call.route.services) > 1 or self._history.led_elsewhere(
+            call.route, time.monotonic()
         ):
-            return None
-        seen = question.seen.merged(self._seen(call.service))
-        version = seen.only(watched_s)
-        return None if version is None else StreamOrigin(call.service, version)
-
-    def _seen(self, service: str) -> SeenVersions:
+            return None, ""
+        # Callers name an attempt where versions serve side by side. One that
+        # names none goes on also where all instances have just started.
+        watched_s = 0.0
+        if call.first_attempt:
+            watched_s = min(KEPT_S, MAX_RUN_TIME_LIMITS * call.route.timeout_s)
+        views = [*asked.views, self._view(call.service)]
+        version = only_version(views, 0.0)
+        if version is None:
+            return None, ""
+        if self._is_everyone(asked) and self._runs_for(watched_s):
+            return StreamOrigin(call.service, version), EVERYONE
+        proof = await self._prove(call.service, key, asked)
+        if proof.origin is not None:
+            return proof.origin, ""
+        version = None
+        if proof.proved_by:
+            views += [*proof.views, self._view(call.service)]
+            version = only_version(views, watched_s)
+        if version is None:
+            self._counters.incr("origin.unproved")
+            return None, ""
+        return StreamOrigin(call.service, version), proof.proved_by
+
+    def _is_everyone(self, asked: _Question) -> bool:
+        """Returns whether all other instances of late have answered."""
+        return 0 < len(asked.answered_by) == self.others()
+
+    def _runs_for(self, duration_s: float) -> bool:
+        """Returns whether this instance has seen others come and go so long."""
+        return time.monotonic() - self._began_at >= duration_s
+
+    async def _prove(
+        self, service: str, key: int, asked: _Question
+    ) -> _Question:
+        """Has the store confirm the list of an instance, this one if it can.
+
+        Returns:
+            What other instances have answered to that; `proved_by` names the
+            instance.
+        """
+        able = set(asked.answered_by) or asked.unanswered
+        proof = _Question(
+            [home for home in asked.homes if home.instance in able], prove=True
+        )
+        failed_here = anyio.Event()
+        async with anyio.create_task_group() as group:
+
+            async def prove_here() -> None:
+                if await self.confirm():
+                    proof.proved_by = self._own
+                    group.cancel_scope.cancel()
+                failed_here.set()
+
+            group.start_soon(prove_here)
+            with anyio.move_on_after(OTHERS_PROVE_AFTER_S):
+                await failed_here.wait()
+            await self._ask(proof, service, key, PROOF_TIMEOUT_S)
+            if proof.proved_by or proof.origin is not None:
+                group.cancel_scope.cancel()
+        return proof
+
+    def _view(self, service: str) -> SeenVersions:
         return self._history.seen(
-            service, self._registry.servers(), time.monotonic()
+            service,
+            self._registry.known_servers(),
+            self.age_s(),
+            time.monotonic(),
         )
 
     def _homes(self, key: int, count: int) -> list[Member]:
@@ -304,5 +450,12 @@
             self.send(home.peers, message)
 
 
+def _view_of(answer: OriginAnswer) -> SeenVersions:
+    age_s = answer.age_ms / MS_PER_S if answer.age_ms >= 0 else math.inf
+    return SeenVersions(
+        frozenset(answer.versions), answer.watched_ms / MS_PER_S, age_s
+    )
+
+
 async def _never() -> bool:
     return False
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -277,6 +277,7 @@
             "drains": self._drains.run,
             "crash notices": self._crash_notices.run,
             "path probes": self._path_probes.run,
+            "origins": self._origins.run,
             "peer discovery": self._discover_peers,
             "peer data": self._await_peer_data,
             "settings": self._watch_settings,
@@ -491,20 +492,29 @@
         )
         origins.members = self._peers.membership.live
         origins.send = self._peers.send_to_address
+        origins.age_s = lambda: self._freshness.age_s(now_s())
         origins.confirm = self._confirm_data
+        origins.others = lambda: self._peers.expected_count - 1
+        self.registry.on_unlisted = self._on_unlisted
         self._peers.on_origins = origins.handle_message
         self._registry_feed.on_ended = origins.record_end
 
+    def _on_unlisted(self, server: BackendServer | None) -> None:
+        if server is None:
+            self._origins.on_list_lost()
+        else:
+            self._origins.record_end(server)
+
     async def _confirm_data(self) -> bool:
         """Has the store confirm the data; returns whether it did.
 
-        A confirmation from before the call does not count.
+        A confirmation from before the call does not count, nor does one that
+        another instance states.
         """
         asked_at = now_s()
         with anyio.move_on_after(CONFIRM_TIMEOUT_S):
             while not self._store_state.lost:
-                now = now_s()
-                if now - self._freshness.age_s(now) >= asked_at:
+                if self._freshness.confirmed_here_since(asked_at):
                     return True
                 self._store_state.abort_waits_if_older(0.0)
                 await anyio.sleep(CONFIRM_STEP_S)
@@ -920,7 +930,7 @@
     def _on_store_restored(self) -> None:
         """Handles that the store has come back from a copy of its data."""
         self._store_state.on_new_era()
-        self._origins.on_store_restored()
+        self._origins.on_list_lost()
         self._register_again.set()
         if self._follower_role.is_leader:
             self._crashes.save_again()
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -25,9 +25,10 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 import xxhash
@@ -143,6 +144,10 @@
 class Registry:
     """The newest catalog and backend servers known to this instance.
 
+    Attributes:
+        on_unlisted: Called with a server that has come and gone without being
+            listed here; None if its row was not seen.
+
     Example:
         >>> registry = Registry(decode_catalog, decode_server)  # doctest: +SKIP
         >>> registry.servers_of("pool")                         # doctest: +SKIP
@@ -195,6 +200,9 @@
         )
         self._removals_complete_since: int | None = None
         self._digest_mismatch = False
+        self.on_unlisted: Callable[[BackendServer | None], None] = (
+            lambda server: None
+        )
 
     @property
     def complete(self) -> bool:
@@ -255,6 +263,11 @@
         """Returns all servers, including draining servers."""
         return [held.server for held in self._entries.values()]
 
+    def known_servers(self) -> list[BackendServer]:
+        """Returns all servers, and those whose rows are not believed yet."""
+        claimed = [claim.server for claim in self._claims.values()]
+        return [*self.servers(), *claimed]
+
     def has_announced_drain(self, server_id: str) -> bool:
         """Returns whether a server has announced that it shuts down.
 
@@ -356,6 +369,7 @@
         rows = list(rows)
         dropped = {row.id: row.version for row in rows if row.data is None}
         since = self._servers_version
+        self._report_unlisted(rows, dropped)
         current = [
             row
             for row in rows
@@ -367,6 +381,30 @@
         self._restored -= {row.id for row in current}
         return self._apply(current, version)
 
+    def _report_unlisted(
+        self, rows: list[ServerRow], dropped: Mapping[str, int]
+    ) -> None:
+        """Reports the servers that some changes show to have come and gone.
+
+        Args:
+            rows: The changes.
+            dropped: Versions of the removals among them, by server.
+        """
+        written = {row.id for row in rows if row.data is not None}
+        for row in rows:
+            if row.id in self._entries:
+                continue
+            if row.data is not None:
+                if row.version < dropped.get(row.id, 0):
+                    with contextlib.suppress(ValueError):
+                        self.on_unlisted(self._decode_server(row.id, row.data))
+            elif (
+                row.id not in written
+                and row.version > self._removals.get(row.id, 0)
+                and self._servers_received
+            ):
+                self.on_unlisted(None)
+
     def _apply(
         self, rows: Iterable[ServerRow], version: int
     ) -> list[ServerChange]:
--- a/src/jasminerelay/scheduling/streamorigins.py
+++ b/src/jasminerelay/scheduling/streamorigins.py
@@ -11,7 +11,7 @@
 import functools
 import math
 import operator
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -28,9 +28,9 @@
 KEPT_S = 60.0
 """How long origins are kept; callers give their streams up long before."""
 
-MIN_WATCHED_S = 3.0
-"""Time for which one of the instances must have known all servers, to tell that
-there has been one version only."""
+MAX_GAP_S = 2.0
+"""Time without a confirmation in which no server can have come and gone: it is
+listed for longer."""
 
 MAX_RECORDS = 20_000
 """Limit on the origins that an instance keeps, twenty times those of a busy
@@ -166,51 +166,79 @@
 
     Attributes:
         versions: Versions that its servers have had of late.
-        watched_s: Time for which the instance has known all servers.
+        watched_s: Time for which the instance has known all servers without a
+            gap, up to when its list was last confirmed.
+        age_s: Time since then.
     """
 
     versions: frozenset[str]
     watched_s: float
+    age_s: float = 0.0
 
-    def merged(self, other: "SeenVersions") -> "SeenVersions":
-        """Returns what two instances know together."""
-        return SeenVersions(
-            self.versions | other.versions,
-            max(self.watched_s, other.watched_s),
-        )
 
-    def only(self, watched_s: float) -> str | None:
-        """Returns the only version that there has been, if that is known.
+def covered_s(views: Iterable[SeenVersions]) -> float:
+    """Returns for how long until now some views together show all servers.
 
-        Args:
-            watched_s: Time for which all servers must have been known.
-        """
-        if len(self.versions) != 1 or self.watched_s < watched_s:
-            return None
-        return next(iter(self.versions))
+    A view adds to another one if it ends no earlier than that one begins.
+
+    Args:
+        views: The views.
+    """
+    covered = 0.0
+    for view in sorted(views, key=operator.attrgetter("age_s")):
+        if view.age_s > covered + MAX_GAP_S:
+            break
+        covered = max(covered, view.age_s + view.watched_s)
+    return covered
+
+
+def only_version(views: Sequence[SeenVersions], watched_s: float) -> str | None:
+    """Returns the only version that there has been, if the views show that.
+
+    Args:
+        views: Views of some instances.
+        watched_s: Time until now for which they must show all servers.
+    """
+    versions = frozenset().union(*(view.versions for view in views))
+    if len(versions) != 1 or covered_s(views) < watched_s:
+        return None
+    return next(iter(versions))
 
 
 class VersionHistory:
     """Which software versions the servers of services have had of late."""
 
     def __init__(self) -> None:
-        self._since = math.inf
+        self._since: float | None = None
+        self._checked_at = -math.inf
         self._ended_at: dict[tuple[str, str], float] = {}
         self._routes: tuple[Route, ...] = ()
         self._services: dict[str, tuple[ServiceShare, ...]] = {}
         self._changed_at: dict[str, float] = {}
 
-    def start(self, now: float) -> None:
-        """Records that the list of servers is complete from now on."""
-        self._since = min(self._since, now)
+    def record_age(self, age_s: float, now: float) -> None:
+        """Records the age of the list of servers; called many times a second.
+
+        A server may have come and gone while the list was not confirmed.
 
-    def restart(self, now: float) -> None:
+        Args:
+            age_s: Time since the list was confirmed as complete.
+            now: Monotonic time.
+        """
+        unchecked_s = now - self._checked_at
+        is_first = self._checked_at == -math.inf
+        self._checked_at = now
+        if age_s > MAX_GAP_S or (unchecked_s > MAX_GAP_S and not is_first):
+            self._since = None
+        elif self._since is None:
+            self._since = now - age_s
+
+    def restart(self) -> None:
         """Records that servers may have been missing in the list until now."""
-        if self._since < math.inf:
-            self._since = now
+        self._since = None
 
     def record_end(self, server: BackendServer, now: float) -> None:
-        """Records that a server is not listed any more."""
+        """Records that a server is not listed any more, or never was here."""
         self._ended_at = {
             ended: at
             for ended, at in self._ended_at.items()
@@ -235,13 +263,18 @@
         return now - changed_at <= KEPT_S
 
     def seen(
-        self, service: str, listed: Iterable[BackendServer], now: float
+        self,
+        service: str,
+        listed: Iterable[BackendServer],
+        age_s: float,
+        now: float,
     ) -> SeenVersions:
         """Returns what this instance knows of a service's versions.
 
         Args:
             service: The service.
             listed: All servers that are listed, also draining ones.
+            age_s: Time since the list was confirmed as complete.
             now: Monotonic time.
         """
         versions = {x.software_version for x in listed if x.service == service}
@@ -250,8 +283,10 @@
             for (name, version), at in self._ended_at.items()
             if name == service and now - at <= KEPT_S
         }
-        watched_s = min(KEPT_S, max(0.0, now - self._since))
-        return SeenVersions(frozenset(versions), watched_s)
+        watched_s = 0.0
+        if self._since is not None:
+            watched_s = min(KEPT_S, max(0.0, now - age_s - self._since))
+        return SeenVersions(frozenset(versions), watched_s, age_s)
 
 
 @functools.lru_cache(maxsize=2048)
--- a/src/jasminerelay/schema/messages.py
+++ b/src/jasminerelay/schema/messages.py
@@ -583,6 +583,7 @@
     number: Whole
     key: Hash
     service: str
+    prove: bool = False
 
 
 class OriginAnswer(Struct, frozen=True):
@@ -597,6 +598,8 @@
     version: str
     versions: list[str]
     watched_ms: Count
+    age_ms: Whole = -1
+    proved: bool = False
 
 
 class PeerMessage(Struct, frozen=True):
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1608,19 +1608,64 @@
     Safeguard(
         "the only version needs a confirmation",
         "originlookup",
-        "or not (question.answered or await self.confirm())",
-        "or False",
+        "        if proof.proved_by:\n",
+        "        if True:\n",
         "test_streamorigins.OriginLookupTest"
         ".test_only_version_needs_a_confirmation",
     ),
     Safeguard(
         "versions that other instances have seen count",
         "originlookup",
-        "        question.seen = question.seen.merged(seen)\n",
+        "        self.views.append(_view_of(answer))\n",
         "",
         "test_streamorigins.OriginLookupTest"
         ".test_version_that_another_instance_has_seen",
     ),
+    Safeguard(
+        "all that there have been must answer to prove it without the store",
+        "originlookup",
+        "return 0 < len(asked.answered_by) == self.others()",
+        "return 0 < len(asked.answered_by)",
+        "test_streamorigins.OriginLookupTest.test_all_instances_answer",
+    ),
+    Safeguard(
+        "an answer without the store's confirmation proves nothing",
+        "originlookup",
+        "if self.prove and answer.proved:",
+        "if self.prove:",
+        "test_streamorigins.OriginLookupTest"
+        ".test_instances_that_confirm_each_other",
+    ),
+    Safeguard(
+        "only the store's answers to this instance prove its list",
+        "platform/root",
+        "if self._freshness.confirmed_here_since(asked_at):",
+        "if self._freshness.age_s(now_s()) < 600.0:",
+        "test_outofstep.CutOffTogetherTest.test_named",
+    ),
+    Safeguard(
+        "time without a confirmation does not count as watched",
+        "scheduling/streamorigins",
+        "if age_s > MAX_GAP_S or (",
+        "if False or (",
+        "test_streamorigins.VersionHistoryTest"
+        ".test_list_that_was_not_confirmed_for_a_while",
+    ),
+    Safeguard(
+        "time in which the process stood still does not count as watched",
+        "scheduling/streamorigins",
+        "unchecked_s > MAX_GAP_S and not is_first",
+        "False",
+        "test_streamorigins.VersionHistoryTest.test_process_that_stood_still",
+    ),
+    Safeguard(
+        "views add up only without a gap",
+        "scheduling/streamorigins",
+        "        if view.age_s > covered + MAX_GAP_S:\n            break\n",
+        "",
+        "test_streamorigins.VersionHistoryTest"
+        ".test_view_that_ended_before_another_began",
+    ),
     Safeguard(
         "a version that has gone is remembered",
         "scheduling/streamorigins",
--- a/tests/test_outofstep.py
+++ b/tests/test_outofstep.py
@@ -46,11 +46,10 @@
     def setUp(self) -> None:
         super().setUp()
         self._peer_networks: dict[str, PeerNetwork] = {}
-        for module, name in (
-            (originlookup, "MIN_WATCHED_S"),
-            (streamorigins, "KEPT_S"),
-        ):
-            self.enterContext(unittest.mock.patch.object(module, name, KEPT_S))
+        for module in (originlookup, streamorigins):
+            self.enterContext(
+                unittest.mock.patch.object(module, "KEPT_S", KEPT_S)
+            )
 
     async def start_at(self, group, path) -> Instance:
         """Starts an instance whose paths to the others can be cut."""
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -432,12 +432,8 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.enterContext(
-            unittest.mock.patch.object(originlookup, "MIN_WATCHED_S", 1.0)
-        )
-        self.enterContext(
-            unittest.mock.patch.object(streamorigins, "KEPT_S", 2.0)
-        )
+        for module in (originlookup, streamorigins):
+            self.enterContext(unittest.mock.patch.object(module, "KEPT_S", 2.0))
 
     def begun(self) -> CallerStream:
         """Returns a stream that no instance has begun."""
@@ -455,7 +451,11 @@
             stream = self.begun()
             await self.read(instances[1], stream, "u", Last_Event_Id="9")
             self.assertTrue(stream.complete)
-            await anyio.sleep(1.2)
+            # A caller that names an attempt may have begun at a version that
+            # went before.
+            stream = await self.take_up(instances[0], self.begun(), "v")
+            self.assertEqual(stream.status, 503)
+            await anyio.sleep(2.5)
             stream = await self.take_up(instances[0], self.begun(), "t")
             self.assertTrue(stream.complete)
             # Also while no store can confirm anything.
@@ -470,7 +470,7 @@
         async with self.site(1) as (site, (instance,)):
             stream = await self.take_up(instance, self.begun(), "t")
             self.assertEqual(stream.status, 503)
-            await anyio.sleep(1.2)
+            await anyio.sleep(2.5)
             stream = await self.take_up(instance, self.begun(), "u")
             self.assertTrue(stream.complete)
             await self.add(site, "b/v2")
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -12,20 +12,29 @@
     Route,
     ServiceShare,
 )
-from jasminerelay.originlookup import HOME, ONLY_VERSION, OWN, OriginLookup
+from jasminerelay.originlookup import (
+    EVERYONE,
+    HOME,
+    ONLY_VERSION,
+    OWN,
+    FoundOrigin,
+    OriginLookup,
+)
 from jasminerelay.registry import Registry
 from jasminerelay.scheduling.streamorigins import (
     ASKED,
     KEPT_S,
+    MAX_GAP_S,
     MAX_RECORDS,
-    MIN_WATCHED_S,
     TOLD,
     HomeRing,
     OriginRecords,
     SeenVersions,
     StreamOrigin,
     VersionHistory,
+    covered_s,
     key_of,
+    only_version,
 )
 from jasminerelay.schema.messages import Member, OriginAnswer, StreamsBegun
 from tests import virtualtime
@@ -63,6 +72,11 @@
     )
 
 
+async def confirmed() -> bool:
+    """Confirms, as a store that answers."""
+    return True
+
+
 def member(name: str, zone: str = "a") -> Member:
     """Returns an instance."""
     return Member(name, "", zone, "", "", name, "alive", 0)
@@ -156,12 +170,25 @@
 
     def setUp(self) -> None:
         self.history = VersionHistory()
-        self.history.start(100.0)
         self.history.record_routes((route(),), 100.0)
+        self.follow(100.0, 200.0)
+
+    def follow(self, since: float, until: float, age_s: float = 0.5) -> None:
+        """Lets time pass while the list is confirmed."""
+        now = since
+        while now <= until:
+            self.history.record_age(age_s, now)
+            now += 0.5
+
+    def view(
+        self, *listed: BackendServer, age_s: float = 0.5, now: float = 200.0
+    ) -> SeenVersions:
+        """Returns what this instance has seen of late."""
+        return self.history.seen(POOL, listed, age_s, now)
 
     def only(self, *listed: BackendServer, now: float = 200.0) -> str | None:
         """Returns the only version that this instance has seen of late."""
-        return self.history.seen(POOL, listed, now).only(MIN_WATCHED_S)
+        return only_version([self.view(*listed, now=now)], KEPT_S)
 
     def test_one_version(self) -> None:
         others = server("v9", service="other")
@@ -180,16 +207,43 @@
         # Guards against a guess of an instance that has seen no other version
         # only because it has not run for long, and against its refusals where
         # another one has.
-        young = self.history.seen(POOL, [server("v1")], 101.0)
-        self.assertIsNone(young.only(MIN_WATCHED_S))
-        self.assertEqual(young.only(0.0), "v1")
-        older = SeenVersions(frozenset({"v1"}), 50.0)
-        self.assertEqual(young.merged(older).only(MIN_WATCHED_S), "v1")
-        other = SeenVersions(frozenset({"v1", "v2"}), 50.0)
-        self.assertIsNone(young.merged(other).only(MIN_WATCHED_S))
+        young = SeenVersions(frozenset({"v1"}), 1.0, 0.0)
+        self.assertIsNone(only_version([young], KEPT_S))
+        self.assertEqual(only_version([young], 0.0), "v1")
+        older = SeenVersions(frozenset({"v1"}), KEPT_S, 0.5)
+        self.assertEqual(only_version([older, young], KEPT_S), "v1")
+        other = SeenVersions(frozenset({"v1", "v2"}), KEPT_S, 0.5)
+        self.assertIsNone(only_version([young, other], KEPT_S))
+
+    def test_view_that_ended_before_another_began(self) -> None:
+        # Guards against views that are added up although a version may have
+        # come and gone between them.
+        young = SeenVersions(frozenset({"v1"}), 1.0, 0.0)
+        behind = SeenVersions(frozenset({"v1"}), KEPT_S, 2.0 + MAX_GAP_S)
+        self.assertEqual(covered_s([young, behind]), 1.0)
+        near = SeenVersions(frozenset({"v1"}), 50.0, 0.9 + MAX_GAP_S)
+        self.assertAlmostEqual(covered_s([young, near]), 50.9 + MAX_GAP_S)
+        never = SeenVersions(frozenset({"v1"}), 0.0, float("inf"))
+        self.assertEqual(covered_s([never]), 0.0)
+
+    def test_list_that_was_not_confirmed_for_a_while(self) -> None:
+        # Guards against time that counts as watched while an instance was cut
+        # off, with the list that it had before.
+        self.history.record_age(MAX_GAP_S + 0.1, 200.5)
+        self.assertEqual(self.view(server("v1"), now=200.5).watched_s, 0.0)
+        self.follow(201.0, 203.0)
+        self.assertAlmostEqual(
+            self.view(server("v1"), now=203.0).watched_s, 2.0
+        )
+
+    def test_process_that_stood_still(self) -> None:
+        # Guards against the same in a process that was stalled: what came in
+        # meanwhile is read before its next check, and looks recent.
+        self.history.record_age(0.1, 205.0)
+        self.assertEqual(self.view(server("v1"), now=205.0).watched_s, 0.0)
 
     def test_restored_store(self) -> None:
-        self.history.restart(199.0)
+        self.history.restart()
         self.assertIsNone(self.only(server("v1")))
 
     def test_route_that_led_elsewhere(self) -> None:
@@ -251,8 +305,8 @@
         return lookup
 
     async def live(self, node: Node) -> None:
-        """Waits until the instance is stopped."""
-        await anyio.sleep_forever()
+        """Runs the instance until it is stopped."""
+        await node.watch.run()
 
     async def run(self) -> None:
         """Runs the simulation."""
@@ -368,6 +422,8 @@
         self.sent: list[tuple[str, object]] = []
         self.lookup = self.new_lookup("n1")
         self.members = [member(f"n{n}", "ab"[n % 2]) for n in (1, 2, 3)]
+        self.others = 4
+        self.run_s = 0.0
 
     def new_lookup(self, name: str) -> OriginLookup:
         """Returns an instance's lookup, whose messages are noted."""
@@ -434,17 +490,14 @@
         # Guards against a guess of an instance that is alone with a list of
         # servers that may be old.
         self.members = []
-        seen = SeenVersions(frozenset({"v1"}), 50.0)
-        self.lookup._seen = lambda service: seen
+        seen = SeenVersions(frozenset({"v1"}), KEPT_S)
+        self.lookup._view = lambda service: seen
         self.assertIsNone((await self.lookup.find(call("a", "b"))).origin)
-
-        async def confirmed() -> bool:
-            return True
-
         self.lookup.confirm = confirmed
         found = await self.lookup.find(call("a", "b"))
         self.assertEqual(
-            (found.origin, found.source), (OLD_ORIGIN, ONLY_VERSION)
+            (found.origin, found.source, found.proved_by),
+            (OLD_ORIGIN, ONLY_VERSION, "n1"),
         )
 
     async def test_version_that_another_instance_has_seen(self) -> None:
@@ -452,8 +505,9 @@
         # yet, or any more, at which the stream may have begun.
         for versions, origin in ((["v1"], OLD_ORIGIN), (["v1", "v2"], None)):
             lookup = self.new_lookup("n1")
-            seen = SeenVersions(frozenset({"v1"}), 50.0)
-            lookup._seen = lambda service, seen=seen: seen
+            seen = SeenVersions(frozenset({"v1"}), KEPT_S)
+            lookup._view = lambda service, seen=seen: seen
+            lookup.confirm = confirmed
 
             async def answer(lookup=lookup, versions=versions) -> None:
                 await anyio.sleep(0.01)
@@ -468,6 +522,61 @@
             self.assertEqual(found.origin, origin)
             self.sent.clear()
 
+    async def find_among(self, reaches_store: tuple[str, ...]) -> FoundOrigin:
+        """Takes an unknown stream up at the first of three instances.
+
+        Args:
+            reaches_store: Those that the store answers.
+        """
+        lookups = {name: self.new_lookup(name) for name in ("n1", "n2", "n3")}
+        seen = SeenVersions(frozenset({"v1"}), KEPT_S)
+        for name, lookup in lookups.items():
+            lookup._view = lambda service: seen
+            lookup.others = lambda: self.others
+            lookup._began_at -= self.run_s
+            if name in reaches_store:
+                lookup.confirm = confirmed
+        async with anyio.create_task_group() as group:
+
+            async def deliver() -> None:
+                while True:
+                    await anyio.sleep(0.005)
+                    sent, self.sent[:] = list(self.sent), []
+                    for to, message in sent:
+                        lookups[to].handle_message(message)
+
+            group.start_soon(deliver)
+            for lookup in lookups.values():
+                group.start_soon(lookup.run)
+            found = await lookups["n1"].find(call("a", "b"))
+            group.cancel_scope.cancel()
+        return found
+
+    async def test_instances_that_confirm_each_other(self) -> None:
+        # Guards against a guess of instances that are all out of step.
+        found = await self.find_among(())
+        self.assertEqual((found.origin, found.source), (None, ""))
+
+    async def test_all_instances_answer(self) -> None:
+        # Guards against refusals while the store is away from all, where each
+        # instance at which the stream may have begun answers, and against a
+        # proof by all that are left of those that there were.
+        self.others, self.run_s = 2, KEPT_S
+        found = await self.find_among(())
+        self.assertEqual(
+            (found.origin, found.proved_by), (OLD_ORIGIN, EVERYONE)
+        )
+        self.others = 3
+        self.assertIsNone((await self.find_among(())).origin)
+        self.others, self.run_s = 2, 1.0
+        self.assertIsNone((await self.find_among(())).origin)
+
+    async def test_proof_of_another_instance(self) -> None:
+        # Guards against refusals at an instance without the store, where
+        # another one reaches it.
+        found = await self.find_among(("n3",))
+        self.assertEqual((found.origin, found.proved_by), (OLD_ORIGIN, "n3"))
+
     async def test_stop_hands_over(self) -> None:
         # Guards against origins that are lost when both homes of a stream are
         # replaced one after the other, as in a planned update.
