Prove the list of servers by one call that takes-up share

A proof cut the waiting calls of both tables short, twice a second at the most: a take-up could wait for half a second. One call on the servers' table serves all that asked before it began, and none that asked later: 30 questions cost two calls at the most (test_listproof). What other instances state of ages no longer counts by construction.

--- a/src/jasminerelay/freshness.py
+++ b/src/jasminerelay/freshness.py
@@ -58,7 +58,6 @@
         """
         self._reads = {table: _Read(-1, NEVER) for table in tables}
         self._complete_at = NEVER
-        self._confirmed_here_at = NEVER
         self._ticked_at = NEVER
         self._ignore_ages_until = NEVER
 
@@ -75,17 +74,6 @@
         """Returns the age of the data; infinite before any confirmation."""
         return now - self._complete_at
 
-    def confirmed_here_since(self, moment: float) -> bool:
-        """Returns whether the store has proved the data complete up to then.
-
-        Ages that other instances state do not count: a message may have waited
-        in a buffer, and its sender may not know what it lacks.
-
-        Args:
-            moment: Boot time, in seconds.
-        """
-        return self._confirmed_here_at >= moment
-
     def record_answer(self, table: str, version: int, at: float) -> bool:
         """Records an answer of the store whose rows have been applied.
 
@@ -102,9 +90,7 @@
         if version < before.version:
             return False
         self._reads[table] = _Read(version, max(at, before.at))
-        proved_at = min(map(self._proved_at, self._reads.values()))
-        self._confirmed_here_at = max(self._confirmed_here_at, proved_at)
-        return self._advance_to(proved_at)
+        return self._advance_to(min(map(self._proved_at, self._reads.values())))
 
     def record_peer_age(self, age_s: float, now: float) -> None:
         """Records the age of another instance's data.
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -40,6 +40,7 @@
 from jasminerelay.httpclient import HttpClient
 from jasminerelay.httpconnection import HeadLimits
 from jasminerelay.limitwatch import LimitWatch
+from jasminerelay.listproof import ListProof
 from jasminerelay.membership import ALIVE, LEAVING
 from jasminerelay.metrics import Counters
 from jasminerelay.migration import StreamMigrator
@@ -137,12 +138,6 @@
 """Time between the closing of the ports and the exit, in which requests that
 have arrived are refused."""
 
-CONFIRM_TIMEOUT_S = 0.6
-"""Longest wait for a confirmation of the data; the store is asked for one twice
-a second at most."""
-
-CONFIRM_STEP_S = 0.01
-
 MAX_CONFIRMED_AGE_S = 1.8
 """Staleness of the tables' data up to which "not found" and "unknown key" are
 returned as final. A change must be in force two seconds after the store
@@ -493,7 +488,14 @@
         origins.members = self._peers.membership.live
         origins.send = self._peers.send_to_address
         origins.age_s = lambda: self._freshness.age_s(now_s())
-        origins.confirm = self._confirm_data
+        origins.confirm = ListProof(
+            SERVERS_TABLE,
+            TableSource(self._store, SERVERS_TABLE),
+            self.registry,
+            self._registry_feed,
+            self._store_state,
+            self.counters,
+        ).confirm
         origins.others = lambda: self._peers.expected_count - 1
         self.registry.on_unlisted = self._on_unlisted
         self._peers.on_origins = origins.handle_message
@@ -505,21 +507,6 @@
         else:
             self._origins.record_end(server)
 
-    async def _confirm_data(self) -> bool:
-        """Has the store confirm the data; returns whether it did.
-
-        A confirmation from before the call does not count, nor does one that
-        another instance states.
-        """
-        asked_at = now_s()
-        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
-            while not self._store_state.lost:
-                if self._freshness.confirmed_here_since(asked_at):
-                    return True
-                self._store_state.abort_waits_if_older(0.0)
-                await anyio.sleep(CONFIRM_STEP_S)
-        return False
-
     def _connect_crash_notices(self) -> None:
         notices = self._crash_notices
         notices.members = self._peers.membership.live
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1637,11 +1637,11 @@
         ".test_instances_that_confirm_each_other",
     ),
     Safeguard(
-        "only the store's answers to this instance prove its list",
-        "platform/root",
-        "if self._freshness.confirmed_here_since(asked_at):",
-        "if self._freshness.age_s(now_s()) < 600.0:",
-        "test_outofstep.CutOffTogetherTest.test_named",
+        "a call that has begun proves nothing to those that ask later",
+        "listproof",
+        "        asked = self._calls_begun\n",
+        "        asked = self._calls_begun - 1\n",
+        "test_listproof.ListProofTest.test_question_during_a_call",
     ),
     Safeguard(
         "time without a confirmation does not count as watched",
