--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -253,7 +253,9 @@
         timeout_s = VERSIONS_TIMEOUT_S if key == NO_KEY else ANSWER_TIMEOUT_S
         homes = self._homes(key or key_of(call.organisation, call.id), ASKED)
         question = _Question(homes)
-        await self._ask(question, call.service, key, timeout_s)
+        several = len(self._view(call.service).versions) > 1
+        if key != NO_KEY or not several:
+            await self._ask(question, call.service, key, timeout_s)
         origin, source, proved_by = question.origin, HOME, ""
         if origin is None:
             origin, proved_by = await self._only_version(call, key, question)
