Take few others that an instance knows at its start for no proof by all

An instance that starts beside one that is out of step knows of nobody else until that one has told it, so both together looked like everyone, and a take-up that names no attempt needed no time of running. Five seconds now, in which an instance looks for others every 0.2 s. The test fails without.

--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -63,6 +63,10 @@
 """For how long a stream may have run before it is taken up, in time limits of
 its route: callers send it once more at the most."""
 
+MIN_ACQUAINTED_S = 5.0
+"""Time after its start in which an instance may know of too few others: it
+learns of them from one that it meets."""
+
 NO_KEY = 0
 """Key of a question for the versions alone."""
 
@@ -374,7 +378,9 @@
         version = only_version(views, 0.0)
         if version is None:
             return None, ""
-        if self._is_everyone(asked) and self._runs_for(watched_s):
+        if self._is_everyone(asked) and self._runs_for(
+            max(watched_s, MIN_ACQUAINTED_S)
+        ):
             return StreamOrigin(call.service, version), EVERYONE
         proof = await self._prove(call.service, key, asked)
         if proof.origin is not None:
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1628,6 +1628,14 @@
         "return 0 < len(asked.answered_by)",
         "test_streamorigins.OriginLookupTest.test_all_instances_answer",
     ),
+    Safeguard(
+        "an instance that has just started may know of too few others",
+        "originlookup",
+        "            max(watched_s, MIN_ACQUAINTED_S)\n",
+        "            watched_s\n",
+        "test_streamorigins.OriginLookupTest"
+        ".test_instance_that_knows_few_others_yet",
+    ),
     Safeguard(
         "an answer without the store's confirmation proves nothing",
         "originlookup",
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -432,8 +432,12 @@
 
     def setUp(self) -> None:
         super().setUp()
-        for module in (originlookup, streamorigins):
-            self.enterContext(unittest.mock.patch.object(module, "KEPT_S", 2.0))
+        for module, name in (
+            (originlookup, "KEPT_S"),
+            (streamorigins, "KEPT_S"),
+            (originlookup, "MIN_ACQUAINTED_S"),
+        ):
+            self.enterContext(unittest.mock.patch.object(module, name, 2.0))
 
     def begun(self) -> CallerStream:
         """Returns a stream that no instance has begun."""
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -15,6 +15,7 @@
 from jasminerelay.originlookup import (
     EVERYONE,
     HOME,
+    MIN_ACQUAINTED_S,
     ONLY_VERSION,
     OWN,
     FoundOrigin,
@@ -522,11 +523,14 @@
             self.assertEqual(found.origin, origin)
             self.sent.clear()
 
-    async def find_among(self, reaches_store: tuple[str, ...]) -> FoundOrigin:
+    async def find_among(
+        self, reaches_store: tuple[str, ...], resumes: str = "b"
+    ) -> FoundOrigin:
         """Takes an unknown stream up at the first of three instances.
 
         Args:
             reaches_store: Those that the store answers.
+            resumes: The attempt that its caller names.
         """
         lookups = {name: self.new_lookup(name) for name in ("n1", "n2", "n3")}
         seen = SeenVersions(frozenset({"v1"}), KEPT_S)
@@ -548,7 +552,7 @@
             group.start_soon(deliver)
             for lookup in lookups.values():
                 group.start_soon(lookup.run)
-            found = await lookups["n1"].find(call("a", "b"))
+            found = await lookups["n1"].find(call("a", resumes))
             group.cancel_scope.cancel()
         return found
 
@@ -568,8 +572,18 @@
         )
         self.others = 3
         self.assertIsNone((await self.find_among(())).origin)
-        self.others, self.run_s = 2, 1.0
+        self.others, self.run_s = 2, MIN_ACQUAINTED_S + 1.0
         self.assertIsNone((await self.find_among(())).origin)
+        found = await self.find_among((), resumes="")
+        self.assertEqual(found.origin, OLD_ORIGIN)
+
+    async def test_instance_that_knows_few_others_yet(self) -> None:
+        # Guards against an instance that starts beside one that is out of step,
+        # knows of nobody else and takes the two for all that there are.
+        self.others = 2
+        for resumes in ("b", ""):
+            found = await self.find_among((), resumes)
+            self.assertIsNone(found.origin)
 
     async def test_proof_of_another_instance(self) -> None:
         # Guards against refusals at an instance without the store, where
