--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -11,6 +11,7 @@
 store, which carries them over a simultaneous restart of all instances.
 """
 
+import asyncio
 import contextlib
 import dataclasses
 import random
@@ -19,13 +20,15 @@
 
 import anyio
 
-from jasminerelay import fingerprint, rendezvous
+from jasminerelay import fingerprint, netstream, rendezvous
+from jasminerelay.addresses import split_address
 from jasminerelay.catalog import BackendServer, Call
 from jasminerelay.crashes import REQUEST, CrashLedger
 from jasminerelay.epidemic import EpidemicBroadcast
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
+from jasminerelay.netstream import OpenConnection
 from jasminerelay.peermessages import in_parts
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import CrashReport, Member, RequestCrashes
@@ -473,18 +476,19 @@
     return names
 
 
-async def refuses_connections(address: str) -> bool:
+async def refuses_connections(
+    address: str, open_connection: OpenConnection = netstream.open_connection
+) -> bool:
     """Returns whether an address refuses connections while its host answers.
 
     A time-out is no refusal.
     """
-    host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(PROBE_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
-    except TimeoutError:
-        return False
+            transport, _ = await open_connection(
+                asyncio.Protocol, *split_address(address)
+            )
     except OSError as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
-    await stream.aclose()
+        return isinstance(exc, ConnectionRefusedError)
+    transport.abort()
     return False
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -1,6 +1,7 @@
 """Composition root of an instance on the platform."""
 
 import dataclasses
+import functools
 import gc
 import logging
 import math
@@ -29,7 +30,7 @@
 from jasminerelay.catalog import BackendServer, Catalog
 from jasminerelay.channels import ChannelPool
 from jasminerelay.crashnotices import CrashNotices
-from jasminerelay.crashwatch import CrashWatch
+from jasminerelay.crashwatch import CrashWatch, refuses_connections
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
 from jasminerelay.errors import RelayError, StoreError
@@ -412,7 +413,14 @@
         )
         self._build_cells(member_id)
         self._crashes = CrashWatch(
-            member_id, self.registry, self.counters, self.log, self._rng
+            member_id,
+            self.registry,
+            self.counters,
+            self.log,
+            self._rng,
+            functools.partial(
+                refuses_connections, open_connection=self._open_connection
+            ),
         )
         self._crash_notices = CrashNotices(
             member_id, self.registry, self.counters, self.log, self._rng
