Decide in one place whether a server has ended, and on what proof

Cause: the crash watch took a refused direct connection for a server's end, the check of answers that end with their connection another rule, crash notices a third: a refusal, or two requests broken off at once. A network that refuses looks like a server that ended, so one instance cut off from servers blocked requests that nothing had harmed. Change: serverends decides, with three results: ended (with the evidence), alive, unknown. A refusal counts beside the word of another instance that reaches servers now and is refused too, or while this instance reaches another server and no other one reaches this. Unknown blames no request and is told to nobody. Crash watch, crash notices and the end of answers by connection use it; refuses_connections and ChannelPool.refuses are gone. A witness proves by a connection to another server that it reaches servers now, and says whether the server refused (relay-reason). Ruled out: the own path alone (a cut from one server looks the same), rows that are gone (planned ends, too).

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -46,6 +46,7 @@
 )
 from jasminerelay.scheduling.servercapacity import StatedLoad
 from jasminerelay.serverconnection import ServerResponse
+from jasminerelay.serverends import may_have_ended
 from jasminerelay.streammoves import StreamMoves
 from jasminerelay.streamtimer import StreamTimer
 
@@ -71,6 +72,10 @@
 STOPPED_END_S = 0.3
 """Longest wait for the end of the stream of a run that has been stopped."""
 
+CONFIRM_TIMEOUT_S = 0.25
+"""Longest wait for the word of other instances on a server whose connection
+ended, before the answer's caller learns of the end."""
+
 NO_TIMEOUT_S = 3600.0
 
 OK = 200
@@ -664,7 +669,8 @@
             return ""
         if not self._context.dispatcher.is_in_use(server):
             return ""
-        if not await self._context.channels.refuses(server):
+        end = await self._context.ends.find(server, CONFIRM_TIMEOUT_S)
+        if not may_have_ended(end):
             return ""
         self._context.counters.incr("backend.ended_with_answer")
         return "the connection ended, and its server does not listen any more"
--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -1,6 +1,7 @@
 """Connections to backend servers, pooled where reuse is safe."""
 
 import collections
+import contextlib
 import dataclasses
 import functools
 import time
@@ -52,9 +53,6 @@
 
 PROBE_TIMEOUT_S = 0.5
 
-CONFIRM_TIMEOUT_S = 0.25
-"""Longest wait for a connection that tells whether a server still listens."""
-
 
 @dataclasses.dataclass(frozen=True)
 class _IdleChannel:
@@ -252,27 +250,28 @@
 
     async def probe_directly(self, server: BackendServer) -> None:
         """Tries a server that is out of reach with a direct connection."""
-        try:
-            channel = await self._open_direct(server, PROBE_TIMEOUT_S)
-        except NotSentError:
-            return
+        with contextlib.suppress(NotSentError):
+            await self.connect_directly(server, PROBE_TIMEOUT_S)
+
+    async def connect_directly(
+        self, server: BackendServer, timeout_s: float
+    ) -> None:
+        """Opens a direct connection, and keeps it for the next request.
+
+        Raises:
+            NotSentError: if the connection can't be opened.
+        """
+        channel = await self._open_direct(server, timeout_s)
         await self.put_back(channel, None, False)
 
-    async def refuses(self, server: BackendServer) -> bool:
-        """Returns whether nothing listens at a server's address any more.
+    async def connect_relayed(self, server: BackendServer) -> None:
+        """Opens a connection through another instance, and keeps it.
 
-        A connection that shows the opposite is kept for the next request.
-        Where this instance does not reach the server, others are asked.
+        Raises:
+            NotSentError: if no instance could open one.
         """
-        try:
-            if self._paths.relays(server.id):
-                channel = await self._open_relayed(server)
-            else:
-                channel = await self._open_direct(server, CONFIRM_TIMEOUT_S)
-        except NotSentError as exc:
-            return exc.refused or exc.unreached
+        channel = await self._open_relayed(server, ask_all=True)
         await self.put_back(channel, None, False)
-        return False
 
     async def _open(self, server: BackendServer) -> Channel:
         if not self._paths.relays(server.id):
@@ -340,8 +339,10 @@
         self._paths.record_direct(server.id, time.monotonic())
         return Channel(server, conn)
 
-    async def _open_relayed(self, server: BackendServer) -> Channel:
-        relay = await self._relays.open(server)
+    async def _open_relayed(
+        self, server: BackendServer, *, ask_all: bool = False
+    ) -> Channel:
+        relay = await self._relays.open(server, ask_all=ask_all)
         if self._paths.record_relayed(server.id, time.monotonic()):
             self._counters.incr("path.out_of_reach")
             self.on_out_of_reach(server)
--- a/src/jasminerelay/crashnotices.py
+++ b/src/jasminerelay/crashnotices.py
@@ -67,17 +67,21 @@
         self.on_refuted: Callable[[BackendServer], None] = lambda _: None
 
     def on_failure(
-        self, server: BackendServer, *, refused: bool, broken: bool = False
+        self,
+        server: BackendServer,
+        *,
+        ended: bool = False,
+        broken: bool = False,
     ) -> None:
         """Handles a request that a server did not answer.
 
         Args:
             server: The server.
-            refused: Whether nothing listened at its address.
+            ended: Whether its end is proved (`serverends`).
             broken: Whether it closed the connection.
         """
         self._crashes.record_failure(
-            server.id, time.monotonic(), refused=refused, broken=broken
+            server.id, time.monotonic(), ended=ended, broken=broken
         )
         if self._crashes.pending:
             self._noticed.set()
--- a/src/jasminerelay/crashwatch.py
+++ b/src/jasminerelay/crashwatch.py
@@ -1,7 +1,7 @@
 """Keeps requests that crash servers away from servers, at all instances.
 
-When the connection of an in-flight request breaks off, the instance probes
-whether the server still accepts connections. A server that refuses them has
+When the connection of an in-flight request breaks off, the instance finds out
+whether its server has ended (`serverends`). If that is proved, the server has
 crashed, and the request was in flight at that moment.
 
 A request's first crash is reported to two instances, its coordinators by
@@ -11,7 +11,6 @@
 store, which carries them over a simultaneous restart of all instances.
 """
 
-import asyncio
 import contextlib
 import dataclasses
 import random
@@ -20,27 +19,21 @@
 
 import anyio
 
-from jasminerelay import fingerprint, netstream, rendezvous
-from jasminerelay.addresses import split_address
+from jasminerelay import fingerprint, rendezvous
 from jasminerelay.catalog import BackendServer, Call
 from jasminerelay.crashes import REQUEST, CrashLedger
 from jasminerelay.epidemic import EpidemicBroadcast
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
-from jasminerelay.netstream import OpenConnection
 from jasminerelay.peermessages import in_parts
 from jasminerelay.registry import Registry
 from jasminerelay.schema.messages import CrashReport, Member, RequestCrashes
+from jasminerelay.serverends import Ended, FindEnd
 
 TICK_S = 0.1
 """Interval at which notifications are sent to other instances."""
 
-PROBE_TIMEOUT_S = 1.0
-"""How long a server may take to accept or refuse a connection. One that does
-neither is unreachable or unresponsive, which is no evidence against its
-requests."""
-
 PROBE_DELAYS_S = (0.0, 0.05, 0.25)
 """Delays before each probe of a server that lost a connection. A crashing
 server may go on accepting connections for a moment after it dropped those that
@@ -54,7 +47,7 @@
 count as harmless."""
 
 CRASHED_SERVER_TTL_S = 5.0
-"""How long a server that refused a connection counts as crashed for other
+"""How long a server that has ended counts as crashed for other
 requests whose connections broke off; these breaks show within milliseconds."""
 
 COORDINATORS_PER_REQUEST = 2
@@ -85,8 +78,8 @@
     Attributes:
         first_attempt_done: Set after the first attempt to connect.
         finished: Whether there are no further attempts.
-        crashed_at: Monotonic time at which the server refused a connection;
-            None if it has not.
+        crashed_at: Monotonic time at which its end was proved; None if it was
+            not.
         lost_requests: Fingerprints of the requests whose connections to the
             server broke off during the probe, and of parts of their prompts,
             with their widths.
@@ -120,8 +113,7 @@
         ledger: Crashes by request.
         members: Returns the live instances.
         send: Sends a message to an instance, without confirmation.
-        on_refused: Called with a server that broke off a request and then
-            refused a connection.
+        on_ended: Called with a server whose end was proved.
     """
 
     def __init__(
@@ -131,7 +123,7 @@
         counters: Counters,
         log: EventLog,
         rng: random.Random,
-        probe_refused: Callable[[str], Awaitable[bool]] | None = None,
+        find_end: FindEnd,
     ):
         """Creates a watch without any crashes.
 
@@ -141,8 +133,7 @@
             counters: Receives counts of events.
             log: Receives events.
             rng: Source of random choices.
-            probe_refused: Returns whether nothing listens at an address; None
-                for `refuses_connections`.
+            find_end: Finds out whether a server has ended.
         """
         self.ledger = CrashLedger()
         self._own = own
@@ -157,11 +148,11 @@
         self._save_requested = anyio.Event()
         self._work_available = anyio.Event()
         self._waiting: dict[anyio.CancelScope, Call] = {}
-        self._probe_refused = probe_refused or refuses_connections
+        self._find_end = find_end
         self._probing: anyio.abc.TaskGroup | None = None
         self.members: Callable[[], Sequence[Member]] = lambda: ()
         self.send: Callable[[Member, CrashReport], None] = lambda to, _: None
-        self.on_refused: Callable[[str], None] = lambda server: None
+        self.on_ended: Callable[[str], None] = lambda server: None
 
     def is_blocked(self, call: Call) -> bool:
         """Returns whether a request must not be sent to any server."""
@@ -206,15 +197,10 @@
             server: The server.
             events_s: Time since the first event of its stream; 0 before that.
         """
-        held = self._registry.server(server.id)
-        if held is None or held.draining or self._probing is None:
+        probe = self._probe_of(server)
+        if probe is None:
             return
         names = _names_of(call, with_parts=events_s < PARTS_CLEARED_S)
-        probe = self._probes.get(server.id)
-        if probe is None or (probe.finished and probe.crashed_at is None):
-            probe = self._probes[server.id] = _Probe()
-            self._probing.start_soon(self._probe, server, probe)
-            self._work_available.set()
         if probe.crashed_at is not None:
             for name, width in names.items():
                 self._record_crash(name, server.id, width)
@@ -223,6 +209,22 @@
         with anyio.move_on_after(MAX_PROBE_WAIT_S):
             await probe.first_attempt_done.wait()
 
+    def on_refused(self, server: BackendServer) -> None:
+        """Has a server probed that refused a connection to this instance."""
+        self._probe_of(server)
+
+    def _probe_of(self, server: BackendServer) -> _Probe | None:
+        """Returns the probe of a server, begun if there is none in progress."""
+        held = self._registry.server(server.id)
+        if held is None or held.draining or self._probing is None:
+            return None
+        probe = self._probes.get(server.id)
+        if probe is None or (probe.finished and probe.crashed_at is None):
+            probe = self._probes[server.id] = _Probe()
+            self._probing.start_soon(self._probe, server, probe)
+            self._work_available.set()
+        return probe
+
     def record_completion(self, call: Call) -> None:
         """Records that a server sent a request's complete response."""
         if not len(self.ledger):
@@ -311,19 +313,22 @@
         try:
             for pause_s in PROBE_DELAYS_S:
                 await anyio.sleep(pause_s)
-                if await self._probe_refused(server.address):
-                    self._record_server_crash(server.id, probe)
+                end = await self._find_end(server)
+                if isinstance(end, Ended):
+                    self._record_server_crash(server.id, probe, end)
                     break
                 probe.first_attempt_done.set()
         finally:
             probe.first_attempt_done.set()
             probe.finished = True
 
-    def _record_server_crash(self, server: str, probe: _Probe) -> None:
+    def _record_server_crash(
+        self, server: str, probe: _Probe, end: Ended
+    ) -> None:
         probe.crashed_at = time.monotonic()
         self._counters.incr("crash.server_ended")
-        self.on_refused(server)
-        self._log.warn("server_ended", server=server)
+        self.on_ended(server)
+        self._log.warn("server_ended", server=server, evidence=end.evidence)
         for name, width in probe.lost_requests.items():
             self._record_crash(name, server, width)
         # Send at once: this instance may stop next, and no other one has the
@@ -474,21 +479,3 @@
         parts = fingerprint.of_parts(call)
         names.update(zip(parts, range(len(parts), 0, -1), strict=True))
     return names
-
-
-async def refuses_connections(
-    address: str, open_connection: OpenConnection = netstream.open_connection
-) -> bool:
-    """Returns whether an address refuses connections while its host answers.
-
-    A time-out is no refusal.
-    """
-    try:
-        with anyio.fail_after(PROBE_TIMEOUT_S):
-            transport, _ = await open_connection(
-                asyncio.Protocol, *split_address(address)
-            )
-    except OSError as exc:
-        return isinstance(exc, ConnectionRefusedError)
-    transport.abort()
-    return False
--- a/src/jasminerelay/exchange.py
+++ b/src/jasminerelay/exchange.py
@@ -178,7 +178,7 @@
         why: The reason.
         withheld: Whether this instance decided not to send it, so that it says
             nothing about the server.
-        refused: Whether nothing listens at the server's address.
+        refused: Whether the connection was refused, by the server or a network.
     """
 
     why: str
--- a/src/jasminerelay/forwarding.py
+++ b/src/jasminerelay/forwarding.py
@@ -352,9 +352,11 @@
             if isinstance(outcome, NotSent | Unknown | Interrupted):
                 self._context.crash_notices.on_failure(
                     server,
-                    refused=isinstance(outcome, NotSent) and outcome.refused,
                     broken=not isinstance(outcome, NotSent) and outcome.broken,
                 )
+            if isinstance(outcome, NotSent) and outcome.refused:
+                # It is reported only once its end is proved.
+                self._context.crashes.on_refused(server)
 
     async def _record_crash(
         self, server: BackendServer, outcome: Outcome
--- a/src/jasminerelay/forwardingcontext.py
+++ b/src/jasminerelay/forwardingcontext.py
@@ -18,6 +18,7 @@
 from jasminerelay.pendingstarts import PendingStarts
 from jasminerelay.placementqueue import RequestPlacer
 from jasminerelay.scheduling.heldbytes import HeldBytes
+from jasminerelay.serverends import ServerEnds
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.telemetry import Telemetry
@@ -48,6 +49,7 @@
             log.
         held: Counts the bytes that the instance holds.
         crash_notices: Reports of crashed servers.
+        ends: Finds out whether servers have ended.
         origins: Where streams began.
         pending_starts: Plain requests whose start is not known yet.
         may_move: Returns whether runs may be moved; not before the exit.
@@ -71,6 +73,7 @@
     versions: Callable[[], dict[str, float]]
     held: HeldBytes
     crash_notices: CrashNotices
+    ends: ServerEnds
     origins: OriginLookup
     pending_starts: PendingStarts = dataclasses.field(
         default_factory=PendingStarts
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -30,17 +30,11 @@
 
 
 class NotSentError(Exception):
-    """No byte of the request was sent; it provably was not executed.
-
-    Attributes:
-        unreached: Whether another instance did not reach the server either.
-    """
-
-    unreached = False
+    """No byte of the request was sent; it provably was not executed."""
 
     @property
     def refused(self) -> bool:
-        """Whether a connection failed since nothing listens."""
+        """Whether the connection was refused, by the server or a network."""
         cause: BaseException | None = self
         while cause is not None:
             if isinstance(cause, ConnectionRefusedError):
@@ -50,9 +44,17 @@
 
 
 class ServerUnreachedError(NotSentError):
-    """Another instance has tried to connect to a server and could not."""
+    """Another instance has tried to connect to a server and could not.
+
+    Attributes:
+        refused_there: Whether the server refused its connection, while it
+            reached others.
+    """
 
-    unreached = True
+    def __init__(self, why: str, *, refused_there: bool = False):
+        """Creates the error."""
+        super().__init__(why)
+        self.refused_there = refused_there
 
 
 class IncompleteExchangeError(Exception):
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -1,7 +1,6 @@
 """Composition root of an instance on the platform."""
 
 import dataclasses
-import functools
 import gc
 import logging
 import math
@@ -30,7 +29,7 @@
 from jasminerelay.catalog import BackendServer, Catalog
 from jasminerelay.channels import ChannelPool
 from jasminerelay.crashnotices import CrashNotices
-from jasminerelay.crashwatch import CrashWatch, refuses_connections
+from jasminerelay.crashwatch import CrashWatch
 from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.drainwatch import DrainWatch
 from jasminerelay.errors import RelayError, StoreError
@@ -79,6 +78,7 @@
     RequestCrashes,
     StoreSnapshot,
 )
+from jasminerelay.serverends import ServerEnds
 from jasminerelay.serverpauses import ServerPauses
 from jasminerelay.sharedbudget import SharedRetryBudget
 from jasminerelay.stopping import PlannedShutdown
@@ -418,9 +418,8 @@
             self.counters,
             self.log,
             self._rng,
-            functools.partial(
-                refuses_connections, open_connection=self._open_connection
-            ),
+            # Built later, with the paths to servers.
+            lambda server: self._ends.find(server),
         )
         self._crash_notices = CrashNotices(
             member_id, self.registry, self.counters, self.log, self._rng
@@ -452,13 +451,17 @@
     def _build_paths(self) -> None:
         self._paths = ServerPaths()
         self.dispatcher.out_of_reach = self._paths.relays
-        relays = RelayClient(
-            self.boot.zone,
-            lambda: [
+
+        def others() -> list[Member]:
+            return [
                 member
                 for member in self._peers.membership.live()
                 if member.peers != self.boot.peers
-            ],
+            ]
+
+        relays = RelayClient(
+            self.boot.zone,
+            others,
             self._watchdog,
             self.counters,
             self._rng,
@@ -471,6 +474,14 @@
             relays,
         )
         self._channels.on_out_of_reach = self._on_out_of_reach
+        self._ends = ServerEnds(
+            self._channels,
+            self._paths,
+            self.registry.servers,
+            lambda: not others(),
+            self.counters,
+            self._rng,
+        )
         self._path_probes = PathProbes(
             self._paths,
             self._channels,
@@ -527,12 +538,12 @@
             server.service
         ).succeeded(server.id)
         self._peers.on_crashed_servers = notices.handle_message
-        self._crashes.on_refused = self._on_server_refused
+        self._crashes.on_ended = self._on_server_ended
 
-    def _on_server_refused(self, server_id: str) -> None:
+    def _on_server_ended(self, server_id: str) -> None:
         server = self.registry.server(server_id)
         if server is not None:
-            self._crash_notices.on_failure(server, refused=True)
+            self._crash_notices.on_failure(server, ended=True)
 
     def _build_cells(self, member_id: str) -> None:
         boot = self.boot
@@ -609,6 +620,7 @@
             self._versions,
             self.held,
             self._crash_notices,
+            self._ends,
             self._origins,
             self._duties.pending_starts if self._duties else PendingStarts(),
             self._may_move,
@@ -675,6 +687,7 @@
             self._open_connection,
             self.counters,
             lambda: self._paths.reaches_servers(time.monotonic()),
+            self._ends.path_is_good,
         )
 
         relays.on_unreachable = self._path_probes.doubt
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -90,15 +90,23 @@
         self._left_out_until: dict[str, float] = {}
         self._zone_last_until = -math.inf
 
-    async def open(self, server: BackendServer) -> RelayedConnection:
+    async def open(
+        self, server: BackendServer, *, ask_all: bool = False
+    ) -> RelayedConnection:
         """Opens a connection.
 
+        Args:
+            server: The server.
+            ask_all: Whether to ask instances that are left out, too, after the
+                others. Their word may be all there is.
+
         Raises:
             NotSentError: if no instance could open one.
         """
         failed_zones: set[str] = set()
         witnesses: list[str] = []
-        for member in self._choose(time.monotonic()):
+        refused_there = False
+        for member in self._choose(time.monotonic(), ask_all=ask_all):
             conn = ServerConnection(self._watchdog)
             protocol = RelayProtocol(member.peers, server.id, conn)
             status = 0
@@ -118,16 +126,24 @@
                 return RelayedConnection(conn, member.instance, protocol)
             self._counters.incr("path.relay_failed")
             failed_zones.add(member.zone)
+            if protocol.reason == relayport.UNKNOWN:
+                # It relays connections to other servers.
+                continue
             if status != relayport.SERVER_UNREACHABLE:
                 self.leave_out(member.instance)
                 continue
             witnesses.append(member.zone)
+            refused_there |= protocol.reason == relayport.REFUSED
             if self._are_enough(witnesses):
                 raise ServerUnreachedError(
-                    "other instances do not reach it either"
+                    "other instances do not reach it either",
+                    refused_there=refused_there,
                 )
         if witnesses:
-            raise ServerUnreachedError("another instance does not reach it")
+            raise ServerUnreachedError(
+                "another instance does not reach it",
+                refused_there=refused_there,
+            )
         raise NotSentError("no other instance relays connections")
 
     def _are_enough(self, witnesses: list[str]) -> bool:
@@ -147,7 +163,7 @@
         """Asks an instance for nothing for a while."""
         self._left_out_until[instance] = time.monotonic() + LEFT_OUT_S
 
-    def _choose(self, now: float) -> list[Member]:
+    def _choose(self, now: float, *, ask_all: bool = False) -> list[Member]:
         """Returns the instances to ask, in order."""
         self._left_out_until = {
             name: until
@@ -165,6 +181,8 @@
             order = _zones_in_turn(found, first=self._zone)
         else:
             order = _zones_in_turn(found)
+        if ask_all:
+            order += [x for x in peers if x.instance in self._left_out_until]
         return order[:MAX_TRIED]
 
 
@@ -202,6 +220,7 @@
     Attributes:
         status: Future of its status.
         lost: Whether it ended without saying how the server's side ended.
+        reason: Why the relaying instance opened no connection, if it says so.
     """
 
     def __init__(self, address: str, server: str, conn: ServerConnection):
@@ -225,6 +244,7 @@
         self._partial_head = b""
         self._data_left = 0
         self.lost = False
+        self.reason = b""
         self.status: asyncio.Future[int] = (
             asyncio.get_running_loop().create_future()
         )
@@ -259,6 +279,11 @@
         """Resumes it."""
         self._conn.resume_writing()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Reads why the server was not reached."""
+        if name.lower() == relayport.REASON_FIELD:
+            self.reason = value
+
     def on_headers_complete(self) -> None:
         """Reports the status."""
         if self.status.done():
--- a/src/jasminerelay/relayport.py
+++ b/src/jasminerelay/relayport.py
@@ -11,7 +11,8 @@
 import asyncio
 import contextlib
 import struct
-from collections.abc import Callable
+import time
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
 
 import anyio
@@ -36,12 +37,22 @@
 
 PIECE_BYTES = 64 * 1024
 
+PathIsGood = Callable[[BackendServer, float], Awaitable[bool | None]]
+
 FRAME_HEAD = struct.Struct(">BI")
 """Kind of a frame, and the size of the data that follows."""
 
 DATA, ENDED, RESET = range(3)
 """Kinds of frames: bytes of the server; its side ended, or was reset."""
 
+REASON_FIELD = b"relay-reason"
+REFUSED = b"refused"
+"""Reason of a `SERVER_UNREACHABLE`: the server refused the connection."""
+
+UNKNOWN = b"unknown"
+"""Reason of an `UNKNOWN_SERVER`. Programs that don't know the call answer the
+same status without a reason."""
+
 OPEN = 200
 UNKNOWN_SERVER = 404
 SERVER_UNREACHABLE = 502
@@ -67,6 +78,7 @@
         open_connection: OpenConnection,
         counters: Counters,
         reaches_servers: Callable[[], bool] = lambda: True,
+        path_is_good: PathIsGood | None = None,
     ):
         """Creates the application.
 
@@ -79,7 +91,10 @@
             counters: Counts connections.
             reaches_servers: Returns whether this instance has reached any
                 server lately.
+            path_is_good: Returns whether this instance reaches servers other
+                than one since a monotonic time; None if there is no other.
         """
+        self._path_is_good = path_is_good
         self._reaches_servers = reaches_servers
         self._find_server = find_server
         self._may_relay = may_relay
@@ -96,7 +111,7 @@
         query = parse_qs(scope["query_string"].decode("latin-1"))
         server = self._find_server(query.get(SERVER_FIELD, [""])[0])
         if server is None:
-            await self._refuse(send, UNKNOWN_SERVER)
+            await self._refuse(send, UNKNOWN_SERVER, UNKNOWN)
             return
         if self.count >= MAX_RELAYS or not self._may_relay(server.id):
             await self._refuse(send, NOT_RELAYING)
@@ -108,13 +123,19 @@
             self.count -= 1
 
     async def _relay(self, server: BackendServer, receive, send) -> None:
+        began_at = time.monotonic()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 reader, writer = await self._connect(server)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as exc:
             self.on_unreachable(server.id)
-            witness = self._reaches_servers()
-            await self._refuse(send, SERVER_UNREACHABLE if witness else CUT_OFF)
+            witness = await self._is_witness(server, began_at)
+            refused = witness and isinstance(exc, ConnectionRefusedError)
+            await self._refuse(
+                send,
+                SERVER_UNREACHABLE if witness else CUT_OFF,
+                REFUSED if refused else b"",
+            )
             return
         self.on_reached(server.id)
         self._counters.incr("relay.opened")
@@ -133,6 +154,12 @@
                 }
             )
 
+    async def _is_witness(self, server: BackendServer, since: float) -> bool:
+        good = None
+        if self._path_is_good is not None:
+            good = await self._path_is_good(server, since)
+        return self._reaches_servers() if good is None else good
+
     async def _connect(
         self, server: BackendServer
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -145,8 +172,9 @@
         netstream.enable_keepalive(transport.get_extra_info("socket"))
         return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
-    async def _refuse(self, send, status: int) -> None:
+    async def _refuse(self, send, status: int, reason: bytes = b"") -> None:
         self._counters.incr(f"relay.refused.{status}")
+        fields = [(REASON_FIELD, reason)] if reason else []
         await send(
             {
                 "type": "http.response.start",
@@ -154,6 +182,7 @@
                 "headers": [
                     (b"content-length", b"0"),
                     (b"connection", b"close"),
+                    *fields,
                 ],
             }
         )
--- a/src/jasminerelay/scheduling/servercrashes.py
+++ b/src/jasminerelay/scheduling/servercrashes.py
@@ -9,10 +9,6 @@
 import dataclasses
 import math
 
-MIN_BREAKS = 2
-"""Requests whose connections to a server break off at once, from which on this
-counts as a crash. One alone may have been the connection's."""
-
 AT_ONCE_S = 0.5
 """Time span within which failures count as simultaneous."""
 
@@ -39,7 +35,7 @@
         failed_at: Time of its last failure.
         first_at: Time of the first of the simultaneous failures.
         breaks: Requests that it broke off at once.
-        refused: Whether it refused a connection among them.
+        ended: Whether its end was proved among them.
         responded_at: Time of its last response.
         told_at: Time of the last report of its crash, by any instance.
         heard_at: Time of the last report that was believed.
@@ -48,7 +44,7 @@
     failed_at: float = -math.inf
     first_at: float = -math.inf
     breaks: int = 0
-    refused: bool = False
+    ended: bool = False
     responded_at: float = -math.inf
     told_at: float = -math.inf
     heard_at: float = -math.inf
@@ -61,7 +57,7 @@
 
     Example:
         >>> crashes = ServerCrashes()
-        >>> crashes.record_failure("engine-1@5", 10.0, refused=True)
+        >>> crashes.record_failure("engine-1@5", 10.0, ended=True)
         >>> crashes.take_reports(10.2)
         (['engine-1@5'], False)
     """
@@ -80,7 +76,7 @@
         server: str,
         now: float,
         *,
-        refused: bool = False,
+        ended: bool = False,
         broken: bool = False,
     ) -> None:
         """Records a request that a server did not answer.
@@ -88,8 +84,9 @@
         Args:
             server: ID of the server.
             now: Current time.
-            refused: Whether nothing listened at its address.
-            broken: Whether it closed the connection of the request.
+            ended: Whether its end is proved.
+            broken: Whether it closed the connection of the request, which
+                proves nothing by itself.
         """
         record = self._get(server)
         if now - record.failed_at > AT_ONCE_S or record.responded_at > (
@@ -97,11 +94,11 @@
         ):
             record.first_at = now
             record.breaks = 0
-            record.refused = False
+            record.ended = False
         record.failed_at = now
         record.breaks += broken
-        record.refused = record.refused or refused
-        if record.refused or record.breaks >= MIN_BREAKS:
+        record.ended = record.ended or ended
+        if record.ended:
             self._unreported[server] = None
 
     def record_response(self, server: str, now: float) -> bool:
@@ -146,7 +143,6 @@
         """Returns the evidence of a server's crash, for the log."""
         record = self._get(server)
         return {
-            "refused": record.refused,
             "breaks": record.breaks,
             "age_s": round(now - record.first_at, 3),
         }
--- a/src/jasminerelay/scheduling/serverpaths.py
+++ b/src/jasminerelay/scheduling/serverpaths.py
@@ -50,6 +50,11 @@
         """Number of servers known to be out of reach."""
         return len(self._out_of_reach)
 
+    @property
+    def last_direct_at(self) -> float:
+        """Time of the last direct connection to any server."""
+        return self._last_direct_at
+
     @property
     def cut(self) -> bool:
         """Whether all servers count as out of reach."""
