Split the dispatcher into parts with one job each

Cause: dispatcher.py had grown to 1,325 lines and held everything that decides or estimates a placement.

Change: its code moves, unchanged, into `dispatching`: usableservers, requestneeds, kindservers, candidates, serverchoice, waitestimates, movetargets, servermeasurements. `Dispatcher` (482 lines) assembles them and keeps its public methods and attributes. LONGER_FACTOR moves to `placing`, since a part may import nothing that does I/O; test_docs now checks that of all parts.

Tests: stubs and readings of private state follow the moved names (`_usable.engine_of`, `_kinds._splits`, `_waits._kind_queues`, `_candidates`); `dispatcher()` in test_dispatcher takes the number of instances, where tests set it afterwards. No assertion changed.

--- a/src/jasminerelay/placementqueue.py
+++ b/src/jasminerelay/placementqueue.py
@@ -14,7 +14,7 @@
 from jasminerelay.catalog import Call
 from jasminerelay.errors import NoCapacityError
 from jasminerelay.metrics import Counters
-from jasminerelay.placing import PlacementDecision, Wait
+from jasminerelay.placing import LONGER_FACTOR, PlacementDecision, Wait
 from jasminerelay.scheduling.fairshare import (
     REPORT_INTERVAL_S,
     FairShares,
@@ -42,10 +42,6 @@
 """Longest remaining pause of all servers for which a request waits here; with a
 longer one its caller is asked to come back. A caller takes as long to retry."""
 
-LONGER_FACTOR = 2.0
-"""Size of a less urgent request, relative to a late urgent one, above which it
-does not begin while that one waits."""
-
 PASS_INTERVAL_S = 0.03
 """Interval of placement passes without any event. Load reports of other
 instances, which can also show free capacity, come about as often."""
--- a/src/jasminerelay/placing.py
+++ b/src/jasminerelay/placing.py
@@ -74,6 +74,10 @@
 """Weight of the decode time in the score: the objective applies to the first
 event, but a loaded engine slows all its streams."""
 
+LONGER_FACTOR = 2.0
+"""Size of a less urgent request, relative to a late urgent one, above which it
+does not begin while that one waits."""
+
 SLOW_FACTOR = 2.0
 """Time per token, relative to that of its peers, at which a server counts as
 slow."""
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -712,7 +712,7 @@
     ),
     Safeguard(
         "late urgent requests use the servers of longer kinds",
-        "dispatcher",
+        "dispatching/kindservers",
         "        if now - call.arrived_at <= call.route.objective_s:\n"
         "            return set()\n",
         "        return set()\n",
@@ -819,15 +819,15 @@
     ),
     Safeguard(
         "streams from a draining server are spread",
-        "dispatcher",
-        "owner(call.id, by_id)])\n\n    def _migration",
-        'owner("", by_id)])\n\n    def _migration',
+        "dispatching/movetargets",
+        "owner(call.id, by_id)]\n\n    def needs_",
+        'owner("", by_id)]\n\n    def needs_',
         "test_dispatcher.MigrationTargetTest"
         ".test_instances_choose_different_servers",
     ),
     Safeguard(
         "moved streams stay on servers of their kind",
-        "dispatcher",
+        "dispatching/movetargets",
         "for item in available or group}",
         "for item in available or servers}",
         "test_dispatcher.MigrationTargetTest.test_stays_on_servers_of_its_kind",
@@ -849,7 +849,7 @@
     ),
     Safeguard(
         "step times are measured without prefill only",
-        "dispatcher",
+        "dispatching/servermeasurements",
         "prefill_s > UNDISTURBED_PREFILL_S",
         "False",
         "test_dispatcher.StepTimeTest.test_prefill_is_not_part_of_the_step_time",
@@ -1278,7 +1278,7 @@
     ),
     Safeguard(
         "servers in a pause get no requests",
-        "dispatcher",
+        "dispatching/serverchoice",
         "        if self._pauses:\n            return self._place_with_pauses",
         "        if False:\n            return self._place_with_pauses",
         "test_serverpauses.PausePlacementTest.test_neither_placed_nor_moved_there",
@@ -1421,7 +1421,7 @@
     ),
     Safeguard(
         "a server that looks slow is tried",
-        "dispatcher",
+        "dispatching/candidates",
         "% TRIAL_INTERVAL == 0",
         "% TRIAL_INTERVAL < 0",
         "test_dispatcher.ServerSpeedTest.test_slow_server_is_tried_again",
@@ -1451,9 +1451,9 @@
     ),
     Safeguard(
         "a kind whose servers have all failed uses others",
-        "dispatcher",
-        "if group_failed or self._may_use_any_server(call, now):",
-        "if self._may_use_any_server(call, now):",
+        "dispatching/serverchoice",
+        "if group_failed or self._kinds.may_use_any_server(call, now):",
+        "if self._kinds.may_use_any_server(call, now):",
         "test_crashedgroups.CrashedGroupTest"
         ".test_short_requests_use_other_kinds_servers_at_once",
     ),
@@ -1467,7 +1467,7 @@
     ),
     Safeguard(
         "an unavailable server is probed",
-        "dispatcher",
+        "dispatching/kindservers",
         "if server.id in names or health.unavailable(server.id)",
         "if server.id in names",
         "test_crashedgroups.CrashedGroupTest.test_unavailable_server_is_probed",
@@ -1537,7 +1537,7 @@
     ),
     Safeguard(
         "a stream that has begun is placed at its software version only",
-        "dispatcher",
+        "dispatching/usableservers",
         "        if call.software_version is None:\n"
         "            return servers\n"
         "        return [",
@@ -1593,14 +1593,14 @@
     ),
     Safeguard(
         "the last server of a version is tried again",
-        "dispatcher",
+        "dispatching/serverchoice",
         "            servers = servers or allowed\n",
         "",
         "test_softwareversions.LastServerTest.test_last_server_whose_connection_was_reset",
     ),
     Safeguard(
         "a stream that can go on nowhere is refused at once",
-        "dispatcher",
+        "dispatching/serverchoice",
         "return Wait(VERSION_GONE, retry_s=VERSION_RETRY_S)",
         "return Wait(VERSION_GONE)",
         "test_softwareversions.LastServerTest.test_no_server_left",
@@ -1892,7 +1892,7 @@
     ),
     Safeguard(
         "a prompt that no server holds is refused as not run",
-        "dispatcher",
+        "dispatching/requestneeds",
         "        return call.prompt.tokens > engine.cache_tokens",
         "        return False",
         "test_statednumbers.DrawnFieldsTest.test_prompt_that_no_server_holds",
--- a/tests/speedworld.py
+++ b/tests/speedworld.py
@@ -277,7 +277,7 @@
                 for _ in range(instances)
             ]
         for node in self.nodes:
-            node.engine_of = lambda service: None
+            node._usable.engine_of = lambda service: None
         self.running = [0] * len(speeds)
         self.waiting: list[collections.deque] = [
             collections.deque() for _ in speeds
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -265,7 +265,7 @@
         asked = []
         used = set()
         for node in site.nodes.values():
-            node.dispatcher.engine_of = lambda service: None
+            node.dispatcher._usable.engine_of = lambda service: None
             node.placement_client.send = lambda owner, message: asked.append(
                 owner
             )
--- a/tests/test_crashedgroups.py
+++ b/tests/test_crashedgroups.py
@@ -32,7 +32,7 @@
         self.crashed = self.group("chat")
 
     def group(self, kind: str) -> tuple[str, ...]:
-        return self.instance._splits[SERVICE].group(kind)
+        return self.instance._kinds._splits[SERVICE].group(kind)
 
     def record_failures(self, times: int) -> None:
         """Records failures of both servers that ended just now."""
@@ -63,7 +63,7 @@
         # Guards against long prompts that delay the streams of other kinds.
         self.record_failures(1)
         with unittest.mock.patch.object(
-            self.instance, "_max_concurrent_prefill", return_value=4000
+            self.instance._kinds, "max_concurrent_prefill", return_value=4000
         ):
             self.assertIsInstance(self.place(tokens=60_000), Wait)
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -35,7 +35,9 @@
 SERVICE = "pool"
 
 
-def dispatcher(servers: int, pauses: ServerPauses | None = None) -> Dispatcher:
+def dispatcher(
+    servers: int, pauses: ServerPauses | None = None, instances: int = 1
+) -> Dispatcher:
     """Returns a dispatcher with idle model servers."""
     registry = Registry(decoding.catalog, decoding.server)
     configuration = {
@@ -54,7 +56,7 @@
     }
     registry.apply_configuration(1, msgspec.json.encode(configuration))
     registry.apply_full_read(server_rows(servers), 2)
-    return Dispatcher(registry, "z", lambda: 1, pauses=pauses)
+    return Dispatcher(registry, "z", lambda: instances, pauses=pauses)
 
 
 class StepTimeTest(unittest.TestCase):
@@ -175,7 +177,7 @@
         # ones almost idle. A long stream that moved there would preempt the
         # urgent ones.
         for number, instance in enumerate(self.make_instances(8)):
-            group = instance._splits[SERVICE].group("long")
+            group = instance._kinds._splits[SERVICE].group("long")
             for name in group:
                 for _ in range(40):
                     instance.workload.start(name, unread=0, memory=100)
@@ -206,7 +208,7 @@
         now = time.monotonic()
         instance.demand.update("other", KindOverflowTest.KINDS, now)
         instance.tick(now)
-        split = instance._splits[SERVICE]
+        split = instance._kinds._splits[SERVICE]
         for name in split.group("chat"):
             for _ in range(40):
                 instance.workload.start(name, unread=0, memory=100)
@@ -234,7 +236,7 @@
     def setUp(self) -> None:
         # A cell owner, which knows all requests at its seven servers.
         self.instance = dispatcher(7)
-        self.instance._caches = CacheView()
+        self.instance._candidates._caches = CacheView()
         now = time.monotonic()
         self.instance.demand.update("other", self.KINDS, now)
         self.instance.tick(now)
@@ -252,7 +254,7 @@
         return self.instance.place(request, frozenset())
 
     def fill_servers(self, kind: str) -> None:
-        for name in self.instance._splits[SERVICE].group(kind):
+        for name in self.instance._kinds._splits[SERVICE].group(kind):
             for _ in range(40):
                 self.instance.workload.start(name, unread=0, memory=100)
 
@@ -263,7 +265,7 @@
         # lengthens the pauses.
         self.fill_servers("chat")
         placed = self.place_request("chat", 0)
-        group = self.instance._splits[SERVICE].group("check")
+        group = self.instance._kinds._splits[SERVICE].group("check")
         self.assertIn(placed.server.id, group)
 
     def test_less_urgent_kind_does_not_overflow(self) -> None:
@@ -293,7 +295,7 @@
             before_s = self.instance.queue_delay_s(SERVICE, "long", 3.0)
             for number in range(3):
                 self.slow_down(f"i-{number:03}")
-            self.instance._kind_queues.clear()
+            self.instance._waits._kind_queues.clear()
             after_s = self.instance.queue_delay_s(SERVICE, "long", 3.0)
         self.assertAlmostEqual(after_s, 2 * before_s)
 
@@ -322,7 +324,7 @@
     def test_slow_server_is_tried_again(self) -> None:
         # Guards against a wrong estimate that starves a server: while the
         # others have capacity, it would get nothing and never be measured.
-        self.instance.engine_of = lambda service: None
+        self.instance._usable.engine_of = lambda service: None
         counts = collections.Counter()
         with unittest.mock.patch.object(
             self.capacities.speeds,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -140,6 +140,28 @@
             }
             self.assertLessEqual(own, allowed, name)
 
+    def test_parts_of_the_dispatcher_do_no_io(self) -> None:
+        # Guards against placement that waits for a socket or a task.
+        allowed = {
+            *self.DECISION_MODULES,
+            "dispatching",
+            "scheduling",
+            "serverlimits",
+            "serverpauses",
+        }
+        for path in (ROOT / "src/jasminerelay/dispatching").glob("*.py"):
+            imported = re.findall(
+                r"^(?:import|from) (\S+)", path.read_text(), re.M
+            )
+            roots = {item.partition(".")[0] for item in imported}
+            self.assertEqual(roots & set(self.IO_PACKAGES), set(), path.name)
+            own = {
+                item.split(".")[1]
+                for item in imported
+                if item.startswith("jasminerelay.") and "schema" not in item
+            }
+            self.assertLessEqual(own, allowed, path.name)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings, strategies
 
 from jasminerelay import peermessages
+from jasminerelay.dispatcher import Dispatcher
 from jasminerelay.eventlog import EventLog
 from jasminerelay.metrics import Counters
 from jasminerelay.platform import decoding, headers, storeclient
@@ -127,8 +128,7 @@
         # under its name within a second. If it were taken for its predecessor,
         # it would be avoided for its failures, look full, and receive prompts
         # for a cache that no longer exists.
-        router_dispatcher = dispatcher(1)
-        router_dispatcher._registry = self.followed.registry
+        router_dispatcher = Dispatcher(self.followed.registry, "z", lambda: 1)
         self.followed.feed.on_removed = router_dispatcher.gone
         self.followed.take(row(1))
         (before,) = self.followed.registry.servers_of(POOL)
--- a/tests/test_sharedprefixes.py
+++ b/tests/test_sharedprefixes.py
@@ -66,17 +66,14 @@
 
     def test_nothing_announced_among_few(self) -> None:
         # Guards against a change for deployments of few instances.
-        instance = dispatcher(SERVERS)
-        instance._instances = lambda: MIN_INSTANCES_TO_ANNOUNCE - 1
+        instance = dispatcher(SERVERS, instances=MIN_INSTANCES_TO_ANNOUNCE - 1)
         self.place(instance, 0)
         self.assertEqual(instance.announcements.take_unsent(), [])
 
     def repeated_tokens(self, count: int, announce: bool) -> int:
         """Returns how many prefix tokens servers prefill more than once."""
         rng = random.Random(1)
-        instances = [dispatcher(SERVERS) for _ in range(count)]
-        for instance in instances:
-            instance._instances = lambda: count
+        instances = [dispatcher(SERVERS, instances=count) for _ in range(count)]
         held: set[str] = set()
         read: set[tuple[str, str]] = set()
         repeated = 0
@@ -160,17 +157,19 @@
         shared = part_hash("subject-7")
         instance.apply_cached_parts([CachedParts("i-003", [shared])])
         request = call(prompt=prompt_of(7))
-        servers = instance._registry.servers_of(request.service)
+        servers = instance.servers_for(request)
         others = [
             PlacementCandidate(server, NO_LOAD)
             for server in servers
             if server.id != "i-003"
         ]
-        found = instance._other_prefix_holders(request, servers, others)
+        found = instance._candidates.other_prefix_holders(
+            request, servers, others
+        )
         self.assertEqual([x.server.id for x in found], ["i-003"])
         instance.gone("i-003")
         self.assertFalse(
-            instance._other_prefix_holders(request, servers, others)
+            instance._candidates.other_prefix_holders(request, servers, others)
         )
 
     def place(self, candidates, holders) -> PlacementDecision:
@@ -210,8 +209,7 @@
 
     def test_known_prefix_is_not_announced(self) -> None:
         # Guards against messages for each request in place of each new prefix.
-        instance = dispatcher(1)
-        instance._instances = lambda: MIN_INSTANCES_TO_ANNOUNCE
+        instance = dispatcher(1, instances=MIN_INSTANCES_TO_ANNOUNCE)
         request = call(prompt=prompt_of(0))
         placed = instance.place(request, frozenset())
         instance.reserve(request, placed)
--- a/tests/test_unevenservers.py
+++ b/tests/test_unevenservers.py
@@ -188,7 +188,7 @@
         record = Dispatcher.record_statement
 
         def recorded(dispatcher, service, server, statement, now) -> None:
-            if dispatcher._caches is not None:
+            if dispatcher._candidates._caches is not None:
                 stated.append((server, statement.slowdown))
             record(dispatcher, service, server, statement, now)
 
