Refuse addresses with odd characters, which ended an instance

Cause: the scope of an IPv6 address may hold any characters, a NUL among them. An address of that kind in the table of the instances (or in a member's record) passed split_address; asyncio treats the TypeError of sendto as fatal and closes the socket, and the instance ended at once.

Change: addresses are printable ASCII.

--- a/src/jasminerelay/addresses.py
+++ b/src/jasminerelay/addresses.py
@@ -12,6 +12,10 @@
     Raises:
         ValueError: if the address does not have this form.
     """
+    if not (address.isascii() and address.isprintable()):
+        # A scope of an IPv6 address may hold anything, as a NUL, with which a
+        # socket fails.
+        raise ValueError(f"the address has odd characters: {address[:80]!r}")
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     ipaddress.ip_address(host)
