Decode what other programs wrote in one place, with one error

Cause: RecursionError is no MsgspecError. In the instances' table it ended 'waiting for peers' before the event that both followers await was set, and each restart of the task met the row again: a new instance without stale seeds never became ready.

Change: foreignbytes decodes JSON, MessagePack, parsed values and text, and raises ForeignDataError, of bounded length, on one line, with the remedy. All readers use it. Addresses of instances are checked where the row is read. An unreadable version of a row is logged once. Values without a type are bounded in depth and in the size of whole numbers.

--- a/src/jasminerelay/answers.py
+++ b/src/jasminerelay/answers.py
@@ -10,7 +10,7 @@
 import anyio
 import msgspec
 
-from jasminerelay import burn
+from jasminerelay import burn, foreignbytes
 from jasminerelay.answercontext import AnswerContext, AnswerEvent, RequestPolicy
 from jasminerelay.backends import (
     CANCEL_TIMEOUT_S,
@@ -24,6 +24,7 @@
     RAN_YES,
     BackendError,
     BadRequestError,
+    ForeignDataError,
     InvariantError,
     NoCapacityError,
     NotFoundError,
@@ -752,8 +753,8 @@
 
 def _rejection_error(error: AttemptError) -> BadRequestError:
     try:
-        body = msgspec.json.decode(error.rejection.body)
-        message = str(body["error"]["message"])
-    except (msgspec.MsgspecError, KeyError, TypeError):
+        body = foreignbytes.json_value(error.rejection.body)
+        message = foreignbytes.shown(body["error"]["message"])
+    except (ForeignDataError, KeyError, TypeError):
         message = f"status {error.rejection.status}"
     return BadRequestError(f"the model engine rejected the request: {message}")
--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -6,9 +6,8 @@
 from contextlib import aclosing
 from typing import Any
 
-import msgspec
-
-from jasminerelay import completeness, sse
+from jasminerelay import completeness, foreignbytes, sse
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.httpclient import (
     MAX_ANSWER_BYTES,
     MAX_LONG_RESPONSE_BYTES,
@@ -204,11 +203,7 @@
                     connection.read_timeout_s = None
         except NotSentError as exc:
             raise AttemptError(str(exc), ExecutionStatus.NOT_RUN) from exc
-        except (
-            IncompleteExchangeError,
-            ValueError,
-            msgspec.MsgspecError,
-        ) as exc:
+        except (IncompleteExchangeError, ValueError) as exc:
             raise AttemptError(str(exc), ExecutionStatus.MAY_HAVE_RUN) from exc
         raise AttemptError(
             "the stream ended before [DONE]", ExecutionStatus.MAY_HAVE_RUN
@@ -272,8 +267,8 @@
     exchange = HttpRequest("GET", _url(server, "/load"), timeout_s=timeout_s)
     try:
         reply = await client.call(exchange)
-        return msgspec.json.decode(reply.body, type=LoadReport)
-    except (NotSentError, IncompleteExchangeError, msgspec.MsgspecError):
+        return _read_load(reply.body)
+    except (NotSentError, IncompleteExchangeError, ForeignDataError):
         return None
 
 
@@ -300,8 +295,8 @@
     )
     try:
         reply = await client.call(exchange)
-        return msgspec.json.decode(reply.body, type=_CacheEventsReply).events
-    except (NotSentError, IncompleteExchangeError, msgspec.MsgspecError):
+        return _read_cache_events(reply.body).events
+    except (NotSentError, IncompleteExchangeError, ForeignDataError):
         return []
 
 
@@ -310,6 +305,10 @@
     events: list[CacheEvent]
 
 
+_read_load = foreignbytes.json_reader(LoadReport)
+_read_cache_events = foreignbytes.json_reader(_CacheEventsReply)
+
+
 def _url(server: Server, path: str) -> str:
     return f"http://{server.address}{path}"
 
@@ -339,7 +338,7 @@
     request can still arrive. Without this check, a caller would receive part
     of another caller's response. Every frame carries the id of its attempt.
     """
-    data = msgspec.json.decode(event.data)
+    data = foreignbytes.json_value(event.data)
     if not isinstance(data, dict):
         raise ValueError("the frame is not a JSON object")
     if not str(data.get("id", "")).endswith(attempt_id):
--- a/src/jasminerelay/errors.py
+++ b/src/jasminerelay/errors.py
@@ -70,6 +70,20 @@
         self.retry_s = retry_s
 
 
+class ForeignDataError(RelayError, ValueError):
+    """Bytes that another program wrote are not what they should be.
+
+    Its text names the remedy, too.
+    """
+
+    status = 502
+    code = "foreign_data"
+    remedy = "correct or remove what the other program wrote"
+
+    def __str__(self) -> str:
+        return f"{self.message}; {self.remedy}"
+
+
 class InvalidConfigError(RelayError):
     """A settings file or a manifest is invalid; lists every error in it."""
 
--- a/src/jasminerelay/explain.py
+++ b/src/jasminerelay/explain.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-import msgspec
-
+from jasminerelay import foreignbytes
 from jasminerelay.admission import OVER_SHARE
 from jasminerelay.endingsteps import EndedBy, Step
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.scheduling.heldbytes import (
     BROKE_OFF,
     MEMORY_SHORT,
@@ -152,16 +152,20 @@
         if start < 0:
             continue
         try:
-            raw = msgspec.json.decode(line[start:])
-        except msgspec.DecodeError:
+            raw = foreignbytes.json_value(line[start:])
+        except ForeignDataError:
             continue
         if not isinstance(raw, dict) or "event" not in raw:
             continue
-        left_out += raw.get("left_out", 0)
+        try:
+            at = foreignbytes.convert(raw.get("at", 0.0), float)
+            left_out += foreignbytes.convert(raw.get("left_out", 0), int)
+        except ForeignDataError:
+            continue
         fields = {k: v for k, v in raw.items() if k not in _COMMON_FIELDS}
         events.append(
             Event(
-                float(raw.get("at", 0.0)),
+                at,
                 str(raw.get("instance", "?")),
                 str(raw["event"]),
                 fields,
--- a/src/jasminerelay/manifestmanager.py
+++ b/src/jasminerelay/manifestmanager.py
@@ -8,10 +8,11 @@
 import anyio
 import msgspec
 
-from jasminerelay import manifest
+from jasminerelay import foreignbytes, manifest
 from jasminerelay.adoptedmanifest import AdoptedManifest, read_version
 from jasminerelay.errors import (
     RAN_UNKNOWN,
+    ForeignDataError,
     InvalidConfigError,
     InvariantError,
     ManifestConflictError,
@@ -169,8 +170,14 @@
         if not self.adopted.is_newer(pointer):
             return
         body = await self._objects.get(_object_key(pointer.digest))
-        if body is not None:
-            await self._adopt(pointer, body.decode())
+        if body is None:
+            return
+        try:
+            text = foreignbytes.text(body)
+        except ForeignDataError:
+            self._counters.incr("manifest.rejected")
+            return
+        await self._adopt(pointer, text)
 
     async def _poll(self) -> None:
         while True:
--- a/src/jasminerelay/modelrequests.py
+++ b/src/jasminerelay/modelrequests.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from jasminerelay.errors import BadRequestError
+from jasminerelay import foreignbytes
+from jasminerelay.errors import BadRequestError, ForeignDataError
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
@@ -35,6 +36,9 @@
     max_tokens: int
 
 
+_read_body = foreignbytes.json_reader(Any)
+
+
 def parse_request(path: str, raw: bytes, digest: str) -> ModelRequest:
     """Parses a request body.
 
@@ -42,10 +46,10 @@
         BadRequestError: if a field is invalid; names it and the remedy.
     """
     try:
-        body = msgspec.json.decode(raw)
-    except (msgspec.MsgspecError, RecursionError) as exc:
+        body = _read_body(raw)
+    except ForeignDataError as exc:
         raise BadRequestError(
-            f"the body is not JSON: {exc}", remedy="Send a JSON object."
+            f"the body is not JSON: {exc.message}", remedy="Send a JSON object."
         ) from None
     if not isinstance(body, dict):
         raise BadRequestError(
--- a/src/jasminerelay/operatorclient.py
+++ b/src/jasminerelay/operatorclient.py
@@ -1,11 +1,12 @@
 """HTTP client of the command-line tool for the operators' port."""
 
-import json
 import ssl
 from typing import Any
 
 import httpcore
 
+from jasminerelay import foreignbytes
+
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_CONFLICT = 3
@@ -78,7 +79,7 @@
 
     def get(self, path: str, *, url: str | None = None) -> Any:
         """Sends a GET request; returns the decoded JSON response."""
-        return json.loads(self.call("GET", path, url=url))
+        return foreignbytes.json_value(self.call("GET", path, url=url))
 
     def members(self) -> list[dict[str, str]]:
         """Returns the members that the addressed instance lists."""
@@ -108,7 +109,7 @@
 def _error_of(response: httpcore.Response) -> CommandError:
     status = EXIT_CONFLICT if response.status == 409 else EXIT_FAILED
     try:
-        message = json.loads(response.content)["error"]["message"]
+        message = foreignbytes.json_value(response.content)["error"]["message"]
     except (ValueError, KeyError, TypeError):
         message = f"status {response.status}"
     return CommandError(message, status)
--- a/src/jasminerelay/operators.py
+++ b/src/jasminerelay/operators.py
@@ -22,6 +22,7 @@
 from jasminerelay.manifestmanager import ManifestManager
 from jasminerelay.metrics import Counters
 from jasminerelay.responses import error_response
+from jasminerelay.statednumbers import parse_whole
 
 VERSION_HEADER = "if-match"
 MAX_MANIFEST_BYTES = 16 << 20
@@ -110,12 +111,12 @@
                 f"the manifest is not UTF-8: {exc}", remedy="Send UTF-8."
             ) from None
         over = request.headers.get(VERSION_HEADER)
-        if over is not None and not over.isdigit():
+        if over is not None and not (over.isascii() and over.isdigit()):
             raise BadRequestError(
                 "If-Match is not a version", remedy="Send a version number."
             )
         pointer = await self._context.manifest_manager.apply(
-            text, int(over) if over else None
+            text, parse_whole(over.encode()) if over else None
         )
         return JSONResponse(
             {"version": pointer.version, "digest": pointer.digest}
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -18,9 +18,10 @@
 import anyio
 import msgspec
 
-from jasminerelay import peermessages, storeversion
+from jasminerelay import foreignbytes, peermessages, storeversion
 from jasminerelay.datagrams import DatagramSocket
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness, now_s
@@ -121,7 +122,7 @@
 second."""
 
 _encode = msgspec.msgpack.encode
-_decode_snapshot = msgspec.msgpack.Decoder(StoreSnapshot).decode
+_decode_snapshot = foreignbytes.msgpack_reader(StoreSnapshot)
 
 
 class PeerLink:
@@ -448,7 +449,7 @@
     def _receive(self, data: bytes) -> None:
         try:
             message = peermessages.decode(data)
-        except ValueError:
+        except ForeignDataError:
             self._counters.incr("peer.unreadable")
             return
         self._dispatch_message(message)
@@ -561,8 +562,7 @@
         except (
             NotSentError,
             IncompleteExchangeError,
-            msgspec.MsgspecError,
-            zlib.error,
+            ForeignDataError,
         ) as exc:
             self._counters.incr("peer.fetch_failed")
             self._log.warn("snapshot_failed", peer=name, why=str(exc))
@@ -637,11 +637,20 @@
     """Returns a snapshot with its configuration decompressed.
 
     Raises:
-        zlib.error: if the configuration cannot be decompressed.
+        ForeignDataError: if the configuration cannot be decompressed, or is
+            longer than an instance takes from the store.
     """
     if not snapshot.configuration:
         return snapshot
-    data = zlib.decompress(snapshot.configuration)
+    stream = zlib.decompressobj()
+    try:
+        data = stream.decompress(
+            snapshot.configuration, MAX_LONG_RESPONSE_BYTES
+        )
+    except zlib.error as exc:
+        raise ForeignDataError(f"the configuration: {exc}") from None
+    if not stream.eof:
+        raise ForeignDataError("the configuration is too long, or cut off")
     return msgspec.structs.replace(snapshot, configuration=data)
 
 
--- a/src/jasminerelay/peermessages.py
+++ b/src/jasminerelay/peermessages.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from jasminerelay import foreignbytes
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.schema.messages import (
     CellUpdate,
     CrashedServers,
@@ -71,19 +73,19 @@
 _Item = TypeVar("_Item")
 
 _encode = msgspec.msgpack.encode
-_decode_peer = msgspec.msgpack.Decoder(PeerMessage).decode
-_decode_place = msgspec.msgpack.Decoder(CellUpdate).decode
-_decode_owner = msgspec.msgpack.Decoder(OwnerAnswers).decode
-_decode_crash = msgspec.msgpack.Decoder(CrashReport).decode
-_decode_limit = msgspec.msgpack.Decoder(LimitMessage).decode
-_decode_duty = msgspec.msgpack.Decoder(DutyMessage).decode
-_decode_drain = msgspec.msgpack.Decoder(DrainMessage).decode
-_decode_crashed_servers = msgspec.msgpack.Decoder(CrashedServers).decode
-_decode_streams_begun = msgspec.msgpack.Decoder(StreamsBegun).decode
-_decode_origin_query = msgspec.msgpack.Decoder(OriginQuery).decode
-_decode_origin_answer = msgspec.msgpack.Decoder(OriginAnswer).decode
-_decode_handover_request = msgspec.msgpack.Decoder(HandoverRequest).decode
-_decode_handover_totals = msgspec.msgpack.Decoder(HandoverTotals).decode
+_decode_peer = foreignbytes.msgpack_reader(PeerMessage)
+_decode_place = foreignbytes.msgpack_reader(CellUpdate)
+_decode_owner = foreignbytes.msgpack_reader(OwnerAnswers)
+_decode_crash = foreignbytes.msgpack_reader(CrashReport)
+_decode_limit = foreignbytes.msgpack_reader(LimitMessage)
+_decode_duty = foreignbytes.msgpack_reader(DutyMessage)
+_decode_drain = foreignbytes.msgpack_reader(DrainMessage)
+_decode_crashed_servers = foreignbytes.msgpack_reader(CrashedServers)
+_decode_streams_begun = foreignbytes.msgpack_reader(StreamsBegun)
+_decode_origin_query = foreignbytes.msgpack_reader(OriginQuery)
+_decode_origin_answer = foreignbytes.msgpack_reader(OriginAnswer)
+_decode_handover_request = foreignbytes.msgpack_reader(HandoverRequest)
+_decode_handover_totals = foreignbytes.msgpack_reader(HandoverTotals)
 
 
 @functools.singledispatch
@@ -156,7 +158,7 @@
     """Decodes a datagram.
 
     Raises:
-        ValueError: if it is malformed, or its lists differ in length.
+        ForeignDataError: if it is malformed, or its lists differ in length.
     """
     mark = data[:1]
     if mark == PLACE_TAG:
@@ -227,7 +229,9 @@
 def _checked_limit(message: LimitMessage) -> LimitMessage:
     for item in message.limits:
         if not math.isfinite(item.rate):
-            raise ValueError("rate limit in a datagram is not a finite number")
+            raise ForeignDataError(
+                "rate limit in a datagram is not a finite number"
+            )
     return message
 
 
@@ -320,4 +324,4 @@
 
 def _check_equal_lengths(*lists: list) -> None:
     if len({len(item) for item in lists}) != 1:
-        raise ValueError("lists in a datagram differ in length")
+        raise ForeignDataError("lists in a datagram differ in length")
--- a/src/jasminerelay/peers.py
+++ b/src/jasminerelay/peers.py
@@ -15,8 +15,10 @@
 import itsdangerous
 import msgspec
 
+from jasminerelay import foreignbytes
 from jasminerelay.addresses import split_address
 from jasminerelay.brokerhost import BrokerHost
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.membership import Membership, Send
 from jasminerelay.metrics import Counters
 from jasminerelay.peermessages import ENCODE_ERRORS
@@ -51,10 +53,6 @@
 ]
 
 
-def _decoder(kind: type) -> Callable[[bytes], Any]:
-    return msgspec.msgpack.Decoder(kind).decode
-
-
 class PeerCredentials:
     """Credentials by which instances authenticate each other.
 
@@ -212,7 +210,7 @@
         async with self._credentials.channel(address) as channel:
             method = channel.stream_stream(
                 PERMITS_METHOD,
-                response_deserializer=_decoder(BrokerFrame),
+                response_deserializer=foreignbytes.msgpack_reader(BrokerFrame),
             )
             call = method(metadata=self._credentials.metadata)
             await call.wait_for_connection()
@@ -270,12 +268,14 @@
         handlers = {
             "Permits": grpc.stream_stream_rpc_method_handler(
                 self._serve_permits,
-                request_deserializer=_decoder(InstanceFrame),
+                request_deserializer=foreignbytes.msgpack_reader(InstanceFrame),
                 response_serializer=_encode,
             ),
             "Manifest": grpc.unary_unary_rpc_method_handler(
                 self._serve_manifest,
-                request_deserializer=_decoder(ManifestPointer),
+                request_deserializer=foreignbytes.msgpack_reader(
+                    ManifestPointer
+                ),
                 response_serializer=_encode,
             ),
         }
@@ -358,7 +358,7 @@
         method = channel.unary_unary(
             MANIFEST_METHOD,
             request_serializer=_encode,
-            response_deserializer=_decoder(ManifestReply),
+            response_deserializer=foreignbytes.msgpack_reader(ManifestReply),
         )
         try:
             return await method(
@@ -391,7 +391,7 @@
         self._outbox, self._outbox_source = anyio.create_memory_object_stream(
             MAX_QUEUED_DATAGRAMS
         )
-        self._decode = msgspec.msgpack.Decoder(Gossip).decode
+        self._decode = foreignbytes.msgpack_reader(Gossip)
 
     async def run(self, address: str, interval_s: float) -> None:
         """Probes members and answers datagrams until cancelled."""
@@ -445,7 +445,7 @@
         self._counters.incr("gossip.in")
         try:
             gossip = self._decode(self._signer.unsign(data))
-        except (itsdangerous.BadSignature, msgspec.MsgspecError):
+        except (itsdangerous.BadSignature, ForeignDataError):
             self._counters.incr("gossip.rejected")
             return
         answers = self._membership.receive(gossip, time.monotonic())
--- a/src/jasminerelay/placements.py
+++ b/src/jasminerelay/placements.py
@@ -14,8 +14,8 @@
 import anyio
 import msgspec
 
-from jasminerelay import rendezvous
-from jasminerelay.errors import StoreError
+from jasminerelay import foreignbytes, rendezvous
+from jasminerelay.errors import ForeignDataError, StoreError
 from jasminerelay.fencing import Lease, LeaseRow
 from jasminerelay.httpclient import (
     HttpClient,
@@ -86,6 +86,9 @@
     state: _LoadedState
 
 
+_read_state = foreignbytes.json_reader(_StateReply)
+
+
 class PlacementReconciler:
     """Takes part in the lease and gives orders while it is held."""
 
@@ -168,8 +171,8 @@
         exchange = HttpRequest("GET", url, timeout_s=self._cfg.order_timeout_s)
         try:
             reply = await self._client.call(exchange)
-            loaded = msgspec.json.decode(reply.body, type=_StateReply).state
-        except (NotSentError, IncompleteExchangeError, msgspec.MsgspecError):
+            loaded = _read_state(reply.body).state
+        except (NotSentError, IncompleteExchangeError, ForeignDataError):
             self._counters.incr("placement.unreadable")
             return False
         return _desired_state(placement) != msgspec.to_builtins(loaded)
--- a/src/jasminerelay/platform/bootfile.py
+++ b/src/jasminerelay/platform/bootfile.py
@@ -8,9 +8,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from jasminerelay import validation
+from jasminerelay import foreignbytes, validation
 from jasminerelay.addresses import split_address
-from jasminerelay.errors import ConfigProblem
+from jasminerelay.errors import ConfigProblem, ForeignDataError
 
 USAGE_DUTY = "usage_report"
 SERVERS_DUTY = "autoscaler"
@@ -156,9 +156,9 @@
     if isinstance(parsed, Err):
         return parsed
     try:
-        raw = msgspec.convert(parsed.ok_value, _BootFile)
-    except msgspec.ValidationError as exc:
-        return Err([_problem(source, str(exc))])
+        raw = foreignbytes.convert(parsed.ok_value, _BootFile)
+    except ForeignDataError as exc:
+        return Err([_problem(source, exc.message)])
     duty_calls = [raw.duty_calls.address] if raw.duty_calls else []
     for address in (
         raw.listen.front,
--- a/src/jasminerelay/platform/decoding.py
+++ b/src/jasminerelay/platform/decoding.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from jasminerelay import foreignbytes
+from jasminerelay.addresses import split_address
 from jasminerelay.catalog import (
     BackendServer,
     Catalog,
@@ -19,6 +21,7 @@
     Service,
     ServiceShare,
 )
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.statednumbers import MAX_WHOLE, Amount, Count, Number, Whole
 
 MS_PER_S = 1000.0
@@ -39,7 +42,7 @@
 IDEMPOTENT = "idempotent"
 
 
-class DocumentError(ValueError):
+class DocumentError(ForeignDataError):
     """A configuration or server row is malformed."""
 
 
@@ -154,6 +157,10 @@
     preemptible: bool = False
 
 
+_read_configuration = foreignbytes.json_reader(_Configuration)
+_read_server = foreignbytes.json_reader(_Server)
+
+
 def catalog(data: bytes) -> Catalog:
     """Decodes a configuration.
 
@@ -161,9 +168,9 @@
         DocumentError: if it is malformed.
     """
     try:
-        raw = msgspec.json.decode(data, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise DocumentError(f"configuration: {exc}") from exc
+        raw = _read_configuration(data)
+    except ForeignDataError as exc:
+        raise DocumentError(f"configuration: {exc.message}") from exc
     holders = {
         key: KeyHolder(item.name, item.rank)
         for item in raw.organisations or ()
@@ -198,9 +205,9 @@
             f"server {key!r}: id has characters invalid in a header"
         )
     try:
-        raw = msgspec.json.decode(data, type=_Server)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise DocumentError(f"server {key}: {exc}") from exc
+        raw = _read_server(data)
+    except ForeignDataError as exc:
+        raise DocumentError(f"server {key}: {exc.message}") from exc
     _check_address(key, raw.address)
     if raw.slots < 1:
         raise DocumentError(
@@ -220,15 +227,15 @@
 
 
 def _check_address(key: str, address: str) -> None:
-    host, _, port = address.rpartition(":")
     try:
+        host, port = split_address(address)
         ipaddress.IPv4Address(host)
     except ValueError as exc:
-        raise DocumentError(f"server {key}: address: {exc}") from exc
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 1 << 16):
         raise DocumentError(
-            f"server {key}: address without a valid port: {address}"
-        )
+            f"server {key}: address: {foreignbytes.shown(exc)}"
+        ) from exc
+    if not port:
+        raise DocumentError(f"server {key}: port 0 is out of range")
 
 
 def _route(raw: _Route) -> Route:
--- a/src/jasminerelay/platform/deployfile.py
+++ b/src/jasminerelay/platform/deployfile.py
@@ -6,8 +6,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from jasminerelay import validation
-from jasminerelay.errors import ConfigProblem
+from jasminerelay import foreignbytes, validation
+from jasminerelay.errors import ConfigProblem, ForeignDataError
 
 CALLERS_SERVICE = "edge"
 ENTRIES_SERVICE = "registry"
@@ -49,9 +49,9 @@
     if isinstance(parsed, Err):
         return parsed
     try:
-        raw = msgspec.convert(parsed.ok_value, _DeployFile)
-    except msgspec.ValidationError as exc:
-        return Err([_problem(source, "(file)", str(exc), "build and roles")])
+        raw = foreignbytes.convert(parsed.ok_value, _DeployFile)
+    except ForeignDataError as exc:
+        return Err([_problem(source, "(file)", exc.message, "build and roles")])
     problems = _check(raw, source, path.resolve().parent.parent)
     return Err(problems) if problems else Ok(sorted(raw.roles))
 
--- a/src/jasminerelay/platform/headers.py
+++ b/src/jasminerelay/platform/headers.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from jasminerelay import foreignbytes
 from jasminerelay.catalog import BackendServer, Call, Prompt, PromptPart
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.exchange import (
     OutgoingRequest,
     ResponseHead,
@@ -280,8 +282,8 @@
         if reply.status not in (200, 503):
             return None
         try:
-            moved = msgspec.json.decode(reply.body, type=_MoveReply)
-        except msgspec.MsgspecError:
+            moved = _read_move_reply(reply.body)
+        except ForeignDataError:
             return None
         if not moved.handle:
             return None
@@ -323,7 +325,10 @@
 
 
 class _MoveReply(msgspec.Struct):
-    handle: str = ""
+    handle: foreignbytes.Token = ""
+
+
+_read_move_reply = foreignbytes.json_reader(_MoveReply)
 
 
 def _parse_rate_limit(value: bytes | None) -> tuple[float | None, str]:
--- a/src/jasminerelay/platform/storeclient.py
+++ b/src/jasminerelay/platform/storeclient.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from jasminerelay import storeversion
-from jasminerelay.errors import StoreError
+from jasminerelay import foreignbytes, storeversion
+from jasminerelay.errors import ForeignDataError, StoreError
 from jasminerelay.freshness import now_s
 from jasminerelay.httpclient import (
     MAX_LONG_RESPONSE_BYTES,
@@ -60,6 +60,9 @@
     now_ms: Number = msgspec.field(name="nowMs", default=0.0)
 
 
+_read_response = foreignbytes.json_reader(_Response)
+
+
 @dataclasses.dataclass(frozen=True)
 class Condition:
     """A version that a row must have for a transaction to be committed.
@@ -334,8 +337,9 @@
         """Returns the era of a response; the latest one if it states none."""
         value = reply.headers.get(_ERA, "")
         is_number = value.isascii() and value.isdigit()
-        if is_number and parse_whole(value.encode()) <= storeversion.MAX_ERA:
-            return int(value)
+        era = parse_whole(value.encode()) if is_number else None
+        if era is not None and era <= storeversion.MAX_ERA:
+            return era
         if value:
             self._warn("store_era_unreadable", found=value[:SHOWN_CHARS])
         return self.era
@@ -348,10 +352,11 @@
 
 def _decode(reply: HttpResponse) -> _Response:
     try:
-        return msgspec.json.decode(reply.body, type=_Response)
-    except msgspec.MsgspecError as exc:
+        return _read_response(reply.body)
+    except ForeignDataError as exc:
         raise StoreError(
-            f"malformed response of the store: {exc}", retry_s=RETRY_S
+            f"malformed response of the store: {exc.message}",
+            retry_s=RETRY_S,
         ) from exc
 
 
--- a/src/jasminerelay/platform/tables.py
+++ b/src/jasminerelay/platform/tables.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from jasminerelay import storeversion
+from jasminerelay import foreignbytes, storeversion
+from jasminerelay.addresses import split_address
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.fencing import LeaseRow
 from jasminerelay.platform.storeclient import Condition, NewRow, Store
@@ -45,10 +47,45 @@
         return await self._store.changes(self._table, after, wait_s)
 
 
+class _UnreadableRows:
+    """Logs each version of a row that cannot be read once."""
+
+    def __init__(self, log: EventLog, event: str):
+        """Creates the log of one table's rows.
+
+        Args:
+            log: Receives the lines.
+            event: Their event.
+        """
+        self._log = log
+        self._event = event
+        self._versions: dict[str, int] = {}
+
+    def report(self, row: ServerRow, error: ValueError) -> None:
+        """Logs a row, unless this version of it has been logged."""
+        if self._versions.get(row.id) == row.version:
+            return
+        self._versions[row.id] = row.version
+        self._log.warn(
+            self._event,
+            row=foreignbytes.shown(row.id),
+            row_version=storeversion.number_of(row.version),
+            why=str(error),
+        )
+
+    def keep_only(self, rows: tuple[ServerRow, ...]) -> None:
+        """Forgets the rows that a full read of the table lacks."""
+        for name in self._versions.keys() - {row.id for row in rows}:
+            del self._versions[name]
+
+
 class _Instance(msgspec.Struct):
     peers: str
 
 
+_read_instance = foreignbytes.json_reader(_Instance)
+
+
 class InstanceTable:
     """Addresses of the instances, one per row, for the discovery of peers.
 
@@ -61,7 +98,7 @@
     def __init__(self, store: Store, name: str, log: EventLog):
         self._store = store
         self._name = name
-        self._log = log
+        self._unreadable = _UnreadableRows(log, "instance_unreadable")
 
     async def register(self, peers: str) -> None:
         """Writes this instance's row; raises StoreError on failure."""
@@ -75,19 +112,31 @@
     async def addresses(self) -> set[str]:
         """Returns all instances' addresses; raises StoreError on failure."""
         found = set()
-        for row in (await self._store.read(INSTANCES_TABLE)).rows:
+        rows = (await self._store.read(INSTANCES_TABLE)).rows
+        self._unreadable.keep_only(rows)
+        for row in rows:
             if row.data is None:
                 continue
             try:
-                instance = msgspec.json.decode(row.data, type=_Instance)
-            except msgspec.MsgspecError as exc:
+                found.add(_decode_instance(row.data))
+            except ForeignDataError as exc:
                 # One malformed row must not hide the other instances.
-                self._log.warn("instance_unreadable", row=row.id, why=str(exc))
-                continue
-            found.add(instance.peers)
+                self._unreadable.report(row, exc)
         return found
 
 
+def _decode_instance(data: bytes) -> str:
+    """Returns the IP:port that a row names, at which something can listen."""
+    peers = _read_instance(data).peers
+    try:
+        _, port = split_address(peers)
+    except ValueError as exc:
+        raise ForeignDataError(f"peers: {foreignbytes.shown(exc)}") from None
+    if not port:
+        raise ForeignDataError("peers: port 0 is out of range")
+    return peers
+
+
 @dataclasses.dataclass(frozen=True)
 class _StoredLease:
     version: int
@@ -101,6 +150,10 @@
     at_ms: Number
 
 
+_read_lease = foreignbytes.json_reader(_LeaseBody)
+_read_counts = foreignbytes.json_reader(dict[str, Count])
+
+
 class DutyTable:
     """The lease of the duties, and the usage reports that are final.
 
@@ -119,7 +172,8 @@
 
     def __init__(self, store: Store, log: EventLog):
         self._store = store
-        self._log = log
+        self._unreadable_reports = _UnreadableRows(log, "report_unreadable")
+        self._unreadable_lease = _UnreadableRows(log, "lease_unreadable")
         self.reports: dict[int, dict[str, int]] = {}
 
     async def read(self) -> _StoredLease:
@@ -170,12 +224,10 @@
             if row.data is None or not row.id.startswith(REPORT_PREFIX):
                 continue
             try:
-                window = parse_whole(
-                    row.id.removeprefix(REPORT_PREFIX).encode()
-                )
-                counts = msgspec.json.decode(row.data, type=dict[str, Count])
-            except (msgspec.MsgspecError, ValueError) as exc:
-                self._log.warn("report_unreadable", row=row.id, why=str(exc))
+                window = _window(row.id)
+                counts = _read_counts(row.data)
+            except ForeignDataError as exc:
+                self._unreadable_reports.report(row, exc)
                 continue
             self.reports[window] = counts
 
@@ -190,10 +242,10 @@
             absent = storeversion.make(self._store.era, 0) if new_era else 0
             return _StoredLease(absent, None, max_age_s)
         try:
-            body = msgspec.json.decode(found.data, type=_LeaseBody)
-        except msgspec.MsgspecError as exc:
+            body = _read_lease(found.data)
+        except ForeignDataError as exc:
             # The age is unknown, so it is counted from the first read.
-            self._log.warn("lease_unreadable", why=str(exc))
+            self._unreadable_lease.report(found, exc)
             return _StoredLease(found.version, None, 0.0)
         if body.row.given_up:
             return _StoredLease(found.version, body.row, max_age_s)
@@ -201,6 +253,13 @@
         return _StoredLease(found.version, body.row, min(age_s, max_age_s))
 
 
+def _window(key: str) -> int:
+    try:
+        return parse_whole(key.removeprefix(REPORT_PREFIX).encode())
+    except ValueError as exc:
+        raise ForeignDataError(foreignbytes.shown(exc)) from None
+
+
 def _report_key(window: int) -> str:
     return f"{REPORT_PREFIX}{window}"
 
@@ -215,6 +274,9 @@
     width: Count = 0
 
 
+_read_blocked_request = foreignbytes.json_reader(_BlockedRequest)
+
+
 class CrashTable:
     """Blocked requests, one per row, with the server crashes they caused.
 
@@ -225,7 +287,7 @@
 
     def __init__(self, store: Store, log: EventLog):
         self._store = store
-        self._log = log
+        self._unreadable = _UnreadableRows(log, "crash_unreadable")
 
     async def save(self, crashes: RequestCrashes) -> None:
         """Writes a request's row; raises StoreError on failure."""
@@ -235,14 +297,16 @@
         """Returns the crashes of all rows; raises StoreError on failure."""
         found = []
         now_ms = round(time.time() * MS_PER_S)
-        for row in (await self._store.read(CRASHES_TABLE)).rows:
+        rows = (await self._store.read(CRASHES_TABLE)).rows
+        self._unreadable.keep_only(rows)
+        for row in rows:
             if row.data is None:
                 continue
             try:
-                held = msgspec.json.decode(row.data, type=_BlockedRequest)
+                held = _read_blocked_request(row.data)
                 crashes = _decode_crashes(row.id, held, now_ms)
-            except (msgspec.MsgspecError, ValueError) as exc:
-                self._log.warn("crash_unreadable", row=row.id, why=str(exc))
+            except ForeignDataError as exc:
+                self._unreadable.report(row, exc)
                 continue
             found.append(crashes)
         return found
@@ -269,7 +333,9 @@
     name: str, held: _BlockedRequest, now_ms: int
 ) -> RequestCrashes:
     if len(held.servers) != len(held.ended_ms):
-        raise ValueError("servers and ended_ms differ in length")
+        raise ForeignDataError("servers and ended_ms differ in length")
+    for server in (name, *held.servers):
+        foreignbytes.check_name("name", server)
     cleared = held.cleared_ms
     return RequestCrashes(
         name,
--- a/src/jasminerelay/relayclient.py
+++ b/src/jasminerelay/relayclient.py
@@ -105,7 +105,8 @@
             try:
                 with anyio.fail_after(OPEN_TIMEOUT_S):
                     status = await _open(member, protocol)
-            except (OSError, TimeoutError):
+            except (OSError, ValueError):
+                # A member's address may be malformed.
                 pass
             finally:
                 if status != relayport.OPEN:
--- a/src/jasminerelay/resume.py
+++ b/src/jasminerelay/resume.py
@@ -10,6 +10,10 @@
 import itsdangerous
 from result import Err, Ok, Result
 
+from jasminerelay import foreignbytes
+from jasminerelay.errors import ForeignDataError
+from jasminerelay.statednumbers import Count, Number
+
 RESUME_SALT = "resume-point"
 TICKET_SALT = "return-ticket"
 MAX_TEXT_LENGTH = 2048
@@ -39,6 +43,10 @@
     offset: int
 
 
+_PointFields = tuple[str, str, str, str, str, Count]
+_TicketFields = tuple[str, str, Number]
+
+
 class Signer:
     """Creates and verifies signed resume points and tickets."""
 
@@ -82,7 +90,12 @@
             fields = self._points.loads(signed)
         except (itsdangerous.BadData, RecursionError):
             return Err("its signature is invalid")
-        point = ResumePoint(*fields, int(offset))
+        try:
+            # Instances of another version may have signed other fields.
+            found = foreignbytes.convert(fields, _PointFields)
+        except ForeignDataError:
+            return Err("it has other fields")
+        point = ResumePoint(*found, int(offset))
         # The decoder ignores invalid characters, so an altered prefix could
         # pass verification; only the exact encoding is accepted.
         if self.signed_prefix(point) != signed:
@@ -100,10 +113,10 @@
         if not text or len(text) > MAX_TEXT_LENGTH:
             return 0.0
         try:
-            ticket_organisation, ticket_kind, arrived = self._tickets.loads(
-                text
+            ticket_organisation, ticket_kind, arrived = foreignbytes.convert(
+                self._tickets.loads(text), _TicketFields
             )
-        except (itsdangerous.BadData, RecursionError):
+        except (itsdangerous.BadData, RecursionError, ForeignDataError):
             return 0.0
         if (ticket_organisation, ticket_kind) != (organisation, kind):
             return 0.0
--- a/src/jasminerelay/store.py
+++ b/src/jasminerelay/store.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from jasminerelay.errors import RAN_UNKNOWN, StoreError
+from jasminerelay import foreignbytes
+from jasminerelay.errors import RAN_UNKNOWN, ForeignDataError, StoreError
 from jasminerelay.httpclient import (
     MAX_LONG_RESPONSE_BYTES,
     HttpClient,
@@ -45,10 +46,10 @@
                 row stands for may have happened all the same.
         """
         try:
-            return msgspec.convert(self.value, kind)
-        except msgspec.ValidationError as exc:
+            return foreignbytes.convert(self.value, kind)
+        except ForeignDataError as exc:
             raise StoreError(
-                f"the row {self.key!r} is malformed: {exc}",
+                f"the row {self.key!r} is malformed: {exc.message}",
                 remedy="Have the operators correct or remove the row.",
                 ran=RAN_UNKNOWN,
                 retry_s=RETRY_AFTER_S,
@@ -197,9 +198,9 @@
 
 def _decode(reply: HttpResponse, kind: type) -> Any:
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as exc:
-        raise _unavailable_error(f"invalid response: {exc}") from exc
+        return foreignbytes.json_reader(kind)(reply.body)
+    except ForeignDataError as exc:
+        raise _unavailable_error(f"invalid response: {exc.message}") from exc
 
 
 def _unavailable_error(why: str) -> StoreError:
--- a/src/jasminerelay/storefollowing.py
+++ b/src/jasminerelay/storefollowing.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from jasminerelay import storeversion
+from jasminerelay import foreignbytes, storeversion
 from jasminerelay.catalog import BackendServer
 from jasminerelay.errors import StoreError
 from jasminerelay.eventlog import EventLog
@@ -448,6 +448,7 @@
         self._key = key
         self._counters = counters
         self._log = log
+        self._unreadable_configuration = (0, b"")
         self.on_leaving: Callable[[str], None] = lambda server: None
         self.on_removed: Callable[[str], None] = lambda server: None
         self.on_ended: Callable[[BackendServer], None] = lambda server: None
@@ -470,7 +471,7 @@
         except Exception as exc:
             # The current configuration stays in force; an unreadable one is
             # never applied in part, whatever is wrong with it.
-            self._log.warn("configuration_unreadable", why=str(exc))
+            self._report_unreadable(version, data, exc)
             return
         if applied:
             self._log.warn(
@@ -490,6 +491,19 @@
                 source=source,
             )
 
+    def _report_unreadable(
+        self, version: int, data: bytes, error: Exception
+    ) -> None:
+        """Logs a configuration, unless it has been read before."""
+        if (version, data) == self._unreadable_configuration:
+            return
+        self._unreadable_configuration = (version, data)
+        self._log.warn(
+            "configuration_unreadable",
+            row_version=storeversion.number_of(version),
+            why=str(error),
+        )
+
     def apply_all_servers(self, page: TablePage) -> bool:
         """Applies a full read of the servers' rows; ignores an older one."""
         if page.version < self._registry.servers_version:
@@ -539,7 +553,7 @@
                 self._counters.incr("server.unreadable")
                 self._log.warn(
                     "server_unreadable",
-                    server=change.row.id,
+                    server=foreignbytes.shown(change.row.id),
                     row_version=storeversion.number_of(change.row.version),
                     why=change.why,
                     source=source,
--- a/src/jasminerelay/validation.py
+++ b/src/jasminerelay/validation.py
@@ -5,10 +5,10 @@
 import tomllib
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import msgspec
 from result import Err, Ok, Result
 
-from jasminerelay.errors import ConfigProblem
+from jasminerelay import foreignbytes
+from jasminerelay.errors import ConfigProblem, ForeignDataError
 
 if TYPE_CHECKING:
     import jsonschema
@@ -29,10 +29,16 @@
 ) -> Result[dict[str, Any], list[ConfigProblem]]:
     """Parses TOML; a syntax error becomes a problem with its line number."""
     try:
-        return Ok(tomllib.loads(text))
-    except (tomllib.TOMLDecodeError, RecursionError) as exc:
+        parsed = tomllib.loads(text)
+        foreignbytes.check_value(parsed)
+        return Ok(parsed)
+    except (ValueError, RecursionError) as exc:
         problem = ConfigProblem(
-            source, "(file)", str(exc), "TOML", "correct the syntax there"
+            source,
+            "(file)",
+            foreignbytes.shown(exc),
+            "TOML",
+            "correct the syntax there",
         )
         return Err([problem])
 
@@ -57,8 +63,8 @@
     same run and all errors are reported together.
     """
     try:
-        return msgspec.convert(raw, kind)
-    except msgspec.ValidationError:
+        return foreignbytes.convert(raw, kind)
+    except ForeignDataError:
         return None
 
 
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -92,7 +92,11 @@
 
     def put(self, table: str, key: str, value: dict) -> None:
         """Writes a row unconditionally, as the operator or a server does."""
-        data = base64.b64encode(json.dumps(value).encode()).decode()
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table: str, key: str, content: bytes) -> None:
+        """Writes a row unconditionally, whatever its bytes are."""
+        data = base64.b64encode(content).decode()
         self._version += 1
         row = StoredRow(table, "", key, data, self._version)
         self._written_by_others.append(row)
