Keep servers without a start in use beside starts of another writer

Cause: a row without a start was refused for good where most known rows state starts. Servers of an earlier release went out of use once most others stated starts.

Change: a name that was used without a start while most rows stated none stays in use so; its rows without a start are claims of a known incarnation. A single row without a start where half or more state theirs is refused as before.

Ruled out: to count a tie of rows as no proof at once: a made-up server beside one living one would have been used.

--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -183,6 +183,9 @@
         )
         self._claims: dict[str, _Claim] = {}
         self._starts_stated = False
+        self._used_without_start: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._unreadable_rows: dict[str, int] = {}
         self._store_contact = StoreStatus.REACHABLE
         self._store_reachable_since: float | None = None
@@ -477,19 +480,43 @@
 
     def believe_claims(self, now: float) -> list[ServerChange]:
         """Believes the rows that a living server would have replaced by now."""
-        changes = []
+        standing = []
         reachable_since = self._store_reachable_since
-        for claim in list(self._claims.values()):
+        for claim in self._claims.values():
             if claim.since is None:
                 claim.since = now
             if reachable_since is None:
                 continue
             if claim.stands(now, reachable_since):
-                changes.append(self._register(claim.row, claim.server))
+                standing.append(claim)
+        changes = [
+            self._register(claim.row, claim.server)
+            for claim in self._without_wrong_starts(standing)
+        ]
         if changes:
             self._rebuild()
         return [change for change in changes if change is not None]
 
+    def _without_wrong_starts(self, standing: list[_Claim]) -> list[_Claim]:
+        """Leaves out rows without a start where most servers state theirs."""
+        lacking = {
+            claim.row.id
+            for claim in standing
+            if claim.row.id in self._entries
+            and self._lacks_start(
+                claim.server, self._entries[claim.row.id].server
+            )
+        }
+        if not lacking:
+            return standing
+        stated = sum(
+            bool(held.server.born) and name not in lacking
+            for name, held in self._entries.items()
+        )
+        if 2 * stated < len(self._entries):
+            return standing
+        return [claim for claim in standing if claim.row.id not in lacking]
+
     def _expire_restored(self, now: float) -> None:
         """Uses servers that were gone before an era and still have a row."""
         if now < self._era_entered_at + RESTORED_ROW_GRACE_S:
@@ -724,7 +751,7 @@
         except ValueError as exc:
             return self._apply_unreadable(row, held, str(exc))
         if before is not None and self._lacks_start(server, before):
-            return self._apply_unreadable(row, held, NO_START)
+            return self._apply_without_start(row, server, held)
         doubt = self._doubt(server, before)
         if doubt:
             return self._apply_claim(row, server, held, doubt)
@@ -753,7 +780,27 @@
         self, server: BackendServer, before: BackendServer
     ) -> bool:
         """Returns whether a row without a start cannot be the server's own."""
-        return self._starts_stated and bool(before.born) and not server.born
+        return (
+            self._starts_stated
+            and bool(before.born)
+            and not server.born
+            and server.name not in self._used_without_start
+        )
+
+    def _apply_without_start(
+        self, row: ServerRow, server: BackendServer, held: _Entry
+    ) -> ServerChange | None:
+        """Handles a row that lacks the start, which most rows state.
+
+        It is believed only if such rows stand for most servers: then it was
+        another program that stated starts.
+        """
+        known = self._claims.get(row.id)
+        repeated = known is not None and known.server.id == server.id
+        change = self._apply_unreadable(row, held, NO_START)
+        since = known.since if repeated else None
+        self._claims[row.id] = _Claim(row, server, False, since)
+        return change
 
     def _doubt(
         self, server: BackendServer, before: BackendServer | None
@@ -876,9 +923,24 @@
         stated = sum(bool(x.server.born) for x in self._entries.values())
         return 2 * stated > len(self._entries)
 
+    def _record_used_without_start(self) -> None:
+        """Records servers of a platform whose rows need state no start.
+
+        Once another program, or servers of a later release, state starts for
+        most, they stay in use.
+        """
+        if self._starts_stated:
+            return
+        for name, held in self._entries.items():
+            if not held.server.born:
+                self._used_without_start[name] = None
+        while len(self._used_without_start) > MAX_HISTORY:
+            self._used_without_start.popitem(last=False)
+
     def _rebuild(self) -> None:
         self._by_service = {}
         self._starts_stated = self._most_state_starts()
+        self._record_used_without_start()
         digest = xxhash.xxh64()
         for name in sorted(self._entries):
             held = self._entries[name]
@@ -889,7 +951,11 @@
                 held.usable
                 and not held.server.draining
                 and name not in self._restored
-                and (held.server.born or not self._starts_stated)
+                and (
+                    held.server.born
+                    or not self._starts_stated
+                    or name in self._used_without_start
+                )
             ):
                 service = held.server.service
                 self._by_service.setdefault(service, []).append(held.server)
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -447,6 +447,67 @@
         followed.wait(2 * EARLIER_CLAIM_S)
         self.assertEqual(self.in_use(), ["a", "b", "c", "d"])
 
+    def follow_without_starts(self, names: str) -> None:
+        """Follows a site whose rows state no starts."""
+        self.followed = FollowedRegistry()
+        for number, name in enumerate(names):
+            self.followed.take(self.drop_start(number + 1, name))
+
+    def test_start_in_the_row_of_the_only_server(self) -> None:
+        # Guards against a site without starts whose server is never used again
+        # after one row with a start.
+        for names in ("a", "ab"):
+            for stands_s in (0.5, EARLIER_CLAIM_S + 1.0):
+                with self.subTest(names=names, stands_s=stands_s):
+                    self.follow_without_starts(names)
+                    for version, name in enumerate(names, 10):
+                        self.followed.take(row(version, name))
+                    self.followed.wait(stands_s)
+                    for version, name in enumerate(names, 20):
+                        self.followed.take(self.drop_start(version, name))
+                    self.followed.wait(RETURN_CLAIM_S + 0.1)
+                    self.assertEqual(self.followed.ids(), list(names))
+                    self.followed.take(
+                        self.drop_start(30, "a", phase="draining")
+                    )
+                    self.assertEqual(self.followed.ids(), list(names[1:]))
+
+    def test_starts_in_most_rows(self) -> None:
+        # Guards against servers without a start that go out of use since
+        # another writer states starts for most others.
+        names = "abcdefg"
+        self.follow_without_starts(names)
+        for version, name in enumerate("abcd", 10):
+            self.followed.take(row(version, name))
+        self.assertLessEqual(set("efg"), set(self.in_use()))
+        self.followed.wait(EARLIER_CLAIM_S + 1.0)
+        self.assertEqual(self.in_use(), list(names))
+        for version, name in enumerate("abcd", 20):
+            self.followed.take(self.drop_start(version, name))
+        self.followed.wait(RETURN_CLAIM_S + 0.1)
+        self.assertEqual(self.followed.ids(), list(names))
+
+    def test_first_read_amid_starts_of_another_writer(self) -> None:
+        # Guards against an instance that, started amid such rows, never takes
+        # the servers' own ones.
+        self.followed = FollowedRegistry()
+        rows = (row(1), row(2, "b"), self.drop_start(3, "c"))
+        self.followed.feed.apply_all_servers(TablePage(rows, 3))
+        self.followed.take(self.drop_start(4), self.drop_start(5, "b"))
+        self.followed.wait(EARLIER_CLAIM_S + 0.1)
+        self.assertEqual(self.followed.ids(), ["a", "b", "c"])
+
+    def test_older_servers_beside_newer_ones(self) -> None:
+        # Guards against servers of an older release that go out of use once
+        # most others state their starts.
+        self.follow_without_starts("abc")
+        for version, name in enumerate("defgh", 10):
+            self.followed.take(row(version, name))
+        self.assertEqual(self.in_use(), list("abcdefgh"))
+        self.followed.take(self.drop_start(20, "x"))
+        self.followed.wait(2 * EARLIER_CLAIM_S)
+        self.assertEqual(self.in_use(), list("abcdefgh"))
+
     def test_malformed_starts(self) -> None:
         for number, born in enumerate(
             (0, -1, 1.5, True, "1", None, 2**53 + 1, 10**30, [START])
