Bound the names in servers' rows and refuse control characters

Cause: a row's version, zone, service and key went as they are into log lines, header fields (the key, as part of the id), datagrams of streams' origins and placements, and tables by service; 100,000 characters, line ends and NUL passed, except in a key.

Change: they are printable and at most 256 bytes of UTF-8; a row with another one names no server. Error texts and log lines show at most 160 characters, escaped.

--- a/src/jasminerelay/platform/decoding.py
+++ b/src/jasminerelay/platform/decoding.py
@@ -37,7 +37,7 @@
 minimum, the multiple of the route's latency objective, and the multiple of its
 longest allowed pause between events."""
 
-_SERVER_ID = re.compile(r"[!-~]+")
+_SERVER_ID = re.compile(rf"[!-~]{{1,{foreignbytes.MAX_NAME_BYTES}}}")
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 
@@ -202,12 +202,14 @@
     """
     if not _SERVER_ID.fullmatch(key):
         raise DocumentError(
-            f"server {key!r}: id has characters invalid in a header"
+            f"server {foreignbytes.shown(key)!r}: id has characters invalid"
+            f" in a header, or more than {foreignbytes.MAX_NAME_BYTES}"
         )
     try:
         raw = _read_server(data)
     except ForeignDataError as exc:
         raise DocumentError(f"server {key}: {exc.message}") from exc
+    _check_names(key, raw)
     _check_address(key, raw.address)
     if raw.slots < 1:
         raise DocumentError(
@@ -226,6 +228,19 @@
     )
 
 
+def _check_names(key: str, raw: _Server) -> None:
+    """Checks what goes into log lines, fields and datagrams."""
+    for what, name in (
+        ("service", raw.service),
+        ("zone", raw.zone),
+        ("version", raw.software_version),
+    ):
+        try:
+            foreignbytes.check_name(what, name)
+        except ForeignDataError as exc:
+            raise DocumentError(f"server {key}: {exc.message}") from exc
+
+
 def _check_address(key: str, address: str) -> None:
     try:
         host, port = split_address(address)
--- a/tests/test_serverrows.py
+++ b/tests/test_serverrows.py
@@ -10,6 +10,7 @@
 
 from jasminerelay import peermessages
 from jasminerelay.eventlog import EventLog
+from jasminerelay.foreignbytes import MAX_NAME_BYTES
 from jasminerelay.metrics import Counters
 from jasminerelay.platform import decoding, headers, storeclient
 from jasminerelay.platform.decoding import DocumentError
@@ -313,6 +314,23 @@
         self.assertEqual(self.followed.ids(), [f"a@{START}"])
         self.assertEqual(self.unreadable(), 6)
 
+    def test_names_without_bound(self) -> None:
+        # Guards against names of a row that no field, line or datagram holds.
+        for text in ("a\nb", "a\r\nx: y", "a\x00", "v" * 100_000, "\u2028"):
+            for field in ("version", "zone", "backend"):
+                with self.subTest(field=field, text=text[:9]):
+                    data = msgspec.json.encode({**ENTRY, field: text})
+                    self.followed.take(ServerRow("b", 2, data))
+                    self.assertEqual(self.followed.ids(), [f"a@{START}"])
+            self.followed.take(row(2, text))
+            self.assertEqual(self.followed.ids(), [f"a@{START}"])
+        for _, fields in self.followed.log.lines:
+            self.assertLess(len(str(fields)), 1000)
+        usual = "v" * MAX_NAME_BYTES
+        entry = {**ENTRY, "version": usual, "zone": "Zürich, Süd"}
+        self.followed.take(ServerRow(usual, 3, msgspec.json.encode(entry)))
+        self.assertEqual(len(self.followed.ids()), 2)
+
     def test_overwritten_row_of_a_living_server(self) -> None:
         # Another writer overwrites a living server's row. The server gets no
         # new requests, but its streams are not moved and its cache records are
