Log a rejected manifest once, and answers that operators' tools can't read

The operators' tool ended with a traceback at an odd answer, and one instance's odd answer ended a report on all.

Change: each rejected version is logged once, with why. The tool reads answers by foreignbytes, names the remedy, and counts such an instance among the silent ones.

--- a/src/jasminerelay/cli.py
+++ b/src/jasminerelay/cli.py
@@ -8,12 +8,13 @@
 from typing import Any
 
 import docopt
-import msgspec
 import tabulate
 
-from jasminerelay import burn, burnpage, localcommands, manifest
+from jasminerelay import burn, burnpage, foreignbytes, localcommands, manifest
 from jasminerelay.burn import ReportRow, WindowTotals
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.operatorclient import (
+    EXIT_FAILED,
     EXIT_PARTIAL,
     EXIT_USAGE,
     CommandError,
@@ -77,6 +78,9 @@
     except CommandError as exc:
         print(f"jasminerelay: {exc}", file=sys.stderr)
         return exc.status
+    except ForeignDataError as exc:
+        print(f"jasminerelay: malformed response: {exc}", file=sys.stderr)
+        return EXIT_FAILED
 
 
 def _run_command(arguments: dict[str, Any]) -> int:
@@ -129,7 +133,7 @@
         localcommands.read(arguments["FILE"]).encode(),
         headers,
     )
-    answer = json.loads(body)
+    answer = foreignbytes.json_value(body)
     if arguments["--json"]:
         print(json.dumps(answer))
     else:
@@ -192,7 +196,7 @@
 
 def _burn(client: OperatorClient, arguments: dict[str, Any]) -> int:
     answers, silent = query_all(client, "/v1/burn")
-    parts = [msgspec.convert(answer, _InstanceBurn) for answer in answers]
+    parts = [foreignbytes.convert(answer, _InstanceBurn) for answer in answers]
     body = client.get("/v1/manifest")["body"]
     directory = manifest.parse(body, "manifest").unwrap()
     rows = burn.report(
--- a/src/jasminerelay/manifestmanager.py
+++ b/src/jasminerelay/manifestmanager.py
@@ -83,6 +83,7 @@
             anyio.create_memory_object_stream(64)
         )
         self._newest = ManifestReply(0, "")
+        self._rejected_version = 0
         self.adopted = AdoptedManifest()
 
     @property
@@ -174,8 +175,8 @@
             return
         try:
             text = foreignbytes.text(body)
-        except ForeignDataError:
-            self._counters.incr("manifest.rejected")
+        except ForeignDataError as exc:
+            self._reject(pointer, str(exc))
             return
         await self._adopt(pointer, text)
 
@@ -216,7 +217,7 @@
         if not self.adopted.is_newer(pointer):
             return
         if manifest.digest_of(body) != pointer.digest:
-            self._counters.incr("manifest.rejected")
+            self._reject(pointer, "its text has another digest")
             return
         # Published to peers before it is parsed: parsing a large manifest
         # takes a third of a second, and this delay would add up over the
@@ -228,12 +229,20 @@
         # with it all token streams, for a quarter of a second.
         accepted = await anyio.to_thread.run_sync(read_version, pointer, body)
         if accepted is None or not self.adopted.adopt_parsed(accepted):
-            self._counters.incr("manifest.rejected")
+            self._reject(pointer, "it is invalid; apply a corrected one")
             return
         self._counters.incr("manifest.adopted")
         _log.info("manifest version %d is in force", pointer.version)
         self._on_adopted()
 
+    def _reject(self, pointer: ManifestPointer, why: str) -> None:
+        """Counts a manifest that cannot be used; logs its version once."""
+        self._counters.incr("manifest.rejected")
+        if pointer.version == self._rejected_version:
+            return
+        self._rejected_version = pointer.version
+        _log.warning("manifest %d is rejected: %s", pointer.version, why)
+
     async def _store_text(self, digest: str, text: str) -> None:
         while True:
             try:
--- a/src/jasminerelay/operatorclient.py
+++ b/src/jasminerelay/operatorclient.py
@@ -6,6 +6,7 @@
 import httpcore
 
 from jasminerelay import foreignbytes
+from jasminerelay.errors import ForeignDataError
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -78,7 +79,12 @@
         return response.content
 
     def get(self, path: str, *, url: str | None = None) -> Any:
-        """Sends a GET request; returns the decoded JSON response."""
+        """Sends a GET request; returns the decoded JSON response.
+
+        Raises:
+            CommandError: if there is no response, or an error response.
+            ForeignDataError: if the response is malformed.
+        """
         return foreignbytes.json_value(self.call("GET", path, url=url))
 
     def members(self) -> list[dict[str, str]]:
@@ -101,7 +107,7 @@
     for member in client.members():
         try:
             answers.append(client.get(path, url=client.url_of(member)))
-        except CommandError:
+        except (CommandError, ForeignDataError):
             silent.append(member["instance"])
     return answers, silent
 
--- a/tests/test_foreignbytes.py
+++ b/tests/test_foreignbytes.py
@@ -1,6 +1,8 @@
 """All readers of bytes that other programs write."""
 
+import random
 import unittest
+import unittest.mock
 import zlib
 
 import msgspec
@@ -23,9 +25,12 @@
     StoreError,
 )
 from jasminerelay.httpclient import HttpResponse
+from jasminerelay.manifestmanager import ManifestManager
+from jasminerelay.metrics import Counters
 from jasminerelay.platform import decoding, headers, storeclient, tables
 from jasminerelay.resume import Signer
 from jasminerelay.schema.messages import StoreSnapshot
+from jasminerelay.schema.settings import Statsd, Timing
 from jasminerelay.sse import Event
 from jasminerelay.store import Row
 from tests.test_serverrows import ENTRY, JSON
@@ -188,7 +193,7 @@
         self.assertEqual(foreignbytes.text(b"a"), "a")
 
 
-class OtherReadersTest(unittest.TestCase):
+class OtherReadersTest(unittest.IsolatedAsyncioTestCase):
     """Readers with an error of their own for their callers."""
 
     def test_answer_of_the_store(self) -> None:
@@ -228,6 +233,31 @@
         (problem,) = validation.parse_toml(text, "m").unwrap_err()
         self.assertIn("levels", str(problem))
 
+    async def test_manifest_that_is_no_text(self) -> None:
+        # Guards against a manifest in the store that ends the daemon, and
+        # against a log line of it with each poll.
+        manager = ManifestManager(
+            unittest.mock.Mock(),
+            unittest.mock.Mock(),
+            Timing(),
+            Counters(Statsd()),
+            unittest.mock.Mock(),
+            unittest.mock.Mock(),
+            unittest.mock.Mock(),
+            unittest.mock.Mock(),
+            lambda: 1,
+            random.Random(1),
+        )
+        for version, body in ((5, b"\xff\xfe"), (6, b"[" * 100_000)):
+            row = Row("manifest", version, {"digest": "d", "tokens": []})
+            manager._table.read = unittest.mock.AsyncMock(return_value=row)
+            manager._objects.get = unittest.mock.AsyncMock(return_value=body)
+            with self.assertLogs("jasminerelay") as logs:
+                for _ in range(3):
+                    await manager.refresh()
+            self.assertEqual(len(logs.output), 1)
+            self.assertIsNone(manager.directory)
+
     def test_log_lines(self) -> None:
         # Guards against a log with odd lines that ends `explain`.
         lines = [
