Log malformed datagrams once in a while, not each with a traceback

Cause: a nested datagram raised RecursionError past the handler, and was logged with its traceback each time; other malformed ones were counted without a line.

Change: all malformed datagrams are counted as peer.unreadable; one in 60 s is logged, with the remedy.

--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -107,6 +107,9 @@
 START_FETCH_S = 0.02
 """Interval at which an instance without data looks for one to fetch from."""
 
+UNREADABLE_LOG_INTERVAL_S = 60.0
+"""Minimum time between two log lines of malformed datagrams."""
+
 SNAPSHOT_PATH = "/snapshot"
 CONFIGURATION_FIELD = "configuration"
 SERVERS_FIELD = "servers"
@@ -157,6 +160,7 @@
         self._unmet: dict[str, float] = {}
         self._is_running = False
         self._began_at = self._last_tried_at = -math.inf
+        self._unreadable_logged_at = -math.inf
         self._guard = TaskGuard(counters, log)
         self._live: set[str] = set()
         self._live_members: list[Member] = []
@@ -449,11 +453,20 @@
     def _receive(self, data: bytes) -> None:
         try:
             message = peermessages.decode(data)
-        except ForeignDataError:
-            self._counters.incr("peer.unreadable")
+        except ForeignDataError as exc:
+            self._report_unreadable(exc)
             return
         self._dispatch_message(message)
 
+    def _report_unreadable(self, error: ForeignDataError) -> None:
+        """Counts a malformed datagram; logs one in a while."""
+        self._counters.incr("peer.unreadable")
+        now = time.monotonic()
+        if now - self._unreadable_logged_at < UNREADABLE_LOG_INTERVAL_S:
+            return
+        self._unreadable_logged_at = now
+        self._log.warn("peer_unreadable", why=str(error))
+
     @functools.singledispatchmethod
     def _dispatch(self, message: CellUpdate) -> None:
         self._owned.handle_message(message)
--- a/tests/test_oddrows.py
+++ b/tests/test_oddrows.py
@@ -1,11 +1,13 @@
 """Instances beside rows that another program wrote by mistake."""
 
+import socket
 import time
 import unittest
 
 import anyio
 import msgspec
 
+from jasminerelay.addresses import split_address
 from jasminerelay.platform.tables import (
     CRASHES_TABLE,
     DUTIES_TABLE,
@@ -138,6 +140,27 @@
             answer = await self.ask(instances[0], "/lookup/x")
             self.assertEqual(answer.status, 200)
 
+    async def test_odd_datagrams(self) -> None:
+        # Guards against a traceback in the log with each odd datagram.
+        nested = b"\x81\xa1x" + b"\x91" * 60_000 + b"\xc0"
+        async with self.site(2) as (site, instances):
+            lines = self.record(instances[0])
+            target = split_address(instances[0].boot.peers)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                for tag in (b"", *(bytes([number]) for number in range(13))):
+                    for data in (nested, NO_TEXT, b"\x92" * 9, b""):
+                        sender.sendto(tag + data, target)
+                        await anyio.sleep(POLL_S)
+            site.write_configuration()
+            await self.until(
+                lambda: instances[0].registry.catalog.version == site.version
+            )
+            self.assertEqual(lines.named("message_dropped"), [])
+            (line,) = lines.named("peer_unreadable")
+            self.assertIn("correct or remove", line["why"])
+            answer = await self.ask(instances[0], "/lookup/x")
+            self.assertEqual(answer.status, 200)
+
     def check_one_line_each(self, lines: RecordedLines) -> None:
         """Checks that each odd row was logged once, with a remedy."""
         for event, count in (
