--- a/src/jasminerelay/operatorclient.py
+++ b/src/jasminerelay/operatorclient.py
@@ -1,11 +1,13 @@
 """HTTP client of the command-line tool for the operators' port."""
 
-import json
 import ssl
 from typing import Any
 
 import httpcore
 
+from jasminerelay import foreignbytes
+from jasminerelay.errors import ForeignDataError
+
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_CONFLICT = 3
@@ -77,8 +79,13 @@
         return response.content
 
     def get(self, path: str, *, url: str | None = None) -> Any:
-        """Sends a GET request; returns the decoded JSON response."""
-        return json.loads(self.call("GET", path, url=url))
+        """Sends a GET request; returns the decoded JSON response.
+
+        Raises:
+            CommandError: if there is no response, or an error response.
+            ForeignDataError: if the response is malformed.
+        """
+        return foreignbytes.json_value(self.call("GET", path, url=url))
 
     def members(self) -> list[dict[str, str]]:
         """Returns the members that the addressed instance lists."""
@@ -100,7 +107,7 @@
     for member in client.members():
         try:
             answers.append(client.get(path, url=client.url_of(member)))
-        except CommandError:
+        except (CommandError, ForeignDataError):
             silent.append(member["instance"])
     return answers, silent
 
@@ -108,7 +115,7 @@
 def _error_of(response: httpcore.Response) -> CommandError:
     status = EXIT_CONFLICT if response.status == 409 else EXIT_FAILED
     try:
-        message = json.loads(response.content)["error"]["message"]
+        message = foreignbytes.json_value(response.content)["error"]["message"]
     except (ValueError, KeyError, TypeError):
         message = f"status {response.status}"
     return CommandError(message, status)
--- a/src/jasminerelay/peerlink.py
+++ b/src/jasminerelay/peerlink.py
@@ -18,9 +18,10 @@
 import anyio
 import msgspec
 
-from jasminerelay import peermessages, storeversion
+from jasminerelay import foreignbytes, peermessages, storeversion
 from jasminerelay.datagrams import DatagramSocket
 from jasminerelay.dispatcher import Dispatcher
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.eventlog import EventLog
 from jasminerelay.followerroles import FollowerRole
 from jasminerelay.freshness import Freshness, now_s
@@ -106,6 +107,9 @@
 START_FETCH_S = 0.02
 """Interval at which an instance without data looks for one to fetch from."""
 
+UNREADABLE_LOG_INTERVAL_S = 60.0
+"""Minimum time between two log lines of malformed datagrams."""
+
 SNAPSHOT_PATH = "/snapshot"
 CONFIGURATION_FIELD = "configuration"
 SERVERS_FIELD = "servers"
@@ -121,7 +125,7 @@
 second."""
 
 _encode = msgspec.msgpack.encode
-_decode_snapshot = msgspec.msgpack.Decoder(StoreSnapshot).decode
+_decode_snapshot = foreignbytes.msgpack_reader(StoreSnapshot)
 
 
 class PeerLink:
@@ -156,6 +160,7 @@
         self._unmet: dict[str, float] = {}
         self._is_running = False
         self._began_at = self._last_tried_at = -math.inf
+        self._unreadable_logged_at = -math.inf
         self._guard = TaskGuard(counters, log)
         self._live: set[str] = set()
         self._live_members: list[Member] = []
@@ -448,11 +453,20 @@
     def _receive(self, data: bytes) -> None:
         try:
             message = peermessages.decode(data)
-        except ValueError:
-            self._counters.incr("peer.unreadable")
+        except ForeignDataError as exc:
+            self._report_unreadable(exc)
             return
         self._dispatch_message(message)
 
+    def _report_unreadable(self, error: ForeignDataError) -> None:
+        """Counts a malformed datagram; logs one in a while."""
+        self._counters.incr("peer.unreadable")
+        now = time.monotonic()
+        if now - self._unreadable_logged_at < UNREADABLE_LOG_INTERVAL_S:
+            return
+        self._unreadable_logged_at = now
+        self._log.warn("peer_unreadable", why=str(error))
+
     @functools.singledispatchmethod
     def _dispatch(self, message: CellUpdate) -> None:
         self._owned.handle_message(message)
@@ -561,8 +575,7 @@
         except (
             NotSentError,
             IncompleteExchangeError,
-            msgspec.MsgspecError,
-            zlib.error,
+            ForeignDataError,
         ) as exc:
             self._counters.incr("peer.fetch_failed")
             self._log.warn("snapshot_failed", peer=name, why=str(exc))
@@ -637,11 +650,20 @@
     """Returns a snapshot with its configuration decompressed.
 
     Raises:
-        zlib.error: if the configuration cannot be decompressed.
+        ForeignDataError: if the configuration cannot be decompressed, or is
+            longer than an instance takes from the store.
     """
     if not snapshot.configuration:
         return snapshot
-    data = zlib.decompress(snapshot.configuration)
+    stream = zlib.decompressobj()
+    try:
+        data = stream.decompress(
+            snapshot.configuration, MAX_LONG_RESPONSE_BYTES
+        )
+    except zlib.error as exc:
+        raise ForeignDataError(f"the configuration: {exc}") from None
+    if not stream.eof:
+        raise ForeignDataError("the configuration is too long, or cut off")
     return msgspec.structs.replace(snapshot, configuration=data)
 
 
--- a/src/jasminerelay/platform/decoding.py
+++ b/src/jasminerelay/platform/decoding.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from jasminerelay import foreignbytes
+from jasminerelay.addresses import split_address
 from jasminerelay.catalog import (
     BackendServer,
     Catalog,
@@ -19,6 +21,7 @@
     Service,
     ServiceShare,
 )
+from jasminerelay.errors import ForeignDataError
 from jasminerelay.statednumbers import MAX_WHOLE, Amount, Count, Number, Whole
 
 MS_PER_S = 1000.0
@@ -34,12 +37,12 @@
 minimum, the multiple of the route's latency objective, and the multiple of its
 longest allowed pause between events."""
 
-_SERVER_ID = re.compile(r"[!-~]+")
+_SERVER_ID = re.compile(rf"[!-~]{{1,{foreignbytes.MAX_NAME_BYTES}}}")
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 
 
-class DocumentError(ValueError):
+class DocumentError(ForeignDataError):
     """A configuration or server row is malformed."""
 
 
@@ -154,6 +157,10 @@
     preemptible: bool = False
 
 
+_read_configuration = foreignbytes.json_reader(_Configuration)
+_read_server = foreignbytes.json_reader(_Server)
+
+
 def catalog(data: bytes) -> Catalog:
     """Decodes a configuration.
 
@@ -161,9 +168,9 @@
         DocumentError: if it is malformed.
     """
     try:
-        raw = msgspec.json.decode(data, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise DocumentError(f"configuration: {exc}") from exc
+        raw = _read_configuration(data)
+    except ForeignDataError as exc:
+        raise DocumentError(f"configuration: {exc.message}") from exc
     holders = {
         key: KeyHolder(item.name, item.rank)
         for item in raw.organisations or ()
@@ -195,12 +202,14 @@
     """
     if not _SERVER_ID.fullmatch(key):
         raise DocumentError(
-            f"server {key!r}: id has characters invalid in a header"
+            f"server {foreignbytes.shown(key)!r}: id has characters invalid"
+            f" in a header, or more than {foreignbytes.MAX_NAME_BYTES}"
         )
     try:
-        raw = msgspec.json.decode(data, type=_Server)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise DocumentError(f"server {key}: {exc}") from exc
+        raw = _read_server(data)
+    except ForeignDataError as exc:
+        raise DocumentError(f"server {key}: {exc.message}") from exc
+    _check_names(key, raw)
     _check_address(key, raw.address)
     if raw.slots < 1:
         raise DocumentError(
@@ -219,16 +228,29 @@
     )
 
 
+def _check_names(key: str, raw: _Server) -> None:
+    """Checks what goes into log lines, fields and datagrams."""
+    for what, name in (
+        ("service", raw.service),
+        ("zone", raw.zone),
+        ("version", raw.software_version),
+    ):
+        try:
+            foreignbytes.check_name(what, name)
+        except ForeignDataError as exc:
+            raise DocumentError(f"server {key}: {exc.message}") from exc
+
+
 def _check_address(key: str, address: str) -> None:
-    host, _, port = address.rpartition(":")
     try:
+        host, port = split_address(address)
         ipaddress.IPv4Address(host)
     except ValueError as exc:
-        raise DocumentError(f"server {key}: address: {exc}") from exc
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 1 << 16):
         raise DocumentError(
-            f"server {key}: address without a valid port: {address}"
-        )
+            f"server {key}: address: {foreignbytes.shown(exc)}"
+        ) from exc
+    if not port:
+        raise DocumentError(f"server {key}: port 0 is out of range")
 
 
 def _route(raw: _Route) -> Route:
