Do not say of a call that has run that it has not

Cause: a repeated call whose answer is recorded in the object store read that answer; where the store broke off (within its head, too) or refused, the client's StoreError went to the caller, and an error says 'ran: no' unless told otherwise. The claim's row shows that the call has run.

Change: that error is raised anew with 'ran: yes'.

Result: test_call_that_has_run (each byte of three heads) failed before with 'no' != 'yes' and passes.

--- a/src/jasminerelay/claimstore.py
+++ b/src/jasminerelay/claimstore.py
@@ -14,7 +14,7 @@
 
 from jasminerelay import claims
 from jasminerelay.claims import Claim
-from jasminerelay.errors import RAN_UNKNOWN, StoreError
+from jasminerelay.errors import RAN_UNKNOWN, RAN_YES, StoreError
 from jasminerelay.metrics import Counters
 from jasminerelay.store import (
     ABSENT,
@@ -205,11 +205,18 @@
     async def _recorded_answer(self, held: Claim) -> RecordedAnswer:
         if not held.object_key:
             return RecordedAnswer(held, held.body.encode())
-        body = await self._objects.get(held.object_key)
+        try:
+            body = await self._objects.get(held.object_key)
+        except StoreError as exc:
+            raise StoreError(
+                f"the call ran, but its recorded answer can't be read: {exc}",
+                ran=RAN_YES,
+                retry_s=exc.retry_s,
+            ) from exc
         if body is None:
             raise StoreError(
                 "the recorded answer is not in the object store yet",
-                ran="yes",
+                ran=RAN_YES,
                 retry_s=1.0,
             )
         return RecordedAnswer(held, body)
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -2111,4 +2111,11 @@
         "test_requestbytes.FollowingBytesTest"
         ".test_last_answer_is_read_beside_what_follows",
     ),
+    Safeguard(
+        "a call with a recorded answer is never said not to have run",
+        "claimstore",
+        "                ran=RAN_YES,\n                retry_s=exc.retry_s,\n",
+        "                retry_s=exc.retry_s,\n",
+        "test_cutheads.RecordedAnswersTest.test_call_that_has_run",
+    ),
 )
--- a/tests/test_cutheads.py
+++ b/tests/test_cutheads.py
@@ -15,7 +15,13 @@
 import httpcore
 import msgspec
 
-from jasminerelay import migration, netstream, relayport, serverconnection
+from jasminerelay import (
+    claims,
+    migration,
+    netstream,
+    relayport,
+    serverconnection,
+)
 from jasminerelay.backends import (
     AttemptError,
     EngineAttempt,
@@ -25,8 +31,15 @@
     fetch_load_report,
 )
 from jasminerelay.catalog import BackendServer
+from jasminerelay.claimstore import ClaimStore
 from jasminerelay.dutycalls import CallResult
-from jasminerelay.errors import RAN_NO, RAN_UNKNOWN, RelayError, StoreError
+from jasminerelay.errors import (
+    RAN_NO,
+    RAN_UNKNOWN,
+    RAN_YES,
+    RelayError,
+    StoreError,
+)
 from jasminerelay.httpclient import (
     HttpClient,
     HttpRequest,
@@ -47,7 +60,7 @@
 from jasminerelay.schema.messages import LoadReport, Member, StoreSnapshot
 from jasminerelay.schema.settings import Platform, Timing
 from jasminerelay.servicecalls import MAX_ATTEMPTS
-from jasminerelay.store import ObjectStoreClient, TableClient
+from jasminerelay.store import ObjectStoreClient, Row, TableClient, WriteResult
 from jasminerelay.usage import UsageReport
 from jasminerelay.watchdog import Watchdog
 from standins.cutserver import CutAnswer, CutServer
@@ -668,6 +681,43 @@
         self.check(cuts, results, lambda x: x is not None)
 
 
+class RecordedAnswersTest(CutCase):
+    """Recorded answers of calls, which the object store returns."""
+
+    async def test_call_that_has_run(self) -> None:
+        # Guards against a call that is said not to have run though its answer
+        # is recorded, since the object store stopped within its own answer.
+        for kind in ("length last", "by connection", "not run"):
+            answer = ANSWERS[kind]
+            for after in range(head_bytes(answer)):
+                self.cuts = [CutAnswer(answer, after)]
+                with self.assertRaises(StoreError) as caught:
+                    await self.replay(len(BODY))
+                self.assertEqual(caught.exception.ran, RAN_YES)
+
+    async def replay(self, size: int) -> bytes:
+        """Returns the recorded body of a call that is sent once more."""
+        fields = {"digest": "d", "token": "t", "state": claims.DONE}
+        row = Row("0", 1, {**fields, "object_key": "0", "size": size})
+        table = unittest.mock.Mock()
+        table.commit = unittest.mock.AsyncMock(
+            return_value=[WriteResult(False, row)]
+        )
+        cfg = Platform("", f"http://{self.server.address}", "")
+        store = ClaimStore(
+            table, ObjectStoreClient(self.client, cfg, 5.0), Counters(), 5.0, 4
+        )
+        running = asyncio.create_task(store.run())
+        try:
+            return (await store.acquire("claim/0", "d", 1.0)).body
+        finally:
+            running.cancel()
+
+    def answer_to(self, request: bytes) -> CutAnswer:
+        del request
+        return self.cuts[0]
+
+
 async def tried(action):
     """Returns the result of a call to a store, or its error."""
     try:
