Replay a recorded answer only if all of it arrived

The object store's answer may have neither a length nor chunks; one that broke off in order right after its head, or within its body, was replayed to the caller of a repeated call as its recorded answer, framed as whole.

Change: the claim's row states the size of the body in the object store. Rows of earlier versions have none; there an empty body is refused, since empty answers are recorded in the row itself.

--- a/src/jasminerelay/claims.py
+++ b/src/jasminerelay/claims.py
@@ -38,6 +38,7 @@
         content_type: Media type of the recorded answer.
         body: Body of the recorded answer, unless in the object store.
         object_key: Key of that body in the object store, or "".
+        size: Size of that body in bytes; 0 if an earlier version recorded it.
         at: Unix time of the claim in seconds, for retention.
     """
 
@@ -48,6 +49,7 @@
     content_type: str = ""
     body: str = ""
     object_key: str = ""
+    size: Count = 0
     at: Number = 0.0
 
 
--- a/src/jasminerelay/claimstore.py
+++ b/src/jasminerelay/claimstore.py
@@ -159,6 +159,7 @@
             content_type=content_type,
             body=text,
             object_key=object_key,
+            size=len(body) if object_key else 0,
         )
         self._run_in_background(
             self._record, acquired, claim, body if object_key else b""
@@ -219,6 +220,14 @@
                 ran=RAN_YES,
                 retry_s=1.0,
             )
+        if not body or held.size not in (0, len(body)):
+            # The store may have stopped within an answer that ends with its
+            # connection.
+            raise StoreError(
+                "the call ran, but only a part of its recorded answer arrived",
+                ran=RAN_YES,
+                retry_s=1.0,
+            )
         return RecordedAnswer(held, body)
 
     async def _record(
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -2118,4 +2118,11 @@
         "                retry_s=exc.retry_s,\n",
         "test_cutheads.RecordedAnswersTest.test_call_that_has_run",
     ),
+    Safeguard(
+        "a recorded answer is replayed only if all of it arrived",
+        "claimstore",
+        "        if not body or held.size not in (0, len(body)):",
+        "        if False:",
+        "test_cutheads.RecordedAnswersTest.test_cut_objects",
+    ),
 )
--- a/tests/test_cutheads.py
+++ b/tests/test_cutheads.py
@@ -31,7 +31,7 @@
     fetch_load_report,
 )
 from jasminerelay.catalog import BackendServer
-from jasminerelay.claimstore import ClaimStore
+from jasminerelay.claimstore import AcquiredClaim, ClaimStore
 from jasminerelay.dutycalls import CallResult
 from jasminerelay.errors import (
     RAN_NO,
@@ -695,6 +695,48 @@
                     await self.replay(len(BODY))
                 self.assertEqual(caught.exception.ran, RAN_YES)
 
+    async def test_cut_objects(self) -> None:
+        # Guards against a repeated call that gets a part of its recorded
+        # answer as a whole one, since the object store stopped within it.
+        answer = answer_of(b"Connection: close")
+        whole = CutAnswer(answer, len(answer))
+        head = head_bytes(answer)
+        cuts = [CutAnswer(answer, x) for x in range(head - 1, len(answer))]
+        for cut in cuts:
+            self.cuts = [cut]
+            with self.assertRaises(StoreError, msg=shown(cut)) as caught:
+                await self.replay(len(BODY))
+            self.assertEqual(caught.exception.ran, RAN_YES)
+        self.cuts = [whole]
+        self.assertEqual(await self.replay(len(BODY)), BODY)
+
+    async def test_objects_of_unknown_size(self) -> None:
+        # Guards against an empty answer, or none, to a repeated call whose
+        # answer was recorded without its size, by an earlier version.
+        answer = answer_of(b"Connection: close")
+        self.cuts = [CutAnswer(answer, head_bytes(answer))]
+        with self.assertRaises(StoreError):
+            await self.replay(0)
+        self.cuts = [CutAnswer(answer, len(answer))]
+        self.assertEqual(await self.replay(0), BODY)
+
+    async def test_size_is_recorded(self) -> None:
+        # Guards against a recorded answer whose size nothing states.
+        table = unittest.mock.Mock(commit=unittest.mock.AsyncMock())
+        objects = unittest.mock.Mock(put=unittest.mock.AsyncMock())
+        store = ClaimStore(table, objects, Counters(), 5.0, 4)
+        running = asyncio.create_task(store.run())
+        await asyncio.sleep(0)
+        claim = claims.Claim("d", "t")
+        await store.record_answer(
+            AcquiredClaim("claim/0", 1, claim), 200, "", BODY
+        )
+        while not table.commit.called:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        (write,) = table.commit.call_args.args[0]
+        self.assertEqual(write.value.size, len(BODY))
+
     async def replay(self, size: int) -> bytes:
         """Returns the recorded body of a call that is sent once more."""
         fields = {"digest": "d", "token": "t", "state": claims.DONE}
