Own interface: an answer that ends with a killed server is not whole

Cause: a plain answer with neither a length nor chunks counted as whole once its connection had ended in order and a byte had come. The kernel ends the connections of a killed server so.

Change: ServiceClient opens a connection before such a success counts; if nothing listens, and the answer did not say that its server leaves, the call may have run. Failures and answers with an end are not asked about.

Result: test_killed_server (each byte) failed before with a 200 whose body was one byte of ten, and passes; answers of servers that listen, that leave, or that show their end pass as before.

Left: a server that leaves without saying so in its answer and ends right after it; one that listens again at once.

--- a/src/jasminerelay/backends.py
+++ b/src/jasminerelay/backends.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jasminerelay import completeness, sse
+from jasminerelay.completeness import Framing
 from jasminerelay.httpclient import (
     MAX_ANSWER_BYTES,
     MAX_LONG_RESPONSE_BYTES,
@@ -259,11 +260,31 @@
             [(k.encode(), v.encode()) for k, v in reply.headers.items()],
             has_body=full.method != "HEAD",
         )
-        fault = completeness.body_fault(ended_by, reply.status, len(reply.body))
+        fault = completeness.body_fault(
+            ended_by, reply.status, len(reply.body)
+        ) or await self._crash_at_end(ended_by, server, reply)
         if fault:
             raise AttemptError(fault, ExecutionStatus.MAY_HAVE_RUN)
         return reply
 
+    async def _crash_at_end(
+        self, ended_by: Framing, server: Server, reply: HttpResponse
+    ) -> str:
+        """Returns why a reply that has ended is not complete; "" if it is.
+
+        The kernel ends the connections of a server that is killed in order,
+        like the server itself at the end of a reply. A killed one does not
+        listen any more; one that leaves may have ended after its last reply.
+        """
+        if (
+            ended_by is not Framing.CONNECTION
+            or reply.status >= completeness.MIN_FAILURE_STATUS
+            or LEAVING_HEADER in reply.headers
+            or not await self._client.refuses(server.address)
+        ):
+            return ""
+        return "the connection ended, and the server does not listen any more"
+
 
 async def fetch_load_report(
     client: HttpClient, server: Server, timeout_s: float
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from jasminerelay import completeness
+from jasminerelay.addresses import split_address
 from jasminerelay.datagrams import READ_BYTES
 from jasminerelay.netstream import (
     FRAMING_PER_BODY_BYTE,
@@ -41,12 +42,7 @@
     @property
     def refused(self) -> bool:
         """Whether a connection failed since nothing listens."""
-        cause: BaseException | None = self
-        while cause is not None:
-            if isinstance(cause, ConnectionRefusedError):
-                return True
-            cause = cause.__cause__
-        return False
+        return is_refusal(self)
 
 
 class ServerUnreachedError(NotSentError):
@@ -134,6 +130,18 @@
         async with self.stream(exchange) as response:
             return await read_whole(response, exchange.max_bytes)
 
+    async def refuses(self, address: str) -> bool:
+        """Returns whether nothing listens at an address (IP:port)."""
+        host, port = split_address(address)
+        try:
+            stream = await self._network_backend.connect_tcp(
+                host, port, CONNECT_TIMEOUT_S
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            return is_refusal(exc)
+        await stream.aclose()
+        return False
+
     @asynccontextmanager
     async def stream(
         self, exchange: HttpRequest
@@ -209,6 +217,15 @@
     return HttpResponse(response.status, response_headers(response), body)
 
 
+def is_refusal(error: BaseException | None) -> bool:
+    """Returns whether a connection failed since nothing listens."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 def response_headers(response: httpcore.Response) -> dict[str, str]:
     """Returns the header fields of a response, names in lower case.
 
--- a/standins/cutserver.py
+++ b/standins/cutserver.py
@@ -66,6 +66,10 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def stop_listening(self) -> None:
+        """Refuses connections, as the host of a process that is killed."""
+        self._server.close()
+
     def stop(self) -> None:
         """Stops listening and closes all connections."""
         self._server.close()
--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -2125,4 +2125,11 @@
         "        if False:",
         "test_cutheads.RecordedAnswersTest.test_cut_objects",
     ),
+    Safeguard(
+        "a plain answer that ends with a killed server is not complete",
+        "backends",
+        "            or not await self._client.refuses(server.address)\n",
+        "            or True\n",
+        "test_cutheads.EndedServiceTest.test_killed_server",
+    ),
 )
--- a/tests/test_cutheads.py
+++ b/tests/test_cutheads.py
@@ -299,13 +299,26 @@
             connection.close()
 
 
-class ServiceTest(CutCase):
-    """Calls of plain services on the project's own interface."""
+class ServiceCase(CutCase):
+    """Base of the tests of plain services on the project's own interface."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802 (unittest's name)
         await super().asyncSetUp()
         self.services = ServiceClient(self.client, lambda *_: None)
 
+    async def ask(self, number: int) -> HttpResponse | ExecutionStatus:
+        """Returns the reply to a call, or whether it may have run."""
+        server = Server("s", self.server.address, "z", 1)
+        request = HttpRequest("POST", f"/{number}", new_connection=True)
+        try:
+            return await self.services.call(server, request)
+        except AttemptError as exc:
+            return exc.execution_status
+
+
+class ServiceTest(ServiceCase):
+    """Calls of plain services whose servers go on."""
+
     async def test_heads(self) -> None:
         # Guards against an answer that counts as whole, or a call that counts
         # as not run, though the head or the body was cut.
@@ -333,13 +346,59 @@
             else:
                 self.assertTrue(result.body, shown(cut))
 
-    async def ask(self, number: int) -> HttpResponse | ExecutionStatus:
-        server = Server("s", self.server.address, "z", 1)
-        request = HttpRequest("POST", f"/{number}", new_connection=True)
-        try:
-            return await self.services.call(server, request)
-        except AttemptError as exc:
-            return exc.execution_status
+
+class EndedServiceTest(ServiceCase):
+    """Servers that end in order while, or after, they answer."""
+
+    ends = False
+
+    async def test_killed_server(self) -> None:
+        # Guards against a part of an answer that counts as whole, and is
+        # recorded as the outcome of a call that may run once, since its server
+        # was killed and its connection ended in order.
+        self.ends = True
+        answer = ANSWERS["by connection"]
+        for after in range(len(answer) + 1):
+            self.assertIs(
+                await self.ask_cut(CutAnswer(answer, after)),
+                ExecutionStatus.MAY_HAVE_RUN,
+            )
+
+    async def test_server_that_listens(self) -> None:
+        # Guards against a whole answer that counts as broken off.
+        answer = ANSWERS["by connection"]
+        result = await self.ask_cut(CutAnswer(answer, len(answer)))
+        self.assertEqual(result.body, BODY)
+
+    async def test_server_that_leaves(self) -> None:
+        # Guards against the whole answer of a server that has ended after it,
+        # since it was leaving, that counts as broken off.
+        self.ends = True
+        answer = answer_of(b"X-Leaving: 1")
+        result = await self.ask_cut(CutAnswer(answer, len(answer)))
+        self.assertEqual(result.body, BODY)
+
+    async def test_answers_with_an_end(self) -> None:
+        # Guards against an answer that shows its end and counts as broken off
+        # since its server was killed after it.
+        self.ends = True
+        for kind in ("length last", "chunks last", "without content"):
+            answer = ANSWERS[kind]
+            result = await self.ask_cut(CutAnswer(answer, len(answer)))
+            self.assertEqual(result.body, body_of(answer))
+
+    async def ask_cut(self, cut: CutAnswer) -> HttpResponse | ExecutionStatus:
+        """Returns the result of a call to a server of its own."""
+        self.cuts = [cut]
+        self.server = CutServer(self.answer_to)
+        await self.server.start()
+        self.addCleanup(self.server.stop)
+        return await self.ask(0)
+
+    def answer_to(self, request: bytes) -> CutAnswer:
+        if self.ends:
+            self.server.stop_listening()
+        return super().answer_to(request)
 
 
 class EngineTest(CutCase):
