--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -2199,4 +2199,25 @@
         "test_requestbytes.FollowingBytesTest"
         ".test_last_answer_is_read_beside_what_follows",
     ),
+    Safeguard(
+        "a call with a recorded answer is never said not to have run",
+        "claimstore",
+        "                ran=RAN_YES,\n                retry_s=exc.retry_s,\n",
+        "                retry_s=exc.retry_s,\n",
+        "test_cutheads.RecordedAnswersTest.test_call_that_has_run",
+    ),
+    Safeguard(
+        "a recorded answer is replayed only if all of it arrived",
+        "claimstore",
+        "        if not body or held.size not in (0, len(body)):",
+        "        if False:",
+        "test_cutheads.RecordedAnswersTest.test_cut_objects",
+    ),
+    Safeguard(
+        "a plain answer that ends with a killed server is not complete",
+        "backends",
+        "            or not await self._client.refuses(server.address)\n",
+        "            or True\n",
+        "test_cutheads.EndedServiceTest.test_killed_server",
+    ),
 )
