Safeguards of foreign bytes, with their proofs

Twelve new ones. Two of registry got the text that the function has now; their tests and what they take away are the same.

--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1934,15 +1934,16 @@
     Safeguard(
         "a row without a start ends no incarnation",
         "registry",
-        "return self._starts_stated and bool(before.born) and not server.born",
-        "return False",
+        "            self._starts_stated\n            and bool(before.born)\n",
+        "            False\n",
         "test_serverrows.WrongStartTest.test_row_without_start",
     ),
     Safeguard(
         "a row without a start names no server where others state one",
         "registry",
-        "                and (held.server.born or not self._starts_stated)\n",
-        "",
+        "                    held.server.born\n"
+        "                    or not self._starts_stated\n",
+        "                    True\n",
         "test_serverrows.WrongStartTest"
         ".test_row_without_start_of_an_unknown_name",
     ),
@@ -2111,4 +2112,91 @@
         "test_requestbytes.FollowingBytesTest"
         ".test_last_answer_is_read_beside_what_follows",
     ),
+    Safeguard(
+        "nesting is an error of the bytes, not of their reader",
+        "foreignbytes",
+        "    OverflowError,\n    RecursionError,\n)",
+        "    OverflowError,\n)",
+        "test_foreignbytes.AnyBytesTest.test_nested",
+    ),
+    Safeguard(
+        "a value without a type can be encoded again",
+        "foreignbytes",
+        "    if sum(map(data.count, opening)) > MAX_NESTING:\n",
+        "    if False:\n",
+        "test_foreignbytes.ForeignTextTest.test_nested_value",
+    ),
+    Safeguard(
+        "foreign text in messages is cut",
+        "foreignbytes",
+        "    return ForeignDataError(shown(exc))\n",
+        "    return ForeignDataError(str(exc))\n",
+        "test_foreignbytes.ForeignTextTest.test_unknown_literal_is_cut",
+    ),
+    Safeguard(
+        "an address that no socket takes is none",
+        "addresses",
+        "    if not (address.isascii() and address.isprintable()):\n",
+        "    if False:\n",
+        "test_datagrams.OddAddressTest.test_socket_stays_open",
+    ),
+    Safeguard(
+        "a row of an instance names an address",
+        "platform/tables",
+        "                found.add(_decode_instance(row.data))\n",
+        "                found.add(_read_instance(row.data).peers)\n",
+        "test_oddrows.OddRowsTest.test_changes_are_followed",
+    ),
+    Safeguard(
+        "an unreadable version of a row is logged once",
+        "platform/tables",
+        "        if self._versions.get(row.id) == row.version:\n"
+        "            return\n",
+        "",
+        "test_oddrows.OddRowsTest.test_changes_are_followed",
+    ),
+    Safeguard(
+        "names in a server's row are bounded",
+        "platform/decoding",
+        "    _check_names(key, raw)\n",
+        "",
+        "test_serverrows.ForeignRowTest.test_names_without_bound",
+    ),
+    Safeguard(
+        "a server that was used without a start states none",
+        "registry",
+        "            and server.name not in self._used_without_start\n",
+        "",
+        "test_serverrows.WrongStartTest"
+        ".test_start_in_the_row_of_the_only_server",
+    ),
+    Safeguard(
+        "starts of another writer take no server out of use",
+        "registry",
+        "                    or name in self._used_without_start\n",
+        "",
+        "test_serverrows.WrongStartTest.test_starts_in_most_rows",
+    ),
+    Safeguard(
+        "starts that most rows lack are believed no more",
+        "registry",
+        "        if 2 * stated < len(self._entries):\n",
+        "        if False:\n",
+        "test_serverrows.WrongStartTest"
+        ".test_first_read_amid_starts_of_another_writer",
+    ),
+    Safeguard(
+        "a row without a start names no server where half state theirs",
+        "registry",
+        "        if 2 * stated < len(self._entries):\n",
+        "        if True:\n",
+        "test_serverrows.WrongStartTest.test_row_without_start",
+    ),
+    Safeguard(
+        "a snapshot expands to a bounded size",
+        "peerlink",
+        "            snapshot.configuration, MAX_LONG_RESPONSE_BYTES\n",
+        "            snapshot.configuration\n",
+        "test_foreignbytes.OtherReadersTest.test_snapshot_that_expands",
+    ),
 )
--- a/tests/test_foreignbytes.py
+++ b/tests/test_foreignbytes.py
@@ -186,6 +186,18 @@
             )
         self.assertLess(len(str(caught.exception)), MAX_MESSAGE_CHARS)
 
+    def test_nested_value(self) -> None:
+        # Guards against a value that can be read but not encoded again, as a
+        # frame of an engine that nests almost as deeply as can be read.
+        levels = foreignbytes.MAX_NESTING
+        foreignbytes.json_value(b"[" * levels + b"]" * levels)
+        foreignbytes.json_value(b"[" + b"[]," * 500 + b"[]]")
+        for over in (levels + 1, 450):
+            for opening, closing in ((b"[", b"]"), (b'{"a":', b"}")):
+                data = opening * over + b"1" + closing * over
+                with self.assertRaises(ForeignDataError):
+                    foreignbytes.json_value(data)
+
     def test_text(self) -> None:
         # Guards against a manifest that is no text and ends the daemon.
         with self.assertRaises(ForeignDataError):
