--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -1169,7 +1169,7 @@
         "only a server that refuses connections has ended",
         "crashwatch",
         "if isinstance(end, Ended):",
-        "if True:",
+        'if True:\n                    end = Ended("")',
         "test_crashingrequests.BrokenConnectionTest"
         ".test_broken_streams_are_no_crashes",
     ),
