Read a length of many digits as a number

Cause: a Content-Length of over 4,300 digits, mostly leading zeros, passes the parser; int() raised ValueError past the reader, into the event loop.

Change: it is read by parse_whole, as all stated numbers.

Measured: test_length_of_many_digits before: ValueError; after: passed. Request reader and bytes of both interfaces, lazy modules: 38 passed, 0 failed.

--- a/src/jasminerelay/requestreader.py
+++ b/src/jasminerelay/requestreader.py
@@ -15,6 +15,7 @@
 import httptools
 
 from jasminerelay.errors import BadRequestError
+from jasminerelay.statednumbers import parse_whole
 
 NO_FIELDS: frozenset[bytes] = frozenset()
 
@@ -279,7 +280,7 @@
         expects_continue = False
         for name, value in fields:
             if name == _LENGTH:
-                length = int(value)
+                length = parse_whole(value)
             elif name == _CODING:
                 _require_chunks(value, version)
                 length = None
--- a/tests/test_requestreader.py
+++ b/tests/test_requestreader.py
@@ -180,6 +180,18 @@
         count = min(len(found), len(other))
         self.assertEqual(found[:count], other[:count])
 
+    def test_length_of_many_digits(self) -> None:
+        # Guards against a length whose leading zeros `int` refuses.
+        for digits in (b"5", b"0" * 5000 + b"5"):
+            reader = RequestReader()
+            reader.feed(
+                b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %b\r\n\r\n"
+                b"hello" % digits
+            )
+            self.assertIsInstance(reader.read(1 << 16), RequestHead)
+            self.assertEqual(reader.read(1 << 16), b"hello")
+            self.assertIs(reader.read(1 << 16), BodyEnd.END)
+
     def test_many_heads_take_time_in_proportion(self) -> None:
         # Guards against a cost with the square of the heads in a packet.
         head = (
