--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -208,6 +208,17 @@
         await asyncio.sleep(0.3)
         self.assertEqual(received, [HEAD + b"\r\nhalf", None])
 
+    async def test_malformed_address_of_an_instance(self) -> None:
+        # Guards against an odd member's record that fails a request.
+        for number, odd in enumerate(("", "a.name:80", "10.0.0.1:99999")):
+            self.peers.append(
+                Member(f"odd-{number}", "", "z", "", "", odd, "alive", 0)
+            )
+        await self.start_relay()
+        relay = await self.client.open(self.server)
+        self.assertEqual(relay.instance, "i3")
+        relay.conn.close()
+
     async def test_client_that_leaves_ends_the_connection(self) -> None:
         # Guards against servers that work on after the caller has left.
         self.end = lambda writer: None
