Randomised runs cut answers within their heads

Cause: cuts were drawn from the first 6,000 bytes of a connection from any moment on, so that heads were rarely hit; the soak of the own interface had no such fault.

Change: a cut of the stand-in link may count from the first byte of the next answer; half of those of the streams' run do, within 300 bytes. The soak's services run a call and send a part of a head that, whole, would say that it has not run.

--- a/standins/common.py
+++ b/standins/common.py
@@ -91,6 +91,21 @@
     await send({"type": "http.response.body", "body": b"", "more_body": True})
 
 
+def send_part_of_head(send, count: int) -> None:
+    """Sends the first bytes of an answer's head and ends the connection.
+
+    The head, were it whole, would say that the request has not run.
+
+    Args:
+        send: The ASGI callable that uvicorn passed for the request.
+        count: Number of bytes, less those of a whole head.
+    """
+    head = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+    transport = send.__self__.transport
+    transport.write(head[: count % len(head)])
+    transport.close()
+
+
 async def _discard(message) -> None:
     del message
 
--- a/standins/link.py
+++ b/standins/link.py
@@ -40,10 +40,13 @@
     Attributes:
         after: Bytes of answers that are forwarded before it.
         kind: How the connection is cut.
+        in_answer: Whether the bytes are those of one answer, from its first,
+            and not those of a connection from any moment on.
     """
 
     after: int
     kind: CutKind
+    in_answer: bool = False
 
 
 MAX_JOIN_S = 0.03
@@ -76,6 +79,17 @@
     resets_only: bool = False
 
 
+@dataclasses.dataclass
+class _Exchange:
+    """State of one connection.
+
+    Attributes:
+        asked: Whether bytes of a request have followed the last answer.
+    """
+
+    asked: bool = False
+
+
 class Link:
     """Listens on one address and forwards each connection to another.
 
@@ -141,9 +155,12 @@
         async with anyio.create_task_group() as group:
             scope = group.cancel_scope
             self._open[scope] = client
+            state = _Exchange()
             try:
-                group.start_soon(self._forward, client, upstream, scope, False)
-                await self._forward(upstream, client, scope, True)
+                group.start_soon(
+                    self._forward, client, upstream, scope, state, False
+                )
+                await self._forward(upstream, client, scope, state, True)
             finally:
                 del self._open[scope]
 
@@ -152,6 +169,7 @@
         source: SocketStream,
         destination: SocketStream,
         scope: anyio.CancelScope,
+        state: _Exchange,
         answers: bool,
     ) -> None:
         complete = True
@@ -159,13 +177,14 @@
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
+                begins, state.asked = state.asked, not answers
                 if self.faults.delay_s:
                     await anyio.sleep(self.faults.delay_s)
                 if self._drops(answers):
                     complete = False
                     continue
-                if answers and cut is None and self.faults.cuts:
-                    cut = self.faults.cuts.pop()
+                if answers and cut is None:
+                    cut = self._next_cut(begins)
                 if cut is not None:
                     data, cut = data[: cut.after], _less(cut, len(data))
                 await self._send(destination, data)
@@ -203,6 +222,17 @@
         if kind is not CutKind.END or self.faults.resets_only:
             _reset_on_close(stream)
 
+    def _next_cut(self, begins: bool) -> LinkCut | None:
+        """Takes the next cut, if it may come now.
+
+        Args:
+            begins: Whether an answer begins.
+        """
+        cuts = self.faults.cuts
+        if not cuts or (cuts[-1].in_answer and not begins):
+            return None
+        return cuts.pop()
+
     def _drops(self, answers: bool) -> bool:
         return self.faults.silent or (answers and self.faults.deaf)
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -12,12 +12,16 @@
 from standins.common import (
     make_parser,
     refusal_headers,
+    send_part_of_head,
     send_truncated,
     serve,
     set_faults,
 )
 from standins.rawrequests import FIELDS, TARGET
 
+HEAD_STEP_BYTES = 7
+"""Difference between two answers in the bytes of their heads that are sent."""
+
 
 @dataclasses.dataclass
 class ServiceFaults:
@@ -28,6 +32,8 @@
         refuse: Number of upcoming calls that are refused before they run.
         pause: Value of Retry-After in these refusals; empty for none.
         drop_after: Number of upcoming calls that run but are not answered.
+        cut_heads: Number of upcoming calls that run and whose answers stop
+            within their heads.
         leaving: Refuse all calls, as a server that is shutting down does.
         announce: Run calls, and announce the shutdown in the answers.
     """
@@ -36,6 +42,7 @@
     refuse: int = 0
     pause: str = ""
     drop_after: int = 0
+    cut_heads: int = 0
     leaving: bool = False
     announce: bool = False
 
@@ -101,6 +108,10 @@
             self.faults.drop_after -= 1
             await send_truncated(send)
             return
+        if self.faults.cut_heads > 0:
+            self.faults.cut_heads -= 1
+            send_part_of_head(send, len(self._journal) * HEAD_STEP_BYTES)
+            return
         answer = {"done": scope["path"], "body": body, "by": self._name}
         if self._deduplicates and key:
             answer = self._answers.setdefault(key, answer)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -195,6 +195,7 @@
             (
                 {"refuse": 3},
                 {"drop_after": 3},
+                {"cut_heads": 6},
                 {"slow_s": 0.5},
                 {"leaving": True},
             )
@@ -291,7 +292,14 @@
         )
 
     def _heal_service(self, name: str) -> None:
-        self._set_fault(name, refuse=0, drop_after=0, slow_s=0.0, leaving=False)
+        self._set_fault(
+            name,
+            refuse=0,
+            drop_after=0,
+            cut_heads=0,
+            slow_s=0.0,
+            leaving=False,
+        )
 
     def _set_fault(self, name: str, **fields: Any) -> None:
         try:
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -44,6 +44,10 @@
 MAX_EVENT_TOKENS = 6
 TICK_S = 0.012
 MAX_CUT_BYTES = 6000
+HEAD_BYTES = 300
+HEAD_CUT_SHARE = 0.5
+"""Share of the cuts that come within that many first bytes of an answer."""
+
 TAKE_UP_ELSEWHERE_SHARE = 0.4
 """Share of the streams taken up after another event than the last one."""
 
@@ -180,11 +184,12 @@
     async def _cut_connections(self, rng: random.Random) -> None:
         """Cuts some connections, each after any number of bytes."""
         link = rng.choice(self._all_links())
-        link.faults.cuts += [
-            LinkCut(rng.randrange(MAX_CUT_BYTES), rng.choice(list(CutKind)))
-            for _ in range(rng.randint(1, 6))
-        ]
+        cuts = [_cut(rng) for _ in range(rng.randint(1, 6))]
+        link.faults.cuts += cuts
         await anyio.sleep(rng.uniform(0.3, 1.5))
+        self.counts["answers cut in their heads"] += sum(
+            cut.in_answer and cut not in link.faults.cuts for cut in cuts
+        )
         link.faults.cuts.clear()
 
     def _end_in_order_only_by_servers(self) -> None:
@@ -282,6 +287,14 @@
         return _FAULTS
 
 
+def _cut(rng: random.Random) -> LinkCut:
+    """Draws a cut, in the head of an answer or anywhere on a connection."""
+    kind = rng.choice(list(CutKind))
+    if rng.random() < HEAD_CUT_SHARE:
+        return LinkCut(rng.randrange(HEAD_BYTES), kind, in_answer=True)
+    return LinkCut(rng.randrange(MAX_CUT_BYTES), kind)
+
+
 _FAULTS = (
     StreamSoak._kill,
     StreamSoak._freeze,
