Let a test of a stopping instance's moves use a stream that can end in time

Cause, traced in 16 plays side by side beside four busy processes: in the 4 that failed the run was stopped 0.42 to 0.86 s after the signal, not for the draining row at 2.85 s. On a busy machine the stand-in's stream needed 15 to 24 s where 12.5 s were left, so the instance moved it to a faster server, and until 1.4 s after the signal (MOVE_MARGIN_S before its exit) it may. The test took any move for one at the end: it assumed that the stream is fast.

Change: the route gives the stream 120 s instead of 15 s, so that the only reason for a move is the row that the test writes. The assertion is the same: no move at all.

--- a/tests/test_stopmoves.py
+++ b/tests/test_stopmoves.py
@@ -13,11 +13,17 @@
 """With these, the run would be stopped before the last sixth of the grace
 period, and go on only after the instance has ended."""
 
+ANSWER_TIME_MS = 120_000
+"""Enough for the stream on a busy machine: one that can't end in time may be
+moved to a faster server while its instance still has time for it."""
+
 
 class StopMovesTest(PlatformCase):
     """Streams on a server that leaves while their instance ends."""
 
-    options = SiteOptions(grace_s=4.0, routes={"chat": {"timeoutMs": 15000}})
+    options = SiteOptions(
+        grace_s=4.0, routes={"chat": {"timeoutMs": ANSWER_TIME_MS}}
+    )
 
     async def test_run_is_not_stopped_at_the_end(self) -> None:
         # Guards against a run that is stopped for a move which its instance
