Test five instances of which four share a cut

Cause: instances that have just been cut off may confirm to each other that servers are down; only the model of one witness had a test. Change: the test of sound servers with four of five instances cut off. Ruled out: nothing was changed but the test.

--- a/tests/test_serverends.py
+++ b/tests/test_serverends.py
@@ -206,15 +206,16 @@
     networks = True
 
     @contextlib.asynccontextmanager
-    async def cut_off(self, kind: Cut):
-        """Runs three instances, the first of which is cut off from servers."""
-        async with self.site(3) as (site, instances):
+    async def cut_off(self, kind: Cut, cut_count: int, count: int):
+        """Runs instances, the first of which are cut off from servers."""
+        async with self.site(count) as (site, instances):
             await self.until(
-                lambda: all(i.live_instance_count == 3 for i in instances)
+                lambda: all(i.live_instance_count == count for i in instances)
             )
             for number, instance in enumerate(instances):
                 await self.send(instance, f"w{number}", 6)
-            self.network_of[instances[0].boot.name].cut(kind)
+            for instance in instances[:cut_count]:
+                self.network_of[instance.boot.name].cut(kind)
             yield site, instances
 
     async def send(self, instance, name: str, count: int) -> list[int]:
@@ -241,14 +242,23 @@
                 await anyio.sleep(0.02)
         return statuses
 
-    async def check_sound(self, kind: Cut, *, by_connection: bool) -> None:
+    async def check_sound(
+        self,
+        kind: Cut,
+        *,
+        by_connection: bool = False,
+        cut_count: int = 1,
+        count: int = 3,
+    ) -> None:
         """Breaks answers off, then checks that nobody takes a server for dead.
 
         Args:
-            kind: How the first instance is cut off.
+            kind: How the first instances are cut off.
             by_connection: Whether the answers end with their connections.
+            cut_count: Number of instances that are cut off at once.
+            count: Number of instances.
         """
-        async with self.cut_off(kind) as (site, instances):
+        async with self.cut_off(kind, cut_count, count) as (site, instances):
             for server in site.servers.values():
                 server.faults.by_connection = by_connection
                 server.faults.break_after = 3
@@ -276,23 +286,28 @@
                 self.assertEqual(
                     instance._crashes.ledger.all_blocked, frozenset()
                 )
-            for instance in instances[1:]:
+            for instance in instances[cut_count:]:
                 for server in instance.registry.servers():
                     health = instance.dispatcher.health(server.service)
                     self.assertFalse(health.unavailable(server.id))
 
     async def test_new_connections_are_refused(self) -> None:
         # Guards against requests blocked for the cut of one instance.
-        await self.check_sound(Cut.NEW_REFUSED, by_connection=False)
+        await self.check_sound(Cut.NEW_REFUSED)
 
     async def test_connections_are_reset(self) -> None:
         # Guards against a reset by the network that counts as a crash.
-        await self.check_sound(Cut.RESET, by_connection=False)
+        await self.check_sound(Cut.RESET)
 
     async def test_answers_by_connection(self) -> None:
         # Guards against answers without a length that end at a cut.
         await self.check_sound(Cut.NEW_REFUSED, by_connection=True)
 
+    async def test_instances_that_share_a_cut(self) -> None:
+        # Guards against instances that have just been cut off and confirm to
+        # each other that servers are down.
+        await self.check_sound(Cut.RESET, cut_count=4, count=5)
+
 
 class CrashBehindCutTest(PlatformCase):
     """A request that crashes servers, at an instance cut off from them."""
