Count a loan of an organisation's limit for one request only

Cause: requests of one instance that borrow at the same time all woke with the first loan, and each added its tokens to the balance; later loans woke nobody and were lost. Three requests of 60 tokens at a limit of 60 were all served when their loans came one after another, and none of them when they came together (each then read the last loan, 0). Found while tracing test_limit_holds_across_instances, which was over its limit twice.

Change: waiting requests of an organisation queue up, and each loan goes to the first of them, as the coordinator answers in order. A request that gives up leaves the queue. A loan with no request that waits is dropped, as before.

Tests: test_permits.LoanTest, three; two fail before (3 and 0 of 3 served where 1 is right), all pass now.

--- a/src/jasminerelay/permitclient.py
+++ b/src/jasminerelay/permitclient.py
@@ -1,5 +1,6 @@
 """Acquires permits for the requests that arrive at this instance."""
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable
@@ -59,6 +60,14 @@
     result: PermitGrant | PermitRefusal | None = None
 
 
+@dataclasses.dataclass(eq=False)
+class _PendingLoan:
+    """A request for a loan; the coordinator answers such requests in order."""
+
+    done: anyio.Event
+    loan: TokenLoan | None = None
+
+
 @dataclasses.dataclass
 class _PermitRecord:
     held: HeldPermit
@@ -120,8 +129,7 @@
         self._broker_names: dict[str, str] = {}
         self._balances: dict[str, BorrowedBalance] = {}
         self._fallback_buckets: dict[str, TokenBucket] = {}
-        self._loan_events: dict[str, list[anyio.Event]] = {}
-        self._last_loans: dict[str, TokenLoan] = {}
+        self._pending_loans: dict[str, collections.deque[_PendingLoan]] = {}
 
     @property
     def waiting(self) -> int:
@@ -564,9 +572,12 @@
     @_handle.register
     def _handle_loan(self, message: TokenLoan, peer: str) -> None:
         del peer
-        self._last_loans[message.organisation] = message
-        for event in self._loan_events.pop(message.organisation, []):
-            event.set()
+        waiting = self._pending_loans.get(message.organisation)
+        if waiting:
+            # Each loan is for one request, or its tokens would count twice.
+            pending = waiting.popleft()
+            pending.loan = message
+            pending.done.set()
 
     def _manifest_has_cell(self, request: PermitRequest) -> bool:
         directory = self._directory()
@@ -622,15 +633,23 @@
     ) -> TokenLoan:
         names = [member.instance for member in self._live()]
         coordinator = rendezvous.owner(organisation.name, names)
-        event = anyio.Event()
-        self._loan_events.setdefault(organisation.name, []).append(event)
+        pending = _PendingLoan(anyio.Event())
+        waiting = self._pending_loans.setdefault(
+            organisation.name, collections.deque()
+        )
+        waiting.append(pending)
         borrow = BorrowRequest(organisation.name, wanted)
         self._send(
             coordinator or self._own.instance, self._frame(borrows=[borrow])
         )
-        with anyio.move_on_after(self._timeout_s):
-            await event.wait()
-            return self._last_loans[organisation.name]
+        try:
+            with anyio.move_on_after(self._timeout_s):
+                await pending.done.wait()
+        finally:
+            if pending.loan is None:
+                waiting.remove(pending)
+        if pending.loan is not None:
+            return pending.loan
         # The limit's coordinator is unresponsive: lend from this instance's
         # share of the limit, so that all instances together stay within it.
         self._counters.incr("limit.home_silent")
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -134,6 +134,71 @@
     )
 
 
+class LoanTest(unittest.IsolatedAsyncioTestCase):
+    """Requests of one instance that borrow tokens at the same time."""
+
+    def setUp(self) -> None:
+        self.instances = Instances()
+        self.instances.directory = manifest.parse(
+            MANIFEST.replace(
+                'name = "o"\n',
+                'name = "o"\ntokens_per_s = 1.0\nburst_tokens = 60.0\n',
+            ),
+            "m",
+        ).unwrap()
+        self.organisation = self.instances.directory.organisations["o"]
+        self.client = self.instances.clients["a"]
+        self.loans: list = []
+        self.frames: list[tuple[str, InstanceFrame]] = []
+        self.deliver = self.client._send
+        self.client._send = lambda *frame: self.frames.append(frame)
+
+    async def take(self, tokens: float) -> None:
+        self.loans.append(
+            await self.client.take_tokens(self.organisation, tokens)
+        )
+
+    def deliver_all(self) -> None:
+        for peer, frame in self.frames:
+            self.deliver(peer, frame)
+        self.frames.clear()
+
+    async def test_loan_is_counted_once(self) -> None:
+        # Guards against a loan that each waiting request adds to the balance:
+        # an organisation was served more than its limit.
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(self.take, 60.0)
+            await anyio.wait_all_tasks_blocked()
+            for peer, frame in self.frames:
+                self.deliver(peer, frame)
+                await anyio.wait_all_tasks_blocked()
+        self.assertEqual(self.loans.count(None), 1)
+
+    async def test_loans_that_come_together(self) -> None:
+        # Guards against a loan that the next one replaces before the request
+        # that asked for it has read it: nobody was served.
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(self.take, 60.0)
+            await anyio.wait_all_tasks_blocked()
+            self.deliver_all()
+        self.assertEqual(self.loans.count(None), 1)
+
+    async def test_request_that_was_cancelled(self) -> None:
+        # Guards against a loan that goes to a request that has ended.
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.take, 20.0)
+            await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+        self.frames.clear()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.take, 20.0)
+            await anyio.wait_all_tasks_blocked()
+            self.deliver_all()
+        self.assertEqual(self.loans, [None])
+
+
 class PermitsTest(unittest.IsolatedAsyncioTestCase):
     """Permits across changes of brokers and manifests."""
 
