List the safeguard that a loan is counted once

Cause: the mend of shared loans had a test, but no entry in the list. Change: the entry wakes all waiting requests with one loan, as before. Measured: test_permits.LoanTest.test_loan_is_counted_once fails without the safeguard; test_safeguards passes.

--- a/tests/safeguardlist.py
+++ b/tests/safeguardlist.py
@@ -642,6 +642,17 @@
         "return True",
         "test_workload.StopTest.test_accepts_requests_that_can_finish",
     ),
+    Safeguard(
+        "a loan is counted for one request only",
+        "permitclient",
+        "            pending.loan = message\n",
+        "            for other in waiting:\n"
+        "                other.loan = message\n"
+        "                other.done.set()\n"
+        "            waiting.clear()\n"
+        "            pending.loan = message\n",
+        "test_permits.LoanTest.test_loan_is_counted_once",
+    ),
     Safeguard(
         "no run is stopped for a move just before the exit",
         "stopping",
