--- a/tests/test_manifest_force.py
+++ b/tests/test_manifest_force.py
@@ -49,6 +49,24 @@
             wait_for(lambda d=daemon: self.version(d) == version, IN_FORCE_S)
         print(f"in force after {time.monotonic() - started:.3f} s", end=" ")
 
+    def test_odd_versions_and_manifests(self) -> None:
+        # Guards against an error of ours for odd numbers of an operator.
+        daemon = self.system.daemons[0]
+        over = self.version(daemon)
+        odd = "0x" + "f" * 5000
+        nested = "[" * 300 + "]" * 300
+        for text, version, expected in (
+            (self.system.manifest, "1_0", 400),
+            (self.system.manifest, "9" * 5000, 409),
+            (f"odd = {odd}\n{self.system.manifest}", over, 422),
+            (f"odd = {nested}\n{self.system.manifest}", over, 422),
+        ):
+            with self.subTest(version=str(version)[:9], text=text[:9]):
+                status, body = self.put(daemon, text, version)
+                self.assertEqual(status, expected)
+                self.assertTrue(body["error"]["message"])
+        self.assertEqual(self.version(daemon), over)
+
     def test_racing_operators(self) -> None:
         # Two operators apply different manifests on top of the same version
         # at the same time, through two instances. One is accepted; the other
