--- a/standins/peernetwork.py
+++ b/standins/peernetwork.py
@@ -71,8 +71,8 @@
             raise IncompleteExchangeError("cut off")
         return await self._call(exchange)
 
-    async def _open_relayed(self, server):
+    async def _open_relayed(self, server, **options):
         if self._hosts:
             await anyio.sleep(CALL_TIMEOUT_S)
             raise NotSentError("cut off")
-        return await self._open(server)
+        return await self._open(server, **options)
