Give the stand-in links of an instance process a loopback host of its own

Cause: each instance process chooses ports for its links to servers from the range of all stand-ins, and sees only which of them something listens on.

Change: they listen on 127.x.y.z by the process's id, which no other uses.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -504,6 +504,16 @@
         return f"127.0.0.1:{port}"
 
 
+def own_address() -> str:
+    """Returns a free address on a loopback host of this process alone.
+
+    No other process is given it while nothing listens there.
+    """
+    pid = os.getpid()
+    host = f"127.{1 + (pid >> 16) % 250}.{pid >> 8 & 255}.{pid & 255}"
+    return f"{host}:{free_address().rpartition(':')[2]}"
+
+
 def _is_free(host: str, port: int) -> bool:
     with (
         socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
--- a/standins/servernetwork.py
+++ b/standins/servernetwork.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from standins.launcher import free_address
+from standins.launcher import own_address
 from standins.link import Link
 
 
@@ -90,7 +90,7 @@
 
     async def _link_to(self, target: str) -> str:
         if target not in self._links:
-            address = free_address()
+            address = own_address()
             link = Link(address, target)
             self._links[target] = link
             self._addresses[target] = address
