Stand-ins: servers as processes, and instances cut off from instances

Cause: the randomised runs had servers in the loop of their callers, so none was killed or suspended by the kernel, and instances that were cut off from servers only, never from each other.

--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -152,6 +152,8 @@
         stopped_at: Time at which it stopped; infinite while it works.
         broke_off: Whether the server ended the answer without being asked to.
         last_token: Number of the last token that the server has sent.
+        version: Version of the software that ran it.
+        events: First and last token of each event that the server has sent.
     """
 
     attempt: str
@@ -167,6 +169,8 @@
     stopped_at: float = float("inf")
     broke_off: bool = False
     last_token: int = 0
+    version: str = FIRST_VERSION
+    events: list[tuple[int, int]] = dataclasses.field(default_factory=list)
 
 
 class PlatformServer:
@@ -230,7 +234,7 @@
         now = asyncio.get_running_loop().time()
         self.arrival_times.append(now)
         if attempt:
-            self.arrivals.append((now, attempt))
+            self.note_arrival(now, attempt)
         if scope["path"] == "/-/kv-move":
             await self._handle_move(send, json.loads(body))
         elif scope["path"].startswith("/-/kv-handle/"):
@@ -258,10 +262,28 @@
                 body,
                 scope["method"],
                 scope[rawrequests.FIELDS],
+                began_at=now,
+                version=self.version,
             )
-            self.journal.append(ran)
+            self.note_run(ran)
             await self._run_request(scope, receive, send, ran)
 
+    def note_arrival(self, at: float, attempt: str) -> None:
+        """Notes that a request has arrived."""
+        self.arrivals.append((at, attempt))
+
+    def note_run(self, ran: ServedRequest) -> None:
+        """Notes that a run begins."""
+        self.journal.append(ran)
+
+    def note_event(self, ran: ServedRequest, tokens: range) -> None:
+        """Notes that an event of a run is sent now."""
+        ran.last_token = tokens[-1]
+        ran.events.append((tokens[0], tokens[-1]))
+
+    def note_end(self, ran: ServedRequest) -> None:
+        """Notes that a run has stopped, or is moved."""
+
     async def _reject_for_load(self, send, attempt: str) -> None:
         now = asyncio.get_running_loop().time()
         self.rejection_times.append(now)
@@ -278,6 +300,7 @@
             return
         if order["final"] and not ran.moved:
             ran.moved = True
+            self.note_end(ran)
             self.move_count += 1
         await asyncio.sleep(self.faults.move_s)
         if self.faults.refuse_moves:
@@ -315,6 +338,7 @@
         finally:
             self.running -= 1
             ran.stopped_at = asyncio.get_running_loop().time()
+            self.note_end(ran)
             gone.cancel()
             work.cancel()
 
@@ -377,7 +401,7 @@
                 if self.faults.torn:
                     await _send_chunk(send, b"id: %d\ndata: to" % number)
                 return
-            ran.last_token = number
+            self.note_event(ran, tokens)
             await _send_chunk(send, self._event(tokens))
         await send({"type": "http.response.body", "body": b""})
         ran.ended = True
@@ -390,13 +414,13 @@
         if kind is not None:
             self.faults.breaks -= 1
         is_stream = scope["path"].endswith("/stream")
-        parts = [(0, b"answer to " + ran.attempt.encode())]
+        parts = [(range(0), b"answer to " + ran.attempt.encode())]
         if is_stream:
-            parts = [(x[-1], self._event(x)) for x in self._events_of(ran)]
+            parts = [(x, self._event(x)) for x in self._events_of(ran)]
         answer = ConnectionAnswer(send)
         answer.start(200, self._response_headers(ran.attempt))
         sent = False
-        for number, part in parts:
+        for tokens, part in parts:
             await asyncio.sleep(self.faults.tick_s * self._work_factor())
             await self._wait_while_silent()
             if ran.moved:
@@ -409,7 +433,8 @@
             if kind is Break.WITHIN_PART:
                 answer.write(part[: len(part) // 2])
                 break
-            ran.last_token = number
+            if tokens:
+                self.note_event(ran, tokens)
             answer.write(part)
             if kind is not None:
                 break
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -21,6 +21,7 @@
 from standins.platformserver import FIRST_VERSION, PlatformServer
 from standins.platformstore import PlatformStore
 from standins.rawrequests import RecordingProtocol
+from standins.serverprocess import ServerProcess
 
 API_KEY = "key-of-elm"
 HOST = "relay.example"
@@ -152,6 +153,35 @@
         self.write_server_row(name, service)
         return server
 
+    async def add_process(
+        self, server: ServerProcess, service: str, *, row: bool = True
+    ) -> None:
+        """Starts a server that is a process, without a link before it.
+
+        Args:
+            server: The server.
+            service: Its service.
+            row: Whether its row is written at once.
+        """
+        name = server.name
+        await server.start()
+        self.servers[name] = server
+        self.addresses[name] = server.address
+        self._started_ms[name] = round(time.time() * MS_PER_S)
+        self._leaving.discard(name)
+        scope = self._scopes[name] = anyio.CancelScope()
+
+        async def end() -> None:
+            with scope:
+                try:
+                    await anyio.sleep_forever()
+                finally:
+                    server.kill()
+
+        self._group.start_soon(end)
+        if row:
+            self.write_server_row(name, service)
+
     def leaving(self, name: str) -> bool:
         """Returns whether a server has ended or is draining."""
         return name not in self._scopes or name in self._leaving
--- a/tests/soakparts.py
+++ b/tests/soakparts.py
@@ -1,6 +1,7 @@
 """Requests and instance processes of the randomised run on the platform."""
 
 import dataclasses
+import json
 import os
 import pathlib
 import signal
@@ -8,6 +9,7 @@
 import sys
 import time
 import tomllib
+from collections.abc import Sequence
 
 import anyio
 
@@ -44,6 +46,7 @@
         cut_at: Time at which its channel ended without a whole answer.
         gave_up: Whether its caller left since nothing came for too long.
         slow: Whether its caller pauses between reads.
+        unnamed: Whether its caller does not name the attempt that it resumes.
     """
 
     attempt: str
@@ -66,6 +69,7 @@
     cut_at: float = float("inf")
     gave_up: bool = False
     slow: bool = False
+    unnamed: bool = False
 
     @property
     def first(self) -> "SentRequest":
@@ -140,11 +144,13 @@
             can be cut, instead of being started as deployed.
         listen: IP:port by purpose.
         zone: Its availability zone.
+        ip: Its IP address among the instances.
         popen: Handle of the current process.
         busy: Whether a fault is active on it.
         disturbed_at: Times of signals and starts.
         stops: Times of the first SIGTERM of each process.
         reloads: Times of SIGHUP.
+        apart: Times in which it does not reach the store or some instances.
         source: Checkout whose programs it runs, if it is not networked.
     """
 
@@ -161,11 +167,13 @@
         settings = tomllib.loads(path.read_text())
         self.listen = settings["listenAddrs"]
         self.zone = settings["zone"]
+        self.ip = settings["ip"]
         self.popen: subprocess.Popen | None = None
         self.busy = False
         self.disturbed_at: list[float] = []
         self.stops: list[float] = []
         self.reloads: list[float] = []
+        self.apart: list[Disturbance] = []
         self._past_disturbances: list[Disturbance] = []
         self._disturbed_since: dict[str, float] = {}
         self._stopping = False
@@ -202,6 +210,17 @@
             self._begin("cut")
             file.write_text(kind.name)
 
+    def cut_peers(self, hosts: Sequence[str]) -> None:
+        """Lets nothing that it sends to some instances arrive there.
+
+        Args:
+            hosts: IP addresses of those instances; empty to end the cut.
+        """
+        file = self.path.with_suffix(".peers")
+        written = file.with_suffix(".written")
+        written.write_text(json.dumps(list(hosts)))
+        written.replace(file)
+
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         self.disturbed_at.append(time.monotonic())
--- a/tests/test_platformserver.py
+++ b/tests/test_platformserver.py
@@ -1,10 +1,17 @@
 """Tests which requests the stand-in of a backend server runs."""
 
+import contextlib
+import pathlib
+import re
+import tempfile
 import unittest
 
 import anyio
 
+from standins.launcher import own_address
+from standins.platformserver import ServerFaults
 from standins.platformsite import SiteOptions
+from standins.serverprocess import ServerProcess
 from tests.platformcase import PlatformCase
 
 HEAD = (
@@ -12,6 +19,11 @@
     b"Content-Length: 9\r\n\r\n"
 )
 
+STREAM = (
+    b"POST /chat/x/stream HTTP/1.1\r\nHost: a\r\nAttempt-Id: a1\r\n"
+    b"Token-Usage: 9,900\r\nContent-Length: 0\r\n\r\n"
+)
+
 
 class TruncatedRequestTest(PlatformCase):
     """Connections that end within a request."""
@@ -38,5 +50,41 @@
             self.assertEqual(bodies, [b"whole one"])
 
 
+class ServerProcessTest(unittest.IsolatedAsyncioTestCase):
+    """A server in a process of its own."""
+
+    # Guards against events that a killed server sent and its journal lacks.
+    async def test_journal_survives_a_kill(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        server = ServerProcess(
+            "engine-1",
+            "v2",
+            own_address(),
+            pathlib.Path(folder.name),
+            ServerFaults(event_tokens=3),
+        )
+        await server.start()
+        self.addCleanup(server.kill)
+        host, _, port = server.address.rpartition(":")
+        got = b""
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(STREAM)
+            while b"id: " not in got.partition(b"\n\n")[2]:
+                got += await stream.receive()
+            server.kill()
+            with contextlib.suppress(anyio.EndOfStream, OSError):
+                while True:
+                    got += await stream.receive()
+        server.read_journals()
+        (ran,) = server.journal
+        self.assertEqual((ran.attempt, ran.version), ("a1", "v2"))
+        self.assertFalse(ran.ended)
+        last = int(re.findall(rb"id: (\d+)\n", got)[-1])
+        self.assertLessEqual(last, ran.last_token)
+        self.assertIn(last, [end for _, end in ran.events])
+        self.assertIn(b"@v2", got)
+
+
 if __name__ == "__main__":
     unittest.main()
