--- a/src/jasminerelay/channels.py
+++ b/src/jasminerelay/channels.py
@@ -14,6 +14,7 @@
 from jasminerelay.catalog import BackendServer, Call
 from jasminerelay.httpclient import (
     CONNECT_TIMEOUT_S,
+    EndedAtOnceError,
     IncompleteExchangeError,
     NotSentError,
 )
@@ -53,6 +54,12 @@
 
 PROBE_TIMEOUT_S = 0.5
 
+LISTENS_S = 0.05
+"""Time for which a new connection stays open if something listens: the kernel
+closes what a killed process listens on after the process's connections."""
+
+CONFIRM_TRIES = 3
+
 
 @dataclasses.dataclass(frozen=True)
 class _IdleChannel:
@@ -264,14 +271,35 @@
         channel = await self._open_direct(server, timeout_s)
         await self.put_back(channel, None, False)
 
-    async def connect_relayed(self, server: BackendServer) -> None:
-        """Opens a connection through another instance, and keeps it.
+    async def confirm_directly(
+        self, server: BackendServer, timeout_s: float
+    ) -> None:
+        """Opens a direct connection that stays open for a while, and keeps it.
+
+        Raises:
+            NotSentError: if it can't be opened, or does not stay open.
+        """
+        for _ in range(CONFIRM_TRIES):
+            channel = await self._open_direct(server, timeout_s)
+            if await self._stays_open(channel):
+                return
+        raise EndedAtOnceError("the connection ended at once")
+
+    async def confirm_relayed(self, server: BackendServer) -> None:
+        """Does the same through another instance.
 
         Raises:
-            NotSentError: if no instance could open one.
+            NotSentError: if no instance could open one that stays open.
         """
         channel = await self._open_relayed(server, ask_all=True)
+        if not await self._stays_open(channel):
+            raise EndedAtOnceError("the relayed connection ended at once")
+
+    async def _stays_open(self, channel: Channel) -> bool:
+        await anyio.sleep(LISTENS_S)
+        stays = channel.reusable
         await self.put_back(channel, None, False)
+        return stays
 
     async def _open(self, server: BackendServer) -> Channel:
         if not self._paths.relays(server.id):
--- a/src/jasminerelay/httpclient.py
+++ b/src/jasminerelay/httpclient.py
@@ -53,6 +53,15 @@
         self.refused_there = refused_there
 
 
+class EndedAtOnceError(NotSentError):
+    """A connection ended as soon as it was open, before any byte.
+
+    The kernel accepts connections for a process that it is ending.
+    """
+
+    refused = True
+
+
 class IncompleteExchangeError(Exception):
     """The exchange failed after bytes were sent; it may have been executed."""
 
--- a/src/jasminerelay/serverends.py
+++ b/src/jasminerelay/serverends.py
@@ -17,7 +17,11 @@
 
 from jasminerelay.catalog import BackendServer
 from jasminerelay.channels import ChannelPool
-from jasminerelay.httpclient import NotSentError, ServerUnreachedError
+from jasminerelay.httpclient import (
+    EndedAtOnceError,
+    NotSentError,
+    ServerUnreachedError,
+)
 from jasminerelay.metrics import Counters
 from jasminerelay.scheduling.serverpaths import ServerPaths
 
@@ -187,7 +191,7 @@
             return conclude(word, refused=False, path_good=False)
         began_at = time.monotonic()
         try:
-            await self._channels.connect_directly(server, CONNECT_TIMEOUT_S)
+            await self._channels.confirm_directly(server, CONNECT_TIMEOUT_S)
             return Alive()
         except NotSentError as exc:
             if not exc.refused:
@@ -243,7 +247,9 @@
             return Word.ALONE
         try:
             with anyio.fail_after(timeout_s):
-                await self._channels.connect_relayed(server)
+                await self._channels.confirm_relayed(server)
+        except EndedAtOnceError:
+            return Word.REFUSED
         except ServerUnreachedError as exc:
             return Word.REFUSED if exc.refused_there else Word.UNREACHED
         except (NotSentError, TimeoutError):
--- a/tests/test_outofstep.py
+++ b/tests/test_outofstep.py
@@ -24,8 +24,11 @@
 STREAMS = 12
 MIN_STREAMS = 4
 MAX_ROUNDS = 6
-BEGIN_S = 0.4
-"""Time after which the callers of new streams leave."""
+MAX_BEGIN_S = 2.0
+"""Time after which the callers of new streams leave at the latest."""
+
+LEFT_S = 0.4
+"""Time within which servers notice that callers have left."""
 
 TAKE_UP_S = 1.2
 MAX_TRIES = 3
@@ -114,19 +117,18 @@
                 CallerStream(f"{version}-{number}-{n}", count=200)
                 for n in range(STREAMS)
             ]
-            with anyio.move_on_after(BEGIN_S):
-                async with anyio.create_task_group() as group:
-                    for place, stream in enumerate(streams):
-                        instance = instances[place % len(instances)]
-                        group.start_soon(
-                            self.read, instance, stream, stream.first
-                        )
+            async with anyio.create_task_group() as group:
+                for place, stream in enumerate(streams):
+                    instance = instances[place % len(instances)]
+                    group.start_soon(self.read, instance, stream, stream.first)
+                with anyio.move_on_after(MAX_BEGIN_S):
+                    await self.until(lambda x=streams: all(s.body for s in x))
+                group.cancel_scope.cancel()
             begun += [x for x in streams if x.versions == {version}]
             if len(begun) >= MIN_STREAMS:
                 break
         self.assertGreaterEqual(len(begun), MIN_STREAMS)
-        # The servers notice that the callers have left.
-        await anyio.sleep(BEGIN_S)
+        await anyio.sleep(LEFT_S)
         return begun
 
     async def take_up_all(
