Confirm the ends of long answers, and of servers whose rows are gone

Found by the review, shown by its trials: a plain answer of 300,000 bytes with neither length nor chunks counted as whole after its server was killed, as long answers were never asked about; one of 3,000 bytes did so where the server's row had gone just before, since only listed servers were asked about.

Now each such end is confirmed, unless the server has announced its shutdown. A later start in the list is evidence of an end. A standstill counts before all else. test_long_answer_of_a_killed_server and test_killed_server_whose_row_is_gone show both.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -525,6 +525,10 @@
                 now = time.monotonic()
                 left_s -= now - began
                 self._context.dispatcher.record_response(channel.server.id, now)
+            fault = await self._crash_at_end(response, channel.server)
+            if fault:
+                self._context.counters.incr("backend.incomplete")
+                return BrokenOff(f"{BROKE_OFF}: {fault}")
             if not pace.waited:
                 self._record_answer(channel.server, head)
             await self._complete(channel, response, head, done)
@@ -671,15 +675,16 @@
         """
         if response.framing is not Framing.CONNECTION:
             return ""
-        if not self._context.dispatcher.is_in_use(server):
-            return ""
-        end = await self._context.ends.find(server, CONFIRM_TIMEOUT_S)
-        if may_have_ended(end):
-            self._context.counters.incr("backend.ended_with_answer")
-            return "the connection ended; its server does not listen any more"
         if self._held_up:
             self._context.counters.incr("backend.ended_unread")
             return "the connection ended while its server was held up"
+        if self._context.dispatcher.shuts_down(server):
+            return ""
+        if self._context.dispatcher.was_replaced(server) or may_have_ended(
+            await self._context.ends.find(server, CONFIRM_TIMEOUT_S)
+        ):
+            self._context.counters.incr("backend.ended_with_answer")
+            return "the connection ended; its server does not listen any more"
         return ""
 
     @property
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -313,6 +313,14 @@
         """Returns whether a server is listed and does not shut down."""
         return self._usable.is_in_use(server)
 
+    def shuts_down(self, server: BackendServer) -> bool:
+        """Returns whether a server has announced its shutdown."""
+        return self._usable.shuts_down(server)
+
+    def was_replaced(self, server: BackendServer) -> bool:
+        """Returns whether a later start of a server is listed."""
+        return self._usable.was_replaced(server)
+
     def exceeds_memory(self, call: Call) -> bool:
         """Returns whether a prompt is larger than the memory of any server."""
         return self._needs.exceeds_memory(call)
--- a/src/jasminerelay/dispatching/usableservers.py
+++ b/src/jasminerelay/dispatching/usableservers.py
@@ -71,6 +71,20 @@
         held = self._registry.server(server.id)
         return held is not None and not held.draining
 
+    def shuts_down(self, server: BackendServer) -> bool:
+        """Returns whether a server has announced its shutdown."""
+        held = self._registry.server(server.id)
+        if held is not None and held.draining:
+            return True
+        return self._registry.has_announced_drain(server.id)
+
+    def was_replaced(self, server: BackendServer) -> bool:
+        """Returns whether a later start of a server is listed."""
+        return any(
+            item.name == server.name and item.id != server.id
+            for item in self._registry.servers()
+        )
+
     def servers_for(self, call: Call) -> list[BackendServer]:
         """Returns the servers at which a request may run, or go on."""
         servers = self._registry.servers_of(call.service)
--- a/tests/test_connectionanswers.py
+++ b/tests/test_connectionanswers.py
@@ -18,8 +18,8 @@
 from jasminerelay.watchdog import Watchdog
 from standins import connectionanswers
 from standins.platformserver import Break, ServerFaults
-from standins.platformsite import MODEL_BACKEND
-from tests.platformcase import PlatformCase, events
+from standins.platformsite import MODEL_BACKEND, PLAIN_BACKEND
+from tests.platformcase import Answer, PlatformCase, events
 from tests.test_platform import run_raw_server
 
 LISTENS_ON_S = 0.01
@@ -210,6 +210,54 @@
                 if runs > 1:
                     self.assertEqual(answer.body, events(20))
 
+    async def answer_of_killed_server(
+        self, size: int, *, row_gone: bool
+    ) -> Answer:
+        """Returns a plain answer whose server is killed at its end.
+
+        Args:
+            size: Its size in bytes, of which its head says nothing.
+            row_gone: Whether the server's row goes before.
+        """
+        listeners: list[asyncio.Server] = []
+        async with self.site() as (site, (instance,)):
+
+            async def serve(reader, writer) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                head = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n\r\n"
+                writer.write(head + b"x" * size)
+                await writer.drain()
+                if row_gone:
+                    site.store.delete("servers", "plain-1")
+                    await self.until(
+                        lambda: instance.registry.server("plain-1") is None
+                    )
+                listeners[0].close()
+                writer.close()
+
+            site.kill_server("plain-2")
+            site.store.delete("servers", "plain-2")
+            site.kill_server("plain-1")
+            await self.until(
+                lambda: len(instance.registry.servers_of(PLAIN_BACKEND)) == 1
+            )
+            await asyncio.sleep(0.1)
+            host, _, port = site.addresses["plain-1"].rpartition(":")
+            listeners.append(await asyncio.start_server(serve, host, int(port)))
+            return await self.ask(instance, "/confirm/x")
+
+    async def test_long_answer_of_a_killed_server(self) -> None:
+        # Guards against a long answer that counts as complete since the kernel
+        # ended the connections of its killed server in order.
+        answer = await self.answer_of_killed_server(300_000, row_gone=False)
+        self.assertFalse(answer.whole)
+
+    async def test_killed_server_whose_row_is_gone(self) -> None:
+        # Guards against an answer that counts as complete since its server is
+        # not listed any more, though it never announced its shutdown.
+        answer = await self.answer_of_killed_server(3_000, row_gone=True)
+        self.assertEqual(answer.status, 502)
+
     def busy(self, site) -> str:
         """Returns the name of a server that runs a request; "" for none."""
         return next((n for n, s in site.servers.items() if s.running), "")
