Take no answer older than the list for a proof of it

Found by the review: a full read that the list passed over as older, or a page of a lower version, counted as the store's confirmation. Neither does now, nor a list that is known to lack rows.

--- a/src/jasminerelay/listproof.py
+++ b/src/jasminerelay/listproof.py
@@ -82,20 +82,24 @@
         number = self._calls_begun
         self._counters.incr("origin.store_calls")
         try:
-            await self._update()
+            if await self._update():
+                self._last_good = number
         except StoreError:
             return
-        self._last_good = number
 
-    async def _update(self) -> None:
+    async def _update(self) -> bool:
+        """Reads the table; returns whether the list is complete by it."""
         asked_at = now_s()
+        after = self._registry.servers_version
         try:
-            page = await self._source.changes(
-                self._registry.servers_version, 0.0
-            )
+            page = await self._source.changes(after, 0.0)
             if page.rows:
                 self._feed.apply_server_changes(page)
         except HistoryGoneError:
             page = await self._source.read()
-            self._feed.apply_all_servers(page)
+            if not self._feed.apply_all_servers(page):
+                return False
+        if page.version < after or self._registry.lacks_rows:
+            return False
         self._state.record_answer(self._table, page.version, asked_at)
+        return True
--- a/tests/test_listproof.py
+++ b/tests/test_listproof.py
@@ -98,6 +98,17 @@
         await self.ask()
         self.assertEqual((self.proved, self.source.calls), ([False, False], 1))
 
+    async def test_answers_that_are_older_than_the_list(self) -> None:
+        # Guards against a proof by an answer that the list passes over, as of
+        # a store that came back from a copy.
+        self.add("new")
+        await self.ask()
+        newest = self.source.page.version
+        for self.source.history_gone in (False, True):
+            self.source.page = TablePage((), newest - 1)
+            await self.ask()
+        self.assertEqual(self.proved, [True, False, False])
+
     async def test_history_that_is_gone(self) -> None:
         self.source.history_gone = True
         self.add("new")
