Drop the proof by all instances; number questions anew in each process

Found by the review: 'all instances have answered' counted those that an instance had heard of. Only the store proves the list now; with the store away from all, a stream of unknown origin is refused as not run.

Answers named neither key nor asker and questions were numbered from 1, so an answer that was held up could be taken for one to a later process at the address: numbers begin at random. A take-up that names no attempt waits for versions as long as others where its instance has not watched for long.

--- a/src/jasminerelay/originlookup.py
+++ b/src/jasminerelay/originlookup.py
@@ -7,6 +7,7 @@
 import dataclasses
 import functools
 import math
+import secrets
 import time
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
@@ -63,9 +64,8 @@
 """For how long a stream may have run before it is taken up, in time limits of
 its route: callers send it once more at the most."""
 
-MIN_ACQUAINTED_S = 5.0
-"""Time after its start in which an instance may know of too few others: it
-learns of them from one that it meets."""
+NUMBER_BITS = 48
+"""Size of the number of the first question."""
 
 NO_KEY = 0
 """Key of a question for the versions alone."""
@@ -79,9 +79,6 @@
 ONLY_VERSION = "only version"
 """Sources of an origin."""
 
-EVERYONE = "everyone"
-"""Proof of the only version by the answers of all instances."""
-
 MS_PER_S = 1e3
 
 OriginMessage = StreamsBegun | OriginQuery | OriginAnswer
@@ -96,8 +93,8 @@
         source: Who knew it; "" if it is unknown.
         answered_by: Instances that answered, if others were asked.
         seen: Versions of the service that they and this one have seen.
-        proved_by: Proof of the only version: the instance whose list the store
-            confirmed, or `EVERYONE`; "" if none.
+        proved_by: Instance whose list the store confirmed for it, in the case
+            of the only version; "" if none.
     """
 
     origin: StreamOrigin | None
@@ -157,8 +154,6 @@
             complete.
         confirm: Has the store confirm the list of servers to this instance from
             now on; returns whether it did.
-        others: Returns the number of other instances that there have been of
-            late, also failed ones.
     """
 
     def __init__(
@@ -181,15 +176,15 @@
         self._ring = HomeRing(())
         self._ring_members: Sequence[Member] = ()
         self._questions: dict[int, _Question] = {}
-        self._number = 0
-        self._began_at = time.monotonic()
+        # Answers to questions of an earlier process at this address are not
+        # taken for answers to those of this one.
+        self._number = secrets.randbits(NUMBER_BITS)
         self._to_prove: list[OriginQuery] = []
         self._proof_wanted = anyio.Event()
         self.members: Callable[[], Sequence[Member]] = lambda: ()
         self.send: Callable[[str, OriginMessage], None] = lambda *_: None
         self.age_s: Callable[[], float] = lambda: math.inf
         self.confirm: Callable[[], Awaitable[bool]] = _never
-        self.others: Callable[[], float] = lambda: math.inf
 
     async def run(self) -> None:
         """Proves this instance's list to others that ask, until cancelled."""
@@ -254,11 +249,14 @@
         return found
 
     async def _find_elsewhere(self, call: Call, key: int) -> FoundOrigin:
-        timeout_s = VERSIONS_TIMEOUT_S if key == NO_KEY else ANSWER_TIMEOUT_S
+        view = self._view(call.service)
+        knows_enough = view.watched_s >= _run_time_s(call)
+        timeout_s = ANSWER_TIMEOUT_S
+        if key == NO_KEY and knows_enough:
+            timeout_s = VERSIONS_TIMEOUT_S
         homes = self._homes(key or key_of(call.organisation, call.id), ASKED)
         question = _Question(homes)
-        several = len(self._view(call.service).versions) > 1
-        if key != NO_KEY or not several:
+        if key != NO_KEY or len(view.versions) <= 1:
             await self._ask(question, call.service, key, timeout_s)
         origin, source, proved_by = question.origin, HOME, ""
         if origin is None:
@@ -349,11 +347,10 @@
     ) -> tuple[StreamOrigin | None, str]:
         """Returns the origin if only one version can have begun the stream.
 
-        What some instances have seen is no proof: they may be out of step
-        together. Either all answer that there have been of late, the one that
-        began the stream among them, or the store confirms the list of one of
-        them after the request was read: a server that began the stream had
-        joined before.
+        What instances have seen is no proof: they may be out of step together,
+        and there may be others of which none of them has heard. The store has
+        to confirm the list of one of them after the request was read: a server
+        that began the stream had joined before.
 
         Args:
             call: The request.
@@ -371,17 +368,10 @@
             return None, ""
         # Callers name an attempt where versions serve side by side. One that
         # names none goes on also where all instances have just started.
-        watched_s = 0.0
-        if call.first_attempt:
-            watched_s = min(KEPT_S, MAX_RUN_TIME_LIMITS * call.route.timeout_s)
+        watched_s = _run_time_s(call) if call.first_attempt else 0.0
         views = [*asked.views, self._view(call.service)]
-        version = only_version(views, 0.0)
-        if version is None:
+        if only_version(views, 0.0) is None:
             return None, ""
-        if self._is_everyone(asked) and self._runs_for(
-            max(watched_s, MIN_ACQUAINTED_S)
-        ):
-            return StreamOrigin(call.service, version), EVERYONE
         proof = await self._prove(call.service, key, asked)
         if proof.origin is not None:
             return proof.origin, ""
@@ -394,14 +384,6 @@
             return None, ""
         return StreamOrigin(call.service, version), proof.proved_by
 
-    def _is_everyone(self, asked: _Question) -> bool:
-        """Returns whether all other instances of late have answered."""
-        return 0 < len(asked.answered_by) == self.others()
-
-    def _runs_for(self, duration_s: float) -> bool:
-        """Returns whether this instance has seen others come and go so long."""
-        return time.monotonic() - self._began_at >= duration_s
-
     async def _prove(
         self, service: str, key: int, asked: _Question
     ) -> _Question:
@@ -458,6 +440,11 @@
             self.send(home.peers, message)
 
 
+def _run_time_s(call: Call) -> float:
+    """Returns for how long a stream may have run when it is taken up."""
+    return min(KEPT_S, MAX_RUN_TIME_LIMITS * call.route.timeout_s)
+
+
 def _view_of(answer: OriginAnswer) -> SeenVersions:
     age_s = answer.age_ms / MS_PER_S if answer.age_ms >= 0 else math.inf
     return SeenVersions(
--- a/src/jasminerelay/platform/root.py
+++ b/src/jasminerelay/platform/root.py
@@ -517,7 +517,6 @@
             self._store_state,
             self.counters,
         ).confirm
-        origins.others = lambda: self._peers.expected_count - 1
         self.registry.on_unlisted = self._on_unlisted
         self._peers.on_origins = origins.handle_message
         self._registry_feed.on_ended = origins.record_end
--- a/standins/link.py
+++ b/standins/link.py
@@ -96,6 +96,7 @@
     Attributes:
         faults: Active faults.
         address: IP:port on which it listens.
+        target: IP:port to which it forwards.
         listening: Set once it listens.
     """
 
@@ -109,7 +110,7 @@
         self.faults = LinkFaults()
         self.listening = anyio.Event()
         self.address = address
-        self._target = target
+        self.target = target
         self._open: dict[anyio.CancelScope, SocketStream] = {}
         self._scope = anyio.CancelScope()
         self._listener_scope = anyio.CancelScope()
@@ -143,7 +144,7 @@
             scope.cancel()
 
     async def _handle(self, client: SocketStream) -> None:
-        host, _, port = self._target.rpartition(":")
+        host, _, port = self.target.rpartition(":")
         async with client:
             with contextlib.suppress(OSError):
                 async with await anyio.connect_tcp(host, int(port)) as upstream:
--- a/standins/platformsite.py
+++ b/standins/platformsite.py
@@ -28,6 +28,7 @@
 MODEL_BACKEND = "engines"
 PLAIN_BACKEND = "bookings"
 MS_PER_S = 1e3
+RESTART_S = 0.3
 BASE_IP_OCTET = 10
 """Last octet of the loopback address before that of the first instance."""
 
@@ -182,6 +183,23 @@
         if row:
             self.write_server_row(name, service)
 
+    async def restart_server(
+        self, name: str, service: str, version: str
+    ) -> None:
+        """Starts a server again under its id and address, as another version.
+
+        Args:
+            name: The server, which is reached through a link.
+            service: Its service.
+            version: Version of its software from now on.
+        """
+        self.kill_server(name)
+        await anyio.sleep(RESTART_S)
+        server = self.servers[name] = PlatformServer(name, version)
+        await self._listen(name, server, self.links[name].target)
+        self._started_ms[name] = round(time.time() * MS_PER_S)
+        self.write_server_row(name, service)
+
     def leaving(self, name: str) -> bool:
         """Returns whether a server has ended or is draining."""
         return name not in self._scopes or name in self._leaving
--- a/tests/test_outofstep.py
+++ b/tests/test_outofstep.py
@@ -4,6 +4,7 @@
 or stood still, while servers of a new software version joined.
 """
 
+import dataclasses
 import unittest
 import unittest.mock
 from collections.abc import Sequence
@@ -297,5 +298,32 @@
         self.assert_not_mixed(streams)
 
 
+class RestartedServerTest(OutOfStepCase):
+    """Servers that start again under their ids as another version."""
+
+    options = dataclasses.replace(OutOfStepCase.options, starts=True)
+
+    # Guards against a known origin that names a version which an instance
+    # looks for in an old list, where the server is another process by now.
+    async def test_known_origin_at_an_old_list(self) -> None:
+        async with self.site(4) as (site, instances):
+            await self.until_all_met(instances)
+            behind, others = instances[:2], instances[2:]
+            self.cut((behind, others), site)
+            await anyio.sleep(OUT_OF_STEP_S)
+            streams = await self.begin(behind[:1], "v1")
+            for name in ("engine-1", "engine-2", "engine-3"):
+                await site.restart_server(name, MODEL_BACKEND, "v2")
+            await self.until(
+                lambda: all(
+                    server.software_version == "v2"
+                    for instance in others
+                    for server in instance.registry.servers_of(MODEL_BACKEND)
+                )
+            )
+            await self.take_up_all(behind[1:], streams)
+        self.assert_not_mixed(streams)
+
+
 if __name__ == "__main__":
     unittest.main()
