--- a/src/jasminerelay/dispatching/usableservers.py
+++ b/src/jasminerelay/dispatching/usableservers.py
@@ -73,10 +73,7 @@
 
     def shuts_down(self, server: BackendServer) -> bool:
         """Returns whether a server has announced its shutdown."""
-        held = self._registry.server(server.id)
-        if held is not None and held.draining:
-            return True
-        return self._registry.has_announced_drain(server.id)
+        return self._registry.shuts_down(server)
 
     def was_replaced(self, server: BackendServer) -> bool:
         """Returns whether a later start of a server is listed."""
--- a/src/jasminerelay/registry.py
+++ b/src/jasminerelay/registry.py
@@ -189,6 +189,9 @@
         self._announced_drains: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._shutdowns: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._claims: dict[str, _Claim] = {}
         self._starts_stated = False
         self._used_without_start: collections.OrderedDict[str, None] = (
@@ -291,6 +294,15 @@
         """
         return server_id in self._announced_drains
 
+    def shuts_down(self, server: BackendServer) -> bool:
+        """Returns whether a server has announced its shutdown, also earlier."""
+        held = self.server(server.id)
+        if held is not None:
+            return held.draining
+        return self.has_announced_drain(server.id) or (
+            server.id in self._shutdowns
+        )
+
     def announce_drain(self, server_id: str) -> ServerChange | None:
         """Marks a server as draining for the rest of its life.
 
@@ -787,6 +799,7 @@
         if before is not None and before.id != server.id:
             self._record_ended_incarnation(before)
         self._ended_incarnations.pop(server.id, None)
+        self._shutdowns.pop(server.id, None)
         self._claims.pop(row.id, None)
         self._entries[row.id] = _Entry(row, server)
         self._removals.pop(row.id, None)
@@ -871,6 +884,12 @@
             )
         return ServerChange(row, held.server if held else None, None, doubt)
 
+    def _record_shutdown(self, server_id: str) -> None:
+        # Without a start in its row, a server may come back under its id.
+        self._shutdowns[server_id] = None
+        if len(self._shutdowns) > MAX_HISTORY:
+            self._shutdowns.popitem(last=False)
+
     def _record_drain(self, server_id: str) -> None:
         self._announced_drains[server_id] = None
         if len(self._announced_drains) > MAX_HISTORY:
@@ -925,7 +944,7 @@
         self._record_removal(row.id, row.version)
         server = self._entries.pop(row.id).server
         if server.draining:
-            self._record_drain(server.id)
+            self._record_shutdown(server.id)
         return ServerChange(row, server, None)
 
     def _record_removal(self, name: str, version: int) -> None:
