Blame servers for resets after a standstill as before

The crash watch proves an end before it blames a request, so only an end in order is left in doubt by a standstill.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -636,8 +636,8 @@
                         await self._wait_for_caller(response, server)
                         timer.skip_interval()
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            held_up = self._pace is not None and self._pace.held_up
             # A server may cut off what its caller has left unread.
-            held_up = self._held_up
             return Interrupted(repr(exc), held_up, broken=not held_up)
         except ValueError as exc:
             return Interrupted(str(exc))
