--- a/tests/test_cutheads.py
+++ b/tests/test_cutheads.py
@@ -19,6 +19,7 @@
     claims,
     migration,
     netstream,
+    relayclient,
     relayport,
     serverconnection,
 )
@@ -999,6 +1000,10 @@
     async def asyncSetUp(self) -> None:  # noqa: N802 (unittest's name)
         asyncio.get_running_loop().set_debug(False)
         self.watchdog = Watchdog()
+        # Beside other load an instance that relays may take longer than usual.
+        self.enterContext(
+            unittest.mock.patch.object(relayclient, "OPEN_TIMEOUT_S", 10.0)
+        )
 
     async def test_relays(self) -> None:
         # Guards against a server's answer that counts as whole, or as its own
