Remove the check of use that nobody calls; ask once who held a server up

is_in_use of the dispatcher and its part had no caller since ends of servers are asked about by their shutdown. The caller's part of being held up stood twice in attempt. Behaviour is the same; test_connectionanswers, safeguards, docs, dispatcher and lazymodules: 51 passed, 0 failed; lint clean.

--- a/src/jasminerelay/attempt.py
+++ b/src/jasminerelay/attempt.py
@@ -636,7 +636,7 @@
                         await self._wait_for_caller(response, server)
                         timer.skip_interval()
         except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
-            held_up = self._pace is not None and self._pace.held_up
+            held_up = self._held_up_by_caller
             # A server may cut off what its caller has left unread.
             return Interrupted(repr(exc), held_up, broken=not held_up)
         except ValueError as exc:
@@ -690,10 +690,14 @@
     @property
     def _held_up(self) -> bool:
         """Whether the server may have cut off what stayed unread here."""
-        if self._pace is not None and self._pace.held_up:
+        if self._held_up_by_caller:
             return True
         return self._context.stalls.held_up_since(self._sent_at)
 
+    @property
+    def _held_up_by_caller(self) -> bool:
+        return self._pace is not None and self._pace.held_up
+
     def _record_begun(self, timer: "StreamTimer") -> None:
         since = timer.first_at + PARTS_CLEARED_S
         if not self._parts_cleared and time.monotonic() >= since:
--- a/src/jasminerelay/dispatcher.py
+++ b/src/jasminerelay/dispatcher.py
@@ -309,10 +309,6 @@
         """Returns a service's engine settings; None for a plain service."""
         return self._usable.engine_of(service)
 
-    def is_in_use(self, server: BackendServer) -> bool:
-        """Returns whether a server is listed and does not shut down."""
-        return self._usable.is_in_use(server)
-
     def shuts_down(self, server: BackendServer) -> bool:
         """Returns whether a server has announced its shutdown."""
         return self._usable.shuts_down(server)
--- a/src/jasminerelay/dispatching/usableservers.py
+++ b/src/jasminerelay/dispatching/usableservers.py
@@ -66,11 +66,6 @@
         slots = held.slots if held is not None else 1
         return PLAIN_REQUESTS_PER_SLOT * slots
 
-    def is_in_use(self, server: BackendServer) -> bool:
-        """Returns whether a server is listed and does not shut down."""
-        held = self._registry.server(server.id)
-        return held is not None and not held.draining
-
     def shuts_down(self, server: BackendServer) -> bool:
         """Returns whether a server has announced its shutdown."""
         return self._registry.shuts_down(server)
