--- a/review/lib-2/kit2.py
+++ b/review/lib-2/kit2.py
@@ -120,7 +120,7 @@
             f'zone = "{self.zone}"',
             'region = "r"',
             f"internalPortRange = [{self.port}, {self.port}]",
-            "seedNodes = []" if not seeds else f"seedNodes = {json.dumps(seeds)}",
+            f"seedNodes = {json.dumps(seeds)}",
             f"bootstrap = {str(bootstrap).lower()}",
             "[listenAddrs]",
             *(f'{key} = "{value}"' for key, value in self.listen.items()),
--- a/review/lib-2/server.py
+++ b/review/lib-2/server.py
@@ -109,9 +109,7 @@
                 await self._stream(request, writer)
             else:
                 await asyncio.sleep(PLAIN_S)
-                writer.write(
-                    http1.response(200, b"done", self.fields(request))
-                )
+                writer.write(http1.response(200, b"done", self.fields(request)))
                 await writer.drain()
             self.note(kind="end", attempt=headers.get("attempt-id", ""))
         finally:
