--- a/review/lib-2/kit2.py
+++ b/review/lib-2/kit2.py
@@ -110,7 +110,6 @@
     def write_settings(self, *, bootstrap):
         """Writes the settings file as DEPLOY.md shows it."""
         site = self.site
-        seeds = [f"{x.ip}:{x.port}" for x in site.instances[:3]]
         lines = [
             f'nodeName = "{self.name}"',
             'nodeRole = "relay"',
@@ -120,7 +119,7 @@
             f'zone = "{self.zone}"',
             'region = "r"',
             f"internalPortRange = [{self.port}, {self.port}]",
-            f"seedNodes = {json.dumps(seeds)}",
+            "seedNodes = []",
             f"bootstrap = {str(bootstrap).lower()}",
             "[listenAddrs]",
             *(f'{key} = "{value}"' for key, value in self.listen.items()),
