--- a/review/lib-2/kit2.py
+++ b/review/lib-2/kit2.py
@@ -45,8 +45,10 @@
 class ServerProcess:
     """A lifetime of a backend server."""
 
-    def __init__(self, site, name, service, address, zone, slots):
+    def __init__(self, site, name, service, address, zone, slots, version):
         self.site = site
+        self.version = version
+        self.born = round(time.time() * 1000)
         self.name = name
         self.service = service
         self.address = address
@@ -63,6 +65,7 @@
                 str(slots),
                 str(ms_per_1000),
                 str(event_ms),
+                version,
             ],
             cwd=ROOT,
             stdout=subprocess.DEVNULL,
@@ -75,12 +78,14 @@
             "backend": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slotCount": self.slots,
             "phase": phase,
             "coldRemainingMs": 0,
             "callSeq": 0,
         }
+        if self.site.states_starts:
+            row["born"] = self.born
         self.site.store.put("servers", self.name, row)
 
     def kill(self):
@@ -201,12 +206,14 @@
     Attributes:
         speeds: Milliseconds to read 1,000 tokens of a prompt, and between two
             events.
+        states_starts: Whether the servers' entries state their starts.
     """
 
     def __init__(self, speeds=(80.0, 20.0)):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.journal = self.folder / "journal"
         self.speeds = speeds
+        self.states_starts = False
         self.processes = []
         self.instances = []
         self.servers = {}
@@ -243,10 +250,20 @@
         self.store_address = self.new_address()
         await self.store.start(self.store_address)
 
-    def add_server(self, name, service, zone="north", slots=8, address=None):
+    def add_server(
+        self,
+        name,
+        service,
+        zone="north",
+        slots=8,
+        address=None,
+        version="v1",
+    ):
         """Starts a server; its row is written by `write_row`."""
         address = address or self.new_address()
-        server = ServerProcess(self, name, service, address, zone, slots)
+        server = ServerProcess(
+            self, name, service, address, zone, slots, version
+        )
         self.servers[name] = server
         return server
 
--- a/review/lib-2/server.py
+++ b/review/lib-2/server.py
@@ -1,6 +1,6 @@
 """Stand-in of a backend server, as a process of its own.
 
-Usage: server.py ID IP:PORT JOURNAL SLOTS MS_PER_1000_TOKENS EVENT_MS
+Usage: server.py ID IP:PORT JOURNAL SLOTS MS_PER_1000_TOKENS EVENT_MS VERSION
 
 A model request is read for a time that grows with its prompt, then sends an
 event for each output token. Any other POST or GET is answered after 90 ms.
@@ -22,8 +22,9 @@
 class Server:
     """One lifetime of a server."""
 
-    def __init__(self, name, journal, slots, ms_per_1000, event_ms):
+    def __init__(self, name, journal, slots, ms_per_1000, event_ms, version):
         self.name = name
+        self.version = version
         self.slots = slots
         self.read_s = ms_per_1000 / 1e6
         self.event_s = event_ms / 1e3
@@ -125,7 +126,8 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id", "0") or 0) + 1
         for number in range(first, int(most) + 1):
-            event = b"id: %d\ndata: t%d\n\n" % (number, number)
+            text = f"id: {number}\ndata: {self.version} t{number}\n\n"
+            event = text.encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.event_s)
@@ -135,10 +137,8 @@
 
 async def main():
     """Serves until the process that started this one has ended."""
-    name, address, journal, slots, ms_per_1000, event_ms = sys.argv[1:]
-    server = Server(
-        name, journal, int(slots), float(ms_per_1000), float(event_ms)
-    )
+    name, address, journal, slots, *speeds, version = sys.argv[1:]
+    server = Server(name, journal, int(slots), *map(float, speeds), version)
     host, _, port = address.rpartition(":")
     listener = await asyncio.start_server(server.serve, host, int(port))
     parent = os.getppid()
--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -22,17 +22,26 @@
         self.calls = 0
         self._changed = asyncio.Event()
         self._server = None
+        self._address = ""
+        self._open = set()
 
     async def start(self, address):
         """Listens on an address."""
+        self._address = address
         host, _, port = address.rpartition(":")
         self._server = await asyncio.start_server(
             self._serve, host, int(port), limit=1 << 22
         )
 
-    def stop(self):
-        """Stops listening."""
+    def go_down(self):
+        """Resets all channels and refuses new ones; what is stored stays."""
         self._server.close()
+        for writer in list(self._open):
+            http1.reset(writer)
+
+    async def come_back(self):
+        """Listens again."""
+        await self.start(self._address)
 
     def put(self, table, key, value):
         """Writes a row as the operator or a server does."""
@@ -60,6 +69,7 @@
         changed.set()
 
     async def _serve(self, reader, writer):
+        self._open.add(writer)
         try:
             while (request := await http1.read_request(reader)) is not None:
                 self.calls += 1
@@ -78,6 +88,7 @@
             # Cancelled at the end of the script.
             pass
         finally:
+            self._open.discard(writer)
             writer.transport.abort()
 
     async def _answer(self, request):
