--- a/review/lib-2/kit2.py
+++ b/review/lib-2/kit2.py
@@ -45,7 +45,9 @@
 class ServerProcess:
     """A lifetime of a backend server."""
 
-    def __init__(self, site, name, service, address, zone, slots, version):
+    def __init__(
+        self, site, name, service, address, zone, slots, version, sock
+    ):
         self.site = site
         self.version = version
         self.born = round(time.time() * 1000)
@@ -66,9 +68,12 @@
                 str(ms_per_1000),
                 str(event_ms),
                 version,
+                *site.server_options,
+                *([f"fd={sock.fileno()}"] if sock is not None else []),
             ],
             cwd=ROOT,
             stdout=subprocess.DEVNULL,
+            pass_fds=() if sock is None else (sock.fileno(),),
         )
         site.processes.append(self.popen)
 
@@ -207,6 +212,7 @@
         speeds: Milliseconds to read 1,000 tokens of a prompt, and between two
             events.
         states_starts: Whether the servers' entries state their starts.
+        server_options: Options of the servers.
     """
 
     def __init__(self, speeds=(80.0, 20.0)):
@@ -214,6 +220,7 @@
         self.journal = self.folder / "journal"
         self.speeds = speeds
         self.states_starts = False
+        self.server_options = ()
         self.processes = []
         self.instances = []
         self.servers = {}
@@ -258,11 +265,12 @@
         slots=8,
         address=None,
         version="v1",
+        sock=None,
     ):
         """Starts a server; its row is written by `write_row`."""
         address = address or self.new_address()
         server = ServerProcess(
-            self, name, service, address, zone, slots, version
+            self, name, service, address, zone, slots, version, sock
         )
         self.servers[name] = server
         return server
--- a/review/lib-2/server.py
+++ b/review/lib-2/server.py
@@ -1,6 +1,8 @@
 """Stand-in of a backend server, as a process of its own.
 
 Usage: server.py ID IP:PORT JOURNAL SLOTS MS_PER_1000_TOKENS EVENT_MS VERSION
+[OPTION...]; the options are `unframed`, for streams without length and chunks,
+which end with their channel, and `fd=N`, for a socket that listens already.
 
 A model request is read for a time that grows with its prompt, then sends an
 event for each output token. Any other POST or GET is answered after 90 ms.
@@ -10,6 +12,7 @@
 import asyncio
 import json
 import os
+import socket
 import sys
 import time
 
@@ -22,8 +25,11 @@
 class Server:
     """One lifetime of a server."""
 
-    def __init__(self, name, journal, slots, ms_per_1000, event_ms, version):
+    def __init__(
+        self, name, journal, slots, ms_per_1000, event_ms, version, unframed
+    ):
         self.name = name
+        self.unframed = unframed
         self.version = version
         self.slots = slots
         self.read_s = ms_per_1000 / 1e6
@@ -122,25 +128,43 @@
         await asyncio.sleep(int(tokens) * self.read_s)
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in self.fields(request)]
-        lines.append("Transfer-Encoding: chunked")
+        lines.append(
+            "Connection: close"
+            if self.unframed
+            else "Transfer-Encoding: chunked"
+        )
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id", "0") or 0) + 1
         for number in range(first, int(most) + 1):
             text = f"id: {number}\ndata: {self.version} t{number}\n\n"
             event = text.encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if not self.unframed:
+                event = b"%x\r\n%b\r\n" % (len(event), event)
+            writer.write(event)
             await writer.drain()
             await asyncio.sleep(self.event_s)
+        if self.unframed:
+            writer.write_eof()
+            return
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
 
 async def main():
     """Serves until the process that started this one has ended."""
-    name, address, journal, slots, *speeds, version = sys.argv[1:]
-    server = Server(name, journal, int(slots), *map(float, speeds), version)
+    name, address, journal, slots, *rest = sys.argv[1:]
+    speeds, version, options = rest[:2], rest[2], rest[3:]
+    unframed = "unframed" in options
+    server = Server(
+        name, journal, int(slots), *map(float, speeds), version, unframed
+    )
     host, _, port = address.rpartition(":")
-    listener = await asyncio.start_server(server.serve, host, int(port))
+    inherited = [x.removeprefix("fd=") for x in options if x.startswith("fd=")]
+    if inherited:
+        sock = socket.socket(fileno=int(inherited[0]))
+        listener = await asyncio.start_server(server.serve, sock=sock)
+    else:
+        listener = await asyncio.start_server(server.serve, host, int(port))
     parent = os.getppid()
     async with listener:
         while os.getppid() == parent:
