--- a/review/cases2.py
+++ b/review/cases2.py
@@ -28,11 +28,11 @@
 
     def test_prompt_in_flight_at_crashes(self) -> None:
         """A prompt that was in flight at crashed servers is served again."""
-        self._check(5)
+        self._check(6)
 
     def test_version_changed_in_place(self) -> None:
         """A stream goes on at no server that is another version by now."""
-        self._check(6)
+        self._check(5)
 
 
 if __name__ == "__main__":
